feat(core): add the workspace with tokens, frames, codes and settings records

The decision core gets its shared vocabulary first, so that slices can be written side by side: identifiers, the context (time and seed), result codes, keys, flow tokens in the connection ID and authenticated frames.

--- /dev/null
+++ b/crates/basilstep-balancer/src/main.rs
@@ -0,0 +1,3 @@
+//! Placeholder entry point.
+
+fn main() {}
--- /dev/null
+++ b/crates/basilstep-core/src/domains/mod.rs
@@ -0,0 +1,1 @@
+//! Failure domains leaving and returning.
--- /dev/null
+++ b/crates/basilstep-core/src/drain/mod.rs
@@ -0,0 +1,1 @@
+//! Planned stops of agents and balancers.
--- /dev/null
+++ b/crates/basilstep-core/src/membership/mod.rs
@@ -0,0 +1,5 @@
+//! Which agents and balancers are there: announcements, failure detection, dissemination.
+
+mod record;
+
+pub use record::{AgentPhase, AgentRecord, BalancerRecord};
--- /dev/null
+++ b/crates/basilstep-core/src/placement/mod.rs
@@ -0,0 +1,1 @@
+//! Which targets a new flow is offered to, and which of them takes it.
--- /dev/null
+++ b/crates/basilstep-core/src/settings/view.rs
@@ -0,0 +1,61 @@
+use super::records::{DomainRecord, ServiceRecord};
+use crate::{
+    address::{DomainId, ServiceId},
+    token::FlowKeys,
+};
+use serde::{Deserialize, Serialize};
+use std::{collections::BTreeMap, net::SocketAddrV4};
+
+/// A set of failure domains as bits; a look-up costs one load and one shift.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(transparent)]
+pub struct DomainSet([u64; 4]);
+
+impl DomainSet {
+    /// Adds a domain.
+    pub fn insert(&mut self, domain: DomainId) {
+        self.0[usize::from(domain.0 / 64)] |= 1 << (domain.0 % 64);
+    }
+
+    /// Tells whether a domain is in the set.
+    pub fn contains(&self, domain: DomainId) -> bool {
+        self.0[usize::from(domain.0 / 64)] >> (domain.0 % 64) & 1 == 1
+    }
+
+    /// Tells whether the set is empty.
+    pub fn is_empty(&self) -> bool {
+        self.0 == [0; 4]
+    }
+}
+
+/// A service with the path that it came from.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct ServiceView {
+    /// The path of its record.
+    pub path: String,
+    /// Its record.
+    pub record: ServiceRecord,
+}
+
+/// The settings in force, arranged for look-ups.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct SettingsView {
+    /// The services by number.
+    pub services: BTreeMap<ServiceId, ServiceView>,
+    /// The number of the service at each address.
+    pub by_address: BTreeMap<SocketAddrV4, ServiceId>,
+    /// The failure domains by name.
+    pub domains: BTreeMap<String, DomainRecord>,
+    /// The failure domains that are out.
+    pub out: DomainSet,
+    /// The keys of flow tokens, once known.
+    #[serde(skip)]
+    pub flow_keys: Option<FlowKeys>,
+}
+
+impl SettingsView {
+    /// Finds a service by the path of its record.
+    pub fn service_at(&self, path: &str) -> Option<&ServiceView> {
+        self.services.values().find(|service| service.path == path)
+    }
+}
--- /dev/null
+++ b/crates/basilstep-core/src/steering/mod.rs
@@ -0,0 +1,1 @@
+//! Where a packet goes: by its flow token, or by placement when it opens a flow.
--- /dev/null
+++ b/crates/basilstep-core/src/wire.rs
@@ -0,0 +1,162 @@
+//! Datagrams between our own processes: an authenticated `postcard` header, then a payload.
+//!
+//! Layout: version (1 byte), authentication code (8 bytes), header length (1 byte), header,
+//! payload. The code covers the header and the first [`SEALED_PAYLOAD_BYTES`] of the payload; the
+//! rest of a caller's datagram is authenticated by QUIC itself.
+
+use crate::{
+    address::{AgentAddress, BalancerAddress, ServiceId},
+    codes::ResultCode,
+    crypto::ShortKey,
+};
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
+use std::net::SocketAddr;
+
+/// The first byte of each datagram between our processes.
+pub const WIRE_VERSION: u8 = 1;
+
+/// How much of the payload the authentication code covers, in bytes.
+pub const SEALED_PAYLOAD_BYTES: usize = 64;
+
+/// The largest number of bytes that a frame adds to a caller's datagram.
+pub const MAX_FRAME_OVERHEAD_BYTES: usize = 80;
+
+/// The most agents that a new flow is offered to.
+pub const MAX_CANDIDATES: usize = 2;
+
+const CODE_AT: usize = 1;
+const LENGTH_AT: usize = 9;
+const HEADER_AT: usize = 10;
+
+/// What goes before a caller's datagram between a balancer and an agent.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct CarrierHeader {
+    /// The service whose address the caller wrote to.
+    pub service: ServiceId,
+    /// The caller.
+    pub caller: SocketAddr,
+    /// The balancer that carries the answers.
+    pub balancer: BalancerAddress,
+    /// The settings version of the sender.
+    pub settings_version: u64,
+    /// The direction and its particulars.
+    pub leg: Leg,
+}
+
+/// One leg of the path of a caller's datagram.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum Leg {
+    /// A packet of an established flow on its way to the agent that its token names.
+    Established,
+    /// A first packet of a new flow, offered by a balancer to the first candidate.
+    Offer {
+        /// The agents that may take the flow, the preferred one first.
+        candidates: Candidates,
+    },
+    /// A first packet that one candidate shows to the other with its own load.
+    Compare {
+        /// The candidate that asks.
+        from: AgentAddress,
+        /// Its load relative to its capacity, in thousandths.
+        load_permille: u16,
+    },
+    /// A first packet that the second candidate hands back: the first must take it.
+    Take,
+    /// An answer on its way from the agent to the caller.
+    Answer {
+        /// The load of the agent relative to its capacity, in thousandths.
+        load_permille: u16,
+    },
+}
+
+/// One or two agents, without allocation.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Candidates {
+    /// The agent that gets the packet first.
+    pub first: AgentAddress,
+    /// The agent that it compares its load with.
+    pub second: Option<AgentAddress>,
+}
+
+/// Why a frame was not accepted.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
+pub enum FrameError {
+    /// The datagram is too short, of another version or not decodable.
+    #[error("malformed frame")]
+    Malformed,
+    /// The authentication code does not match.
+    #[error("frame is not authentic")]
+    BadSeal,
+    /// The buffer is too small for the frame.
+    #[error("frame does not fit the buffer")]
+    TooLong,
+}
+
+impl FrameError {
+    /// Returns the numbered code under which the drop is counted.
+    pub const fn code(self) -> ResultCode {
+        match self {
+            Self::Malformed | Self::TooLong => ResultCode::Malformed,
+            Self::BadSeal => ResultCode::BadSeal,
+        }
+    }
+}
+
+/// Writes a frame into `buffer` and returns its length; allocates nothing.
+///
+/// # Errors
+///
+/// Returns [`FrameError::TooLong`] when the frame does not fit.
+pub fn encode_frame<H: Serialize>(
+    key: &ShortKey,
+    header: &H,
+    payload: &[u8],
+    buffer: &mut [u8],
+) -> Result<usize, FrameError> {
+    let room = buffer.get_mut(HEADER_AT..).ok_or(FrameError::TooLong)?;
+    let header_length = postcard::to_slice(header, room)
+        .or(Err(FrameError::TooLong))?
+        .len();
+    let payload_at = HEADER_AT + header_length;
+    let end = payload_at + payload.len();
+    buffer
+        .get_mut(payload_at..end)
+        .ok_or(FrameError::TooLong)?
+        .copy_from_slice(payload);
+    buffer[0] = WIRE_VERSION;
+    buffer[LENGTH_AT] = u8::try_from(header_length).or(Err(FrameError::TooLong))?;
+    let code = frame_code(key, &buffer[LENGTH_AT..payload_at], payload);
+    buffer[CODE_AT..LENGTH_AT].copy_from_slice(&code);
+    Ok(end)
+}
+
+/// Checks a frame and returns its header and payload.
+///
+/// # Errors
+///
+/// Returns [`FrameError::Malformed`] or [`FrameError::BadSeal`] for anything that a process with
+/// the same key did not write.
+pub fn decode_frame<'a, H: DeserializeOwned>(
+    key: &ShortKey,
+    datagram: &'a [u8],
+) -> Result<(H, &'a [u8]), FrameError> {
+    if datagram.len() < HEADER_AT || datagram[0] != WIRE_VERSION {
+        return Err(FrameError::Malformed);
+    }
+    let payload_at = HEADER_AT + usize::from(datagram[LENGTH_AT]);
+    let payload = datagram.get(payload_at..).ok_or(FrameError::Malformed)?;
+    let code = frame_code(key, &datagram[LENGTH_AT..payload_at], payload);
+    if code != datagram[CODE_AT..LENGTH_AT] {
+        return Err(FrameError::BadSeal);
+    }
+    let header =
+        postcard::from_bytes(&datagram[HEADER_AT..payload_at]).or(Err(FrameError::Malformed))?;
+    Ok((header, payload))
+}
+
+fn frame_code(key: &ShortKey, header: &[u8], payload: &[u8]) -> [u8; 8] {
+    let covered = payload.len().min(SEALED_PAYLOAD_BYTES);
+    let length = (payload.len() as u32).to_be_bytes();
+    key.code(&[header, &length, &payload[..covered]])
+        .to_be_bytes()
+}
--- /dev/null
+++ b/crates/basilstep-node/src/lib.rs
@@ -0,0 +1,1 @@
+//! The shell that basilstep processes share.
