--- /dev/null
+++ b/crates/basilstep-bench/src/load/mod.rs
@@ -0,0 +1,80 @@
+//! Load experiments: each measures one decision against simpler policies in the same run.
+
+mod cold_start;
+mod domain;
+mod membership;
+mod overload;
+mod packets;
+mod placement;
+mod plot;
+mod settings;
+
+use argh::FromArgs;
+use serde_json::Value;
+use std::{path::PathBuf, process::ExitCode};
+
+/// Runs a load experiment and prints its result as JSON.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "load")]
+pub struct LoadArgs {
+    /// one of: placement, cold-start, domain, overload, membership, settings, packets
+    #[argh(option)]
+    experiment: String,
+    /// first seed of the random source (default 1)
+    #[argh(option, default = "1")]
+    pub seed: u64,
+    /// number of consecutive seeds (default 3)
+    #[argh(option, default = "3")]
+    pub seeds: u64,
+    /// directory that gets NAME.json and NAME.svg
+    #[argh(option)]
+    out: Option<PathBuf>,
+}
+
+/// What an experiment measured.
+#[derive(Debug)]
+pub struct Report {
+    /// The figures, one object.
+    pub figures: Value,
+    /// The plot, if the experiment draws one.
+    pub plot: Option<plot::Plot>,
+}
+
+/// Runs the experiment that the arguments name.
+pub fn run(args: &LoadArgs) -> ExitCode {
+    let report = match args.experiment.as_str() {
+        "placement" => placement::run(args),
+        "cold-start" => cold_start::run(args),
+        "domain" => domain::run(args),
+        "overload" => overload::run(args),
+        "membership" => membership::run(args),
+        "settings" => settings::run(args),
+        "packets" => packets::run(args),
+        other => {
+            eprintln!("no experiment is named {other:?}; see --help");
+            return ExitCode::from(5);
+        }
+    };
+    match publish(args, &report) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("cannot write the report: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn publish(args: &LoadArgs, report: &Report) -> Result<(), Box<dyn std::error::Error>> {
+    let text = serde_json::to_string_pretty(&report.figures)?;
+    println!("{text}");
+    let Some(directory) = &args.out else {
+        return Ok(());
+    };
+    std::fs::create_dir_all(directory)?;
+    let file = |ending: &str| directory.join(format!("{}.{ending}", args.experiment));
+    std::fs::write(file("json"), text + "\n")?;
+    if let Some(plot) = &report.plot {
+        plot.save(&file("svg"))?;
+    }
+    Ok(())
+}
--- a/crates/basilstep-bench/src/main.rs
+++ b/crates/basilstep-bench/src/main.rs
@@ -1,3 +1,41 @@
-//! Placeholder entry point.
+//! Stand-ins, demo, scenarios and load experiments for developers and CI; not shipped to VMs.
+//!
+//! This tool starts processes; the product's own processes never do.
 
-fn main() {}
+mod demo;
+mod load;
+mod scenario;
+mod standins;
+
+use argh::FromArgs;
+use std::process::ExitCode;
+
+/// Stand-ins, demo, scenarios and load experiments of basilstep.
+#[derive(Debug, FromArgs)]
+struct Bench {
+    #[argh(subcommand)]
+    command: Command,
+}
+
+#[derive(Debug, FromArgs)]
+#[argh(subcommand)]
+enum Command {
+    Demo(demo::DemoArgs),
+    Scenario(scenario::ScenarioArgs),
+    Load(load::LoadArgs),
+    Store(standins::store::StoreArgs),
+    Target(standins::target::TargetArgs),
+    Fabric(standins::fabric::FabricArgs),
+}
+
+fn main() -> ExitCode {
+    let bench: Bench = argh::from_env();
+    match bench.command {
+        Command::Demo(args) => demo::run(&args),
+        Command::Scenario(args) => scenario::run(&args),
+        Command::Load(args) => load::run(&args),
+        Command::Store(args) => standins::store::run(&args),
+        Command::Target(args) => standins::target::run(&args),
+        Command::Fabric(args) => standins::fabric::run(&args),
+    }
+}
