feat(node): add flags, logs, metrics, counters and the control port

Each process needs the same shell: settings from flag over environment over default with one numbered error, JSON lines, a cadence sink that is off by default, and an authenticated HTTP/1.1 control port for dumps. simplelog has no JSON writer, so its nearest kin structured-logger is taken. Credentials are refused when foreign, old, for another path or repeated.

--- /dev/null
+++ b/crates/basilstep-node/src/control/mod.rs
@@ -0,0 +1,11 @@
+//! The control port of a process: HTTP/1.1 on the TCP port of its address, authenticated.
+
+mod auth;
+mod client;
+mod server;
+#[cfg(test)]
+mod tests;
+
+pub use auth::{AUTH_HEADER, AuthGuard, Credential};
+pub use client::{ControlClient, ControlError};
+pub use server::{ControlAnswer, ControlHandler, ControlServer};
--- /dev/null
+++ b/crates/basilstep-node/src/control/server.rs
@@ -0,0 +1,183 @@
+use super::auth::{AUTH_HEADER, AuthGuard};
+use crate::{clock::unix_time_s, counters::CodeCounters};
+use basilstep_core::{codes::ResultCode, crypto::ShortKey};
+use bytes::Bytes;
+use http::{Method, Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::{body::Incoming, server::conn::http1, service::service_fn};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use std::{
+    convert::Infallible,
+    io,
+    net::SocketAddrV4,
+    sync::{Arc, Mutex, PoisonError},
+    time::Duration,
+};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::Semaphore,
+    task::JoinHandle,
+};
+
+const MAX_CONNECTIONS: usize = 256;
+const MAX_BODY_BYTES: usize = 4_194_304;
+const HEADER_TIMEOUT_MS: u64 = 5_000;
+
+/// The answer to a control request.
+#[derive(Clone, Debug)]
+pub struct ControlAnswer {
+    /// The numbered outcome.
+    pub code: ResultCode,
+    /// The body, JSON unless the path says otherwise.
+    pub body: Vec<u8>,
+}
+
+impl ControlAnswer {
+    /// Answers with a JSON body.
+    pub fn json<T: serde::Serialize>(value: &T) -> Self {
+        Self {
+            code: ResultCode::Done,
+            body: serde_json::to_vec_pretty(value).unwrap_or_default(),
+        }
+    }
+
+    /// Answers with a code and no body.
+    pub fn code(code: ResultCode) -> Self {
+        Self {
+            code,
+            body: Vec::new(),
+        }
+    }
+}
+
+/// What a process does with authenticated control requests.
+pub trait ControlHandler: Send + Sync + 'static {
+    /// Answers one request; `path` includes the query.
+    fn handle(
+        &self,
+        method: &Method,
+        path: &str,
+        body: Bytes,
+    ) -> impl Future<Output = ControlAnswer> + Send;
+}
+
+/// A running control port.
+#[derive(Debug)]
+pub struct ControlServer {
+    task: JoinHandle<()>,
+}
+
+impl ControlServer {
+    /// Binds the port and serves it until the handle is dropped.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the listener.
+    pub async fn spawn<H: ControlHandler>(
+        address: SocketAddrV4,
+        key: ShortKey,
+        counters: Arc<CodeCounters>,
+        handler: Arc<H>,
+    ) -> io::Result<Self> {
+        let listener = TcpListener::bind(address).await?;
+        let port = Arc::new(Port {
+            guard: Mutex::new(AuthGuard::new(key)),
+            counters,
+            handler,
+        });
+        let task = tokio::spawn(accept_loop(listener, port));
+        Ok(Self { task })
+    }
+}
+
+impl Drop for ControlServer {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+struct Port<H> {
+    guard: Mutex<AuthGuard>,
+    counters: Arc<CodeCounters>,
+    handler: Arc<H>,
+}
+
+async fn accept_loop<H: ControlHandler>(listener: TcpListener, port: Arc<Port<H>>) {
+    let permits = Arc::new(Semaphore::new(MAX_CONNECTIONS));
+    loop {
+        let Ok(permit) = Arc::clone(&permits).acquire_owned().await else {
+            return;
+        };
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::time::sleep(Duration::from_millis(50)).await;
+            continue;
+        };
+        let port = Arc::clone(&port);
+        tokio::spawn(async move {
+            serve_connection(stream, port).await;
+            drop(permit);
+        });
+    }
+}
+
+async fn serve_connection<H: ControlHandler>(stream: TcpStream, port: Arc<Port<H>>) {
+    let service = service_fn(move |request| {
+        let port = Arc::clone(&port);
+        async move { Ok::<_, Infallible>(port.answer(request).await) }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(Duration::from_millis(HEADER_TIMEOUT_MS))
+        .serve_connection(TokioIo::new(stream), service);
+    if let Err(error) = connection.await {
+        log::debug!("control connection ended: {error}");
+    }
+}
+
+impl<H: ControlHandler> Port<H> {
+    async fn answer(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
+        if !self.is_authentic(&request) {
+            self.counters.count(ResultCode::Unauthorised);
+            return respond(ControlAnswer::code(ResultCode::Unauthorised));
+        }
+        let method = request.method().clone();
+        let path = path_of(&request);
+        let body = Limited::new(request.into_body(), MAX_BODY_BYTES);
+        let Ok(body) = body.collect().await else {
+            return respond(ControlAnswer::code(ResultCode::BadRequest));
+        };
+        respond(self.handler.handle(&method, &path, body.to_bytes()).await)
+    }
+
+    fn is_authentic(&self, request: &Request<Incoming>) -> bool {
+        let header = request.headers().get(AUTH_HEADER);
+        let Some(header) = header.and_then(|value| value.to_str().ok()) else {
+            return false;
+        };
+        let path = path_of(request);
+        self.guard
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .accepts(header, request.method().as_str(), &path, unix_time_s())
+    }
+}
+
+fn path_of(request: &Request<Incoming>) -> String {
+    let uri = request.uri();
+    uri.path_and_query()
+        .map_or_else(|| "/".to_owned(), |path| path.as_str().to_owned())
+}
+
+fn respond(answer: ControlAnswer) -> Response<Full<Bytes>> {
+    let status = match answer.code {
+        ResultCode::Done => StatusCode::OK,
+        ResultCode::Unauthorised => StatusCode::UNAUTHORIZED,
+        ResultCode::NotFound => StatusCode::NOT_FOUND,
+        _ => StatusCode::BAD_REQUEST,
+    };
+    let mut response = Response::new(Full::new(Bytes::from(answer.body)));
+    *response.status_mut() = status;
+    let code = http::HeaderValue::from(answer.code.number());
+    response.headers_mut().insert("basilstep-code", code);
+    response
+}
--- /dev/null
+++ b/crates/basilstep-node/src/control/tests.rs
@@ -0,0 +1,30 @@
+use super::{AuthGuard, Credential};
+use basilstep_core::crypto::ShortKey;
+use rstest::rstest;
+
+const KEY: ShortKey = ShortKey([7; 16]);
+const NOW_S: u64 = 1_000_000;
+
+fn header(key: &ShortKey, time_s: u64) -> String {
+    Credential::sign(key, "GET", "/dump", time_s, 42).to_header()
+}
+
+#[test]
+fn own_credential_is_accepted_once() {
+    let mut guard = AuthGuard::new(KEY);
+    let header = header(&KEY, NOW_S);
+    assert!(guard.accepts(&header, "GET", "/dump", NOW_S));
+    assert!(!guard.accepts(&header, "GET", "/dump", NOW_S));
+}
+
+#[rstest]
+#[case::foreign_key(header(&ShortKey([8; 16]), NOW_S), "/dump")]
+#[case::too_old(header(&KEY, NOW_S - 61), "/dump")]
+#[case::from_the_future(header(&KEY, NOW_S + 61), "/dump")]
+#[case::other_path(header(&KEY, NOW_S), "/drain")]
+#[case::not_hex("zz".repeat(24), "/dump")]
+#[case::cut_short(header(&KEY, NOW_S)[..40].to_owned(), "/dump")]
+#[case::empty(String::new(), "/dump")]
+fn other_credential_is_refused(#[case] header: String, #[case] path: &str) {
+    assert!(!AuthGuard::new(KEY).accepts(&header, "GET", path, NOW_S));
+}
--- /dev/null
+++ b/crates/basilstep-node/src/counters.rs
@@ -0,0 +1,48 @@
+//! Counters by result code, shared by the tasks of a process.
+
+use basilstep_core::codes::ResultCode;
+use std::{
+    collections::BTreeMap,
+    sync::atomic::{AtomicU64, Ordering},
+};
+
+const SLOTS: usize = 700;
+
+/// Counts how often each result code occurred; counting takes no lock.
+#[derive(Debug)]
+pub struct CodeCounters {
+    counts: Vec<AtomicU64>,
+}
+
+impl Default for CodeCounters {
+    fn default() -> Self {
+        Self {
+            counts: (0..SLOTS).map(|_| AtomicU64::new(0)).collect(),
+        }
+    }
+}
+
+impl CodeCounters {
+    /// Counts one occurrence.
+    pub fn count(&self, code: ResultCode) {
+        if let Some(counter) = self.counts.get(usize::from(code.number())) {
+            counter.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+
+    /// Returns the count of one code.
+    pub fn get(&self, code: ResultCode) -> u64 {
+        self.counts
+            .get(usize::from(code.number()))
+            .map_or(0, |counter| counter.load(Ordering::Relaxed))
+    }
+
+    /// Returns the codes that occurred, by name, for a dump.
+    pub fn snapshot(&self) -> BTreeMap<String, u64> {
+        ResultCode::ALL
+            .iter()
+            .map(|code| (code.to_string(), self.get(*code)))
+            .filter(|(_, count)| *count > 0)
+            .collect()
+    }
+}
--- /dev/null
+++ b/crates/basilstep-node/src/keys.rs
@@ -0,0 +1,32 @@
+//! The keys that a process derives from the cluster key.
+
+use basilstep_core::crypto::{ClusterKey, ShortKey};
+use ring::hmac;
+
+/// The derived keys, one for each kind of traffic.
+#[derive(Clone, Debug)]
+pub struct NodeKeys {
+    /// Seals frames between balancers and agents.
+    pub carrier: ShortKey,
+    /// Seals membership messages.
+    pub gossip: ShortKey,
+    /// Authenticates requests at the control port.
+    pub control: ShortKey,
+    /// Authenticates tickets.
+    pub ticket: ShortKey,
+    /// Makes the stateless reset tokens of QUIC.
+    pub reset: hmac::Key,
+}
+
+impl NodeKeys {
+    /// Derives all keys.
+    pub fn derive(cluster_key: &ClusterKey) -> Self {
+        Self {
+            carrier: cluster_key.derive("carrier"),
+            gossip: cluster_key.derive("gossip"),
+            control: cluster_key.derive("control"),
+            ticket: cluster_key.derive("ticket"),
+            reset: hmac::Key::new(hmac::HMAC_SHA256, &cluster_key.derive_long("reset")),
+        }
+    }
+}
--- a/crates/basilstep-node/src/lib.rs
+++ b/crates/basilstep-node/src/lib.rs
@@ -1,1 +1,10 @@
-//! The shell that basilstep processes share.
+//! The shell that basilstep processes share: settings, logs, metrics, counters, control port.
+
+pub mod clock;
+pub mod control;
+pub mod counters;
+pub mod flags;
+pub mod keys;
+pub mod logs;
+pub mod metrics;
+pub mod stop;
