--- /dev/null
+++ b/crates/basilstep-agent/src/carrier/mod.rs
@@ -0,0 +1,170 @@
+//! The carrier: callers' datagrams in frames from balancers, presented to QUIC as a socket.
+
+mod paths;
+mod poller;
+
+use crate::shared::Shared;
+use basilstep_core::{
+    address::AgentAddress,
+    codes::ResultCode,
+    wire::{CarrierHeader, Leg, MAX_FRAME_OVERHEAD_BYTES, decode_frame, encode_frame},
+};
+use paths::ReturnPaths;
+use poller::CarrierPoller;
+use quinn::{
+    AsyncUdpSocket, UdpPoller,
+    udp::{RecvMeta, Transmit},
+};
+use std::{
+    io::{self, IoSliceMut},
+    net::SocketAddr,
+    pin::Pin,
+    sync::{Arc, Mutex, PoisonError},
+    task::{Context, Poll, ready},
+};
+use tokio::{io::ReadBuf, net::UdpSocket};
+
+const DATAGRAM_BYTES: usize = 2_048;
+const FRAME_BYTES: usize = DATAGRAM_BYTES + MAX_FRAME_OVERHEAD_BYTES;
+const RETURN_PATH_LIMIT: usize = 8_192;
+
+/// A socket for the QUIC library that unwraps frames from balancers and wraps answers to them.
+#[derive(Debug)]
+pub struct CarrierSocket {
+    socket: Arc<UdpSocket>,
+    shared: Arc<Shared>,
+    paths: Mutex<ReturnPaths>,
+}
+
+impl CarrierSocket {
+    /// Binds the agent's carrier address.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the socket.
+    pub async fn bind(shared: Arc<Shared>) -> io::Result<Arc<Self>> {
+        let socket = UdpSocket::bind(shared.settings.common.address).await?;
+        Ok(Arc::new(Self {
+            socket: Arc::new(socket),
+            shared,
+            paths: Mutex::new(ReturnPaths::new(RETURN_PATH_LIMIT)),
+        }))
+    }
+
+    /// Returns the number of callers whose way back is remembered.
+    pub fn remembered_paths(&self) -> usize {
+        self.lock_paths().len()
+    }
+
+    fn lock_paths(&self) -> std::sync::MutexGuard<'_, ReturnPaths> {
+        self.paths.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Unwraps one frame; returns the caller and the payload that belong to the QUIC library.
+    fn unwrap_frame<'a>(&self, frame: &'a [u8]) -> Option<(SocketAddr, &'a [u8])> {
+        let decoded = decode_frame::<CarrierHeader>(&self.shared.keys.carrier, frame);
+        let (header, payload) = match decoded {
+            Ok(decoded) => decoded,
+            Err(error) => {
+                self.shared.counters.count(error.code());
+                return None;
+            }
+        };
+        if header.service != self.shared.service_id() {
+            self.shared.counters.count(ResultCode::ForeignService);
+            return None;
+        }
+        self.shared.note_settings_version(header.settings_version);
+        if !self.takes(&header, payload) {
+            return None;
+        }
+        let now_ms = self.shared.clock.now_ms();
+        self.lock_paths().note(header.caller, header.balancer, now_ms);
+        Some((header.caller, payload))
+    }
+
+    fn takes(&self, header: &CarrierHeader, payload: &[u8]) -> bool {
+        let _ = payload;
+        match header.leg {
+            Leg::Established | Leg::Offer { .. } | Leg::Take => true,
+            Leg::Compare { .. } | Leg::Answer { .. } => {
+                self.shared.counters.count(ResultCode::Malformed);
+                false
+            }
+        }
+    }
+
+    fn send_answer(&self, caller: SocketAddr, payload: &[u8]) -> io::Result<()> {
+        let Some(balancer) = self.lock_paths().find(caller) else {
+            return Ok(());
+        };
+        let header = CarrierHeader {
+            service: self.shared.service_id(),
+            caller,
+            balancer,
+            settings_version: self.shared.settings_version(),
+            leg: Leg::Answer { load_permille: 0 },
+        };
+        let mut frame = [0; FRAME_BYTES];
+        let key = &self.shared.keys.carrier;
+        let Ok(length) = encode_frame(key, &header, payload, &mut frame) else {
+            return Ok(());
+        };
+        let sent = self.socket.try_send_to(&frame[..length], balancer.0.into());
+        match sent {
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => Err(error),
+            // Any other failure is a lost datagram, which QUIC repairs.
+            _ => Ok(()),
+        }
+    }
+
+    /// Returns the agent's own address.
+    pub fn agent_address(&self) -> AgentAddress {
+        AgentAddress(self.shared.settings.common.address)
+    }
+}
+
+impl AsyncUdpSocket for CarrierSocket {
+    fn create_io_poller(self: Arc<Self>) -> Pin<Box<dyn UdpPoller>> {
+        Box::pin(CarrierPoller::new(Arc::clone(&self.socket)))
+    }
+
+    fn try_send(&self, transmit: &Transmit<'_>) -> io::Result<()> {
+        self.send_answer(transmit.destination, transmit.contents)
+    }
+
+    fn poll_recv(
+        &self,
+        cx: &mut Context<'_>,
+        bufs: &mut [IoSliceMut<'_>],
+        meta: &mut [RecvMeta],
+    ) -> Poll<io::Result<usize>> {
+        let mut frame = [0; FRAME_BYTES];
+        loop {
+            let mut read = ReadBuf::new(&mut frame);
+            if ready!(self.socket.poll_recv_from(cx, &mut read)).is_err() {
+                // An ICMP error of an earlier send; the next datagram may be fine.
+                continue;
+            }
+            let Some((caller, payload)) = self.unwrap_frame(read.filled()) else {
+                continue;
+            };
+            let Some(room) = bufs[0].get_mut(..payload.len()) else {
+                self.shared.counters.count(ResultCode::Malformed);
+                continue;
+            };
+            room.copy_from_slice(payload);
+            meta[0] = RecvMeta {
+                addr: caller,
+                len: payload.len(),
+                stride: payload.len(),
+                ..RecvMeta::default()
+            };
+            return Poll::Ready(Ok(1));
+        }
+    }
+
+    fn local_addr(&self) -> io::Result<SocketAddr> {
+        self.socket.local_addr()
+    }
+}
--- /dev/null
+++ b/crates/basilstep-agent/src/connection_ids.rs
@@ -0,0 +1,52 @@
+//! Connection IDs of the QUIC library that are flow tokens.
+
+use crate::shared::Shared;
+use basilstep_core::token::{FlowToken, TOKEN_BYTES};
+use quinn::{ConnectionId, ConnectionIdGenerator, InvalidCid};
+use std::{sync::Arc, time::Duration};
+
+/// The time after which a connection ID is replaced, so that its flow key can be retired.
+pub const CONNECTION_ID_LIFETIME_S: u64 = 600;
+
+/// Mints flow tokens for one agent.
+#[derive(Debug)]
+pub struct TokenGenerator {
+    shared: Arc<Shared>,
+}
+
+impl TokenGenerator {
+    /// Creates a generator.
+    pub fn new(shared: Arc<Shared>) -> Self {
+        Self { shared }
+    }
+}
+
+impl ConnectionIdGenerator for TokenGenerator {
+    fn generate_cid(&mut self) -> ConnectionId {
+        let token = FlowToken {
+            agent: self.shared.address(),
+            service: self.shared.service_id(),
+            domain: self.shared.domain_id(),
+            incarnation_low: self.shared.incarnation.0 as u16,
+            nonce: rand::random(),
+        };
+        ConnectionId::new(&token.encode(&self.shared.flow_keys().current))
+    }
+
+    fn validate(&self, id: &ConnectionId) -> Result<(), InvalidCid> {
+        let token = self.shared.flow_keys().decode(id).ok_or(InvalidCid)?;
+        if token.agent == self.shared.address() && token.service == self.shared.service_id() {
+            Ok(())
+        } else {
+            Err(InvalidCid)
+        }
+    }
+
+    fn cid_len(&self) -> usize {
+        TOKEN_BYTES
+    }
+
+    fn cid_lifetime(&self) -> Option<Duration> {
+        Some(Duration::from_secs(CONNECTION_ID_LIFETIME_S))
+    }
+}
--- /dev/null
+++ b/crates/basilstep-balancer/src/listeners.rs
@@ -0,0 +1,135 @@
+//! The sockets that face callers, one or more for each service address.
+
+use crate::{ingress, settings::BalancerSettings, shared::Shared};
+use basilstep_core::{address::ServiceId, settings::SettingsView};
+use socket2::{Domain, Protocol, Socket, Type};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    io,
+    net::SocketAddrV4,
+    sync::{Arc, PoisonError, RwLock},
+};
+use tokio::{net::UdpSocket, task::JoinHandle};
+
+const SOCKET_BUFFER_BYTES: usize = 4 << 20;
+
+/// The open sockets by service.
+#[derive(Debug, Default)]
+pub struct Listeners {
+    open: RwLock<BTreeMap<ServiceId, Listener>>,
+}
+
+#[derive(Debug)]
+struct Listener {
+    address: SocketAddrV4,
+    sockets: Vec<Arc<UdpSocket>>,
+    tasks: Vec<JoinHandle<()>>,
+}
+
+impl Drop for Listener {
+    fn drop(&mut self) {
+        for task in &self.tasks {
+            task.abort();
+        }
+    }
+}
+
+impl Listeners {
+    /// Returns the socket from which answers of a service leave.
+    pub fn socket_of(&self, service: ServiceId) -> Option<Arc<UdpSocket>> {
+        let open = self.open.read().unwrap_or_else(PoisonError::into_inner);
+        open.get(&service)
+            .and_then(|listener| listener.sockets.first())
+            .map(Arc::clone)
+    }
+
+    /// Opens and closes sockets until they match the settings in force.
+    pub fn follow(self: &Arc<Self>, shared: &Arc<Shared>, carrier: &Arc<UdpSocket>, view: &SettingsView) {
+        self.close_stale(view, &shared.settings);
+        let missing: Vec<(ServiceId, SocketAddrV4)> = view
+            .services
+            .iter()
+            .filter(|(id, _)| self.socket_of(**id).is_none())
+            .map(|(id, service)| (*id, listen_address(&shared.settings, service.record.address)))
+            .collect();
+        for (service, address) in missing {
+            match open_listener(shared, carrier, service, address) {
+                Ok(listener) => self.insert(service, listener),
+                Err(error) => log::error!(
+                    code = basilstep_core::codes::ResultCode::BindFailed.number(),
+                    address = address.to_string();
+                    "cannot bind a service address: {error}"
+                ),
+            }
+        }
+    }
+
+    /// Returns the service addresses that are bound.
+    pub fn addresses(&self) -> BTreeSet<SocketAddrV4> {
+        let open = self.open.read().unwrap_or_else(PoisonError::into_inner);
+        open.values().map(|listener| listener.address).collect()
+    }
+
+    fn insert(&self, service: ServiceId, listener: Listener) {
+        let mut open = self.open.write().unwrap_or_else(PoisonError::into_inner);
+        open.insert(service, listener);
+    }
+
+    fn close_stale(&self, view: &SettingsView, settings: &BalancerSettings) {
+        let mut open = self.open.write().unwrap_or_else(PoisonError::into_inner);
+        open.retain(|id, listener| {
+            view.services
+                .get(id)
+                .is_some_and(|service| listen_address(settings, service.record.address) == listener.address)
+        });
+    }
+}
+
+fn listen_address(settings: &BalancerSettings, service: SocketAddrV4) -> SocketAddrV4 {
+    let ip = settings.listen_ip.unwrap_or(*service.ip());
+    SocketAddrV4::new(ip, service.port())
+}
+
+fn open_listener(
+    shared: &Arc<Shared>,
+    carrier: &Arc<UdpSocket>,
+    service: ServiceId,
+    address: SocketAddrV4,
+) -> io::Result<Listener> {
+    let count = shared.settings.packet_sockets;
+    let sockets = (0..count)
+        .map(|_| bind_udp(address, count > 1).map(Arc::new))
+        .collect::<io::Result<Vec<_>>>()?;
+    let tasks = sockets
+        .iter()
+        .map(|socket| {
+            let carry = ingress::carry_packets(
+                Arc::clone(shared),
+                service,
+                Arc::clone(socket),
+                Arc::clone(carrier),
+            );
+            tokio::spawn(carry)
+        })
+        .collect();
+    Ok(Listener {
+        address,
+        sockets,
+        tasks,
+    })
+}
+
+/// Binds a UDP socket with large buffers.
+///
+/// # Errors
+///
+/// Returns the error of the operating system.
+pub fn bind_udp(address: SocketAddrV4, share_port: bool) -> io::Result<UdpSocket> {
+    let socket = Socket::new(Domain::IPV4, Type::DGRAM, Some(Protocol::UDP))?;
+    socket.set_nonblocking(true)?;
+    socket.set_reuse_port(share_port)?;
+    socket.set_recv_buffer_size(SOCKET_BUFFER_BYTES)?;
+    socket.set_send_buffer_size(SOCKET_BUFFER_BYTES)?;
+    socket.bind(&address.into())?;
+    UdpSocket::from_std(socket.into())
+}
--- /dev/null
+++ b/crates/basilstep-balancer/src/shared.rs
@@ -0,0 +1,84 @@
+//! What the tasks of one balancer share.
+
+use crate::{ready::Readiness, settings::BalancerSettings};
+use basilstep_core::{address::BalancerAddress, steering::SteeringTable};
+use basilstep_node::{clock::Clock, counters::CodeCounters, keys::NodeKeys};
+use std::sync::{
+    Arc,
+    atomic::{AtomicU64, Ordering},
+};
+use tokio::sync::{Notify, watch};
+
+/// The state that all tasks of a balancer can reach.
+#[derive(Debug)]
+pub struct Shared {
+    /// The settings of the process.
+    pub settings: BalancerSettings,
+    /// The derived keys.
+    pub keys: NodeKeys,
+    /// The clock.
+    pub clock: Clock,
+    /// What was dropped, by code.
+    pub counters: CodeCounters,
+    /// Callers' packets carried towards agents.
+    pub carried: AtomicU64,
+    /// Answers carried towards callers.
+    pub answered: AtomicU64,
+    /// Whether the fabric may send packets.
+    pub readiness: Readiness,
+    /// Wakes the settings task when a newer version has been heard of.
+    pub newer_settings: Notify,
+    table: watch::Sender<Arc<SteeringTable>>,
+    version: AtomicU64,
+    heard_version: AtomicU64,
+}
+
+impl Shared {
+    /// Creates the shared state with an empty table.
+    pub fn new(settings: BalancerSettings, clock: Clock) -> Self {
+        Self {
+            keys: NodeKeys::derive(&settings.common.cluster_key),
+            settings,
+            clock,
+            counters: CodeCounters::default(),
+            carried: AtomicU64::new(0),
+            answered: AtomicU64::new(0),
+            readiness: Readiness::default(),
+            newer_settings: Notify::new(),
+            table: watch::Sender::new(Arc::default()),
+            version: AtomicU64::new(0),
+            heard_version: AtomicU64::new(0),
+        }
+    }
+
+    /// Returns the address of the balancer.
+    pub fn address(&self) -> BalancerAddress {
+        BalancerAddress(self.settings.common.address)
+    }
+
+    /// Returns a view of the steering table that follows its changes.
+    pub fn table(&self) -> watch::Receiver<Arc<SteeringTable>> {
+        self.table.subscribe()
+    }
+
+    /// Puts a new steering table in force.
+    pub fn put_in_force(&self, table: SteeringTable, version: u64) {
+        self.table.send_replace(Arc::new(table));
+        self.version.fetch_max(version, Ordering::Relaxed);
+        self.heard_version.fetch_max(version, Ordering::Relaxed);
+    }
+
+    /// Returns the settings version in force.
+    pub fn settings_version(&self) -> u64 {
+        self.version.load(Ordering::Relaxed)
+    }
+
+    /// Notes the version of a peer and wakes the settings task when it is newer.
+    pub fn note_settings_version(&self, version: u64) {
+        if version <= self.heard_version.load(Ordering::Relaxed) {
+            return;
+        }
+        self.heard_version.fetch_max(version, Ordering::Relaxed);
+        self.newer_settings.notify_one();
+    }
+}
