feat(placement): draw two candidates and settle them between their agents

A balancer draws two candidates by weighted rendezvous hashing; the agents compare exact loads. Loads are compared in flows per weight with the new flow counted, not in thousandths of the connection limit: at 30 flows of 2,000 a thousandth holds two flows, so ties would hide the difference of one flow. Leg::Compare therefore carries a Load, and the number of comparisons so far, which bounds the chain when three balancers' views differ at once.

--- /dev/null
+++ b/crates/basilstep-core/src/placement/load.rs
@@ -0,0 +1,69 @@
+use crate::{address::AgentAddress, codes::ResultCode};
+use serde::{Deserialize, Serialize};
+
+const UNITS_PER_FLOW: u64 = 1_000;
+
+/// The flows of a target per unit of its weight, in thousandths.
+///
+/// A lower load is the better place for a new flow. The scale is fine enough that one flow more or
+/// less shows for every weight.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(transparent)]
+pub struct Load(pub u32);
+
+impl Load {
+    /// The load of a target that takes no new flow.
+    pub const UNWILLING: Self = Self(u32::MAX);
+
+    /// Returns the load of a target of this weight with this many flows.
+    pub fn of(flows: u32, weight: u8) -> Self {
+        let units = u64::from(flows) * UNITS_PER_FLOW;
+        units
+            .checked_div(u64::from(weight))
+            .map_or(Self::UNWILLING, |load| {
+                Self(load.min(u64::from(u32::MAX) - 1) as u32)
+            })
+    }
+
+    /// Tells whether the target takes new flows.
+    pub fn is_willing(self) -> bool {
+        self != Self::UNWILLING
+    }
+}
+
+/// What an agent knows about itself when an offer arrives.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct OwnLoad {
+    /// The agent's own carrier address.
+    pub address: AgentAddress,
+    /// The flows that its endpoint holds, those in their handshake included.
+    pub flows: u32,
+    /// The most flows that it holds.
+    pub flow_limit: u32,
+    /// The capacity of its target relative to others of the service, ramped after a cold start.
+    pub weight: u8,
+    /// Why it takes no new flow whatever its load, such as [`ResultCode::Draining`].
+    pub closed: Option<ResultCode>,
+}
+
+impl OwnLoad {
+    /// Returns why the agent takes no new flow, if it takes none.
+    pub fn refusal(&self, pending_flows: u32) -> Option<ResultCode> {
+        let is_full = self.flows.saturating_add(pending_flows) >= self.flow_limit;
+        let full = is_full.then_some(ResultCode::ConnectionsFull);
+        let without_weight = (self.weight == 0).then_some(ResultCode::TargetUnreachable);
+        self.closed.or(full).or(without_weight)
+    }
+
+    /// Returns the load that the target would have with one more flow.
+    ///
+    /// Counting the flow to be placed makes the comparison of unequal targets exact: a small
+    /// target rises by more than a large one.
+    pub fn with_next_flow(&self, pending_flows: u32) -> Load {
+        if self.refusal(pending_flows).is_some() {
+            return Load::UNWILLING;
+        }
+        let flows = self.flows.saturating_add(pending_flows).saturating_add(1);
+        Load::of(flows, self.weight)
+    }
+}
--- /dev/null
+++ b/crates/basilstep-core/src/placement/offers.rs
@@ -0,0 +1,185 @@
+use super::{hash::flow_code, load::Load, settings::PlacementSettings};
+use crate::{address::AgentAddress, codes::ResultCode, context::Context, crypto::ShortKey};
+use rand::Rng;
+use serde::Serialize;
+use std::{
+    collections::{BTreeMap, VecDeque},
+    net::SocketAddr,
+};
+
+/// The recent decisions of one agent on offers, so that all packets of a first flight get the same.
+///
+/// Bounded in number and in time; the oldest decision is evicted first.
+#[derive(Debug, Serialize)]
+pub struct RecentOffers {
+    settings: PlacementSettings,
+    #[serde(skip)]
+    key: ShortKey,
+    offers: BTreeMap<OfferKey, RecentOffer>,
+    by_age: VecDeque<AgedOffer>,
+    pending_by_age: VecDeque<AgedOffer>,
+    pending_flows: u32,
+}
+
+/// Identifies the first flight of one flow.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(transparent)]
+pub(super) struct OfferKey(u64);
+
+/// What became of an offer at this agent.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub(super) enum OfferState {
+    /// This agent has shown the offer to another and has no reply.
+    Asked { other: AgentAddress, own_load: Load },
+    /// This agent took the flow.
+    Taken,
+    /// The other agent must take the flow.
+    HandedBack { to: AgentAddress },
+    /// Neither agent takes the flow.
+    Refused { code: ResultCode },
+}
+
+/// One kept decision.
+#[derive(Clone, Copy, Debug, Serialize)]
+pub(super) struct RecentOffer {
+    pub(super) state: OfferState,
+    pub(super) since_ms: u64,
+    first_seen_ms: u64,
+    is_pending: bool,
+}
+
+#[derive(Clone, Copy, Debug, Serialize)]
+struct AgedOffer {
+    key: OfferKey,
+    since_ms: u64,
+}
+
+impl RecentOffers {
+    /// Creates an empty record; the keys of its map are hashed with a secret of its own.
+    pub fn new(settings: PlacementSettings, context: &mut Context) -> Self {
+        let mut secret = [0; 16];
+        context.rng.fill_bytes(&mut secret);
+        Self {
+            settings,
+            key: ShortKey(secret),
+            offers: BTreeMap::new(),
+            by_age: VecDeque::new(),
+            pending_by_age: VecDeque::new(),
+            pending_flows: 0,
+        }
+    }
+
+    /// Tells the record that the endpoint now counts this flow, so that it is pending no longer.
+    ///
+    /// `connection_id` is the one that the caller chose for its first packet.
+    pub fn opened(&mut self, caller: &SocketAddr, connection_id: &[u8]) {
+        let key = self.key_of(caller, connection_id);
+        self.settle(key);
+    }
+
+    /// Returns the number of flows that were taken and that the endpoint does not count yet.
+    pub fn pending_flows(&self) -> u32 {
+        self.pending_flows
+    }
+
+    /// Returns the number of decisions that are kept.
+    pub fn len(&self) -> usize {
+        self.offers.len()
+    }
+
+    /// Tells whether no decision is kept.
+    pub fn is_empty(&self) -> bool {
+        self.offers.is_empty()
+    }
+
+    pub(super) fn key_of(&self, caller: &SocketAddr, connection_id: &[u8]) -> OfferKey {
+        OfferKey(flow_code(&self.key, caller, connection_id))
+    }
+
+    pub(super) fn find(&self, key: OfferKey) -> Option<RecentOffer> {
+        self.offers.get(&key).copied()
+    }
+
+    /// Tells whether a decision is so old that a repeated packet is the caller's retransmission.
+    pub(super) fn is_timed_out(&self, offer: &RecentOffer, now_ms: u64) -> bool {
+        now_ms.saturating_sub(offer.since_ms) >= self.settings.compare_timeout_ms
+    }
+
+    /// Keeps a decision; replaces an earlier one on the same offer.
+    pub(super) fn keep(&mut self, key: OfferKey, state: OfferState, now_ms: u64) {
+        self.settle(key);
+        let known = self.offers.get(&key);
+        let first_seen_ms = known.map_or(now_ms, |offer| offer.first_seen_ms);
+        if known.is_none() {
+            self.make_room();
+            let aged = AgedOffer {
+                key,
+                since_ms: now_ms,
+            };
+            self.by_age.push_back(aged);
+        }
+        let is_pending = state == OfferState::Taken;
+        if is_pending {
+            let aged = AgedOffer {
+                key,
+                since_ms: now_ms,
+            };
+            self.pending_by_age.push_back(aged);
+            self.pending_flows += 1;
+        }
+        let offer = RecentOffer {
+            state,
+            since_ms: now_ms,
+            first_seen_ms,
+            is_pending,
+        };
+        self.offers.insert(key, offer);
+    }
+
+    /// Evicts what is older than the retention and ends the pending time of flows never opened.
+    pub(super) fn expire(&mut self, now_ms: u64) {
+        let pending_ms = self.settings.pending_ms;
+        while let Some(aged) = pop_older(&mut self.pending_by_age, now_ms, pending_ms) {
+            let is_same = self
+                .find(aged.key)
+                .is_some_and(|offer| offer.since_ms == aged.since_ms);
+            if is_same {
+                self.settle(aged.key);
+            }
+        }
+        let retention_ms = self.settings.retention_ms;
+        while let Some(aged) = pop_older(&mut self.by_age, now_ms, retention_ms) {
+            self.settle(aged.key);
+            self.offers.remove(&aged.key);
+        }
+    }
+
+    fn make_room(&mut self) {
+        while self.offers.len() >= self.settings.recent_limit.max(1) {
+            let Some(oldest) = self.by_age.pop_front() else {
+                return;
+            };
+            self.settle(oldest.key);
+            self.offers.remove(&oldest.key);
+        }
+    }
+
+    fn settle(&mut self, key: OfferKey) {
+        let Some(offer) = self.offers.get_mut(&key) else {
+            return;
+        };
+        if offer.is_pending {
+            offer.is_pending = false;
+            self.pending_flows -= 1;
+        }
+    }
+}
+
+fn pop_older(queue: &mut VecDeque<AgedOffer>, now_ms: u64, age_ms: u64) -> Option<AgedOffer> {
+    let oldest = queue.front()?;
+    if now_ms.saturating_sub(oldest.since_ms) < age_ms {
+        return None;
+    }
+    queue.pop_front()
+}
--- a/crates/basilstep-core/src/wire.rs
+++ b/crates/basilstep-core/src/wire.rs
@@ -8,6 +8,7 @@
     address::{AgentAddress, BalancerAddress, ServiceId},
     codes::ResultCode,
     crypto::ShortKey,
+    placement::Load,
 };
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 use std::net::SocketAddr;
@@ -57,8 +58,10 @@
     Compare {
         /// The candidate that asks.
         from: AgentAddress,
-        /// Its load relative to its capacity, in thousandths.
-        load_permille: u16,
+        /// Its load with the new flow.
+        load: Load,
+        /// How often the packet has been shown to another candidate.
+        hops: u8,
     },
     /// A first packet that the second candidate hands back: the first must take it.
     Take,
