--- /dev/null
+++ b/crates/basilstep-bench/src/lib.rs
@@ -0,0 +1,3 @@
+//! The stand-ins as a library, so that tests start them in their own process.
+
+pub mod standins;
--- a/crates/basilstep-bench/src/main.rs
+++ b/crates/basilstep-bench/src/main.rs
@@ -5,9 +5,9 @@
 mod demo;
 mod load;
 mod scenario;
-mod standins;
 
 use argh::FromArgs;
+use basilstep_bench::standins;
 use std::process::ExitCode;
 
 /// Stand-ins, demo, scenarios and load experiments of basilstep.
