--- a/crates/basilstep-agent/src/carrier/mod.rs
+++ b/crates/basilstep-agent/src/carrier/mod.rs
@@ -5,8 +5,9 @@
 
 use crate::shared::Shared;
 use basilstep_core::{
-    address::AgentAddress,
     codes::ResultCode,
+    placement::{NextLeg, OfferDecision, Offered},
+    steering::destination_id,
     wire::{CarrierHeader, Leg, MAX_FRAME_OVERHEAD_BYTES, decode_frame, encode_frame},
 };
 use paths::ReturnPaths;
@@ -83,14 +84,42 @@
         Some((header.caller, payload))
     }
 
+    /// Tells whether the datagram is for the own endpoint; sends offers on to the other candidate.
     fn takes(&self, header: &CarrierHeader, payload: &[u8]) -> bool {
-        let _ = payload;
-        match header.leg {
-            Leg::Established | Leg::Offer { .. } | Leg::Take => true,
-            Leg::Compare { .. } | Leg::Answer { .. } => {
-                self.shared.counters.count(ResultCode::Malformed);
-                false
-            }
+        if header.leg == Leg::Established {
+            return true;
+        }
+        let Some(connection_id) = destination_id(payload) else {
+            self.shared.counters.count(ResultCode::Malformed);
+            return false;
+        };
+        let offered = Offered {
+            caller: header.caller,
+            connection_id,
+            leg: header.leg,
+        };
+        let decision = self.shared.decide_offer(&offered);
+        match decision {
+            OfferDecision::Take | OfferDecision::Refuse(_) => return true,
+            OfferDecision::Drop(code) => self.shared.counters.count(code),
+            OfferDecision::CompareWith { .. } | OfferDecision::HandBack { .. } => {}
+        }
+        if let Some(next) = decision.next_leg(self.shared.address()) {
+            self.pass_on(header, next, payload);
+        }
+        false
+    }
+
+    fn pass_on(&self, header: &CarrierHeader, next: NextLeg, payload: &[u8]) {
+        let header = CarrierHeader {
+            leg: next.leg,
+            ..*header
+        };
+        let mut frame = [0; FRAME_BYTES];
+        let key = &self.shared.keys.carrier;
+        if let Ok(length) = encode_frame(key, &header, payload, &mut frame) {
+            // A lost offer is repeated by the caller.
+            let _ = self.socket.try_send_to(&frame[..length], next.to.0.into());
         }
     }
 
@@ -118,10 +147,6 @@
         }
     }
 
-    /// Returns the agent's own address.
-    pub fn agent_address(&self) -> AgentAddress {
-        AgentAddress(self.shared.settings.common.address)
-    }
 }
 
 impl AsyncUdpSocket for CarrierSocket {
--- /dev/null
+++ b/crates/basilstep-balancer/src/ingress.rs
@@ -0,0 +1,126 @@
+//! Callers' packets on their way to agents.
+
+use crate::shared::Shared;
+use basilstep_core::{
+    address::{AgentAddress, ServiceId},
+    codes::ResultCode,
+    steering::{ResetLimit, Steer, SteeringSettings, stateless_reset},
+    token::TOKEN_BYTES,
+    wire::{CarrierHeader, Leg, MAX_FRAME_OVERHEAD_BYTES, encode_frame},
+};
+use rand_chacha::ChaCha8Rng;
+use std::{
+    net::SocketAddr,
+    sync::{Arc, atomic::Ordering},
+};
+use tokio::net::UdpSocket;
+
+const DATAGRAM_BYTES: usize = 2_048;
+const FRAME_BYTES: usize = DATAGRAM_BYTES + MAX_FRAME_OVERHEAD_BYTES;
+const BATCH: usize = 64;
+
+/// Carries the packets of one service socket until the task is aborted.
+pub async fn carry_packets(
+    shared: Arc<Shared>,
+    service: ServiceId,
+    callers: Arc<UdpSocket>,
+    carrier: Arc<UdpSocket>,
+) {
+    let mut ingress = Ingress::new(&shared, service, callers, carrier);
+    let mut table = shared.table();
+    let mut buffer = [0; DATAGRAM_BYTES];
+    loop {
+        if ingress.callers.readable().await.is_err() {
+            continue;
+        }
+        let current = Arc::clone(&table.borrow_and_update());
+        for _ in 0..BATCH {
+            let Ok((length, caller)) = ingress.callers.try_recv_from(&mut buffer) else {
+                break;
+            };
+            let datagram = &buffer[..length];
+            let steer = current.steer(service, &caller, datagram);
+            ingress.carry_out(steer, caller, datagram);
+        }
+    }
+}
+
+/// One service socket with what its packets need.
+struct Ingress<'a> {
+    shared: &'a Shared,
+    service: ServiceId,
+    callers: Arc<UdpSocket>,
+    carrier: Arc<UdpSocket>,
+    resets: ResetLimit,
+    rng: ChaCha8Rng,
+    frame: [u8; FRAME_BYTES],
+}
+
+impl<'a> Ingress<'a> {
+    fn new(
+        shared: &'a Shared,
+        service: ServiceId,
+        callers: Arc<UdpSocket>,
+        carrier: Arc<UdpSocket>,
+    ) -> Self {
+        let context = shared.clock.context();
+        Self {
+            shared,
+            service,
+            callers,
+            carrier,
+            resets: ResetLimit::new(SteeringSettings::default(), context.now_ms),
+            rng: context.rng,
+            frame: [0; FRAME_BYTES],
+        }
+    }
+
+    fn carry_out(&mut self, steer: Steer, caller: SocketAddr, datagram: &[u8]) {
+        match steer {
+            Steer::Forward { agent, leg } => self.forward(agent, leg, caller, datagram),
+            Steer::Drop(code) => self.shared.counters.count(code),
+            Steer::Reset {
+                connection_id,
+                code,
+            } => self.reset(&connection_id, code, caller, datagram.len()),
+        }
+    }
+
+    fn forward(&mut self, agent: AgentAddress, leg: Leg, caller: SocketAddr, datagram: &[u8]) {
+        let header = CarrierHeader {
+            service: self.service,
+            caller,
+            balancer: self.shared.address(),
+            settings_version: self.shared.settings_version(),
+            leg,
+        };
+        let key = &self.shared.keys.carrier;
+        let Ok(length) = encode_frame(key, &header, datagram, &mut self.frame) else {
+            return self.shared.counters.count(ResultCode::Malformed);
+        };
+        // A datagram that the socket does not take now is lost; QUIC repairs that.
+        let sent = self.carrier.try_send_to(&self.frame[..length], agent.0.into());
+        if sent.is_ok() {
+            self.shared.carried.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+
+    fn reset(
+        &mut self,
+        connection_id: &[u8; TOKEN_BYTES],
+        code: ResultCode,
+        caller: SocketAddr,
+        trigger_bytes: usize,
+    ) {
+        self.shared.counters.count(code);
+        if !self.resets.allow(self.shared.clock.now_ms()) {
+            return;
+        }
+        let key = &self.shared.keys.reset;
+        let reset = stateless_reset(connection_id, key, &mut self.rng, trigger_bytes);
+        if let Some(reset) = reset {
+            // The caller's next packet brings another reset when this one is lost.
+            let _ = self.callers.try_send_to(reset.as_bytes(), caller);
+        }
+    }
+}
