feat(steering): steer packets by token, placement or reset

A token of an unknown or another run is carried: views lag, and 16 bits of an incarnation do not order runs that are hours apart, so only the run that is known to have ended is reset. Resets are as long as the agents' QUIC library makes them at least, shorter than their trigger and limited in rate.

--- /dev/null
+++ b/crates/basilstep-core/src/steering/header.rs
@@ -0,0 +1,119 @@
+use crate::{codes::ResultCode, token::TOKEN_BYTES};
+
+const LONG_HEADER: u8 = 0x80;
+const LONG_TYPE: u8 = 0x30;
+const TYPE_INITIAL: u8 = 0x00;
+const TYPE_ZERO_RTT: u8 = 0x10;
+const VERSION_AT: usize = 1;
+const LENGTH_AT: usize = 5;
+const LONG_ID_AT: usize = 6;
+const SHORT_ID_AT: usize = 1;
+const VERSION_NEGOTIATION: u32 = 0;
+const VERSION_1: u32 = 1;
+const MAX_ID_BYTES_V1: usize = 20;
+const MIN_INITIAL_ID_BYTES_V1: usize = 8;
+
+/// The smallest datagram that may open a flow, in bytes (RFC 9000, section 14.1).
+const MIN_OPENING_BYTES: usize = 1_200;
+
+/// What steering reads of a packet: the version-independent part of RFC 8999, and the type of
+/// long headers of version 1.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct PacketHeader<'a> {
+    /// The kind of the packet.
+    pub kind: PacketKind,
+    /// The destination connection ID; for a short header the bytes where a flow token stands.
+    pub connection_id: &'a [u8],
+}
+
+/// The kinds of packets that steering tells apart.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum PacketKind {
+    /// A packet that may open a flow: large enough and of an opening type or unknown version.
+    Opening,
+    /// Any other packet with a long header.
+    Handshake,
+    /// A packet with a short header.
+    Short,
+}
+
+/// Why a datagram is no QUIC packet that a caller may send.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
+pub enum HeaderError {
+    /// The datagram ends before its connection ID does.
+    #[error("the datagram is truncated")]
+    Truncated,
+    /// The header breaks a rule of its version, or is one that only servers send.
+    #[error("the header is not one that a caller sends")]
+    Invalid,
+}
+
+impl HeaderError {
+    /// Returns the numbered code under which the drop is counted.
+    pub const fn code(self) -> ResultCode {
+        ResultCode::Malformed
+    }
+}
+
+/// Reads the header of a datagram's first packet; allocates nothing.
+///
+/// # Errors
+///
+/// Returns a [`HeaderError`] for a datagram that no caller sends.
+pub fn parse_header(datagram: &[u8]) -> Result<PacketHeader<'_>, HeaderError> {
+    let first_byte = *datagram.first().ok_or(HeaderError::Truncated)?;
+    if first_byte & LONG_HEADER == 0 {
+        return parse_short(datagram);
+    }
+    parse_long(first_byte, datagram)
+}
+
+fn parse_short(datagram: &[u8]) -> Result<PacketHeader<'_>, HeaderError> {
+    let connection_id = datagram
+        .get(SHORT_ID_AT..SHORT_ID_AT + TOKEN_BYTES)
+        .ok_or(HeaderError::Truncated)?;
+    Ok(PacketHeader {
+        kind: PacketKind::Short,
+        connection_id,
+    })
+}
+
+fn parse_long(first_byte: u8, datagram: &[u8]) -> Result<PacketHeader<'_>, HeaderError> {
+    let version = read_version(datagram).ok_or(HeaderError::Truncated)?;
+    let length = usize::from(*datagram.get(LENGTH_AT).ok_or(HeaderError::Truncated)?);
+    let connection_id = datagram
+        .get(LONG_ID_AT..LONG_ID_AT + length)
+        .ok_or(HeaderError::Truncated)?;
+    let is_opening_type = match version {
+        VERSION_NEGOTIATION => return Err(HeaderError::Invalid),
+        VERSION_1 => is_opening_type_v1(first_byte, connection_id)?,
+        // The agent answers an unknown version with the versions that it knows.
+        _ => true,
+    };
+    let kind = if is_opening_type && datagram.len() >= MIN_OPENING_BYTES {
+        PacketKind::Opening
+    } else {
+        PacketKind::Handshake
+    };
+    Ok(PacketHeader {
+        kind,
+        connection_id,
+    })
+}
+
+fn read_version(datagram: &[u8]) -> Option<u32> {
+    let bytes = datagram.get(VERSION_AT..LENGTH_AT)?;
+    let bytes = <[u8; LENGTH_AT - VERSION_AT]>::try_from(bytes).ok()?;
+    Some(u32::from_be_bytes(bytes))
+}
+
+fn is_opening_type_v1(first_byte: u8, connection_id: &[u8]) -> Result<bool, HeaderError> {
+    if connection_id.len() > MAX_ID_BYTES_V1 {
+        return Err(HeaderError::Invalid);
+    }
+    let is_opening = matches!(first_byte & LONG_TYPE, TYPE_INITIAL | TYPE_ZERO_RTT);
+    if is_opening && connection_id.len() < MIN_INITIAL_ID_BYTES_V1 {
+        return Err(HeaderError::Invalid);
+    }
+    Ok(is_opening)
+}
--- /dev/null
+++ b/crates/basilstep-core/src/steering/reset.rs
@@ -0,0 +1,103 @@
+use super::settings::SteeringSettings;
+use crate::{
+    crypto::{CLUSTER_KEY_BYTES, ClusterKey},
+    token::TOKEN_BYTES,
+};
+use rand::{Rng, RngExt};
+use ring::hmac;
+use serde::Serialize;
+
+/// The length of a stateless reset token in bytes.
+pub const RESET_TOKEN_BYTES: usize = 16;
+
+/// The shortest stateless reset in bytes (RFC 9000, section 10.3).
+pub const MIN_RESET_BYTES: usize = 21;
+
+/// The longest stateless reset that is sent: that of a packet with the longest connection ID.
+const MAX_RESET_BYTES: usize = MIN_RESET_BYTES + TOKEN_BYTES;
+
+const FIXED_BIT: u8 = 0x40;
+const RANDOM_BITS: u8 = 0x3f;
+const MS_PER_S: u64 = 1_000;
+
+/// A datagram that ends a flow at its caller.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct StatelessReset {
+    bytes: [u8; MAX_RESET_BYTES],
+    length: usize,
+}
+
+impl StatelessReset {
+    /// Returns the datagram.
+    pub fn as_bytes(&self) -> &[u8] {
+        &self.bytes[..self.length]
+    }
+}
+
+/// Derives the key of stateless resets, the same for all agents and balancers.
+///
+/// An agent gives it to its QUIC endpoint as the reset key, so that a balancer can end the flows
+/// of an agent that is gone.
+pub fn reset_key(cluster_key: &ClusterKey) -> hmac::Key {
+    let secret: [u8; CLUSTER_KEY_BYTES] = cluster_key.derive_long("stateless-reset");
+    hmac::Key::new(hmac::HMAC_SHA256, &secret)
+}
+
+/// Builds the stateless reset for a connection ID; allocates nothing.
+///
+/// The token is the start of the HMAC of the connection ID, as the QUIC library of the agents
+/// computes it. The datagram is shorter than the packet that caused it, so that two ends never
+/// answer each other for ever. Returns `None` when that packet is too short for one.
+pub fn stateless_reset(
+    connection_id: &[u8],
+    key: &hmac::Key,
+    rng: &mut impl Rng,
+    trigger_bytes: usize,
+) -> Option<StatelessReset> {
+    let longest = trigger_bytes.checked_sub(1)?.min(MAX_RESET_BYTES);
+    if longest < MIN_RESET_BYTES {
+        return None;
+    }
+    let length = rng.random_range(MIN_RESET_BYTES..=longest);
+    let mut bytes = [0; MAX_RESET_BYTES];
+    rng.fill_bytes(&mut bytes[..length - RESET_TOKEN_BYTES]);
+    bytes[0] = FIXED_BIT | bytes[0] & RANDOM_BITS;
+    let signature = hmac::sign(key, connection_id);
+    let token = &signature.as_ref()[..RESET_TOKEN_BYTES];
+    bytes[length - RESET_TOKEN_BYTES..length].copy_from_slice(token);
+    Some(StatelessReset { bytes, length })
+}
+
+/// Bounds how many resets are sent, so that replayed packets never make a balancer a reflector.
+#[derive(Clone, Debug, Serialize)]
+pub struct ResetLimit {
+    settings: SteeringSettings,
+    /// The resets that may be sent now, in thousandths.
+    allowance: u64,
+    updated_ms: u64,
+}
+
+impl ResetLimit {
+    /// Creates a limit that allows a whole burst.
+    pub fn new(settings: SteeringSettings, now_ms: u64) -> Self {
+        Self {
+            settings,
+            allowance: u64::from(settings.reset_burst) * MS_PER_S,
+            updated_ms: now_ms,
+        }
+    }
+
+    /// Tells whether one more reset may be sent, and counts it.
+    pub fn allow(&mut self, now_ms: u64) -> bool {
+        let elapsed_ms = now_ms.saturating_sub(self.updated_ms);
+        let gained = elapsed_ms.saturating_mul(u64::from(self.settings.reset_limit_per_s));
+        let most = u64::from(self.settings.reset_burst) * MS_PER_S;
+        self.updated_ms = self.updated_ms.max(now_ms);
+        self.allowance = self.allowance.saturating_add(gained).min(most);
+        if self.allowance < MS_PER_S {
+            return false;
+        }
+        self.allowance -= MS_PER_S;
+        true
+    }
+}
--- /dev/null
+++ b/crates/basilstep-core/src/steering/settings.rs
@@ -0,0 +1,20 @@
+use serde::{Deserialize, Serialize};
+
+/// How a balancer answers packets of flows that have ended with their agent or domain.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct SteeringSettings {
+    /// The most stateless resets that a balancer sends in a second.
+    pub reset_limit_per_s: u32,
+    /// The most stateless resets that a balancer sends at once after a calm time.
+    pub reset_burst: u32,
+}
+
+impl Default for SteeringSettings {
+    fn default() -> Self {
+        Self {
+            reset_limit_per_s: 2_000,
+            reset_burst: 2_000,
+        }
+    }
+}
--- /dev/null
+++ b/crates/basilstep-core/src/steering/steer.rs
@@ -0,0 +1,99 @@
+use super::{
+    header::{PacketHeader, PacketKind, parse_header},
+    table::SteeringTable,
+};
+use crate::{
+    address::{AgentAddress, ServiceId},
+    codes::ResultCode,
+    token::{FlowToken, TOKEN_BYTES},
+    wire::Leg,
+};
+use std::net::SocketAddr;
+
+/// What a balancer does with a caller's datagram.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Steer {
+    /// Carries it to an agent.
+    Forward {
+        /// The agent.
+        agent: AgentAddress,
+        /// The leg in the carrier header.
+        leg: Leg,
+    },
+    /// Drops it without an answer and counts it under the code.
+    Drop(ResultCode),
+    /// Answers with a stateless reset, so that the caller reopens its flow at once.
+    Reset {
+        /// The connection ID that the caller wrote to.
+        connection_id: [u8; TOKEN_BYTES],
+        /// Why the flow has ended.
+        code: ResultCode,
+    },
+}
+
+impl SteeringTable {
+    /// Decides where a datagram goes that came in on the address of `service`; allocates nothing.
+    pub fn steer(&self, service: ServiceId, caller: &SocketAddr, datagram: &[u8]) -> Steer {
+        let header = match parse_header(datagram) {
+            Ok(header) => header,
+            Err(error) => return Steer::Drop(error.code()),
+        };
+        if let Some(token) = self.read_token(header.connection_id) {
+            return self.steer_by_token(service, &header, &token);
+        }
+        if header.kind == PacketKind::Opening {
+            return self.place(service, caller, header.connection_id);
+        }
+        Steer::Drop(ResultCode::BadToken)
+    }
+
+    fn read_token(&self, connection_id: &[u8]) -> Option<FlowToken> {
+        self.flow_keys.as_ref()?.decode(connection_id)
+    }
+
+    fn steer_by_token(
+        &self,
+        service: ServiceId,
+        header: &PacketHeader<'_>,
+        token: &FlowToken,
+    ) -> Steer {
+        if token.service != service {
+            return Steer::Drop(ResultCode::ForeignService);
+        }
+        if self.out.contains(token.domain) {
+            return end_flow(header, ResultCode::TokenDomainOut);
+        }
+        if self.is_dead(token) {
+            return end_flow(header, ResultCode::TargetDead);
+        }
+        Steer::Forward {
+            agent: token.agent,
+            leg: Leg::Established,
+        }
+    }
+
+    fn place(&self, service: ServiceId, caller: &SocketAddr, connection_id: &[u8]) -> Steer {
+        let Some(targets) = self.targets(service) else {
+            return Steer::Drop(ResultCode::UnknownService);
+        };
+        match targets.candidates(caller, connection_id) {
+            Some(candidates) => Steer::Forward {
+                agent: candidates.first,
+                leg: Leg::Offer { candidates },
+            },
+            None => Steer::Drop(ResultCode::NoTarget),
+        }
+    }
+}
+
+/// Ends a flow whose agent must not or cannot get packets: a caller takes a stateless reset only
+/// in place of a packet with a short header.
+fn end_flow(header: &PacketHeader<'_>, code: ResultCode) -> Steer {
+    match <[u8; TOKEN_BYTES]>::try_from(header.connection_id) {
+        Ok(connection_id) if header.kind == PacketKind::Short => Steer::Reset {
+            connection_id,
+            code,
+        },
+        _ => Steer::Drop(code),
+    }
+}
--- /dev/null
+++ b/crates/basilstep-core/src/steering/table.rs
@@ -0,0 +1,89 @@
+use crate::{
+    address::{AgentAddress, Incarnation, ServiceId},
+    membership::AgentRecord,
+    placement::ServiceTargets,
+    settings::{DomainSet, SettingsView},
+    token::{FlowKeys, FlowToken},
+};
+use serde::Serialize;
+use std::collections::BTreeMap;
+
+/// What a balancer steers by: an immutable snapshot of its settings and its membership view.
+///
+/// Its size depends on the services and agents, never on the flows.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct SteeringTable {
+    #[serde(skip)]
+    pub(super) flow_keys: Option<FlowKeys>,
+    pub(super) out: DomainSet,
+    pub(super) services: BTreeMap<ServiceId, ServiceTargets>,
+    dead: BTreeMap<AgentAddress, Incarnation>,
+}
+
+/// A run of an agent that is known to have ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
+pub struct DeadAgent {
+    /// The address of the agent.
+    pub address: AgentAddress,
+    /// The run that has ended.
+    pub incarnation: Incarnation,
+}
+
+impl SteeringTable {
+    /// Builds a snapshot from the settings in force, the agents' records and the runs of agents
+    /// that are known to have ended.
+    pub fn build(view: &SettingsView, records: &[AgentRecord], dead: &[DeadAgent]) -> Self {
+        let dead: BTreeMap<_, _> = dead
+            .iter()
+            .map(|agent| (agent.address, agent.incarnation))
+            .collect();
+        Self {
+            flow_keys: view.flow_keys,
+            out: view.out,
+            services: arrange_services(view, &living(records, &dead)),
+            dead,
+        }
+    }
+
+    /// Returns the arranged targets of a service.
+    pub fn targets(&self, service: ServiceId) -> Option<&ServiceTargets> {
+        self.services.get(&service)
+    }
+
+    /// Tells whether the run of the agent that minted the token is known to have ended.
+    ///
+    /// An agent that is not known, or is known by another run, may be one that this view lacks.
+    pub(super) fn is_dead(&self, token: &FlowToken) -> bool {
+        self.dead
+            .get(&token.agent)
+            .is_some_and(|incarnation| token.is_of(*incarnation))
+    }
+}
+
+fn living(
+    records: &[AgentRecord],
+    dead: &BTreeMap<AgentAddress, Incarnation>,
+) -> BTreeMap<ServiceId, Vec<AgentRecord>> {
+    let mut by_service: BTreeMap<ServiceId, Vec<AgentRecord>> = BTreeMap::new();
+    for record in records {
+        let ended = dead.get(&record.address);
+        if ended.is_none_or(|ended| record.incarnation > *ended) {
+            by_service.entry(record.service).or_default().push(*record);
+        }
+    }
+    by_service
+}
+
+fn arrange_services(
+    view: &SettingsView,
+    living: &BTreeMap<ServiceId, Vec<AgentRecord>>,
+) -> BTreeMap<ServiceId, ServiceTargets> {
+    view.services
+        .keys()
+        .map(|service| {
+            let records = living.get(service).map_or(&[][..], Vec::as_slice);
+            let targets = ServiceTargets::arrange(*service, records, &view.out);
+            (*service, targets)
+        })
+        .collect()
+}
