--- a/crates/basilstep-agent/src/carrier/mod.rs
+++ b/crates/basilstep-agent/src/carrier/mod.rs
@@ -7,8 +7,11 @@
 use basilstep_core::{
     codes::ResultCode,
     placement::{NextLeg, OfferDecision, Offered},
-    steering::destination_id,
-    wire::{CarrierHeader, Leg, MAX_FRAME_OVERHEAD_BYTES, decode_frame, encode_frame},
+    steering::parse_header,
+    wire::{
+        CarrierHeader, Leg, MAX_FRAME_OVERHEAD_BYTES, MEMBERSHIP_VERSION, decode_frame,
+        encode_frame,
+    },
 };
 use paths::ReturnPaths;
 use poller::CarrierPoller;
@@ -18,12 +21,12 @@
 };
 use std::{
     io::{self, IoSliceMut},
-    net::SocketAddr,
+    net::{SocketAddr, SocketAddrV4},
     pin::Pin,
     sync::{Arc, Mutex, PoisonError},
     task::{Context, Poll, ready},
 };
-use tokio::{io::ReadBuf, net::UdpSocket};
+use tokio::{io::ReadBuf, net::UdpSocket, sync::mpsc};
 
 const DATAGRAM_BYTES: usize = 2_048;
 const FRAME_BYTES: usize = DATAGRAM_BYTES + MAX_FRAME_OVERHEAD_BYTES;
@@ -35,6 +38,16 @@
     socket: Arc<UdpSocket>,
     shared: Arc<Shared>,
     paths: Mutex<ReturnPaths>,
+    membership: mpsc::Sender<MembershipDatagram>,
+}
+
+/// A membership datagram with its sender.
+#[derive(Clone, Debug)]
+pub struct MembershipDatagram {
+    /// Who sent it.
+    pub from: SocketAddrV4,
+    /// What it holds, still sealed.
+    pub bytes: Vec<u8>,
 }
 
 impl CarrierSocket {
@@ -43,15 +56,33 @@
     /// # Errors
     ///
     /// Returns the error of the socket.
-    pub async fn bind(shared: Arc<Shared>) -> io::Result<Arc<Self>> {
+    pub async fn bind(
+        shared: Arc<Shared>,
+        membership: mpsc::Sender<MembershipDatagram>,
+    ) -> io::Result<Arc<Self>> {
         let socket = UdpSocket::bind(shared.settings.common.address).await?;
         Ok(Arc::new(Self {
             socket: Arc::new(socket),
             shared,
             paths: Mutex::new(ReturnPaths::new(RETURN_PATH_LIMIT)),
+            membership,
         }))
     }
 
+    /// Returns the UDP socket, for membership messages.
+    pub fn udp(&self) -> Arc<UdpSocket> {
+        Arc::clone(&self.socket)
+    }
+
+    fn hand_over(&self, from: SocketAddr, bytes: &[u8]) {
+        let SocketAddr::V4(from) = from else {
+            return self.shared.counters.count(ResultCode::Malformed);
+        };
+        let bytes = bytes.to_vec();
+        // A full queue drops the message: membership repeats what matters.
+        let _ = self.membership.try_send(MembershipDatagram { from, bytes });
+    }
+
     /// Returns the number of callers whose way back is remembered.
     pub fn remembered_paths(&self) -> usize {
         self.lock_paths().len()
@@ -89,13 +120,16 @@
         if header.leg == Leg::Established {
             return true;
         }
-        let Some(connection_id) = destination_id(payload) else {
-            self.shared.counters.count(ResultCode::Malformed);
-            return false;
+        let packet = match parse_header(payload) {
+            Ok(packet) => packet,
+            Err(error) => {
+                self.shared.counters.count(error.code());
+                return false;
+            }
         };
         let offered = Offered {
             caller: header.caller,
-            connection_id,
+            connection_id: packet.connection_id,
             leg: header.leg,
         };
         let decision = self.shared.decide_offer(&offered);
@@ -167,9 +201,13 @@
         let mut frame = [0; FRAME_BYTES];
         loop {
             let mut read = ReadBuf::new(&mut frame);
-            if ready!(self.socket.poll_recv_from(cx, &mut read)).is_err() {
+            let Ok(from) = ready!(self.socket.poll_recv_from(cx, &mut read)) else {
                 // An ICMP error of an earlier send; the next datagram may be fine.
                 continue;
+            };
+            if read.filled().first() == Some(&MEMBERSHIP_VERSION) {
+                self.hand_over(from, read.filled());
+                continue;
             }
             let Some((caller, payload)) = self.unwrap_frame(read.filled()) else {
                 continue;
--- /dev/null
+++ b/crates/basilstep-agent/src/controller.rs
@@ -0,0 +1,281 @@
+//! The control duties of an agent: its announcement and its settings, in one actor.
+
+use crate::shared::{ServiceInForce, Shared};
+use basilstep_core::{
+    address::AgentAddress,
+    context::Context as Environment,
+    membership::{
+        Action, AgentPhase, AgentRecord, Announcer, BalancerRecord, MemberRecord,
+        MembershipMessage, MembershipSettings, SettingsDelta,
+    },
+    settings::{Applied, SettingsState},
+    wire::{decode_sealed, encode_sealed},
+};
+use basilstep_node::control::ControlClient;
+use serde::Serialize;
+use std::{collections::BTreeMap, net::SocketAddrV4, sync::Arc};
+use tokio::net::UdpSocket;
+use xtra::{Actor, Address, Context, Handler, Mailbox};
+
+const DATAGRAM_BYTES: usize = 1_500;
+const MAILBOX: usize = 1_024;
+
+/// Holds the announcement and the settings of one agent.
+#[derive(Debug)]
+pub struct Controller {
+    shared: Arc<Shared>,
+    carrier: Arc<UdpSocket>,
+    client: ControlClient,
+    environment: Environment,
+    settings: SettingsState,
+    announcer: Announcer,
+    own: Option<Address<Self>>,
+}
+
+impl Actor for Controller {
+    type Stop = ();
+
+    async fn started(&mut self, mailbox: &Mailbox<Self>) -> Result<(), ()> {
+        self.own = mailbox.address().try_upgrade();
+        Ok(())
+    }
+
+    async fn stopped(self) {}
+}
+
+/// Starts the controller.
+pub fn spawn(
+    shared: Arc<Shared>,
+    carrier: Arc<UdpSocket>,
+    settings: SettingsState,
+    balancers: &[BalancerRecord],
+) -> Address<Controller> {
+    let record = AgentRecord {
+        address: shared.address(),
+        service: shared.service_id(),
+        domain: shared.domain_id(),
+        incarnation: shared.incarnation,
+        revision: 0,
+        weight: shared.settings.target_weight,
+        phase: AgentPhase::Down,
+    };
+    let mut announcer = Announcer::new(MembershipSettings::default(), MemberRecord::from(record));
+    announcer.learn(balancers);
+    announcer.set_settings_version(settings.version());
+    let controller = Controller {
+        client: ControlClient::open(shared.keys.control),
+        environment: shared.clock.context(),
+        shared,
+        carrier,
+        settings,
+        announcer,
+        own: None,
+    };
+    xtra::spawn_tokio(controller, Mailbox::bounded(MAILBOX))
+}
+
+/// Time passes.
+#[derive(Clone, Copy, Debug)]
+pub struct Tick;
+
+/// A membership datagram has arrived.
+#[derive(Clone, Debug)]
+pub struct Received {
+    /// Who sent it.
+    pub from: SocketAddrV4,
+    /// What it holds, still sealed.
+    pub bytes: Vec<u8>,
+}
+
+/// A balancer has handed over settings.
+#[derive(Clone, Debug)]
+pub struct DeltaFetched(pub SettingsDelta);
+
+/// A packet has shown that newer settings are in force elsewhere.
+#[derive(Clone, Copy, Debug)]
+pub struct NewerSettings;
+
+/// The agent has another phase.
+#[derive(Clone, Copy, Debug)]
+pub struct PhaseChanged(pub AgentPhase);
+
+/// Balancers that the store lists or the settings name.
+#[derive(Clone, Debug)]
+pub struct BalancersListed(pub Vec<BalancerRecord>);
+
+/// Asks for the state, for a dump.
+#[derive(Clone, Copy, Debug)]
+pub struct Dump;
+
+impl Handler<Tick> for Controller {
+    type Return = ();
+
+    async fn handle(&mut self, _: Tick, _: &mut Context<Self>) {
+        self.shared.clock.refresh(&mut self.environment);
+        let actions = self.announcer.on_tick(&mut self.environment);
+        self.carry_out(actions);
+        self.shared.set_peers(self.announcer.peers());
+    }
+}
+
+impl Handler<Received> for Controller {
+    type Return = ();
+
+    async fn handle(&mut self, received: Received, _: &mut Context<Self>) {
+        let key = &self.shared.keys.gossip;
+        let message = match decode_sealed::<MembershipMessage>(key, &received.bytes) {
+            Ok(message) => message,
+            Err(error) => return self.shared.counters.count(error.code()),
+        };
+        self.shared.clock.refresh(&mut self.environment);
+        match message {
+            MembershipMessage::Settings(delta) => self.apply_delta(delta),
+            MembershipMessage::SettingsOverTcp { .. } => self.fetch_settings(received.from),
+            message => {
+                let actions =
+                    self.announcer
+                        .on_datagram(received.from, &message, &self.environment);
+                self.carry_out(actions);
+            }
+        }
+    }
+}
+
+impl Handler<DeltaFetched> for Controller {
+    type Return = ();
+
+    async fn handle(&mut self, fetched: DeltaFetched, _: &mut Context<Self>) {
+        self.apply_delta(fetched.0);
+    }
+}
+
+impl Handler<NewerSettings> for Controller {
+    type Return = ();
+
+    async fn handle(&mut self, _: NewerSettings, _: &mut Context<Self>) {
+        let watcher = self.announcer.watchers().next();
+        if let Some(watcher) = watcher {
+            self.send(watcher, &self.announcer.pull_settings());
+        }
+    }
+}
+
+impl Handler<PhaseChanged> for Controller {
+    type Return = ();
+
+    async fn handle(&mut self, changed: PhaseChanged, _: &mut Context<Self>) {
+        self.shared.clock.refresh(&mut self.environment);
+        let actions = self.announcer.set_phase(changed.0, &self.environment);
+        self.carry_out(actions);
+    }
+}
+
+impl Handler<BalancersListed> for Controller {
+    type Return = ();
+
+    async fn handle(&mut self, listed: BalancersListed, _: &mut Context<Self>) {
+        self.announcer.learn(&listed.0);
+    }
+}
+
+impl Handler<Dump> for Controller {
+    type Return = ControlDump;
+
+    async fn handle(&mut self, _: Dump, _: &mut Context<Self>) -> ControlDump {
+        ControlDump {
+            settings_version: self.settings.version(),
+            rejections: self.settings.rejections().clone(),
+            phase: self.announcer.own().phase,
+            watchers: self.announcer.watchers().collect(),
+            peers: self
+                .announcer
+                .peers()
+                .iter()
+                .map(|peer| peer.address)
+                .collect(),
+        }
+    }
+}
+
+/// The control state of an agent in a dump.
+#[derive(Clone, Debug, Serialize)]
+pub struct ControlDump {
+    settings_version: u64,
+    rejections: BTreeMap<String, basilstep_core::settings::Rejection>,
+    phase: AgentPhase,
+    watchers: Vec<SocketAddrV4>,
+    peers: Vec<AgentAddress>,
+}
+
+impl Controller {
+    fn carry_out(&self, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Send { to, message } => self.send(to, &message),
+                Action::FetchSettings { from, .. } => {
+                    self.send(from, &self.announcer.pull_settings());
+                }
+                // The other actions are a balancer's.
+                _ => {}
+            }
+        }
+    }
+
+    fn send(&self, to: SocketAddrV4, message: &MembershipMessage) {
+        let mut buffer = [0; DATAGRAM_BYTES];
+        if let Ok(length) = encode_sealed(&self.shared.keys.gossip, message, &mut buffer) {
+            // The announcement is repeated until it is acknowledged.
+            let _ = self.carrier.try_send_to(&buffer[..length], to.into());
+        }
+    }
+
+    fn fetch_settings(&self, from: SocketAddrV4) {
+        let Some(own) = self.own.clone() else { return };
+        let client = self.client.clone();
+        let path = settings_path(&self.shared.settings.service, self.settings.version());
+        tokio::spawn(async move {
+            let Ok(body) = client.get(from, &path).await else {
+                return;
+            };
+            if let Ok(delta) = serde_json::from_slice(&body) {
+                // The actor is gone only when the process ends.
+                let _ = own.send(DeltaFetched(delta)).await;
+            }
+        });
+    }
+
+    fn apply_delta(&mut self, delta: SettingsDelta) {
+        if !delta.applies_to(self.settings.version()) {
+            return;
+        }
+        apply(&mut self.settings, delta);
+        let version = self.settings.version();
+        self.announcer.set_settings_version(version);
+        match ServiceInForce::find(&self.settings, &self.shared.settings) {
+            Some(in_force) => self.shared.put_in_force(in_force, version),
+            None => log::error!("the service or the domain of this agent is no longer configured"),
+        }
+    }
+}
+
+/// Returns the path under which a balancer hands over the settings of one service.
+pub fn settings_path(service: &str, above_version: u64) -> String {
+    format!("/settings?above={above_version}&service={service}")
+}
+
+/// Applies what changed and notes the version reached.
+pub fn apply(settings: &mut SettingsState, delta: SettingsDelta) {
+    for entry in delta.entries {
+        let path = entry.path.clone();
+        match settings.apply(entry) {
+            Applied::Rejected(rejection) => log::error!(
+                code = rejection.code.number(), path = path, version = rejection.version;
+                "a settings record is refused and the last good one stays in force: {}",
+                rejection.reason
+            ),
+            Applied::InForce => log::info!(path = path; "a settings record is in force"),
+            Applied::NotNewer => {}
+        }
+    }
+    settings.reach(delta.version);
+}
--- a/crates/basilstep-agent/src/flows.rs
+++ b/crates/basilstep-agent/src/flows.rs
@@ -5,11 +5,12 @@
     shared::Shared,
     target::remove_hop_by_hop,
 };
+use basilstep_core::codes::ResultCode;
 use bytes::Bytes;
 use h3::{error::Code, server::RequestStream};
 use http::{Request, Response};
 use http_body_util::BodyExt;
-use quinn::{Endpoint, Incoming};
+use quinn::{Connection, Endpoint, Incoming, VarInt};
 use std::sync::Arc;
 
 type AnswerStream = RequestStream<h3_quinn::SendStream<Bytes>, Bytes>;
@@ -23,24 +24,61 @@
 }
 
 async fn serve_flow(shared: Arc<Shared>, incoming: Incoming) {
-    let Ok(connection) = incoming.await else {
+    if shared.own_load().refusal(0).is_some() {
+        incoming.refuse();
+        return;
+    }
+    let caller = incoming.remote_address();
+    let first_id = incoming.orig_dst_cid();
+    let Ok(connecting) = incoming.accept() else {
         return;
     };
+    shared.flow_opened(&caller, &first_id);
+    if let Ok(connection) = connecting.await {
+        serve_connection(&shared, connection).await;
+    }
+    shared.flow_closed();
+}
+
+async fn serve_connection(shared: &Arc<Shared>, connection: Connection) {
+    tokio::select! {
+        () = serve_requests(shared, connection.clone()) => {}
+        () = domain_out(shared) => close(&connection, ResultCode::FlowDomainOut),
+    }
+    // Requests that still run hold the connection; its end is the end of the flow.
+    connection.closed().await;
+}
+
+/// Waits until operators take the agent's failure domain out.
+async fn domain_out(shared: &Shared) {
+    let mut in_force = shared.watch_in_force();
+    if in_force.wait_for(|settings| settings.is_domain_out()).await.is_err() {
+        std::future::pending::<()>().await;
+    }
+}
+
+fn close(connection: &Connection, code: ResultCode) {
+    let number = VarInt::from_u32(u32::from(code.number()));
+    connection.close(number, code.name().as_bytes());
+}
+
+async fn serve_requests(shared: &Arc<Shared>, connection: Connection) {
     let builder = h3::server::builder();
     let Ok(mut http) = builder
-        .build::<_, Bytes>(h3_quinn::Connection::new(connection))
+        .build::<_, Bytes>(h3_quinn::Connection::new(connection.clone()))
         .await
     else {
         return;
     };
     while let Ok(Some(resolver)) = http.accept().await {
-        let shared = Arc::clone(&shared);
+        let shared = Arc::clone(shared);
         tokio::spawn(async move {
             if let Ok((request, stream)) = resolver.resolve_request().await {
                 serve_request(&shared, request, stream).await;
             }
         });
     }
+    connection.closed().await;
 }
 
 async fn serve_request(
--- /dev/null
+++ b/crates/basilstep-agent/src/health.rs
@@ -0,0 +1,69 @@
+//! Whether the target can be reached; decides the agent's phase together with draining.
+
+use crate::{
+    controller::{Controller, PhaseChanged},
+    shared::Shared,
+};
+use basilstep_core::membership::AgentPhase;
+use bytes::Bytes;
+use http::{Request, header};
+use http_body_util::Empty;
+use hyper::client::conn::http1;
+use hyper_util::rt::TokioIo;
+use std::{sync::Arc, time::Duration};
+use tokio::{
+    net::TcpStream,
+    time::{sleep, timeout},
+};
+use xtra::Address;
+
+const CHECK_INTERVAL_MS: u64 = 500;
+const CHECK_TIMEOUT_MS: u64 = 1_000;
+const FAILURES_UNTIL_DOWN: u32 = 2;
+
+/// Checks the target until the controller ends, and announces the phase that follows.
+///
+/// Only whether the target answers counts: what its health endpoint says lags or misleads.
+pub async fn watch_target(shared: Arc<Shared>, controller: Address<Controller>) {
+    let mut failures = 0;
+    loop {
+        let check = timeout(Duration::from_millis(CHECK_TIMEOUT_MS), answers(&shared));
+        failures = if matches!(check.await, Ok(true)) {
+            0
+        } else {
+            failures + 1
+        };
+        shared.set_target_up(failures < FAILURES_UNTIL_DOWN && (failures == 0 || shared.is_target_up()));
+        let phase = phase_of(&shared);
+        if controller.send(PhaseChanged(phase)).await.is_err() {
+            return;
+        }
+        sleep(Duration::from_millis(CHECK_INTERVAL_MS)).await;
+    }
+}
+
+fn phase_of(shared: &Shared) -> AgentPhase {
+    match (shared.is_target_up(), shared.is_draining()) {
+        (_, true) => AgentPhase::Draining,
+        (true, false) => AgentPhase::Serving,
+        (false, false) => AgentPhase::Down,
+    }
+}
+
+async fn answers(shared: &Shared) -> bool {
+    let Ok(stream) = TcpStream::connect(shared.settings.target).await else {
+        return false;
+    };
+    let Ok((mut sender, connection)) = http1::handshake(TokioIo::new(stream)).await else {
+        return false;
+    };
+    tokio::spawn(connection);
+    let request = Request::get(&shared.settings.health_path)
+        .header(header::HOST, shared.settings.target.to_string())
+        .header(header::CONNECTION, "close")
+        .body(Empty::<Bytes>::new());
+    let Ok(request) = request else {
+        return false;
+    };
+    sender.send_request(request).await.is_ok()
+}
--- a/crates/basilstep-agent/src/shared.rs
+++ b/crates/basilstep-agent/src/shared.rs
@@ -4,15 +4,22 @@
 use basilstep_core::{
     address::{AgentAddress, DomainId, Incarnation, ServiceId},
     admission::AdmissionSettings,
+    codes::ResultCode,
+    membership::AgentRecord,
+    placement::{OfferDecision, Offered, OwnLoad, PlacementSettings, RecentOffers, decide},
     requests::RequestSettings,
+    settings::{DomainSet, SettingsState},
     token::FlowKeys,
 };
 use basilstep_node::{clock::Clock, counters::CodeCounters, keys::NodeKeys};
-use std::sync::{
-    Arc, PoisonError, RwLock,
-    atomic::{AtomicU64, Ordering},
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering},
+    },
 };
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
 
 /// The part of the settings in force that concerns this agent.
 #[derive(Clone, Debug)]
@@ -21,8 +28,8 @@
     pub id: ServiceId,
     /// The number of the agent's failure domain.
     pub domain: DomainId,
-    /// Whether operators have taken the agent's failure domain out.
-    pub domain_out: bool,
+    /// The failure domains that operators have taken out.
+    pub out: DomainSet,
     /// The keys of flow tokens.
     pub flow_keys: FlowKeys,
     /// The limits of the target.
@@ -31,6 +38,28 @@
     pub requests: RequestSettings,
 }
 
+impl ServiceInForce {
+    /// Finds what concerns the agent with these settings; `None` while something is missing.
+    pub fn find(state: &SettingsState, settings: &AgentSettings) -> Option<Self> {
+        let view = state.view();
+        let service = view.service_at(&settings.service)?;
+        let domain = view.domains.get(&settings.common.domain)?;
+        Some(Self {
+            id: service.record.id,
+            domain: domain.id,
+            out: view.out,
+            flow_keys: view.flow_keys?,
+            admission: service.record.admission.clone(),
+            requests: service.record.requests.clone(),
+        })
+    }
+
+    /// Tells whether operators have taken the agent's failure domain out.
+    pub fn is_domain_out(&self) -> bool {
+        self.out.contains(self.domain)
+    }
+}
+
 /// The state that all tasks of an agent can reach.
 #[derive(Debug)]
 pub struct Shared {
@@ -43,39 +72,132 @@
     /// This run of the agent.
     pub incarnation: Incarnation,
     /// What was dropped and refused, by code.
-    pub counters: CodeCounters,
+    pub counters: Arc<CodeCounters>,
     /// Wakes the settings task when a newer version has been heard of.
     pub newer_settings: Notify,
-    in_force: RwLock<Arc<ServiceInForce>>,
+    /// The flows that are open.
+    pub open_flows: AtomicU32,
+    in_force: watch::Sender<Arc<ServiceInForce>>,
+    peers: watch::Sender<Arc<[AgentRecord]>>,
+    offers: Mutex<RecentOffers>,
     version: AtomicU64,
     heard_version: AtomicU64,
+    is_draining: AtomicBool,
+    is_target_up: AtomicBool,
 }
 
 impl Shared {
     /// Creates the shared state with the first settings.
     pub fn new(settings: AgentSettings, clock: Clock, first: ServiceInForce, version: u64) -> Self {
+        let offers = RecentOffers::new(PlacementSettings::default(), &mut clock.context());
         Self {
             keys: NodeKeys::derive(&settings.common.cluster_key),
             settings,
             clock,
             incarnation: basilstep_node::clock::new_incarnation(),
-            counters: CodeCounters::default(),
+            counters: Arc::default(),
             newer_settings: Notify::new(),
-            in_force: RwLock::new(Arc::new(first)),
+            open_flows: AtomicU32::new(0),
+            in_force: watch::Sender::new(Arc::new(first)),
+            peers: watch::Sender::new(Arc::from([])),
+            offers: Mutex::new(offers),
             version: AtomicU64::new(version),
             heard_version: AtomicU64::new(version),
+            is_draining: AtomicBool::new(false),
+            is_target_up: AtomicBool::new(false),
         }
     }
 
     /// Returns the settings in force.
     pub fn in_force(&self) -> Arc<ServiceInForce> {
-        Arc::clone(&self.in_force.read().unwrap_or_else(PoisonError::into_inner))
+        Arc::clone(&self.in_force.borrow())
+    }
+
+    /// Returns a view of the settings in force that follows their changes.
+    pub fn watch_in_force(&self) -> watch::Receiver<Arc<ServiceInForce>> {
+        self.in_force.subscribe()
     }
 
     /// Puts newer settings in force.
     pub fn put_in_force(&self, settings: ServiceInForce, version: u64) {
-        *self.in_force.write().unwrap_or_else(PoisonError::into_inner) = Arc::new(settings);
         self.version.fetch_max(version, Ordering::Relaxed);
+        self.heard_version.fetch_max(version, Ordering::Relaxed);
+        self.in_force.send_replace(Arc::new(settings));
+    }
+
+    /// Returns the other agents of the service.
+    pub fn peers(&self) -> Arc<[AgentRecord]> {
+        Arc::clone(&self.peers.borrow())
+    }
+
+    /// Notes the other agents of the service.
+    pub fn set_peers(&self, peers: &[AgentRecord]) {
+        if self.peers.borrow().as_ref() != peers {
+            self.peers.send_replace(Arc::from(peers));
+        }
+    }
+
+    /// Tells whether the agent takes no new work because it is about to stop.
+    pub fn is_draining(&self) -> bool {
+        self.is_draining.load(Ordering::Relaxed)
+    }
+
+    /// Starts or ends draining.
+    pub fn set_draining(&self, draining: bool) {
+        self.is_draining.store(draining, Ordering::Relaxed);
+    }
+
+    /// Tells whether the target could be reached lately.
+    pub fn is_target_up(&self) -> bool {
+        self.is_target_up.load(Ordering::Relaxed)
+    }
+
+    /// Notes whether the target can be reached.
+    pub fn set_target_up(&self, up: bool) {
+        self.is_target_up.store(up, Ordering::Relaxed);
+    }
+
+    /// Returns why the agent takes no new flow whatever its load, if so.
+    pub fn closed(&self) -> Option<ResultCode> {
+        if self.in_force().is_domain_out() {
+            return Some(ResultCode::DomainOut);
+        }
+        if self.is_draining() {
+            return Some(ResultCode::Draining);
+        }
+        (!self.is_target_up()).then_some(ResultCode::TargetUnreachable)
+    }
+
+    /// Returns what placement needs to know about this agent.
+    pub fn own_load(&self) -> OwnLoad {
+        OwnLoad {
+            address: self.address(),
+            flows: self.open_flows.load(Ordering::Relaxed),
+            flow_limit: self.in_force().admission.connection_limit,
+            weight: self.settings.target_weight,
+            closed: self.closed(),
+        }
+    }
+
+    /// Decides on a first packet of a new flow.
+    pub fn decide_offer(&self, offered: &Offered<'_>) -> OfferDecision {
+        let own = self.own_load();
+        decide(offered, &own, &mut self.lock_offers(), self.clock.now_ms())
+    }
+
+    /// Notes that the endpoint holds a flow that was offered.
+    pub fn flow_opened(&self, caller: &SocketAddr, connection_id: &[u8]) {
+        self.open_flows.fetch_add(1, Ordering::Relaxed);
+        self.lock_offers().opened(caller, connection_id);
+    }
+
+    /// Notes that a flow has ended.
+    pub fn flow_closed(&self) {
+        self.open_flows.fetch_sub(1, Ordering::Relaxed);
+    }
+
+    fn lock_offers(&self) -> MutexGuard<'_, RecentOffers> {
+        self.offers.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Returns the address of the agent.
@@ -105,9 +227,10 @@
 
     /// Notes the version of a peer and wakes the settings task when it is newer.
     pub fn note_settings_version(&self, version: u64) {
-        let heard = self.heard_version.fetch_max(version, Ordering::Relaxed);
-        if version > heard {
-            self.newer_settings.notify_one();
+        if version <= self.heard_version.load(Ordering::Relaxed) {
+            return;
         }
+        self.heard_version.fetch_max(version, Ordering::Relaxed);
+        self.newer_settings.notify_one();
     }
 }
--- a/crates/basilstep-balancer/src/egress.rs
+++ b/crates/basilstep-balancer/src/egress.rs
@@ -10,7 +10,7 @@
 };
 use std::{
     net::{SocketAddr, SocketAddrV4},
-    sync::Arc,
+    sync::{Arc, atomic::Ordering},
 };
 use tokio::{net::UdpSocket, sync::mpsc};
 
@@ -65,7 +65,9 @@
         return shared.counters.count(ResultCode::UnknownService);
     };
     // A datagram that the socket does not take now is lost; QUIC repairs that.
-    let _ = socket.try_send_to(payload, header.caller);
+    if socket.try_send_to(payload, header.caller).is_ok() {
+        shared.answered.fetch_add(1, Ordering::Relaxed);
+    }
 }
 
 fn hand_over(
--- a/crates/basilstep-balancer/src/main.rs
+++ b/crates/basilstep-balancer/src/main.rs
@@ -1,3 +1,154 @@
-//! Placeholder entry point.
+//! Carries callers' packets to the agent beside their target, and answers back.
 
-fn main() {}
+mod controller;
+mod egress;
+mod ingress;
+mod listeners;
+mod port;
+mod ready;
+mod settings;
+mod shared;
+mod store_link;
+
+use crate::{
+    controller::{Controller, Leave, Parts, Received, Tick},
+    egress::MembershipDatagram,
+    listeners::{Listeners, bind_udp},
+    port::Port,
+    settings::{BalancerFlags, BalancerSettings},
+    shared::Shared,
+};
+use basilstep_core::{address::DomainId, codes::ResultCode, membership::BalancerRecord};
+use basilstep_node::{
+    clock::{Clock, new_incarnation},
+    control::ControlServer,
+    flags::{Resolver, exit_on_invalid},
+    logs,
+    metrics::Metrics,
+    stop,
+    store::ConsulStore,
+};
+use std::{
+    error::Error,
+    process::ExitCode,
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
+use tokio::{sync::mpsc, time::sleep};
+use xtra::Address;
+
+const TICK_MS: u64 = 100;
+const METRICS_INTERVAL_MS: u64 = 10_000;
+const MEMBERSHIP_QUEUE: usize = 4_096;
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    let flags: BalancerFlags = argh::from_env();
+    if flags.version {
+        println!("basilstep-balancer {}", env!("CARGO_PKG_VERSION"));
+        return ExitCode::SUCCESS;
+    }
+    let resolver = Resolver::new(|name: &str| std::env::var(name).ok());
+    let settings = exit_on_invalid(BalancerSettings::resolve(&flags, &resolver));
+    logs::start(settings.common.log_level);
+    match run(settings).await {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            log::error!(code = ResultCode::BindFailed.number(); "{error}");
+            ExitCode::from(ResultCode::BindFailed.exit_status())
+        }
+    }
+}
+
+async fn run(settings: BalancerSettings) -> Result<(), Box<dyn Error>> {
+    let common = settings.common.clone();
+    let shared = Arc::new(Shared::new(settings, Clock::start()));
+    let carrier = Arc::new(bind_udp(common.address, false)?);
+    let listeners = Arc::new(Listeners::default());
+    let record = BalancerRecord {
+        address: shared.address(),
+        domain: DomainId::default(),
+        incarnation: new_incarnation(),
+    };
+    let controller = controller::spawn(Parts {
+        shared: Arc::clone(&shared),
+        listeners: Arc::clone(&listeners),
+        carrier: Arc::clone(&carrier),
+        record,
+    });
+    let (datagrams, received) = mpsc::channel(MEMBERSHIP_QUEUE);
+    let answers = egress::carry_answers(
+        Arc::clone(&shared),
+        Arc::clone(&carrier),
+        Arc::clone(&listeners),
+        datagrams,
+    );
+    tokio::spawn(answers);
+    tokio::spawn(pass_on_datagrams(received, controller.clone()));
+    tokio::spawn(tick(controller.clone()));
+    tokio::spawn(report_metrics(
+        Metrics::open("basilstep.balancer", common.metrics_address)?,
+        Arc::clone(&shared),
+    ));
+    let port = Arc::new(Port {
+        shared: Arc::clone(&shared),
+        listeners,
+        controller: controller.clone(),
+    });
+    let counters = Arc::clone(&shared.counters);
+    let _port = ControlServer::spawn(common.address, shared.keys.control, counters, port).await?;
+    if let Some(address) = shared.settings.ready_address {
+        ready::spawn(address, shared.readiness.clone()).await?;
+    }
+    let store = ConsulStore::open(&common.store, common.store_token.as_deref())?;
+    tokio::spawn(store_link::list_balancers(store.clone(), controller.clone()));
+    tokio::spawn(store_link::watch_settings(
+        Arc::clone(&shared),
+        store.clone(),
+        controller.clone(),
+    ));
+    let lease = store_link::keep_lease(&store, &record);
+    log::info!(address = common.address.to_string(); "the balancer is running");
+    stop::requested().await?;
+    leave(&shared, &controller).await;
+    if let Err(error) = lease.release(&store).await {
+        log::warn!("the lease lapses by itself: {error}");
+    }
+    Ok(())
+}
+
+/// Says that the balancer is not ready, and carries on until the fabric has noticed.
+async fn leave(shared: &Shared, controller: &Address<Controller>) {
+    log::info!("the balancer leaves");
+    // The actor is gone only when the process ends.
+    let _ = controller.send(Leave).await;
+    sleep(Duration::from_millis(shared.settings.stop_wait_ms)).await;
+    log::info!("the balancer has stopped");
+}
+
+async fn pass_on_datagrams(
+    mut received: mpsc::Receiver<MembershipDatagram>,
+    controller: Address<Controller>,
+) {
+    while let Some(MembershipDatagram { from, bytes }) = received.recv().await {
+        if controller.send(Received { from, bytes }).await.is_err() {
+            return;
+        }
+    }
+}
+
+async fn tick(controller: Address<Controller>) {
+    while controller.send(Tick).await.is_ok() {
+        sleep(Duration::from_millis(TICK_MS)).await;
+    }
+}
+
+async fn report_metrics(mut metrics: Metrics, shared: Arc<Shared>) {
+    loop {
+        sleep(Duration::from_millis(METRICS_INTERVAL_MS)).await;
+        metrics.flush_codes(&shared.counters);
+        metrics.gauge("carried", shared.carried.load(Ordering::Relaxed));
+        metrics.gauge("answered", shared.answered.load(Ordering::Relaxed));
+        metrics.gauge("settings_version", shared.settings_version());
+    }
+}
--- /dev/null
+++ b/crates/basilstep-balancer/src/port.rs
@@ -0,0 +1,83 @@
+//! The control port of the balancer.
+
+use crate::{
+    controller::{CollectDelta, Controller, Dump, TakeSnapshot},
+    listeners::Listeners,
+    shared::Shared,
+};
+use basilstep_core::codes::ResultCode;
+use basilstep_node::control::{ControlAnswer, ControlHandler, Query};
+use bytes::Bytes;
+use http::Method;
+use serde_json::json;
+use std::sync::{Arc, atomic::Ordering};
+use xtra::Address;
+
+/// Answers dumps of operators and fetches of peers.
+#[derive(Debug)]
+pub struct Port {
+    /// What the tasks share.
+    pub shared: Arc<Shared>,
+    /// The sockets that face callers.
+    pub listeners: Arc<Listeners>,
+    /// The controller.
+    pub controller: Address<Controller>,
+}
+
+impl ControlHandler for Port {
+    async fn handle(&self, method: &Method, path: &str, _body: Bytes) -> ControlAnswer {
+        let query = Query::parse(path);
+        match (method.as_str(), query.path()) {
+            ("GET", "/dump") => self.dump().await,
+            ("GET", "/settings") => self.settings(&query).await,
+            ("GET", "/snapshot") => self.snapshot().await,
+            _ => ControlAnswer::code(ResultCode::NotFound),
+        }
+    }
+}
+
+impl Port {
+    async fn dump(&self) -> ControlAnswer {
+        let Ok(control) = self.controller.send(Dump).await else {
+            return ControlAnswer::code(ResultCode::PeerUnreachable);
+        };
+        ControlAnswer::json(&json!({
+            "role": "balancer",
+            "address": self.shared.address(),
+            "domain": self.shared.settings.common.domain,
+            "version": env!("CARGO_PKG_VERSION"),
+            "uptime_ms": self.shared.clock.now_ms(),
+            "ready": self.shared.readiness.get(),
+            "settings_version": self.shared.settings_version(),
+            "carried_packets": self.shared.carried.load(Ordering::Relaxed),
+            "answered_packets": self.shared.answered.load(Ordering::Relaxed),
+            "codes": self.shared.counters.snapshot(),
+            "listening": self.listeners.addresses(),
+            "control": control,
+        }))
+    }
+
+    async fn settings(&self, query: &Query<'_>) -> ControlAnswer {
+        let wanted = CollectDelta {
+            above_version: query
+                .get("above")
+                .and_then(|text| text.parse().ok())
+                .unwrap_or(0),
+            service: query.get("service").map(str::to_owned),
+        };
+        match self.controller.send(wanted).await {
+            Ok(Some(delta)) => ControlAnswer::json(&delta),
+            _ => ControlAnswer::code(ResultCode::ServiceUnknown),
+        }
+    }
+
+    async fn snapshot(&self) -> ControlAnswer {
+        let Ok(snapshot) = self.controller.send(TakeSnapshot).await else {
+            return ControlAnswer::code(ResultCode::PeerUnreachable);
+        };
+        ControlAnswer {
+            code: ResultCode::Done,
+            body: postcard::to_stdvec(&snapshot).unwrap_or_default(),
+        }
+    }
+}
--- a/crates/basilstep-balancer/src/shared.rs
+++ b/crates/basilstep-balancer/src/shared.rs
@@ -19,7 +19,7 @@
     /// The clock.
     pub clock: Clock,
     /// What was dropped, by code.
-    pub counters: CodeCounters,
+    pub counters: Arc<CodeCounters>,
     /// Callers' packets carried towards agents.
     pub carried: AtomicU64,
     /// Answers carried towards callers.
@@ -40,7 +40,7 @@
             keys: NodeKeys::derive(&settings.common.cluster_key),
             settings,
             clock,
-            counters: CodeCounters::default(),
+            counters: Arc::default(),
             carried: AtomicU64::new(0),
             answered: AtomicU64::new(0),
             readiness: Readiness::default(),
--- a/crates/basilstep-node/src/control/mod.rs
+++ b/crates/basilstep-node/src/control/mod.rs
@@ -2,10 +2,12 @@
 
 mod auth;
 mod client;
+mod query;
 mod server;
 #[cfg(test)]
 mod tests;
 
 pub use auth::{AUTH_HEADER, AuthGuard, Credential};
 pub use client::{ControlClient, ControlError};
+pub use query::Query;
 pub use server::{ControlAnswer, ControlHandler, ControlServer};
--- /dev/null
+++ b/crates/basilstep-node/src/control/query.rs
@@ -0,0 +1,30 @@
+/// The path of a control request, taken apart; values are used as written.
+#[derive(Clone, Copy, Debug)]
+pub struct Query<'a> {
+    path: &'a str,
+    query: &'a str,
+}
+
+impl<'a> Query<'a> {
+    /// Takes a path with an optional query apart.
+    pub fn parse(path_and_query: &'a str) -> Self {
+        let (path, query) = path_and_query
+            .split_once('?')
+            .unwrap_or((path_and_query, ""));
+        Self { path, query }
+    }
+
+    /// Returns the path.
+    pub fn path(&self) -> &'a str {
+        self.path
+    }
+
+    /// Returns the value of the first parameter of this name.
+    pub fn get(&self, name: &str) -> Option<&'a str> {
+        self.query
+            .split('&')
+            .filter_map(|pair| pair.split_once('='))
+            .find(|(key, _)| *key == name)
+            .map(|(_, value)| value)
+    }
+}
--- a/crates/basilstep-node/src/keys.rs
+++ b/crates/basilstep-node/src/keys.rs
@@ -1,6 +1,9 @@
 //! The keys that a process derives from the cluster key.
 
-use basilstep_core::crypto::{ClusterKey, ShortKey};
+use basilstep_core::{
+    crypto::{ClusterKey, ShortKey},
+    steering::reset_key,
+};
 use ring::hmac;
 
 /// The derived keys, one for each kind of traffic.
@@ -26,7 +29,7 @@
             gossip: cluster_key.derive("gossip"),
             control: cluster_key.derive("control"),
             ticket: cluster_key.derive("ticket"),
-            reset: hmac::Key::new(hmac::HMAC_SHA256, &cluster_key.derive_long("reset")),
+            reset: reset_key(cluster_key),
         }
     }
 }
