feat(admission): decide what a target gets, from its answers alone

One exact limit beside the target: starts at the cold limit, grows with the busy time of good answers, halves at most once a round trip, and falls to the start when latency, silence, sheds or refused connections say that the target is cold. Excess waits by deadline; what cannot be answered in time is refused at once, with a retry time reserved at the rate the target answers.

Growth needs the limit used at some time in the request's life: counting only requests that took the last slot made a batch of eight grow the limit at an eighth of the pace (limit 3 instead of 8 after the ramp; seen in ramp_takes_the_configured_time_of_busy_answers, which failed before). 26 tests, one of them 200 random orders of events.

--- /dev/null
+++ b/crates/basilstep-core/src/admission/answers.rs
@@ -0,0 +1,133 @@
+//! Answers, failures and silence of the target, and what they do to its limit.
+
+use super::{
+    Admission, Outcome, RequestId,
+    evidence::{Answer, Verdict},
+    in_flight::Running,
+    state::PAUSE_MIN_MS,
+};
+
+/// How long sending pauses at most before the target is tried again.
+const PAUSE_MAX_MS: u64 = 500;
+/// How much longer a silence lasts than the one that stops sending before the target counts as
+/// cold.
+const COLD_PATIENCE: f64 = 1.5;
+
+impl Admission {
+    pub(super) fn answer(&mut self, id: RequestId, latency_ms: u32, outcome: Outcome, now_ms: u64) {
+        let Some(running) = self.in_flight.remove(id) else {
+            return;
+        };
+        if outcome == Outcome::Ok {
+            self.note_answer(latency_ms, now_ms);
+        }
+        if running.epoch != self.limit.epoch() {
+            return;
+        }
+        let answer = Answer {
+            latency_ms,
+            outcome,
+            latency_limit_ms: self.settings.latency_limit_ms,
+            at_cold_limit: self.limit.in_force() <= self.settings.cold_limit(),
+        };
+        let verdict = self.evidence.judge(running.class, &answer);
+        self.apply_verdict(verdict, &running, latency_ms, now_ms);
+        self.apply_outcome(outcome, now_ms);
+    }
+
+    fn note_answer(&mut self, latency_ms: u32, now_ms: u64) {
+        self.evidence.note_latency(latency_ms);
+        self.last_answer_ms = now_ms;
+        self.held = false;
+        self.gone = false;
+        self.pause_ms = PAUSE_MIN_MS;
+        self.paused_until_ms = 0;
+    }
+
+    fn apply_verdict(&mut self, verdict: Verdict, running: &Running, latency_ms: u32, now_ms: u64) {
+        match verdict {
+            Verdict::Good if self.last_full_ms >= running.sent_ms => {
+                let busy_ms = f64::from(latency_ms);
+                self.limit.grow(&self.settings, now_ms, busy_ms);
+            }
+            Verdict::Good | Verdict::Strained => {}
+            Verdict::Overloaded => {
+                self.decreases += 1;
+                self.evidence.restart();
+                if self.limit.reduce(&self.settings, now_ms) {
+                    self.cold_turns += 1;
+                }
+            }
+            Verdict::Collapsed => self.turn_cold(),
+        }
+    }
+
+    fn apply_outcome(&mut self, outcome: Outcome, now_ms: u64) {
+        match outcome {
+            Outcome::TargetGone => {
+                self.gone = true;
+                self.pause(self.pause_ms, now_ms);
+                self.pause_ms = (self.pause_ms * 2).min(PAUSE_MAX_MS);
+            }
+            Outcome::Shed {
+                retry_after_ms: Some(wait_ms),
+            } if self.limit.is_cold() && self.in_flight.len() == 0 => {
+                self.pause(u64::from(wait_ms).min(PAUSE_MAX_MS), now_ms);
+            }
+            _ => {}
+        }
+    }
+
+    fn pause(&mut self, length_ms: u64, now_ms: u64) {
+        self.paused_until_ms = now_ms + length_ms;
+    }
+
+    pub(super) fn end_pause(&mut self, now_ms: u64) {
+        if self.paused_until_ms <= now_ms {
+            self.paused_until_ms = 0;
+            self.gone = false;
+        }
+    }
+
+    pub(super) fn turn_cold(&mut self) {
+        self.cold_turns += 1;
+        self.evidence.restart();
+        self.limit.turn_cold(&self.settings);
+    }
+
+    pub(super) fn cancel(&mut self, id: RequestId) {
+        if !self.queue.remove(id) {
+            self.in_flight.remove(id);
+        }
+        if self.in_flight.len() == 0 {
+            self.held = false;
+        }
+    }
+
+    pub(super) fn check_silence(&mut self, now_ms: u64) {
+        if self.in_flight.len() == 0 {
+            self.held = false;
+            return;
+        }
+        if self
+            .silent_at_ms(COLD_PATIENCE)
+            .is_some_and(|at_ms| at_ms <= now_ms)
+        {
+            self.held = true;
+            self.turn_cold();
+        } else if self.silent_at_ms(1.0).is_some_and(|at_ms| at_ms <= now_ms) {
+            self.held = true;
+        }
+    }
+
+    pub(super) fn silence_due_ms(&self) -> Option<u64> {
+        let patience = if self.held { COLD_PATIENCE } else { 1.0 };
+        self.silent_at_ms(patience)
+    }
+
+    fn silent_at_ms(&self, patience: f64) -> Option<u64> {
+        let epoch = self.limit.epoch();
+        self.in_flight
+            .silent_at_ms(&self.evidence, epoch, self.last_answer_ms, patience)
+    }
+}
--- /dev/null
+++ b/crates/basilstep-core/src/admission/limit.rs
@@ -0,0 +1,150 @@
+//! The number of requests that a target may have in flight.
+
+use super::AdmissionSettings;
+
+/// The part of the ramp after which a warm limit tries one step above the known good level.
+const PROBES_PER_RAMP: u32 = 8;
+/// The longest time between two steps above the known good level.
+const PROBE_INTERVAL_MAX_MS: u64 = 60_000;
+/// So many reductions without a good round between them mean that the target has turned cold.
+const DECREASES_UNTIL_COLD: u32 = 2;
+
+/// The limit in force and the way it moves.
+#[derive(Debug)]
+pub(super) struct ConcurrencyLimit {
+    level: f64,
+    cold: bool,
+    good_level: f64,
+    epoch: u64,
+    decreases_in_row: u32,
+    good_in_epoch: u32,
+    next_probe_ms: u64,
+    probe_interval_ms: u64,
+}
+
+impl ConcurrencyLimit {
+    /// Creates the limit of a target that has just started.
+    pub(super) fn new(settings: &AdmissionSettings) -> Self {
+        Self {
+            level: f64::from(settings.cold_limit()),
+            cold: true,
+            good_level: 0.0,
+            epoch: 0,
+            decreases_in_row: 0,
+            good_in_epoch: 0,
+            next_probe_ms: 0,
+            probe_interval_ms: first_probe_interval_ms(settings),
+        }
+    }
+
+    /// Returns the requests that may be in flight.
+    pub(super) fn in_force(&self) -> u32 {
+        self.level as u32
+    }
+
+    /// Tells whether the target counts as cold.
+    pub(super) fn is_cold(&self) -> bool {
+        self.cold
+    }
+
+    /// Returns the number of the current epoch; each reduction begins a new one.
+    pub(super) fn epoch(&self) -> u64 {
+        self.epoch
+    }
+
+    /// Falls to the start: the target is cold.
+    pub(super) fn turn_cold(&mut self, settings: &AdmissionSettings) {
+        self.level = f64::from(settings.cold_limit());
+        self.cold = true;
+        self.good_level = 0.0;
+        self.probe_interval_ms = first_probe_interval_ms(settings);
+        self.decreases_in_row = 0;
+        self.begin_epoch();
+    }
+
+    /// Reduces the limit on a sign of overload; returns whether the target counts as cold now.
+    pub(super) fn reduce(&mut self, settings: &AdmissionSettings, now_ms: u64) -> bool {
+        let cold_level = f64::from(settings.cold_limit());
+        let probing = !self.cold && self.good_level >= cold_level && self.level > self.good_level;
+        if probing {
+            self.level = self.good_level;
+            self.probe_interval_ms = (self.probe_interval_ms * 2).min(PROBE_INTERVAL_MAX_MS);
+            self.next_probe_ms = now_ms + self.probe_interval_ms;
+            self.begin_epoch();
+            return false;
+        }
+        self.decreases_in_row += 1;
+        if self.decreases_in_row >= DECREASES_UNTIL_COLD || self.in_force() <= settings.cold_limit()
+        {
+            self.turn_cold(settings);
+            return true;
+        }
+        let failed_level = self.level.floor();
+        self.good_level = (failed_level - 1.0).max(cold_level);
+        self.level = (failed_level / 2.0).max(cold_level);
+        self.cold = false;
+        self.next_probe_ms = now_ms + self.probe_interval_ms;
+        self.begin_epoch();
+        false
+    }
+
+    /// Grows after a good answer that came while the limit was used.
+    ///
+    /// `busy_ms` is the time that the answer kept its slot busy.
+    pub(super) fn grow(&mut self, settings: &AdmissionSettings, now_ms: u64, busy_ms: f64) {
+        let slots = f64::from(self.in_force().max(1));
+        self.note_good_answer();
+        if self.cold {
+            self.ramp(settings, busy_ms / slots);
+        } else if self.level < self.good_level {
+            self.level = (self.level + 1.0 / slots).min(self.good_level);
+        } else {
+            self.probe(now_ms);
+        }
+        self.cap(settings);
+    }
+
+    /// Applies changed settings.
+    pub(super) fn cap(&mut self, settings: &AdmissionSettings) {
+        let full_level = f64::from(settings.full_limit());
+        let cold_level = f64::from(settings.cold_limit());
+        self.level = self.level.clamp(cold_level, full_level);
+        self.good_level = self.good_level.min(full_level);
+        if self.cold && self.level >= full_level {
+            self.cold = false;
+            self.good_level = full_level;
+        }
+    }
+
+    /// Multiplies the limit: from cold to full in `ramp_ms` of fully busy time.
+    fn ramp(&mut self, settings: &AdmissionSettings, busy_ms: f64) {
+        let span = f64::from(settings.full_limit()) / f64::from(settings.cold_limit());
+        let share = busy_ms / f64::from(settings.ramp_ms.max(1));
+        self.level *= span.powf(share);
+    }
+
+    fn probe(&mut self, now_ms: u64) {
+        if now_ms < self.next_probe_ms {
+            return;
+        }
+        self.good_level = self.level;
+        self.level += 1.0;
+        self.next_probe_ms = now_ms + self.probe_interval_ms;
+    }
+
+    fn note_good_answer(&mut self) {
+        self.good_in_epoch = self.good_in_epoch.saturating_add(1);
+        if self.good_in_epoch > self.in_force() {
+            self.decreases_in_row = 0;
+        }
+    }
+
+    fn begin_epoch(&mut self) {
+        self.epoch += 1;
+        self.good_in_epoch = 0;
+    }
+}
+
+fn first_probe_interval_ms(settings: &AdmissionSettings) -> u64 {
+    u64::from((settings.ramp_ms / PROBES_PER_RAMP).max(1))
+}
--- a/crates/basilstep-core/src/admission/settings.rs
+++ b/crates/basilstep-core/src/admission/settings.rs
@@ -8,6 +8,8 @@
     pub request_limit: u32,
     /// The most requests in flight at a target that has just started.
     pub cold_request_limit: u32,
+    /// The shortest time from the cold limit to the full limit, counted while the limit is used.
+    pub ramp_ms: u32,
     /// The most open connections of a target.
     pub connection_limit: u32,
     /// The most requests that wait for a slot.
@@ -16,6 +18,10 @@
     pub queue_wait_ms: u32,
     /// An answer slower than this counts as a sign of overload.
     pub latency_limit_ms: u32,
+    /// The shortest time after which a refused caller is told to come back.
+    pub retry_after_min_ms: u32,
+    /// The longest time after which a refused caller is told to come back.
+    pub retry_after_max_ms: u32,
 }
 
 impl Default for AdmissionSettings {
@@ -23,10 +29,25 @@
         Self {
             request_limit: 64,
             cold_request_limit: 1,
+            ramp_ms: 5_000,
             connection_limit: 2_000,
             queue_limit: 64,
             queue_wait_ms: 200,
             latency_limit_ms: 1_000,
+            retry_after_min_ms: 100,
+            retry_after_max_ms: 30_000,
         }
     }
 }
+
+impl AdmissionSettings {
+    /// Returns the limit of a cold target: at least one, at most the full limit.
+    pub fn cold_limit(&self) -> u32 {
+        self.cold_request_limit.clamp(1, self.full_limit())
+    }
+
+    /// Returns the limit of a warm target, at least one.
+    pub fn full_limit(&self) -> u32 {
+        self.request_limit.max(1)
+    }
+}
--- /dev/null
+++ b/crates/basilstep-core/src/admission/state.rs
@@ -0,0 +1,189 @@
+use super::{
+    Action, AdmissionSettings, AdmissionView, Event, Outcome, evidence::Evidence,
+    in_flight::InFlight, limit::ConcurrencyLimit, queue::DeadlineQueue,
+    retry_after::ReturnSchedule,
+};
+use crate::context::Context;
+
+/// How long sending pauses after the target was found gone, at first.
+pub(super) const PAUSE_MIN_MS: u64 = 100;
+/// The load that tells placement to offer no new flow.
+const LOAD_FULL_PERMILLE: u16 = u16::MAX;
+/// The highest load of a target that takes new flows.
+const LOAD_MAX_PERMILLE: u64 = u16::MAX as u64 - 1;
+
+/// Decides which requests and connections the target gets, and when.
+#[derive(Debug)]
+pub struct Admission {
+    pub(super) settings: AdmissionSettings,
+    pub(super) limit: ConcurrencyLimit,
+    pub(super) evidence: Evidence,
+    pub(super) in_flight: InFlight,
+    pub(super) queue: DeadlineQueue,
+    pub(super) returns: ReturnSchedule,
+    pub(super) connections: u32,
+    pub(super) streams: u32,
+    pub(super) draining: bool,
+    pub(super) held: bool,
+    pub(super) gone: bool,
+    pub(super) paused_until_ms: u64,
+    pub(super) pause_ms: u64,
+    pub(super) last_answer_ms: u64,
+    pub(super) last_full_ms: u64,
+    pub(super) cold_turns: u64,
+    pub(super) decreases: u64,
+    pub(super) refused: u64,
+}
+
+impl Admission {
+    /// Creates the state for a target about which nothing is known, so it counts as cold.
+    pub fn new(settings: AdmissionSettings, now_ms: u64) -> Self {
+        Self {
+            limit: ConcurrencyLimit::new(&settings),
+            settings,
+            evidence: Evidence::default(),
+            in_flight: InFlight::default(),
+            queue: DeadlineQueue::default(),
+            returns: ReturnSchedule::default(),
+            connections: 0,
+            streams: 0,
+            draining: false,
+            held: false,
+            gone: false,
+            paused_until_ms: 0,
+            pause_ms: PAUSE_MIN_MS,
+            last_answer_ms: now_ms,
+            last_full_ms: now_ms,
+            cold_turns: 0,
+            decreases: 0,
+            refused: 0,
+        }
+    }
+
+    /// Takes one event and returns what has to be done, in order.
+    pub fn handle(&mut self, event: Event, context: &mut Context) -> Vec<Action> {
+        let mut actions = Vec::new();
+        self.end_pause(context.now_ms);
+        if !ends_request(&event) {
+            self.check_silence(context.now_ms);
+        }
+        match event {
+            Event::Arrived {
+                id,
+                deadline_ms,
+                class,
+            } => self.arrive(id, deadline_ms, class, context, &mut actions),
+            Event::Answered {
+                id,
+                latency_ms,
+                outcome,
+            } => self.answer(id, latency_ms, outcome, context.now_ms),
+            Event::Cancelled { id } => self.cancel(id),
+            Event::StreamBegan { id, latency_ms } => {
+                self.answer(id, latency_ms, Outcome::Ok, context.now_ms);
+                self.streams += 1;
+            }
+            Event::StreamEnded => self.streams = self.streams.saturating_sub(1),
+            Event::ConnectionOffered => self.offer_connection(context, &mut actions),
+            Event::ConnectionClosed => self.connections = self.connections.saturating_sub(1),
+            Event::Tick => {}
+            Event::TargetStarted => self.start(context.now_ms),
+            Event::HealthHint { up } => self.take_hint(up),
+            Event::DrainAnnounced => self.draining = true,
+            Event::DrainWithdrawn => self.draining = false,
+            Event::SettingsChanged(settings) => {
+                self.settings = settings;
+                self.limit.cap(&self.settings);
+            }
+        }
+        self.dispatch(context, &mut actions);
+        self.shorten_queue(context, &mut actions);
+        actions
+    }
+
+    /// Returns when [`Event::Tick`] is due, or `None` while nothing can happen by itself.
+    pub fn wake_at_ms(&self) -> Option<u64> {
+        let pause_end = (self.paused_until_ms > 0).then_some(self.paused_until_ms);
+        [
+            self.queue.next_expiry_ms(),
+            pause_end,
+            self.silence_due_ms(),
+        ]
+        .into_iter()
+        .flatten()
+        .min()
+    }
+
+    /// Returns the load relative to capacity for placement, in thousandths.
+    ///
+    /// It is `u16::MAX` when the target takes no new flow: while it drains, is gone, has no
+    /// connection left, or is cold and used up.
+    pub fn load_permille(&self) -> u16 {
+        let cold_and_full = self.limit.is_cold() && self.free_slots() == 0;
+        if self.draining || self.gone || self.held || self.free_connections() == 0 || cold_and_full
+        {
+            return LOAD_FULL_PERMILLE;
+        }
+        let connection_share = permille(self.open_connections(), self.settings.connection_limit);
+        let waiting_share = permille(self.queue.len() as u32, self.limit.in_force());
+        (connection_share + waiting_share).min(LOAD_MAX_PERMILLE) as u16
+    }
+
+    /// Returns the state for dumps and metrics.
+    pub fn view(&self) -> AdmissionView {
+        AdmissionView {
+            limit: self.limit.in_force(),
+            in_flight: self.in_flight.len() as u32,
+            queued: self.queue.len() as u32,
+            connections: self.open_connections(),
+            cold: self.limit.is_cold(),
+            draining: self.draining,
+            cold_turns: self.cold_turns,
+            decreases: self.decreases,
+            refused: self.refused,
+        }
+    }
+
+    fn start(&mut self, now_ms: u64) {
+        self.limit.turn_cold(&self.settings);
+        self.evidence.reset();
+        self.held = false;
+        self.gone = false;
+        self.paused_until_ms = 0;
+        self.pause_ms = PAUSE_MIN_MS;
+        self.last_answer_ms = now_ms;
+    }
+
+    /// A hint that the target is up only shortens a pause; one that it is down changes nothing.
+    fn take_hint(&mut self, up: bool) {
+        if up && self.gone {
+            self.paused_until_ms = 0;
+            self.gone = false;
+        }
+    }
+
+    pub(super) fn free_slots(&self) -> u32 {
+        let used = self.in_flight.len() as u32;
+        self.limit.in_force().saturating_sub(used)
+    }
+
+    pub(super) fn open_connections(&self) -> u32 {
+        self.connections + self.streams
+    }
+
+    pub(super) fn free_connections(&self) -> u32 {
+        let limit = self.settings.connection_limit;
+        limit.saturating_sub(self.open_connections())
+    }
+}
+
+fn permille(part: u32, whole: u32) -> u64 {
+    u64::from(part) * 1_000 / u64::from(whole.max(1))
+}
+
+fn ends_request(event: &Event) -> bool {
+    matches!(
+        event,
+        Event::Answered { .. } | Event::StreamBegan { .. } | Event::Cancelled { .. }
+    )
+}
--- /dev/null
+++ b/crates/basilstep-core/src/admission/tests.rs
@@ -0,0 +1,485 @@
+use super::{Action, Admission, AdmissionSettings, CostClass, Event, Outcome, RequestId};
+use crate::{codes::ResultCode, context::Context};
+use proptest::{
+    prelude::{Just, Strategy, any, prop_oneof},
+    prop_assert,
+    test_runner::{Config, RngAlgorithm, TestCaseError, TestRng, TestRunner},
+};
+use rstest::rstest;
+use std::collections::{BTreeMap, BTreeSet};
+
+const SERVICE_MS: u64 = 50;
+const FULL_LIMIT: u32 = 8;
+
+/// Drives one admission and keeps what a shell would keep.
+struct Driver {
+    admission: Admission,
+    context: Context,
+    next_id: u64,
+    running: BTreeMap<RequestId, u64>,
+    queued: BTreeSet<RequestId>,
+    refused: Vec<(ResultCode, u32)>,
+}
+
+impl Driver {
+    fn new(settings: AdmissionSettings) -> Self {
+        Self {
+            admission: Admission::new(settings, 0),
+            context: Context::new(1),
+            next_id: 0,
+            running: BTreeMap::new(),
+            queued: BTreeSet::new(),
+            refused: Vec::new(),
+        }
+    }
+
+    fn handle(&mut self, event: Event) -> Vec<Action> {
+        let actions = self.admission.handle(event, &mut self.context);
+        for action in &actions {
+            self.take(*action);
+        }
+        actions
+    }
+
+    fn take(&mut self, action: Action) {
+        match action {
+            Action::Run { id } => {
+                self.queued.remove(&id);
+                self.running.insert(id, self.context.now_ms);
+            }
+            Action::Queue { id } => {
+                self.queued.insert(id);
+            }
+            Action::Refuse {
+                id,
+                code,
+                retry_after_ms,
+            } => {
+                assert!(!self.running.contains_key(&id), "refused after it was sent");
+                self.queued.remove(&id);
+                self.refused.push((code, retry_after_ms));
+            }
+            Action::AcceptConnection | Action::RefuseConnection { .. } => {}
+        }
+    }
+
+    fn arrive(&mut self, timeout_ms: u64) -> Vec<Action> {
+        let id = RequestId(self.next_id);
+        self.next_id += 1;
+        self.handle(Event::Arrived {
+            id,
+            deadline_ms: self.context.now_ms + timeout_ms,
+            class: CostClass::default(),
+        })
+    }
+
+    fn finish(&mut self, id: RequestId, outcome: Outcome) -> Vec<Action> {
+        let sent_ms = self.running.remove(&id).expect("only running ones finish");
+        let latency_ms = (self.context.now_ms - sent_ms) as u32;
+        self.handle(Event::Answered {
+            id,
+            latency_ms,
+            outcome,
+        })
+    }
+
+    /// Answers everything in flight after `latency_ms`, over and over, and keeps the limit used.
+    fn serve(&mut self, length_ms: u64, latency_ms: u64) {
+        let end_ms = self.context.now_ms + length_ms;
+        while self.context.now_ms < end_ms {
+            while self.admission.view().in_flight < self.admission.view().limit {
+                self.arrive(10_000);
+            }
+            self.context.advance(latency_ms);
+            let due: Vec<RequestId> = self.running.keys().copied().collect();
+            for id in due {
+                self.finish(id, Outcome::Ok);
+            }
+        }
+    }
+
+    fn warm(settings: AdmissionSettings) -> Self {
+        let mut driver = Self::new(settings);
+        driver.serve(20_000, SERVICE_MS);
+        assert_eq!(driver.limit(), FULL_LIMIT);
+        driver
+    }
+
+    fn limit(&self) -> u32 {
+        self.admission.view().limit
+    }
+
+    fn fill(&mut self) {
+        while self.admission.view().in_flight < self.limit() {
+            self.arrive(10_000);
+        }
+    }
+
+    fn first_running(&self) -> RequestId {
+        *self.running.keys().next().expect("something is running")
+    }
+}
+
+fn settings() -> AdmissionSettings {
+    AdmissionSettings {
+        request_limit: FULL_LIMIT,
+        queue_limit: 4,
+        connection_limit: 3,
+        ..AdmissionSettings::default()
+    }
+}
+
+#[test]
+fn starts_with_one_in_flight_and_queues_the_next() {
+    let mut driver = Driver::new(settings());
+    assert!(matches!(driver.arrive(1_000)[..], [Action::Run { .. }]));
+    assert!(matches!(driver.arrive(1_000)[..], [Action::Queue { .. }]));
+}
+
+#[test]
+fn ramp_takes_the_configured_time_of_busy_answers() {
+    let mut driver = Driver::new(settings());
+    driver.serve(4_000, SERVICE_MS);
+    assert!(driver.limit() < FULL_LIMIT);
+    driver.serve(1_500, SERVICE_MS);
+    assert_eq!(driver.limit(), FULL_LIMIT);
+    assert!(!driver.admission.view().cold);
+}
+
+#[test]
+fn limit_does_not_grow_while_it_is_not_used() {
+    let mut driver = Driver::new(settings());
+    driver.serve(3_000, SERVICE_MS);
+    let before = driver.limit();
+    assert!(before > 1);
+    for _ in 0..200 {
+        driver.arrive(1_000);
+        driver.context.advance(SERVICE_MS);
+        driver.finish(driver.first_running(), Outcome::Ok);
+    }
+    assert_eq!(driver.limit(), before);
+}
+
+#[rstest]
+#[case::shed(Outcome::Shed { retry_after_ms: None }, FULL_LIMIT / 2)]
+#[case::timeout(Outcome::Slow, FULL_LIMIT / 2)]
+#[case::single_error(Outcome::Error, FULL_LIMIT)]
+#[case::target_gone(Outcome::TargetGone, 1)]
+fn one_bad_answer_moves_the_limit(#[case] outcome: Outcome, #[case] limit: u32) {
+    let mut driver = Driver::warm(settings());
+    driver.fill();
+    driver.context.advance(SERVICE_MS);
+    driver.finish(driver.first_running(), outcome);
+    assert_eq!(driver.limit(), limit);
+}
+
+#[rstest]
+#[case::shed(Outcome::Shed { retry_after_ms: None }, FULL_LIMIT / 2)]
+#[case::errors(Outcome::Error, FULL_LIMIT / 2)]
+fn answers_of_one_round_trip_halve_the_limit_once(#[case] outcome: Outcome, #[case] limit: u32) {
+    let mut driver = Driver::warm(settings());
+    driver.fill();
+    driver.context.advance(SERVICE_MS);
+    for _ in 0..FULL_LIMIT {
+        driver.finish(driver.first_running(), outcome);
+    }
+    assert_eq!(driver.limit(), limit);
+}
+
+#[test]
+fn second_round_of_sheds_means_that_the_target_is_cold() {
+    let mut driver = Driver::warm(settings());
+    for _ in 0..2 {
+        driver.fill();
+        driver.context.advance(SERVICE_MS);
+        for _ in 0..driver.running.len() {
+            let shed = Outcome::Shed {
+                retry_after_ms: None,
+            };
+            driver.finish(driver.first_running(), shed);
+        }
+    }
+    assert_eq!(driver.limit(), 1);
+    assert!(driver.admission.view().cold);
+}
+
+#[test]
+fn limit_returns_to_the_good_level_within_a_few_round_trips_after_one_shed() {
+    let mut driver = Driver::warm(settings());
+    driver.fill();
+    driver.context.advance(SERVICE_MS);
+    driver.finish(driver.first_running(), Outcome::Slow);
+    driver.serve(8 * SERVICE_MS, SERVICE_MS);
+    assert_eq!(driver.limit(), FULL_LIMIT - 1);
+}
+
+#[test]
+fn slow_answers_at_a_level_that_was_good_turn_the_target_cold() {
+    let mut driver = Driver::warm(settings());
+    driver.fill();
+    for _ in 0..3 {
+        driver.context.advance(4 * SERVICE_MS);
+        driver.finish(driver.first_running(), Outcome::Ok);
+    }
+    assert!(driver.admission.view().cold);
+    assert_eq!(driver.limit(), 1);
+}
+
+#[test]
+fn silence_stops_sending_then_turns_the_target_cold() {
+    let mut driver = Driver::warm(settings());
+    while driver.admission.view().in_flight + 1 < driver.limit() {
+        driver.arrive(10_000);
+    }
+    let held_ms = driver.admission.wake_at_ms().expect("silence is due");
+    driver.context.now_ms = held_ms;
+    driver.handle(Event::Tick);
+    assert!(matches!(driver.arrive(10_000)[..], [Action::Queue { .. }]));
+    assert!(!driver.admission.view().cold);
+    driver.context.advance(10 * SERVICE_MS);
+    driver.handle(Event::Tick);
+    assert!(driver.admission.view().cold);
+    assert_eq!(driver.admission.load_permille(), u16::MAX);
+}
+
+#[test]
+fn announced_start_falls_to_the_cold_limit() {
+    let mut driver = Driver::warm(settings());
+    driver.handle(Event::TargetStarted);
+    assert_eq!(driver.limit(), 1);
+}
+
+#[test]
+fn target_that_refuses_connections_is_tried_again_after_a_pause_by_one_request() {
+    let mut driver = Driver::warm(settings());
+    driver.arrive(10_000);
+    driver.finish(driver.first_running(), Outcome::TargetGone);
+    let refusal = driver.arrive(10_000);
+    assert!(driver.running.is_empty(), "{refusal:?}");
+    driver.context.advance(500);
+    driver.handle(Event::Tick);
+    driver.fill();
+    assert_eq!(driver.running.len(), 1);
+}
+
+#[rstest]
+#[case::says_up(true, 1)]
+#[case::says_down(false, 0)]
+fn health_hint_only_shortens_a_pause(#[case] up: bool, #[case] running: usize) {
+    let mut driver = Driver::warm(settings());
+    driver.arrive(10_000);
+    driver.finish(driver.first_running(), Outcome::TargetGone);
+    driver.handle(Event::HealthHint { up });
+    driver.arrive(10_000);
+    assert_eq!(driver.running.len(), running);
+}
+
+#[test]
+fn health_hint_does_not_stop_a_target_that_answers() {
+    let mut driver = Driver::warm(settings());
+    driver.handle(Event::HealthHint { up: false });
+    assert!(matches!(driver.arrive(1_000)[..], [Action::Run { .. }]));
+}
+
+#[test]
+fn earliest_deadline_runs_first() {
+    let mut driver = Driver::new(settings());
+    driver.arrive(10_000);
+    driver.arrive(9_000);
+    driver.arrive(8_000);
+    driver.context.advance(SERVICE_MS);
+    let actions = driver.finish(RequestId(0), Outcome::Ok);
+    assert_eq!(actions, [Action::Run { id: RequestId(2) }]);
+}
+
+#[test]
+fn request_that_cannot_be_answered_in_time_is_refused_at_once() {
+    let mut driver = Driver::warm(settings());
+    driver.fill();
+    let actions = driver.arrive(SERVICE_MS);
+    assert!(matches!(
+        actions[..],
+        [Action::Refuse {
+            code: ResultCode::Overloaded,
+            ..
+        }]
+    ));
+}
+
+#[test]
+fn request_whose_deadline_has_passed_is_refused_even_with_a_free_slot() {
+    let mut driver = Driver::new(settings());
+    let actions = driver.arrive(0);
+    assert!(matches!(
+        actions[..],
+        [Action::Refuse {
+            code: ResultCode::DeadlineBeforeRun,
+            ..
+        }]
+    ));
+}
+
+#[test]
+fn retry_times_of_a_burst_are_spread_over_the_time_that_the_burst_needs() {
+    let mut driver = Driver::warm(settings());
+    driver.fill();
+    for _ in 0..200 {
+        driver.arrive(SERVICE_MS);
+    }
+    let times: Vec<u32> = driver.refused.iter().map(|(_, ms)| *ms).collect();
+    let seconds: BTreeSet<u32> = times.iter().map(|ms| ms / 250).collect();
+    let needed_ms = 200 * SERVICE_MS as u32 / FULL_LIMIT;
+    assert!(times.iter().copied().max() > Some(needed_ms));
+    assert!(seconds.len() > 8, "{seconds:?}");
+}
+
+#[test]
+fn drain_refuses_what_waits_and_what_arrives_and_cuts_nothing() {
+    let mut driver = Driver::new(settings());
+    driver.arrive(10_000);
+    driver.arrive(10_000);
+    let actions = driver.handle(Event::DrainAnnounced);
+    assert!(matches!(
+        actions[..],
+        [Action::Refuse {
+            id: RequestId(1),
+            code: ResultCode::Draining,
+            ..
+        }]
+    ));
+    driver.arrive(10_000);
+    assert_eq!(driver.refused.len(), 2);
+    assert_eq!(driver.running.len(), 1);
+    assert_eq!(driver.admission.load_permille(), u16::MAX);
+}
+
+#[test]
+fn long_response_frees_its_slot_and_takes_a_connection() {
+    let mut driver = Driver::new(settings());
+    driver.arrive(10_000);
+    driver.handle(Event::StreamBegan {
+        id: RequestId(0),
+        latency_ms: 10,
+    });
+    let view = driver.admission.view();
+    assert_eq!((view.in_flight, view.connections), (0, 1));
+    driver.handle(Event::StreamEnded);
+    assert_eq!(driver.admission.view().connections, 0);
+}
+
+#[test]
+fn connections_are_limited_apart_from_requests() {
+    let mut driver = Driver::new(settings());
+    for _ in 0..3 {
+        let actions = driver.handle(Event::ConnectionOffered);
+        assert_eq!(actions, [Action::AcceptConnection]);
+    }
+    let actions = driver.handle(Event::ConnectionOffered);
+    assert!(matches!(
+        actions[..],
+        [Action::RefuseConnection {
+            code: ResultCode::ConnectionsFull,
+            ..
+        }]
+    ));
+    assert_eq!(driver.admission.load_permille(), u16::MAX);
+    driver.handle(Event::ConnectionClosed);
+    assert!(driver.admission.load_permille() < 1_000);
+}
+
+#[derive(Clone, Debug)]
+enum Step {
+    Arrive(u64),
+    Finish(usize, Outcome),
+    Cancel(u64),
+    Advance(u64),
+    Restart,
+    Hint(bool),
+    Limit(u32),
+}
+
+fn steps() -> impl Strategy<Value = Vec<Step>> {
+    let outcome = prop_oneof![
+        6 => Just(Outcome::Ok),
+        1 => Just(Outcome::Error),
+        1 => Just(Outcome::Slow),
+        1 => Just(Outcome::Shed { retry_after_ms: Some(300) }),
+        1 => Just(Outcome::TargetGone),
+    ];
+    let step = prop_oneof![
+        8 => (0_u64..2_000).prop_map(Step::Arrive),
+        8 => (any::<usize>(), outcome).prop_map(|(index, outcome)| Step::Finish(index, outcome)),
+        1 => (0_u64..200).prop_map(Step::Cancel),
+        6 => (0_u64..120).prop_map(Step::Advance),
+        1 => Just(Step::Restart),
+        1 => any::<bool>().prop_map(Step::Hint),
+        1 => (1_u32..12).prop_map(Step::Limit),
+    ];
+    proptest::collection::vec(step, 1..300)
+}
+
+fn apply(driver: &mut Driver, step: &Step) {
+    match step {
+        Step::Arrive(timeout_ms) => drop(driver.arrive(*timeout_ms)),
+        Step::Finish(index, outcome) => {
+            let count = driver.running.len().max(1);
+            if let Some(id) = driver.running.keys().nth(index % count).copied() {
+                driver.finish(id, *outcome);
+            }
+        }
+        Step::Cancel(id) => {
+            let id = RequestId(*id);
+            driver.running.remove(&id);
+            driver.queued.remove(&id);
+            driver.handle(Event::Cancelled { id });
+        }
+        Step::Advance(step_ms) => {
+            driver.context.advance(*step_ms);
+            driver.handle(Event::Tick);
+        }
+        Step::Restart => drop(driver.handle(Event::TargetStarted)),
+        Step::Hint(up) => drop(driver.handle(Event::HealthHint { up: *up })),
+        Step::Limit(request_limit) => {
+            let changed = AdmissionSettings {
+                request_limit: *request_limit,
+                ..settings()
+            };
+            drop(driver.handle(Event::SettingsChanged(changed)));
+        }
+    }
+}
+
+#[test]
+fn any_order_of_events_keeps_the_limits() {
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[7; 32]);
+    let mut runner = TestRunner::new_with_rng(Config::with_cases(200), rng);
+    runner
+        .run(&steps(), |steps| {
+            let mut driver = Driver::new(settings());
+            for step in &steps {
+                let before = driver.running.len();
+                apply(&mut driver, step);
+                check(&driver, before)?;
+            }
+            Ok(())
+        })
+        .expect("the limits hold");
+}
+
+fn check(driver: &Driver, running_before: usize) -> Result<(), TestCaseError> {
+    let view = driver.admission.view();
+    let running = driver.running.len();
+    let sent_over_limit = running > running_before && running > view.limit as usize;
+    prop_assert!(!sent_over_limit, "sent more than the limit: {view:?}");
+    prop_assert!(view.in_flight as usize == running);
+    prop_assert!(view.queued as usize == driver.queued.len());
+    prop_assert!(view.queued <= settings().queue_limit);
+    let wake_ms = driver.admission.wake_at_ms();
+    let wakes_later = wake_ms.is_none_or(|at_ms| at_ms > driver.context.now_ms);
+    prop_assert!(wakes_later, "asks to be woken in the past");
+    prop_assert!(
+        wake_ms.is_some() || view.queued == 0,
+        "would forget its queue"
+    );
+    Ok(())
+}
