feat(requests): run each key at most once, by tickets

A key built on a ticket runs only at the run of the agent that minted it. Records are kept by the epoch that the ticket names and evicted by whole epochs, so a forgotten key is answered as unknown, never run again. A ticket carries a random number of the run: the incarnation counts seconds, and two runs may start within one.

KeyInProgress moves from 109 to 206: an earlier copy is running, so saying that the request was not run would be untrue. AnswerNotKept (207) is new.

An epoch that no request ended in time had its end dated late, so its records outlived the retention time (evicted_key_is_never_run_again::case_1_age failed before). 46 tests, one of them 400 random orders of events at two agents.

--- a/crates/basilstep-core/src/codes.rs
+++ b/crates/basilstep-core/src/codes.rs
@@ -68,8 +68,6 @@
     DomainOut = 107,
     /// The request was not run: the target itself refused it.
     TargetShed = 108,
-    /// The request was not run: the same key is being run right now.
-    KeyInProgress = 109,
     /// The request was not run: it is malformed or too large.
     BadRequest = 110,
     /// The request was not run: the service is not configured here.
@@ -84,6 +82,10 @@
     RecordEvicted = 204,
     /// The outcome is unknown: the agent that the request was relayed to was lost.
     RelayLost = 205,
+    /// The outcome is unknown: an earlier copy with the same key is still running.
+    KeyInProgress = 206,
+    /// The request ran: its answer was too large to be kept for duplicates.
+    AnswerNotKept = 207,
     /// The flow was closed: its failure domain was taken out.
     FlowDomainOut = 301,
     /// The flow was closed: its agent stopped.
--- /dev/null
+++ b/crates/basilstep-core/src/requests/records.rs
@@ -0,0 +1,236 @@
+//! The records of idempotency keys, kept and evicted by epochs.
+
+use super::{IdempotencyKey, RequestSettings};
+use crate::codes::ResultCode;
+use std::{collections::BTreeMap, sync::Arc};
+
+/// The retention time spans so many epochs.
+const EPOCHS_PER_RETENTION: u32 = 8;
+/// An epoch ends early once it holds this part of the record limit.
+const EPOCHS_PER_LIMIT: u32 = 8;
+/// The most epochs that are kept.
+const EPOCH_LIMIT: usize = 64;
+
+/// What is known about the run of one key.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(super) enum Record {
+    /// It was accepted; no byte of it has been sent.
+    Accepted,
+    /// It was sent, and no answer has come yet.
+    Sent,
+    /// It ran, and this is its answer.
+    Answered(Arc<[u8]>),
+    /// It ran, and its answer was too large to be kept.
+    AnswerNotKept,
+    /// It was sent, and what became of it is unknown.
+    Unknown(ResultCode),
+}
+
+/// What the records say about a key.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(super) enum Lookup {
+    /// The key has never been accepted, or did not run.
+    Fresh,
+    /// The key has a record.
+    Known(Record),
+    /// The records of the key's epoch have been evicted: it may have run.
+    Evicted,
+}
+
+/// The keys of the tickets that were minted in one epoch.
+#[derive(Debug, Default)]
+struct Epoch {
+    records: BTreeMap<IdempotencyKey, Record>,
+    ended_ms: Option<u64>,
+}
+
+/// The records of all keys, bounded by count, bytes and age.
+///
+/// A ticket names the epoch that it was minted in. Whole epochs are evicted, the oldest first, and
+/// from then on no key of their tickets runs: a forgotten key and a new one look alike.
+#[derive(Debug)]
+pub(super) struct Records {
+    epochs: BTreeMap<u32, Epoch>,
+    // All epochs from `oldest` to `current` are in the map.
+    oldest: u32,
+    current: u32,
+    began_ms: u64,
+    count: u32,
+    bytes: u64,
+}
+
+impl Records {
+    /// Creates empty records whose first epoch begins now.
+    pub(super) fn new(now_ms: u64) -> Self {
+        Self {
+            epochs: BTreeMap::from([(0, Epoch::default())]),
+            oldest: 0,
+            current: 0,
+            began_ms: now_ms,
+            count: 0,
+            bytes: 0,
+        }
+    }
+
+    /// Returns the epoch of tickets minted now.
+    pub(super) fn current_epoch(&self) -> u32 {
+        self.current
+    }
+
+    /// Returns the oldest epoch whose records are complete.
+    pub(super) fn oldest_epoch(&self) -> u32 {
+        self.oldest
+    }
+
+    /// Returns the number of records.
+    pub(super) fn count(&self) -> u32 {
+        self.count
+    }
+
+    /// Returns the bytes of the recorded answers.
+    pub(super) fn bytes(&self) -> u64 {
+        self.bytes
+    }
+
+    /// Returns what is known about a key.
+    pub(super) fn look_up(&self, key: &IdempotencyKey) -> Lookup {
+        let Some(epoch_number) = self.epoch_of(key) else {
+            return Lookup::Fresh;
+        };
+        let Some(epoch) = self.epochs.get(&epoch_number) else {
+            return Lookup::Evicted;
+        };
+        match epoch.records.get(key) {
+            Some(record) => Lookup::Known(record.clone()),
+            None => Lookup::Fresh,
+        }
+    }
+
+    /// Accepts a fresh key; the caller has looked it up.
+    pub(super) fn accept(&mut self, key: &IdempotencyKey, settings: &RequestSettings) {
+        let epoch_number = key.ticket().map_or(self.current, |ticket| ticket.epoch);
+        if let Some(epoch) = self.epochs.get_mut(&epoch_number) {
+            epoch.records.insert(key.clone(), Record::Accepted);
+            self.count += 1;
+        }
+        self.shrink(settings);
+    }
+
+    /// Moves a record on; does nothing when it has been evicted.
+    pub(super) fn replace(
+        &mut self,
+        key: &IdempotencyKey,
+        record: Record,
+        settings: &RequestSettings,
+    ) {
+        let added_bytes = record.bytes();
+        let Some(slot) = self.slot(key) else {
+            return;
+        };
+        let removed_bytes = slot.bytes();
+        *slot = record;
+        self.bytes = self.bytes + added_bytes - removed_bytes;
+        self.shrink(settings);
+    }
+
+    /// Tells whether a key has been accepted and its end is not known.
+    pub(super) fn is_open(&self, key: &IdempotencyKey) -> bool {
+        matches!(
+            self.look_up(key),
+            Lookup::Known(Record::Accepted | Record::Sent)
+        )
+    }
+
+    /// Forgets a key that did not run; does nothing when its end is known already.
+    pub(super) fn release(&mut self, key: &IdempotencyKey) {
+        if !self.is_open(key) {
+            return;
+        }
+        let Some(epoch_number) = self.epoch_of(key) else {
+            return;
+        };
+        let removed = self
+            .epochs
+            .get_mut(&epoch_number)
+            .and_then(|epoch| epoch.records.remove(key));
+        if let Some(record) = removed {
+            self.count -= 1;
+            self.bytes -= record.bytes();
+        }
+    }
+
+    /// Begins and evicts epochs as time passes.
+    pub(super) fn advance(&mut self, settings: &RequestSettings, now_ms: u64) {
+        let retention_ms = u64::from(settings.record_retention_ms);
+        let span_ms = (retention_ms / u64::from(EPOCHS_PER_RETENTION)).max(1);
+        let held = self.epochs[&self.current].records.len() as u32;
+        let is_crowded = held > settings.record_limit / EPOCHS_PER_LIMIT;
+        if now_ms.saturating_sub(self.began_ms) >= span_ms || is_crowded {
+            self.begin_epoch(now_ms, now_ms.min(self.began_ms + span_ms));
+        }
+        let kept_since_ms = now_ms.saturating_sub(retention_ms);
+        while self.epochs.len() > EPOCH_LIMIT || self.oldest_ended_before(kept_since_ms) {
+            self.evict_oldest();
+        }
+    }
+
+    fn oldest_ended_before(&self, time_ms: u64) -> bool {
+        let epoch = self.epochs.get(&self.oldest);
+        epoch
+            .and_then(|epoch| epoch.ended_ms)
+            .is_some_and(|ended_ms| ended_ms < time_ms)
+    }
+
+    fn shrink(&mut self, settings: &RequestSettings) {
+        while self.count > settings.record_limit || self.bytes > settings.record_limit_bytes {
+            self.evict_oldest();
+        }
+    }
+
+    /// `ended_ms` is when the present epoch would have ended, had a request come in then.
+    fn begin_epoch(&mut self, now_ms: u64, ended_ms: u64) {
+        if let Some(epoch) = self.epochs.get_mut(&self.current) {
+            epoch.ended_ms = Some(ended_ms);
+        }
+        self.current += 1;
+        self.began_ms = now_ms;
+        self.epochs.insert(self.current, Epoch::default());
+    }
+
+    fn evict_oldest(&mut self) {
+        if self.oldest == self.current {
+            self.begin_epoch(self.began_ms, self.began_ms);
+        }
+        if let Some(epoch) = self.epochs.remove(&self.oldest) {
+            self.count -= epoch.records.len() as u32;
+            self.bytes -= epoch.records.values().map(Record::bytes).sum::<u64>();
+        }
+        self.oldest += 1;
+    }
+
+    /// Returns the epoch that holds a key, or that would hold it.
+    fn epoch_of(&self, key: &IdempotencyKey) -> Option<u32> {
+        match key.ticket() {
+            Some(ticket) => Some(ticket.epoch),
+            None => self
+                .epochs
+                .iter()
+                .find(|(_, epoch)| epoch.records.contains_key(key))
+                .map(|(number, _)| *number),
+        }
+    }
+
+    fn slot(&mut self, key: &IdempotencyKey) -> Option<&mut Record> {
+        let epoch_number = self.epoch_of(key)?;
+        self.epochs.get_mut(&epoch_number)?.records.get_mut(key)
+    }
+}
+
+impl Record {
+    fn bytes(&self) -> u64 {
+        match self {
+            Self::Answered(answer) => answer.len() as u64,
+            _ => 0,
+        }
+    }
+}
--- /dev/null
+++ b/crates/basilstep-core/src/requests/state.rs
@@ -0,0 +1,343 @@
+use super::{
+    AfterFailure, AgentDirectory, AgentStanding, Arrival, AttemptEnd, Decision, IdempotencyKey,
+    MethodClass, RequestSettings, RequestsView, Resolution, SendPermit, Ticket, TicketKey,
+    records::{Lookup, Record, Records},
+    resolve::{resolve, resolve_foreign},
+    retry::RetryBudget,
+};
+use crate::{
+    address::{AgentAddress, Incarnation},
+    codes::ResultCode,
+    context::Context,
+};
+use rand::RngExt;
+use std::sync::Arc;
+
+/// The longest idempotency key in bytes.
+const KEY_LIMIT_BYTES: usize = 128;
+
+/// Decides what becomes of the requests of one agent.
+#[derive(Debug)]
+pub struct Requests {
+    settings: RequestSettings,
+    ticket_key: TicketKey,
+    agent: AgentAddress,
+    incarnation: Incarnation,
+    run: u32,
+    draining: bool,
+    records: Records,
+    retries: RetryBudget,
+    repeated: u64,
+    joined: u64,
+    unknown: u64,
+}
+
+impl Requests {
+    /// Creates the state of a new run of the agent.
+    ///
+    /// The random source must differ between runs, or a restart within one second could take the
+    /// tickets of the earlier run for its own.
+    pub fn new(
+        settings: RequestSettings,
+        ticket_key: TicketKey,
+        agent: AgentAddress,
+        incarnation: Incarnation,
+        context: &mut Context,
+    ) -> Self {
+        Self {
+            settings,
+            ticket_key,
+            agent,
+            incarnation,
+            run: context.rng.random(),
+            draining: false,
+            records: Records::new(context.now_ms),
+            retries: RetryBudget::new(),
+            repeated: 0,
+            joined: 0,
+            unknown: 0,
+        }
+    }
+
+    /// Takes changed settings.
+    pub fn change_settings(&mut self, settings: RequestSettings) {
+        self.settings = settings;
+    }
+
+    /// Takes the start or the end of a drain.
+    pub fn set_draining(&mut self, draining: bool) {
+        self.draining = draining;
+    }
+
+    /// Returns the deadline of a request; `timeout_ms` is what its caller asked for.
+    pub fn deadline_ms(&self, timeout_ms: Option<u32>, now_ms: u64) -> u64 {
+        now_ms + u64::from(timeout_ms.unwrap_or(self.settings.deadline_ms))
+    }
+
+    /// Mints the ticket that a caller of the flow gets with its next answer.
+    pub fn mint(&mut self, flow: u32, now_ms: u64) -> String {
+        self.records.advance(&self.settings, now_ms);
+        self.ticket_key.encode(&Ticket {
+            agent: self.agent,
+            incarnation: self.incarnation,
+            run: self.run,
+            epoch: self.records.current_epoch(),
+            flow,
+        })
+    }
+
+    /// Reads the value of an `Idempotency-Key`.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ResultCode::BadRequest`] when it is empty or too long.
+    pub fn parse_key(&self, text: &str) -> Result<IdempotencyKey, ResultCode> {
+        if text.is_empty() || text.len() > KEY_LIMIT_BYTES {
+            return Err(ResultCode::BadRequest);
+        }
+        let ticketed = self.parse_ticketed(text);
+        Ok(ticketed.unwrap_or_else(|| IdempotencyKey::Plain(text.to_owned())))
+    }
+
+    /// Decides what becomes of a request that arrived.
+    ///
+    /// After [`Decision::RunHere`] or [`Decision::RelayDraining`] the shell asks
+    /// [`Requests::permit_send`] before the first byte, and ends each attempt with
+    /// [`Requests::complete`] or [`Requests::fail`]. It names the key in them if the decision says
+    /// that it is recorded.
+    pub fn arrive(
+        &mut self,
+        arrival: &Arrival<'_>,
+        directory: &impl AgentDirectory,
+        context: &Context,
+    ) -> Decision {
+        self.records.advance(&self.settings, context.now_ms);
+        self.retries.add_request(&self.settings);
+        let decision = self.decide(arrival, directory, context.now_ms);
+        self.count(&decision);
+        decision
+    }
+
+    /// Asks whether the first byte of a request may be sent to the target or to a relay.
+    ///
+    /// It is granted once for each attempt at a recorded key. Requests without a record ask with
+    /// `None`.
+    pub fn permit_send(&mut self, key: Option<&IdempotencyKey>) -> SendPermit {
+        let Some(key) = key else {
+            return SendPermit::Send;
+        };
+        if self.records.look_up(key) != Lookup::Known(Record::Accepted) {
+            return SendPermit::DoNotSend;
+        }
+        self.records.replace(key, Record::Sent, &self.settings);
+        SendPermit::Send
+    }
+
+    /// Records the whole answer of a request that ran.
+    pub fn complete(&mut self, key: Option<&IdempotencyKey>, answer: &[u8]) {
+        let Some(key) = key else {
+            return;
+        };
+        let fits = answer.len() <= self.settings.recorded_answer_limit_bytes as usize;
+        let record = if fits {
+            Record::Answered(Arc::from(answer))
+        } else {
+            Record::AnswerNotKept
+        };
+        self.records.replace(key, record, &self.settings);
+    }
+
+    /// Takes the end of an attempt without an answer: it is repeated if that is safe, in time and
+    /// within the budget, and otherwise resolved at once.
+    pub fn fail(&mut self, end: &AttemptEnd<'_>, context: &mut Context) -> AfterFailure {
+        let foreign = end
+            .key
+            .and_then(IdempotencyKey::ticket)
+            .is_some_and(|ticket| !self.is_own(ticket));
+        let resolution = if foreign {
+            resolve_foreign(end.failure)
+        } else {
+            resolve(end.sent, end.failure)
+        };
+        let did_not_run = matches!(resolution, Resolution::NotRun(_));
+        if did_not_run || end.method == MethodClass::Idempotent {
+            let backoff_ms = self.retries.take(&self.settings, end, context);
+            if let Some(backoff_ms) = backoff_ms {
+                self.rearm(end.key);
+                return AfterFailure::RetryAfter { backoff_ms };
+            }
+        }
+        self.settle(end.key, resolution);
+        AfterFailure::Final(resolution)
+    }
+
+    /// Returns the state for dumps and metrics.
+    pub fn view(&self) -> RequestsView {
+        RequestsView {
+            records: self.records.count(),
+            record_bytes: self.records.bytes(),
+            oldest_epoch: self.records.oldest_epoch(),
+            current_epoch: self.records.current_epoch(),
+            retry_tokens: self.retries.tokens(),
+            repeated: self.repeated,
+            joined: self.joined,
+            unknown: self.unknown,
+        }
+    }
+
+    fn decide(
+        &mut self,
+        arrival: &Arrival<'_>,
+        directory: &impl AgentDirectory,
+        now_ms: u64,
+    ) -> Decision {
+        if arrival.deadline_ms <= now_ms {
+            return self.decide_too_late(arrival);
+        }
+        if arrival.authority_claimed {
+            return self.decide_claimed();
+        }
+        if arrival.method == MethodClass::Idempotent {
+            return self.run_or_relay(false);
+        }
+        match arrival.key {
+            Some(key @ IdempotencyKey::Ticketed { ticket, .. }) => {
+                self.decide_ticketed(key, ticket, directory)
+            }
+            Some(key) => self.decide_plain(key),
+            None if self.settings.require_ticket => Decision::Refuse(ResultCode::TicketRequired),
+            None => self.run_or_relay(false),
+        }
+    }
+
+    /// A late duplicate may still have run before, so only a fresh request is said not to have.
+    fn decide_too_late(&self, arrival: &Arrival<'_>) -> Decision {
+        let not_run = Decision::Refuse(ResultCode::DeadlineBeforeRun);
+        let (MethodClass::NonIdempotent, Some(key)) = (arrival.method, arrival.key) else {
+            return not_run;
+        };
+        if key.ticket().is_some_and(|ticket| !self.is_own(ticket)) {
+            return Decision::OutcomeUnknown(ResultCode::DeadlineAfterSend);
+        }
+        match self.records.look_up(key) {
+            Lookup::Fresh => not_run,
+            Lookup::Known(Record::Accepted | Record::Sent) => {
+                Decision::OutcomeUnknown(ResultCode::KeyInProgress)
+            }
+            Lookup::Known(record) => decide_known(record),
+            Lookup::Evicted => Decision::OutcomeUnknown(ResultCode::RecordEvicted),
+        }
+    }
+
+    fn decide_claimed(&self) -> Decision {
+        if self.draining {
+            return Decision::Refuse(ResultCode::Draining);
+        }
+        Decision::RunHere { recorded: false }
+    }
+
+    fn decide_plain(&mut self, key: &IdempotencyKey) -> Decision {
+        let is_fresh = self.records.look_up(key) == Lookup::Fresh;
+        if is_fresh && self.settings.require_ticket {
+            return Decision::Refuse(ResultCode::TicketRequired);
+        }
+        self.decide_recorded(key)
+    }
+
+    fn decide_ticketed(
+        &mut self,
+        key: &IdempotencyKey,
+        ticket: &Ticket,
+        directory: &impl AgentDirectory,
+    ) -> Decision {
+        if self.is_own(ticket) {
+            return self.decide_recorded(key);
+        }
+        let unknown = Decision::OutcomeUnknown(ResultCode::TicketAgentGone);
+        if ticket.agent == self.agent {
+            return unknown;
+        }
+        match directory.standing(ticket.agent, ticket.incarnation) {
+            AgentStanding::Reachable => Decision::RelayTo(ticket.agent),
+            AgentStanding::Gone | AgentStanding::DomainOut => unknown,
+        }
+    }
+
+    fn decide_recorded(&mut self, key: &IdempotencyKey) -> Decision {
+        match self.records.look_up(key) {
+            Lookup::Fresh => {
+                self.records.accept(key, &self.settings);
+                self.run_or_relay(true)
+            }
+            Lookup::Known(record) => decide_known(record),
+            Lookup::Evicted => Decision::OutcomeUnknown(ResultCode::RecordEvicted),
+        }
+    }
+
+    fn run_or_relay(&self, recorded: bool) -> Decision {
+        if self.draining {
+            return Decision::RelayDraining { recorded };
+        }
+        Decision::RunHere { recorded }
+    }
+
+    fn is_own(&self, ticket: &Ticket) -> bool {
+        ticket.agent == self.agent
+            && ticket.incarnation == self.incarnation
+            && ticket.run == self.run
+    }
+
+    fn parse_ticketed(&self, text: &str) -> Option<IdempotencyKey> {
+        let (ticket, own_id) = text.split_once('.')?;
+        let ticket = self.ticket_key.decode(ticket)?;
+        IdempotencyKey::is_valid_own_id(own_id).then(|| IdempotencyKey::Ticketed {
+            ticket,
+            own_id: own_id.to_owned(),
+        })
+    }
+
+    /// Lets a key whose attempt did not run be sent once more.
+    fn rearm(&mut self, key: Option<&IdempotencyKey>) {
+        let Some(key) = key else {
+            return;
+        };
+        if self.records.look_up(key) == Lookup::Known(Record::Sent) {
+            self.records.replace(key, Record::Accepted, &self.settings);
+        }
+    }
+
+    fn settle(&mut self, key: Option<&IdempotencyKey>, resolution: Resolution) {
+        if let Resolution::Unknown(_) = resolution {
+            self.unknown += 1;
+        }
+        let Some(key) = key else {
+            return;
+        };
+        match resolution {
+            Resolution::NotRun(_) => self.records.release(key),
+            Resolution::Unknown(code) if self.records.is_open(key) => {
+                let record = Record::Unknown(code);
+                self.records.replace(key, record, &self.settings);
+            }
+            Resolution::Unknown(_) => {}
+        }
+    }
+
+    fn count(&mut self, decision: &Decision) {
+        match decision {
+            Decision::RepeatRecordedAnswer(_) => self.repeated += 1,
+            Decision::Join => self.joined += 1,
+            Decision::OutcomeUnknown(_) => self.unknown += 1,
+            _ => {}
+        }
+    }
+}
+
+fn decide_known(record: Record) -> Decision {
+    match record {
+        Record::Accepted | Record::Sent => Decision::Join,
+        Record::Answered(answer) => Decision::RepeatRecordedAnswer(answer),
+        Record::AnswerNotKept => Decision::OutcomeUnknown(ResultCode::AnswerNotKept),
+        Record::Unknown(code) => Decision::OutcomeUnknown(code),
+    }
+}
--- /dev/null
+++ b/crates/basilstep-core/src/requests/tests.rs
@@ -0,0 +1,615 @@
+use super::{
+    AfterFailure, AgentDirectory, AgentStanding, Arrival, AttemptEnd, Decision, Failure,
+    IdempotencyKey, MethodClass, RequestSettings, Requests, Resolution, SendPermit, Ticket,
+    TicketKey,
+};
+use crate::{
+    address::{AgentAddress, Incarnation},
+    codes::ResultCode,
+    context::Context,
+    crypto::ClusterKey,
+};
+use proptest::{
+    prelude::{Strategy, any, prop_oneof},
+    prop_assert, prop_assert_eq,
+    test_runner::{Config, RngAlgorithm, TestCaseError, TestRng, TestRunner},
+};
+use rstest::rstest;
+use std::{
+    collections::BTreeMap,
+    net::{Ipv4Addr, SocketAddrV4},
+};
+
+const NO_RETRIES: RequestSettings = RequestSettings {
+    deadline_ms: 10_000,
+    require_ticket: true,
+    record_limit: 100,
+    record_limit_bytes: 1_000,
+    record_retention_ms: 8_000,
+    recorded_answer_limit_bytes: 100,
+    retry_limit: 0,
+    retry_budget_percent: 0,
+};
+
+struct Directory(AgentStanding);
+
+impl AgentDirectory for Directory {
+    fn standing(&self, _agent: AgentAddress, _incarnation: Incarnation) -> AgentStanding {
+        self.0
+    }
+}
+
+const REACHABLE: Directory = Directory(AgentStanding::Reachable);
+
+fn ticket_key() -> TicketKey {
+    TicketKey::new(&ClusterKey::new([7; 32]))
+}
+
+fn agent(number: u8) -> AgentAddress {
+    AgentAddress(SocketAddrV4::new(Ipv4Addr::new(127, 0, 0, number), 7_000))
+}
+
+fn open(settings: RequestSettings, number: u8, context: &mut Context) -> Requests {
+    Requests::new(
+        settings,
+        ticket_key(),
+        agent(number),
+        Incarnation(1),
+        context,
+    )
+}
+
+fn single(settings: RequestSettings) -> (Requests, Context) {
+    let mut context = Context::new(1);
+    let requests = open(settings, 1, &mut context);
+    (requests, context)
+}
+
+fn key_of(requests: &mut Requests, own_id: &str, now_ms: u64) -> IdempotencyKey {
+    let ticket = requests.mint(5, now_ms);
+    let key = requests.parse_key(&format!("{ticket}.{own_id}"));
+    key.expect("a minted key is valid")
+}
+
+fn arrival(key: Option<&IdempotencyKey>) -> Arrival<'_> {
+    Arrival {
+        method: MethodClass::NonIdempotent,
+        key,
+        deadline_ms: u64::MAX,
+        authority_claimed: false,
+    }
+}
+
+fn end(key: Option<&IdempotencyKey>, sent: bool, failure: Failure) -> AttemptEnd<'_> {
+    AttemptEnd {
+        method: MethodClass::NonIdempotent,
+        key,
+        sent,
+        failure,
+        attempts: 1,
+        deadline_ms: 10_000,
+    }
+}
+
+const RUN_RECORDED: Decision = Decision::RunHere { recorded: true };
+
+#[test]
+fn ticket_survives_its_text_form() {
+    let ticket = Ticket {
+        agent: agent(9),
+        incarnation: Incarnation(1_700_000_000),
+        run: 77,
+        epoch: 3,
+        flow: 12,
+    };
+    let text = ticket_key().encode(&ticket);
+    assert_eq!(text.len(), 60);
+    assert_eq!(ticket_key().decode(&text), Some(ticket));
+}
+
+#[rstest]
+#[case::changed_digit(|text: &str| format!("{}{}", if text.starts_with('0') { '1' } else { '0' }, &text[1..]))]
+#[case::upper_case(str::to_uppercase)]
+#[case::shortened(|text: &str| text[2..].to_owned())]
+#[case::lengthened(|text: &str| format!("{text}00"))]
+#[case::empty(|_: &str| String::new())]
+fn changed_text_is_no_ticket(#[case] change: impl Fn(&str) -> String) {
+    let (mut requests, _) = single(NO_RETRIES);
+    let text = requests.mint(0xabcd_ef01, 0);
+    assert_eq!(ticket_key().decode(&change(&text)), None);
+}
+
+#[test]
+fn ticket_of_another_cluster_is_no_ticket() {
+    let (mut requests, _) = single(NO_RETRIES);
+    let other = TicketKey::new(&ClusterKey::new([8; 32]));
+    assert_eq!(other.decode(&requests.mint(1, 0)), None);
+}
+
+#[rstest]
+#[case::empty("")]
+#[case::long(&"x".repeat(129))]
+fn key_that_is_empty_or_too_long_is_a_bad_request(#[case] text: &str) {
+    let (requests, _) = single(NO_RETRIES);
+    assert_eq!(requests.parse_key(text), Err(ResultCode::BadRequest));
+}
+
+#[test]
+fn key_runs_once_and_its_answer_is_repeated() {
+    let (mut requests, context) = single(NO_RETRIES);
+    let key = key_of(&mut requests, "a", 0);
+    assert_eq!(
+        requests.arrive(&arrival(Some(&key)), &REACHABLE, &context),
+        RUN_RECORDED
+    );
+    assert_eq!(
+        requests.arrive(&arrival(Some(&key)), &REACHABLE, &context),
+        Decision::Join
+    );
+    assert_eq!(requests.permit_send(Some(&key)), SendPermit::Send);
+    assert_eq!(requests.permit_send(Some(&key)), SendPermit::DoNotSend);
+    requests.complete(Some(&key), b"bought");
+    let repeated = Decision::RepeatRecordedAnswer(b"bought"[..].into());
+    assert_eq!(
+        requests.arrive(&arrival(Some(&key)), &REACHABLE, &context),
+        repeated
+    );
+}
+
+#[test]
+fn answer_too_large_to_keep_is_not_repeated_and_not_run_again() {
+    let (mut requests, context) = single(NO_RETRIES);
+    let key = key_of(&mut requests, "a", 0);
+    requests.arrive(&arrival(Some(&key)), &REACHABLE, &context);
+    requests.permit_send(Some(&key));
+    requests.complete(Some(&key), &[0; 101]);
+    let unknown = Decision::OutcomeUnknown(ResultCode::AnswerNotKept);
+    assert_eq!(
+        requests.arrive(&arrival(Some(&key)), &REACHABLE, &context),
+        unknown
+    );
+}
+
+#[rstest]
+#[case::connect_refused(
+    false,
+    Failure::TargetLost,
+    Resolution::NotRun(ResultCode::TargetUnreachable)
+)]
+#[case::refused(
+    false,
+    Failure::Refused(ResultCode::Overloaded),
+    Resolution::NotRun(ResultCode::Overloaded)
+)]
+#[case::deadline_queued(
+    false,
+    Failure::DeadlinePassed,
+    Resolution::NotRun(ResultCode::DeadlineBeforeRun)
+)]
+#[case::shed(true, Failure::TargetShed, Resolution::NotRun(ResultCode::TargetShed))]
+#[case::relay_says_not_run(
+    true,
+    Failure::RelayRefused(ResultCode::Overloaded),
+    Resolution::NotRun(ResultCode::Overloaded)
+)]
+#[case::relay_says_nonsense(
+    true,
+    Failure::RelayRefused(ResultCode::Done),
+    Resolution::Unknown(ResultCode::RelayLost)
+)]
+#[case::target_lost(true, Failure::TargetLost, Resolution::Unknown(ResultCode::TargetLost))]
+#[case::deadline_sent(
+    true,
+    Failure::DeadlinePassed,
+    Resolution::Unknown(ResultCode::DeadlineAfterSend)
+)]
+#[case::relay_lost(true, Failure::RelayLost, Resolution::Unknown(ResultCode::RelayLost))]
+#[case::relay_unknown(
+    true,
+    Failure::RelayUnknown(ResultCode::TargetLost),
+    Resolution::Unknown(ResultCode::TargetLost)
+)]
+fn failure_is_resolved_truthfully(
+    #[case] sent: bool,
+    #[case] failure: Failure,
+    #[case] resolution: Resolution,
+) {
+    let (mut requests, mut context) = single(NO_RETRIES);
+    let key = key_of(&mut requests, "a", 0);
+    requests.arrive(&arrival(Some(&key)), &REACHABLE, &context);
+    if sent {
+        requests.permit_send(Some(&key));
+    }
+    let after = requests.fail(&end(Some(&key), sent, failure), &mut context);
+    assert_eq!(after, AfterFailure::Final(resolution));
+    let duplicate = requests.arrive(&arrival(Some(&key)), &REACHABLE, &context);
+    match resolution {
+        Resolution::NotRun(_) => assert_eq!(duplicate, RUN_RECORDED),
+        Resolution::Unknown(code) => assert_eq!(duplicate, Decision::OutcomeUnknown(code)),
+    }
+}
+
+#[rstest]
+#[case::relay_unreachable(Failure::TargetLost, Resolution::Unknown(ResultCode::RelayLost))]
+#[case::deadline(
+    Failure::DeadlinePassed,
+    Resolution::Unknown(ResultCode::DeadlineAfterSend)
+)]
+#[case::minter_refused(
+    Failure::RelayRefused(ResultCode::Overloaded),
+    Resolution::NotRun(ResultCode::Overloaded)
+)]
+fn only_the_minting_agent_says_that_a_foreign_key_was_not_run(
+    #[case] failure: Failure,
+    #[case] resolution: Resolution,
+) {
+    let (mut minter, mut context) = single(NO_RETRIES);
+    let mut other = open(NO_RETRIES, 2, &mut context);
+    let key = key_of(&mut minter, "a", 0);
+    let after = other.fail(&end(Some(&key), false, failure), &mut context);
+    assert_eq!(after, AfterFailure::Final(resolution));
+}
+
+#[rstest]
+#[case::reachable(AgentStanding::Reachable, Decision::RelayTo(agent(1)))]
+#[case::gone(
+    AgentStanding::Gone,
+    Decision::OutcomeUnknown(ResultCode::TicketAgentGone)
+)]
+#[case::domain_out(
+    AgentStanding::DomainOut,
+    Decision::OutcomeUnknown(ResultCode::TicketAgentGone)
+)]
+fn key_of_another_agent_goes_to_its_minter(
+    #[case] standing: AgentStanding,
+    #[case] decision: Decision,
+) {
+    let (mut minter, mut context) = single(NO_RETRIES);
+    let mut other = open(NO_RETRIES, 2, &mut context);
+    let key = key_of(&mut minter, "a", 0);
+    let taken = other.arrive(&arrival(Some(&key)), &Directory(standing), &context);
+    assert_eq!(taken, decision);
+}
+
+#[test]
+fn key_of_an_earlier_run_within_the_same_second_is_not_run() {
+    let (mut earlier, mut context) = single(NO_RETRIES);
+    let key = key_of(&mut earlier, "a", 0);
+    let mut later = open(NO_RETRIES, 1, &mut context);
+    let unknown = Decision::OutcomeUnknown(ResultCode::TicketAgentGone);
+    assert_eq!(
+        later.arrive(&arrival(Some(&key)), &REACHABLE, &context),
+        unknown
+    );
+}
+
+#[rstest]
+#[case::age(8, 20_000)]
+#[case::count(200, 0)]
+fn evicted_key_is_never_run_again(#[case] keys: u32, #[case] pause_ms: u64) {
+    let (mut requests, mut context) = single(NO_RETRIES);
+    let first = key_of(&mut requests, "first", 0);
+    let late = key_of(&mut requests, "late", 0);
+    requests.arrive(&arrival(Some(&first)), &REACHABLE, &context);
+    requests.permit_send(Some(&first));
+    requests.complete(Some(&first), b"bought");
+    for number in 0..keys {
+        let key = key_of(&mut requests, &number.to_string(), context.now_ms);
+        requests.arrive(&arrival(Some(&key)), &REACHABLE, &context);
+    }
+    context.advance(pause_ms);
+    let unknown = Decision::OutcomeUnknown(ResultCode::RecordEvicted);
+    for key in [&first, &late] {
+        requests.mint(1, context.now_ms);
+        let decision = requests.arrive(&arrival(Some(key)), &REACHABLE, &context);
+        assert_eq!(decision, unknown);
+    }
+    assert!(requests.view().records <= NO_RETRIES.record_limit);
+}
+
+#[test]
+fn bytes_of_recorded_answers_are_bounded() {
+    let (mut requests, context) = single(NO_RETRIES);
+    for number in 0..50 {
+        let key = key_of(&mut requests, &number.to_string(), 0);
+        requests.arrive(&arrival(Some(&key)), &REACHABLE, &context);
+        requests.permit_send(Some(&key));
+        requests.complete(Some(&key), &[0; 100]);
+        assert!(requests.view().record_bytes <= NO_RETRIES.record_limit_bytes);
+    }
+}
+
+#[rstest]
+#[case::no_key(None, true, Decision::Refuse(ResultCode::TicketRequired))]
+#[case::plain_key(Some("mine"), true, Decision::Refuse(ResultCode::TicketRequired))]
+#[case::no_key_allowed(None, false, Decision::RunHere { recorded: false })]
+#[case::plain_key_allowed(Some("mine"), false, Decision::RunHere { recorded: true })]
+fn key_without_a_ticket(
+    #[case] text: Option<&str>,
+    #[case] require_ticket: bool,
+    #[case] decision: Decision,
+) {
+    let (mut requests, context) = single(RequestSettings {
+        require_ticket,
+        ..NO_RETRIES
+    });
+    let key = text.map(|text| requests.parse_key(text).expect("it is short"));
+    let taken = requests.arrive(&arrival(key.as_ref()), &REACHABLE, &context);
+    assert_eq!(taken, decision);
+}
+
+#[test]
+fn draining_agent_keeps_the_record_and_relays_the_run() {
+    let (mut requests, context) = single(NO_RETRIES);
+    let key = key_of(&mut requests, "a", 0);
+    requests.set_draining(true);
+    let relayed = Decision::RelayDraining { recorded: true };
+    assert_eq!(
+        requests.arrive(&arrival(Some(&key)), &REACHABLE, &context),
+        relayed
+    );
+    assert_eq!(
+        requests.arrive(&arrival(Some(&key)), &REACHABLE, &context),
+        Decision::Join
+    );
+}
+
+#[rstest]
+#[case::serving(false, Decision::RunHere { recorded: false })]
+#[case::draining_too(true, Decision::Refuse(ResultCode::Draining))]
+fn claimed_request_runs_without_a_record(#[case] draining: bool, #[case] decision: Decision) {
+    let (mut minter, mut context) = single(NO_RETRIES);
+    let mut other = open(NO_RETRIES, 2, &mut context);
+    other.set_draining(draining);
+    let key = key_of(&mut minter, "a", 0);
+    let claimed = Arrival {
+        authority_claimed: true,
+        ..arrival(Some(&key))
+    };
+    assert_eq!(other.arrive(&claimed, &REACHABLE, &context), decision);
+}
+
+#[test]
+fn late_duplicate_of_a_running_key_is_not_said_to_be_not_run() {
+    let (mut requests, context) = single(NO_RETRIES);
+    let key = key_of(&mut requests, "a", 0);
+    requests.arrive(&arrival(Some(&key)), &REACHABLE, &context);
+    let late = Arrival {
+        deadline_ms: 0,
+        ..arrival(Some(&key))
+    };
+    let unknown = Decision::OutcomeUnknown(ResultCode::KeyInProgress);
+    assert_eq!(requests.arrive(&late, &REACHABLE, &context), unknown);
+}
+
+#[rstest]
+#[case::non_idempotent_sent(MethodClass::NonIdempotent, true, false)]
+#[case::non_idempotent_unsent(MethodClass::NonIdempotent, false, true)]
+#[case::idempotent_sent(MethodClass::Idempotent, true, true)]
+fn only_what_cannot_run_twice_is_retried(
+    #[case] method: MethodClass,
+    #[case] sent: bool,
+    #[case] retried: bool,
+) {
+    let (mut requests, mut context) = single(RequestSettings::default());
+    let end = AttemptEnd {
+        method,
+        ..end(None, sent, Failure::TargetLost)
+    };
+    let after = requests.fail(&end, &mut context);
+    assert_eq!(matches!(after, AfterFailure::RetryAfter { .. }), retried);
+}
+
+#[rstest]
+#[case::too_many_attempts(3, 10_000)]
+#[case::no_time_left(1, 0)]
+fn retry_ends_with_its_count_and_its_deadline(#[case] attempts: u32, #[case] deadline_ms: u64) {
+    let (mut requests, mut context) = single(RequestSettings::default());
+    let end = AttemptEnd {
+        attempts,
+        deadline_ms,
+        ..end(None, false, Failure::TargetLost)
+    };
+    let after = requests.fail(&end, &mut context);
+    assert!(matches!(after, AfterFailure::Final(Resolution::NotRun(_))));
+}
+
+#[test]
+fn retries_stay_within_a_tenth_of_the_requests() {
+    let (mut requests, mut context) = single(RequestSettings::default());
+    let mut retries = 0;
+    for _ in 0..1_000 {
+        let read = Arrival {
+            method: MethodClass::Idempotent,
+            ..arrival(None)
+        };
+        requests.arrive(&read, &REACHABLE, &context);
+        let after = requests.fail(&end(None, false, Failure::TargetLost), &mut context);
+        retries += u32::from(matches!(after, AfterFailure::RetryAfter { .. }));
+    }
+    assert!((100..=110).contains(&retries), "{retries}");
+}
+
+/// Two agents, their callers and all that a shell keeps of the requests under way.
+struct World {
+    agents: Vec<Requests>,
+    context: Context,
+    keys: Vec<IdempotencyKey>,
+    open: Vec<Attempt>,
+    runs: BTreeMap<IdempotencyKey, u32>,
+    told_not_run: BTreeMap<IdempotencyKey, u32>,
+}
+
+#[derive(Clone, Debug)]
+struct Attempt {
+    agent: usize,
+    key: IdempotencyKey,
+    sent: bool,
+}
+
+#[derive(Clone, Debug)]
+enum Step {
+    Mint(usize),
+    Arrive(usize, usize),
+    Send(usize),
+    Complete(usize),
+    Fail(usize),
+    Restart(usize),
+    Drain(usize, bool),
+    Advance(u64),
+}
+
+fn world_settings() -> RequestSettings {
+    RequestSettings {
+        record_limit: 6,
+        record_retention_ms: 400,
+        retry_limit: 2,
+        retry_budget_percent: 50,
+        ..NO_RETRIES
+    }
+}
+
+fn steps() -> impl Strategy<Value = Vec<Step>> {
+    let step = prop_oneof![
+        2 => (0_usize..2).prop_map(Step::Mint),
+        8 => (0_usize..2, any::<usize>()).prop_map(|(agent, key)| Step::Arrive(agent, key)),
+        6 => any::<usize>().prop_map(Step::Send),
+        4 => any::<usize>().prop_map(Step::Complete),
+        4 => any::<usize>().prop_map(Step::Fail),
+        1 => (0_usize..2).prop_map(Step::Restart),
+        1 => (0_usize..2, any::<bool>()).prop_map(|(agent, on)| Step::Drain(agent, on)),
+        2 => (0_u64..200).prop_map(Step::Advance),
+    ];
+    proptest::collection::vec(step, 1..200)
+}
+
+impl World {
+    fn new() -> Self {
+        let mut context = Context::new(3);
+        let agents = (0..2)
+            .map(|number| open(world_settings(), number, &mut context))
+            .collect();
+        Self {
+            agents,
+            context,
+            keys: Vec::new(),
+            open: Vec::new(),
+            runs: BTreeMap::new(),
+            told_not_run: BTreeMap::new(),
+        }
+    }
+
+    fn apply(&mut self, step: &Step) {
+        match step {
+            Step::Mint(agent) => {
+                let own_id = self.keys.len().to_string();
+                let key = key_of(&mut self.agents[*agent], &own_id, self.context.now_ms);
+                self.keys.push(key);
+            }
+            Step::Arrive(agent, key) if !self.keys.is_empty() => {
+                let key = self.keys[key % self.keys.len()].clone();
+                self.arrive(*agent, key);
+            }
+            Step::Send(index) => self.send(*index),
+            Step::Complete(index) => self.complete(*index),
+            Step::Fail(index) => self.fail(*index),
+            Step::Restart(agent) => {
+                self.open.retain(|attempt| attempt.agent != *agent);
+                let number = *agent as u8;
+                self.agents[*agent] = open(world_settings(), number, &mut self.context);
+            }
+            Step::Drain(agent, draining) => self.agents[*agent].set_draining(*draining),
+            Step::Advance(step_ms) => self.context.advance(*step_ms),
+            Step::Arrive(..) => {}
+        }
+    }
+
+    fn arrive(&mut self, agent: usize, key: IdempotencyKey) {
+        let decision = self.agents[agent].arrive(&arrival(Some(&key)), &REACHABLE, &self.context);
+        match decision {
+            Decision::RunHere { .. } | Decision::RelayDraining { .. } => {
+                self.open.push(Attempt {
+                    agent,
+                    key,
+                    sent: false,
+                });
+            }
+            Decision::RelayTo(minter) => {
+                let other = usize::from(minter.0.ip().octets()[3]);
+                assert_ne!(other, agent, "relayed to itself");
+                self.arrive(other, key);
+            }
+            _ => {}
+        }
+    }
+
+    fn send(&mut self, index: usize) {
+        let count = self.open.len().max(1);
+        let Some(attempt) = self.open.get_mut(index % count) else {
+            return;
+        };
+        let permit = self.agents[attempt.agent].permit_send(Some(&attempt.key));
+        if permit == SendPermit::Send {
+            attempt.sent = true;
+            *self.runs.entry(attempt.key.clone()).or_default() += 1;
+        }
+    }
+
+    fn complete(&mut self, index: usize) {
+        let Some(attempt) = self.take(index, true) else {
+            return;
+        };
+        self.agents[attempt.agent].complete(Some(&attempt.key), b"done");
+    }
+
+    fn fail(&mut self, index: usize) {
+        let Some(attempt) = self.take(index, false) else {
+            return;
+        };
+        let end = end(Some(&attempt.key), attempt.sent, Failure::TargetLost);
+        let after = self.agents[attempt.agent].fail(&end, &mut self.context);
+        match after {
+            AfterFailure::RetryAfter { .. } => self.open.push(attempt),
+            AfterFailure::Final(Resolution::NotRun(_)) => {
+                let runs = self.runs.get(&attempt.key).copied().unwrap_or(0);
+                self.told_not_run.insert(attempt.key, runs);
+            }
+            AfterFailure::Final(Resolution::Unknown(_)) => {}
+        }
+    }
+
+    fn take(&mut self, index: usize, must_be_sent: bool) -> Option<Attempt> {
+        let count = self.open.len().max(1);
+        let attempt = self.open.get(index % count)?;
+        (attempt.sent || !must_be_sent).then(|| self.open.remove(index % count))
+    }
+
+    fn check(&self) -> Result<(), TestCaseError> {
+        for (key, runs) in &self.runs {
+            prop_assert!(*runs <= 1, "{key:?} ran {runs} times");
+        }
+        for (key, runs) in &self.told_not_run {
+            prop_assert_eq!(*runs, 0, "{:?} was said to be not run", key);
+        }
+        for requests in &self.agents {
+            prop_assert!(requests.view().records <= world_settings().record_limit);
+        }
+        Ok(())
+    }
+}
+
+#[test]
+fn no_key_runs_twice_and_no_refusal_lies_in_any_order_of_events() {
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[9; 32]);
+    let mut runner = TestRunner::new_with_rng(Config::with_cases(400), rng);
+    runner
+        .run(&steps(), |steps| {
+            let mut world = World::new();
+            for step in &steps {
+                world.apply(step);
+                world.check()?;
+            }
+            Ok(())
+        })
+        .expect("at most once holds");
+}
