--- /dev/null
+++ b/crates/basilstep-core/src/placement/chain_tests.rs
@@ -0,0 +1,314 @@
+//! Several agents wired together: what becomes of an offer when packets are lost, doubled and
+//! reordered and when balancers name different candidates.
+
+use super::{
+    MAX_COMPARE_HOPS, OfferDecision, Offered, OwnLoad, PlacementSettings, RecentOffers,
+    ServiceTargets, decide,
+};
+use crate::{
+    address::{AgentAddress, DomainId, Incarnation, ServiceId},
+    context::Context,
+    membership::{AgentPhase, AgentRecord},
+    settings::DomainSet,
+    wire::{Candidates, Leg},
+};
+use proptest::{
+    collection::vec,
+    prelude::{Just, ProptestConfig, Strategy, any, prop_assert, prop_assert_eq, proptest},
+    sample::subsequence,
+    test_runner::RngSeed,
+};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::{Ipv4Addr, SocketAddr, SocketAddrV4},
+};
+
+const AGENTS: u8 = 3;
+const RETRANSMISSION_MS: u64 = 1_000;
+const FLOW_LIMIT: u32 = 100;
+const FULL: u32 = FLOW_LIMIT;
+
+/// An offer, its comparisons and the last leg.
+const MAX_LEGS: u32 = 2 + MAX_COMPARE_HOPS as u32;
+
+fn agent(number: u8) -> AgentAddress {
+    AgentAddress(SocketAddrV4::new(Ipv4Addr::new(127, 0, 1, number), 7_000))
+}
+
+/// The candidates that a balancer names.
+#[derive(Clone, Copy, Debug)]
+struct View {
+    first: u8,
+    second: Option<u8>,
+}
+
+/// What the network does with one packet that is under way.
+#[derive(Clone, Copy, Debug)]
+enum Fate {
+    Deliver,
+    Double,
+    Lose,
+}
+
+#[derive(Clone, Copy)]
+struct Packet {
+    to: AgentAddress,
+    leg: Leg,
+    legs: u32,
+}
+
+struct Agent {
+    own: OwnLoad,
+    recent: RecentOffers,
+}
+
+/// One first flight under way between agents.
+struct Flight {
+    agents: BTreeMap<AgentAddress, Agent>,
+    under_way: Vec<Packet>,
+    takers: BTreeSet<AgentAddress>,
+    refusals: u32,
+    longest: u32,
+    now_ms: u64,
+}
+
+impl Flight {
+    fn new(flows: [u32; AGENTS as usize]) -> Self {
+        let agents = (0..AGENTS).zip(flows).map(|(number, flows)| {
+            let own = OwnLoad {
+                address: agent(number),
+                flows,
+                flow_limit: FLOW_LIMIT,
+                weight: 1,
+                closed: None,
+            };
+            let recent = RecentOffers::new(PlacementSettings::default(), &mut Context::new(1));
+            (agent(number), Agent { own, recent })
+        });
+        Self {
+            agents: agents.collect(),
+            under_way: Vec::new(),
+            takers: BTreeSet::new(),
+            refusals: 0,
+            longest: 0,
+            now_ms: 0,
+        }
+    }
+
+    fn send(&mut self, view: View) {
+        let candidates = Candidates {
+            first: agent(view.first),
+            second: view.second.map(agent),
+        };
+        self.under_way.push(Packet {
+            to: candidates.first,
+            leg: Leg::Offer { candidates },
+            legs: 1,
+        });
+    }
+
+    /// Delivers all packets in the order and with the fates given, then in order without loss.
+    fn deliver(&mut self, schedule: &[(usize, Fate)]) {
+        let mut schedule = schedule.iter();
+        while !self.under_way.is_empty() {
+            let (pick, fate) = schedule.next().copied().unwrap_or((0, Fate::Deliver));
+            let pick = pick % self.under_way.len();
+            let packet = match fate {
+                Fate::Double => self.under_way[pick],
+                Fate::Deliver => self.under_way.remove(pick),
+                Fate::Lose => {
+                    self.under_way.remove(pick);
+                    continue;
+                }
+            };
+            self.arrive(packet);
+        }
+    }
+
+    fn arrive(&mut self, packet: Packet) {
+        self.longest = self.longest.max(packet.legs);
+        let Some(agent) = self.agents.get_mut(&packet.to) else {
+            return;
+        };
+        let offered = Offered {
+            caller: SocketAddr::from(([127, 0, 0, 9], 50_000)),
+            connection_id: b"first-id",
+            leg: packet.leg,
+        };
+        let decision = decide(&offered, &agent.own, &mut agent.recent, self.now_ms);
+        match decision {
+            OfferDecision::Take => {
+                self.takers.insert(packet.to);
+            }
+            OfferDecision::Refuse(_) => self.refusals += 1,
+            _ => {}
+        }
+        let next = decision.next_leg(packet.to);
+        self.under_way.extend(next.map(|next| Packet {
+            to: next.to,
+            leg: next.leg,
+            legs: packet.legs + 1,
+        }));
+    }
+}
+
+fn any_view() -> impl Strategy<Value = View> {
+    (0..AGENTS, 0..=AGENTS).prop_map(|(first, second)| View {
+        first,
+        second: (second < AGENTS).then_some(second),
+    })
+}
+
+fn pair() -> impl Strategy<Value = View> {
+    (0..AGENTS, 1..AGENTS).prop_map(|(first, step)| View {
+        first,
+        second: Some((first + step) % AGENTS),
+    })
+}
+
+fn schedule(with_loss: bool) -> impl Strategy<Value = Vec<(usize, Fate)>> {
+    let fate = (0..4_u8).prop_map(move |number| match number {
+        0 => Fate::Double,
+        1 if with_loss => Fate::Lose,
+        _ => Fate::Deliver,
+    });
+    vec((any::<usize>(), fate), 0..24)
+}
+
+fn config() -> ProptestConfig {
+    ProptestConfig {
+        cases: 512,
+        rng_seed: RngSeed::Fixed(1),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    }
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    #[test]
+    fn a_flight_ends_at_one_agent_whatever_the_order(
+        flows in [0..9_u32, 0..9_u32, 0..9_u32],
+        views in [pair(), pair()],
+        packets in vec(0..2_usize, 1..4),
+        schedule in schedule(false),
+    ) {
+        let mut flight = Flight::new(flows);
+        for packet in packets {
+            flight.send(views[packet]);
+        }
+        flight.deliver(&schedule);
+        prop_assert_eq!(flight.takers.len(), 1);
+        prop_assert!(flight.longest <= MAX_LEGS);
+    }
+
+    #[test]
+    fn a_flight_never_ends_at_two_agents_of_one_view(
+        flows in [0..9_u32, 0..9_u32, 0..9_u32],
+        view in pair(),
+        packets in 1..4_u8,
+        schedule in schedule(true),
+    ) {
+        let mut flight = Flight::new(flows);
+        for _ in 0..packets {
+            flight.send(view);
+        }
+        flight.deliver(&schedule);
+        prop_assert!(flight.takers.len() <= 1);
+    }
+
+    #[test]
+    fn a_lost_flight_is_taken_on_a_retransmission(
+        flows in [0..9_u32, 0..9_u32, 0..9_u32],
+        view in pair(),
+        schedules in vec(schedule(true), 1..4),
+    ) {
+        let mut flight = Flight::new(flows);
+        for schedule in schedules {
+            flight.send(view);
+            flight.deliver(&schedule);
+            flight.now_ms += RETRANSMISSION_MS;
+        }
+        flight.send(view);
+        flight.deliver(&[]);
+        prop_assert!((1..=2).contains(&flight.takers.len()));
+    }
+
+    #[test]
+    fn a_dead_second_costs_one_retransmission(
+        flows in [0..9_u32, 0..9_u32, 0..9_u32],
+        view in pair(),
+    ) {
+        let mut flight = Flight::new(flows);
+        flight.agents.retain(|address, _| view.second.map(agent) != Some(*address));
+        flight.send(view);
+        flight.deliver(&[]);
+        prop_assert!(flight.takers.is_empty());
+        flight.now_ms += RETRANSMISSION_MS;
+        flight.send(view);
+        flight.deliver(&[]);
+        prop_assert_eq!(flight.takers.len(), 1);
+    }
+
+    #[test]
+    fn legs_are_bounded_for_any_views(
+        flows in [0..9_u32, 0..9_u32, 0..9_u32],
+        views in vec(any_view(), 1..6),
+        schedule in schedule(true),
+    ) {
+        let mut flight = Flight::new(flows);
+        for view in views {
+            flight.send(view);
+        }
+        flight.deliver(&schedule);
+        prop_assert!(flight.longest <= MAX_LEGS);
+    }
+
+    #[test]
+    fn a_flight_is_refused_only_when_both_agents_are_full(
+        full in subsequence(vec![0_u8, 1, 2], 0..=3),
+        view in pair(),
+    ) {
+        let flows = [0, 1, 2].map(|number| if full.contains(&number) { FULL } else { 1 });
+        let mut flight = Flight::new(flows);
+        flight.send(view);
+        flight.deliver(&[]);
+        let is_full = |number| full.contains(&number);
+        let both_full = is_full(view.first) && view.second.is_some_and(is_full);
+        prop_assert_eq!(flight.refusals, u32::from(both_full));
+        prop_assert_eq!(flight.takers.len(), usize::from(!both_full));
+    }
+
+    #[test]
+    fn the_order_of_records_does_not_matter(
+        records in vec(any_record(), 1..12).prop_flat_map(|records| {
+            (Just(records.clone()), Just(records).prop_shuffle())
+        }),
+        connection_id in vec(any::<u8>(), 0..20),
+        port in any::<u16>(),
+    ) {
+        let (records, shuffled) = records;
+        let caller = SocketAddr::from(([127, 0, 0, 9], port));
+        let draw = |records: &[AgentRecord]| {
+            ServiceTargets::arrange(ServiceId(1), records, &DomainSet::default())
+                .candidates(&caller, &connection_id)
+        };
+        prop_assert_eq!(draw(&records), draw(&shuffled));
+    }
+}
+
+fn any_record() -> impl Strategy<Value = AgentRecord> {
+    (0..6_u8, 0..3_u32, 0..3_u16, 0..5_u8, 0..3_u8).prop_map(
+        |(number, incarnation, revision, weight, phase)| AgentRecord {
+            address: agent(number),
+            service: ServiceId(1),
+            domain: DomainId(0),
+            incarnation: Incarnation(incarnation),
+            revision,
+            weight,
+            phase: [AgentPhase::Serving, AgentPhase::Draining, AgentPhase::Down]
+                [usize::from(phase)],
+        },
+    )
+}
--- a/crates/basilstep-core/src/placement/mod.rs
+++ b/crates/basilstep-core/src/placement/mod.rs
@@ -11,6 +11,8 @@
 mod settings;
 mod targets;
 
+#[cfg(test)]
+mod chain_tests;
 #[cfg(test)]
 mod tests;
 
