--- /dev/null
+++ b/crates/basilstep-bench/src/load/placement/cases.rs
@@ -0,0 +1,289 @@
+//! The cases that are measured, and the goals.
+
+use super::{
+    policy::Policy,
+    simulation::{Change, MEAN_LIFE_S, Outcome, Setup, Simulation},
+};
+use basilstep_core::membership::AgentPhase;
+use serde::Serialize;
+use std::ops::Range;
+
+const REPORT_INTERVAL_MS: u64 = 1_000;
+const WARM_UP_S: f64 = 6.0 * MEAN_LIFE_S;
+const SAMPLED_S: f64 = 20.0 * MEAN_LIFE_S;
+const SAMPLES_PER_S: f64 = 2.0;
+const GOAL_AT_300: f64 = 1.02;
+const GOAL_AT_30: f64 = 1.10;
+const GOAL_UNEQUAL_MARGIN: f64 = 0.03;
+const LEVEL: f64 = 1.10;
+const SERVICES: u64 = 2_200;
+const SERVICES_SAMPLED_AT_300: u64 = 150;
+const LIAR: usize = 0;
+
+/// The figures of one policy in one case, over all seeds.
+#[derive(Clone, Debug, Serialize)]
+pub struct Row {
+    weights: Vec<u8>,
+    flows_per_target: u32,
+    policy: Policy,
+    mean: f64,
+    /// The 99th percentile of the largest load over the mean.
+    pub p99: f64,
+    worst: f64,
+    agent_messages_per_flow: f64,
+}
+
+/// One goal and whether it is met.
+#[derive(Clone, Debug, Serialize)]
+pub struct Goal {
+    weights: Vec<u8>,
+    flows_per_target: u32,
+    limit_p99: f64,
+    p99: f64,
+    met: bool,
+}
+
+/// The figures with reports that lag longer, or lie.
+#[derive(Clone, Debug, Serialize)]
+pub struct ReportRow {
+    report_interval_ms: u64,
+    one_reports_half: bool,
+    #[serde(flatten)]
+    row: Row,
+}
+
+/// What planned changes do to flows and balance.
+#[derive(Clone, Debug, Serialize)]
+pub struct ChangeRow {
+    flows_per_target: u32,
+    policy: Policy,
+    checked_flows: u64,
+    moved_flows: u64,
+    moved_by_plain_hash_without_tokens: u64,
+    refused_flows: u64,
+    opened_while_leaving: u64,
+    level_after_join_s: Option<f64>,
+}
+
+/// The figures over all services at the target size.
+#[derive(Clone, Debug, Serialize)]
+pub struct TargetSizeRow {
+    services: u64,
+    targets_per_service: usize,
+    flows_per_target: u32,
+    policy: Policy,
+    mean: f64,
+    p99: f64,
+    p99_of_the_worst_service: f64,
+    agent_messages_per_flow: f64,
+}
+
+/// Measures one policy in one case.
+pub fn measure(weights: &[u8], flows_per_target: u32, policy: Policy, seeds: Range<u64>) -> Row {
+    let outcomes: Vec<_> = seeds
+        .map(|seed| Simulation::run(setup(weights, flows_per_target, policy, seed)))
+        .collect();
+    summarize(weights, flows_per_target, policy, &outcomes)
+}
+
+/// Measures all policies at today's sizes, with equal and unequal targets.
+pub fn equal_and_unequal(seeds: Range<u64>) -> Vec<Row> {
+    let fleets: [&[u8]; 5] = [
+        &[1; 3],
+        &[1; 4],
+        &[1; 7],
+        &[1, 2, 4],
+        &[1, 2, 4, 1, 2, 4, 1],
+    ];
+    let mut rows = Vec::new();
+    for weights in fleets {
+        for flows in [30, 300] {
+            let row = |policy| measure(weights, flows, policy, seeds.clone());
+            rows.extend(Policy::ALL.map(row));
+        }
+    }
+    rows
+}
+
+/// Compares the rows of our policy with the goals.
+pub fn check_goals(rows: &[Row]) -> Vec<Goal> {
+    rows.iter()
+        .filter(|row| row.policy == Policy::TwoExact)
+        .map(check_goal)
+        .collect()
+}
+
+fn check_goal(row: &Row) -> Goal {
+    let limit = if row.flows_per_target >= 300 {
+        GOAL_AT_300
+    } else {
+        GOAL_AT_30
+    };
+    let is_equal = row.weights.iter().all(|weight| *weight == row.weights[0]);
+    let limit_p99 = if is_equal {
+        limit
+    } else {
+        limit + GOAL_UNEQUAL_MARGIN
+    };
+    Goal {
+        weights: row.weights.clone(),
+        flows_per_target: row.flows_per_target,
+        limit_p99: round(limit_p99),
+        p99: row.p99,
+        met: row.p99 <= limit_p99,
+    }
+}
+
+/// Measures reports that lag by 1 s and by 5 s, and one target that reports half its flows.
+pub fn lagging_and_lying(seeds: Range<u64>) -> Vec<ReportRow> {
+    let mut rows = Vec::new();
+    for (interval_ms, liar) in [(1_000, None), (5_000, None), (1_000, Some(LIAR))] {
+        for policy in Policy::ALL {
+            let run = |seed| {
+                let mut setup = setup(&[1; 7], 300, policy, seed);
+                setup.report_interval_ms = interval_ms;
+                setup.liar = liar;
+                Simulation::run(setup)
+            };
+            let outcomes: Vec<_> = seeds.clone().map(run).collect();
+            rows.push(ReportRow {
+                report_interval_ms: interval_ms,
+                one_reports_half: liar.is_some(),
+                row: summarize(&[1; 7], 300, policy, &outcomes),
+            });
+        }
+    }
+    rows
+}
+
+/// Measures a target that leaves and, once its flows have ended, joins again empty.
+pub fn planned_changes(seeds: Range<u64>) -> Vec<ChangeRow> {
+    let mut rows = Vec::new();
+    for flows in [30, 300] {
+        rows.extend(Policy::ALL.map(|policy| planned_change(flows, policy, seeds.clone())));
+    }
+    rows
+}
+
+fn planned_change(flows_per_target: u32, policy: Policy, seeds: Range<u64>) -> ChangeRow {
+    let leave_s = WARM_UP_S;
+    let join_s = leave_s + 10.0 * MEAN_LIFE_S;
+    let change = |at_s, phase| Change {
+        at_s,
+        target: 0,
+        phase,
+    };
+    let run = |seed| {
+        let mut setup = setup(&[1; 7], flows_per_target, policy, seed);
+        setup.changes = vec![
+            change(leave_s, AgentPhase::Draining),
+            change(join_s, AgentPhase::Serving),
+        ];
+        setup.warm_up_s = join_s;
+        Simulation::run(setup)
+    };
+    let outcomes: Vec<_> = seeds.map(run).collect();
+    let sum = |count: fn(&Outcome) -> u64| outcomes.iter().map(count).sum();
+    ChangeRow {
+        flows_per_target,
+        policy,
+        checked_flows: sum(|outcome| outcome.checked_flows),
+        moved_flows: sum(|outcome| outcome.moved_flows),
+        moved_by_plain_hash_without_tokens: sum(|outcome| outcome.moved_by_hash),
+        refused_flows: sum(|outcome| outcome.refused_flows),
+        opened_while_leaving: sum(|outcome| outcome.opened_while_leaving),
+        level_after_join_s: level_after_join(&outcomes),
+    }
+}
+
+/// Returns the longest time over all seeds until the load was level again, if it ever was.
+fn level_after_join(outcomes: &[Outcome]) -> Option<f64> {
+    let mut longest: f64 = 0.0;
+    for outcome in outcomes {
+        let sample = outcome
+            .imbalance
+            .iter()
+            .skip(1)
+            .position(|at| *at <= LEVEL)?;
+        longest = longest.max((sample + 1) as f64 / SAMPLES_PER_S);
+    }
+    Some(longest)
+}
+
+/// Measures the services of the target size, each with three targets; at 300 flows a sample.
+pub fn target_size(seed: u64) -> Vec<TargetSizeRow> {
+    let mut rows = Vec::new();
+    for (services, flows) in [(SERVICES, 30), (SERVICES_SAMPLED_AT_300, 300)] {
+        for policy in [Policy::PlainHash, Policy::TwoReported, Policy::TwoExact] {
+            rows.push(target_size_row(services, flows, policy, seed));
+        }
+    }
+    rows
+}
+
+fn target_size_row(services: u64, flows: u32, policy: Policy, seed: u64) -> TargetSizeRow {
+    let weights = [1; 3];
+    let run = |service| {
+        let mut setup = setup(&weights, flows, policy, seed * SERVICES + service);
+        setup.sampled_s = 4.0 * MEAN_LIFE_S;
+        Simulation::run(setup)
+    };
+    let outcomes: Vec<_> = (0..services).map(run).collect();
+    let worst = |worst: f64, outcome: &Outcome| worst.max(percentile(&outcome.imbalance, 0.99));
+    let p99_of_the_worst_service = round(outcomes.iter().fold(0.0, worst));
+    let row = summarize(&weights, flows, policy, &outcomes);
+    TargetSizeRow {
+        services,
+        targets_per_service: weights.len(),
+        flows_per_target: flows,
+        policy,
+        mean: row.mean,
+        p99: row.p99,
+        p99_of_the_worst_service,
+        agent_messages_per_flow: row.agent_messages_per_flow,
+    }
+}
+
+fn setup(weights: &[u8], flows_per_target: u32, policy: Policy, seed: u64) -> Setup {
+    Setup {
+        weights: weights.to_vec(),
+        flows_per_target,
+        policy,
+        report_interval_ms: REPORT_INTERVAL_MS,
+        liar: None,
+        changes: Vec::new(),
+        warm_up_s: WARM_UP_S,
+        sampled_s: SAMPLED_S,
+        seed,
+    }
+}
+
+fn summarize(weights: &[u8], flows_per_target: u32, policy: Policy, outcomes: &[Outcome]) -> Row {
+    let samples: Vec<f64> = outcomes
+        .iter()
+        .flat_map(|outcome| outcome.imbalance.iter().copied())
+        .collect();
+    let messages: u64 = outcomes.iter().map(|outcome| outcome.agent_messages).sum();
+    let flows: u64 = outcomes.iter().map(|outcome| outcome.opened_flows).sum();
+    Row {
+        weights: weights.to_vec(),
+        flows_per_target,
+        policy,
+        mean: round(samples.iter().sum::<f64>() / samples.len() as f64),
+        p99: round(percentile(&samples, 0.99)),
+        worst: round(percentile(&samples, 1.0)),
+        agent_messages_per_flow: round(messages as f64 / flows as f64),
+    }
+}
+
+fn percentile(samples: &[f64], share: f64) -> f64 {
+    let mut sorted = samples.to_vec();
+    sorted.sort_by(f64::total_cmp);
+    let last = sorted.len().saturating_sub(1);
+    let place = (share * last as f64).ceil() as usize;
+    sorted.get(place).copied().unwrap_or(f64::NAN)
+}
+
+fn round(value: f64) -> f64 {
+    (value * 1_000.0).round() / 1_000.0
+}
--- /dev/null
+++ b/crates/basilstep-bench/src/load/placement/fleet.rs
@@ -0,0 +1,155 @@
+//! The targets of one service with their agents, and what balancers know of them.
+
+use basilstep_core::{
+    address::{AgentAddress, DomainId, Incarnation, ServiceId},
+    codes::ResultCode,
+    context::Context,
+    crypto::ShortKey,
+    membership::{AgentPhase, AgentRecord},
+    placement::{OwnLoad, PlacementSettings, RecentOffers, ServiceTargets},
+    settings::DomainSet,
+    token::{FlowKey, FlowKeys, FlowToken, TOKEN_BYTES},
+};
+use std::net::{Ipv4Addr, SocketAddrV4};
+
+/// The service of all targets.
+pub const SERVICE: ServiceId = ServiceId(1);
+
+/// The keys of flow tokens.
+pub const FLOW_KEYS: FlowKeys = FlowKeys {
+    current: FlowKey {
+        id: 1,
+        secret: ShortKey([1; 16]),
+    },
+    previous: None,
+};
+
+const FLOW_LIMIT: u32 = 2_000;
+const DOMAINS: u8 = 3;
+
+/// One target with its agent.
+pub struct Target {
+    /// What its agent announces.
+    pub record: AgentRecord,
+    /// The flows that it holds.
+    pub flows: u32,
+    /// The flows that balancers last heard of.
+    pub reported_flows: u32,
+    /// The agent's record of offers.
+    pub recent: RecentOffers,
+}
+
+impl Target {
+    fn new(number: u8, weight: u8, context: &mut Context) -> Self {
+        let record = AgentRecord {
+            address: agent_address(number),
+            service: SERVICE,
+            domain: DomainId(number % DOMAINS),
+            incarnation: Incarnation(1),
+            revision: 1,
+            weight,
+            phase: AgentPhase::Serving,
+        };
+        Self {
+            record,
+            flows: 0,
+            reported_flows: 0,
+            recent: RecentOffers::new(PlacementSettings::default(), context),
+        }
+    }
+
+    /// Tells whether the target takes new flows.
+    pub fn is_serving(&self) -> bool {
+        self.record.phase == AgentPhase::Serving
+    }
+
+    /// Returns the flows per unit of weight.
+    pub fn relative_flows(&self) -> f64 {
+        f64::from(self.flows) / f64::from(self.record.weight)
+    }
+
+    /// Returns the flows per unit of weight that balancers last heard of.
+    pub fn relative_reported_flows(&self) -> f64 {
+        f64::from(self.reported_flows) / f64::from(self.record.weight)
+    }
+
+    /// Returns what the agent knows about itself.
+    pub fn own_load(&self) -> OwnLoad {
+        OwnLoad {
+            address: self.record.address,
+            flows: self.flows,
+            flow_limit: FLOW_LIMIT,
+            weight: self.record.weight,
+            closed: (!self.is_serving()).then_some(ResultCode::Draining),
+        }
+    }
+
+    /// Mints the connection ID of a flow of this target.
+    pub fn mint(&self) -> [u8; TOKEN_BYTES] {
+        let token = FlowToken {
+            agent: self.record.address,
+            service: SERVICE,
+            domain: self.record.domain,
+            incarnation_low: self.record.incarnation.0 as u16,
+            nonce: [0; 3],
+        };
+        token.encode(&FLOW_KEYS.current)
+    }
+}
+
+/// The targets of one service.
+pub struct Fleet {
+    /// The targets; the number of a target is its place.
+    pub targets: Vec<Target>,
+    /// What balancers place new flows by.
+    pub placement: ServiceTargets,
+}
+
+impl Fleet {
+    /// Creates a fleet of targets with these weights.
+    pub fn new(weights: &[u8], context: &mut Context) -> Self {
+        let targets = (0_u8..)
+            .zip(weights)
+            .map(|(number, weight)| Target::new(number, *weight, context))
+            .collect();
+        let mut fleet = Self {
+            targets,
+            placement: ServiceTargets::default(),
+        };
+        fleet.refresh_placement();
+        fleet
+    }
+
+    /// Lets balancers learn what the agents announce now.
+    pub fn refresh_placement(&mut self) {
+        self.placement = ServiceTargets::arrange(SERVICE, &self.records(), &DomainSet::default());
+    }
+
+    /// Returns what the agents announce now.
+    pub fn records(&self) -> Vec<AgentRecord> {
+        self.targets.iter().map(|target| target.record).collect()
+    }
+
+    /// Finds a target by the address of its agent.
+    pub fn number_of(address: AgentAddress) -> usize {
+        usize::from(address.0.ip().octets()[3])
+    }
+
+    /// Returns the largest number of flows per weight over the mean, among serving targets.
+    pub fn imbalance(&self) -> f64 {
+        let serving = || self.targets.iter().filter(|target| target.is_serving());
+        let largest = serving().map(Target::relative_flows).fold(0.0, f64::max);
+        let flows: u32 = serving().map(|target| target.flows).sum();
+        let weight: u32 = serving()
+            .map(|target| u32::from(target.record.weight))
+            .sum();
+        if flows == 0 {
+            return 1.0;
+        }
+        largest / (f64::from(flows) / f64::from(weight))
+    }
+}
+
+fn agent_address(number: u8) -> AgentAddress {
+    AgentAddress(SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, number), 7_000))
+}
--- /dev/null
+++ b/crates/basilstep-bench/src/load/placement/mod.rs
@@ -0,0 +1,61 @@
+//! The `placement` experiment: how evenly policies spread long flows over the targets.
+
+mod cases;
+mod cost;
+mod fleet;
+mod policy;
+mod simulation;
+
+use super::{
+    LoadArgs, Report,
+    plot::{Line, Plot},
+};
+use cases::Row;
+use policy::Policy;
+use serde_json::json;
+
+const PLOT_FLOWS: [u32; 5] = [10, 30, 100, 300, 600];
+const PLOT_TARGETS: usize = 7;
+
+/// Runs the experiment.
+pub fn run(args: &LoadArgs) -> Report {
+    let seeds = args.seed..args.seed + args.seeds.max(1);
+    let rows = cases::equal_and_unequal(seeds.clone());
+    let goals = cases::check_goals(&rows);
+    let figures = json!({
+        "experiment": "placement",
+        "seed": args.seed,
+        "seeds": args.seeds,
+        "mean_life_s": simulation::MEAN_LIFE_S,
+        "goals": goals,
+        "rows": rows,
+        "reports": cases::lagging_and_lying(seeds.clone()),
+        "changes": cases::planned_changes(seeds.clone()),
+        "at_target_size": cases::target_size(args.seed),
+        "draw_cost": cost::measure(args.seed),
+    });
+    Report {
+        figures,
+        plot: Some(plot(args)),
+    }
+}
+
+fn plot(args: &LoadArgs) -> Plot {
+    let seeds = args.seed..args.seed + args.seeds.max(1);
+    let lines = Policy::ALL.map(|policy| {
+        let point = |flows: &u32| {
+            let row: Row = cases::measure(&[1; PLOT_TARGETS], *flows, policy, seeds.clone());
+            (f64::from(*flows), row.p99)
+        };
+        Line {
+            name: policy.name().to_owned(),
+            points: PLOT_FLOWS.iter().map(point).collect(),
+        }
+    });
+    Plot {
+        title: "Largest load over the mean, 99th percentile, 7 equal targets".to_owned(),
+        x_label: "flows a target".to_owned(),
+        y_label: "largest load over the mean".to_owned(),
+        lines: lines.into(),
+    }
+}
--- /dev/null
+++ b/crates/basilstep-bench/src/load/placement/policy.rs
@@ -0,0 +1,82 @@
+//! The ways to choose a target for a new flow.
+
+use super::fleet::{Fleet, Target};
+use basilstep_core::{address::AgentAddress, context::Context, wire::Candidates};
+use rand::RngExt;
+use serde::Serialize;
+
+/// Which target a new flow goes to.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Policy {
+    /// The first candidate of weighted rendezvous hashing.
+    PlainHash,
+    /// The target whose last report was the lowest relative to its weight.
+    LeastReported,
+    /// The candidate whose last report was the lower one.
+    TwoReported,
+    /// The candidate that is less loaded, as the two agents settle it.
+    TwoExact,
+}
+
+impl Policy {
+    /// All policies.
+    pub const ALL: [Self; 4] = [
+        Self::PlainHash,
+        Self::LeastReported,
+        Self::TwoReported,
+        Self::TwoExact,
+    ];
+
+    /// Returns the name in figures and plots.
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::PlainHash => "plain hash",
+            Self::LeastReported => "least reported load",
+            Self::TwoReported => "two choices by reports",
+            Self::TwoExact => "two choices at the agents",
+        }
+    }
+
+    /// Returns the agent that must take the flow, or `None` when the agents settle it.
+    pub fn choose(
+        self,
+        fleet: &Fleet,
+        candidates: Candidates,
+        context: &mut Context,
+    ) -> Option<AgentAddress> {
+        match self {
+            Self::PlainHash => Some(candidates.first),
+            Self::LeastReported => least_reported(fleet, context),
+            Self::TwoReported => Some(lower_reported(fleet, candidates)),
+            Self::TwoExact => None,
+        }
+    }
+}
+
+fn least_reported(fleet: &Fleet, context: &mut Context) -> Option<AgentAddress> {
+    let targets = &fleet.targets;
+    let start = context.rng.random_range(0..targets.len());
+    let rotated = targets[start..].iter().chain(&targets[..start]);
+    rotated
+        .filter(|target| target.is_serving())
+        .min_by(|one, other| {
+            let other = other.relative_reported_flows();
+            one.relative_reported_flows().total_cmp(&other)
+        })
+        .map(|target| target.record.address)
+}
+
+fn lower_reported(fleet: &Fleet, candidates: Candidates) -> AgentAddress {
+    let Some(second) = candidates.second else {
+        return candidates.first;
+    };
+    let reported = |agent| {
+        let target: &Target = &fleet.targets[Fleet::number_of(agent)];
+        target.relative_reported_flows()
+    };
+    if reported(second) < reported(candidates.first) {
+        return second;
+    }
+    candidates.first
+}
--- /dev/null
+++ b/crates/basilstep-bench/src/load/placement/simulation.rs
@@ -0,0 +1,351 @@
+//! Flows that arrive at random and live exponentially long, in virtual time.
+
+use super::{
+    fleet::{FLOW_KEYS, Fleet, SERVICE, Target},
+    policy::Policy,
+};
+use basilstep_core::{
+    address::AgentAddress,
+    context::Context,
+    membership::AgentPhase,
+    placement::{OfferDecision, Offered, ServiceTargets, decide},
+    settings::SettingsView,
+    steering::{Steer, SteeringTable},
+    token::TOKEN_BYTES,
+    wire::{Candidates, Leg},
+};
+use rand::{Rng, RngExt};
+use std::{
+    cmp::Reverse,
+    collections::{BTreeMap, BinaryHeap},
+    net::{Ipv4Addr, SocketAddr},
+};
+
+/// The mean life of a flow: 3.9 million open flows at 56,000 new ones a second.
+pub const MEAN_LIFE_S: f64 = 70.0;
+
+const US_PER_S: f64 = 1_000_000.0;
+const US_PER_MS: u64 = 1_000;
+const HOP_US: u64 = 1_500;
+const SAMPLE_INTERVAL_US: u64 = 500_000;
+const VIEW_LAG_US: u64 = 1_000_000;
+
+/// What is simulated.
+#[derive(Clone, Debug)]
+pub struct Setup {
+    /// The weights of the targets.
+    pub weights: Vec<u8>,
+    /// The mean number of flows of a target.
+    pub flows_per_target: u32,
+    /// Which target a new flow goes to.
+    pub policy: Policy,
+    /// How often balancers hear of the targets' loads.
+    pub report_interval_ms: u64,
+    /// The target that reports half its flows.
+    pub liar: Option<usize>,
+    /// When targets leave and join.
+    pub changes: Vec<Change>,
+    /// The time before the first sample.
+    pub warm_up_s: f64,
+    /// The time of sampling.
+    pub sampled_s: f64,
+    /// The seed of the random source.
+    pub seed: u64,
+}
+
+/// A planned change of one target.
+#[derive(Clone, Copy, Debug)]
+pub struct Change {
+    /// When it begins.
+    pub at_s: f64,
+    /// The number of the target.
+    pub target: usize,
+    /// Its new phase.
+    pub phase: AgentPhase,
+}
+
+/// What was measured.
+#[derive(Clone, Debug, Default)]
+pub struct Outcome {
+    /// The samples of the largest load over the mean.
+    pub imbalance: Vec<f64>,
+    /// The flows that were opened.
+    pub opened_flows: u64,
+    /// The flows that no agent took.
+    pub refused_flows: u64,
+    /// The packets between agents.
+    pub agent_messages: u64,
+    /// The flows opened at a target that was leaving.
+    pub opened_while_leaving: u64,
+    /// The open flows whose packets went to another agent after a change.
+    pub moved_flows: u64,
+    /// The open flows that a plain hash without tokens would have moved.
+    pub moved_by_hash: u64,
+    /// The open flows that were checked after changes.
+    pub checked_flows: u64,
+}
+
+#[derive(Debug, Eq, Ord, PartialEq, PartialOrd)]
+struct Event {
+    at_us: u64,
+    sequence: u64,
+    kind: EventKind,
+}
+
+#[derive(Debug, Eq, Ord, PartialEq, PartialOrd)]
+enum EventKind {
+    Open,
+    Arrive { flow: u64 },
+    Close { flow: u64 },
+    Report,
+    Sample,
+    Change { index: usize },
+    RefreshViews,
+}
+
+/// A flow from its first packet on, with the packet that is under way until an agent takes it.
+struct Flow {
+    caller: SocketAddr,
+    first_id: [u8; 8],
+    packet: Packet,
+    owner: Option<usize>,
+    token: [u8; TOKEN_BYTES],
+}
+
+#[derive(Clone, Copy)]
+struct Packet {
+    to: AgentAddress,
+    leg: Leg,
+}
+
+/// One run.
+pub struct Simulation {
+    setup: Setup,
+    fleet: Fleet,
+    context: Context,
+    now_us: u64,
+    sequence: u64,
+    events: BinaryHeap<Reverse<Event>>,
+    flows: BTreeMap<u64, Flow>,
+    outcome: Outcome,
+}
+
+impl Simulation {
+    /// Runs a setup to its end.
+    pub fn run(setup: Setup) -> Outcome {
+        let mut context = Context::new(setup.seed);
+        let fleet = Fleet::new(&setup.weights, &mut context);
+        let mut simulation = Self {
+            setup,
+            fleet,
+            context,
+            now_us: 0,
+            sequence: 0,
+            events: BinaryHeap::new(),
+            flows: BTreeMap::new(),
+            outcome: Outcome::default(),
+        };
+        simulation.start();
+        simulation.drive();
+        simulation.outcome
+    }
+
+    fn start(&mut self) {
+        for index in 0..self.setup.changes.len() {
+            let at_us = to_us(self.setup.changes[index].at_s);
+            self.schedule(at_us, EventKind::Change { index });
+        }
+        self.schedule(0, EventKind::Open);
+        self.schedule(0, EventKind::Report);
+        self.schedule(to_us(self.setup.warm_up_s), EventKind::Sample);
+    }
+
+    fn drive(&mut self) {
+        let end_us = to_us(self.setup.warm_up_s + self.setup.sampled_s);
+        while let Some(Reverse(event)) = self.events.pop() {
+            if event.at_us > end_us {
+                return;
+            }
+            self.now_us = event.at_us;
+            match event.kind {
+                EventKind::Open => self.open(),
+                EventKind::Arrive { flow } => self.arrive(flow),
+                EventKind::Close { flow } => self.close(flow),
+                EventKind::Report => self.report(),
+                EventKind::Sample => self.sample(),
+                EventKind::Change { index } => self.change(index),
+                EventKind::RefreshViews => self.refresh_views(),
+            }
+        }
+    }
+
+    fn schedule(&mut self, delay_us: u64, kind: EventKind) {
+        self.sequence += 1;
+        self.events.push(Reverse(Event {
+            at_us: self.now_us + delay_us,
+            sequence: self.sequence,
+            kind,
+        }));
+    }
+
+    fn open(&mut self) {
+        let total = f64::from(self.setup.flows_per_target) * self.setup.weights.len() as f64;
+        let next_us = to_us(self.draw_exponential(MEAN_LIFE_S / total));
+        self.schedule(next_us, EventKind::Open);
+        let caller = self.draw_caller();
+        let first_id: [u8; 8] = self.context.rng.random();
+        let Some(candidates) = self.fleet.placement.candidates(&caller, &first_id) else {
+            self.outcome.refused_flows += 1;
+            return;
+        };
+        let number = self.sequence;
+        let flow = Flow {
+            caller,
+            first_id,
+            packet: self.first_packet(candidates),
+            owner: None,
+            token: [0; TOKEN_BYTES],
+        };
+        self.flows.insert(number, flow);
+        self.schedule(HOP_US, EventKind::Arrive { flow: number });
+    }
+
+    fn draw_caller(&mut self) -> SocketAddr {
+        let ip = Ipv4Addr::from_bits(self.context.rng.next_u32());
+        let port: u16 = self.context.rng.random();
+        SocketAddr::from((ip, port))
+    }
+
+    fn draw_exponential(&mut self, mean: f64) -> f64 {
+        let uniform: f64 = self.context.rng.random();
+        -(1.0 - uniform).ln() * mean
+    }
+
+    fn first_packet(&mut self, candidates: Candidates) -> Packet {
+        match self
+            .setup
+            .policy
+            .choose(&self.fleet, candidates, &mut self.context)
+        {
+            Some(to) => Packet { to, leg: Leg::Take },
+            None => Packet {
+                to: candidates.first,
+                leg: Leg::Offer { candidates },
+            },
+        }
+    }
+
+    fn arrive(&mut self, number: u64) {
+        let Some(flow) = self.flows.get_mut(&number) else {
+            return;
+        };
+        let packet = flow.packet;
+        let taker = Fleet::number_of(packet.to);
+        let target = &mut self.fleet.targets[taker];
+        let offered = Offered {
+            caller: flow.caller,
+            connection_id: &flow.first_id,
+            leg: packet.leg,
+        };
+        let now_ms = self.now_us / US_PER_MS;
+        let decision = decide(&offered, &target.own_load(), &mut target.recent, now_ms);
+        if let Some(next) = decision.next_leg(packet.to) {
+            flow.packet = Packet {
+                to: next.to,
+                leg: next.leg,
+            };
+            self.outcome.agent_messages += 1;
+            return self.schedule(HOP_US, EventKind::Arrive { flow: number });
+        }
+        if decision == OfferDecision::Take {
+            return self.take(number, taker);
+        }
+        self.flows.remove(&number);
+        self.outcome.refused_flows += 1;
+    }
+
+    fn take(&mut self, number: u64, taker: usize) {
+        let life_us = to_us(self.draw_exponential(MEAN_LIFE_S));
+        self.schedule(life_us, EventKind::Close { flow: number });
+        let target = &mut self.fleet.targets[taker];
+        let Some(flow) = self.flows.get_mut(&number) else {
+            return;
+        };
+        flow.owner = Some(taker);
+        flow.token = target.mint();
+        target.flows += 1;
+        target.recent.opened(&flow.caller, &flow.first_id);
+        self.outcome.opened_flows += 1;
+        self.outcome.opened_while_leaving += u64::from(!target.is_serving());
+    }
+
+    fn close(&mut self, number: u64) {
+        let owner = self.flows.remove(&number).and_then(|flow| flow.owner);
+        if let Some(owner) = owner {
+            self.fleet.targets[owner].flows -= 1;
+        }
+    }
+
+    fn report(&mut self) {
+        for (number, target) in self.fleet.targets.iter_mut().enumerate() {
+            let lies = self.setup.liar == Some(number);
+            target.reported_flows = if lies { target.flows / 2 } else { target.flows };
+        }
+        let interval_us = self.setup.report_interval_ms * US_PER_MS;
+        self.schedule(interval_us, EventKind::Report);
+    }
+
+    fn sample(&mut self) {
+        self.outcome.imbalance.push(self.fleet.imbalance());
+        self.schedule(SAMPLE_INTERVAL_US, EventKind::Sample);
+    }
+
+    fn change(&mut self, index: usize) {
+        let change = self.setup.changes[index];
+        let record = &mut self.fleet.targets[change.target].record;
+        record.phase = change.phase;
+        record.revision += 1;
+        self.schedule(VIEW_LAG_US, EventKind::RefreshViews);
+    }
+
+    /// Lets balancers learn of a change, and checks where each open flow's packets go then.
+    fn refresh_views(&mut self) {
+        let before = self.fleet.placement.clone();
+        self.fleet.refresh_placement();
+        let view = SettingsView {
+            flow_keys: Some(FLOW_KEYS),
+            ..SettingsView::default()
+        };
+        let table = SteeringTable::build(&view, &self.fleet.records(), &[]);
+        for flow in self.flows.values() {
+            let Some(owner) = flow.owner else {
+                continue;
+            };
+            let owner = &self.fleet.targets[owner];
+            self.outcome.checked_flows += 1;
+            self.outcome.moved_flows += u64::from(!reaches(&table, flow, owner));
+            let first = |targets: &ServiceTargets| {
+                let candidates = targets.candidates(&flow.caller, &flow.first_id);
+                candidates.map(|candidates| candidates.first)
+            };
+            let is_moved = first(&before) != first(&self.fleet.placement);
+            self.outcome.moved_by_hash += u64::from(is_moved);
+        }
+    }
+}
+
+/// Tells whether a packet of an open flow goes to the agent that owns it.
+fn reaches(table: &SteeringTable, flow: &Flow, owner: &Target) -> bool {
+    let mut datagram = [0; 64];
+    datagram[0] = 0x40;
+    datagram[1..=TOKEN_BYTES].copy_from_slice(&flow.token);
+    let expected = Steer::Forward {
+        agent: owner.record.address,
+        leg: Leg::Established,
+    };
+    table.steer(SERVICE, &flow.caller, &datagram) == expected
+}
+
+fn to_us(seconds: f64) -> u64 {
+    (seconds * US_PER_S) as u64
+}
