--- /dev/null
+++ b/crates/basilstep-core/src/membership/announcer.rs
@@ -0,0 +1,318 @@
+use super::{
+    member::{MemberRecord, hash_words, rendezvous_score},
+    messages::{Ack, Action, Announce, Heartbeat, MembershipMessage, ProbeAnswer},
+    record::{AgentPhase, AgentRecord, BalancerRecord},
+    settings::MembershipSettings,
+};
+use crate::{
+    address::{DomainId, ServiceId},
+    context::Context,
+};
+use rand::RngExt;
+use std::{collections::BTreeMap, net::SocketAddrV4};
+
+/// Announces one process to its watchers; a balancer holds one for itself.
+#[derive(Debug)]
+pub struct Announcer {
+    settings: MembershipSettings,
+    own: MemberRecord,
+    candidates: BTreeMap<SocketAddrV4, Candidate>,
+    watchers: Vec<Watcher>,
+    next_heartbeat_ms: Option<u64>,
+    settings_version: u64,
+    peers: Vec<AgentRecord>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Candidate {
+    domain: DomainId,
+    avoid_until_ms: u64,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Watcher {
+    address: SocketAddrV4,
+    domain: DomainId,
+    is_informed: bool,
+    unanswered: u8,
+    beats: u64,
+    repeat_at_ms: u64,
+}
+
+impl Announcer {
+    /// Creates an announcer that knows no balancer yet.
+    pub fn new(settings: MembershipSettings, own: MemberRecord) -> Self {
+        Self {
+            settings,
+            own,
+            candidates: BTreeMap::new(),
+            watchers: Vec::new(),
+            next_heartbeat_ms: None,
+            settings_version: 0,
+            peers: Vec::new(),
+        }
+    }
+
+    /// Returns what the process announces.
+    pub fn own(&self) -> &MemberRecord {
+        &self.own
+    }
+
+    /// Returns the other agents of the service, as last heard from a watcher.
+    pub fn peers(&self) -> &[AgentRecord] {
+        &self.peers
+    }
+
+    /// Returns the balancers that watch this process.
+    pub fn watchers(&self) -> impl Iterator<Item = SocketAddrV4> {
+        self.watchers.iter().map(|watcher| watcher.address)
+    }
+
+    /// Takes balancers from the store's list or from a watcher.
+    pub fn learn<'a>(&mut self, balancers: impl IntoIterator<Item = &'a BalancerRecord>) {
+        for balancer in balancers {
+            if balancer.address.0 == self.own.address {
+                continue;
+            }
+            let candidate = Candidate {
+                domain: balancer.domain,
+                avoid_until_ms: 0,
+            };
+            self.candidates
+                .entry(balancer.address.0)
+                .or_insert(candidate);
+        }
+    }
+
+    /// Drops a balancer that is gone.
+    pub fn forget(&mut self, balancer: SocketAddrV4) {
+        self.candidates.remove(&balancer);
+        self.watchers.retain(|watcher| watcher.address != balancer);
+    }
+
+    /// Tells which settings version is in force here.
+    pub fn set_settings_version(&mut self, version: u64) {
+        self.settings_version = self.settings_version.max(version);
+    }
+
+    /// Changes the phase and announces it at once.
+    pub fn set_phase(&mut self, phase: AgentPhase, ctx: &Context) -> Vec<Action> {
+        if phase == self.own.phase {
+            return Vec::new();
+        }
+        self.own.phase = phase;
+        self.own.revision = self.own.revision.saturating_add(1);
+        for watcher in &mut self.watchers {
+            watcher.is_informed = false;
+            watcher.repeat_at_ms = ctx.now_ms + self.settings.announce_repeat_ms;
+        }
+        let watchers: Vec<SocketAddrV4> = self.watchers().collect();
+        watchers.into_iter().map(|to| self.announce(to)).collect()
+    }
+
+    /// Sends what is due.
+    pub fn on_tick(&mut self, ctx: &mut Context) -> Vec<Action> {
+        let interval_ms = self.settings.heartbeat_interval_ms;
+        let first_ms = self.next_heartbeat_ms;
+        let due_ms = first_ms.unwrap_or_else(|| ctx.now_ms + ctx.rng.random_range(0..interval_ms));
+        self.next_heartbeat_ms = Some(due_ms);
+        let mut actions = self.replace_watchers(ctx.now_ms);
+        actions.extend(self.repeat_announcements(ctx.now_ms));
+        if ctx.now_ms >= due_ms {
+            let next_ms = due_ms + interval_ms;
+            let is_late = next_ms <= ctx.now_ms;
+            self.next_heartbeat_ms = Some(if is_late {
+                ctx.now_ms + interval_ms
+            } else {
+                next_ms
+            });
+            actions.extend(self.beat());
+        }
+        actions
+    }
+
+    /// Takes a watcher's answer.
+    pub fn on_ack(&mut self, from: SocketAddrV4, ack: &Ack, ctx: &Context) -> Vec<Action> {
+        self.learn(&ack.balancers);
+        let run = self.own.run_check();
+        let mut actions = Vec::new();
+        if let Some(watcher) = self.watchers.iter_mut().find(|w| w.address == from) {
+            watcher.unanswered = 0;
+            let was_informed = watcher.is_informed;
+            watcher.is_informed = ack.run == Some(run);
+            if was_informed && !watcher.is_informed {
+                watcher.repeat_at_ms = ctx.now_ms + self.settings.announce_repeat_ms;
+                actions.push(self.announce(from));
+            }
+        }
+        if ack.busy && self.has_alternative(from, ctx.now_ms) {
+            self.avoid(from, ctx.now_ms);
+            actions.push(self.answer_probe(from));
+        }
+        if let Some(peers) = &ack.peers {
+            self.peers.clone_from(peers);
+        }
+        if ack.settings_version > self.settings_version {
+            actions.push(Action::FetchSettings {
+                from,
+                version: ack.settings_version,
+            });
+        }
+        actions
+    }
+
+    /// Takes any datagram that concerns this process as a watched member.
+    pub fn on_datagram(
+        &mut self,
+        from: SocketAddrV4,
+        message: &MembershipMessage,
+        ctx: &Context,
+    ) -> Vec<Action> {
+        match message {
+            MembershipMessage::Ack(ack) => self.on_ack(from, ack, ctx),
+            MembershipMessage::Probe => vec![self.answer_probe(from)],
+            _ => Vec::new(),
+        }
+    }
+
+    fn answer_probe(&self, to: SocketAddrV4) -> Action {
+        let answer = ProbeAnswer {
+            address: self.own.address,
+            run: self.own.run_check(),
+            watched: self.watchers().any(|watcher| watcher == to),
+        };
+        Action::Send {
+            to,
+            message: MembershipMessage::ProbeAnswer(answer),
+        }
+    }
+
+    fn announce(&self, to: SocketAddrV4) -> Action {
+        let announce = Announce {
+            record: self.own,
+            settings_version: self.settings_version,
+            peers_check: peers_check(&self.peers),
+        };
+        Action::Send {
+            to,
+            message: MembershipMessage::Announce(announce),
+        }
+    }
+
+    fn beat(&mut self) -> Vec<Action> {
+        let mut heartbeat = Heartbeat {
+            address: self.own.address,
+            run: self.own.run_check(),
+            settings_version: self.settings_version,
+            peers_check: peers_check(&self.peers),
+            wants_ack: false,
+        };
+        let mut actions = Vec::new();
+        for watcher in &mut self.watchers {
+            if !watcher.is_informed {
+                continue;
+            }
+            watcher.beats += 1;
+            heartbeat.wants_ack = watcher.unanswered > 0
+                || watcher
+                    .beats
+                    .is_multiple_of(self.settings.acknowledge_every);
+            watcher.unanswered += u8::from(heartbeat.wants_ack);
+            actions.push(Action::Send {
+                to: watcher.address,
+                message: MembershipMessage::Heartbeat(heartbeat),
+            });
+        }
+        actions
+    }
+
+    fn repeat_announcements(&mut self, now_ms: u64) -> Vec<Action> {
+        let repeat_ms = self.settings.announce_repeat_ms;
+        let mut due = Vec::new();
+        for watcher in &mut self.watchers {
+            if !watcher.is_informed && now_ms >= watcher.repeat_at_ms {
+                watcher.repeat_at_ms = now_ms + repeat_ms;
+                watcher.unanswered += 1;
+                due.push(watcher.address);
+            }
+        }
+        due.into_iter().map(|to| self.announce(to)).collect()
+    }
+
+    fn replace_watchers(&mut self, now_ms: u64) -> Vec<Action> {
+        let limit = self.settings.unanswered_limit;
+        let lost: Vec<SocketAddrV4> = self
+            .watchers
+            .iter()
+            .filter(|watcher| watcher.unanswered > limit)
+            .map(|watcher| watcher.address)
+            .collect();
+        for address in &lost {
+            self.avoid(*address, now_ms);
+        }
+        while self.watchers.len() < self.settings.watchers {
+            let Some((address, domain)) = self.next_watcher(now_ms) else {
+                break;
+            };
+            self.watchers.push(Watcher {
+                address,
+                domain,
+                is_informed: false,
+                unanswered: 0,
+                beats: rendezvous_score(address, self.own.address)
+                    % self.settings.acknowledge_every,
+                repeat_at_ms: now_ms,
+            });
+        }
+        lost.into_iter().map(|to| self.answer_probe(to)).collect()
+    }
+
+    fn avoid(&mut self, address: SocketAddrV4, now_ms: u64) {
+        self.watchers.retain(|watcher| watcher.address != address);
+        if let Some(candidate) = self.candidates.get_mut(&address) {
+            candidate.avoid_until_ms = now_ms + self.settings.avoid_ms;
+        }
+    }
+
+    fn has_alternative(&self, watcher: SocketAddrV4, now_ms: u64) -> bool {
+        self.usable(now_ms).any(|(address, _)| address != watcher)
+    }
+
+    /// Prefers a domain without a watcher, so that no single domain takes all watchers away.
+    fn next_watcher(&self, now_ms: u64) -> Option<(SocketAddrV4, DomainId)> {
+        let is_new_domain = |domain| self.watchers.iter().all(|w| w.domain != domain);
+        self.usable(now_ms).max_by_key(|(address, domain)| {
+            let score = rendezvous_score(self.own.address, *address);
+            (is_new_domain(*domain), score)
+        })
+    }
+
+    fn usable(&self, now_ms: u64) -> impl Iterator<Item = (SocketAddrV4, DomainId)> {
+        self.candidates
+            .iter()
+            .filter(move |(_, candidate)| candidate.avoid_until_ms <= now_ms)
+            .filter(|(address, _)| self.watchers().all(|watcher| watcher != **address))
+            .map(|(address, candidate)| (*address, candidate.domain))
+    }
+
+    /// Returns the request for the settings above those in force here.
+    pub fn pull_settings(&self) -> MembershipMessage {
+        MembershipMessage::PullSettings {
+            above_version: self.settings_version,
+            service: self.service(),
+        }
+    }
+
+    fn service(&self) -> Option<ServiceId> {
+        self.own.service()
+    }
+}
+
+/// Returns a short hash of a list of peers, ordered by address.
+pub(super) fn peers_check(peers: &[AgentRecord]) -> [u8; 2] {
+    let combined = peers
+        .iter()
+        .map(|peer| MemberRecord::from(*peer).hash())
+        .fold(0, |sum, hash| hash_words(&[sum, hash]));
+    [combined as u8, (combined >> 8) as u8]
+}
--- /dev/null
+++ b/crates/basilstep-core/src/membership/messages.rs
@@ -0,0 +1,287 @@
+use super::{
+    member::{MemberRecord, RunCheck},
+    record::{AgentRecord, BalancerRecord},
+    settings_delta::SettingsDelta,
+};
+use crate::{
+    address::{BalancerAddress, DomainId, ServiceId},
+    wire::SEAL_OVERHEAD_BYTES,
+};
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddrV4;
+
+/// The bytes of an IPv4 and a UDP header.
+pub const IP_UDP_BYTES: usize = 28;
+
+/// The largest membership message, in bytes.
+pub const MESSAGE_LIMIT_BYTES: usize = 1_150;
+
+/// The unit of the ages in evidence.
+pub const AGE_UNIT_MS: u64 = 50;
+
+/// A datagram between members.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum MembershipMessage {
+    /// A member tells a watcher that it is alive.
+    Heartbeat(Heartbeat),
+    /// A member tells a watcher its whole record.
+    Announce(Announce),
+    /// A watcher answers.
+    Ack(Ack),
+    /// Asks a member for a sign of life.
+    Probe,
+    /// Answers a probe, or tells a former watcher that it no longer watches.
+    ProbeAnswer(ProbeAnswer),
+    /// Spreads news between balancers.
+    Gossip(Gossip),
+    /// Asks a peer to compare its view, bucket by bucket.
+    Buckets {
+        /// A digest of each bucket of the sender's view.
+        digests: Vec<[u8; 2]>,
+    },
+    /// The live records of buckets that differ.
+    BucketRecords {
+        /// Which buckets.
+        buckets: Vec<u8>,
+        /// All live members in them.
+        records: Vec<MemberRecord>,
+        /// Whether the receiver sends what the sender lacks.
+        wants_reply: bool,
+    },
+    /// Asks for the settings above a version.
+    PullSettings {
+        /// What the sender has.
+        above_version: u64,
+        /// The service that the sender serves, if it is an agent.
+        service: Option<ServiceId>,
+    },
+    /// Answers with the settings above a version.
+    Settings(SettingsDelta),
+    /// Answers that the settings asked for are too large for a datagram.
+    SettingsOverTcp {
+        /// What the answer would bring.
+        version: u64,
+    },
+}
+
+/// A sign of life.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Heartbeat {
+    /// The member.
+    pub address: SocketAddrV4,
+    /// Its current state.
+    pub run: RunCheck,
+    /// The settings version in force at the member.
+    pub settings_version: u64,
+    /// A hash of the peers that it knows.
+    pub peers_check: [u8; 2],
+    /// Whether the watcher is to acknowledge.
+    pub wants_ack: bool,
+}
+
+/// A whole record with a sign of life; always acknowledged.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Announce {
+    /// The record.
+    pub record: MemberRecord,
+    /// The settings version in force at the member.
+    pub settings_version: u64,
+    /// A hash of the peers that it knows.
+    pub peers_check: [u8; 2],
+}
+
+/// A watcher's answer.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Ack {
+    /// The state of the member that the watcher knows, if it knows the member.
+    pub run: Option<RunCheck>,
+    /// Whether the watcher has too many members to watch.
+    pub busy: bool,
+    /// The settings version in force at the watcher.
+    pub settings_version: u64,
+    /// Some live balancers.
+    pub balancers: Vec<BalancerRecord>,
+    /// The other agents of the member's service, when its list is out of date.
+    pub peers: Option<Vec<AgentRecord>>,
+}
+
+/// An answer to a probe.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ProbeAnswer {
+    /// The member.
+    pub address: SocketAddrV4,
+    /// Its current state.
+    pub run: RunCheck,
+    /// Whether the receiver is one of its watchers.
+    pub watched: bool,
+}
+
+/// News from one balancer to another.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Gossip {
+    /// A digest of the sender's view.
+    pub digest: u32,
+    /// The settings version in force at the sender.
+    pub settings_version: u64,
+    /// The age of the last answer that any balancer got from the store, as far as known.
+    pub store_age_ms: Option<u64>,
+    /// The domains that are silent or were so lately.
+    pub domains: Vec<DomainEvidence>,
+    /// What changed.
+    pub items: Vec<Item>,
+}
+
+/// One piece of news about a member.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum Item {
+    /// A new or changed record.
+    Record(MemberRecord),
+    /// A member went silent or was heard again.
+    Evidence(Evidence),
+}
+
+/// What somebody observed of a member.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Evidence {
+    /// The member.
+    pub address: SocketAddrV4,
+    /// The state that it was in.
+    pub run: RunCheck,
+    /// Whether it was silent.
+    pub silent: bool,
+    /// How long ago, in units of [`AGE_UNIT_MS`].
+    pub age_units: u8,
+}
+
+/// What somebody observed of a whole failure domain.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct DomainEvidence {
+    /// The domain.
+    pub domain: DomainId,
+    /// Whether it was silent.
+    pub silent: bool,
+    /// How long ago, in units of [`AGE_UNIT_MS`].
+    pub age_units: u16,
+}
+
+/// The whole view of a balancer, for one that joins.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Snapshot {
+    /// All members.
+    pub members: Vec<SnapshotMember>,
+    /// The domains that are silent or were so lately.
+    pub domains: Vec<DomainEvidence>,
+    /// The settings version in force at the sender.
+    pub settings_version: u64,
+}
+
+/// A member in a [`Snapshot`].
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct SnapshotMember {
+    /// Its record.
+    pub record: MemberRecord,
+    /// How long it has been silent, if it is.
+    pub silent_ms: Option<u64>,
+}
+
+/// What the shell is to do.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Action {
+    /// Send a datagram.
+    Send {
+        /// The receiver.
+        to: SocketAddrV4,
+        /// The message, to be sealed under the key for `gossip`.
+        message: MembershipMessage,
+    },
+    /// The agents of a service in placement have changed.
+    AgentsChanged {
+        /// The service.
+        service: ServiceId,
+    },
+    /// The live balancers have changed.
+    BalancersChanged,
+    /// Get a [`Snapshot`] over TCP and merge it.
+    FetchSnapshot {
+        /// Who has it.
+        from: BalancerAddress,
+    },
+    /// A peer has newer settings: get those above the version in force here.
+    FetchSettings {
+        /// Who has them.
+        from: SocketAddrV4,
+        /// The version that it has.
+        version: u64,
+    },
+    /// A peer's settings are too large for a datagram: get them over TCP.
+    FetchSettingsOverTcp {
+        /// Who has them.
+        from: SocketAddrV4,
+        /// The version that it has.
+        version: u64,
+    },
+    /// Put settings in force, then tell the version.
+    ApplySettings {
+        /// What changed.
+        delta: SettingsDelta,
+    },
+    /// Send a peer the settings above a version, as [`SettingsDelta::into_message`].
+    ServeSettings {
+        /// Who asked.
+        to: SocketAddrV4,
+        /// What it has.
+        above_version: u64,
+        /// The service that it serves, if it is an agent.
+        service: Option<ServiceId>,
+    },
+}
+
+impl MembershipMessage {
+    /// Returns the length of the encoded message.
+    pub fn encoded_bytes(&self) -> usize {
+        encoded_bytes(self)
+    }
+
+    /// Returns the bytes that the message takes on the network, with seal, UDP and IP headers.
+    pub fn network_bytes(&self) -> usize {
+        self.encoded_bytes() + SEAL_OVERHEAD_BYTES + IP_UDP_BYTES
+    }
+}
+
+/// Returns the length of any encoded value.
+pub(super) fn encoded_bytes<T: Serialize>(value: &T) -> usize {
+    postcard::experimental::serialized_size(value).unwrap_or(usize::MAX / 2)
+}
+
+impl Evidence {
+    /// Returns when it was observed.
+    pub fn stamp_ms(&self, now_ms: u64) -> u64 {
+        now_ms.saturating_sub(u64::from(self.age_units) * AGE_UNIT_MS)
+    }
+}
+
+impl DomainEvidence {
+    /// Returns when it was observed.
+    pub fn stamp_ms(&self, now_ms: u64) -> u64 {
+        now_ms.saturating_sub(u64::from(self.age_units) * AGE_UNIT_MS)
+    }
+}
+
+/// Returns the age of an observation in the units of evidence, or the greatest that fits.
+pub(super) fn age_units<T: TryFrom<u64> + Bounded>(stamp_ms: u64, now_ms: u64) -> T {
+    T::try_from(now_ms.saturating_sub(stamp_ms) / AGE_UNIT_MS).unwrap_or(T::MAX)
+}
+
+/// A number with a greatest value.
+pub(super) trait Bounded {
+    /// The greatest value.
+    const MAX: Self;
+}
+
+impl Bounded for u8 {
+    const MAX: Self = Self::MAX;
+}
+
+impl Bounded for u16 {
+    const MAX: Self = Self::MAX;
+}
--- a/crates/basilstep-core/src/membership/mod.rs
+++ b/crates/basilstep-core/src/membership/mod.rs
@@ -1,5 +1,33 @@
 //! Which agents and balancers are there: announcements, failure detection, dissemination.
+//!
+//! An [`Announcer`] tells two watchers of its process's state. A [`Membership`] watches the
+//! processes that announce themselves to it, spreads what it finds by gossip and merges what it
+//! hears, so that every balancer holds the same view of all members.
 
+mod announcer;
+mod gossip;
+mod member;
+mod messages;
+mod receive;
 mod record;
+mod settings;
+mod settings_delta;
+mod spread;
+mod state;
+mod store_watch;
+mod sync;
+mod table;
+#[cfg(test)]
+mod tests;
+mod watch;
 
+pub use announcer::Announcer;
+pub use member::{Duty, MemberRecord, RunCheck, rendezvous_score};
+pub use messages::{
+    Ack, Action, Announce, DomainEvidence, Evidence, Gossip, Heartbeat, Item, MembershipMessage,
+    ProbeAnswer, Snapshot, SnapshotMember,
+};
 pub use record::{AgentPhase, AgentRecord, BalancerRecord};
+pub use settings::MembershipSettings;
+pub use settings_delta::SettingsDelta;
+pub use state::{Membership, MembershipCounters};
--- /dev/null
+++ b/crates/basilstep-core/src/membership/receive.rs
@@ -0,0 +1,423 @@
+use super::{
+    announcer::peers_check,
+    gossip::RumourKind,
+    member::{MemberRecord, RunCheck},
+    messages::{
+        Ack, Action, Announce, DomainEvidence, Evidence, Gossip, Heartbeat, Item,
+        MembershipMessage, ProbeAnswer,
+    },
+    record::{AgentRecord, BalancerRecord},
+    state::{Membership, probe},
+    table::Merged,
+};
+use crate::{address::DomainId, context::Context};
+use std::net::SocketAddrV4;
+
+/// How many balancers an acknowledgement names.
+const ACK_SAMPLE: usize = 2;
+
+/// The number of watched members below which a balancer is never busy.
+const BUSY_FLOOR: usize = 8;
+
+impl Membership {
+    /// Takes an authenticated datagram.
+    pub fn on_datagram(
+        &mut self,
+        from: SocketAddrV4,
+        message: &MembershipMessage,
+        ctx: &mut Context,
+    ) -> Vec<Action> {
+        self.note_activity(ctx);
+        self.heard_any_ms = ctx.now_ms;
+        let mut actions = Vec::new();
+        match message {
+            MembershipMessage::Heartbeat(heartbeat) => {
+                self.on_heartbeat(from, heartbeat, ctx, &mut actions);
+            }
+            MembershipMessage::Announce(announce) => {
+                self.on_announce(from, announce, ctx, &mut actions);
+            }
+            MembershipMessage::Ack(_) | MembershipMessage::Probe => {
+                actions = self.announcer.on_datagram(from, message, ctx);
+            }
+            MembershipMessage::ProbeAnswer(answer) => {
+                self.on_probe_answer(answer, ctx, &mut actions);
+            }
+            MembershipMessage::Gossip(gossip) => self.on_gossip(from, gossip, ctx, &mut actions),
+            MembershipMessage::Buckets { digests } => self.on_buckets(from, digests, &mut actions),
+            MembershipMessage::BucketRecords {
+                buckets,
+                records,
+                wants_reply,
+            } => {
+                let reply_to = wants_reply.then_some(from);
+                self.on_bucket_records(reply_to, buckets, records, ctx, &mut actions);
+            }
+            MembershipMessage::PullSettings {
+                above_version,
+                service,
+            } => actions.push(Action::ServeSettings {
+                to: from,
+                above_version: *above_version,
+                service: *service,
+            }),
+            MembershipMessage::Settings(delta) => {
+                if delta.applies_to(self.settings_version) {
+                    let delta = delta.clone();
+                    actions.push(Action::ApplySettings { delta });
+                }
+            }
+            MembershipMessage::SettingsOverTcp { version } => {
+                if *version > self.settings_version {
+                    let version = *version;
+                    actions.push(Action::FetchSettingsOverTcp { from, version });
+                }
+            }
+        }
+        self.flush(ctx, &mut actions);
+        actions
+    }
+
+    fn on_heartbeat(
+        &mut self,
+        from: SocketAddrV4,
+        heartbeat: &Heartbeat,
+        ctx: &mut Context,
+        actions: &mut Vec<Action>,
+    ) {
+        let address = heartbeat.address;
+        let is_known = self.note_life(address, heartbeat.run, ctx, actions);
+        if is_known && let Some(member) = self.table.get(address) {
+            self.watch.hear(address, member.record.domain, ctx.now_ms);
+        }
+        let peers = self.outdated_peers(address, heartbeat.peers_check, ctx.now_ms);
+        let is_outdated = heartbeat.settings_version < self.settings_version;
+        if heartbeat.wants_ack || !is_known || is_outdated || peers.is_some() {
+            self.acknowledge(from, address, peers, ctx, actions);
+        }
+    }
+
+    fn on_announce(
+        &mut self,
+        from: SocketAddrV4,
+        announce: &Announce,
+        ctx: &mut Context,
+        actions: &mut Vec<Action>,
+    ) {
+        let record = announce.record;
+        self.take_record(record, ctx, actions);
+        self.note_life(record.address, record.run_check(), ctx, actions);
+        self.watch.hear(record.address, record.domain, ctx.now_ms);
+        let peers = self.outdated_peers(record.address, announce.peers_check, ctx.now_ms);
+        self.acknowledge(from, record.address, peers, ctx, actions);
+    }
+
+    fn on_probe_answer(
+        &mut self,
+        answer: &ProbeAnswer,
+        ctx: &mut Context,
+        actions: &mut Vec<Action>,
+    ) {
+        self.contradictions.resolve(answer.address);
+        if !self.note_life(answer.address, answer.run, ctx, actions) {
+            return;
+        }
+        if !answer.watched {
+            self.watch.leave(answer.address);
+        } else if let Some(member) = self.table.get(answer.address) {
+            let domain = member.record.domain;
+            self.watch.hear(answer.address, domain, ctx.now_ms);
+        }
+    }
+
+    /// Takes a sign of life; returns whether it comes from the state that is known here.
+    fn note_life(
+        &mut self,
+        address: SocketAddrV4,
+        run: RunCheck,
+        ctx: &mut Context,
+        actions: &mut Vec<Action>,
+    ) -> bool {
+        let Some(member) = self.table.get(address).copied() else {
+            return false;
+        };
+        if member.record.run_check() != run {
+            return false;
+        }
+        if member.silent {
+            self.counters.refuted += 1;
+            self.take_evidence(address, run, false, ctx.now_ms, ctx, actions);
+        }
+        let domain = member.record.domain;
+        let silent_since_ms = self
+            .table
+            .domains()
+            .get(&domain)
+            .filter(|status| status.silent)
+            .map(|status| status.stamp_ms);
+        // A member that has come back with another state proves nothing about the others.
+        if silent_since_ms.is_some_and(|since_ms| member.stamp_ms <= since_ms) {
+            self.counters.refuted += 1;
+            self.take_domain(domain, false, ctx.now_ms, actions);
+        }
+        true
+    }
+
+    fn on_gossip(
+        &mut self,
+        from: SocketAddrV4,
+        gossip: &Gossip,
+        ctx: &mut Context,
+        actions: &mut Vec<Action>,
+    ) {
+        if let Some(age_ms) = gossip.store_age_ms {
+            self.store_watch
+                .note_answer(ctx.now_ms.saturating_sub(age_ms));
+        }
+        if gossip.settings_version > self.settings_version && ctx.now_ms >= self.next_fetch_ms {
+            self.next_fetch_ms = ctx.now_ms + self.settings.heartbeat_interval_ms;
+            actions.push(Action::FetchSettings {
+                from,
+                version: gossip.settings_version,
+            });
+        }
+        if !self.trusts_ages(ctx.now_ms) {
+            return;
+        }
+        for evidence in &gossip.domains {
+            self.on_domain_evidence(*evidence, ctx, actions);
+        }
+        for item in &gossip.items {
+            match item {
+                Item::Record(record) => self.take_record(*record, ctx, actions),
+                Item::Evidence(evidence) => self.on_evidence_item(evidence, ctx, actions),
+            }
+        }
+        self.compare_digests(from, gossip.digest, ctx, actions);
+    }
+
+    fn on_evidence_item(
+        &mut self,
+        evidence: &Evidence,
+        ctx: &mut Context,
+        actions: &mut Vec<Action>,
+    ) {
+        let address = evidence.address;
+        let stamp_ms = evidence.stamp_ms(ctx.now_ms);
+        if !evidence.silent {
+            self.take_evidence(address, evidence.run, false, stamp_ms, ctx, actions);
+            return;
+        }
+        if address == self.own().address {
+            self.refute_own(evidence.run, ctx);
+            return;
+        }
+        let is_hearsay = ctx.now_ms > stamp_ms + self.settings.hearsay_limit_ms;
+        if is_hearsay {
+            if self.table.get(address).is_some_and(|member| !member.silent) {
+                self.contradictions.add(address);
+            }
+            return;
+        }
+        let heard_ms = self.watch.heard_ms(address);
+        let is_heard = |heard_ms| ctx.now_ms < heard_ms + self.settings.probe_after_ms;
+        if heard_ms.is_some_and(is_heard) {
+            actions.push(probe(address));
+        }
+        self.take_evidence(address, evidence.run, true, stamp_ms, ctx, actions);
+    }
+
+    fn refute_own(&mut self, run: RunCheck, ctx: &mut Context) {
+        let own = *self.own();
+        if own.run_check() != run {
+            return;
+        }
+        self.table
+            .merge_evidence(own.address, run, false, ctx.now_ms);
+        self.start_rumour(own.address, RumourKind::Evidence, ctx);
+    }
+
+    fn on_domain_evidence(
+        &mut self,
+        evidence: DomainEvidence,
+        ctx: &Context,
+        actions: &mut Vec<Action>,
+    ) {
+        let domain = evidence.domain;
+        let stamp_ms = evidence.stamp_ms(ctx.now_ms);
+        if !evidence.silent {
+            self.take_domain(domain, false, stamp_ms, actions);
+            return;
+        }
+        let is_known = self
+            .table
+            .domains()
+            .get(&domain)
+            .is_some_and(|status| status.silent || status.stamp_ms >= stamp_ms);
+        if is_known {
+            return;
+        }
+        if domain == self.own().domain {
+            self.take_domain(domain, false, ctx.now_ms, actions);
+            self.urgent_sends = self.settings.sends_per_item;
+            return;
+        }
+        let is_heard =
+            |(_, heard_ms): &(_, u64)| ctx.now_ms < heard_ms + self.settings.probe_after_ms;
+        let heard = self.watch.last_heard_in(domain).filter(is_heard);
+        if ctx.now_ms > stamp_ms + self.settings.hearsay_limit_ms {
+            if let Some((_, heard_ms)) = heard.filter(|(_, heard_ms)| *heard_ms > stamp_ms) {
+                self.take_domain(domain, false, heard_ms, actions);
+                self.urgent_sends = self.settings.sends_per_item;
+            }
+            return;
+        }
+        if let Some((member, _)) = heard {
+            actions.push(probe(member));
+        }
+        self.take_domain(domain, true, stamp_ms, actions);
+    }
+
+    /// Merges a record and passes it on if it is news.
+    pub(super) fn take_record(
+        &mut self,
+        record: MemberRecord,
+        ctx: &mut Context,
+        actions: &mut Vec<Action>,
+    ) {
+        if record.address == self.own().address {
+            return;
+        }
+        match self.table.merge_record(record, ctx.now_ms) {
+            Merged::News => {
+                self.last_news_ms = ctx.now_ms;
+                self.start_rumour(record.address, RumourKind::Record, ctx);
+                if let Some(member) = self.table.get(record.address).copied() {
+                    self.announce_change(&member, actions);
+                }
+            }
+            Merged::Known => {
+                let limit = self.settings.sends_per_item;
+                self.rumours.note_duplicate(record.address, limit);
+            }
+            Merged::Outdated | Merged::Unknown => self.counters.outdated += 1,
+        }
+    }
+
+    /// Merges evidence about a member and passes it on if it is news.
+    pub(super) fn take_evidence(
+        &mut self,
+        address: SocketAddrV4,
+        run: RunCheck,
+        silent: bool,
+        stamp_ms: u64,
+        ctx: &mut Context,
+        actions: &mut Vec<Action>,
+    ) {
+        let before = self.table.get(address).copied();
+        let was_live = before.is_some_and(|member| self.table.is_live(&member, ctx.now_ms));
+        match self.table.merge_evidence(address, run, silent, stamp_ms) {
+            Merged::News => {
+                self.last_news_ms = ctx.now_ms;
+                self.contradictions.resolve(address);
+                self.start_rumour(address, RumourKind::Evidence, ctx);
+                if silent {
+                    self.schedule_member(address, stamp_ms);
+                }
+                if let Some(member) = self.table.get(address).copied()
+                    && !silent
+                    && !was_live
+                {
+                    self.announce_change(&member, actions);
+                }
+            }
+            Merged::Known => {
+                let limit = self.settings.sends_per_item;
+                self.rumours.note_duplicate(address, limit);
+            }
+            Merged::Outdated | Merged::Unknown => self.counters.outdated += 1,
+        }
+    }
+
+    /// Merges evidence about a domain and passes it on if it is news.
+    pub(super) fn take_domain(
+        &mut self,
+        domain: DomainId,
+        silent: bool,
+        stamp_ms: u64,
+        actions: &mut Vec<Action>,
+    ) {
+        let old = self.table.domains().get(&domain).copied();
+        if self.table.merge_domain(domain, silent, stamp_ms) != Merged::News {
+            return;
+        }
+        self.urgent_sends = self.settings.sends_per_item;
+        if silent {
+            self.watch.suspend(domain);
+            self.schedule_domain(domain, stamp_ms);
+            return;
+        }
+        self.watch.resume(domain, stamp_ms);
+        let was_in_force =
+            old.is_some_and(|old| stamp_ms >= old.stamp_ms + self.settings.refute_window_ms);
+        if was_in_force {
+            self.announce_domain_change(domain, actions);
+        }
+    }
+
+    fn acknowledge(
+        &mut self,
+        to: SocketAddrV4,
+        address: SocketAddrV4,
+        peers: Option<Vec<AgentRecord>>,
+        ctx: &mut Context,
+        actions: &mut Vec<Action>,
+    ) {
+        let run = self.table.get(address).map(|m| m.record.run_check());
+        let ack = Ack {
+            run,
+            busy: self.is_busy(ctx.now_ms),
+            settings_version: self.settings_version,
+            balancers: self.sample_balancers(ctx),
+            peers,
+        };
+        actions.push(Action::Send {
+            to,
+            message: MembershipMessage::Ack(ack),
+        });
+    }
+
+    fn sample_balancers(&mut self, ctx: &mut Context) -> Vec<BalancerRecord> {
+        let sample: Vec<SocketAddrV4> = (0..ACK_SAMPLE)
+            .filter_map(|_| self.random_peer(ctx))
+            .collect();
+        sample
+            .into_iter()
+            .filter_map(|address| self.table.get(address)?.record.as_balancer())
+            .collect()
+    }
+
+    /// Tells whether this balancer watches clearly more members than its share.
+    fn is_busy(&self, now_ms: u64) -> bool {
+        let balancers = self.table.balancers().len().max(1);
+        let share = self.settings.watchers * self.table.members().len() / balancers;
+        let limit = share + share / 4 + 1;
+        !self.is_settling(now_ms) && self.watch.len() > limit.max(BUSY_FLOOR)
+    }
+
+    /// Returns the agents of the member's service if its list of them is out of date.
+    fn outdated_peers(
+        &self,
+        address: SocketAddrV4,
+        known: [u8; 2],
+        now_ms: u64,
+    ) -> Option<Vec<AgentRecord>> {
+        let service = self.table.get(address)?.record.service()?;
+        let peers: Vec<AgentRecord> = self
+            .agents_of(service, now_ms)
+            .into_iter()
+            .filter(|agent| agent.address.0 != address)
+            .collect();
+        (peers_check(&peers) != known).then_some(peers)
+    }
+}
--- /dev/null
+++ b/crates/basilstep-core/src/membership/state.rs
@@ -0,0 +1,442 @@
+use super::{
+    announcer::Announcer,
+    gossip::{ByteBudget, RumourKind, Rumours},
+    member::MemberRecord,
+    messages::{Action, MembershipMessage},
+    record::{AgentPhase, AgentRecord, BalancerRecord},
+    settings::MembershipSettings,
+    store_watch::{StoreWatch, store_score},
+    sync::Contradictions,
+    table::{Member, Merged, Table},
+    watch::{Findings, Watch},
+};
+use crate::{
+    address::{AgentAddress, BalancerAddress, DomainId, ServiceId},
+    context::Context,
+};
+use rand::RngExt;
+use serde::Serialize;
+use std::{collections::BTreeSet, net::SocketAddrV4};
+
+/// How many balancers are asked for a sign of life before a member is suspected.
+const LIFE_PROBES: usize = 2;
+
+/// How long datagrams are not trusted after a pause, since their ages are wrong.
+const STALE_QUEUE_MS: u64 = 200;
+
+/// The time between two attempts to get a snapshot.
+const SNAPSHOT_RETRY_MS: u64 = 3_000;
+
+/// The time between two clean-ups of forgotten members.
+const FORGET_INTERVAL_MS: u64 = 60_000;
+
+/// The membership view of one balancer.
+#[derive(Debug)]
+pub struct Membership {
+    pub(super) settings: MembershipSettings,
+    pub(super) announcer: Announcer,
+    pub(super) table: Table,
+    pub(super) watch: Watch,
+    pub(super) rumours: Rumours,
+    pub(super) budget: ByteBudget,
+    pub(super) store_watch: StoreWatch,
+    pub(super) contradictions: Contradictions,
+    pub(super) settings_version: u64,
+    pub(super) urgent_sends: u8,
+    pub(super) heard_any_ms: u64,
+    pub(super) last_news_ms: u64,
+    pub(super) next_gossip_ms: u64,
+    pub(super) next_sync_ms: u64,
+    pub(super) next_fetch_ms: u64,
+    pub(super) counters: MembershipCounters,
+    live_peers: Vec<SocketAddrV4>,
+    are_peers_outdated: bool,
+    due: BTreeSet<Due>,
+    needs_snapshot: bool,
+    next_snapshot_ms: u64,
+    next_forget_ms: u64,
+    last_active_ms: u64,
+    trusted_from_ms: u64,
+    started_ms: u64,
+    view_version: u64,
+}
+
+/// A suspicion whose window for refutations ends.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+struct Due {
+    at_ms: u64,
+    subject: Subject,
+}
+
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+enum Subject {
+    Member(SocketAddrV4),
+    Domain(DomainId),
+}
+
+/// What a balancer's membership has done so far, for dumps and metrics.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Serialize)]
+pub struct MembershipCounters {
+    /// Members that this balancer suspected by their silence.
+    pub suspected: u64,
+    /// Domains that this balancer suspected.
+    pub domains_suspected: u64,
+    /// Suspicions that this balancer refuted.
+    pub refuted: u64,
+    /// Times that this process was paused or isolated.
+    pub pauses: u64,
+    /// Views compared with a peer.
+    pub syncs: u64,
+    /// Records or evidence that were older than the view.
+    pub outdated: u64,
+}
+
+impl Membership {
+    /// Creates the view of a balancer that knows only itself.
+    pub fn new(settings: MembershipSettings, own: BalancerRecord, ctx: &mut Context) -> Self {
+        let mut table = Table::new(settings.refute_window_ms);
+        let record = MemberRecord::from(own);
+        table.merge_record(record, ctx.now_ms);
+        let now_ms = ctx.now_ms;
+        Self {
+            settings,
+            announcer: Announcer::new(settings, record),
+            table,
+            watch: Watch::new(settings, own.domain),
+            rumours: Rumours::default(),
+            budget: ByteBudget::new(settings, now_ms),
+            store_watch: StoreWatch::new(&settings, ctx),
+            contradictions: Contradictions::default(),
+            settings_version: 0,
+            urgent_sends: 0,
+            heard_any_ms: now_ms,
+            last_news_ms: now_ms,
+            next_gossip_ms: now_ms + ctx.rng.random_range(0..settings.gossip_interval_ms),
+            next_sync_ms: now_ms + ctx.rng.random_range(0..settings.sync_interval_ms),
+            next_fetch_ms: 0,
+            counters: MembershipCounters::default(),
+            live_peers: Vec::new(),
+            are_peers_outdated: true,
+            due: BTreeSet::new(),
+            needs_snapshot: true,
+            next_snapshot_ms: now_ms,
+            next_forget_ms: now_ms + FORGET_INTERVAL_MS,
+            last_active_ms: now_ms,
+            trusted_from_ms: now_ms,
+            started_ms: now_ms,
+            view_version: 1,
+        }
+    }
+
+    /// Returns a number that rises with each change of who is in placement.
+    pub fn view_version(&self) -> u64 {
+        self.view_version
+    }
+
+    /// Returns what this balancer announces about itself.
+    pub fn own(&self) -> &MemberRecord {
+        self.announcer.own()
+    }
+
+    /// Returns what has been done so far.
+    pub fn counters(&self) -> MembershipCounters {
+        self.counters
+    }
+
+    /// Returns how many members this balancer watches.
+    pub fn watched(&self) -> usize {
+        self.watch.len()
+    }
+
+    /// Returns how many members are known, live or not.
+    pub fn known(&self) -> usize {
+        self.table.members().len()
+    }
+
+    /// Tells whether the balancer has the view of a peer, or is alone, and may take traffic.
+    pub fn is_joined(&self) -> bool {
+        !self.needs_snapshot
+    }
+
+    /// Returns the agents of a service that are in placement, with those that drain.
+    ///
+    /// When all of them are out on suspicion alone, the suspicion is not acted upon: the last
+    /// agents of a service stay.
+    pub fn agents_of(&self, service: ServiceId, now_ms: u64) -> Vec<AgentRecord> {
+        let running = || {
+            let agents = self.table.agents_of(service);
+            agents.filter(|member| member.record.phase != AgentPhase::Down)
+        };
+        let is_serving = |agent: &AgentRecord| agent.phase == AgentPhase::Serving;
+        let live: Vec<AgentRecord> = running()
+            .filter(|member| self.table.is_live(member, now_ms))
+            .filter_map(|member| member.record.as_agent())
+            .collect();
+        if live.iter().any(is_serving) {
+            return live;
+        }
+        running()
+            .filter_map(|member| member.record.as_agent())
+            .collect()
+    }
+
+    /// Returns what is known of an agent and whether it is live.
+    pub fn agent(&self, address: AgentAddress, now_ms: u64) -> Option<(AgentRecord, bool)> {
+        let member = self.table.get(address.0)?;
+        let record = member.record.as_agent()?;
+        Some((record, self.table.is_live(member, now_ms)))
+    }
+
+    /// Returns the live balancers, this one included.
+    pub fn balancers(&self, now_ms: u64) -> impl Iterator<Item = BalancerRecord> {
+        self.table
+            .balancers()
+            .iter()
+            .filter_map(|address| self.table.get(*address))
+            .filter(move |member| self.table.is_live(member, now_ms))
+            .filter_map(|member| member.record.as_balancer())
+    }
+
+    /// Returns the domains that are silent or were so lately, for dumps.
+    pub fn is_domain_silent(&self, domain: DomainId) -> bool {
+        self.table.is_domain_silent(domain)
+    }
+
+    /// Tells whether this balancer is one that watches the store.
+    pub fn is_store_watcher(&self, now_ms: u64) -> bool {
+        let own = store_score(self.own().address);
+        let better = self
+            .balancers(now_ms)
+            .filter(|balancer| store_score(balancer.address.0) > own)
+            .take(self.settings.store_watchers)
+            .count();
+        better < self.settings.store_watchers || self.store_watch.is_stale(now_ms)
+    }
+
+    /// Notes that the store has answered this balancer.
+    pub fn on_store_answer(&mut self, ctx: &Context) {
+        self.store_watch.note_answer(ctx.now_ms);
+    }
+
+    /// Tells which settings version is in force here, and spreads it.
+    pub fn set_settings_version(&mut self, version: u64) {
+        if version > self.settings_version {
+            self.settings_version = version;
+            self.announcer.set_settings_version(version);
+            self.urgent_sends = self.settings.sends_per_item;
+        }
+    }
+
+    /// Announces another phase of this balancer, such as that it leaves.
+    pub fn set_phase(&mut self, phase: AgentPhase, ctx: &mut Context) -> Vec<Action> {
+        let mut actions = self.announcer.set_phase(phase, ctx);
+        let own = *self.announcer.own();
+        if self.table.merge_record(own, ctx.now_ms) == Merged::News {
+            self.start_rumour(own.address, RumourKind::Record, ctx);
+            self.flush(ctx, &mut actions);
+        }
+        actions
+    }
+
+    /// Takes the list of balancers from the platform's store.
+    pub fn on_store_list(
+        &mut self,
+        balancers: &[BalancerRecord],
+        ctx: &mut Context,
+    ) -> Vec<Action> {
+        let mut actions = Vec::new();
+        for balancer in balancers {
+            if balancer.address.0 != self.own().address {
+                self.take_record(MemberRecord::from(*balancer), ctx, &mut actions);
+                self.rumours.drop_news(balancer.address.0);
+            }
+        }
+        actions
+    }
+
+    /// Takes evidence from the packet path, such as a refused send, that an agent is gone.
+    pub fn on_evidence(&mut self, agent: AgentAddress, ctx: &mut Context) -> Vec<Action> {
+        let mut actions = Vec::new();
+        self.suspect(agent.0, ctx, &mut actions);
+        self.flush(ctx, &mut actions);
+        actions
+    }
+
+    /// Does what is due; the shell calls it every 100 ms.
+    pub fn on_tick(&mut self, ctx: &mut Context) -> Vec<Action> {
+        self.note_activity(ctx);
+        let mut actions = self.announcer.on_tick(ctx);
+        let findings = self.watch.on_tick(ctx.now_ms, self.heard_any_ms);
+        self.act_on(&findings, ctx, &mut actions);
+        self.settle_due(ctx.now_ms, &mut actions);
+        self.probe_contradictions(ctx, &mut actions);
+        self.request_snapshot(ctx, &mut actions);
+        self.gossip(ctx, &mut actions);
+        if ctx.now_ms >= self.next_forget_ms {
+            self.next_forget_ms = ctx.now_ms + FORGET_INTERVAL_MS;
+            self.table
+                .forget(ctx.now_ms.saturating_sub(self.settings.forget_after_ms));
+        }
+        actions
+    }
+
+    /// Detects a pause of this process; what was queued meanwhile has wrong ages.
+    pub(super) fn note_activity(&mut self, ctx: &Context) {
+        let gap_ms = ctx.now_ms - self.last_active_ms;
+        self.last_active_ms = ctx.now_ms;
+        if gap_ms > self.settings.pause_limit_ms {
+            self.recover(ctx.now_ms);
+            self.trusted_from_ms = ctx.now_ms + STALE_QUEUE_MS;
+        }
+    }
+
+    /// Tells whether the ages in a datagram that arrives now can be trusted.
+    pub(super) fn trusts_ages(&self, now_ms: u64) -> bool {
+        now_ms >= self.trusted_from_ms
+    }
+
+    /// Tells whether the view may still be incomplete.
+    pub(super) fn is_settling(&self, now_ms: u64) -> bool {
+        now_ms < self.started_ms + self.settings.settle_ms
+    }
+
+    fn recover(&mut self, now_ms: u64) {
+        self.counters.pauses += 1;
+        self.watch.restart(now_ms);
+        self.needs_snapshot = true;
+        self.next_snapshot_ms = now_ms + STALE_QUEUE_MS;
+    }
+
+    pub(super) fn finish_join(&mut self) {
+        self.needs_snapshot = false;
+    }
+
+    fn request_snapshot(&mut self, ctx: &mut Context, actions: &mut Vec<Action>) {
+        if !self.needs_snapshot || ctx.now_ms < self.next_snapshot_ms {
+            return;
+        }
+        self.next_snapshot_ms = ctx.now_ms + SNAPSHOT_RETRY_MS;
+        match self.random_peer(ctx) {
+            Some(peer) => actions.push(Action::FetchSnapshot {
+                from: BalancerAddress(peer),
+            }),
+            None if !self.is_settling(ctx.now_ms) => self.needs_snapshot = false,
+            None => {}
+        }
+    }
+
+    fn act_on(&mut self, findings: &Findings, ctx: &mut Context, actions: &mut Vec<Action>) {
+        if findings.has_rejoined {
+            self.recover(ctx.now_ms);
+        }
+        actions.extend(findings.to_probe.iter().map(|to| probe(*to)));
+        if findings.needs_life {
+            let peers = (0..LIFE_PROBES).filter_map(|_| self.random_peer(ctx));
+            actions.extend(peers.map(probe));
+        }
+        for domain in &findings.silent_domains {
+            self.counters.domains_suspected += 1;
+            self.take_domain(*domain, true, ctx.now_ms, actions);
+        }
+        for member in &findings.silent {
+            self.suspect(*member, ctx, actions);
+        }
+    }
+
+    fn suspect(&mut self, address: SocketAddrV4, ctx: &mut Context, actions: &mut Vec<Action>) {
+        let Some(run) = self.table.get(address).map(|m| m.record.run_check()) else {
+            return;
+        };
+        self.counters.suspected += 1;
+        self.take_evidence(address, run, true, ctx.now_ms, ctx, actions);
+    }
+
+    /// Notes that a suspicion takes effect when its window for refutations is over.
+    pub(super) fn schedule_member(&mut self, address: SocketAddrV4, stamp_ms: u64) {
+        self.due.insert(Due {
+            at_ms: stamp_ms + self.settings.refute_window_ms,
+            subject: Subject::Member(address),
+        });
+    }
+
+    /// Notes that a suspicion of a domain takes effect when its window is over.
+    pub(super) fn schedule_domain(&mut self, domain: DomainId, stamp_ms: u64) {
+        self.due.insert(Due {
+            at_ms: stamp_ms + self.settings.refute_window_ms,
+            subject: Subject::Domain(domain),
+        });
+    }
+
+    fn settle_due(&mut self, now_ms: u64, actions: &mut Vec<Action>) {
+        while let Some(due) = self.due.first().copied().filter(|due| due.at_ms <= now_ms) {
+            self.due.remove(&due);
+            match due.subject {
+                Subject::Member(address) => {
+                    let member = self.table.get(address).copied();
+                    if let Some(member) = member.filter(|m| !self.table.is_live(m, now_ms)) {
+                        self.announce_change(&member, actions);
+                    }
+                }
+                Subject::Domain(domain) => {
+                    if self.table.is_domain_silent(domain) {
+                        self.announce_domain_change(domain, actions);
+                    }
+                }
+            }
+        }
+    }
+
+    /// Tells the shell that a member came into or fell out of placement.
+    pub(super) fn announce_change(&mut self, member: &Member, actions: &mut Vec<Action>) {
+        self.view_version += 1;
+        if let Some(service) = member.record.service() {
+            actions.push(Action::AgentsChanged { service });
+            return;
+        }
+        self.are_peers_outdated = true;
+        actions.push(Action::BalancersChanged);
+    }
+
+    /// Tells the shell that a whole domain came into or fell out of placement.
+    pub(super) fn announce_domain_change(&mut self, domain: DomainId, actions: &mut Vec<Action>) {
+        self.view_version += 1;
+        self.are_peers_outdated = true;
+        actions.push(Action::BalancersChanged);
+        let services = self.table.services_in(domain).into_iter();
+        actions.extend(services.map(|service| Action::AgentsChanged { service }));
+    }
+
+    /// Returns a random live balancer other than this one.
+    pub(super) fn random_peer(&mut self, ctx: &mut Context) -> Option<SocketAddrV4> {
+        if self.are_peers_outdated {
+            self.refresh_peers(ctx.now_ms);
+        }
+        if self.live_peers.is_empty() {
+            return None;
+        }
+        let index = ctx.rng.random_range(0..self.live_peers.len());
+        self.live_peers.get(index).copied()
+    }
+
+    fn refresh_peers(&mut self, now_ms: u64) {
+        let own = self.own().address;
+        let live: Vec<BalancerRecord> = self.balancers(now_ms).collect();
+        let live: BTreeSet<SocketAddrV4> = live.iter().map(|balancer| balancer.address.0).collect();
+        let gone: Vec<SocketAddrV4> = self.table.balancers().difference(&live).copied().collect();
+        for address in gone {
+            self.announcer.forget(address);
+        }
+        let known: Vec<BalancerRecord> = self.balancers(now_ms).collect();
+        self.announcer.learn(&known);
+        self.live_peers = live.into_iter().filter(|address| *address != own).collect();
+        self.are_peers_outdated = false;
+    }
+}
+
+/// Returns the request for a sign of life.
+pub(super) fn probe(to: SocketAddrV4) -> Action {
+    Action::Send {
+        to,
+        message: MembershipMessage::Probe,
+    }
+}
--- /dev/null
+++ b/crates/basilstep-core/src/membership/store_watch.rs
@@ -0,0 +1,48 @@
+use super::{member::hash_words, settings::MembershipSettings};
+use crate::context::Context;
+use rand::RngExt;
+use std::net::SocketAddrV4;
+
+/// Decides whether this balancer watches the store, from how fresh the fleet's last answer is.
+#[derive(Debug)]
+#[expect(clippy::struct_field_names, reason = "each is a time with its unit")]
+pub struct StoreWatch {
+    started_ms: u64,
+    last_answer_ms: Option<u64>,
+    stale_age_ms: u64,
+}
+
+impl StoreWatch {
+    /// Creates a watch; the random part keeps balancers from all turning to the store at once.
+    pub fn new(settings: &MembershipSettings, ctx: &mut Context) -> Self {
+        let jitter_ms = ctx.rng.random_range(0..settings.store_stale_ms);
+        Self {
+            stale_age_ms: settings.store_stale_ms + jitter_ms,
+            last_answer_ms: None,
+            started_ms: ctx.now_ms,
+        }
+    }
+
+    /// Notes an answer of the store to any balancer.
+    pub fn note_answer(&mut self, at_ms: u64) {
+        self.last_answer_ms = self.last_answer_ms.max(Some(at_ms));
+    }
+
+    /// Returns the age of the last known answer.
+    pub fn age_ms(&self, now_ms: u64) -> Option<u64> {
+        self.last_answer_ms
+            .map(|at_ms| now_ms.saturating_sub(at_ms))
+    }
+
+    /// Tells whether no balancer seems to reach the store.
+    pub fn is_stale(&self, now_ms: u64) -> bool {
+        let since_ms = self.last_answer_ms.unwrap_or(self.started_ms);
+        now_ms >= since_ms + self.stale_age_ms
+    }
+}
+
+/// Returns the score of a balancer as a watcher of the store; the highest scores watch.
+pub fn store_score(balancer: SocketAddrV4) -> u64 {
+    const STORE_WATCH_SEED: u64 = 0x0073_746f_7265;
+    hash_words(&[STORE_WATCH_SEED, super::member::address_word(balancer)])
+}
--- /dev/null
+++ b/crates/basilstep-core/src/membership/table.rs
@@ -0,0 +1,296 @@
+use super::{
+    member::{MemberRecord, RunCheck, hash_words},
+    record::AgentPhase,
+};
+use crate::address::{DomainId, ServiceId};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddrV4,
+};
+
+/// The number of buckets in which two views are compared.
+pub const BUCKETS: usize = 256;
+
+/// All members that a balancer knows, as a join of everything that it heard.
+///
+/// The state of a member is ordered by incarnation, then revision, then the time of the evidence,
+/// then silence over life; merging keeps the greatest, so the order of arrival does not matter.
+#[derive(Debug)]
+pub struct Table {
+    refute_window_ms: u64,
+    members: BTreeMap<SocketAddrV4, Member>,
+    by_service: BTreeMap<ServiceId, BTreeSet<SocketAddrV4>>,
+    balancers: BTreeSet<SocketAddrV4>,
+    domains: BTreeMap<DomainId, DomainStatus>,
+    buckets: Vec<u64>,
+}
+
+/// One member with the latest evidence.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Member {
+    /// The latest record.
+    pub record: MemberRecord,
+    /// Whether the latest evidence is of silence.
+    pub silent: bool,
+    /// The time of the latest evidence.
+    pub stamp_ms: u64,
+    /// The time of the first evidence of the present silence, if it is silent.
+    pub silent_since_ms: u64,
+}
+
+/// The latest evidence about a whole domain.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct DomainStatus {
+    /// Whether it is of silence.
+    pub silent: bool,
+    /// Its time.
+    pub stamp_ms: u64,
+}
+
+/// What became of something that was merged.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Merged {
+    /// It changed the view.
+    News,
+    /// It was known.
+    Known,
+    /// The view holds something newer.
+    Outdated,
+    /// It concerns a state of a member that is not known here.
+    Unknown,
+}
+
+impl Table {
+    /// Creates an empty table.
+    pub fn new(refute_window_ms: u64) -> Self {
+        Self {
+            refute_window_ms,
+            members: BTreeMap::new(),
+            by_service: BTreeMap::new(),
+            balancers: BTreeSet::new(),
+            domains: BTreeMap::new(),
+            buckets: vec![0; BUCKETS],
+        }
+    }
+
+    /// Returns all members by address.
+    pub fn members(&self) -> &BTreeMap<SocketAddrV4, Member> {
+        &self.members
+    }
+
+    /// Returns one member.
+    pub fn get(&self, address: SocketAddrV4) -> Option<&Member> {
+        self.members.get(&address)
+    }
+
+    /// Returns the addresses of all balancers, live or not.
+    pub fn balancers(&self) -> &BTreeSet<SocketAddrV4> {
+        &self.balancers
+    }
+
+    /// Returns the agents of a service, live or not.
+    pub fn agents_of(&self, service: ServiceId) -> impl Iterator<Item = &Member> {
+        self.by_service
+            .get(&service)
+            .into_iter()
+            .flatten()
+            .filter_map(|address| self.members.get(address))
+    }
+
+    /// Returns the services that have agents in a domain.
+    pub fn services_in(&self, domain: DomainId) -> BTreeSet<ServiceId> {
+        self.members
+            .values()
+            .filter(|member| member.record.domain == domain)
+            .filter_map(|member| member.record.service())
+            .collect()
+    }
+
+    /// Returns the latest evidence about each domain.
+    pub fn domains(&self) -> &BTreeMap<DomainId, DomainStatus> {
+        &self.domains
+    }
+
+    /// Tells whether a domain is suspected or known to be silent.
+    pub fn is_domain_silent(&self, domain: DomainId) -> bool {
+        self.domains
+            .get(&domain)
+            .is_some_and(|status| status.silent)
+    }
+
+    /// Tells whether a member takes part: it has not stopped, and it and its domain were not
+    /// silent for longer than the window for refutations.
+    pub fn is_live(&self, member: &Member, now_ms: u64) -> bool {
+        let is_over = |stamp_ms: u64| now_ms >= stamp_ms + self.refute_window_ms;
+        if member.record.phase == AgentPhase::Down {
+            return false;
+        }
+        if member.silent && is_over(member.silent_since_ms) {
+            return false;
+        }
+        let domain = self.domains.get(&member.record.domain);
+        !domain.is_some_and(|status| {
+            status.silent && is_over(status.stamp_ms) && member.stamp_ms <= status.stamp_ms
+        })
+    }
+
+    /// Merges a record that was learned at `stamp_ms`.
+    pub fn merge_record(&mut self, record: MemberRecord, stamp_ms: u64) -> Merged {
+        let old = self.members.get(&record.address).copied();
+        match old {
+            Some(old) if old.record.order() > record.order() => return Merged::Outdated,
+            Some(old) if old.record.order() == record.order() => return Merged::Known,
+            None if record.phase == AgentPhase::Down => return Merged::Known,
+            _ => {}
+        }
+        self.replace(Member {
+            record,
+            silent: false,
+            stamp_ms,
+            silent_since_ms: 0,
+        });
+        Merged::News
+    }
+
+    /// Merges evidence of silence or life.
+    pub fn merge_evidence(
+        &mut self,
+        address: SocketAddrV4,
+        run: RunCheck,
+        silent: bool,
+        stamp_ms: u64,
+    ) -> Merged {
+        let Some(old) = self.members.get(&address).copied() else {
+            return Merged::Unknown;
+        };
+        if old.record.run_check() != run {
+            return Merged::Unknown;
+        }
+        if (stamp_ms, silent) <= (old.stamp_ms, old.silent) {
+            return if old.silent == silent {
+                Merged::Known
+            } else {
+                Merged::Outdated
+            };
+        }
+        let silent_since_ms = if old.silent {
+            old.silent_since_ms
+        } else {
+            stamp_ms
+        };
+        self.replace(Member {
+            silent,
+            stamp_ms,
+            silent_since_ms,
+            ..old
+        });
+        if old.silent == silent {
+            Merged::Known
+        } else {
+            Merged::News
+        }
+    }
+
+    /// Merges evidence about a whole domain.
+    pub fn merge_domain(&mut self, domain: DomainId, silent: bool, stamp_ms: u64) -> Merged {
+        let old = self.domains.get(&domain).copied().unwrap_or(DomainStatus {
+            silent: false,
+            stamp_ms: 0,
+        });
+        let is_older = (stamp_ms, silent) <= (old.stamp_ms, old.silent);
+        if is_older || (old.silent && silent) {
+            let is_same = old.silent == silent;
+            return if is_same {
+                Merged::Known
+            } else {
+                Merged::Outdated
+            };
+        }
+        self.domains
+            .insert(domain, DomainStatus { silent, stamp_ms });
+        if old.silent == silent {
+            Merged::Known
+        } else {
+            Merged::News
+        }
+    }
+
+    /// Forgets members that stopped or went silent before `before_ms`; returns how many.
+    pub fn forget(&mut self, before_ms: u64) -> usize {
+        let gone: Vec<SocketAddrV4> = self
+            .members
+            .values()
+            .filter(|member| !is_counted(member) && member.stamp_ms < before_ms)
+            .map(|member| member.record.address)
+            .collect();
+        for address in &gone {
+            self.remove(*address);
+        }
+        gone.len()
+    }
+
+    /// Returns a digest of each bucket of the members that are neither silent nor stopped.
+    pub fn digests(&self) -> Vec<[u8; 2]> {
+        self.buckets
+            .iter()
+            .map(|sum| [*sum as u8, (*sum >> 8) as u8])
+            .collect()
+    }
+
+    /// Returns a digest of the whole view.
+    pub fn digest(&self) -> u32 {
+        self.buckets.iter().fold(0, |sum, bucket| sum ^ bucket) as u32
+    }
+
+    /// Returns the members of some buckets that are neither silent nor stopped.
+    pub fn in_buckets(&self, buckets: &BTreeSet<u8>) -> impl Iterator<Item = &Member> {
+        self.members
+            .values()
+            .filter(|member| is_counted(member) && buckets.contains(&bucket_of(&member.record)))
+    }
+
+    fn replace(&mut self, member: Member) {
+        let address = member.record.address;
+        self.remove(address);
+        if let Some(service) = member.record.service() {
+            self.by_service.entry(service).or_default().insert(address);
+        } else {
+            self.balancers.insert(address);
+        }
+        self.toggle(&member);
+        self.members.insert(address, member);
+    }
+
+    fn remove(&mut self, address: SocketAddrV4) {
+        let Some(old) = self.members.remove(&address) else {
+            return;
+        };
+        self.toggle(&old);
+        self.balancers.remove(&address);
+        let Some(service) = old.record.service() else {
+            return;
+        };
+        if let Some(agents) = self.by_service.get_mut(&service) {
+            agents.remove(&address);
+            if agents.is_empty() {
+                self.by_service.remove(&service);
+            }
+        }
+    }
+
+    fn toggle(&mut self, member: &Member) {
+        if is_counted(member) {
+            let bucket = usize::from(bucket_of(&member.record));
+            self.buckets[bucket] ^= member.record.hash();
+        }
+    }
+}
+
+fn is_counted(member: &Member) -> bool {
+    !member.silent && member.record.phase != AgentPhase::Down
+}
+
+/// Returns the bucket that a record is compared in.
+pub fn bucket_of(record: &MemberRecord) -> u8 {
+    hash_words(&[super::member::address_word(record.address)]) as u8
+}
--- /dev/null
+++ b/crates/basilstep-core/src/membership/tests.rs
@@ -0,0 +1,452 @@
+use super::{
+    Action, AgentPhase, AgentRecord, Announcer, BalancerRecord, Evidence, Item, MemberRecord,
+    Membership, MembershipMessage, MembershipSettings,
+    messages::Gossip,
+    table::{Merged, Table},
+};
+use crate::{
+    address::{AgentAddress, BalancerAddress, DomainId, Incarnation, ServiceId},
+    context::Context,
+};
+use proptest::{prelude::*, test_runner::RngSeed};
+use rstest::rstest;
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::{Ipv4Addr, SocketAddrV4},
+};
+
+const STEP_MS: u64 = 100;
+const SERVICE: ServiceId = ServiceId(7);
+
+fn balancer(index: u8) -> BalancerRecord {
+    BalancerRecord {
+        address: BalancerAddress(SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, index), 9000)),
+        domain: DomainId(index % 4),
+        incarnation: Incarnation(1),
+    }
+}
+
+fn agent(index: u8, domain: u8) -> AgentRecord {
+    AgentRecord {
+        address: AgentAddress(SocketAddrV4::new(Ipv4Addr::new(10, 1, 0, index), 9100)),
+        service: SERVICE,
+        domain: DomainId(domain),
+        incarnation: Incarnation(1),
+        revision: 0,
+        weight: 1,
+        phase: AgentPhase::Serving,
+    }
+}
+
+/// A handful of members in one thread; datagrams of the paths in `cut` are lost.
+struct Fleet {
+    ctx: Context,
+    balancers: BTreeMap<SocketAddrV4, Membership>,
+    agents: BTreeMap<SocketAddrV4, Announcer>,
+    stopped: BTreeSet<SocketAddrV4>,
+    cut: BTreeSet<(SocketAddrV4, SocketAddrV4)>,
+    lose_acks: u32,
+    changes: u32,
+}
+
+impl Fleet {
+    fn start(balancers: u8, agents: &[AgentRecord]) -> Self {
+        let settings = MembershipSettings::default();
+        let mut ctx = Context::new(5);
+        ctx.now_ms = 1_000_000;
+        let records: Vec<BalancerRecord> = (1..=balancers).map(balancer).collect();
+        let mut fleet = Self {
+            balancers: BTreeMap::new(),
+            agents: BTreeMap::new(),
+            stopped: BTreeSet::new(),
+            cut: BTreeSet::new(),
+            lose_acks: 0,
+            changes: 0,
+            ctx,
+        };
+        for record in &records {
+            let mut membership = Membership::new(settings, *record, &mut fleet.ctx);
+            membership.on_store_list(&records, &mut fleet.ctx);
+            fleet.balancers.insert(record.address.0, membership);
+        }
+        for record in agents {
+            let mut announcer = Announcer::new(settings, MemberRecord::from(*record));
+            announcer.learn(&records);
+            fleet.agents.insert(record.address.0, announcer);
+        }
+        fleet
+    }
+
+    fn settled(balancers: u8, agents: &[AgentRecord]) -> Self {
+        let mut fleet = Self::start(balancers, agents);
+        fleet.run_ms(40_000);
+        fleet
+    }
+
+    fn run_ms(&mut self, duration_ms: u64) {
+        for _ in 0..duration_ms / STEP_MS {
+            self.ctx.advance(STEP_MS);
+            self.tick();
+        }
+    }
+
+    fn tick(&mut self) {
+        let members: Vec<SocketAddrV4> = self
+            .balancers
+            .keys()
+            .chain(self.agents.keys())
+            .copied()
+            .collect();
+        for member in members {
+            if self.stopped.contains(&member) {
+                continue;
+            }
+            let actions = match self.balancers.get_mut(&member) {
+                Some(balancer) => balancer.on_tick(&mut self.ctx),
+                None => self.agents.get_mut(&member).unwrap().on_tick(&mut self.ctx),
+            };
+            self.carry_out(member, actions);
+        }
+    }
+
+    fn carry_out(&mut self, by: SocketAddrV4, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Send { to, message } => self.deliver(by, to, &message),
+                Action::FetchSnapshot { from } => self.join(by, from.0),
+                Action::AgentsChanged { .. } => self.changes += 1,
+                _ => {}
+            }
+        }
+    }
+
+    fn deliver(&mut self, from: SocketAddrV4, to: SocketAddrV4, message: &MembershipMessage) {
+        if self.stopped.contains(&to) || self.cut.contains(&(from, to)) {
+            return;
+        }
+        if matches!(message, MembershipMessage::Ack(_)) && self.lose_acks > 0 {
+            self.lose_acks -= 1;
+            return;
+        }
+        assert!(message.encoded_bytes() <= 1_200, "{message:?}");
+        let actions = if let Some(balancer) = self.balancers.get_mut(&to) {
+            balancer.on_datagram(from, message, &mut self.ctx)
+        } else if let Some(agent) = self.agents.get_mut(&to) {
+            agent.on_datagram(from, message, &self.ctx)
+        } else {
+            Vec::new()
+        };
+        self.carry_out(to, actions);
+    }
+
+    fn join(&mut self, by: SocketAddrV4, from: SocketAddrV4) {
+        if self.stopped.contains(&from) || self.cut.contains(&(by, from)) {
+            return;
+        }
+        let snapshot = self.balancers[&from].snapshot(self.ctx.now_ms);
+        let joining = self.balancers.get_mut(&by).unwrap();
+        let actions = joining.merge_snapshot(&snapshot, &mut self.ctx);
+        self.carry_out(by, actions);
+    }
+
+    fn cut_off(&mut self, member: SocketAddrV4) {
+        for other in self.balancers.keys().chain(self.agents.keys()) {
+            self.cut.insert((member, *other));
+            self.cut.insert((*other, member));
+        }
+    }
+
+    fn is_live_at(&self, member: SocketAddrV4, at: SocketAddrV4) -> bool {
+        let view = &self.balancers[&at];
+        view.agent(AgentAddress(member), self.ctx.now_ms)
+            .is_some_and(|(_, live)| live)
+    }
+
+    /// How many running balancers take an agent to be live.
+    fn live_views(&self, member: SocketAddrV4) -> usize {
+        let running = self
+            .balancers
+            .keys()
+            .filter(|at| !self.stopped.contains(at));
+        running.filter(|at| self.is_live_at(member, **at)).count()
+    }
+}
+
+fn three_agents() -> [AgentRecord; 3] {
+    [agent(1, 0), agent(2, 1), agent(3, 2)]
+}
+
+#[test]
+fn all_balancers_learn_all_agents() {
+    let fleet = Fleet::settled(6, &three_agents());
+    for record in three_agents() {
+        assert_eq!(fleet.live_views(record.address.0), 6);
+    }
+    let peers: Vec<usize> = fleet.agents.values().map(|a| a.peers().len()).collect();
+    assert_eq!(peers, [2, 2, 2]);
+}
+
+#[test]
+fn dead_agent_leaves_every_view_within_three_seconds() {
+    let mut fleet = Fleet::settled(6, &three_agents());
+    let dead = agent(1, 0).address.0;
+    fleet.stopped.insert(dead);
+    fleet.run_ms(3_000);
+    assert_eq!(fleet.live_views(dead), 0);
+    assert_eq!(fleet.live_views(agent(2, 1).address.0), 6);
+}
+
+#[test]
+fn calm_removes_nobody() {
+    let mut fleet = Fleet::settled(6, &three_agents());
+    fleet.changes = 0;
+    fleet.run_ms(60_000);
+    assert_eq!(fleet.changes, 0);
+}
+
+#[test]
+fn refused_send_removes_a_dead_agent_at_once_but_not_a_live_one() {
+    let mut fleet = Fleet::settled(6, &three_agents());
+    let dead = agent(1, 0).address;
+    let live = agent(2, 1).address;
+    let witness = balancer(1).address.0;
+    fleet.stopped.insert(dead.0);
+    for suspect in [dead, live] {
+        let view = fleet.balancers.get_mut(&witness).unwrap();
+        let actions = view.on_evidence(suspect, &mut fleet.ctx);
+        fleet.carry_out(witness, actions);
+    }
+    fleet.run_ms(800);
+    assert_eq!(fleet.live_views(dead.0), 0);
+    assert_eq!(fleet.live_views(live.0), 6);
+}
+
+#[rstest]
+#[case::draining(AgentPhase::Draining)]
+#[case::down(AgentPhase::Down)]
+fn phase_change_reaches_all_although_acknowledgements_are_lost(#[case] phase: AgentPhase) {
+    let mut fleet = Fleet::settled(6, &three_agents());
+    let leaving = agent(1, 0).address.0;
+    fleet.lose_acks = 3;
+    let watchers: Vec<SocketAddrV4> = fleet.agents[&leaving].watchers().collect();
+    fleet.cut.insert((leaving, watchers[0]));
+    let actions = fleet
+        .agents
+        .get_mut(&leaving)
+        .unwrap()
+        .set_phase(phase, &fleet.ctx);
+    fleet.carry_out(leaving, actions);
+    fleet.run_ms(1_000);
+    for view in fleet.balancers.values() {
+        let (record, _) = view.agent(AgentAddress(leaving), fleet.ctx.now_ms).unwrap();
+        assert_eq!(record.phase, phase);
+    }
+}
+
+#[test]
+fn lost_path_to_one_watcher_removes_nobody() {
+    let mut fleet = Fleet::settled(6, &three_agents());
+    let member = agent(1, 0).address.0;
+    let watcher = fleet.agents[&member].watchers().next().unwrap();
+    fleet.cut.insert((member, watcher));
+    fleet.cut.insert((watcher, member));
+    for _ in 0..100 {
+        fleet.run_ms(STEP_MS);
+        assert_eq!(fleet.live_views(member), 6);
+    }
+    assert!(fleet.agents[&member].watchers().all(|now| now != watcher));
+}
+
+#[test]
+fn frozen_balancer_declares_nobody_dead() {
+    let mut fleet = Fleet::settled(6, &three_agents());
+    let frozen = balancer(2).address.0;
+    fleet.stopped.insert(frozen);
+    fleet.run_ms(20_000);
+    fleet.stopped.remove(&frozen);
+    fleet.changes = 0;
+    for _ in 0..50 {
+        fleet.run_ms(STEP_MS);
+        for record in three_agents() {
+            assert_eq!(fleet.live_views(record.address.0), 6);
+        }
+    }
+    assert_eq!(fleet.balancers[&frozen].counters().suspected, 0);
+}
+
+#[test]
+fn isolated_balancer_declares_nobody_dead() {
+    let agents: Vec<AgentRecord> = (1..=12).map(|index| agent(index, index % 4)).collect();
+    let mut fleet = Fleet::settled(6, &agents);
+    let isolated = balancer(2).address.0;
+    fleet.cut_off(isolated);
+    fleet.run_ms(20_000);
+    for record in &agents {
+        assert!(fleet.is_live_at(record.address.0, isolated));
+    }
+    fleet.cut.clear();
+    fleet.run_ms(10_000);
+    for record in &agents {
+        assert_eq!(fleet.live_views(record.address.0), 6);
+    }
+    assert_eq!(fleet.balancers[&isolated].counters().suspected, 0);
+}
+
+#[test]
+fn last_agents_of_a_service_stay_in_placement() {
+    let mut fleet = Fleet::settled(6, &three_agents());
+    for record in three_agents() {
+        fleet.stopped.insert(record.address.0);
+    }
+    fleet.run_ms(5_000);
+    for view in fleet.balancers.values() {
+        assert_eq!(view.agents_of(SERVICE, fleet.ctx.now_ms).len(), 3);
+    }
+}
+
+#[test]
+fn silent_domain_is_told_as_one_and_comes_back_as_one() {
+    let agents: Vec<AgentRecord> = (1..=40).map(|index| agent(index, index % 4)).collect();
+    let mut fleet = Fleet::settled(8, &agents);
+    let lost: Vec<SocketAddrV4> = agents
+        .iter()
+        .filter(|record| record.domain == DomainId(1))
+        .map(|record| record.address.0)
+        .collect();
+    fleet.stopped.extend(&lost);
+    fleet.stopped.insert(balancer(1).address.0);
+    fleet.stopped.insert(balancer(5).address.0);
+    fleet.run_ms(3_000);
+    for member in &lost {
+        assert_eq!(fleet.live_views(*member), 0);
+    }
+    let told: u64 = fleet
+        .balancers
+        .values()
+        .map(|b| b.counters().domains_suspected)
+        .sum();
+    assert!(told > 0);
+    fleet.stopped.clear();
+    fleet.run_ms(12_000);
+    for record in &agents {
+        assert_eq!(fleet.live_views(record.address.0), 8, "{record:?}");
+    }
+}
+
+#[test]
+fn restarted_balancer_gets_the_view_of_a_peer() {
+    let mut fleet = Fleet::settled(6, &three_agents());
+    let mut record = balancer(3);
+    record.incarnation = Incarnation(2);
+    let mut fresh = Membership::new(MembershipSettings::default(), record, &mut fleet.ctx);
+    let others: Vec<BalancerRecord> = (1..=6).map(balancer).collect();
+    fresh.on_store_list(&others, &mut fleet.ctx);
+    fleet.balancers.insert(record.address.0, fresh);
+    fleet.run_ms(200);
+    assert!(fleet.balancers[&record.address.0].is_joined());
+    assert!(fleet.is_live_at(agent(1, 0).address.0, record.address.0));
+}
+
+#[test]
+fn stale_hearsay_of_silence_leads_to_a_probe() {
+    let mut fleet = Fleet::settled(6, &three_agents());
+    let at = balancer(1).address.0;
+    let member = agent(1, 0);
+    let gossip = MembershipMessage::Gossip(Gossip {
+        digest: 0,
+        settings_version: 0,
+        store_age_ms: None,
+        domains: Vec::new(),
+        items: vec![Item::Evidence(Evidence {
+            address: member.address.0,
+            run: MemberRecord::from(member).run_check(),
+            silent: true,
+            age_units: 200,
+        })],
+    });
+    let view = fleet.balancers.get_mut(&at).unwrap();
+    view.on_datagram(balancer(2).address.0, &gossip, &mut fleet.ctx);
+    let actions = view.on_tick(&mut fleet.ctx);
+    let is_probe = |action: &Action| matches!(action, Action::Send { to, message: MembershipMessage::Probe } if *to == member.address.0);
+    assert!(actions.iter().any(is_probe));
+    assert!(fleet.is_live_at(member.address.0, at));
+}
+
+/// One merge, as it may come from any side in any order.
+#[derive(Clone, Copy, Debug)]
+enum Change {
+    Record(u32, u16),
+    Evidence(u32, u16, bool, u64),
+}
+
+fn record_of(incarnation: u32, revision: u16) -> MemberRecord {
+    let mut record = agent(1, 0);
+    record.incarnation = Incarnation(incarnation);
+    record.revision = revision;
+    MemberRecord::from(record)
+}
+
+fn merge(table: &mut Table, change: Change) -> Merged {
+    match change {
+        Change::Record(incarnation, revision) => {
+            table.merge_record(record_of(incarnation, revision), 0)
+        }
+        Change::Evidence(incarnation, revision, silent, stamp_ms) => {
+            let record = record_of(incarnation, revision);
+            table.merge_evidence(record.address, record.run_check(), silent, stamp_ms)
+        }
+    }
+}
+
+fn change() -> impl Strategy<Value = Change> {
+    prop_oneof![
+        (0..3u32, 0..3u16).prop_map(|(run, revision)| Change::Record(run, revision)),
+        (0..3u32, 0..3u16, any::<bool>(), 1..9u64)
+            .prop_map(|(run, revision, silent, at)| Change::Evidence(run, revision, silent, at)),
+    ]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 200,
+        rng_seed: RngSeed::Fixed(11),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn merge_never_regresses_and_is_idempotent(changes in prop::collection::vec(change(), 1..30)) {
+        let mut table = Table::new(500);
+        let mut last = None;
+        for change in changes {
+            merge(&mut table, change);
+            let now = table.members().values().next().copied();
+            let order = now.map(|m| (m.record.order(), m.stamp_ms));
+            prop_assert!(order >= last);
+            last = order;
+            prop_assert_ne!(merge(&mut table, change), Merged::News);
+            prop_assert_eq!(table.members().values().next().copied(), now);
+        }
+    }
+
+    #[test]
+    fn evidence_of_one_state_merges_in_any_order(
+        evidence in prop::collection::vec((any::<bool>(), 1..9u64), 1..8),
+        rotate in 0..8usize,
+    ) {
+        let mut forward = Table::new(500);
+        let mut shuffled = Table::new(500);
+        let mut other = evidence.clone();
+        other.rotate_left(rotate % evidence.len());
+        other.reverse();
+        for (table, list) in [(&mut forward, &evidence), (&mut shuffled, &other)] {
+            merge(table, Change::Record(1, 1));
+            for (silent, at) in list {
+                merge(table, Change::Evidence(1, 1, *silent, *at));
+            }
+        }
+        let silence = |table: &Table| table.members().values().next().map(|m| m.silent);
+        prop_assert_eq!(silence(&forward), silence(&shuffled));
+        prop_assert_eq!(forward.digest(), shuffled.digest());
+    }
+}
--- /dev/null
+++ b/crates/basilstep-core/src/membership/watch.rs
@@ -0,0 +1,214 @@
+use super::settings::MembershipSettings;
+use crate::address::DomainId;
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddrV4,
+};
+
+/// The members that announce themselves to this balancer, and when each was last heard.
+#[derive(Debug)]
+pub struct Watch {
+    settings: MembershipSettings,
+    own_domain: DomainId,
+    entries: BTreeMap<SocketAddrV4, Watched>,
+    suspended: BTreeSet<DomainId>,
+    was_isolated: bool,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Watched {
+    domain: DomainId,
+    heard_ms: u64,
+    probes: u8,
+}
+
+/// What the passing of time shows about the watched members.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Findings {
+    /// Members to ask for a sign of life.
+    pub to_probe: BTreeSet<SocketAddrV4>,
+    /// Members that are silent while others of their domain are not, or too few are watched there.
+    pub silent: Vec<SocketAddrV4>,
+    /// Domains of which all watched members are silent.
+    pub silent_domains: BTreeSet<DomainId>,
+    /// Whether a member is about to be suspected, so that others are to show that they are heard.
+    pub needs_life: bool,
+    /// Whether this balancer has just come back from isolation.
+    pub has_rejoined: bool,
+}
+
+impl Watch {
+    /// Creates an empty watch for a balancer in `own_domain`.
+    pub fn new(settings: MembershipSettings, own_domain: DomainId) -> Self {
+        Self {
+            settings,
+            own_domain,
+            entries: BTreeMap::new(),
+            suspended: BTreeSet::new(),
+            was_isolated: false,
+        }
+    }
+
+    /// Returns how many members are watched.
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Notes a sign of life of a member that has chosen this balancer as a watcher.
+    pub fn hear(&mut self, address: SocketAddrV4, domain: DomainId, now_ms: u64) {
+        let watched = Watched {
+            domain,
+            heard_ms: now_ms,
+            probes: 0,
+        };
+        self.entries.insert(address, watched);
+    }
+
+    /// Stops watching a member.
+    pub fn leave(&mut self, address: SocketAddrV4) {
+        self.entries.remove(&address);
+    }
+
+    /// Returns when a watched member was last heard.
+    pub fn heard_ms(&self, address: SocketAddrV4) -> Option<u64> {
+        self.entries.get(&address).map(|watched| watched.heard_ms)
+    }
+
+    /// Returns the watched member of a domain that was heard last.
+    pub fn last_heard_in(&self, domain: DomainId) -> Option<(SocketAddrV4, u64)> {
+        self.entries
+            .iter()
+            .filter(|(_, watched)| watched.domain == domain)
+            .map(|(address, watched)| (*address, watched.heard_ms))
+            .max_by_key(|(_, heard_ms)| *heard_ms)
+    }
+
+    /// Stops judging the members of a silent domain.
+    pub fn suspend(&mut self, domain: DomainId) {
+        self.suspended.insert(domain);
+    }
+
+    /// Judges the members of a domain again, from now on.
+    pub fn resume(&mut self, domain: DomainId, now_ms: u64) {
+        if !self.suspended.remove(&domain) {
+            return;
+        }
+        for watched in self.entries.values_mut() {
+            if watched.domain == domain {
+                watched.restart(now_ms);
+            }
+        }
+    }
+
+    /// Restarts all timers, after a time in which this process could not have heard anybody.
+    pub fn restart(&mut self, now_ms: u64) {
+        for watched in self.entries.values_mut() {
+            watched.restart(now_ms);
+        }
+    }
+
+    /// Judges the members by their silence; `heard_any_ms` is when anybody at all was last heard.
+    pub fn on_tick(&mut self, now_ms: u64, heard_any_ms: u64) -> Findings {
+        let mut findings = Findings::default();
+        let hears_others = now_ms <= heard_any_ms + self.settings.life_window_ms;
+        if self.was_isolated && hears_others {
+            self.was_isolated = false;
+            self.restart(now_ms);
+            findings.has_rejoined = true;
+            return findings;
+        }
+        self.probe_silent(now_ms, &mut findings);
+        let mut verdict = Findings::default();
+        self.judge(now_ms, &mut verdict);
+        if verdict == Findings::default() {
+            return findings;
+        }
+        if !hears_others {
+            self.was_isolated = true;
+            return findings;
+        }
+        findings.silent = verdict.silent;
+        findings.silent_domains = verdict.silent_domains;
+        for address in &findings.silent {
+            self.entries.remove(address);
+        }
+        findings
+    }
+
+    fn probe_silent(&mut self, now_ms: u64, findings: &mut Findings) {
+        let settings = self.settings;
+        let mut domains = BTreeSet::new();
+        for (address, watched) in &mut self.entries {
+            if self.suspended.contains(&watched.domain) {
+                continue;
+            }
+            let silence_ms = now_ms - watched.heard_ms;
+            if silence_ms >= settings.probe_after_ms && watched.probes == 0 {
+                watched.probes = 1;
+                findings.to_probe.insert(*address);
+            }
+            if silence_ms >= settings.check_domain_after_ms && watched.probes == 1 {
+                watched.probes = 2;
+                findings.needs_life = true;
+                domains.insert(watched.domain);
+            }
+        }
+        let in_domains = self
+            .entries
+            .iter()
+            .filter(|(_, watched)| domains.contains(&watched.domain));
+        findings
+            .to_probe
+            .extend(in_domains.map(|(address, _)| *address));
+    }
+
+    fn judge(&self, now_ms: u64, findings: &mut Findings) {
+        for (address, watched) in &self.entries {
+            let silence_ms = now_ms - watched.heard_ms;
+            if silence_ms < self.settings.suspect_after_ms
+                || self.suspended.contains(&watched.domain)
+                || findings.silent_domains.contains(&watched.domain)
+            {
+                continue;
+            }
+            let witnesses = self.witnesses(watched.domain);
+            if witnesses < self.settings.domain_witnesses {
+                if silence_ms >= self.settings.suspect_after_ms + self.settings.lone_witness_ms {
+                    findings.silent.push(*address);
+                }
+            } else if self.has_answered(watched.domain, now_ms) {
+                findings.silent.push(*address);
+            } else {
+                findings.silent_domains.insert(watched.domain);
+            }
+        }
+    }
+
+    /// Returns how many members can show that a domain is silent; none for the own domain, which
+    /// cannot be silent as a whole.
+    fn witnesses(&self, domain: DomainId) -> usize {
+        if domain == self.own_domain {
+            return 0;
+        }
+        self.entries
+            .values()
+            .filter(|watched| watched.domain == domain)
+            .count()
+    }
+
+    /// Tells whether any member of a domain was heard since the domain was probed.
+    fn has_answered(&self, domain: DomainId, now_ms: u64) -> bool {
+        let settings = &self.settings;
+        let window_ms = settings.suspect_after_ms - settings.check_domain_after_ms;
+        let since_ms = now_ms.saturating_sub(window_ms);
+        self.last_heard_in(domain)
+            .is_some_and(|(_, heard_ms)| heard_ms >= since_ms)
+    }
+}
+
+impl Watched {
+    fn restart(&mut self, now_ms: u64) {
+        self.heard_ms = now_ms;
+        self.probes = 0;
+    }
+}
--- a/crates/basilstep-core/src/wire.rs
+++ b/crates/basilstep-core/src/wire.rs
@@ -27,6 +27,10 @@
 const CODE_AT: usize = 1;
 const LENGTH_AT: usize = 9;
 const HEADER_AT: usize = 10;
+const SEALED_AT: usize = 9;
+
+/// What [`encode_sealed`] adds to a message.
+pub const SEAL_OVERHEAD_BYTES: usize = SEALED_AT;
 
 /// What goes before a caller's datagram between a balancer and an agent.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -154,6 +158,49 @@
     Ok((header, payload))
 }
 
+/// Writes a message whose every byte is authenticated and returns its length.
+///
+/// Layout: version (1 byte), authentication code (8 bytes), `postcard` message.
+///
+/// # Errors
+///
+/// Returns [`FrameError::TooLong`] when the message does not fit.
+pub fn encode_sealed<M: Serialize>(
+    key: &ShortKey,
+    message: &M,
+    buffer: &mut [u8],
+) -> Result<usize, FrameError> {
+    let room = buffer.get_mut(SEALED_AT..).ok_or(FrameError::TooLong)?;
+    let length = postcard::to_slice(message, room)
+        .or(Err(FrameError::TooLong))?
+        .len();
+    let end = SEALED_AT + length;
+    let code = key.code(&[&buffer[SEALED_AT..end]]).to_be_bytes();
+    buffer[0] = WIRE_VERSION;
+    buffer[CODE_AT..SEALED_AT].copy_from_slice(&code);
+    Ok(end)
+}
+
+/// Checks and reads what [`encode_sealed`] wrote.
+///
+/// # Errors
+///
+/// Returns [`FrameError::Malformed`] or [`FrameError::BadSeal`] for anything that a process with
+/// the same key did not write.
+pub fn decode_sealed<M: DeserializeOwned>(
+    key: &ShortKey,
+    datagram: &[u8],
+) -> Result<M, FrameError> {
+    if datagram.len() <= SEALED_AT || datagram[0] != WIRE_VERSION {
+        return Err(FrameError::Malformed);
+    }
+    let message = &datagram[SEALED_AT..];
+    if key.code(&[message]).to_be_bytes() != datagram[CODE_AT..SEALED_AT] {
+        return Err(FrameError::BadSeal);
+    }
+    postcard::from_bytes(message).or(Err(FrameError::Malformed))
+}
+
 fn frame_code(key: &ShortKey, header: &[u8], payload: &[u8]) -> [u8; 8] {
     let covered = payload.len().min(SEALED_PAYLOAD_BYTES);
     let length = (payload.len() as u32).to_be_bytes();
