feat(bench): stand in for targets, the fabric and callers, and run the demo

The whole path needs something to serve, to spray and to call before any of it can be shown. Callers keep the idempotency key over lost flows, since that is the case that must not run twice. The demo's figures come from the stand-ins only.

--- /dev/null
+++ b/crates/basilstep-bench/src/demo/counts.rs
@@ -0,0 +1,153 @@
+//! The result of a run and the promises that it is held against.
+
+use crate::standins::caller::{CallerCounts, Ending};
+use serde::Serialize;
+use serde_json::{Map, Value};
+use std::collections::BTreeMap;
+
+/// The time after which a failure domain that is out gets no packet.
+const DOMAIN_OUT_LIMIT_S: f64 = 5.0;
+/// The time after which a leaving target gets no new work.
+const LEAVING_LIMIT_S: f64 = 5.0;
+/// The largest number of flows of a target over the mean of its service, with ten flows on each.
+const IMBALANCE_LIMIT: f64 = 1.5;
+
+/// What the stand-ins counted in a run.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct DemoResult {
+    /// What the callers counted.
+    #[serde(flatten)]
+    pub callers: CallerCounts,
+    /// Offers that ran more than once, over all targets.
+    pub ran_twice: u64,
+    /// Offers that ran although their caller was told that they had not.
+    pub not_run_but_ran: u64,
+    /// Offers whose caller has an answer although no target ran them.
+    pub answered_but_not_run: u64,
+    /// Requests that reached a target of another service.
+    pub misrouted_packets: u64,
+    /// Time of the last packet to the domain that was out, counted from when it was taken out.
+    pub packets_to_out_domain_after_s: f64,
+    /// Boards still open at targets of the domain that was out, a few seconds after.
+    pub boards_left_in_out_domain: u32,
+    /// Requests to the domain that was out, after it came back.
+    pub requests_to_returned_domain: u64,
+    /// Time of the last request to the leaving target, counted from when it was told to leave.
+    pub requests_to_leaving_after_s: f64,
+    /// Open flows of the fullest target over the mean of its service, where it is worst.
+    pub imbalance_max_over_mean: f64,
+    /// How often targets fell over.
+    pub targets_fell_over: u64,
+    /// Requests that targets refused themselves.
+    pub targets_shed: u64,
+    /// Packets sent to each balancer.
+    pub packets_by_balancer: BTreeMap<String, u64>,
+    /// Processes that ended although nothing told them to.
+    pub unexpected_ends: Vec<String>,
+    /// Processes whose graceful stop failed.
+    pub failed_stops: Vec<String>,
+    /// How long the run took, without building.
+    pub took_s: f64,
+    /// The promises that were broken; empty when all were kept.
+    pub broken_promises: Vec<String>,
+}
+
+impl DemoResult {
+    /// Compares how offers ended for their callers with how often they ran.
+    pub fn compare_offers(
+        &mut self,
+        endings: &BTreeMap<String, Ending>,
+        runs: &BTreeMap<String, u32>,
+    ) {
+        self.ran_twice = runs.values().filter(|count| **count > 1).count() as u64;
+        for (offer, ending) in endings {
+            let ran = runs.contains_key(offer);
+            self.not_run_but_ran += u64::from(*ending == Ending::NotRun && ran);
+            self.answered_but_not_run += u64::from(*ending == Ending::Answered && !ran);
+        }
+    }
+
+    /// Fills in which promises were broken.
+    pub fn judge(&mut self) {
+        let callers = &self.callers;
+        let none = [
+            ("an established flow survives", callers.flows_broken),
+            ("a board loses no line", callers.board_gaps),
+            ("no planned stop cuts a request", callers.boards_cut),
+            ("a caller gets its own whole answer", callers.answers_wrong),
+            ("no packet reaches another service", self.misrouted_packets),
+            ("an offer runs at most once", self.ran_twice),
+            (
+                "what was refused as not run did not run",
+                self.not_run_but_ran,
+            ),
+            ("what was answered did run", self.answered_but_not_run),
+            (
+                "no target gets more than it can bear",
+                self.targets_fell_over,
+            ),
+            (
+                "no process ends by itself",
+                self.unexpected_ends.len() as u64,
+            ),
+            ("a planned stop is graceful", self.failed_stops.len() as u64),
+        ];
+        let mut broken: Vec<String> = none
+            .iter()
+            .filter(|(_, count)| *count > 0)
+            .map(|(promise, count)| format!("{promise}: {count}"))
+            .collect();
+        let limits = [
+            (
+                "a domain that is out gets no packet after a few seconds",
+                self.packets_to_out_domain_after_s,
+                DOMAIN_OUT_LIMIT_S,
+            ),
+            (
+                "a leaving target gets no new work after a few seconds",
+                self.requests_to_leaving_after_s,
+                LEAVING_LIMIT_S,
+            ),
+            (
+                "load is spread evenly",
+                self.imbalance_max_over_mean,
+                IMBALANCE_LIMIT,
+            ),
+        ];
+        for (promise, seen, limit) in limits {
+            if seen > limit {
+                broken.push(format!("{promise}: {seen:.2}, allowed {limit}"));
+            }
+        }
+        let some = [
+            ("requests are served", callers.answers_whole),
+            (
+                "a domain that is back serves",
+                self.requests_to_returned_domain,
+            ),
+        ];
+        for (promise, count) in some {
+            if count == 0 {
+                broken.push(format!("{promise}: 0"));
+            }
+        }
+        self.broken_promises = broken;
+    }
+
+    /// Returns the result as lines of a name and a value.
+    pub fn table(&self) -> String {
+        let fields = match serde_json::to_value(self) {
+            Ok(Value::Object(fields)) => fields,
+            _ => Map::new(),
+        };
+        let values = fields
+            .iter()
+            .filter(|(name, _)| !matches!(name.as_str(), "broken_promises" | "remarks"))
+            .map(|(name, value)| format!("{name:32} {value}\n"));
+        let promises = self.broken_promises.iter();
+        let promises = promises.map(|promise| format!("broken promise: {promise}\n"));
+        let remarks = self.callers.remarks.iter();
+        let remarks = remarks.map(|remark| format!("remark: {remark}\n"));
+        values.chain(promises).chain(remarks).collect()
+    }
+}
--- /dev/null
+++ b/crates/basilstep-bench/src/demo/fleet.rs
@@ -0,0 +1,317 @@
+//! Starts, signals and ends the processes of a run, each by its own id.
+//!
+//! Only the bench starts processes; the product's own processes never do.
+
+use std::{
+    collections::BTreeMap,
+    env,
+    fs::{self, File},
+    io,
+    path::{Path, PathBuf},
+    process::{ExitStatus, Stdio},
+    time::Duration,
+};
+use tokio::{
+    process::{Child, Command},
+    time,
+};
+
+const END_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// The programs that a run starts.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Program {
+    /// `basilstep-balancer`.
+    Balancer,
+    /// `basilstep-agent`.
+    Agent,
+    /// `basilstep-ctl`.
+    Ctl,
+    /// `basilstep-bench`, for the stand-ins.
+    Bench,
+}
+
+/// The signals that a run sends.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Signal {
+    /// Asks for a graceful stop.
+    Terminate,
+    /// Pauses the process.
+    Stop,
+    /// Lets a paused process go on.
+    Continue,
+}
+
+/// A failure to run the processes.
+#[derive(Debug, thiserror::Error)]
+pub enum FleetError {
+    /// A program is missing and could not be built.
+    #[error("{0} is missing; build the workspace first")]
+    Missing(PathBuf),
+    /// The operating system refused.
+    #[error("{what}: {error}")]
+    System {
+        /// What was tried.
+        what: String,
+        /// Its answer.
+        error: io::Error,
+    },
+    /// No process has this name.
+    #[error("no process is named {0}")]
+    Unknown(String),
+}
+
+/// The programs, all in one directory.
+#[derive(Clone, Debug)]
+pub struct Binaries {
+    directory: PathBuf,
+}
+
+/// The processes of a run; all are killed when it is dropped.
+#[derive(Debug)]
+pub struct Fleet {
+    binaries: Binaries,
+    logs: PathBuf,
+    processes: BTreeMap<String, Process>,
+}
+
+#[derive(Debug)]
+struct Process {
+    child: Child,
+    is_meant_to_end: bool,
+}
+
+impl Program {
+    const ALL: [Self; 4] = [Self::Balancer, Self::Agent, Self::Ctl, Self::Bench];
+
+    const fn file_name(self) -> &'static str {
+        match self {
+            Self::Balancer => "basilstep-balancer",
+            Self::Agent => "basilstep-agent",
+            Self::Ctl => "basilstep-ctl",
+            Self::Bench => "basilstep-bench",
+        }
+    }
+}
+
+impl Signal {
+    const fn name(self) -> &'static str {
+        match self {
+            Self::Terminate => "TERM",
+            Self::Stop => "STOP",
+            Self::Continue => "CONT",
+        }
+    }
+}
+
+impl FleetError {
+    fn system(what: impl Into<String>) -> impl FnOnce(io::Error) -> Self {
+        let what = what.into();
+        |error| Self::System { what, error }
+    }
+}
+
+impl Binaries {
+    /// Finds the programs beside this one, and builds them when cargo runs this one.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`FleetError`] when a program is missing afterwards.
+    pub fn locate() -> Result<Self, FleetError> {
+        let own = env::current_exe().map_err(FleetError::system("find this program"))?;
+        let binaries = Self {
+            directory: directory_of(&own),
+        };
+        if let Some(cargo) = env::var_os("CARGO") {
+            build(Path::new(&cargo), binaries.is_release())?;
+        }
+        for program in Program::ALL {
+            let path = binaries.path(program);
+            if !path.exists() {
+                return Err(FleetError::Missing(path));
+            }
+        }
+        Ok(binaries)
+    }
+
+    fn path(&self, program: Program) -> PathBuf {
+        self.directory.join(program.file_name())
+    }
+
+    fn is_release(&self) -> bool {
+        self.directory.ends_with("release")
+    }
+}
+
+/// Returns the directory of the programs; tests run one level below it.
+fn directory_of(own: &Path) -> PathBuf {
+    let directory = own.parent().unwrap_or(Path::new("."));
+    if directory.ends_with("deps") {
+        return directory.parent().unwrap_or(directory).to_owned();
+    }
+    directory.to_owned()
+}
+
+fn build(cargo: &Path, release: bool) -> Result<(), FleetError> {
+    eprintln!("building the programs of the workspace");
+    let mut command = std::process::Command::new(cargo);
+    command.args(["build", "--workspace", "--bins", "--locked", "--quiet"]);
+    if release {
+        command.arg("--release");
+    }
+    command.stdout(Stdio::null());
+    let status = command
+        .current_dir(env!("CARGO_MANIFEST_DIR"))
+        .status()
+        .map_err(FleetError::system("run cargo build"))?;
+    if status.success() {
+        return Ok(());
+    }
+    let error = io::Error::other(status.to_string());
+    Err(FleetError::system("cargo build")(error))
+}
+
+impl Fleet {
+    /// Opens an empty fleet that writes the output of its processes to files in `logs`.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`FleetError`] when the directory cannot be made.
+    pub fn open(binaries: Binaries, logs: PathBuf) -> Result<Self, FleetError> {
+        let what = format!("make {}", logs.display());
+        fs::create_dir_all(&logs).map_err(FleetError::system(what))?;
+        Ok(Self {
+            binaries,
+            logs,
+            processes: BTreeMap::new(),
+        })
+    }
+
+    /// Returns the directory of the logs.
+    pub fn logs(&self) -> &Path {
+        &self.logs
+    }
+
+    /// Starts a process; one of the same name must have ended before.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`FleetError::System`] when it cannot be started.
+    pub fn spawn(
+        &mut self,
+        name: &str,
+        program: Program,
+        args: &[String],
+    ) -> Result<(), FleetError> {
+        let what = format!("start {name}");
+        let log = self.open_log(name).map_err(FleetError::system(&what))?;
+        let errors = log.try_clone().map_err(FleetError::system(&what))?;
+        let child = Command::new(self.binaries.path(program))
+            .args(args)
+            .stdin(Stdio::null())
+            .stdout(log)
+            .stderr(errors)
+            .kill_on_drop(true)
+            .spawn()
+            .map_err(FleetError::system(&what))?;
+        let process = Process {
+            child,
+            is_meant_to_end: false,
+        };
+        self.processes.insert(name.to_owned(), process);
+        Ok(())
+    }
+
+    fn open_log(&self, name: &str) -> io::Result<File> {
+        let path = self.logs.join(format!("{name}.log"));
+        File::options().create(true).append(true).open(path)
+    }
+
+    /// Kills a process at once and waits until it is gone.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`FleetError`] when there is none of this name or it cannot be killed.
+    pub async fn kill(&mut self, name: &str) -> Result<(), FleetError> {
+        let process = self.process(name)?;
+        process.is_meant_to_end = true;
+        let killed = process.child.kill().await;
+        killed.map_err(FleetError::system(format!("kill {name}")))
+    }
+
+    /// Sends a signal to a process.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`FleetError`] when there is none of this name or it cannot be signalled.
+    pub async fn signal(&mut self, name: &str, signal: Signal) -> Result<(), FleetError> {
+        let process = self.process(name)?;
+        process.is_meant_to_end |= signal == Signal::Terminate;
+        let Some(id) = process.child.id() else {
+            return Ok(());
+        };
+        let sent = Command::new("sh")
+            .args(["-c", &format!("kill -{} {id}", signal.name())])
+            .status()
+            .await;
+        sent.map_err(FleetError::system(format!("signal {name}")))?;
+        Ok(())
+    }
+
+    /// Waits until a process ends; `None` when it still runs after `limit`.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`FleetError`] when there is none of this name or it cannot be waited for.
+    pub async fn wait(
+        &mut self,
+        name: &str,
+        limit: Duration,
+    ) -> Result<Option<ExitStatus>, FleetError> {
+        let process = self.process(name)?;
+        match time::timeout(limit, process.child.wait()).await {
+            Err(_) => Ok(None),
+            Ok(Ok(status)) => Ok(Some(status)),
+            Ok(Err(error)) => Err(FleetError::system(format!("wait for {name}"))(error)),
+        }
+    }
+
+    /// Returns the processes that ended although nothing had told them to.
+    pub fn unexpected_ends(&mut self) -> Vec<String> {
+        let mut ended = Vec::new();
+        for (name, process) in &mut self.processes {
+            if process.is_meant_to_end {
+                continue;
+            }
+            if let Ok(Some(status)) = process.child.try_wait() {
+                ended.push(format!("{name}: {status}"));
+            }
+        }
+        ended
+    }
+
+    /// Asks the named processes for a graceful stop; returns those that did not end well in time.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`FleetError`] when one of them cannot be signalled.
+    pub async fn terminate(&mut self, names: &[String]) -> Result<Vec<String>, FleetError> {
+        for name in names {
+            self.signal(name, Signal::Terminate).await?;
+        }
+        let mut failed = Vec::new();
+        for name in names {
+            match self.wait(name, END_TIMEOUT).await? {
+                Some(status) if status.success() => {}
+                Some(status) => failed.push(format!("{name}: {status}")),
+                None => failed.push(format!("{name}: still runs")),
+            }
+        }
+        Ok(failed)
+    }
+
+    fn process(&mut self, name: &str) -> Result<&mut Process, FleetError> {
+        let unknown = || FleetError::Unknown(name.to_owned());
+        self.processes.get_mut(name).ok_or_else(unknown)
+    }
+}
--- /dev/null
+++ b/crates/basilstep-bench/src/demo/mod.rs
@@ -0,0 +1,54 @@
+//! Runs a whole fleet as processes on loopback under failure.
+
+pub mod counts;
+pub mod fleet;
+pub mod observer;
+pub mod plan;
+pub mod records;
+mod run;
+
+use argh::FromArgs;
+use std::{env, path::PathBuf, process::ExitCode};
+
+/// Runs a whole fleet as processes on loopback under failure.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "demo")]
+pub struct DemoArgs {
+    /// print one JSON object instead of a table
+    #[argh(switch)]
+    json: bool,
+    /// directory for the logs of the processes (default: one below the directory for temporary files)
+    #[argh(option)]
+    logs: Option<PathBuf>,
+}
+
+/// Runs the command.
+pub fn run(args: &DemoArgs) -> ExitCode {
+    let process_id = std::process::id();
+    let own_logs = || env::temp_dir().join(format!("basilstep-demo-{process_id}"));
+    let logs = args.logs.clone().unwrap_or_else(own_logs);
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(4)
+        .enable_all()
+        .build();
+    let ran = runtime
+        .map_err(run::DemoError::from)
+        .and_then(|runtime| runtime.block_on(run::run(process_id, logs.clone())));
+    let result = match ran {
+        Ok(result) => result,
+        Err(error) => {
+            eprintln!("the demo could not run: {error}; see {}", logs.display());
+            return ExitCode::FAILURE;
+        }
+    };
+    if args.json {
+        println!("{}", serde_json::to_string(&result).unwrap_or_default());
+    } else {
+        print!("{}", result.table());
+    }
+    if result.broken_promises.is_empty() {
+        return ExitCode::SUCCESS;
+    }
+    eprintln!("promises were broken; see {}", logs.display());
+    ExitCode::FAILURE
+}
--- a/crates/basilstep-bench/src/lib.rs
+++ b/crates/basilstep-bench/src/lib.rs
@@ -1,3 +1,4 @@
-//! The stand-ins as a library, so that tests start them in their own process.
+//! Stand-ins for what surrounds the system, and the demo that runs a whole fleet among them.
 
+pub mod demo;
 pub mod standins;
--- a/crates/basilstep-bench/src/main.rs
+++ b/crates/basilstep-bench/src/main.rs
@@ -2,12 +2,11 @@
 //!
 //! This tool starts processes; the product's own processes never do.
 
-mod demo;
 mod load;
 mod scenario;
 
 use argh::FromArgs;
-use basilstep_bench::standins;
+use basilstep_bench::{demo, standins};
 use std::process::ExitCode;
 
 /// Stand-ins, demo, scenarios and load experiments of basilstep.
--- /dev/null
+++ b/crates/basilstep-bench/src/standins/caller/counts.rs
@@ -0,0 +1,141 @@
+use super::flow::Loss;
+use serde::{Deserialize, Serialize};
+use std::{
+    collections::BTreeMap,
+    sync::{Arc, Mutex, PoisonError},
+    time::Duration,
+};
+
+const MAX_REMARKS: usize = 40;
+
+/// What callers have counted.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(default)]
+pub struct CallerCounts {
+    /// Flows that were opened.
+    pub flows_opened: u64,
+    /// Attempts to open a flow that failed.
+    pub flows_not_opened: u64,
+    /// Flows that were lost although no one had taken their failure domain out.
+    pub flows_broken: u64,
+    /// Flows that ended because their failure domain was taken out.
+    pub flows_given_up: u64,
+    /// Flows that the system asked the caller to replace, with no answer lost.
+    pub flows_moved: u64,
+    /// Requests that were sent, each attempt counted.
+    pub requests_sent: u64,
+    /// Answers that came whole and belong to their request.
+    pub answers_whole: u64,
+    /// Answers that came damaged or belong to another request.
+    pub answers_wrong: u64,
+    /// Answers of a target of another service.
+    pub answers_foreign: u64,
+    /// Attempts that were refused as not run.
+    pub refused_not_run: u64,
+    /// Requests whose outcome the system said to be unknown.
+    pub outcome_unknown: u64,
+    /// Attempts whose answer was lost with the flow or did not come in time.
+    pub answers_lost: u64,
+    /// Requests that ended without a whole answer after all attempts.
+    pub requests_not_served: u64,
+    /// Answers with neither a result code nor success.
+    pub target_errors: u64,
+    /// Boards that were opened.
+    pub boards_opened: u64,
+    /// Lines of boards.
+    pub board_lines: u64,
+    /// Lines of boards that were missing or repeated.
+    pub board_gaps: u64,
+    /// Boards that ended while their flow was alive.
+    pub boards_cut: u64,
+    /// Times that a board had no line for too long.
+    pub boards_stalled: u64,
+    /// The longest time between two lines of a board, in ms.
+    pub longest_board_gap_ms: u64,
+    /// The slowest answer, in ms.
+    pub slowest_answer_ms: u64,
+    /// Refusals and unknown outcomes by result code.
+    pub codes: BTreeMap<u16, u64>,
+    /// What was seen at each loss, the first few only.
+    pub remarks: Vec<String>,
+}
+
+/// How an offer ended for its caller.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Ending {
+    /// A whole answer came: it must have run exactly once.
+    Answered,
+    /// Each attempt was refused as not run: it must not have run.
+    NotRun,
+    /// The outcome is unknown: it may have run at most once.
+    Unknown,
+}
+
+/// The counts of many callers and the endings of their offers.
+#[derive(Clone, Debug, Default)]
+pub struct Tally(Arc<Mutex<Inner>>);
+
+#[derive(Debug, Default)]
+struct Inner {
+    counts: CallerCounts,
+    offers: BTreeMap<String, Ending>,
+}
+
+impl Tally {
+    /// Changes the counts.
+    pub fn count(&self, change: impl FnOnce(&mut CallerCounts)) {
+        let mut inner = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        change(&mut inner.counts);
+    }
+
+    /// Returns the counts so far.
+    pub fn counts(&self) -> CallerCounts {
+        let inner = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        inner.counts.clone()
+    }
+
+    /// Records how an offer ended.
+    pub fn end_offer(&self, id: &str, ending: Ending) {
+        let mut inner = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        inner.offers.insert(id.to_owned(), ending);
+    }
+
+    /// Returns how each offer ended.
+    pub fn offers(&self) -> BTreeMap<String, Ending> {
+        let inner = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        inner.offers.clone()
+    }
+
+    /// Counts a lost flow.
+    pub fn lose_flow(&self, loss: &Loss, remark: String) {
+        self.count(|counts| match loss {
+            Loss::GivenUp => counts.flows_given_up += 1,
+            Loss::Broken => {
+                counts.flows_broken += 1;
+                counts.remark(remark);
+            }
+        });
+    }
+
+    /// Counts the time that an answer took.
+    pub fn time_answer(&self, took: Duration) {
+        self.count(|counts| {
+            counts.slowest_answer_ms = counts.slowest_answer_ms.max(took.as_millis() as u64);
+        });
+    }
+}
+
+impl CallerCounts {
+    /// Keeps a remark for whoever looks into a failure.
+    pub fn remark(&mut self, remark: String) {
+        if self.remarks.len() < MAX_REMARKS {
+            self.remarks.push(remark);
+        }
+    }
+
+    /// Counts a result code.
+    pub fn code(&mut self, code: u16) {
+        *self.codes.entry(code).or_default() += 1;
+    }
+}
--- /dev/null
+++ b/crates/basilstep-bench/src/standins/caller/mod.rs
@@ -0,0 +1,14 @@
+//! Stands in for a caller: one flow with an open board, offers, uploads and quotes.
+//!
+//! A caller opens a new flow when it loses one and sends an offer whose answer it lost once more
+//! under the same idempotency key. After a refusal it waits as long as it was told.
+
+mod counts;
+mod flow;
+mod operation;
+mod session;
+
+pub use counts::{CallerCounts, Ending, Tally};
+pub use flow::{Answer, Board, Flow, FlowError, FlowSettings, Loss, RequestError};
+pub use operation::{Kind, Operation};
+pub use session::{Caller, CallerSettings, OutTargets};
--- /dev/null
+++ b/crates/basilstep-bench/src/standins/receipt.rs
@@ -0,0 +1,79 @@
+//! What a target answers, so that a caller can tell whether the answer is whole and its own.
+
+use basilstep_core::crypto::{ShortKey, encode_hex};
+use serde::{Deserialize, Serialize};
+
+/// The key of the checksums; a checksum here guards against mix-ups, not against attackers.
+const CHECKSUM_KEY: ShortKey = ShortKey([7; 16]);
+
+/// The answer to an offer, an upload or a quote.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Receipt {
+    /// The service that the target serves.
+    pub service: String,
+    /// The address of the target.
+    pub target: String,
+    /// The caller's own operation id, or the last part of the path.
+    pub operation: String,
+    /// The length of the body that the target received.
+    pub length_bytes: u64,
+    /// The checksum of the body that the target received.
+    pub body_checksum: String,
+    /// Makes the answer longer than one packet.
+    pub filler: String,
+    /// The checksum of all the other fields.
+    pub checksum: String,
+}
+
+/// One line of a board.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct BoardLine {
+    /// The service that the target serves.
+    pub service: String,
+    /// The address of the target.
+    pub target: String,
+    /// The number of the board.
+    pub board: String,
+    /// Rises by one with each line.
+    pub sequence: u64,
+}
+
+impl Receipt {
+    /// Makes the receipt of a request.
+    pub fn new(service: &str, target: &str, operation: &str, body: &[u8], filler: usize) -> Self {
+        let mut receipt = Self {
+            service: service.to_owned(),
+            target: target.to_owned(),
+            operation: operation.to_owned(),
+            length_bytes: body.len() as u64,
+            body_checksum: checksum(&[body]),
+            filler: "x".repeat(filler),
+            checksum: String::new(),
+        };
+        receipt.checksum = receipt.own_checksum();
+        receipt
+    }
+
+    /// Tells whether the receipt is whole and answers this request.
+    pub fn is_whole(&self, operation: &str, body: &[u8]) -> bool {
+        self.operation == operation
+            && self.length_bytes == body.len() as u64
+            && self.body_checksum == checksum(&[body])
+            && self.checksum == self.own_checksum()
+    }
+
+    fn own_checksum(&self) -> String {
+        checksum(&[
+            self.service.as_bytes(),
+            self.target.as_bytes(),
+            self.operation.as_bytes(),
+            &self.length_bytes.to_be_bytes(),
+            self.body_checksum.as_bytes(),
+            self.filler.as_bytes(),
+        ])
+    }
+}
+
+fn checksum(parts: &[&[u8]]) -> String {
+    encode_hex(&CHECKSUM_KEY.code(parts).to_be_bytes())
+}
