--- a/crates/basilstep-bench/src/standins/fabric.rs
+++ b/crates/basilstep-bench/src/standins/fabric.rs
@@ -13,12 +13,15 @@
 //! For each service address there is one socket that faces callers. Each caller of a service gets
 //! one more socket towards the balancers, so that all balancers see the same address for it.
 
+mod faults;
+
 use super::http::{Body, Cut, answer, json, serve};
 use argh::FromArgs;
+use faults::{Fate, Faults};
 use hyper::{Method, Request, Response, body::Incoming};
 use serde::{Deserialize, Serialize};
 use std::{
-    collections::{BTreeMap, BTreeSet},
+    collections::BTreeMap,
     io,
     net::{Ipv4Addr, SocketAddr, SocketAddrV4},
     process::ExitCode,
@@ -28,6 +31,7 @@
 };
 use tokio::{
     net::{TcpListener, UdpSocket},
+    task::JoinHandle,
     time::{self, Instant},
 };
 
@@ -36,7 +40,6 @@
 const CALLER_IDLE: Duration = Duration::from_mins(1);
 const MAX_CALLERS: usize = 20_000;
 const MAX_DATAGRAM_BYTES: usize = 65_535;
-const REORDER_DELAY: Duration = Duration::from_millis(5);
 const ADMIN_CONNECTIONS: usize = 64;
 
 /// Stands in for the fabric that sprays packets over the balancers.
@@ -94,17 +97,6 @@
     pub ready: Option<bool>,
 }
 
-#[derive(Debug, Default)]
-struct Faults {
-    cut: BTreeSet<Ipv4Addr>,
-    blind: BTreeSet<Ipv4Addr>,
-    silence: BTreeSet<SocketAddr>,
-    delay_ms: u64,
-    lose_permille: u16,
-    duplicate_permille: u16,
-    reorder_permille: u16,
-}
-
 #[derive(Debug, Default)]
 struct State {
     counts: FabricCounts,
@@ -118,18 +110,19 @@
     state: Mutex<State>,
 }
 
-/// What is to be done with one packet.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-struct Fate {
-    copies: usize,
-    delay: Duration,
+/// A running fabric; stops when dropped.
+#[derive(Debug)]
+pub struct FabricStandIn {
+    admin: SocketAddr,
+    services: Vec<SocketAddr>,
+    tasks: Vec<JoinHandle<()>>,
 }
 
 #[derive(Debug)]
 struct Caller {
     socket: Arc<UdpSocket>,
     last_seen: Instant,
-    returning: tokio::task::JoinHandle<()>,
+    returning: JoinHandle<()>,
 }
 
 impl FromStr for BalancerPort {
@@ -150,7 +143,13 @@
         .worker_threads(2)
         .enable_all()
         .build();
-    let served = runtime.and_then(|runtime| runtime.block_on(serve_fabric(args.clone())));
+    let served = runtime.and_then(|runtime| {
+        runtime.block_on(async {
+            let _fabric = FabricStandIn::bind(args.clone()).await?;
+            std::future::pending::<()>().await;
+            Ok(())
+        })
+    });
     match served {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
@@ -160,30 +159,59 @@
     }
 }
 
-/// Binds and serves the fabric until the task is dropped.
-///
-/// # Errors
-///
-/// Returns an error when an address cannot be bound.
-pub async fn serve_fabric(args: FabricArgs) -> io::Result<()> {
-    let admin = TcpListener::bind(args.admin).await?;
-    let fabric = Arc::new(Fabric {
-        args,
-        state: Mutex::default(),
-    });
-    for balancer in &fabric.args.balancer {
-        tokio::spawn(poll_ready(Arc::clone(&fabric), balancer.clone()));
+impl FabricStandIn {
+    /// Binds the addresses and carries packets.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the system when an address cannot be bound.
+    pub async fn bind(args: FabricArgs) -> io::Result<Self> {
+        let admin = TcpListener::bind(args.admin).await?;
+        let mut running = Self {
+            admin: admin.local_addr()?,
+            services: Vec::new(),
+            tasks: Vec::new(),
+        };
+        let fabric = Arc::new(Fabric {
+            args,
+            state: Mutex::default(),
+        });
+        for balancer in &fabric.args.balancer {
+            let poll = poll_ready(Arc::clone(&fabric), balancer.clone());
+            running.tasks.push(tokio::spawn(poll));
+        }
+        for &service in &fabric.args.service {
+            let socket = Arc::new(UdpSocket::bind(service).await?);
+            let address = socket.local_addr()?;
+            running.services.push(address);
+            let carry = carry(Arc::clone(&fabric), address.port(), socket);
+            running.tasks.push(tokio::spawn(carry));
+        }
+        let admin = serve(admin, ADMIN_CONNECTIONS, move |request| {
+            let answered = fabric.administer(&request);
+            async move { Ok::<Response<Body>, Cut>(answered) }
+        });
+        running.tasks.push(tokio::spawn(admin));
+        Ok(running)
+    }
+
+    /// Returns the address of the admin endpoint.
+    pub fn admin(&self) -> SocketAddr {
+        self.admin
     }
-    for &service in &fabric.args.service {
-        let socket = Arc::new(UdpSocket::bind(service).await?);
-        tokio::spawn(carry(Arc::clone(&fabric), service.port(), socket));
+
+    /// Returns the addresses of the services, in the order of the arguments.
+    pub fn services(&self) -> &[SocketAddr] {
+        &self.services
+    }
+}
+
+impl Drop for FabricStandIn {
+    fn drop(&mut self) {
+        for task in &self.tasks {
+            task.abort();
+        }
     }
-    serve(admin, ADMIN_CONNECTIONS, move |request| {
-        let answered = fabric.administer(&request);
-        async move { Ok::<Response<Body>, Cut>(answered) }
-    })
-    .await;
-    Ok(())
 }
 
 async fn poll_ready(fabric: Arc<Fabric>, balancer: BalancerPort) {
@@ -371,56 +399,3 @@
         }
     }
 }
-
-impl Faults {
-    fn switch(&mut self, name: &str, value: &str, on: bool) -> Option<()> {
-        match name {
-            "cut" => switch_member(&mut self.cut, value, on),
-            "blind" => switch_member(&mut self.blind, value, on),
-            "silence" => switch_member(&mut self.silence, value, on),
-            "delay" => switch_number(&mut self.delay_ms, value, on),
-            "lose" => switch_number(&mut self.lose_permille, value, on),
-            "duplicate" => switch_number(&mut self.duplicate_permille, value, on),
-            "reorder" => switch_number(&mut self.reorder_permille, value, on),
-            _ => None,
-        }
-    }
-
-    /// Returns what becomes of a packet, or `None` when it is lost.
-    fn fate(&self, caller: SocketAddr, balancer: Ipv4Addr) -> Option<Fate> {
-        let cut = self.cut.contains(&balancer) || self.silence.contains(&caller);
-        if cut || happens(self.lose_permille) {
-            return None;
-        }
-        let reordered = happens(self.reorder_permille);
-        let extra = if reordered {
-            REORDER_DELAY
-        } else {
-            Duration::ZERO
-        };
-        Some(Fate {
-            copies: 1 + usize::from(happens(self.duplicate_permille)),
-            delay: Duration::from_millis(self.delay_ms) + extra,
-        })
-    }
-}
-
-fn switch_member<T: FromStr + Ord>(set: &mut BTreeSet<T>, value: &str, on: bool) -> Option<()> {
-    let member = value.parse().ok()?;
-    if on {
-        set.insert(member);
-    } else {
-        set.remove(&member);
-    }
-    Some(())
-}
-
-fn switch_number<T: FromStr + Default>(number: &mut T, value: &str, on: bool) -> Option<()> {
-    let value = value.parse().ok()?;
-    *number = if on { value } else { T::default() };
-    Some(())
-}
-
-fn happens(permille: u16) -> bool {
-    permille > 0 && rand::random_range(0..1_000) < permille
-}
--- a/crates/basilstep-bench/src/standins/target.rs
+++ b/crates/basilstep-bench/src/standins/target.rs
@@ -11,9 +11,12 @@
 //! | `/admin/fault/sick-health` | the health endpoint fails while requests are served |
 //! | `/admin/fault/lie-idle` | the load endpoint always says that nothing is in flight |
 
+mod state;
+#[cfg(test)]
+mod tests;
+
 use super::{
     http::{Body, Cut, answer, json, serve},
-    now_ms,
     receipt::{BoardLine, Receipt},
 };
 use argh::FromArgs;
@@ -25,34 +28,19 @@
     Method, Request, Response,
     body::{Frame, Incoming},
 };
-use serde::{Deserialize, Serialize};
+pub use state::{LoadReport, TargetCounts};
+use state::{Refusal, State};
 use std::{
-    collections::{BTreeMap, BTreeSet},
     convert::Infallible,
-    net::SocketAddrV4,
+    io,
+    net::{SocketAddr, SocketAddrV4},
     process::ExitCode,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::{Duration, Instant},
 };
-use tokio::{net::TcpListener, time};
+use tokio::{net::TcpListener, task::JoinHandle, time};
 
-const FAULTS: [&str; 7] = [
-    "no-shed",
-    "refuse",
-    "hang",
-    "slow",
-    "lose-answer",
-    "sick-health",
-    "lie-idle",
-];
-const TURN_COLD: &str = "turn-cold";
-const SLOW_FACTOR: u32 = 10;
-/// A target falls over above this many times the load that it can bear.
-const FALL_OVER_FACTOR: f64 = 2.0;
-const FALLEN_MS: u64 = 2_000;
 const RETRY_AFTER_S: &str = "1";
-const MAX_RECORDED_OPERATIONS: usize = 1_000_000;
-
 /// Stands in for a target: an ordinary HTTP server with slots.
 #[derive(Clone, Debug, FromArgs)]
 #[argh(subcommand, name = "target")]
@@ -86,71 +74,24 @@
     pub answer_bytes: usize,
 }
 
-/// What a target has counted, at `GET /admin/counts`.
-#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
-#[serde(default)]
-pub struct TargetCounts {
-    /// Runs by kind: `boards`, `offers`, `uploads` and `quotes`.
-    pub runs: BTreeMap<String, u64>,
-    /// Offers that ran more than once at this target.
-    pub ran_twice: u64,
-    /// How often it fell over.
-    pub fell_over: u64,
-    /// Requests refused with 503.
-    pub shed: u64,
-    /// Requests whose deadline passed here.
-    pub deadline_passed: u64,
-    /// Requests whose connection was closed before the answer.
-    pub cancelled: u64,
-    /// Requests that were sent for another service.
-    pub misrouted: u64,
-    /// Requests in flight.
-    pub in_flight: u32,
-    /// The most requests in flight.
-    pub max_in_flight: u32,
-    /// Boards that are open.
-    pub boards_open: u32,
-    /// Time of the last request, in ms since the epoch; 0 when there was none.
-    pub last_request_ms: u64,
-}
-
-/// The load report, at `GET /load`.
-#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
-pub struct LoadReport {
-    /// Requests in flight.
-    pub in_flight: u32,
-    /// Requests that can be in flight.
-    pub slots: u32,
-}
-
-#[derive(Debug, Default)]
-struct State {
-    counts: TargetCounts,
-    runs_by_operation: BTreeMap<String, u32>,
-    faults: BTreeSet<String>,
-    draining: bool,
-    answered_work_ms: f64,
-    fallen_until: Option<Instant>,
-    reported: LoadReport,
+/// A running target; stops when dropped.
+#[derive(Debug)]
+pub struct TargetStandIn {
+    address: SocketAddr,
+    tasks: [JoinHandle<()>; 2],
 }
 
 #[derive(Debug)]
 struct Target {
     args: TargetArgs,
+    name: String,
     state: Mutex<State>,
 }
 
-/// Why a request does not run.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum Refusal {
-    FallenOver,
-    Shed,
-}
-
 /// Occupies a slot; frees it when the request ends or is cancelled.
 struct Slot {
     target: Arc<Target>,
-    answered: bool,
+    ended: bool,
 }
 
 struct OpenBoard {
@@ -165,7 +106,13 @@
         .worker_threads(2)
         .enable_all()
         .build();
-    let served = runtime.and_then(|runtime| runtime.block_on(serve_target(args.clone())));
+    let served = runtime.and_then(|runtime| {
+        runtime.block_on(async {
+            let _target = TargetStandIn::bind(args.clone()).await?;
+            std::future::pending::<()>().await;
+            Ok(())
+        })
+    });
     match served {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
@@ -175,35 +122,49 @@
     }
 }
 
-/// Binds and serves a target until the task is dropped.
-///
-/// # Errors
-///
-/// Returns an error when the address cannot be bound.
-pub async fn serve_target(args: TargetArgs) -> std::io::Result<()> {
-    let listener = TcpListener::bind(args.listen).await?;
-    let connections = args.connections;
-    let target = Arc::new(Target {
-        args,
-        state: Mutex::default(),
-    });
-    tokio::spawn(report_load(Arc::clone(&target)));
-    serve(listener, connections, move |request| {
-        handle(Arc::clone(&target), request)
-    })
-    .await;
-    Ok(())
+impl TargetStandIn {
+    /// Binds the address and serves.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the system when the address cannot be bound.
+    pub async fn bind(args: TargetArgs) -> io::Result<Self> {
+        let listener = TcpListener::bind(args.listen).await?;
+        let address = listener.local_addr()?;
+        let connections = args.connections;
+        let target = Arc::new(Target {
+            args,
+            name: address.to_string(),
+            state: Mutex::default(),
+        });
+        let report = tokio::spawn(report_load(Arc::clone(&target)));
+        let accept = tokio::spawn(serve(listener, connections, move |request| {
+            handle(Arc::clone(&target), request)
+        }));
+        Ok(Self {
+            address,
+            tasks: [report, accept],
+        })
+    }
+
+    /// Returns the address that it serves on.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+}
+
+impl Drop for TargetStandIn {
+    fn drop(&mut self) {
+        for task in &self.tasks {
+            task.abort();
+        }
+    }
 }
 
 async fn report_load(target: Arc<Target>) {
     loop {
         time::sleep(Duration::from_millis(target.args.report_lag_ms)).await;
-        let mut state = target.lock();
-        let lies = state.faults.contains("lie-idle");
-        state.reported = LoadReport {
-            in_flight: if lies { 0 } else { state.counts.in_flight },
-            slots: target.args.slots,
-        };
+        target.lock().report(&target.args);
     }
 }
 
@@ -227,76 +188,42 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn has_fault(&self, name: &str) -> bool {
-        self.lock().faults.contains(name)
-    }
-
     fn health(&self) -> Response<Body> {
         let state = self.lock();
-        if state.faults.contains("sick-health") || state.fallen_until.is_some() {
+        if state.has("sick-health") || state.is_fallen(Instant::now()) {
             return answer(500, "sick");
         }
-        if state.draining {
+        if state.is_draining() {
             return answer(503, "draining");
         }
         answer(200, "ok")
     }
 
     fn administer(&self, method: &Method, parts: &[&str]) -> Response<Body> {
+        let on = *method != Method::DELETE;
         let mut state = self.lock();
         match parts {
-            ["counts"] => return json(&state.counts),
-            ["runs"] => return json(&state.runs_by_operation),
-            ["drain"] => state.draining = *method != Method::DELETE,
-            ["fault", TURN_COLD] => state.answered_work_ms = 0.0,
-            ["fault", name] if FAULTS.contains(name) && *method == Method::DELETE => {
-                state.faults.remove(*name);
-            }
-            ["fault", name] if FAULTS.contains(name) => {
-                state.faults.insert((*name).to_owned());
+            ["counts"] => json(&state.counts),
+            ["runs"] => json(&state.runs_by_operation),
+            ["drain"] => {
+                state.drain(on);
+                answer(200, "done")
             }
-            _ => return answer(404, "no such fault or count"),
+            ["fault", name] if state.switch(name, on) => answer(200, "done"),
+            _ => answer(404, "no such fault or count"),
         }
-        answer(200, "done")
-    }
-
-    /// Returns how many requests at a time the target can bear now.
-    fn bearable(&self, state: &State) -> f64 {
-        let warmth = state.answered_work_ms / f64::from(self.args.cold_ms.max(1));
-        1.0 + f64::from(self.args.slots.saturating_sub(1)) * warmth.min(1.0)
     }
 
     fn arrive(self: &Arc<Self>, headers: &HeaderMap) -> Result<Slot, Refusal> {
         let mut state = self.lock();
-        state.counts.last_request_ms = now_ms();
         let service = headers.get("basilstep-service");
         if service.is_some_and(|service| service.as_bytes() != self.args.service.as_bytes()) {
             state.counts.misrouted += 1;
         }
-        if state
-            .fallen_until
-            .is_some_and(|until| Instant::now() < until)
-        {
-            return Err(Refusal::FallenOver);
-        }
-        state.fallen_until = None;
-        let full = state.counts.in_flight >= self.args.slots && !state.faults.contains("no-shed");
-        if full || state.faults.contains("refuse") || state.draining {
-            state.counts.shed += 1;
-            return Err(Refusal::Shed);
-        }
-        let wanted = state.counts.in_flight + 1;
-        if f64::from(wanted) > FALL_OVER_FACTOR * self.bearable(&state) {
-            state.counts.fell_over += 1;
-            state.answered_work_ms = 0.0;
-            state.fallen_until = Some(Instant::now() + Duration::from_millis(FALLEN_MS));
-            return Err(Refusal::FallenOver);
-        }
-        state.counts.in_flight = wanted;
-        state.counts.max_in_flight = state.counts.max_in_flight.max(wanted);
+        state.arrive(&self.args, Instant::now())?;
         Ok(Slot {
             target: Arc::clone(self),
-            answered: false,
+            ended: false,
         })
     }
 
@@ -306,7 +233,7 @@
         kind: &'static str,
         id: Option<&str>,
     ) -> Result<Response<Body>, Cut> {
-        let mut slot = match self.arrive(request.headers()) {
+        let slot = match self.arrive(request.headers()) {
             Ok(slot) => slot,
             Err(refusal) => return Ok(refusal.answer()),
         };
@@ -316,19 +243,13 @@
             || String::from_utf8_lossy(&body).into_owned(),
             str::to_owned,
         );
-        self.count_run(kind, &operation);
-        if !self.serve_within(deadline).await? {
-            slot.answered = true;
+        self.lock().count_run(kind, &operation);
+        if !self.serve_within(deadline, slot).await? {
             return Ok(answer(504, "the deadline passed"));
         }
-        slot.answer();
-        let receipt = Receipt::new(
-            &self.args.service,
-            &self.args.listen.to_string(),
-            &operation,
-            &body,
-            self.args.answer_bytes,
-        );
+        let filler = self.args.answer_bytes;
+        let service = &self.args.service;
+        let receipt = Receipt::new(service, &self.name, &operation, &body, filler);
         Ok(json(&receipt))
     }
 
@@ -337,16 +258,14 @@
         headers: &HeaderMap,
         board: &str,
     ) -> Result<Response<Body>, Cut> {
-        let mut slot = match self.arrive(headers) {
+        let slot = match self.arrive(headers) {
             Ok(slot) => slot,
             Err(refusal) => return Ok(refusal.answer()),
         };
-        self.count_run("boards", board);
-        if !self.serve_within(deadline(headers)).await? {
-            slot.answered = true;
+        self.lock().count_run("boards", board);
+        if !self.serve_within(deadline(headers), slot).await? {
             return Ok(answer(504, "the deadline passed"));
         }
-        slot.answer();
         let open = OpenBoard::open(Arc::clone(self), board);
         let lines = stream::unfold(open, |mut open| async {
             let line = open.next_line().await;
@@ -358,66 +277,39 @@
         Ok(response)
     }
 
-    fn count_run(&self, kind: &str, operation: &str) {
-        let mut state = self.lock();
-        *state.counts.runs.entry(kind.to_owned()).or_default() += 1;
-        let may_record = state.runs_by_operation.len() < MAX_RECORDED_OPERATIONS;
-        if kind != "offers" || !may_record {
-            return;
-        }
-        let runs = state
-            .runs_by_operation
-            .entry(operation.to_owned())
-            .or_default();
-        *runs += 1;
-        if *runs == 2 {
-            state.counts.ran_twice += 1;
-        }
-    }
-
     /// Works as long as the load asks for; `false` when the deadline passes first.
-    async fn serve_within(&self, deadline: Option<Duration>) -> Result<bool, Cut> {
-        if self.has_fault("hang") {
+    async fn serve_within(&self, deadline: Option<Duration>, slot: Slot) -> Result<bool, Cut> {
+        if self.lock().has("hang") {
             std::future::pending::<()>().await;
         }
-        let need = self.service_time();
+        let need = self.lock().service_time(&self.args);
         let allowed = deadline.unwrap_or(need);
         time::sleep(need.min(allowed)).await;
-        if self.has_fault("lose-answer") {
+        slot.end();
+        let mut state = self.lock();
+        if state.has("lose-answer") {
             return Err(Cut);
         }
         if allowed < need {
-            self.lock().counts.deadline_passed += 1;
+            state.counts.deadline_passed += 1;
+            return Ok(false);
         }
-        Ok(allowed >= need)
-    }
-
-    fn service_time(&self) -> Duration {
-        let state = self.lock();
-        let crowding = f64::from(state.counts.in_flight) / self.bearable(&state);
-        let base = Duration::from_millis(u64::from(self.args.service_ms));
-        let slow = if state.faults.contains("slow") {
-            SLOW_FACTOR
-        } else {
-            1
-        };
-        base.mul_f64(crowding.max(1.0)) * slow
+        state.answer(&self.args);
+        Ok(true)
     }
 }
 
 impl Slot {
-    fn answer(&mut self) {
-        self.answered = true;
-        let mut state = self.target.lock();
-        state.answered_work_ms += f64::from(self.target.args.service_ms);
+    fn end(mut self) {
+        self.ended = true;
     }
 }
 
 impl Drop for Slot {
     fn drop(&mut self) {
         let mut state = self.target.lock();
-        state.counts.in_flight -= 1;
-        if !self.answered {
+        state.leave();
+        if !self.ended {
             state.counts.cancelled += 1;
         }
     }
@@ -440,7 +332,7 @@
         }
         let line = BoardLine {
             service: self.target.args.service.clone(),
-            target: self.target.args.listen.to_string(),
+            target: self.target.name.clone(),
             board: self.board.clone(),
             sequence: self.sequence,
         };
--- /dev/null
+++ b/crates/basilstep-bench/tests/fabric.rs
@@ -0,0 +1,228 @@
+//! The fabric stand-in between a caller and two balancers.
+
+use basilstep_bench::standins::{
+    fabric::{BalancerPort, FabricArgs, FabricCounts, FabricStandIn},
+    http::{Cut, answer, serve},
+};
+use reqwest::Client;
+use rstest::rstest;
+use std::{
+    net::{Ipv4Addr, SocketAddr, SocketAddrV4},
+    sync::{
+        Arc,
+        atomic::{AtomicU16, Ordering},
+    },
+    time::Duration,
+};
+use tokio::{
+    net::{TcpListener, UdpSocket},
+    time,
+};
+
+const POLL: Duration = Duration::from_millis(5);
+const POLLS: usize = 1_000;
+const RECEIVE_LIMIT: Duration = Duration::from_secs(5);
+
+struct Balancer {
+    socket: UdpSocket,
+    ip: Ipv4Addr,
+    status: Arc<AtomicU16>,
+}
+
+struct Fixture {
+    fabric: FabricStandIn,
+    balancers: Vec<Balancer>,
+    caller: UdpSocket,
+    client: Client,
+}
+
+/// Serves `/ready` with a status that a test can change.
+async fn serve_ready(ip: Ipv4Addr) -> (SocketAddrV4, Arc<AtomicU16>) {
+    let status = Arc::new(AtomicU16::new(200));
+    let listener = TcpListener::bind((ip, 0)).await.expect("a port is free");
+    let Ok(SocketAddr::V4(address)) = listener.local_addr() else {
+        panic!("the listener has an IPv4 address");
+    };
+    let shown = Arc::clone(&status);
+    tokio::spawn(serve(listener, 8, move |_| {
+        let status = shown.load(Ordering::Relaxed);
+        async move { Ok::<_, Cut>(answer(status, "")) }
+    }));
+    (address, status)
+}
+
+impl Fixture {
+    /// `third` keeps the addresses of tests that run side by side apart.
+    async fn start(third: u8) -> Self {
+        let ip = |host| Ipv4Addr::new(127, 250, third, host);
+        // The balancers take packets at the port of the service, so it must be known first.
+        let probe = UdpSocket::bind((ip(1), 0)).await.expect("a port is free");
+        let port = probe.local_addr().expect("an address").port();
+        drop(probe);
+        let mut balancers = Vec::new();
+        let mut ports = Vec::new();
+        for host in [2, 3] {
+            let (ready_address, status) = serve_ready(ip(host)).await;
+            ports.push(BalancerPort {
+                listen_ip: ip(host),
+                ready_address,
+            });
+            balancers.push(Balancer {
+                socket: UdpSocket::bind((ip(host), port)).await.expect("free"),
+                ip: ip(host),
+                status,
+            });
+        }
+        let fabric = FabricStandIn::bind(FabricArgs {
+            service: vec![SocketAddrV4::new(ip(1), port)],
+            balancer: ports,
+            upstream_ip: ip(1),
+            admin: SocketAddrV4::new(ip(1), 0),
+        });
+        let caller = UdpSocket::bind((ip(9), 0)).await.expect("a port is free");
+        let fixture = Self {
+            fabric: fabric.await.expect("the addresses are free"),
+            balancers,
+            caller,
+            client: Client::new(),
+        };
+        fixture.until_ready(&[true, true]).await;
+        fixture
+    }
+
+    async fn counts(&self) -> FabricCounts {
+        let url = format!("http://{}/admin/counts", self.fabric.admin());
+        let sent = self.client.get(url).send().await.expect("an answer");
+        sent.json().await.expect("the counts are JSON")
+    }
+
+    async fn until(&self, holds: impl Fn(&FabricCounts) -> bool) {
+        for _ in 0..POLLS {
+            if holds(&self.counts().await) {
+                return;
+            }
+            time::sleep(POLL).await;
+        }
+        panic!("the counts never got there: {:?}", self.counts().await);
+    }
+
+    async fn until_ready(&self, ready: &[bool]) {
+        self.until(|counts| {
+            let mut both = self.balancers.iter().zip(ready);
+            both.all(|(balancer, ready)| {
+                let counts = counts.balancers.get(&balancer.ip);
+                counts.is_some_and(|counts| counts.ready == Some(*ready))
+            })
+        })
+        .await;
+    }
+
+    async fn fault(&self, fault: &str) {
+        let url = format!("http://{}/admin/fault/{fault}", self.fabric.admin());
+        let sent = self.client.post(url).send().await.expect("an answer");
+        assert_eq!(sent.status(), 200);
+    }
+
+    async fn send(&self, packets: usize) {
+        for _ in 0..packets {
+            let service = self.fabric.services()[0];
+            self.caller.send_to(b"packet", service).await.expect("sent");
+        }
+    }
+
+    fn sent(&self, counts: &FabricCounts) -> Vec<u64> {
+        let balancers = self.balancers.iter();
+        balancers
+            .map(|balancer| counts.balancers[&balancer.ip].sent)
+            .collect()
+    }
+}
+
+async fn receive(socket: &UdpSocket) -> SocketAddr {
+    let mut buffer = [0; 100];
+    let received = time::timeout(RECEIVE_LIMIT, socket.recv_from(&mut buffer)).await;
+    received.expect("a packet comes").expect("a packet comes").1
+}
+
+#[tokio::test]
+async fn packets_are_sprayed_from_one_address() {
+    let fixture = Fixture::start(1).await;
+    fixture.send(4).await;
+    let mut sources = Vec::new();
+    for balancer in &fixture.balancers {
+        sources.push(receive(&balancer.socket).await);
+        sources.push(receive(&balancer.socket).await);
+    }
+    assert!(sources.iter().all(|source| *source == sources[0]));
+}
+
+#[tokio::test]
+async fn answers_come_from_the_address_of_the_service() {
+    let fixture = Fixture::start(2).await;
+    fixture.send(2).await;
+    for balancer in &fixture.balancers {
+        let upstream = receive(&balancer.socket).await;
+        balancer
+            .socket
+            .send_to(b"answer", upstream)
+            .await
+            .expect("sent");
+        assert_eq!(receive(&fixture.caller).await, fixture.fabric.services()[0]);
+    }
+}
+
+#[tokio::test]
+async fn balancer_that_is_not_ready_gets_no_packets() {
+    let fixture = Fixture::start(3).await;
+    fixture.balancers[0].status.store(503, Ordering::Relaxed);
+    fixture.until_ready(&[false, true]).await;
+    fixture.send(4).await;
+    fixture.until(|counts| fixture.sent(counts) == [0, 4]).await;
+}
+
+#[tokio::test]
+async fn packets_without_a_ready_balancer_are_counted() {
+    let fixture = Fixture::start(4).await;
+    for balancer in &fixture.balancers {
+        balancer.status.store(503, Ordering::Relaxed);
+    }
+    fixture.until_ready(&[false, false]).await;
+    fixture.send(3).await;
+    fixture.until(|counts| counts.without_balancer == 3).await;
+}
+
+#[rstest]
+#[case::cut(5, "cut/127.250.5.2", 2)]
+#[case::silence(6, "silence", 4)]
+#[case::lose(7, "lose/1000", 4)]
+#[tokio::test]
+async fn fault_loses_packets(#[case] third: u8, #[case] fault: &str, #[case] lost: u64) {
+    let fixture = Fixture::start(third).await;
+    let caller = fixture.caller.local_addr().expect("an address");
+    let fault = match fault {
+        "silence" => format!("silence/{caller}"),
+        other => other.to_owned(),
+    };
+    fixture.fault(&fault).await;
+    fixture.send(4).await;
+    fixture.until(|counts| counts.lost_by_fault == lost).await;
+}
+
+#[tokio::test]
+async fn duplicated_packets_come_twice() {
+    let fixture = Fixture::start(8).await;
+    fixture.fault("duplicate/1000").await;
+    fixture.send(2).await;
+    for balancer in &fixture.balancers {
+        receive(&balancer.socket).await;
+        receive(&balancer.socket).await;
+    }
+}
+
+#[tokio::test]
+async fn unknown_fault_is_refused() {
+    let fixture = Fixture::start(9).await;
+    let url = format!("http://{}/admin/fault/melt/1", fixture.fabric.admin());
+    let sent = fixture.client.post(url).send().await.expect("an answer");
+    assert_eq!(sent.status(), 400);
+}
