feat: serve the whole path with separate processes

Balancer and agent get their shells around the decision core: the carrier, flow tokens as connection IDs, HTTP/3 at the agent, membership over UDP, settings from the store and from peers, leases, control port, graceful stop.

A balancer that the store lists alone now joins at once, and lists are repeated fast at first.

--- a/crates/basilstep-agent/src/carrier/mod.rs
+++ b/crates/basilstep-agent/src/carrier/mod.rs
@@ -111,7 +111,8 @@
             return None;
         }
         let now_ms = self.shared.clock.now_ms();
-        self.lock_paths().note(header.caller, header.balancer, now_ms);
+        self.lock_paths()
+            .note(header.caller, header.balancer, now_ms);
         Some((header.caller, payload))
     }
 
@@ -180,7 +181,6 @@
             _ => Ok(()),
         }
     }
-
 }
 
 impl AsyncUdpSocket for CarrierSocket {
--- a/crates/basilstep-agent/src/connection_ids.rs
+++ b/crates/basilstep-agent/src/connection_ids.rs
@@ -2,7 +2,7 @@
 
 use crate::shared::Shared;
 use basilstep_core::token::{FlowToken, TOKEN_BYTES};
-use quinn::{ConnectionId, ConnectionIdGenerator, InvalidCid};
+use quinn::{ConnectionId, ConnectionIdGenerator};
 use std::{sync::Arc, time::Duration};
 
 /// The time after which a connection ID is replaced, so that its flow key can be retired.
@@ -33,15 +33,6 @@
         ConnectionId::new(&token.encode(&self.shared.flow_keys().current))
     }
 
-    fn validate(&self, id: &ConnectionId) -> Result<(), InvalidCid> {
-        let token = self.shared.flow_keys().decode(id).ok_or(InvalidCid)?;
-        if token.agent == self.shared.address() && token.service == self.shared.service_id() {
-            Ok(())
-        } else {
-            Err(InvalidCid)
-        }
-    }
-
     fn cid_len(&self) -> usize {
         TOKEN_BYTES
     }
--- a/crates/basilstep-agent/src/controller.rs
+++ b/crates/basilstep-agent/src/controller.rs
@@ -57,7 +57,7 @@
         incarnation: shared.incarnation,
         revision: 0,
         weight: shared.settings.target_weight,
-        phase: AgentPhase::Down,
+        phase: AgentPhase::Draining,
     };
     let mut announcer = Announcer::new(MembershipSettings::default(), MemberRecord::from(record));
     announcer.learn(balancers);
--- a/crates/basilstep-agent/src/endpoint.rs
+++ b/crates/basilstep-agent/src/endpoint.rs
@@ -40,7 +40,12 @@
     let generator = Arc::clone(shared);
     config.cid_generator(move || Box::new(TokenGenerator::new(Arc::clone(&generator))));
     let runtime = Arc::new(TokioRuntime);
-    Ok(Endpoint::new_with_abstract_socket(config, Some(server), socket, runtime)?)
+    Ok(Endpoint::new_with_abstract_socket(
+        config,
+        Some(server),
+        socket,
+        runtime,
+    )?)
 }
 
 /// Builds the TLS and transport configuration from PEM text.
@@ -76,7 +81,9 @@
     let mut discovery = quinn::MtuDiscoveryConfig::default();
     discovery.upper_bound(MTU_UPPER_BOUND_BYTES);
     transport
-        .max_idle_timeout(Some(IdleTimeout::from(quinn::VarInt::from_u32(IDLE_TIMEOUT_MS))))
+        .max_idle_timeout(Some(IdleTimeout::from(quinn::VarInt::from_u32(
+            IDLE_TIMEOUT_MS,
+        ))))
         .keep_alive_interval(Some(Duration::from_millis(KEEP_ALIVE_MS)))
         .max_concurrent_bidi_streams(MAX_STREAMS_PER_FLOW.into())
         .mtu_discovery_config(Some(discovery));
--- a/crates/basilstep-agent/src/flows.rs
+++ b/crates/basilstep-agent/src/flows.rs
@@ -52,7 +52,11 @@
 /// Waits until operators take the agent's failure domain out.
 async fn domain_out(shared: &Shared) {
     let mut in_force = shared.watch_in_force();
-    if in_force.wait_for(|settings| settings.is_domain_out()).await.is_err() {
+    if in_force
+        .wait_for(|settings| settings.is_domain_out())
+        .await
+        .is_err()
+    {
         std::future::pending::<()>().await;
     }
 }
@@ -97,7 +101,11 @@
     let (mut head, mut body) = response.into_parts();
     remove_hop_by_hop(&mut head.headers);
     head.version = http::Version::HTTP_3;
-    if stream.send_response(Response::from_parts(head, ())).await.is_err() {
+    if stream
+        .send_response(Response::from_parts(head, ()))
+        .await
+        .is_err()
+    {
         return;
     }
     while let Some(frame) = body.frame().await {
--- a/crates/basilstep-agent/src/health.rs
+++ b/crates/basilstep-agent/src/health.rs
@@ -33,7 +33,9 @@
         } else {
             failures + 1
         };
-        shared.set_target_up(failures < FAILURES_UNTIL_DOWN && (failures == 0 || shared.is_target_up()));
+        shared.set_target_up(
+            failures < FAILURES_UNTIL_DOWN && (failures == 0 || shared.is_target_up()),
+        );
         let phase = phase_of(&shared);
         if controller.send(PhaseChanged(phase)).await.is_err() {
             return;
@@ -43,10 +45,10 @@
 }
 
 fn phase_of(shared: &Shared) -> AgentPhase {
-    match (shared.is_target_up(), shared.is_draining()) {
-        (_, true) => AgentPhase::Draining,
-        (true, false) => AgentPhase::Serving,
-        (false, false) => AgentPhase::Down,
+    if shared.is_target_up() && !shared.is_draining() {
+        AgentPhase::Serving
+    } else {
+        AgentPhase::Draining
     }
 }
 
--- a/crates/basilstep-agent/src/main.rs
+++ b/crates/basilstep-agent/src/main.rs
@@ -98,8 +98,14 @@
     let _port = ControlServer::spawn(common.address, shared.keys.control, counters, port).await?;
     tokio::spawn(pass_on_datagrams(received, controller.clone()));
     tokio::spawn(tick(controller.clone()));
-    tokio::spawn(fetch_newer_settings(Arc::clone(&shared), controller.clone()));
-    tokio::spawn(health::watch_target(Arc::clone(&shared), controller.clone()));
+    tokio::spawn(fetch_newer_settings(
+        Arc::clone(&shared),
+        controller.clone(),
+    ));
+    tokio::spawn(health::watch_target(
+        Arc::clone(&shared),
+        controller.clone(),
+    ));
     tokio::spawn(flows::accept_flows(Arc::clone(&shared), endpoint.clone()));
     tokio::spawn(report_metrics(
         Metrics::open("basilstep.agent", common.metrics_address)?,
--- a/crates/basilstep-agent/src/target.rs
+++ b/crates/basilstep-agent/src/target.rs
@@ -26,7 +26,10 @@
 /// # Errors
 ///
 /// Returns a code that says whether the target may have seen the request.
-pub async fn send<B>(shared: &Arc<Shared>, request: Request<B>) -> Result<Response<Incoming>, ResultCode>
+pub async fn send<B>(
+    shared: &Arc<Shared>,
+    request: Request<B>,
+) -> Result<Response<Incoming>, ResultCode>
 where
     B: Body<Data = Bytes> + Send + Unpin + 'static,
     B::Error: std::error::Error + Send + Sync + 'static,
@@ -42,13 +45,16 @@
         .or(Err(ResultCode::TargetUnreachable))?;
     tokio::spawn(connection);
     let request = to_target(shared, request);
-    sender.try_send_request(request).await.map_err(|mut failed| {
-        if failed.take_message().is_some() {
-            ResultCode::TargetUnreachable
-        } else {
-            ResultCode::TargetLost
-        }
-    })
+    sender
+        .try_send_request(request)
+        .await
+        .map_err(|mut failed| {
+            if failed.take_message().is_some() {
+                ResultCode::TargetUnreachable
+            } else {
+                ResultCode::TargetLost
+            }
+        })
 }
 
 fn to_target<B>(shared: &Shared, request: Request<B>) -> Request<B> {
--- a/crates/basilstep-balancer/src/controller.rs
+++ b/crates/basilstep-balancer/src/controller.rs
@@ -2,7 +2,7 @@
 
 use crate::{listeners::Listeners, shared::Shared};
 use basilstep_core::{
-    address::{AgentAddress, BalancerAddress, DomainId, ServiceId},
+    address::{AgentAddress, BalancerAddress, DomainId, Incarnation, ServiceId},
     context::Context as Environment,
     membership::{
         Action, AgentPhase, BalancerRecord, Membership, MembershipMessage, MembershipSettings,
@@ -19,6 +19,7 @@
 use xtra::{Actor, Address, Context, Handler, Mailbox};
 
 const DATAGRAM_BYTES: usize = 1_500;
+const MAILBOX: usize = 4_096;
 
 /// Holds the settings and the membership view of one balancer.
 #[derive(Debug)]
@@ -47,6 +48,8 @@
     pub carrier: Arc<UdpSocket>,
     /// What the balancer announces about itself.
     pub record: BalancerRecord,
+    /// The first settings.
+    pub settings: SettingsState,
 }
 
 impl Actor for Controller {
@@ -64,22 +67,39 @@
 pub fn spawn(parts: Parts) -> Address<Controller> {
     let mut environment = parts.shared.clock.context();
     let settings = MembershipSettings::default();
-    let membership = Membership::new(settings, parts.record, &mut environment);
-    let cluster_key = parts.shared.settings.common.cluster_key.clone();
-    let controller = Controller {
+    let mut membership = Membership::new(settings, parts.record, &mut environment);
+    // Seeds are known by address only; what they announce replaces these records.
+    let seeds: Vec<BalancerRecord> = parts
+        .shared
+        .settings
+        .common
+        .seeds
+        .iter()
+        .map(|seed| BalancerRecord {
+            address: BalancerAddress(*seed),
+            ..parts.record
+        })
+        .map(|seed| BalancerRecord {
+            incarnation: Incarnation::default(),
+            ..seed
+        })
+        .collect();
+    membership.on_store_list(&seeds, &mut environment);
+    let mut controller = Controller {
         client: ControlClient::open(parts.shared.keys.control),
         shared: parts.shared,
         listeners: parts.listeners,
         carrier: parts.carrier,
         environment,
-        settings: SettingsState::new(cluster_key),
+        settings: parts.settings,
         membership,
         own: None,
         is_table_outdated: true,
         store_is_behind: false,
         is_stopping: false,
     };
-    xtra::spawn_tokio(controller, Mailbox::bounded(4_096))
+    controller.settings_changed();
+    xtra::spawn_tokio(controller, Mailbox::bounded(MAILBOX))
 }
 
 /// Time passes.
@@ -158,9 +178,9 @@
             Err(error) => return self.shared.counters.count(error.code()),
         };
         self.shared.clock.refresh(&mut self.environment);
-        let actions =
-            self.membership
-                .on_datagram(received.from, &message, &mut self.environment);
+        let actions = self
+            .membership
+            .on_datagram(received.from, &message, &mut self.environment);
         self.carry_out(actions);
     }
 }
@@ -230,10 +250,7 @@
     type Return = bool;
 
     async fn handle(&mut self, _: WatchesStore, _: &mut Context<Self>) -> bool {
-        self.settings.version() == 0
-            || self
-                .membership
-                .is_store_watcher(self.shared.clock.now_ms())
+        self.settings.version() == 0 || self.membership.is_store_watcher(self.shared.clock.now_ms())
     }
 }
 
--- a/crates/basilstep-balancer/src/egress.rs
+++ b/crates/basilstep-balancer/src/egress.rs
@@ -1,9 +1,6 @@
 //! The carrier socket: answers of agents on their way to callers, and membership messages.
 
-use crate::{
-    listeners::Listeners,
-    shared::Shared,
-};
+use crate::{listeners::Listeners, shared::Shared};
 use basilstep_core::{
     codes::ResultCode,
     wire::{CarrierHeader, Leg, MEMBERSHIP_VERSION, decode_frame},
--- a/crates/basilstep-balancer/src/ingress.rs
+++ b/crates/basilstep-balancer/src/ingress.rs
@@ -99,7 +99,9 @@
             return self.shared.counters.count(ResultCode::Malformed);
         };
         // A datagram that the socket does not take now is lost; QUIC repairs that.
-        let sent = self.carrier.try_send_to(&self.frame[..length], agent.0.into());
+        let sent = self
+            .carrier
+            .try_send_to(&self.frame[..length], agent.0.into());
         if sent.is_ok() {
             self.shared.carried.fetch_add(1, Ordering::Relaxed);
         }
--- a/crates/basilstep-balancer/src/listeners.rs
+++ b/crates/basilstep-balancer/src/listeners.rs
@@ -44,13 +44,23 @@
     }
 
     /// Opens and closes sockets until they match the settings in force.
-    pub fn follow(self: &Arc<Self>, shared: &Arc<Shared>, carrier: &Arc<UdpSocket>, view: &SettingsView) {
+    pub fn follow(
+        self: &Arc<Self>,
+        shared: &Arc<Shared>,
+        carrier: &Arc<UdpSocket>,
+        view: &SettingsView,
+    ) {
         self.close_stale(view, &shared.settings);
         let missing: Vec<(ServiceId, SocketAddrV4)> = view
             .services
             .iter()
             .filter(|(id, _)| self.socket_of(**id).is_none())
-            .map(|(id, service)| (*id, listen_address(&shared.settings, service.record.address)))
+            .map(|(id, service)| {
+                (
+                    *id,
+                    listen_address(&shared.settings, service.record.address),
+                )
+            })
             .collect();
         for (service, address) in missing {
             match open_listener(shared, carrier, service, address) {
@@ -78,9 +88,9 @@
     fn close_stale(&self, view: &SettingsView, settings: &BalancerSettings) {
         let mut open = self.open.write().unwrap_or_else(PoisonError::into_inner);
         open.retain(|id, listener| {
-            view.services
-                .get(id)
-                .is_some_and(|service| listen_address(settings, service.record.address) == listener.address)
+            view.services.get(id).is_some_and(|service| {
+                listen_address(settings, service.record.address) == listener.address
+            })
         });
     }
 }
--- a/crates/basilstep-balancer/src/main.rs
+++ b/crates/basilstep-balancer/src/main.rs
@@ -18,7 +18,9 @@
     settings::{BalancerFlags, BalancerSettings},
     shared::Shared,
 };
-use basilstep_core::{address::DomainId, codes::ResultCode, membership::BalancerRecord};
+use basilstep_core::{
+    address::DomainId, codes::ResultCode, membership::BalancerRecord, settings::SettingsState,
+};
 use basilstep_node::{
     clock::{Clock, new_incarnation},
     control::ControlServer,
@@ -63,11 +65,19 @@
 async fn run(settings: BalancerSettings) -> Result<(), Box<dyn Error>> {
     let common = settings.common.clone();
     let shared = Arc::new(Shared::new(settings, Clock::start()));
+    let store = ConsulStore::open(&common.store, common.store_token.as_deref())?;
+    if let Some(address) = shared.settings.ready_address {
+        ready::spawn(address, shared.readiness.clone()).await?;
+    }
+    let first = tokio::select! {
+        first = store_link::first_settings(&shared, &store) => first,
+        stopped = stop::requested() => return Ok(stopped?),
+    };
     let carrier = Arc::new(bind_udp(common.address, false)?);
     let listeners = Arc::new(Listeners::default());
     let record = BalancerRecord {
         address: shared.address(),
-        domain: DomainId::default(),
+        domain: own_domain(&first, &common.domain),
         incarnation: new_incarnation(),
     };
     let controller = controller::spawn(Parts {
@@ -75,6 +85,7 @@
         listeners: Arc::clone(&listeners),
         carrier: Arc::clone(&carrier),
         record,
+        settings: first,
     });
     let (datagrams, received) = mpsc::channel(MEMBERSHIP_QUEUE);
     let answers = egress::carry_answers(
@@ -97,11 +108,10 @@
     });
     let counters = Arc::clone(&shared.counters);
     let _port = ControlServer::spawn(common.address, shared.keys.control, counters, port).await?;
-    if let Some(address) = shared.settings.ready_address {
-        ready::spawn(address, shared.readiness.clone()).await?;
-    }
-    let store = ConsulStore::open(&common.store, common.store_token.as_deref())?;
-    tokio::spawn(store_link::list_balancers(store.clone(), controller.clone()));
+    tokio::spawn(store_link::list_balancers(
+        store.clone(),
+        controller.clone(),
+    ));
     tokio::spawn(store_link::watch_settings(
         Arc::clone(&shared),
         store.clone(),
@@ -117,6 +127,11 @@
     Ok(())
 }
 
+fn own_domain(settings: &SettingsState, name: &str) -> DomainId {
+    let domain = settings.view().domains.get(name);
+    domain.map(|domain| domain.id).unwrap_or_default()
+}
+
 /// Says that the balancer is not ready, and carries on until the fabric has noticed.
 async fn leave(shared: &Shared, controller: &Address<Controller>) {
     log::info!("the balancer leaves");
--- a/crates/basilstep-balancer/src/store_link.rs
+++ b/crates/basilstep-balancer/src/store_link.rs
@@ -4,19 +4,68 @@
     controller::{BalancersListed, Controller, StoreAnswered, WatchesStore},
     shared::Shared,
 };
-use basilstep_core::membership::BalancerRecord;
-use basilstep_node::store::{
-    BALANCERS_PREFIX, Backoff, ConsulStore, LeaseHandle, LeaseSettings, SETTINGS_PREFIX, Store,
-    spawn_lease,
+use basilstep_core::{
+    membership::{BalancerRecord, SettingsDelta},
+    settings::{Entry, SettingsState},
 };
-use std::{sync::Arc, time::Duration};
+use basilstep_node::{
+    control::ControlClient,
+    store::{
+        BALANCERS_PREFIX, Backoff, ConsulStore, LeaseHandle, LeaseSettings, SETTINGS_PREFIX, Store,
+        spawn_lease,
+    },
+};
+use std::{net::SocketAddrV4, sync::Arc, time::Duration};
 use tokio::time::sleep;
 use xtra::Address;
 
 const BACKOFF_MIN_MS: u64 = 200;
 const BACKOFF_MAX_MS: u64 = 5_000;
 const ROLE_CHECK_MS: u64 = 1_000;
-const LIST_INTERVAL_MS: u64 = 60_000;
+const FIRST_LIST_INTERVAL_MS: u64 = 500;
+const LIST_INTERVAL_MS: u64 = 120_000;
+
+/// Reads settings, from the store or from a seed, until the own failure domain is known.
+pub async fn first_settings(shared: &Shared, store: &ConsulStore) -> SettingsState {
+    let common = &shared.settings.common;
+    let client = ControlClient::open(shared.keys.control);
+    let mut state = SettingsState::new(common.cluster_key.clone());
+    let mut backoff = Backoff::new(BACKOFF_MIN_MS, BACKOFF_MAX_MS);
+    loop {
+        match store.read_tree(SETTINGS_PREFIX).await {
+            Ok(reading) => {
+                state.apply_reading(reading.index, reading.entries);
+            }
+            Err(error) => {
+                log::warn!(code = error.code().number(); "the store: {error}");
+                ask_seeds(&common.seeds, &client, &mut state).await;
+            }
+        }
+        if state.view().domains.contains_key(&common.domain) {
+            return state;
+        }
+        if backoff.failures().is_multiple_of(10) {
+            log::warn!(domain = common.domain; "waiting for settings that name the own domain");
+        }
+        let pause = backoff.next_pause(&mut rand::rng());
+        sleep(pause).await;
+    }
+}
+
+async fn ask_seeds(seeds: &[SocketAddrV4], client: &ControlClient, state: &mut SettingsState) {
+    for seed in seeds {
+        let Ok(body) = client.get(*seed, "/settings?above=0").await else {
+            continue;
+        };
+        if let Ok(delta) = serde_json::from_slice::<SettingsDelta>(&body) {
+            for entry in delta.entries {
+                state.apply(entry);
+            }
+            state.reach(delta.version);
+            return;
+        }
+    }
+}
 
 /// Keeps the balancer's lease, so that starting processes find it.
 pub fn keep_lease(store: &ConsulStore, record: &BalancerRecord) -> LeaseHandle {
@@ -28,9 +77,12 @@
 /// Lists the balancers with a lease at start and then now and then, to find ones never heard of.
 pub async fn list_balancers(store: ConsulStore, controller: Address<Controller>) {
     let mut backoff = Backoff::new(BACKOFF_MIN_MS, BACKOFF_MAX_MS);
+    // Balancers that start together miss each other in the first lists.
+    let mut calm = Backoff::new(FIRST_LIST_INTERVAL_MS, LIST_INTERVAL_MS);
     loop {
         let Ok(reading) = store.read_tree(BALANCERS_PREFIX).await else {
-            sleep(backoff.next_pause(&mut rand::rng())).await;
+            let pause = backoff.next_pause(&mut rand::rng());
+            sleep(pause).await;
             continue;
         };
         backoff.reset();
@@ -38,13 +90,13 @@
         if controller.send(BalancersListed(records)).await.is_err() {
             return;
         }
-        let jitter_ms = rand::random::<u64>() % LIST_INTERVAL_MS;
-        sleep(Duration::from_millis(LIST_INTERVAL_MS + jitter_ms)).await;
+        let pause = calm.next_pause(&mut rand::rng());
+        sleep(pause).await;
     }
 }
 
 /// Reads the balancers' records from their leases.
-pub fn parse_balancers(entries: &[basilstep_core::settings::Entry]) -> Vec<BalancerRecord> {
+pub fn parse_balancers(entries: &[Entry]) -> Vec<BalancerRecord> {
     entries
         .iter()
         .filter_map(|entry| serde_json::from_str(entry.value.as_deref()?).ok())
@@ -73,7 +125,11 @@
             Ok(reading) => {
                 backoff.reset();
                 // A lower index says that the store was restored: watch from its start again.
-                index = if reading.index < index { 0 } else { reading.index };
+                index = if reading.index < index {
+                    0
+                } else {
+                    reading.index
+                };
                 if controller.send(StoreAnswered(reading)).await.is_err() {
                     return;
                 }
@@ -81,7 +137,8 @@
             Err(error) => {
                 log::warn!(code = error.code().number(); "the store: {error}");
                 shared.counters.count(error.code());
-                sleep(backoff.next_pause(&mut rand::rng())).await;
+                let pause = backoff.next_pause(&mut rand::rng());
+                sleep(pause).await;
             }
         }
     }
--- a/crates/basilstep-core/src/membership/record.rs
+++ b/crates/basilstep-core/src/membership/record.rs
@@ -26,9 +26,9 @@
 pub enum AgentPhase {
     /// Takes new flows.
     Serving,
-    /// Keeps its flows and takes no new ones.
+    /// Keeps its flows and takes no new ones: it is about to stop, or its target is lost.
     Draining,
-    /// Has lost its target or has stopped.
+    /// Has stopped; its flows have ended.
     Down,
 }
 
--- a/crates/basilstep-core/src/membership/state.rs
+++ b/crates/basilstep-core/src/membership/state.rs
@@ -13,6 +13,7 @@
 use crate::{
     address::{AgentAddress, BalancerAddress, DomainId, ServiceId},
     context::Context,
+    steering::DeadAgent,
 };
 use rand::RngExt;
 use serde::Serialize;
@@ -187,6 +188,19 @@
         Some((record, self.table.is_live(member, now_ms)))
     }
 
+    /// Returns the runs of agents that are known to have ended or to be out of reach.
+    pub fn dead_agents(&self, now_ms: u64) -> impl Iterator<Item = DeadAgent> {
+        self.table
+            .members()
+            .values()
+            .filter(move |member| !self.table.is_live(member, now_ms))
+            .filter_map(|member| member.record.as_agent())
+            .map(|agent| DeadAgent {
+                address: agent.address,
+                incarnation: agent.incarnation,
+            })
+    }
+
     /// Returns the live balancers, this one included.
     pub fn balancers(&self, now_ms: u64) -> impl Iterator<Item = BalancerRecord> {
         self.table
@@ -245,11 +259,17 @@
         ctx: &mut Context,
     ) -> Vec<Action> {
         let mut actions = Vec::new();
-        for balancer in balancers {
-            if balancer.address.0 != self.own().address {
-                self.take_record(MemberRecord::from(*balancer), ctx, &mut actions);
-                self.rumours.drop_news(balancer.address.0);
-            }
+        let own = self.own().address;
+        let others = balancers.iter().filter(|other| other.address.0 != own);
+        let mut is_alone = true;
+        for balancer in others {
+            is_alone = false;
+            self.take_record(MemberRecord::from(*balancer), ctx, &mut actions);
+            self.rumours.drop_news(balancer.address.0);
+        }
+        if is_alone {
+            // Nobody has a view to hand over: the own one is the first.
+            self.finish_join();
         }
         actions
     }
--- a/crates/basilstep-core/src/settings/state.rs
+++ b/crates/basilstep-core/src/settings/state.rs
@@ -1,6 +1,7 @@
 use super::{
     records::{
-        AddressClaim, DomainRecord, DomainState, FlowKeysRecord, SealedFlowKey, ServiceRecord,
+        AddressClaim, CertificateRecord, DomainRecord, DomainState, FlowKeysRecord, SealedFlowKey,
+        ServiceRecord,
     },
     view::{ServiceView, SettingsView},
 };
@@ -89,6 +90,18 @@
         &self.rejections
     }
 
+    /// Notes that all changes up to `version` that concern this process have been applied.
+    pub fn reach(&mut self, version: u64) {
+        self.version = self.version.max(version);
+    }
+
+    /// Returns the certificate in force of the service at this path.
+    pub fn certificate_of(&self, service_path: &str) -> Option<CertificateRecord> {
+        let path = service_path.replacen("/services/", "/certificates/", 1);
+        let value = self.entries.get(&path)?.value.as_deref()?;
+        parse(value).ok()
+    }
+
     /// Takes one entry, whoever it comes from; never goes back to an older version of a path.
     pub fn apply(&mut self, entry: Entry) -> Applied {
         let seen = self.seen.get(&entry.path).copied().unwrap_or(0);
--- a/crates/basilstep-core/src/wire.rs
+++ b/crates/basilstep-core/src/wire.rs
@@ -16,6 +16,9 @@
 /// The first byte of each datagram between our processes.
 pub const WIRE_VERSION: u8 = 1;
 
+/// The first byte of each membership message.
+pub const MEMBERSHIP_VERSION: u8 = 2;
+
 /// How much of the payload the authentication code covers, in bytes.
 pub const SEALED_PAYLOAD_BYTES: usize = 64;
 
@@ -179,7 +182,7 @@
         .len();
     let end = SEALED_AT + length;
     let code = key.code(&[&buffer[SEALED_AT..end]]).to_be_bytes();
-    buffer[0] = WIRE_VERSION;
+    buffer[0] = MEMBERSHIP_VERSION;
     buffer[CODE_AT..SEALED_AT].copy_from_slice(&code);
     Ok(end)
 }
@@ -194,7 +197,7 @@
     key: &ShortKey,
     datagram: &[u8],
 ) -> Result<M, FrameError> {
-    if datagram.len() <= SEALED_AT || datagram[0] != WIRE_VERSION {
+    if datagram.len() <= SEALED_AT || datagram[0] != MEMBERSHIP_VERSION {
         return Err(FrameError::Malformed);
     }
     let message = &datagram[SEALED_AT..];
--- a/crates/basilstep-node/src/lib.rs
+++ b/crates/basilstep-node/src/lib.rs
@@ -8,3 +8,4 @@
 pub mod logs;
 pub mod metrics;
 pub mod stop;
+pub mod store;
--- /dev/null
+++ b/crates/basilstep-node/src/store/messages.rs
@@ -0,0 +1,92 @@
+use basilstep_core::{codes::ResultCode, settings::Entry};
+use std::fmt;
+
+/// All records below a prefix at one moment.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Reading {
+    /// The store's index for the prefix; rises with each write or removal below it.
+    pub index: u64,
+    /// The records, their paths without the prefix.
+    pub entries: Vec<Entry>,
+}
+
+/// One record with the session that holds it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Record {
+    /// The version, for a compare-and-swap write.
+    pub version: u64,
+    /// The value.
+    pub value: String,
+    /// The session that holds the record, if any.
+    pub session: Option<SessionId>,
+}
+
+/// The identifier of a session.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct SessionId(pub String);
+
+impl fmt::Display for SessionId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+/// What became of a write.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum WriteOutcome {
+    /// It took effect.
+    Written,
+    /// It had no effect: the record has another version or another holder.
+    Conflict,
+    /// The answer was lost; it may have taken effect.
+    Unknown,
+}
+
+/// What became of a renewal.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Renewal {
+    /// The session goes on.
+    Renewed,
+    /// The session is over, and what it held has been removed.
+    Lapsed,
+}
+
+/// A failed call; a write that failed so had no effect.
+#[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
+pub enum StoreError {
+    /// The address of the store is not a usable URL.
+    #[error("the store's address {url:?} is not an http:// URL")]
+    BadUrl {
+        /// The address as given.
+        url: String,
+    },
+    /// No connection, or no answer in time.
+    #[error("the store did not answer: {reason}")]
+    Unavailable {
+        /// What the HTTP client reported.
+        reason: String,
+    },
+    /// The token does not allow the call.
+    #[error("the store's token does not allow it: {reason}")]
+    Forbidden {
+        /// What the store answered.
+        reason: String,
+    },
+    /// The answer is not what the API promises.
+    #[error("the store's answer is not usable: {reason}")]
+    BadAnswer {
+        /// What is wrong with it.
+        reason: String,
+    },
+}
+
+impl StoreError {
+    /// Returns the numbered code.
+    pub const fn code(&self) -> ResultCode {
+        match self {
+            Self::BadUrl { .. } => ResultCode::InvalidSetting,
+            Self::Unavailable { .. } | Self::BadAnswer { .. } => ResultCode::StoreUnavailable,
+            Self::Forbidden { .. } => ResultCode::ForeignSubtree,
+        }
+    }
+}
--- /dev/null
+++ b/crates/basilstep-node/src/store/settings.rs
@@ -0,0 +1,57 @@
+use serde::{Deserialize, Serialize};
+
+/// How the store is called.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct StoreSettings {
+    /// The longest time to open a connection.
+    pub connect_timeout_ms: u64,
+    /// The longest time of a call that does not wait for a change.
+    pub call_timeout_ms: u64,
+    /// The longest wait for a change; each wait is up to a fifth shorter, at random.
+    pub watch_wait_ms: u64,
+    /// The pause after the first failure in a row.
+    pub retry_min_ms: u64,
+    /// The longest pause after a failure.
+    pub retry_max_ms: u64,
+    /// The shortest time between two readings of one watch.
+    pub watch_interval_ms: u64,
+    /// The largest answer that is read.
+    pub answer_limit_bytes: u64,
+}
+
+impl Default for StoreSettings {
+    fn default() -> Self {
+        Self {
+            connect_timeout_ms: 1_000,
+            call_timeout_ms: 10_000,
+            watch_wait_ms: 30_000,
+            retry_min_ms: 250,
+            retry_max_ms: 10_000,
+            watch_interval_ms: 200,
+            answer_limit_bytes: 64 * 1024 * 1024,
+        }
+    }
+}
+
+/// How a lease is kept.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct LeaseSettings {
+    /// How long the lease lasts without a renewal.
+    pub ttl_ms: u64,
+    /// The time between renewals.
+    pub renew_interval_ms: u64,
+    /// How long before its end, by the holder's clock, a lease counts as lapsed.
+    pub margin_ms: u64,
+}
+
+impl Default for LeaseSettings {
+    fn default() -> Self {
+        Self {
+            ttl_ms: 15_000,
+            renew_interval_ms: 5_000,
+            margin_ms: 1_000,
+        }
+    }
+}
