--- a/crates/basilstep-bench/src/demo/mod.rs
+++ b/crates/basilstep-bench/src/demo/mod.rs
@@ -6,6 +6,8 @@
 pub mod plan;
 pub mod records;
 mod run;
+#[cfg(test)]
+mod tests;
 
 use argh::FromArgs;
 use std::{env, path::PathBuf, process::ExitCode};
--- a/crates/basilstep-bench/src/demo/run.rs
+++ b/crates/basilstep-bench/src/demo/run.rs
@@ -52,6 +52,9 @@
     /// Something was not up in time.
     #[error("{0} was not up in time")]
     NotUp(String),
+    /// Processes ended before all were up.
+    #[error("ended at the start: {0:?}")]
+    Ended(Vec<String>),
 }
 
 struct Demo {
@@ -145,7 +148,7 @@
     }
 
     /// Waits until the fabric finds all balancers ready.
-    async fn until_ready(&self) -> Result<(), DemoError> {
+    async fn until_ready(&mut self) -> Result<(), DemoError> {
         let limit = Instant::now() + START_LIMIT;
         loop {
             let counts = self.observer.fabric(&self.plan).await?;
@@ -157,6 +160,10 @@
             if Instant::now() > limit {
                 return Err(DemoError::NotUp(late.name.clone()));
             }
+            let ended = self.fleet.unexpected_ends();
+            if !ended.is_empty() {
+                return Err(DemoError::Ended(ended));
+            }
             time::sleep(START_POLL).await;
         }
     }
--- /dev/null
+++ b/crates/basilstep-bench/src/demo/tests.rs
@@ -0,0 +1,80 @@
+use super::{counts::DemoResult, observer::max_over_mean};
+use crate::standins::caller::Ending;
+use rstest::rstest;
+use std::collections::BTreeMap;
+
+fn kept() -> DemoResult {
+    let mut result = DemoResult::default();
+    result.callers.answers_whole = 1;
+    result.requests_to_returned_domain = 1;
+    result.imbalance_max_over_mean = 1.0;
+    result
+}
+
+#[test]
+fn kept_promises_are_no_failure() {
+    let mut result = kept();
+    result.judge();
+    assert_eq!(result.broken_promises, Vec::<String>::new());
+}
+
+#[rstest]
+#[case::flow(|result: &mut DemoResult| result.callers.flows_broken = 1)]
+#[case::line(|result: &mut DemoResult| result.callers.board_gaps = 1)]
+#[case::cut(|result: &mut DemoResult| result.callers.boards_cut = 1)]
+#[case::wrong(|result: &mut DemoResult| result.callers.answers_wrong = 1)]
+#[case::misrouted(|result: &mut DemoResult| result.misrouted_packets = 1)]
+#[case::twice(|result: &mut DemoResult| result.ran_twice = 1)]
+#[case::ran(|result: &mut DemoResult| result.not_run_but_ran = 1)]
+#[case::not_run(|result: &mut DemoResult| result.answered_but_not_run = 1)]
+#[case::fell_over(|result: &mut DemoResult| result.targets_fell_over = 1)]
+#[case::end(|result: &mut DemoResult| result.unexpected_ends.push(String::new()))]
+#[case::stop(|result: &mut DemoResult| result.failed_stops.push(String::new()))]
+#[case::out(|result: &mut DemoResult| result.packets_to_out_domain_after_s = 5.1)]
+#[case::leaving(|result: &mut DemoResult| result.requests_to_leaving_after_s = 5.1)]
+#[case::imbalance(|result: &mut DemoResult| result.imbalance_max_over_mean = 1.6)]
+#[case::silence(|result: &mut DemoResult| result.callers.answers_whole = 0)]
+#[case::no_return(|result: &mut DemoResult| result.requests_to_returned_domain = 0)]
+fn each_broken_promise_is_named(#[case] break_it: fn(&mut DemoResult)) {
+    let mut result = kept();
+    break_it(&mut result);
+    result.judge();
+    assert_eq!(result.broken_promises.len(), 1);
+}
+
+#[rstest]
+#[case::answered_and_ran(Ending::Answered, 1, (0, 0, 0))]
+#[case::answered_and_ran_twice(Ending::Answered, 2, (1, 0, 0))]
+#[case::answered_and_did_not_run(Ending::Answered, 0, (0, 0, 1))]
+#[case::refused_and_ran(Ending::NotRun, 1, (0, 1, 0))]
+#[case::refused_and_did_not_run(Ending::NotRun, 0, (0, 0, 0))]
+#[case::unknown_and_ran(Ending::Unknown, 1, (0, 0, 0))]
+#[case::unknown_and_did_not_run(Ending::Unknown, 0, (0, 0, 0))]
+#[case::unknown_and_ran_twice(Ending::Unknown, 2, (1, 0, 0))]
+fn offers_are_compared_with_their_runs(
+    #[case] ending: Ending,
+    #[case] runs: u32,
+    #[case] expected: (u64, u64, u64),
+) {
+    let endings = BTreeMap::from([("offer".to_owned(), ending)]);
+    let mut all = BTreeMap::new();
+    if runs > 0 {
+        all.insert("offer".to_owned(), runs);
+    }
+    let mut result = kept();
+    result.compare_offers(&endings, &all);
+    let seen = (
+        result.ran_twice,
+        result.not_run_but_ran,
+        result.answered_but_not_run,
+    );
+    assert_eq!(seen, expected);
+}
+
+#[rstest]
+#[case::nothing(&[0, 0], 1.0)]
+#[case::even(&[3, 3, 3], 1.0)]
+#[case::all_on_one(&[6, 0, 0], 3.0)]
+fn imbalance_is_the_largest_over_the_mean(#[case] numbers: &[u32], #[case] expected: f64) {
+    assert!((max_over_mean(numbers) - expected).abs() < 1e-9);
+}
--- a/crates/basilstep-bench/src/standins/caller/mod.rs
+++ b/crates/basilstep-bench/src/standins/caller/mod.rs
@@ -10,5 +10,5 @@
 
 pub use counts::{CallerCounts, Ending, Tally};
 pub use flow::{Answer, Board, Flow, FlowError, FlowSettings, Loss, RequestError};
-pub use operation::{Kind, Operation};
+pub use operation::{Kind, Next, Operation};
 pub use session::{Caller, CallerSettings, OutTargets};
--- a/crates/basilstep-bench/src/standins/caller/operation.rs
+++ b/crates/basilstep-bench/src/standins/caller/operation.rs
@@ -87,6 +87,11 @@
         }
     }
 
+    /// Returns the kind of the request.
+    pub fn kind(&self) -> Kind {
+        self.kind
+    }
+
     /// Makes one attempt; `ticket` is the newest that the caller has.
     pub async fn attempt(
         &mut self,
--- a/crates/basilstep-bench/src/standins/fabric.rs
+++ b/crates/basilstep-bench/src/standins/fabric.rs
@@ -13,13 +13,14 @@
 //! For each service address there is one socket that faces callers. Each caller of a service gets
 //! one more socket towards the balancers, so that all balancers see the same address for it.
 
+mod counts;
 mod faults;
 
 use super::http::{Body, Cut, answer, json, serve};
 use argh::FromArgs;
+pub use counts::{BalancerCounts, FabricCounts};
 use faults::{Fate, Faults};
 use hyper::{Method, Request, Response, body::Incoming};
-use serde::{Deserialize, Serialize};
 use std::{
     collections::BTreeMap,
     io,
@@ -69,34 +70,6 @@
     pub ready_address: SocketAddrV4,
 }
 
-/// What the fabric has counted, at `GET /admin/counts`.
-#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
-pub struct FabricCounts {
-    /// By the listen address of each balancer.
-    pub balancers: BTreeMap<Ipv4Addr, BalancerCounts>,
-    /// Callers that are known.
-    pub callers: usize,
-    /// Packets that no balancer could be sent.
-    pub without_balancer: u64,
-    /// Packets lost by a fault that is switched on.
-    pub lost_by_fault: u64,
-    /// Packets of callers above the most that the fabric remembers.
-    pub above_caller_limit: u64,
-}
-
-/// What the fabric has counted of one balancer.
-#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
-pub struct BalancerCounts {
-    /// Packets sent to it.
-    pub sent: u64,
-    /// Packets that came back from it.
-    pub answered: u64,
-    /// Time of the last packet sent to it, in ms since the epoch.
-    pub last_sent_ms: u64,
-    /// Whether it says that it is ready; `None` before the first poll.
-    pub ready: Option<bool>,
-}
-
 #[derive(Debug, Default)]
 struct State {
     counts: FabricCounts,
--- /dev/null
+++ b/crates/basilstep-bench/tests/caller.rs
@@ -0,0 +1,177 @@
+//! The caller stand-in against a server that refuses, loses and mixes up answers.
+
+mod support;
+
+use basilstep_bench::standins::caller::{
+    Caller, CallerCounts, CallerSettings, Ending, Flow, Kind, Next, Operation, OutTargets, Tally,
+};
+use rstest::rstest;
+use std::time::Duration;
+use support::{Reply, SERVICE, ScriptedServer, TARGET, TICKET};
+use tokio::time;
+
+const POLL: Duration = Duration::from_millis(5);
+const POLLS: usize = 2_000;
+
+/// Makes attempts as a caller does until the operation ends.
+async fn run_to_end(server: &ScriptedServer, mut operation: Operation, tally: &Tally) {
+    let mut ticket = Some(TICKET.to_owned());
+    for _ in 0..20 {
+        let flow = Flow::open(&server.flow_settings()).await.expect("a flow");
+        loop {
+            match operation.attempt(&flow, SERVICE, &mut ticket, tally).await {
+                Next::Ended => return,
+                Next::Retry(wait) => time::sleep(wait).await,
+                Next::SendAgain | Next::Move => break,
+            }
+        }
+    }
+    panic!("the operation never ended");
+}
+
+#[rstest]
+#[case::whole(&[], Ending::Answered, 1)]
+#[case::refused_then_whole(&[Reply::Code(101), Reply::Code(108)], Ending::Answered, 3)]
+#[case::refused_to_the_end(&[Reply::Code(101); 10], Ending::NotRun, 10)]
+#[case::unknown(&[Reply::Code(201)], Ending::Unknown, 1)]
+#[case::refused_then_unknown(&[Reply::Code(101), Reply::Code(204)], Ending::Unknown, 2)]
+#[case::lost_then_whole(&[Reply::Close(302)], Ending::Answered, 2)]
+#[case::lost_then_unknown(&[Reply::Close(302), Reply::Code(203)], Ending::Unknown, 2)]
+#[case::status_without_code(&[Reply::Status(500)], Ending::Unknown, 1)]
+#[tokio::test]
+async fn offer_ends(#[case] replies: &[Reply], #[case] ending: Ending, #[case] sent: usize) {
+    let server = ScriptedServer::start(replies);
+    let tally = Tally::default();
+    run_to_end(&server, Operation::offer("offer".to_owned(), false), &tally).await;
+    assert_eq!(tally.offers()["offer"], ending);
+    assert_eq!(server.keys(), vec![format!("{TICKET}.offer"); sent]);
+    assert_eq!(tally.counts().requests_sent, sent as u64);
+}
+
+#[tokio::test]
+async fn impatient_offer_is_not_tried_again() {
+    let server = ScriptedServer::start(&[Reply::Code(101)]);
+    let tally = Tally::default();
+    run_to_end(&server, Operation::offer("offer".to_owned(), true), &tally).await;
+    assert_eq!(tally.offers()["offer"], Ending::NotRun);
+    assert_eq!(server.keys().len(), 1);
+}
+
+#[tokio::test]
+async fn key_is_built_anew_on_the_ticket_of_the_refusal() {
+    let server = ScriptedServer::start(&[Reply::Code(104)]);
+    let tally = Tally::default();
+    let mut operation = Operation::offer("offer".to_owned(), false);
+    let flow = Flow::open(&server.flow_settings()).await.expect("a flow");
+    let mut ticket = None;
+    let next = operation.attempt(&flow, SERVICE, &mut ticket, &tally).await;
+    assert_eq!(next, Next::Retry(Duration::ZERO));
+    let next = operation.attempt(&flow, SERVICE, &mut ticket, &tally).await;
+    assert_eq!(next, Next::Ended);
+    assert_eq!(
+        server.keys(),
+        ["none.offer".to_owned(), format!("{TICKET}.offer")]
+    );
+}
+
+#[tokio::test]
+async fn key_is_kept_when_an_earlier_attempt_may_have_run() {
+    let server = ScriptedServer::start(&[Reply::Close(302), Reply::Code(104)]);
+    let tally = Tally::default();
+    run_to_end(&server, Operation::offer("offer".to_owned(), false), &tally).await;
+    assert_eq!(server.keys(), vec![format!("{TICKET}.offer"); 3]);
+}
+
+fn wrong(counts: &CallerCounts) -> (u64, u64, u64) {
+    (
+        counts.answers_whole,
+        counts.answers_wrong,
+        counts.answers_foreign,
+    )
+}
+
+#[rstest]
+#[case::own(Reply::Whole, (1, 0, 0))]
+#[case::of_another(Reply::OfAnother, (0, 1, 0))]
+#[case::of_another_service(Reply::OfAnotherService, (0, 0, 1))]
+#[tokio::test]
+async fn answer_is_checked(#[case] reply: Reply, #[case] expected: (u64, u64, u64)) {
+    let server = ScriptedServer::start(&[reply]);
+    let tally = Tally::default();
+    run_to_end(&server, Operation::offer("offer".to_owned(), false), &tally).await;
+    assert_eq!(wrong(&tally.counts()), expected);
+}
+
+#[rstest]
+#[case::upload(Operation::upload("u-1".to_owned(), 50_000))]
+#[case::quote(Operation::quote("q-1".to_owned()))]
+#[tokio::test]
+async fn other_requests_are_answered_whole(#[case] operation: Operation) {
+    let server = ScriptedServer::start(&[]);
+    let tally = Tally::default();
+    assert_ne!(operation.kind(), Kind::Offer);
+    run_to_end(&server, operation, &tally).await;
+    assert_eq!(wrong(&tally.counts()), (1, 0, 0));
+}
+
+fn spawn_caller(server: &ScriptedServer, tally: &Tally, out: &OutTargets) -> Caller {
+    let settings = CallerSettings {
+        name: "caller".to_owned(),
+        service: SERVICE.to_owned(),
+        flow: server.flow_settings(),
+        interval_ms: 2,
+        seed: 1,
+    };
+    Caller::spawn(settings, tally.clone(), out.clone())
+}
+
+async fn until(tally: &Tally, holds: impl Fn(&CallerCounts) -> bool) {
+    for _ in 0..POLLS {
+        if holds(&tally.counts()) {
+            return;
+        }
+        time::sleep(POLL).await;
+    }
+    panic!("the counts never got there: {:?}", tally.counts());
+}
+
+#[rstest]
+#[case::closed_by_the_agent(302, &[], (1, 0))]
+#[case::said_to_be_out_but_is_in(301, &[], (1, 0))]
+#[case::out(301, &[TARGET], (0, 1))]
+#[tokio::test]
+async fn lost_flow_is_judged_by_its_domain(
+    #[case] code: u32,
+    #[case] out: &[&str],
+    #[case] expected: (u64, u64),
+) {
+    let server = ScriptedServer::start(&[Reply::Whole, Reply::Close(code)]);
+    let tally = Tally::default();
+    let out_targets = OutTargets::default();
+    out_targets.set(out.iter().map(|target| (*target).to_owned()));
+    let caller = spawn_caller(&server, &tally, &out_targets);
+    until(&tally, |counts| counts.flows_opened == 2).await;
+    caller.stop();
+    caller.join().await;
+    let counts = tally.counts();
+    assert_eq!((counts.flows_broken, counts.flows_given_up), expected);
+    assert_eq!(counts.answers_lost, 1);
+}
+
+#[tokio::test]
+async fn caller_sends_a_lost_offer_again_under_its_key() {
+    let server = ScriptedServer::start(&[Reply::Close(302)]);
+    let tally = Tally::default();
+    let caller = spawn_caller(&server, &tally, &OutTargets::default());
+    until(&tally, |_| server.keys().len() >= 2).await;
+    caller.stop();
+    caller.join().await;
+    let keys = server.keys();
+    assert_eq!(keys[0], keys[1]);
+    assert!(
+        tally
+            .offers()
+            .values()
+            .all(|ending| *ending == Ending::Answered)
+    );
+}
