--- a/crates/basilstep-bench/src/demo/counts.rs
+++ b/crates/basilstep-bench/src/demo/counts.rs
@@ -30,8 +30,8 @@
     pub packets_to_out_domain_after_s: f64,
     /// Boards still open at targets of the domain that was out, a few seconds after.
     pub boards_left_in_out_domain: u32,
-    /// Requests to the domain that was out, after it came back.
-    pub requests_to_returned_domain: u64,
+    /// Requests to the domain that was out, after it came back; `None` when none was out.
+    pub requests_to_returned_domain: Option<u64>,
     /// Time of the last request to the leaving target, counted from when it was told to leave.
     pub requests_to_leaving_after_s: f64,
     /// Open flows of the fullest target over the mean of its service, where it is worst.
@@ -123,7 +123,7 @@
             ("requests are served", callers.answers_whole),
             (
                 "a domain that is back serves",
-                self.requests_to_returned_domain,
+                self.requests_to_returned_domain.unwrap_or(1),
             ),
         ];
         for (promise, count) in some {
--- a/crates/basilstep-bench/src/demo/mod.rs
+++ b/crates/basilstep-bench/src/demo/mod.rs
@@ -6,11 +6,13 @@
 pub mod plan;
 pub mod records;
 mod run;
+pub mod steps;
 #[cfg(test)]
 mod tests;
 
 use argh::FromArgs;
 use std::{env, path::PathBuf, process::ExitCode};
+use steps::Step;
 
 /// Runs a whole fleet as processes on loopback under failure.
 #[derive(Debug, FromArgs)]
@@ -22,6 +24,10 @@
     /// directory for the logs of the processes (default: one below the directory for temporary files)
     #[argh(option)]
     logs: Option<PathBuf>,
+    /// a step to run; may be repeated (default: kill-balancer, drain-target, domain); others are
+    /// freeze-balancer, store-outage, cold-targets and rough-fabric
+    #[argh(option)]
+    step: Vec<Step>,
 }
 
 /// Runs the command.
@@ -29,13 +35,17 @@
     let process_id = std::process::id();
     let own_logs = || env::temp_dir().join(format!("basilstep-demo-{process_id}"));
     let logs = args.logs.clone().unwrap_or_else(own_logs);
+    let steps = match args.step.as_slice() {
+        [] => &Step::DEMO,
+        steps => steps,
+    };
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .worker_threads(4)
         .enable_all()
         .build();
     let ran = runtime
         .map_err(run::DemoError::from)
-        .and_then(|runtime| runtime.block_on(run::run(process_id, logs.clone())));
+        .and_then(|runtime| runtime.block_on(run::run(process_id, logs.clone(), steps)));
     let result = match ran {
         Ok(result) => result,
         Err(error) => {
--- a/crates/basilstep-bench/src/demo/observer.rs
+++ b/crates/basilstep-bench/src/demo/observer.rs
@@ -2,6 +2,7 @@
 
 use super::plan::{Plan, TargetPlan};
 use crate::standins::{fabric::FabricCounts, target::TargetCounts};
+use reqwest::Method;
 use serde::de::DeserializeOwned;
 use std::{collections::BTreeMap, net::SocketAddrV4, time::Duration};
 
@@ -77,6 +78,23 @@
         Ok(all)
     }
 
+    /// Switches a fault of a stand-in.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the stand-in does not answer or knows no such fault.
+    pub async fn switch(
+        &self,
+        method: Method,
+        address: SocketAddrV4,
+        path: &str,
+    ) -> Result<(), reqwest::Error> {
+        let url = format!("http://{address}/{path}");
+        let sent = self.client.request(method, url).send().await?;
+        sent.error_for_status()?;
+        Ok(())
+    }
+
     /// Tells whether an HTTP endpoint answers at all.
     pub async fn answers(&self, address: SocketAddrV4) -> bool {
         let url = format!("http://{address}/");
--- a/crates/basilstep-bench/src/demo/run.rs
+++ b/crates/basilstep-bench/src/demo/run.rs
@@ -1,15 +1,12 @@
 use super::{
     counts::DemoResult,
-    fleet::{Binaries, Fleet, FleetError, Signal},
+    fleet::{Binaries, Fleet, FleetError},
     observer::{Observer, imbalance},
-    plan::{Plan, TargetPlan},
+    plan::Plan,
     records::{RecordError, RecordWriter},
+    steps::Step,
 };
-use crate::standins::{
-    caller::{Caller, CallerSettings, Flow, FlowSettings, OutTargets, Tally},
-    now_ms,
-};
-use basilstep_core::settings::DomainState;
+use crate::standins::caller::{Caller, CallerSettings, Flow, FlowSettings, OutTargets, Tally};
 use rustls::pki_types::CertificateDer;
 use std::{
     net::{SocketAddr, SocketAddrV4},
@@ -21,18 +18,8 @@
 const START_LIMIT: Duration = Duration::from_secs(10);
 const START_POLL: Duration = Duration::from_millis(100);
 const CALLERS_PER_SERVICE: usize = 60;
-const LATE_CALLERS_PER_SERVICE: usize = 30;
 const OPERATION_INTERVAL_MS: u64 = 1_000;
 const CALM: Duration = Duration::from_secs(6);
-const AFTER_KILL: Duration = Duration::from_secs(4);
-const AFTER_REPLACEMENT: Duration = Duration::from_secs(2);
-const AFTER_DRAIN: Duration = Duration::from_secs(6);
-const AFTER_OUT: Duration = Duration::from_secs(7);
-const AFTER_RETURN: Duration = Duration::from_secs(5);
-
-const KILLED_BALANCER: usize = 3;
-const LEAVING_TARGET: usize = 1;
-const OUT_DOMAIN: &str = "d3";
 
 /// Why a run came to no result.
 #[derive(Debug, thiserror::Error)]
@@ -57,20 +44,20 @@
     Ended(Vec<String>),
 }
 
-struct Demo {
-    plan: Plan,
-    fleet: Fleet,
-    observer: Observer,
-    writer: RecordWriter,
-    tally: Tally,
-    out: OutTargets,
+pub(super) struct Demo {
+    pub(super) plan: Plan,
+    pub(super) fleet: Fleet,
+    pub(super) observer: Observer,
+    pub(super) writer: RecordWriter,
+    pub(super) tally: Tally,
+    pub(super) out: OutTargets,
     callers: Vec<Caller>,
-    result: DemoResult,
+    pub(super) result: DemoResult,
     began: Instant,
 }
 
-/// Runs all phases and returns what was counted.
-pub async fn run(process_id: u32, logs: PathBuf) -> Result<DemoResult, DemoError> {
+/// Runs the steps and returns what was counted.
+pub async fn run(process_id: u32, logs: PathBuf, steps: &[Step]) -> Result<DemoResult, DemoError> {
     let binaries = Binaries::locate()?;
     let plan = Plan::demo(process_id);
     let mut demo = Demo {
@@ -84,22 +71,21 @@
         began: Instant::now(),
         plan,
     };
-    demo.run().await?;
+    demo.run(steps).await?;
     Ok(demo.result)
 }
 
 impl Demo {
-    async fn run(&mut self) -> Result<(), DemoError> {
+    async fn run(&mut self, steps: &[Step]) -> Result<(), DemoError> {
         let root = self.start().await?;
         self.calm(&root).await?;
-        self.kill_balancer().await?;
-        self.drain_target().await?;
-        self.take_domain_out().await?;
-        self.bring_domain_back(&root).await?;
+        for step in steps {
+            self.step(*step, &root).await?;
+        }
         self.end().await
     }
 
-    fn say(&self, what: &str) {
+    pub(super) fn say(&self, what: &str) {
         let counts = self.tally.counts();
         eprintln!(
             "{:5.1} s  {what}  [flows {} opened, {} broken, {} given up; {} whole answers]",
@@ -199,7 +185,7 @@
         }
     }
 
-    fn add_callers(&mut self, per_service: usize, root: &CertificateDer<'static>) {
+    pub(super) fn add_callers(&mut self, per_service: usize, root: &CertificateDer<'static>) {
         for service in &self.plan.services {
             for _ in 0..per_service {
                 let number = self.callers.len();
@@ -225,88 +211,6 @@
         Ok(())
     }
 
-    async fn kill_balancer(&mut self) -> Result<(), DemoError> {
-        let balancer = self.plan.balancers[KILLED_BALANCER].clone();
-        self.say(&format!("killing {}", balancer.name));
-        self.fleet.kill(&balancer.name).await?;
-        time::sleep(AFTER_KILL).await;
-        self.say(&format!("starting {} anew", balancer.name));
-        self.plan.start_balancer(&mut self.fleet, &balancer)?;
-        time::sleep(AFTER_REPLACEMENT).await;
-        Ok(())
-    }
-
-    async fn drain_target(&mut self) -> Result<(), DemoError> {
-        let leaving = self.leaving();
-        self.say(&format!("telling {} to leave", leaving.agent));
-        let told_ms = now_ms();
-        self.fleet.signal(&leaving.agent, Signal::Terminate).await?;
-        time::sleep(AFTER_DRAIN).await;
-        let readings = self.observer.targets([&leaving]).await?;
-        for reading in readings {
-            self.result.requests_to_leaving_after_s =
-                seconds_between(told_ms, reading.counts.last_request_ms);
-        }
-        Ok(())
-    }
-
-    fn leaving(&self) -> TargetPlan {
-        self.plan.targets[LEAVING_TARGET].clone()
-    }
-
-    async fn take_domain_out(&mut self) -> Result<(), DemoError> {
-        self.say(&format!("taking domain {OUT_DOMAIN} out"));
-        let targets = self.plan.targets_in(OUT_DOMAIN);
-        self.out
-            .set(targets.map(|target| target.address().to_string()));
-        self.writer
-            .write_domain(&self.plan, OUT_DOMAIN, DomainState::Out)
-            .await?;
-        let out_ms = now_ms();
-        time::sleep(AFTER_OUT).await;
-        let fabric = self.observer.fabric(&self.plan).await?;
-        let targets = self.plan.targets_in(OUT_DOMAIN);
-        let readings = self.observer.targets(targets).await?;
-        let at_targets = readings
-            .iter()
-            .map(|reading| reading.counts.last_request_ms);
-        let balancers = self.plan.balancers.iter();
-        let at_balancers = balancers
-            .filter(|balancer| balancer.domain == OUT_DOMAIN)
-            .filter_map(|balancer| fabric.balancers.get(&balancer.ip))
-            .map(|counts| counts.last_sent_ms);
-        let last_ms = at_targets.chain(at_balancers).max().unwrap_or_default();
-        self.result.packets_to_out_domain_after_s = seconds_between(out_ms, last_ms);
-        let left = readings.iter().map(|reading| reading.counts.boards_open);
-        self.result.boards_left_in_out_domain = left.sum();
-        Ok(())
-    }
-
-    async fn bring_domain_back(&mut self, root: &CertificateDer<'static>) -> Result<(), DemoError> {
-        self.say(&format!(
-            "bringing domain {OUT_DOMAIN} back, with more callers"
-        ));
-        let before = self.requests_to_out_domain().await?;
-        self.writer
-            .write_domain(&self.plan, OUT_DOMAIN, DomainState::In)
-            .await?;
-        self.out.set([]);
-        self.add_callers(LATE_CALLERS_PER_SERVICE, root);
-        time::sleep(AFTER_RETURN).await;
-        let after = self.requests_to_out_domain().await?;
-        self.result.requests_to_returned_domain = after - before;
-        Ok(())
-    }
-
-    async fn requests_to_out_domain(&self) -> Result<u64, DemoError> {
-        let targets = self.plan.targets_in(OUT_DOMAIN);
-        let readings = self.observer.targets(targets).await?;
-        let runs = readings
-            .iter()
-            .flat_map(|reading| reading.counts.runs.values());
-        Ok(runs.sum())
-    }
-
     async fn end(&mut self) -> Result<(), DemoError> {
         self.say("ending the callers");
         for caller in &self.callers {
@@ -355,8 +259,3 @@
         Ok(())
     }
 }
-
-/// Returns how long after `from_ms` something happened, and 0 when it was before.
-fn seconds_between(from_ms: u64, to_ms: u64) -> f64 {
-    Duration::from_millis(to_ms.saturating_sub(from_ms)).as_secs_f64()
-}
--- a/crates/basilstep-bench/src/demo/tests.rs
+++ b/crates/basilstep-bench/src/demo/tests.rs
@@ -6,7 +6,7 @@
 fn kept() -> DemoResult {
     let mut result = DemoResult::default();
     result.callers.answers_whole = 1;
-    result.requests_to_returned_domain = 1;
+    result.requests_to_returned_domain = Some(1);
     result.imbalance_max_over_mean = 1.0;
     result
 }
@@ -34,7 +34,7 @@
 #[case::leaving(|result: &mut DemoResult| result.requests_to_leaving_after_s = 5.1)]
 #[case::imbalance(|result: &mut DemoResult| result.imbalance_max_over_mean = 1.6)]
 #[case::silence(|result: &mut DemoResult| result.callers.answers_whole = 0)]
-#[case::no_return(|result: &mut DemoResult| result.requests_to_returned_domain = 0)]
+#[case::no_return(|result: &mut DemoResult| result.requests_to_returned_domain = Some(0))]
 fn each_broken_promise_is_named(#[case] break_it: fn(&mut DemoResult)) {
     let mut result = kept();
     break_it(&mut result);
