feat(placement): settle a flow among three candidates instead of two

Cause: with two choices the 99th percentile of max over mean misses the goal of 1.10 at 30 flows a target. The packet now goes along a chain of three candidates that carries the best so far. Seen to fail first by changes to decide, each reverted: order by weighted score, comparing anew what was decided, a hand-back that takes, asking a dead candidate again, no bound on the chain, losing the best or its load on the way.

--- a/crates/basilstep-core/src/placement/decide.rs
+++ b/crates/basilstep-core/src/placement/decide.rs
@@ -1,6 +1,6 @@
 use super::{
     load::{Load, OwnLoad},
-    offers::{OfferKey, OfferState, RecentOffer, RecentOffers},
+    offers::{OfferKey, OfferState, RecentOffer, RecentOffers, Showing},
 };
 use crate::{
     address::AgentAddress,
@@ -12,8 +12,8 @@
 
 /// The most times that an offer is shown to another agent.
 ///
-/// One is enough while balancers agree on the targets; more happen only while their views differ.
-pub const MAX_COMPARE_HOPS: u8 = 3;
+/// Two are enough while balancers agree on the targets; more happen only while their views differ.
+pub const MAX_COMPARE_HOPS: u8 = 4;
 
 /// A first packet of a new flow that has reached an agent.
 #[derive(Clone, Copy, Debug)]
@@ -32,18 +32,22 @@
 pub enum OfferDecision {
     /// Hands the packet to its own endpoint.
     Take,
-    /// Sends the packet to another agent with [`Leg::Compare`].
-    CompareWith {
-        /// The other agent.
-        other: AgentAddress,
-        /// The load of this agent with the flow.
+    /// Shows the packet to the next candidate with [`Leg::Compare`].
+    Show {
+        /// The next candidate.
+        to: AgentAddress,
+        /// The best candidate so far.
+        best: AgentAddress,
+        /// The load of the best candidate with the flow.
         load: Load,
-        /// How often the offer has then been shown to another agent.
+        /// The candidate after the next.
+        next: Option<AgentAddress>,
+        /// How often the offer has then been shown.
         hops: u8,
     },
-    /// Sends the packet to another agent with [`Leg::Take`].
+    /// Sends the packet to the best candidate with [`Leg::Take`].
     HandBack {
-        /// The other agent.
+        /// The best candidate.
         to: AgentAddress,
     },
     /// Lets its own endpoint refuse the flow at once.
@@ -53,14 +57,21 @@
 }
 
 impl OfferDecision {
-    /// Returns the leg to the other agent, if the packet goes to one.
-    pub fn next_leg(&self, own: AgentAddress) -> Option<NextLeg> {
+    /// Returns the leg to another agent, if the packet goes to one.
+    pub fn next_leg(&self) -> Option<NextLeg> {
         match *self {
-            Self::CompareWith { other, load, hops } => Some(NextLeg {
-                to: other,
+            Self::Show {
+                to,
+                best,
+                load,
+                next,
+                hops,
+            } => Some(NextLeg {
+                to,
                 leg: Leg::Compare {
-                    from: own,
+                    best,
                     load,
+                    next,
                     hops,
                 },
             }),
@@ -100,17 +111,28 @@
     };
     match offered.leg {
         Leg::Offer { candidates } => step.offer(candidates),
-        Leg::Compare { from, load, hops } => step.compare(Comparison { from, load, hops }),
+        Leg::Compare {
+            best,
+            load,
+            next,
+            hops,
+        } => step.compare(Comparison {
+            best,
+            load,
+            next,
+            hops,
+        }),
         Leg::Take => step.take(),
         Leg::Established | Leg::Answer { .. } => OfferDecision::Drop(ResultCode::Malformed),
     }
 }
 
-/// What another agent said about itself when it showed an offer to this one.
+/// What the candidates before this one say.
 #[derive(Clone, Copy)]
 struct Comparison {
-    from: AgentAddress,
+    best: AgentAddress,
     load: Load,
+    next: Option<AgentAddress>,
     hops: u8,
 }
 
@@ -134,62 +156,68 @@
         }
     }
 
+    /// Shows the offer to the next candidate that is not this agent: a balancer with an old view
+    /// may name this agent in any place, or twice.
     fn new_offer(&mut self, candidates: Candidates) -> OfferDecision {
-        match other_candidate(candidates, self.own.address) {
-            Some(other) => self.ask(other),
-            None => self.take_or_refuse(),
-        }
+        let own = self.own.address;
+        let mut others = [candidates.second, candidates.third]
+            .into_iter()
+            .flatten()
+            .filter(|candidate| *candidate != own);
+        let (to, next) = (others.next(), others.next());
+        self.show_or_take(to, next)
     }
 
     /// Handles the retransmission of a caller that got no answer to its first flight.
     fn repeated_offer(&mut self, state: OfferState, candidates: Candidates) -> OfferDecision {
         match state {
             OfferState::Taken => OfferDecision::Take,
-            // The other agent did not reply: it is dead or the packet was lost.
-            OfferState::Asked { .. } => self.take_or_refuse(),
+            // A later candidate did not reply: it is dead or a packet was lost.
+            OfferState::Shown(_) => self.take_or_refuse(),
             // The agent that had to take the flow may be dead; if it lives, it holds the flow.
-            OfferState::HandedBack { to } => self.ask(to),
+            OfferState::HandedBack { to } => self.show_or_take(Some(to), None),
             OfferState::Refused { .. } => self.new_offer(candidates),
         }
     }
 
-    /// Handles an offer that another agent shows to this one.
+    /// Handles an offer that another candidate shows to this one.
     ///
     /// What was decided before stands even when it is old: a late packet must not lead to another
     /// agent than the packets before it.
     fn compare(&mut self, comparison: Comparison) -> OfferDecision {
-        match self.known.map(|known| known.state) {
-            None | Some(OfferState::Refused { .. }) => self.new_comparison(comparison),
-            Some(OfferState::Asked { other, own_load }) if other == comparison.from => {
-                self.crossed_comparison(comparison, own_load)
-            }
-            Some(state) => repeat(state, comparison.hops.saturating_add(1)),
+        let Some(known) = self.known else {
+            return self.new_comparison(comparison);
+        };
+        let is_refused = matches!(known.state, OfferState::Refused { .. });
+        if is_refused && self.recent.is_timed_out(&known, self.now_ms) {
+            return self.new_comparison(comparison);
         }
+        repeat(known.state, comparison.hops.saturating_add(1))
     }
 
     fn new_comparison(&mut self, comparison: Comparison) -> OfferDecision {
-        let own_load = self.own.with_next_flow(self.recent.pending_flows());
-        if own_load < comparison.load {
-            return self.keep_taken();
+        let own_load = self.own_load();
+        let is_best = own_load < comparison.load;
+        let own = self.own.address;
+        if let Some(next) = comparison.next.filter(|next| *next != own) {
+            let showing = Showing {
+                to: next,
+                best: if is_best {
+                    self.own.address
+                } else {
+                    comparison.best
+                },
+                load: own_load.min(comparison.load),
+                next: None,
+            };
+            return self.show(showing, comparison.hops.saturating_add(1));
         }
-        if comparison.load.is_willing() {
-            return self.hand_back(comparison.from);
+        if !is_best && comparison.load.is_willing() {
+            return self.hand_back(comparison.best);
         }
         self.take_or_refuse()
     }
 
-    /// Settles two agents that have shown the same offer to each other: both know both loads and
-    /// order them in the same way.
-    fn crossed_comparison(&mut self, comparison: Comparison, own_load: Load) -> OfferDecision {
-        if !own_load.is_willing() && !comparison.load.is_willing() {
-            return self.take_or_refuse();
-        }
-        if (own_load, self.own.address) < (comparison.load, comparison.from) {
-            return self.keep_taken();
-        }
-        self.hand_back(comparison.from)
-    }
-
     /// Handles the last leg: the agent that gets it takes the flow whatever its load.
     fn take(&mut self) -> OfferDecision {
         match self.known.map(|known| known.state) {
@@ -198,18 +226,31 @@
         }
     }
 
-    fn ask(&mut self, other: AgentAddress) -> OfferDecision {
-        let load = self.own.with_next_flow(self.recent.pending_flows());
-        let state = OfferState::Asked {
-            other,
-            own_load: load,
+    fn own_load(&self) -> Load {
+        self.own.with_next_flow(self.recent.pending_flows())
+    }
+
+    fn show_or_take(
+        &mut self,
+        to: Option<AgentAddress>,
+        next: Option<AgentAddress>,
+    ) -> OfferDecision {
+        let Some(to) = to else {
+            return self.take_or_refuse();
+        };
+        let showing = Showing {
+            to,
+            best: self.own.address,
+            load: self.own_load(),
+            next,
         };
+        self.show(showing, 1)
+    }
+
+    fn show(&mut self, showing: Showing, hops: u8) -> OfferDecision {
+        let state = OfferState::Shown(showing);
         self.recent.keep(self.key, state, self.now_ms);
-        OfferDecision::CompareWith {
-            other,
-            load,
-            hops: 1,
-        }
+        repeat(state, hops)
     }
 
     fn hand_back(&mut self, to: AgentAddress) -> OfferDecision {
@@ -233,24 +274,20 @@
     }
 }
 
-/// Returns the candidate that is not this agent; a balancer with an old view may name this agent
-/// in any place, or twice.
-fn other_candidate(candidates: Candidates, own: AgentAddress) -> Option<AgentAddress> {
-    candidates.second.filter(|second| *second != own)
-}
-
 /// Gives another packet of the same first flight the same decision.
 fn repeat(state: OfferState, hops: u8) -> OfferDecision {
     match state {
         OfferState::Taken => OfferDecision::Take,
         OfferState::HandedBack { to } => OfferDecision::HandBack { to },
         OfferState::Refused { code } => OfferDecision::Refuse(code),
-        OfferState::Asked { .. } if hops > MAX_COMPARE_HOPS => {
+        OfferState::Shown(_) if hops > MAX_COMPARE_HOPS => {
             OfferDecision::Drop(ResultCode::HopLimit)
         }
-        OfferState::Asked { other, own_load } => OfferDecision::CompareWith {
-            other,
-            load: own_load,
+        OfferState::Shown(showing) => OfferDecision::Show {
+            to: showing.to,
+            best: showing.best,
+            load: showing.load,
+            next: showing.next,
             hops,
         },
     }
--- a/crates/basilstep-core/src/placement/mod.rs
+++ b/crates/basilstep-core/src/placement/mod.rs
@@ -1,8 +1,8 @@
 //! Which targets a new flow is offered to, and which of them takes it.
 //!
-//! A balancer draws two candidates from [`ServiceTargets`] and sends the first packet to the first
-//! of them. The agents then settle between themselves, by exact knowledge of their own load, which
-//! of the two takes the flow: [`decide`] is that step at one agent.
+//! A balancer draws up to three candidates from [`ServiceTargets`] and sends the first packet to the
+//! first of them. The agents then settle between themselves, by exact knowledge of their own load,
+//! which of them takes the flow: [`decide`] is that step at one agent.
 
 mod decide;
 mod hash;
--- a/crates/basilstep-core/src/placement/offers.rs
+++ b/crates/basilstep-core/src/placement/offers.rs
@@ -30,16 +30,25 @@
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub(super) enum OfferState {
-    /// This agent has shown the offer to another and has no reply.
-    Asked { other: AgentAddress, own_load: Load },
+    /// This agent has shown the offer to another.
+    Shown(Showing),
     /// This agent took the flow.
     Taken,
-    /// The other agent must take the flow.
+    /// The best candidate must take the flow.
     HandedBack { to: AgentAddress },
-    /// Neither agent takes the flow.
+    /// No candidate takes the flow.
     Refused { code: ResultCode },
 }
 
+/// How an agent shows an offer to the next candidate.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
+pub(super) struct Showing {
+    pub(super) to: AgentAddress,
+    pub(super) best: AgentAddress,
+    pub(super) load: Load,
+    pub(super) next: Option<AgentAddress>,
+}
+
 /// One kept decision.
 #[derive(Clone, Copy, Debug, Serialize)]
 pub(super) struct RecentOffer {
--- a/crates/basilstep-core/src/placement/targets.rs
+++ b/crates/basilstep-core/src/placement/targets.rs
@@ -4,14 +4,18 @@
     crypto::ShortKey,
     membership::{AgentPhase, AgentRecord},
     settings::DomainSet,
-    wire::Candidates,
+    wire::{Candidates, MAX_CANDIDATES},
 };
 use serde::Serialize;
-use std::{collections::BTreeMap, net::SocketAddr};
+use std::{collections::BTreeMap, mem, net::SocketAddr};
 
 /// The key that all balancers hash with, so that they draw the same candidates.
 const SHARED_KEY: ShortKey = ShortKey([0; 16]);
 
+/// A float holds 53 bits exactly.
+const DROPPED_BITS: u32 = 11;
+const FRACTION_RANGE: f64 = (1_u64 << 53) as f64;
+
 /// The targets of one service that take new flows, arranged for drawing candidates.
 ///
 /// A snapshot never changes; a balancer builds a new one when its view changes.
@@ -28,13 +32,20 @@
     inverse_weight: f64,
 }
 
-/// A target with its score for one flow; the lowest scores are the candidates.
+/// A target with its place in the choice among all targets for one flow.
 #[derive(Clone, Copy)]
 struct Scored {
     agent: AgentAddress,
+    /// The lowest scores are drawn; depends on the weight.
     score: f64,
+    /// Orders those that are drawn; does not depend on the weight.
+    order: u64,
 }
 
+/// The targets with the lowest scores so far, in the order of their scores.
+#[derive(Default)]
+struct Drawn([Option<Scored>; MAX_CANDIDATES]);
+
 impl ServiceTargets {
     /// Arranges the targets of `service`, leaving out those in domains that are out and those that
     /// take no new flows.
@@ -64,25 +75,57 @@
         self.targets.is_empty()
     }
 
-    /// Draws the candidates for a new flow by weighted rendezvous hashing; allocates nothing.
+    /// Draws as many candidates as [`MAX_CANDIDATES`] allows; see [`Self::draw`].
+    pub fn candidates(&self, caller: &SocketAddr, connection_id: &[u8]) -> Option<Candidates> {
+        self.draw(caller, connection_id, MAX_CANDIDATES)
+    }
+
+    /// Draws up to `limit` candidates for a new flow by weighted rendezvous hashing; allocates nothing.
     ///
     /// Every balancer with the same records draws the same candidates for all packets of a first
     /// flight. Returns `None` when no target takes new flows.
-    pub fn candidates(&self, caller: &SocketAddr, connection_id: &[u8]) -> Option<Candidates> {
+    pub fn draw(
+        &self,
+        caller: &SocketAddr,
+        connection_id: &[u8],
+        limit: usize,
+    ) -> Option<Candidates> {
         let code = flow_code(&SHARED_KEY, caller, connection_id);
-        let mut first: Option<Scored> = None;
-        let mut second: Option<Scored> = None;
+        let mut drawn = Drawn::default();
         for target in &self.targets {
-            let scored = target.score(code);
-            if first.is_none_or(|best| scored.score < best.score) {
-                second = first.replace(scored);
-            } else if second.is_none_or(|best| scored.score < best.score) {
-                second = Some(scored);
+            drawn.offer(target.score(code), limit);
+        }
+        drawn.into_candidates()
+    }
+}
+
+impl Drawn {
+    /// Keeps a target if its score is among the `limit` lowest.
+    fn offer(&mut self, mut scored: Scored, limit: usize) {
+        for place in self.0.iter_mut().take(limit) {
+            match place {
+                Some(kept) if kept.score <= scored.score => {}
+                Some(kept) => mem::swap(kept, &mut scored),
+                None => {
+                    *place = Some(scored);
+                    return;
+                }
             }
         }
+    }
+
+    /// Orders the drawn targets by their unweighted codes.
+    ///
+    /// Balancers whose views differ in targets or weights then still agree on which of two agents
+    /// shows a packet to the other.
+    fn into_candidates(mut self) -> Option<Candidates> {
+        self.0
+            .sort_unstable_by_key(|drawn| drawn.map_or(u64::MAX, |drawn| drawn.order));
+        let [first, second, third] = self.0.map(|drawn| drawn.map(|drawn| drawn.agent));
         first.map(|first| Candidates {
-            first: first.agent,
-            second: second.map(|second| second.agent),
+            first,
+            second,
+            third,
         })
     }
 }
@@ -101,10 +144,12 @@
     /// Draws an exponential variate whose rate is the weight: the lowest of several such variates
     /// falls on each target in proportion to its weight.
     fn score(&self, flow_code: u64) -> Scored {
-        let uniform = ((mix(flow_code ^ self.seed) >> 11) as f64 + 1.0) / (1_u64 << 53) as f64;
+        let code = mix(flow_code ^ self.seed);
+        let uniform = ((code >> DROPPED_BITS) as f64 + 1.0) / FRACTION_RANGE;
         Scored {
             agent: self.agent,
             score: -uniform.ln() * self.inverse_weight,
+            order: mix(code),
         }
     }
 }
--- a/crates/basilstep-core/src/wire.rs
+++ b/crates/basilstep-core/src/wire.rs
@@ -23,7 +23,7 @@
 pub const MAX_FRAME_OVERHEAD_BYTES: usize = 80;
 
 /// The most agents that a new flow is offered to.
-pub const MAX_CANDIDATES: usize = 2;
+pub const MAX_CANDIDATES: usize = 3;
 
 const CODE_AT: usize = 1;
 const LENGTH_AT: usize = 9;
@@ -58,16 +58,18 @@
         /// The agents that may take the flow, the preferred one first.
         candidates: Candidates,
     },
-    /// A first packet that one candidate shows to the other with its own load.
+    /// A first packet that one candidate shows to the next.
     Compare {
-        /// The candidate that asks.
-        from: AgentAddress,
-        /// Its load with the new flow.
+        /// The best candidate so far.
+        best: AgentAddress,
+        /// The load of the best candidate with the new flow.
         load: Load,
+        /// The candidate that the packet is shown to afterwards.
+        next: Option<AgentAddress>,
         /// How often the packet has been shown to another candidate.
         hops: u8,
     },
-    /// A first packet that the second candidate hands back: the first must take it.
+    /// A first packet that the last candidate hands to the best: it must take the flow.
     Take,
     /// An answer on its way from the agent to the caller.
     Answer {
@@ -76,13 +78,18 @@
     },
 }
 
-/// One or two agents, without allocation.
+/// One to three agents, without allocation.
+///
+/// Their order is the same in every balancer's view, so that agents never show a packet in a
+/// circle.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Candidates {
     /// The agent that gets the packet first.
     pub first: AgentAddress,
-    /// The agent that it compares its load with.
+    /// The agent that it shows the packet to.
     pub second: Option<AgentAddress>,
+    /// The agent that the second shows the packet to.
+    pub third: Option<AgentAddress>,
 }
 
 /// Why a frame was not accepted.
