feat(placement): let the later of two equal candidates win

Cause: at equal load the earlier candidate kept the flow, so that the packet went back more often than needed. The order of candidates is random, so the rule prefers no target.

--- a/crates/basilstep-core/src/placement/decide.rs
+++ b/crates/basilstep-core/src/placement/decide.rs
@@ -197,7 +197,8 @@
 
     fn new_comparison(&mut self, comparison: Comparison) -> OfferDecision {
         let own_load = self.own_load();
-        let is_best = own_load < comparison.load;
+        // Of equals the later one is the best: a packet that need not go back saves a hop.
+        let is_best = own_load <= comparison.load;
         let own = self.own.address;
         if let Some(next) = comparison.next.filter(|next| *next != own) {
             let showing = Showing {
