--- a/crates/basilstep-core/src/placement/mod.rs
+++ b/crates/basilstep-core/src/placement/mod.rs
@@ -11,8 +11,6 @@
 mod settings;
 mod targets;
 
-#[cfg(test)]
-mod chain_tests;
 #[cfg(test)]
 mod tests;
 
--- a/crates/basilstep-core/src/placement/chain_tests.rs
+++ b/crates/basilstep-core/src/placement/tests/chain.rs
@@ -1,20 +1,17 @@
 //! Several agents wired together: what becomes of an offer when packets are lost, doubled and
 //! reordered and when balancers name different candidates.
 
-use super::{
-    MAX_COMPARE_HOPS, OfferDecision, Offered, OwnLoad, PlacementSettings, RecentOffers,
-    ServiceTargets, decide,
+use super::super::{
+    MAX_COMPARE_HOPS, OfferDecision, Offered, OwnLoad, PlacementSettings, RecentOffers, decide,
 };
 use crate::{
-    address::{AgentAddress, DomainId, Incarnation, ServiceId},
+    address::AgentAddress,
     context::Context,
-    membership::{AgentPhase, AgentRecord},
-    settings::DomainSet,
     wire::{Candidates, Leg, MAX_CANDIDATES},
 };
 use proptest::{
     collection::vec,
-    prelude::{Just, ProptestConfig, Strategy, any, prop_assert, prop_assert_eq, proptest},
+    prelude::{ProptestConfig, Strategy, any, prop_assert, prop_assert_eq, proptest},
     sample::subsequence,
     test_runner::RngSeed,
 };
@@ -295,36 +292,4 @@
         let least = view.iter().rev().min_by_key(|number| flows_of(number)).copied();
         prop_assert_eq!(flight.takers.first().copied(), least.map(agent));
     }
-
-    #[test]
-    fn the_order_of_records_does_not_matter(
-        records in vec(any_record(), 1..12).prop_flat_map(|records| {
-            (Just(records.clone()), Just(records).prop_shuffle())
-        }),
-        connection_id in vec(any::<u8>(), 0..20),
-        port in any::<u16>(),
-    ) {
-        let (records, shuffled) = records;
-        let caller = SocketAddr::from(([127, 0, 0, 9], port));
-        let draw = |records: &[AgentRecord]| {
-            ServiceTargets::arrange(ServiceId(1), records, &DomainSet::default())
-                .candidates(&caller, &connection_id)
-        };
-        prop_assert_eq!(draw(&records), draw(&shuffled));
-    }
-}
-
-fn any_record() -> impl Strategy<Value = AgentRecord> {
-    (0..6_u8, 0..3_u32, 0..3_u16, 0..5_u8, 0..3_u8).prop_map(
-        |(number, incarnation, revision, weight, phase)| AgentRecord {
-            address: agent(number),
-            service: ServiceId(1),
-            domain: DomainId(0),
-            incarnation: Incarnation(incarnation),
-            revision,
-            weight,
-            phase: [AgentPhase::Serving, AgentPhase::Draining, AgentPhase::Down]
-                [usize::from(phase)],
-        },
-    )
 }
--- a/crates/basilstep-core/src/placement/tests.rs
+++ b/crates/basilstep-core/src/placement/tests/mod.rs
@@ -1,20 +1,21 @@
+//! What one agent decides.
+
+mod chain;
+mod targets;
+
 use super::{
     Load, MAX_COMPARE_HOPS, OfferDecision, Offered, OwnLoad, PlacementSettings, RecentOffers,
-    ServiceTargets, decide,
+    decide,
 };
 use crate::{
-    address::{AgentAddress, DomainId, Incarnation, ServiceId},
+    address::AgentAddress,
     codes::ResultCode,
     context::Context,
-    membership::{AgentPhase, AgentRecord},
-    settings::DomainSet,
     wire::{Candidates, Leg},
 };
 use rstest::rstest;
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
 
-const SERVICE: ServiceId = ServiceId(7);
-
 fn agent(number: u8) -> AgentAddress {
     AgentAddress(SocketAddrV4::new(Ipv4Addr::new(127, 0, 1, number), 7_000))
 }
@@ -23,18 +24,6 @@
     SocketAddr::from(([127, 0, 0, 9], 50_000))
 }
 
-fn record(number: u8) -> AgentRecord {
-    AgentRecord {
-        address: agent(number),
-        service: SERVICE,
-        domain: DomainId(number % 3),
-        incarnation: Incarnation(1),
-        revision: 1,
-        weight: 1,
-        phase: AgentPhase::Serving,
-    }
-}
-
 fn own(number: u8, flows: u32) -> OwnLoad {
     OwnLoad {
         address: agent(number),
@@ -257,17 +246,6 @@
     assert_eq!(decision, OfferDecision::HandBack { to: agent(2) });
 }
 
-#[test]
-fn targets_that_take_no_new_flows_are_left_out() {
-    let mut out = DomainSet::default();
-    out.insert(DomainId(0));
-    let mut records: Vec<_> = (1..=5).map(record).collect();
-    records[0].phase = AgentPhase::Draining;
-    records[1].phase = AgentPhase::Down;
-    let targets = ServiceTargets::arrange(SERVICE, &records, &out);
-    assert_eq!(targets.len(), 2);
-}
-
 #[test]
 fn a_flow_that_never_opens_counts_for_a_bounded_time() {
     let mut recent = recent();
@@ -316,85 +294,3 @@
     }
     assert_eq!((recent.len(), recent.pending_flows()), (10, 10));
 }
-
-fn candidates_of(records: &[AgentRecord], number: u32) -> Vec<AgentAddress> {
-    let targets = ServiceTargets::arrange(SERVICE, records, &DomainSet::default());
-    let candidates = targets.candidates(&caller(), &number.to_be_bytes());
-    let candidates = candidates.expect("some targets");
-    [Some(candidates.first), candidates.second, candidates.third]
-        .into_iter()
-        .flatten()
-        .collect()
-}
-
-/// Of four targets three are drawn: the one left out is the last of a weighted draw.
-#[rstest]
-#[case::equal([1, 1, 1, 1], [0.25, 0.25, 0.25, 0.25])]
-#[case::one_heavy([1, 1, 1, 7], [0.326, 0.326, 0.326, 0.021])]
-fn targets_are_drawn_by_weight(#[case] weights: [u8; 4], #[case] left_out: [f64; 4]) {
-    const DRAWS: u32 = 8_000;
-    let mut records: Vec<_> = (0..4).map(record).collect();
-    for (record, weight) in records.iter_mut().zip(weights) {
-        record.weight = weight;
-    }
-    let mut times_left_out = [0_u32; 4];
-    for number in 0..DRAWS {
-        let drawn = candidates_of(&records, number);
-        for (place, record) in records.iter().enumerate() {
-            times_left_out[place] += u32::from(!drawn.contains(&record.address));
-        }
-    }
-    for (times, expected) in times_left_out.into_iter().zip(left_out) {
-        let share = f64::from(times) / f64::from(DRAWS);
-        assert!((share - expected).abs() < 0.02, "{times_left_out:?}");
-    }
-}
-
-#[test]
-fn a_new_weight_does_not_change_who_shows_to_whom() {
-    let records: Vec<_> = (1..=3).map(record).collect();
-    let mut changed = records.clone();
-    changed[0].weight = 9;
-    for number in 0..100 {
-        assert_eq!(
-            candidates_of(&records, number),
-            candidates_of(&changed, number)
-        );
-    }
-}
-
-#[test]
-fn a_target_that_leaves_does_not_change_who_shows_to_whom() {
-    let records: Vec<_> = (1..=4).map(record).collect();
-    for number in 0..100 {
-        let before = candidates_of(&records, number);
-        let after = candidates_of(&records[1..], number);
-        let kept = |drawn: &[AgentAddress], other: &[AgentAddress]| -> Vec<_> {
-            drawn
-                .iter()
-                .copied()
-                .filter(|agent| other.contains(agent))
-                .collect()
-        };
-        assert_eq!(kept(&before, &after), kept(&after, &before));
-    }
-}
-
-#[test]
-fn the_latest_record_of_an_address_counts() {
-    let old = record(1);
-    let new = AgentRecord {
-        revision: 2,
-        phase: AgentPhase::Draining,
-        ..old
-    };
-    let restarted = AgentRecord {
-        incarnation: Incarnation(2),
-        ..old
-    };
-    let len = |records: &[AgentRecord]| {
-        ServiceTargets::arrange(SERVICE, records, &DomainSet::default()).len()
-    };
-    assert_eq!((len(&[old, new]), len(&[new, old])), (0, 0));
-    assert_eq!(len(&[restarted, new, old]), 1);
-}
