--- a/crates/basilstep-agent/src/carrier/mod.rs
+++ b/crates/basilstep-agent/src/carrier/mod.rs
@@ -137,9 +137,9 @@
         match decision {
             OfferDecision::Take | OfferDecision::Refuse(_) => return true,
             OfferDecision::Drop(code) => self.shared.counters.count(code),
-            OfferDecision::CompareWith { .. } | OfferDecision::HandBack { .. } => {}
+            OfferDecision::Show { .. } | OfferDecision::HandBack { .. } => {}
         }
-        if let Some(next) = decision.next_leg(self.shared.address()) {
+        if let Some(next) = decision.next_leg() {
             self.pass_on(header, next, payload);
         }
         false
--- a/crates/basilstep-agent/src/settings.rs
+++ b/crates/basilstep-agent/src/settings.rs
@@ -6,7 +6,7 @@
 
 /// Owns the flows, admission and at-most-once record of the one target beside it.
 ///
-/// Each flag has an environment variable, such as BASILSTEP_STORE_TOKEN for --store-token; the
+/// Each flag has an environment variable, such as `BASILSTEP_STORE_TOKEN` for --store-token; the
 /// flag goes first.
 #[derive(Debug, Default, FromArgs)]
 pub struct AgentFlags {
--- a/crates/basilstep-balancer/src/settings.rs
+++ b/crates/basilstep-balancer/src/settings.rs
@@ -6,7 +6,7 @@
 
 /// Carries callers' packets to the agent beside their target, and answers back.
 ///
-/// Each flag has an environment variable, such as BASILSTEP_STORE_TOKEN for --store-token; the
+/// Each flag has an environment variable, such as `BASILSTEP_STORE_TOKEN` for --store-token; the
 /// flag goes first.
 #[derive(Debug, Default, FromArgs)]
 pub struct BalancerFlags {
