--- /dev/null
+++ b/crates/basilstep-agent/src/exchange/dispatcher.rs
@@ -0,0 +1,354 @@
+use crate::shared::Shared;
+use basilstep_core::{
+    address::{AgentAddress, Incarnation},
+    admission::{Action, Admission, AdmissionView, CostClass, Event, RequestId},
+    codes::ResultCode,
+    context::Context,
+    membership::AgentRecord,
+    requests::{
+        AfterFailure, AgentDirectory, AgentStanding, Arrival, AttemptEnd, Decision, IdempotencyKey,
+        Requests, RequestsView, SendPermit, TicketKey,
+    },
+    settings::DomainSet,
+};
+use std::{
+    collections::BTreeMap,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+use tokio::{
+    sync::{Notify, futures::Notified, oneshot},
+    time::sleep,
+};
+
+/// The longest pause of the timer, so that a changed wake-up time is never missed for long.
+const LONGEST_PAUSE_MS: u64 = 1_000;
+
+/// What admission says about a request.
+#[derive(Clone, Copy, Debug)]
+pub enum Admitted {
+    /// Send it to the target now.
+    Run,
+    /// It was not run.
+    Refused(Refusal),
+}
+
+/// Why something was refused and when to come back.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Refusal {
+    /// The numbered code.
+    pub code: ResultCode,
+    /// When the caller should come back.
+    pub retry_after_ms: u32,
+}
+
+/// The decisions on the requests of one agent, behind one lock that is never held while waiting.
+#[derive(Debug)]
+pub struct Dispatcher {
+    shared: Arc<Shared>,
+    state: Mutex<State>,
+    run_ended: Notify,
+    wake_changed: Notify,
+}
+
+#[derive(Debug)]
+struct State {
+    requests: Requests,
+    admission: Admission,
+    context: Context,
+    waiting: BTreeMap<RequestId, oneshot::Sender<Admitted>>,
+    next_id: u64,
+}
+
+impl Dispatcher {
+    /// Creates the decisions of a new run of the agent.
+    pub fn new(shared: Arc<Shared>) -> Arc<Self> {
+        let in_force = shared.in_force();
+        let mut context = shared.clock.context();
+        let requests = Requests::new(
+            in_force.requests.clone(),
+            TicketKey::new(&shared.settings.common.cluster_key),
+            shared.address(),
+            shared.incarnation,
+            &mut context,
+        );
+        let admission = Admission::new(in_force.admission.clone(), context.now_ms);
+        let state = State {
+            requests,
+            admission,
+            context,
+            waiting: BTreeMap::new(),
+            next_id: 0,
+        };
+        Arc::new(Self {
+            shared,
+            state: Mutex::new(state),
+            run_ended: Notify::new(),
+            wake_changed: Notify::new(),
+        })
+    }
+
+    /// Starts the timer and the follower of the settings.
+    pub fn spawn_timers(self: &Arc<Self>) {
+        tokio::spawn(Arc::clone(self).run_timer());
+        tokio::spawn(Arc::clone(self).follow_settings());
+    }
+
+    /// Returns the current time.
+    pub fn now_ms(&self) -> u64 {
+        self.shared.clock.now_ms()
+    }
+
+    /// Returns the deadline of a request that names this time-out, or none.
+    pub fn deadline_ms(&self, timeout_ms: Option<u32>) -> u64 {
+        self.lock().requests.deadline_ms(timeout_ms, self.now_ms())
+    }
+
+    /// Mints the ticket for the next answer on a flow.
+    pub fn mint_ticket(&self, flow: u32) -> String {
+        let now_ms = self.now_ms();
+        self.lock().requests.mint(flow, now_ms)
+    }
+
+    /// Reads an idempotency key.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ResultCode::BadRequest`] for a malformed one.
+    pub fn parse_key(&self, text: &str) -> Result<IdempotencyKey, ResultCode> {
+        self.lock().requests.parse_key(text)
+    }
+
+    /// Decides what becomes of a request that arrived.
+    pub fn arrive(&self, arrival: &Arrival<'_>) -> Decision {
+        let directory = Directory {
+            peers: self.shared.peers(),
+            out: self.shared.in_force().out,
+        };
+        let mut state = self.lock();
+        let state = &mut *state;
+        state.requests.set_draining(self.shared.is_draining());
+        state.requests.arrive(arrival, &directory, &state.context)
+    }
+
+    /// Waits until a run ends, which may be the one that a duplicate has joined.
+    pub fn run_ended(&self) -> Notified<'_> {
+        self.run_ended.notified()
+    }
+
+    /// Asks whether the first byte of a request may be sent.
+    pub fn permit_send(&self, key: Option<&IdempotencyKey>) -> SendPermit {
+        self.lock().requests.permit_send(key)
+    }
+
+    /// Records the whole answer of a run.
+    pub fn complete(&self, key: Option<&IdempotencyKey>, answer: &[u8]) {
+        self.lock().requests.complete(key, answer);
+        self.run_ended.notify_waiters();
+    }
+
+    /// Takes the end of an attempt without an answer.
+    pub fn fail(&self, end: &AttemptEnd<'_>) -> AfterFailure {
+        let after = {
+            let mut state = self.lock();
+            let state = &mut *state;
+            state.requests.fail(end, &mut state.context)
+        };
+        self.run_ended.notify_waiters();
+        after
+    }
+
+    /// Waits until admission lets a request run or refuses it.
+    pub async fn admit(self: &Arc<Self>, deadline_ms: u64, class: CostClass) -> (Slot, Admitted) {
+        let (sender, receiver) = oneshot::channel();
+        let id = {
+            let mut state = self.lock();
+            state.next_id += 1;
+            let id = RequestId(state.next_id);
+            state.waiting.insert(id, sender);
+            id
+        };
+        let slot = Slot {
+            dispatcher: Arc::clone(self),
+            id,
+            is_over: false,
+        };
+        self.handle(Event::Arrived {
+            id,
+            deadline_ms,
+            class,
+        });
+        let lost = Refusal {
+            code: ResultCode::Overloaded,
+            retry_after_ms: 0,
+        };
+        let admitted = receiver.await.unwrap_or(Admitted::Refused(lost));
+        (slot, admitted)
+    }
+
+    /// Takes one event of admission; returns what was decided about a connection, if it was one.
+    pub fn handle(&self, event: Event) -> Option<Refusal> {
+        let mut refusal = None;
+        let mut state = self.lock();
+        let state = &mut *state;
+        let actions = state.admission.handle(event, &mut state.context);
+        for action in actions {
+            match action {
+                Action::Run { id } => answer_waiting(&mut state.waiting, id, Admitted::Run),
+                Action::Refuse {
+                    id,
+                    code,
+                    retry_after_ms,
+                } => {
+                    let refused = Refusal {
+                        code,
+                        retry_after_ms,
+                    };
+                    answer_waiting(&mut state.waiting, id, Admitted::Refused(refused));
+                }
+                Action::RefuseConnection {
+                    code,
+                    retry_after_ms,
+                } => {
+                    refusal = Some(Refusal {
+                        code,
+                        retry_after_ms,
+                    });
+                }
+                Action::Queue { .. } | Action::AcceptConnection => {}
+            }
+        }
+        self.wake_changed.notify_one();
+        refusal
+    }
+
+    /// Returns the state of admission, for dumps.
+    pub fn admission_view(&self) -> AdmissionView {
+        self.lock().admission.view()
+    }
+
+    /// Returns the state of requests, for dumps.
+    pub fn requests_view(&self) -> RequestsView {
+        self.lock().requests.view()
+    }
+
+    async fn run_timer(self: Arc<Self>) {
+        loop {
+            let now_ms = self.now_ms();
+            let wake_ms = self.lock().admission.wake_at_ms();
+            let pause_ms = wake_ms
+                .map_or(LONGEST_PAUSE_MS, |wake_ms| wake_ms.saturating_sub(now_ms))
+                .clamp(1, LONGEST_PAUSE_MS);
+            tokio::select! {
+                () = sleep(Duration::from_millis(pause_ms)) => {}
+                () = self.wake_changed.notified() => {}
+            }
+            if wake_ms.is_some_and(|wake_ms| self.now_ms() >= wake_ms) {
+                self.handle(Event::Tick);
+            }
+        }
+    }
+
+    async fn follow_settings(self: Arc<Self>) {
+        let mut in_force = self.shared.watch_in_force();
+        while in_force.changed().await.is_ok() {
+            let settings = Arc::clone(&in_force.borrow_and_update());
+            self.lock()
+                .requests
+                .change_settings(settings.requests.clone());
+            self.handle(Event::SettingsChanged(settings.admission.clone()));
+        }
+    }
+
+    /// Locks the state and brings its time up to date.
+    fn lock(&self) -> MutexGuard<'_, State> {
+        let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        self.shared.clock.refresh(&mut state.context);
+        state
+    }
+}
+
+fn answer_waiting(
+    waiting: &mut BTreeMap<RequestId, oneshot::Sender<Admitted>>,
+    id: RequestId,
+    admitted: Admitted,
+) {
+    if let Some(sender) = waiting.remove(&id) {
+        // A caller that has gone gives its slot back by dropping it.
+        let _ = sender.send(admitted);
+    }
+}
+
+/// What a request holds at admission; dropping it early tells that the request was cancelled.
+#[derive(Debug)]
+pub struct Slot {
+    dispatcher: Arc<Dispatcher>,
+    id: RequestId,
+    is_over: bool,
+}
+
+impl Slot {
+    /// Ends the request with its outcome.
+    pub fn end(mut self, latency_ms: u32, outcome: basilstep_core::admission::Outcome) {
+        self.is_over = true;
+        self.dispatcher.handle(Event::Answered {
+            id: self.id,
+            latency_ms,
+            outcome,
+        });
+    }
+
+    /// Turns the request into a long response, which frees its slot.
+    pub fn into_stream(mut self, latency_ms: u32) -> StreamSlot {
+        self.is_over = true;
+        self.dispatcher.handle(Event::StreamBegan {
+            id: self.id,
+            latency_ms,
+        });
+        StreamSlot {
+            dispatcher: Arc::clone(&self.dispatcher),
+        }
+    }
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        self.dispatcher.lock().waiting.remove(&self.id);
+        if !self.is_over {
+            self.dispatcher.handle(Event::Cancelled { id: self.id });
+        }
+    }
+}
+
+/// A long response in progress.
+#[derive(Debug)]
+pub struct StreamSlot {
+    dispatcher: Arc<Dispatcher>,
+}
+
+impl Drop for StreamSlot {
+    fn drop(&mut self) {
+        self.dispatcher.handle(Event::StreamEnded);
+    }
+}
+
+/// What this agent knows about the others of its service.
+struct Directory {
+    peers: Arc<[AgentRecord]>,
+    out: DomainSet,
+}
+
+impl AgentDirectory for Directory {
+    fn standing(&self, agent: AgentAddress, incarnation: Incarnation) -> AgentStanding {
+        let Some(peer) = self.peers.iter().find(|peer| peer.address == agent) else {
+            return AgentStanding::Reachable;
+        };
+        if self.out.contains(peer.domain) {
+            AgentStanding::DomainOut
+        } else if peer.incarnation > incarnation {
+            AgentStanding::Gone
+        } else {
+            AgentStanding::Reachable
+        }
+    }
+}
--- a/crates/basilstep-agent/src/flows.rs
+++ b/crates/basilstep-agent/src/flows.rs
@@ -1,11 +1,11 @@
 //! The flows of callers: QUIC connections with HTTP/3 requests.
 
 use crate::{
-    exchange::{self, AnswerBody, CallerBody},
+    exchange::{self, AnswerBody, CallerBody, Dispatcher, Origin},
     shared::Shared,
-    target::remove_hop_by_hop,
+    upstream::remove_hop_by_hop,
 };
-use basilstep_core::codes::ResultCode;
+use basilstep_core::{admission::Event, codes::ResultCode};
 use bytes::Bytes;
 use h3::{error::Code, server::RequestStream};
 use http::{Request, Response};
@@ -14,39 +14,84 @@
 use std::sync::Arc;
 
 type AnswerStream = RequestStream<h3_quinn::SendStream<Bytes>, Bytes>;
+type RequestStreams = RequestStream<h3_quinn::BidiStream<Bytes>, Bytes>;
 
-/// Accepts flows until the endpoint is closed.
-pub async fn accept_flows(shared: Arc<Shared>, endpoint: Endpoint) {
-    while let Some(incoming) = endpoint.accept().await {
-        let shared = Arc::clone(&shared);
-        tokio::spawn(async move { serve_flow(shared, incoming).await });
-    }
+/// What the flows of an agent need.
+#[derive(Clone, Debug)]
+pub struct Flows {
+    /// What the tasks share.
+    pub shared: Arc<Shared>,
+    /// The decisions on requests.
+    pub dispatcher: Arc<Dispatcher>,
 }
 
-async fn serve_flow(shared: Arc<Shared>, incoming: Incoming) {
-    if shared.own_load().refusal(0).is_some() {
-        incoming.refuse();
-        return;
+impl Flows {
+    /// Accepts flows until the endpoint is closed.
+    pub async fn accept(self, endpoint: Endpoint) {
+        while let Some(incoming) = endpoint.accept().await {
+            let flows = self.clone();
+            tokio::spawn(async move { flows.serve(incoming).await });
+        }
     }
-    let caller = incoming.remote_address();
-    let first_id = incoming.orig_dst_cid();
-    let Ok(connecting) = incoming.accept() else {
-        return;
-    };
-    shared.flow_opened(&caller, &first_id);
-    if let Ok(connection) = connecting.await {
-        serve_connection(&shared, connection).await;
+
+    async fn serve(&self, incoming: Incoming) {
+        let is_closed = self.shared.own_load().refusal(0).is_some();
+        if is_closed || self.dispatcher.handle(Event::ConnectionOffered).is_some() {
+            incoming.refuse();
+            return;
+        }
+        let caller = incoming.remote_address();
+        let first_id = incoming.orig_dst_cid();
+        if let Ok(connecting) = incoming.accept() {
+            self.shared.flow_opened(&caller, &first_id);
+            if let Ok(connection) = connecting.await {
+                self.serve_connection(connection).await;
+            }
+            self.shared.flow_closed();
+        }
+        self.dispatcher.handle(Event::ConnectionClosed);
+    }
+
+    async fn serve_connection(&self, connection: Connection) {
+        tokio::select! {
+            () = self.serve_requests(connection.clone()) => {}
+            () = domain_out(&self.shared) => close(&connection, ResultCode::FlowDomainOut),
+        }
+        // Requests that still run hold the connection; its end is the end of the flow.
+        connection.closed().await;
     }
-    shared.flow_closed();
-}
 
-async fn serve_connection(shared: &Arc<Shared>, connection: Connection) {
-    tokio::select! {
-        () = serve_requests(shared, connection.clone()) => {}
-        () = domain_out(shared) => close(&connection, ResultCode::FlowDomainOut),
+    async fn serve_requests(&self, connection: Connection) {
+        let builder = h3::server::builder();
+        let transport = h3_quinn::Connection::new(connection.clone());
+        let Ok(mut http) = builder.build::<_, Bytes>(transport).await else {
+            return;
+        };
+        let flow = rand::random();
+        while let Ok(Some(resolver)) = http.accept().await {
+            let flows = self.clone();
+            let connection = connection.clone();
+            tokio::spawn(async move {
+                let Ok((request, stream)) = resolver.resolve_request().await else {
+                    return;
+                };
+                tokio::select! {
+                    () = flows.serve_request(flow, request, stream) => {}
+                    // The caller has gone: dropping the request cancels it at the target.
+                    _ = connection.closed() => {}
+                }
+            });
+        }
+        connection.closed().await;
+    }
+
+    async fn serve_request(&self, flow: u32, request: Request<()>, stream: RequestStreams) {
+        let (answers, body) = stream.split();
+        let request = request.map(|()| CallerBody::new(body));
+        let origin = Origin::Flow(flow);
+        let response = exchange::answer(&self.shared, &self.dispatcher, origin, request).await;
+        send_answer(response, answers).await;
     }
-    // Requests that still run hold the connection; its end is the end of the flow.
-    connection.closed().await;
 }
 
 /// Waits until operators take the agent's failure domain out.
@@ -66,36 +111,6 @@
     connection.close(number, code.name().as_bytes());
 }
 
-async fn serve_requests(shared: &Arc<Shared>, connection: Connection) {
-    let builder = h3::server::builder();
-    let Ok(mut http) = builder
-        .build::<_, Bytes>(h3_quinn::Connection::new(connection.clone()))
-        .await
-    else {
-        return;
-    };
-    while let Ok(Some(resolver)) = http.accept().await {
-        let shared = Arc::clone(shared);
-        tokio::spawn(async move {
-            if let Ok((request, stream)) = resolver.resolve_request().await {
-                serve_request(&shared, request, stream).await;
-            }
-        });
-    }
-    connection.closed().await;
-}
-
-async fn serve_request(
-    shared: &Arc<Shared>,
-    request: Request<()>,
-    stream: RequestStream<h3_quinn::BidiStream<Bytes>, Bytes>,
-) {
-    let (answers, body) = stream.split();
-    let request = request.map(|()| CallerBody::new(body));
-    let response = exchange::answer(shared, request).await;
-    send_answer(response, answers).await;
-}
-
 /// Passes an answer on; a body that breaks off resets the stream, so that it never looks whole.
 async fn send_answer(response: Response<AnswerBody>, mut stream: AnswerStream) {
     let (mut head, mut body) = response.into_parts();
--- a/crates/basilstep-agent/src/health.rs
+++ b/crates/basilstep-agent/src/health.rs
@@ -2,9 +2,10 @@
 
 use crate::{
     controller::{Controller, PhaseChanged},
+    exchange::Dispatcher,
     shared::Shared,
 };
-use basilstep_core::membership::AgentPhase;
+use basilstep_core::{admission::Event, membership::AgentPhase};
 use bytes::Bytes;
 use http::{Request, header};
 use http_body_util::Empty;
@@ -24,7 +25,11 @@
 /// Checks the target until the controller ends, and announces the phase that follows.
 ///
 /// Only whether the target answers counts: what its health endpoint says lags or misleads.
-pub async fn watch_target(shared: Arc<Shared>, controller: Address<Controller>) {
+pub async fn watch_target(
+    shared: Arc<Shared>,
+    dispatcher: Arc<Dispatcher>,
+    controller: Address<Controller>,
+) {
     let mut failures = 0;
     loop {
         let check = timeout(Duration::from_millis(CHECK_TIMEOUT_MS), answers(&shared));
@@ -33,9 +38,12 @@
         } else {
             failures + 1
         };
-        shared.set_target_up(
-            failures < FAILURES_UNTIL_DOWN && (failures == 0 || shared.is_target_up()),
-        );
+        let was_up = shared.is_target_up();
+        let is_up = failures == 0 || (was_up && failures < FAILURES_UNTIL_DOWN);
+        shared.set_target_up(is_up);
+        if is_up != was_up {
+            dispatcher.handle(Event::HealthHint { up: is_up });
+        }
         let phase = phase_of(&shared);
         if controller.send(PhaseChanged(phase)).await.is_err() {
             return;
--- a/crates/basilstep-agent/src/main.rs
+++ b/crates/basilstep-agent/src/main.rs
@@ -11,12 +11,14 @@
 mod port;
 mod settings;
 mod shared;
-mod target;
+mod upstream;
 
 use crate::{
     bootstrap::FirstSettings,
     carrier::{CarrierSocket, MembershipDatagram},
     controller::{Controller, NewerSettings, PhaseChanged, Received, Tick},
+    exchange::Dispatcher,
+    flows::Flows,
     port::Port,
     settings::{AgentFlags, AgentSettings},
     shared::Shared,
@@ -89,10 +91,13 @@
     let carrier = CarrierSocket::bind(Arc::clone(&shared), datagrams).await?;
     let endpoint = endpoint::open(&shared, Arc::clone(&carrier), &chain_pem, &key_pem)?;
     let controller = controller::spawn(Arc::clone(&shared), carrier.udp(), state, &balancers);
+    let dispatcher = Dispatcher::new(Arc::clone(&shared));
+    dispatcher.spawn_timers();
     let port = Arc::new(Port {
         shared: Arc::clone(&shared),
         carrier,
         controller: controller.clone(),
+        dispatcher: Arc::clone(&dispatcher),
     });
     let counters = Arc::clone(&shared.counters);
     let _port = ControlServer::spawn(common.address, shared.keys.control, counters, port).await?;
@@ -104,9 +109,14 @@
     ));
     tokio::spawn(health::watch_target(
         Arc::clone(&shared),
+        Arc::clone(&dispatcher),
         controller.clone(),
     ));
-    tokio::spawn(flows::accept_flows(Arc::clone(&shared), endpoint.clone()));
+    let flows = Flows {
+        shared: Arc::clone(&shared),
+        dispatcher,
+    };
+    tokio::spawn(flows.accept(endpoint.clone()));
     tokio::spawn(report_metrics(
         Metrics::open("basilstep.agent", common.metrics_address)?,
         Arc::clone(&shared),
--- a/crates/basilstep-agent/src/port.rs
+++ b/crates/basilstep-agent/src/port.rs
@@ -3,12 +3,14 @@
 use crate::{
     carrier::CarrierSocket,
     controller::{Controller, Dump, PhaseChanged},
+    exchange::{self, AnswerBody, Dispatcher, Origin, RELAY_PATH, RELAYED_CLAIMED, RELAYED_HEADER},
     shared::Shared,
 };
 use basilstep_core::{codes::ResultCode, membership::AgentPhase};
-use basilstep_node::control::{ControlAnswer, ControlHandler, Query};
+use basilstep_node::control::{AUTH_HEADER, ControlAnswer, ControlHandler, Query};
 use bytes::Bytes;
-use http::Method;
+use http::{Method, Request, Response};
+use hyper::body::Incoming;
 use serde_json::json;
 use std::sync::{Arc, atomic::Ordering};
 use xtra::Address;
@@ -22,9 +24,13 @@
     pub carrier: Arc<CarrierSocket>,
     /// The controller.
     pub controller: Address<Controller>,
+    /// The decisions on requests.
+    pub dispatcher: Arc<Dispatcher>,
 }
 
 impl ControlHandler for Port {
+    type Stream = AnswerBody;
+
     async fn handle(&self, method: &Method, path: &str, _body: Bytes) -> ControlAnswer {
         match (method.as_str(), Query::parse(path).path()) {
             ("GET", "/dump") => self.dump().await,
@@ -32,6 +38,26 @@
             _ => ControlAnswer::code(ResultCode::NotFound),
         }
     }
+
+    fn is_streamed(&self, path: &str) -> bool {
+        path.starts_with(RELAY_PATH)
+    }
+
+    /// Answers a request that another agent relays.
+    async fn stream(&self, request: Request<Incoming>) -> Response<AnswerBody> {
+        let (mut head, body) = request.into_parts();
+        let path = head.uri.path_and_query().map_or("/", |path| path.as_str());
+        let path = path.strip_prefix(RELAY_PATH).unwrap_or(path);
+        head.uri = path.parse().unwrap_or_default();
+        let relayed = head.headers.remove(RELAYED_HEADER);
+        head.headers.remove(AUTH_HEADER);
+        let origin = match relayed {
+            Some(value) if value == RELAYED_CLAIMED => Origin::RelayedClaimed,
+            _ => Origin::RelayedToMinter,
+        };
+        let request = Request::from_parts(head, body);
+        exchange::answer(&self.shared, &self.dispatcher, origin, request).await
+    }
 }
 
 impl Port {
@@ -56,6 +82,8 @@
             "settings_version": self.shared.settings_version(),
             "open_flows": self.shared.open_flows.load(Ordering::Relaxed),
             "remembered_paths": self.carrier.remembered_paths(),
+            "admission": self.dispatcher.admission_view(),
+            "requests": self.dispatcher.requests_view(),
             "codes": self.shared.counters.snapshot(),
             "control": control,
         }))
--- /dev/null
+++ b/crates/basilstep-agent/src/upstream.rs
@@ -0,0 +1,70 @@
+//! One HTTP/1.1 request to the target or to another agent, on a connection of its own.
+
+use basilstep_core::codes::ResultCode;
+use bytes::Bytes;
+use http::{HeaderMap, HeaderName, Request, Response, header};
+use http_body::Body;
+use hyper::{body::Incoming, client::conn::http1};
+use hyper_util::rt::TokioIo;
+use std::{net::SocketAddrV4, time::Duration};
+use tokio::{net::TcpStream, time::timeout};
+
+/// How long a connection may take; the other side is in the same cage.
+const CONNECT_TIMEOUT_MS: u64 = 500;
+
+const HOP_BY_HOP: [HeaderName; 5] = [
+    header::CONNECTION,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+    header::TE,
+    header::TRAILER,
+];
+
+/// A connection over which nothing has been sent yet.
+#[derive(Debug)]
+pub struct Upstream<B> {
+    sender: http1::SendRequest<B>,
+}
+
+impl<B> Upstream<B>
+where
+    B: Body<Data = Bytes> + Send + Unpin + 'static,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
+    /// Opens the connection; as long as this fails, no byte of a request has been sent.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ResultCode::TargetUnreachable`] when the other side takes no connection in time.
+    pub async fn open(address: SocketAddrV4) -> Result<Self, ResultCode> {
+        let unreachable = ResultCode::TargetUnreachable;
+        let limit = Duration::from_millis(CONNECT_TIMEOUT_MS);
+        let stream = timeout(limit, TcpStream::connect(address))
+            .await
+            .or(Err(unreachable))?
+            .or(Err(unreachable))?;
+        stream.set_nodelay(true).or(Err(unreachable))?;
+        let (sender, connection) = http1::handshake(TokioIo::new(stream))
+            .await
+            .or(Err(unreachable))?;
+        tokio::spawn(connection);
+        Ok(Self { sender })
+    }
+
+    /// Sends the request and returns the head of the answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ResultCode::TargetLost`] when the connection ends before that.
+    pub async fn send(mut self, request: Request<B>) -> Result<Response<Incoming>, ResultCode> {
+        let answer = self.sender.send_request(request).await;
+        answer.or(Err(ResultCode::TargetLost))
+    }
+}
+
+/// Removes the headers that concern one connection only.
+pub fn remove_hop_by_hop(headers: &mut HeaderMap) {
+    for name in &HOP_BY_HOP {
+        headers.remove(name);
+    }
+}
--- a/crates/basilstep-balancer/src/port.rs
+++ b/crates/basilstep-balancer/src/port.rs
@@ -8,7 +8,9 @@
 use basilstep_core::codes::ResultCode;
 use basilstep_node::control::{ControlAnswer, ControlHandler, Query};
 use bytes::Bytes;
-use http::Method;
+use http::{Method, Request, Response};
+use http_body_util::Empty;
+use hyper::body::Incoming;
 use serde_json::json;
 use std::sync::{Arc, atomic::Ordering};
 use xtra::Address;
@@ -25,6 +27,8 @@
 }
 
 impl ControlHandler for Port {
+    type Stream = Empty<Bytes>;
+
     async fn handle(&self, method: &Method, path: &str, _body: Bytes) -> ControlAnswer {
         let query = Query::parse(path);
         match (method.as_str(), query.path()) {
@@ -34,6 +38,10 @@
             _ => ControlAnswer::code(ResultCode::NotFound),
         }
     }
+
+    async fn stream(&self, _request: Request<Incoming>) -> Response<Empty<Bytes>> {
+        Response::new(Empty::new())
+    }
 }
 
 impl Port {
--- a/crates/basilstep-node/src/control/server.rs
+++ b/crates/basilstep-node/src/control/server.rs
@@ -3,11 +3,13 @@
 use basilstep_core::{codes::ResultCode, crypto::ShortKey};
 use bytes::Bytes;
 use http::{Method, Request, Response, StatusCode};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body::Body;
+use http_body_util::{BodyExt, Either, Full, Limited};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use std::{
     convert::Infallible,
+    error::Error,
     io,
     net::SocketAddrV4,
     sync::{Arc, Mutex, PoisonError},
@@ -52,6 +54,9 @@
 
 /// What a process does with authenticated control requests.
 pub trait ControlHandler: Send + Sync + 'static {
+    /// The body of a streamed answer.
+    type Stream: Body<Data = Bytes, Error: Into<Box<dyn Error + Send + Sync>>> + Send + 'static;
+
     /// Answers one request; `path` includes the query.
     fn handle(
         &self,
@@ -59,6 +64,17 @@
         path: &str,
         body: Bytes,
     ) -> impl Future<Output = ControlAnswer> + Send;
+
+    /// Tells whether requests for this path are answered by [`ControlHandler::stream`].
+    fn is_streamed(&self, _path: &str) -> bool {
+        false
+    }
+
+    /// Answers one request whose bodies are passed on as they arrive.
+    fn stream(
+        &self,
+        request: Request<Incoming>,
+    ) -> impl Future<Output = Response<Self::Stream>> + Send;
 }
 
 /// A running control port.
@@ -96,6 +112,8 @@
     }
 }
 
+type PortBody<H> = Either<Full<Bytes>, <H as ControlHandler>::Stream>;
+
 struct Port<H> {
     guard: Mutex<AuthGuard>,
     counters: Arc<CodeCounters>,
@@ -135,18 +153,25 @@
 }
 
 impl<H: ControlHandler> Port<H> {
-    async fn answer(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
+    async fn answer(&self, request: Request<Incoming>) -> Response<PortBody<H>> {
         if !self.is_authentic(&request) {
             self.counters.count(ResultCode::Unauthorised);
-            return respond(ControlAnswer::code(ResultCode::Unauthorised));
+            return respond(ControlAnswer::code(ResultCode::Unauthorised)).map(Either::Left);
         }
-        let method = request.method().clone();
         let path = path_of(&request);
+        if self.handler.is_streamed(&path) {
+            return self.handler.stream(request).await.map(Either::Right);
+        }
+        self.answer_whole(&path, request).await.map(Either::Left)
+    }
+
+    async fn answer_whole(&self, path: &str, request: Request<Incoming>) -> Response<Full<Bytes>> {
+        let method = request.method().clone();
         let body = Limited::new(request.into_body(), MAX_BODY_BYTES);
         let Ok(body) = body.collect().await else {
             return respond(ControlAnswer::code(ResultCode::BadRequest));
         };
-        respond(self.handler.handle(&method, &path, body.to_bytes()).await)
+        respond(self.handler.handle(&method, path, body.to_bytes()).await)
     }
 
     fn is_authentic(&self, request: &Request<Incoming>) -> bool {
