feat(bench): measure cold start and overload against simpler policies

A modelled target (processor sharing, warms up under load, falls over beyond twice its bearable load) with one gate before it, in virtual time.

A target of 2 slots that turned cold unannounced was above its bearable load for 2961 ms: a slowdown of two was tolerated for ever. The finer alarm fires early, while the slowdown is still growing, so a target of 9 slots was halved instead of taken for cold and stayed above for 3001 ms. Individual slow answers gave no growth, so the ramp took 1.83 warm-ups instead of 1.33.

Tried and dropped: a baseline that learns slow answers less than fast ones during the ramp. Both directions now learn at 1/256 during the ramp.

--- /dev/null
+++ b/crates/basilstep-bench/src/load/cold_start/figures.rs
@@ -0,0 +1,82 @@
+//! What one run of the `cold-start` experiment counts.
+
+use super::super::target_model::{Ending, EndingKind, TargetModel};
+
+/// The length of one point of the curve of answers.
+const BIN_MS: u64 = 500;
+/// The share of the offered load whose answers count as full load.
+const FULL_SHARE: f64 = 0.9;
+/// Full load has to last for so many points.
+const FULL_BINS: usize = 4;
+
+/// The counts of one run, from the moment that the target is cold.
+#[derive(Debug, Default)]
+pub struct Figures {
+    /// Requests that arrived.
+    pub offered: u32,
+    /// Requests answered in time.
+    pub answered: u32,
+    /// Requests refused as not run.
+    pub refused: u32,
+    /// Requests lost at the target.
+    pub lost: u32,
+    /// Requests that their callers gave up.
+    pub timed_out: u32,
+    /// How often the target fell over.
+    pub falls: u32,
+    /// How long it had more in flight than it bears.
+    pub above_bearable_ms: u64,
+    /// The largest ratio of requests in flight to the bearable ones.
+    pub peak_ratio: f64,
+    /// When the target carried the offered load for good.
+    pub full_after_ms: Option<u64>,
+    answered_by_bin: Vec<u32>,
+}
+
+impl Figures {
+    /// Counts one ending.
+    pub fn add(&mut self, ending: &Ending, elapsed_ms: u64) {
+        let bin = (elapsed_ms / BIN_MS) as usize;
+        if self.answered_by_bin.len() <= bin {
+            self.answered_by_bin.resize(bin + 1, 0);
+        }
+        match ending.kind {
+            EndingKind::Answered => {
+                self.answered += 1;
+                self.answered_by_bin[bin] += 1;
+            }
+            EndingKind::Refused { .. } => self.refused += 1,
+            EndingKind::Lost => self.lost += 1,
+            EndingKind::TimedOut => self.timed_out += 1,
+        }
+    }
+
+    /// Takes the target's counts and works out when it carried its load.
+    pub fn finish(&mut self, target: &TargetModel, offered_per_second: f64) {
+        self.falls = target.falls();
+        self.above_bearable_ms = target.above_bearable_ms();
+        self.peak_ratio = target.peak_ratio();
+        let full = offered_per_second * BIN_MS as f64 / 1_000.0 * FULL_SHARE;
+        let is_full = |bins: &[u32]| {
+            let sum: u32 = bins.iter().sum();
+            f64::from(sum) >= full * bins.len() as f64
+        };
+        let bins = &self.answered_by_bin;
+        let first = bins.windows(FULL_BINS).position(is_full);
+        self.full_after_ms = first.map(|bin| bin as u64 * BIN_MS);
+    }
+
+    /// Returns the answers as a share of the requests that arrived.
+    pub fn answered_share(&self) -> f64 {
+        f64::from(self.answered) / f64::from(self.offered.max(1))
+    }
+
+    /// Returns the answers a second over the time in seconds.
+    pub fn answered_curve(&self) -> Vec<(f64, f64)> {
+        let per_second = 1_000.0 / BIN_MS as f64;
+        let points = self.answered_by_bin.iter().enumerate();
+        points
+            .map(|(bin, count)| (bin as f64 / per_second, f64::from(*count) * per_second))
+            .collect()
+    }
+}
--- /dev/null
+++ b/crates/basilstep-bench/src/load/cold_start/scenario.rs
@@ -0,0 +1,110 @@
+//! One run: warm the target if need be, let it turn cold, and watch it recover.
+
+use super::{
+    super::target_model::{Gate, Harness, SERVICE_MS, TargetModel, TargetSettings},
+    figures::Figures,
+};
+use rand::RngExt;
+
+/// The load that is offered, as a share of the warm target's capacity.
+const OFFERED_SHARE: f64 = 0.9;
+/// How long a warm target runs before it turns cold.
+const WARM_RUN_MS: u64 = 15_000;
+/// How long it is watched.
+const WATCH_MS: u64 = 30_000;
+/// When callers stop waiting.
+const TIMEOUT_MS: u64 = 2_000;
+
+/// What happens to the target.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Event {
+    /// It starts cold under the full offered load.
+    JoinsCold,
+    /// It turns cold without a word while it carries the full load.
+    TurnsCold,
+    /// It falls over, refuses connections for a while and comes back cold.
+    FallsOver,
+}
+
+/// One scenario.
+#[derive(Clone, Copy, Debug)]
+pub struct Scenario {
+    /// What happens.
+    pub event: Event,
+    /// To which target.
+    pub target: TargetSettings,
+    /// Whether the plot shows it.
+    pub is_plotted: bool,
+}
+
+impl Event {
+    /// Returns the name in the figures.
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::JoinsCold => "joins cold",
+            Self::TurnsCold => "turns cold unannounced",
+            Self::FallsOver => "falls over and returns cold",
+        }
+    }
+}
+
+/// Runs one policy through one scenario.
+pub fn run_scenario<G: Gate>(gate: G, scenario: &Scenario, seed: u64) -> Figures {
+    let warmth = f64::from(scenario.event != Event::JoinsCold);
+    let mut harness = Harness::new(gate, TargetModel::new(scenario.target, warmth), seed);
+    let mut arrivals = Arrivals::new(scenario.target.slots);
+    if scenario.event != Event::JoinsCold {
+        for _ in 0..WARM_RUN_MS {
+            arrivals.arrive(&mut harness);
+            harness.step();
+        }
+    }
+    harness.target.reset_counts();
+    match scenario.event {
+        Event::JoinsCold => {}
+        Event::TurnsCold => harness.target.turn_cold(),
+        Event::FallsOver => harness.crash(),
+    }
+    watch(&mut harness, &mut arrivals)
+}
+
+fn watch<G: Gate>(harness: &mut Harness<G>, arrivals: &mut Arrivals) -> Figures {
+    let mut figures = Figures::default();
+    for elapsed_ms in 0..WATCH_MS {
+        figures.offered += arrivals.arrive(harness);
+        for ending in harness.step() {
+            figures.add(&ending, elapsed_ms);
+        }
+    }
+    let offered_per_second = f64::from(figures.offered) * 1_000.0 / WATCH_MS as f64;
+    figures.finish(&harness.target, offered_per_second);
+    figures
+}
+
+/// Evenly random arrivals at a fixed mean rate.
+struct Arrivals {
+    mean_gap_ms: f64,
+    next_in_ms: f64,
+}
+
+impl Arrivals {
+    fn new(slots: u32) -> Self {
+        Self {
+            mean_gap_ms: SERVICE_MS / (f64::from(slots) * OFFERED_SHARE),
+            next_in_ms: 0.0,
+        }
+    }
+
+    /// Lets the requests of one millisecond arrive and returns how many they were.
+    fn arrive<G: Gate>(&mut self, harness: &mut Harness<G>) -> u32 {
+        let mut count = 0;
+        self.next_in_ms -= 1.0;
+        while self.next_in_ms <= 0.0 {
+            let gap_share = 2.0 * harness.context.rng.random::<f64>();
+            self.next_in_ms += self.mean_gap_ms * gap_share;
+            harness.arrive(TIMEOUT_MS);
+            count += 1;
+        }
+        count
+    }
+}
--- a/crates/basilstep-bench/src/load/mod.rs
+++ b/crates/basilstep-bench/src/load/mod.rs
@@ -8,6 +8,7 @@
 mod placement;
 mod plot;
 mod settings;
+mod target_model;
 
 use argh::FromArgs;
 use serde_json::Value;
--- /dev/null
+++ b/crates/basilstep-bench/src/load/overload/mod.rs
@@ -0,0 +1,156 @@
+//! The `overload` experiment: goodput beyond the capacity, with callers that come back.
+
+mod callers;
+mod run;
+
+use super::{
+    LoadArgs, Report,
+    plot::{Line, Plot},
+    target_model::{FifoQueue, FixedRetry, NoLimit, SERVICE_MS},
+};
+use basilstep_core::admission::{Admission, AdmissionSettings};
+use callers::Counts;
+use run::{SLOTS, Shape, WATCH_MS, run_gate};
+use serde_json::{Value, json};
+
+/// How long the first-in-first-out queue lets a request wait.
+const FIFO_WAIT_MS: u64 = 500;
+/// The retry time that does not depend on the load.
+const FIXED_RETRY_MS: u32 = 1_000;
+/// The length of one interval in which returning callers are counted.
+const RETURN_BIN_MS: u64 = 100;
+/// The callers' budget of retries.
+const BUDGET_PERCENT: u32 = 10;
+
+const POLICIES: [&str; 4] = ["no admission", "fifo queue", "ours, fixed retry", "ours"];
+const LOADS: [f64; 3] = [1.0, 2.0, 4.0];
+
+/// Runs the experiment.
+pub fn run(args: &LoadArgs) -> Report {
+    let mut rows = Vec::new();
+    let mut lines = Vec::new();
+    for policy in POLICIES {
+        for budget_percent in [None, Some(BUDGET_PERCENT)] {
+            let mut points = Vec::new();
+            for load in LOADS {
+                let runs = run_seeds(args, policy, Shape::Steady(load), budget_percent);
+                points.push((load, mean(&runs, goodput)));
+                rows.push(row(policy, &format!("{load} x"), budget_percent, &runs));
+            }
+            let budget = budget_percent.map_or("no budget", |_| "budget of 10%");
+            lines.push(Line {
+                name: format!("{policy}, {budget}"),
+                points,
+            });
+        }
+        let runs = run_seeds(args, policy, Shape::Burst, None);
+        rows.push(row(policy, "0.5 x and a burst of 600", None, &runs));
+    }
+    Report {
+        figures: json!({
+            "experiment": "overload",
+            "seed": args.seed,
+            "seeds": args.seeds,
+            "slots": SLOTS,
+            "rows": rows,
+        }),
+        plot: Some(Plot {
+            title: "Answers in time over capacity, callers retry up to 3 times".to_owned(),
+            x_label: "load over capacity".to_owned(),
+            y_label: "goodput over capacity".to_owned(),
+            lines,
+        }),
+    }
+}
+
+fn run_seeds(
+    args: &LoadArgs,
+    policy: &str,
+    shape: Shape,
+    budget_percent: Option<u32>,
+) -> Vec<Counts> {
+    (args.seed..args.seed + args.seeds)
+        .map(|seed| run_policy(policy, shape, budget_percent, seed))
+        .collect()
+}
+
+fn run_policy(policy: &str, shape: Shape, budget_percent: Option<u32>, seed: u64) -> Counts {
+    let settings = AdmissionSettings {
+        request_limit: SLOTS,
+        ..AdmissionSettings::default()
+    };
+    let ours = Admission::new(settings, 0);
+    match policy {
+        "no admission" => run_gate(NoLimit, shape, budget_percent, seed),
+        "fifo queue" => {
+            let gate = FifoQueue::new(SLOTS, FIFO_WAIT_MS);
+            run_gate(gate, shape, budget_percent, seed)
+        }
+        "ours, fixed retry" => {
+            let gate = FixedRetry {
+                inner: ours,
+                retry_after_ms: FIXED_RETRY_MS,
+            };
+            run_gate(gate, shape, budget_percent, seed)
+        }
+        _ => run_gate(ours, shape, budget_percent, seed),
+    }
+}
+
+fn row(policy: &str, load: &str, budget_percent: Option<u32>, runs: &[Counts]) -> Value {
+    json!({
+        "policy": policy,
+        "load": load,
+        "caller_budget_percent": budget_percent,
+        "goodput_over_capacity": mean(runs, goodput),
+        "goodput_over_capacity_least": runs.iter().map(goodput).fold(f64::MAX, f64::min),
+        "answered_share_of_requests": mean(runs, answered_share),
+        "attempts_per_request": mean(runs, attempts_per_request),
+        "timed_out_per_request": mean(runs, |counts| ratio(counts.timed_out, counts.requests)),
+        "refusal_delay_p99_ms": runs.iter().map(refusal_delay_p99_ms).max(),
+        "returns": runs.iter().map(|counts| counts.returned_ms.len()).sum::<usize>() / runs.len(),
+        "returns_peak_over_mean": mean(runs, returns_peak_over_mean),
+    })
+}
+
+fn mean(runs: &[Counts], figure: impl Fn(&Counts) -> f64) -> f64 {
+    runs.iter().map(figure).sum::<f64>() / runs.len() as f64
+}
+
+fn ratio(part: u32, whole: u32) -> f64 {
+    f64::from(part) / f64::from(whole.max(1))
+}
+
+fn goodput(counts: &Counts) -> f64 {
+    let capacity = f64::from(SLOTS) * WATCH_MS as f64 / SERVICE_MS;
+    f64::from(counts.answered) / capacity
+}
+
+fn answered_share(counts: &Counts) -> f64 {
+    ratio(counts.answered, counts.requests)
+}
+
+fn attempts_per_request(counts: &Counts) -> f64 {
+    ratio(counts.attempts, counts.requests)
+}
+
+fn refusal_delay_p99_ms(counts: &Counts) -> u64 {
+    let mut delays = counts.refusal_delays_ms.clone();
+    delays.sort_unstable();
+    let rank = delays.len() * 99 / 100;
+    delays.get(rank).copied().unwrap_or(0)
+}
+
+/// Compares the fullest interval with the mean, from the first return to the last.
+fn returns_peak_over_mean(counts: &Counts) -> f64 {
+    let (Some(first), Some(last)) = (counts.returned_ms.first(), counts.returned_ms.last()) else {
+        return 0.0;
+    };
+    let bins = ((last - first) / RETURN_BIN_MS + 1) as usize;
+    let mut by_bin = vec![0_u32; bins];
+    for returned_ms in &counts.returned_ms {
+        by_bin[((returned_ms - first) / RETURN_BIN_MS) as usize] += 1;
+    }
+    let peak = by_bin.iter().max().copied().unwrap_or(0);
+    f64::from(peak) * bins as f64 / counts.returned_ms.len() as f64
+}
--- /dev/null
+++ b/crates/basilstep-bench/src/load/overload/run.rs
@@ -0,0 +1,89 @@
+//! One run: a warm target, then more load than it can carry.
+
+use super::{
+    super::target_model::{Gate, Harness, SERVICE_MS, TargetModel, TargetSettings},
+    callers::{Callers, Counts},
+};
+use rand::RngExt;
+
+/// The slots of the target.
+pub const SLOTS: u32 = 9;
+/// How long the load is held.
+pub const WATCH_MS: u64 = 60_000;
+/// How long the target runs below its capacity before.
+const WARM_RUN_MS: u64 = 45_000;
+/// The load of that time, as a share of the capacity.
+const WARM_SHARE: f64 = 0.7;
+/// The load under a burst, as a share of the capacity.
+const BURST_SHARE: f64 = 0.5;
+/// The requests of the burst.
+const BURST_REQUESTS: u32 = 600;
+
+/// How the load comes.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Shape {
+    /// A steady multiple of the capacity.
+    Steady(f64),
+    /// Half the capacity, and one burst of requests within a millisecond.
+    Burst,
+}
+
+/// Runs one gate; returns what the callers saw while the load was held.
+pub fn run_gate<G: Gate>(gate: G, shape: Shape, budget_percent: Option<u32>, seed: u64) -> Counts {
+    let settings = TargetSettings {
+        slots: SLOTS,
+        warm_up_ms: 1_000.0,
+        fall_after_ms: None,
+        down_ms: 0,
+    };
+    let mut harness = Harness::new(gate, TargetModel::new(settings, 1.0), seed);
+    let mut callers = Callers::new(budget_percent);
+    let mut arrivals = Arrivals::default();
+    for _ in 0..WARM_RUN_MS {
+        step(&mut harness, &mut callers, &mut arrivals, WARM_SHARE, 0);
+    }
+    callers.take_counts();
+    let (load, burst) = match shape {
+        Shape::Steady(load) => (load, 0),
+        Shape::Burst => (BURST_SHARE, BURST_REQUESTS),
+    };
+    step(&mut harness, &mut callers, &mut arrivals, load, burst);
+    for _ in 1..WATCH_MS {
+        step(&mut harness, &mut callers, &mut arrivals, load, 0);
+    }
+    callers.take_counts()
+}
+
+fn step<G: Gate>(
+    harness: &mut Harness<G>,
+    callers: &mut Callers,
+    arrivals: &mut Arrivals,
+    load: f64,
+    extra: u32,
+) {
+    let new_requests = arrivals.next(harness, load) + extra;
+    callers.arrive(harness, new_requests);
+    for ending in harness.step() {
+        callers.end(harness, &ending);
+    }
+}
+
+/// Arrivals with exponential gaps.
+#[derive(Default)]
+struct Arrivals {
+    next_in_ms: f64,
+}
+
+impl Arrivals {
+    fn next<G: Gate>(&mut self, harness: &mut Harness<G>, load: f64) -> u32 {
+        let mean_gap_ms = SERVICE_MS / (f64::from(SLOTS) * load);
+        let mut count = 0;
+        self.next_in_ms -= 1.0;
+        while self.next_in_ms <= 0.0 {
+            let uniform: f64 = harness.context.rng.random();
+            self.next_in_ms += -mean_gap_ms * (1.0 - uniform).ln();
+            count += 1;
+        }
+        count
+    }
+}
--- /dev/null
+++ b/crates/basilstep-bench/src/load/target_model/gate.rs
@@ -0,0 +1,193 @@
+//! What stands before the target: our admission, and the simpler policies that it is compared to.
+
+use basilstep_core::{
+    admission::{Action, Admission, Event, Outcome, RequestId},
+    codes::ResultCode,
+    context::Context,
+};
+use std::collections::VecDeque;
+
+/// Decides what is sent to the target.
+pub trait Gate {
+    /// Takes one event and returns what has to be done.
+    fn handle(&mut self, event: Event, context: &mut Context) -> Vec<Action>;
+
+    /// Returns when a tick is due.
+    fn wake_at_ms(&self) -> Option<u64> {
+        None
+    }
+}
+
+impl Gate for Admission {
+    fn handle(&mut self, event: Event, context: &mut Context) -> Vec<Action> {
+        Admission::handle(self, event, context)
+    }
+
+    fn wake_at_ms(&self) -> Option<u64> {
+        Admission::wake_at_ms(self)
+    }
+}
+
+/// Sends everything at once.
+#[derive(Debug, Default)]
+pub struct NoLimit;
+
+impl Gate for NoLimit {
+    fn handle(&mut self, event: Event, _context: &mut Context) -> Vec<Action> {
+        match event {
+            Event::Arrived { id, .. } => vec![Action::Run { id }],
+            _ => Vec::new(),
+        }
+    }
+}
+
+/// Sends up to a fixed limit; the rest waits first in, first out, up to a time limit.
+#[derive(Debug)]
+pub struct FifoQueue {
+    limit: usize,
+    wait_ms: u64,
+    in_flight: usize,
+    queue: VecDeque<(RequestId, u64)>,
+}
+
+impl FifoQueue {
+    /// Creates the gate.
+    pub fn new(limit: u32, wait_ms: u64) -> Self {
+        Self {
+            limit: limit as usize,
+            wait_ms,
+            in_flight: 0,
+            queue: VecDeque::new(),
+        }
+    }
+
+    fn set_limit(&mut self, limit: f64) {
+        self.limit = limit as usize;
+    }
+
+    fn dispatch(&mut self, now_ms: u64) -> Vec<Action> {
+        let mut actions = Vec::new();
+        while let Some((id, since_ms)) = self.queue.front().copied() {
+            if now_ms >= since_ms + self.wait_ms {
+                actions.push(Action::Refuse {
+                    id,
+                    code: ResultCode::Overloaded,
+                    retry_after_ms: 0,
+                });
+            } else if self.in_flight < self.limit {
+                self.in_flight += 1;
+                actions.push(Action::Run { id });
+            } else {
+                break;
+            }
+            self.queue.pop_front();
+        }
+        actions
+    }
+
+    fn cancel(&mut self, id: RequestId) {
+        let before = self.queue.len();
+        self.queue.retain(|(queued, _)| *queued != id);
+        if before == self.queue.len() {
+            self.in_flight = self.in_flight.saturating_sub(1);
+        }
+    }
+}
+
+impl Gate for FifoQueue {
+    fn handle(&mut self, event: Event, context: &mut Context) -> Vec<Action> {
+        match event {
+            Event::Arrived { id, .. } => self.queue.push_back((id, context.now_ms)),
+            Event::Answered { .. } => self.in_flight = self.in_flight.saturating_sub(1),
+            Event::Cancelled { id } => self.cancel(id),
+            _ => {}
+        }
+        self.dispatch(context.now_ms)
+    }
+
+    fn wake_at_ms(&self) -> Option<u64> {
+        let first = self.queue.front();
+        first.map(|(_, since_ms)| since_ms + self.wait_ms)
+    }
+}
+
+/// Additive increase, multiplicative decrease on latency and failures; knows no cold target.
+#[derive(Debug)]
+pub struct Aimd {
+    queue: FifoQueue,
+    level: f64,
+    most: f64,
+    least_latency_ms: u32,
+    next_decrease_ms: u64,
+}
+
+impl Aimd {
+    /// A latency beyond this multiple of the least one counts as overload.
+    const LATENCY_RATIO: u32 = 3;
+
+    /// Creates the gate with one request in flight at first.
+    pub fn new(most: u32, wait_ms: u64) -> Self {
+        Self {
+            queue: FifoQueue::new(1, wait_ms),
+            level: 1.0,
+            most: f64::from(most),
+            least_latency_ms: u32::MAX,
+            next_decrease_ms: 0,
+        }
+    }
+
+    fn learn(&mut self, latency_ms: u32, outcome: Outcome, now_ms: u64) {
+        let slow_ms = self.least_latency_ms.saturating_mul(Self::LATENCY_RATIO);
+        if outcome == Outcome::Ok && latency_ms <= slow_ms {
+            self.least_latency_ms = self.least_latency_ms.min(latency_ms.max(1));
+            self.level = (self.level + 1.0 / self.level).min(self.most);
+        } else if now_ms >= self.next_decrease_ms {
+            self.level = (self.level / 2.0).max(1.0);
+            self.next_decrease_ms = now_ms + u64::from(latency_ms);
+        }
+        self.queue.set_limit(self.level);
+    }
+}
+
+impl Gate for Aimd {
+    fn handle(&mut self, event: Event, context: &mut Context) -> Vec<Action> {
+        if let Event::Answered {
+            latency_ms,
+            outcome,
+            ..
+        } = event
+        {
+            self.learn(latency_ms, outcome, context.now_ms);
+        }
+        self.queue.handle(event, context)
+    }
+
+    fn wake_at_ms(&self) -> Option<u64> {
+        self.queue.wake_at_ms()
+    }
+}
+
+/// Another gate whose refusals all name the same retry time.
+#[derive(Debug)]
+pub struct FixedRetry<G> {
+    /// The gate that decides.
+    pub inner: G,
+    /// The retry time.
+    pub retry_after_ms: u32,
+}
+
+impl<G: Gate> Gate for FixedRetry<G> {
+    fn handle(&mut self, event: Event, context: &mut Context) -> Vec<Action> {
+        let mut actions = self.inner.handle(event, context);
+        for action in &mut actions {
+            if let Action::Refuse { retry_after_ms, .. } = action {
+                *retry_after_ms = self.retry_after_ms;
+            }
+        }
+        actions
+    }
+
+    fn wake_at_ms(&self) -> Option<u64> {
+        self.inner.wake_at_ms()
+    }
+}
--- /dev/null
+++ b/crates/basilstep-bench/src/load/target_model/harness.rs
@@ -0,0 +1,216 @@
+//! Drives one gate and one target through virtual time, one millisecond at a time.
+
+use super::{Gate, TargetModel};
+use basilstep_core::{
+    admission::{Action, CostClass, Event, Outcome, RequestId},
+    context::Context,
+};
+use rand::RngExt;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+/// The mean work of a request at full speed.
+pub const SERVICE_MS: f64 = 50.0;
+/// The work varies evenly by this share to both sides.
+const SERVICE_SPREAD: f64 = 0.4;
+
+/// How a request ended, as its caller sees it.
+#[derive(Clone, Copy, Debug)]
+pub struct Ending {
+    /// The request.
+    pub id: RequestId,
+    /// The time since it arrived.
+    pub after_ms: u64,
+    /// The way it ended.
+    pub kind: EndingKind,
+}
+
+/// The ways that a request ends.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum EndingKind {
+    /// Answered in time.
+    Answered,
+    /// Refused: not run.
+    Refused {
+        /// When the caller may come back; 0 when it was not told.
+        retry_after_ms: u32,
+    },
+    /// Sent, and lost when the target fell over.
+    Lost,
+    /// Not answered before its deadline.
+    TimedOut,
+}
+
+#[derive(Clone, Copy, Debug)]
+#[expect(
+    clippy::struct_field_names,
+    reason = "each field is a time in milliseconds"
+)]
+struct Open {
+    arrived_ms: u64,
+    deadline_ms: u64,
+    sent_ms: Option<u64>,
+}
+
+/// The gate, the target and the requests between them.
+#[derive(Debug)]
+pub struct Harness<G> {
+    /// The target.
+    pub target: TargetModel,
+    /// The virtual time and the random source of both.
+    pub context: Context,
+    gate: G,
+    open: BTreeMap<RequestId, Open>,
+    deadlines: BTreeSet<(u64, RequestId)>,
+    next_id: u64,
+    endings: Vec<Ending>,
+}
+
+impl<G: Gate> Harness<G> {
+    /// Puts a gate before a target.
+    pub fn new(gate: G, target: TargetModel, seed: u64) -> Self {
+        Self {
+            target,
+            context: Context::new(seed),
+            gate,
+            open: BTreeMap::new(),
+            deadlines: BTreeSet::new(),
+            next_id: 0,
+            endings: Vec::new(),
+        }
+    }
+
+    /// Lets a request arrive that its caller gives up after `timeout_ms`.
+    pub fn arrive(&mut self, timeout_ms: u64) -> RequestId {
+        let id = RequestId(self.next_id);
+        self.next_id += 1;
+        let deadline_ms = self.context.now_ms + timeout_ms;
+        let open = Open {
+            arrived_ms: self.context.now_ms,
+            deadline_ms,
+            sent_ms: None,
+        };
+        self.open.insert(id, open);
+        self.deadlines.insert((deadline_ms, id));
+        self.handle(Event::Arrived {
+            id,
+            deadline_ms,
+            class: CostClass::default(),
+        });
+        id
+    }
+
+    /// Lets the target fall over.
+    pub fn crash(&mut self) {
+        let lost = self.target.fall(self.context.now_ms);
+        self.lose(lost);
+    }
+
+    /// Works for one millisecond and returns what ended since the last call.
+    pub fn step(&mut self) -> Vec<Ending> {
+        self.context.advance(1);
+        let ended = self.target.step(self.context.now_ms);
+        for id in ended.answered {
+            self.end(id, EndingKind::Answered);
+            self.report(id, Outcome::Ok);
+        }
+        self.lose(ended.lost);
+        self.time_out();
+        let due = self.gate.wake_at_ms();
+        if due.is_some_and(|due_ms| due_ms <= self.context.now_ms) {
+            self.handle(Event::Tick);
+        }
+        std::mem::take(&mut self.endings)
+    }
+
+    fn lose(&mut self, lost: Vec<RequestId>) {
+        for id in lost {
+            self.end(id, EndingKind::Lost);
+            self.report(id, Outcome::TargetGone);
+        }
+    }
+
+    fn time_out(&mut self) {
+        while let Some((deadline_ms, id)) = self.deadlines.first().copied() {
+            if deadline_ms > self.context.now_ms {
+                return;
+            }
+            self.deadlines.pop_first();
+            let Some(open) = self.open.get(&id).copied() else {
+                continue;
+            };
+            self.end(id, EndingKind::TimedOut);
+            self.target.cancel(id);
+            if open.sent_ms.is_some() {
+                self.report(id, Outcome::Slow);
+            } else {
+                self.open.remove(&id);
+                self.handle(Event::Cancelled { id });
+            }
+        }
+    }
+
+    fn report(&mut self, id: RequestId, outcome: Outcome) {
+        let open = self.open.remove(&id);
+        let sent_ms = open.and_then(|open| open.sent_ms);
+        let Some(sent_ms) = sent_ms else {
+            return;
+        };
+        self.handle(Event::Answered {
+            id,
+            latency_ms: (self.context.now_ms - sent_ms) as u32,
+            outcome,
+        });
+    }
+
+    fn end(&mut self, id: RequestId, kind: EndingKind) {
+        let Some(open) = self.open.get(&id) else {
+            return;
+        };
+        self.deadlines.remove(&(open.deadline_ms, id));
+        self.endings.push(Ending {
+            id,
+            after_ms: self.context.now_ms - open.arrived_ms,
+            kind,
+        });
+    }
+
+    fn handle(&mut self, event: Event) {
+        let mut events = VecDeque::from([event]);
+        while let Some(event) = events.pop_front() {
+            for action in self.gate.handle(event, &mut self.context) {
+                events.extend(self.act(action));
+            }
+        }
+    }
+
+    fn act(&mut self, action: Action) -> Option<Event> {
+        match action {
+            Action::Run { id } => self.send(id),
+            Action::Refuse {
+                id, retry_after_ms, ..
+            } => {
+                self.end(id, EndingKind::Refused { retry_after_ms });
+                self.open.remove(&id);
+                None
+            }
+            _ => None,
+        }
+    }
+
+    /// A refused connection means that no byte was sent, so the request was not run.
+    fn send(&mut self, id: RequestId) -> Option<Event> {
+        let spread = SERVICE_SPREAD * (2.0 * self.context.rng.random::<f64>() - 1.0);
+        let work_ms = SERVICE_MS * (1.0 + spread);
+        if self.target.send(id, work_ms, self.context.now_ms) {
+            self.open.get_mut(&id)?.sent_ms = Some(self.context.now_ms);
+            return None;
+        }
+        self.end(id, EndingKind::Refused { retry_after_ms: 0 });
+        self.open.remove(&id);
+        Some(Event::Answered {
+            id,
+            latency_ms: 0,
+            outcome: Outcome::TargetGone,
+        })
+    }
+}
--- /dev/null
+++ b/crates/basilstep-bench/src/load/target_model/target.rs
@@ -0,0 +1,161 @@
+//! A target that is cold at first, slows down when it is overloaded, and falls over.
+
+use basilstep_core::admission::RequestId;
+use std::collections::BTreeMap;
+
+/// A target warms up at its full pace once it carries this part of its bearable load.
+const WARMING_SHARE: f64 = 0.5;
+/// A target falls over beyond this multiple of its bearable load.
+const FALL_RATIO: f64 = 2.0;
+
+/// What a modelled target is like.
+#[derive(Clone, Copy, Debug)]
+pub struct TargetSettings {
+    /// The requests that it serves at full speed when warm.
+    pub slots: u32,
+    /// The time from cold to warm, under load.
+    pub warm_up_ms: f64,
+    /// How long it stands more than twice its bearable load; `None` for ever.
+    pub fall_after_ms: Option<u64>,
+    /// How long it refuses connections after it fell over.
+    pub down_ms: u64,
+}
+
+/// The target: each request gets its share of the speed that the target has now.
+#[derive(Debug)]
+pub struct TargetModel {
+    settings: TargetSettings,
+    warmth: f64,
+    remaining_ms: BTreeMap<RequestId, f64>,
+    down_until_ms: u64,
+    overloaded_ms: u64,
+    falls: u32,
+    above_bearable_ms: u64,
+    peak_ratio: f64,
+}
+
+/// What ended in one millisecond.
+#[derive(Debug, Default)]
+pub struct StepEnd {
+    /// The requests that were answered.
+    pub answered: Vec<RequestId>,
+    /// The requests that were lost because the target fell over.
+    pub lost: Vec<RequestId>,
+}
+
+impl TargetModel {
+    /// Creates a target; `warmth` is 0 for a cold and 1 for a warm one.
+    pub fn new(settings: TargetSettings, warmth: f64) -> Self {
+        Self {
+            settings,
+            warmth,
+            remaining_ms: BTreeMap::new(),
+            down_until_ms: 0,
+            overloaded_ms: 0,
+            falls: 0,
+            above_bearable_ms: 0,
+            peak_ratio: 0.0,
+        }
+    }
+
+    /// Returns the requests that it serves at full speed now.
+    pub fn bearable(&self) -> f64 {
+        1.0 + f64::from(self.settings.slots - 1) * self.warmth
+    }
+
+    /// Returns how often it fell over.
+    pub fn falls(&self) -> u32 {
+        self.falls
+    }
+
+    /// Returns for how long it had more in flight than it bears.
+    pub fn above_bearable_ms(&self) -> u64 {
+        self.above_bearable_ms
+    }
+
+    /// Returns the largest ratio of requests in flight to the bearable ones.
+    pub fn peak_ratio(&self) -> f64 {
+        self.peak_ratio
+    }
+
+    /// Forgets the counts, but not the state.
+    pub fn reset_counts(&mut self) {
+        self.falls = 0;
+        self.above_bearable_ms = 0;
+        self.peak_ratio = 0.0;
+    }
+
+    /// Turns cold without a word; what is in flight goes on.
+    pub fn turn_cold(&mut self) {
+        self.warmth = 0.0;
+    }
+
+    /// Takes a request that needs `work_ms` at full speed; false when it refuses connections.
+    pub fn send(&mut self, id: RequestId, work_ms: f64, now_ms: u64) -> bool {
+        if now_ms < self.down_until_ms {
+            return false;
+        }
+        self.remaining_ms.insert(id, work_ms);
+        true
+    }
+
+    /// Drops a request that was cancelled.
+    pub fn cancel(&mut self, id: RequestId) {
+        self.remaining_ms.remove(&id);
+    }
+
+    /// Works for one millisecond.
+    pub fn step(&mut self, now_ms: u64) -> StepEnd {
+        let load = self.remaining_ms.len() as f64;
+        self.note_load(load);
+        if self.falls_over(load) {
+            return StepEnd {
+                lost: self.fall(now_ms),
+                ..StepEnd::default()
+            };
+        }
+        let speed = (self.bearable() / load.max(1.0)).min(1.0);
+        for remaining in self.remaining_ms.values_mut() {
+            *remaining -= speed;
+        }
+        let is_done = |remaining: &f64| *remaining <= 0.0;
+        let done = self.remaining_ms.iter().filter(|(_, left)| is_done(left));
+        let answered: Vec<RequestId> = done.map(|(id, _)| *id).collect();
+        self.remaining_ms.retain(|_, left| !is_done(left));
+        self.warm_up(load);
+        StepEnd {
+            answered,
+            lost: Vec::new(),
+        }
+    }
+
+    /// Falls over at once; returns what was in flight.
+    pub fn fall(&mut self, now_ms: u64) -> Vec<RequestId> {
+        self.falls += 1;
+        self.overloaded_ms = 0;
+        self.warmth = 0.0;
+        self.down_until_ms = now_ms + self.settings.down_ms;
+        std::mem::take(&mut self.remaining_ms).into_keys().collect()
+    }
+
+    fn note_load(&mut self, load: f64) {
+        let ratio = load / self.bearable();
+        self.peak_ratio = self.peak_ratio.max(ratio);
+        self.above_bearable_ms += u64::from(ratio > 1.0);
+    }
+
+    fn falls_over(&mut self, load: f64) -> bool {
+        if load <= FALL_RATIO * self.bearable() {
+            self.overloaded_ms = 0;
+            return false;
+        }
+        self.overloaded_ms += 1;
+        let limit_ms = self.settings.fall_after_ms;
+        limit_ms.is_some_and(|limit_ms| self.overloaded_ms > limit_ms)
+    }
+
+    fn warm_up(&mut self, load: f64) {
+        let pace = (load / (WARMING_SHARE * self.bearable())).min(1.0);
+        self.warmth = (self.warmth + pace / self.settings.warm_up_ms).min(1.0);
+    }
+}
--- a/crates/basilstep-core/src/admission/answers.rs
+++ b/crates/basilstep-core/src/admission/answers.rs
@@ -28,6 +28,7 @@
             latency_ms,
             outcome,
             latency_limit_ms: self.settings.latency_limit_ms,
+            is_ramping: self.limit.is_cold(),
             at_cold_limit: self.limit.in_force() <= self.settings.cold_limit(),
         };
         let verdict = self.evidence.judge(running.class, &answer);
@@ -58,6 +59,13 @@
                     self.cold_turns += 1;
                 }
             }
+            Verdict::Slowed { ratio } => {
+                self.decreases += 1;
+                self.evidence.restart();
+                if self.limit.slow_down(&self.settings, ratio) {
+                    self.cold_turns += 1;
+                }
+            }
             Verdict::Collapsed => self.turn_cold(),
         }
     }
--- a/crates/basilstep-core/src/admission/arrivals.rs
+++ b/crates/basilstep-core/src/admission/arrivals.rs
@@ -37,11 +37,8 @@
         }
         let position = self.queue.position(&waiting);
         let has_room = self.queue.len() < self.settings.queue_limit as usize;
-        if !has_room
-            || !self
-                .drain_rate(now_ms)
-                .is_feasible(position, &waiting, now_ms)
-        {
+        let rate = self.drain_rate(now_ms);
+        if !has_room || !rate.is_promising(position, &waiting, now_ms) {
             return self.refuse(id, self.refusal_code(), context, actions);
         }
         self.queue.push(waiting);
--- a/crates/basilstep-core/src/admission/evidence.rs
+++ b/crates/basilstep-core/src/admission/evidence.rs
@@ -9,31 +9,41 @@
 const BASELINE_GAIN: f64 = 1.0 / 32.0;
 /// The weight of one answer while the target runs at its cold limit.
 const COLD_BASELINE_GAIN: f64 = 0.25;
+/// The weight of one answer during the ramp, whose latency may be the load's doing.
+const RAMP_BASELINE_GAIN: f64 = 1.0 / 256.0;
 /// The weight of one answer in the recent mean latency.
-const TYPICAL_GAIN: f64 = 1.0 / 8.0;
+const TYPICAL_GAIN: f64 = 1.0 / 16.0;
 /// An answer moves the baseline by no more than this multiple of it.
 const BASELINE_CLIP_RATIO: f64 = 3.0;
-/// The slowdown that the excess sum tolerates for ever.
-const TOLERATED_RATIO: f64 = 2.0;
-/// The excess sum at which the target counts as overloaded; exponential service times reach it
-/// by chance once in some ten thousand answers.
-const EXCESS_ALARM: f64 = 12.0;
-/// The excess sum above which the limit stops growing.
-const EXCESS_STRAIN: f64 = 4.0;
+/// The least and the largest spread of latencies that is reckoned with, relative to their mean;
+/// the largest is that of exponential service times.
+const SPREAD_RANGE: (f64, f64) = (0.25, 1.0);
+/// The excess sum at which the target counts as overloaded, in spreads; exponential service times
+/// reach it by chance once in some hundred thousand answers.
+const EXCESS_ALARM_SPREADS: f64 = 16.0;
+/// The excess sum above which the limit stops growing, in spreads.
+const EXCESS_STRAIN_SPREADS: f64 = 4.0;
+/// So many answers make the spread of latencies known.
+const SPREAD_KNOWN_ANSWERS: u32 = 16;
 /// The mean slowdown of an alarm that halving would not cure: the target has turned cold.
 const COLLAPSE_RATIO: f64 = 3.0;
 /// The share of bad answers among the last eight at which a server error counts as overload.
 const ERRORS_OF_EIGHT: u32 = 2;
 
 /// What one answer means for the limit.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub(super) enum Verdict {
     /// In time: the limit may grow.
     Good,
     /// Neither: the limit stays.
     Strained,
-    /// The target is overloaded: the limit is halved.
+    /// The target refused or failed: the limit is halved.
     Overloaded,
+    /// The target has slowed down: the limit is divided by the slowdown and ramps up anew.
+    Slowed {
+        /// The mean latency relative to the usual one.
+        ratio: f64,
+    },
     /// The target carries a fraction of what it carried before.
     Collapsed,
 }
@@ -42,9 +52,29 @@
 #[derive(Clone, Copy, Debug)]
 struct Baseline {
     latency_ms: f64,
+    variance: f64,
     answers: u32,
 }
 
+impl Baseline {
+    /// Returns the spread of latencies relative to their mean; wide until it is known.
+    fn spread(&self) -> f64 {
+        let (least, most) = SPREAD_RANGE;
+        if self.answers < SPREAD_KNOWN_ANSWERS {
+            return most;
+        }
+        self.variance.sqrt().clamp(least, most)
+    }
+
+    fn learn(&mut self, latency_ms: f64, least_gain: f64) {
+        self.answers = self.answers.saturating_add(1);
+        let gain = least_gain.max(1.0 / f64::from(self.answers));
+        let ratio = (latency_ms / self.latency_ms).min(BASELINE_CLIP_RATIO);
+        self.variance += gain * ((ratio - 1.0).powi(2) - self.variance);
+        self.latency_ms *= 1.0 + gain * (ratio - 1.0);
+    }
+}
+
 /// Judges answers against the usual latency of their class.
 ///
 /// A cumulative sum of the slowdown beyond the tolerated one raises the alarm, so that neither a
@@ -53,9 +83,7 @@
 pub(super) struct Evidence {
     baselines: BTreeMap<CostClass, Baseline>,
     typical_ms: Option<f64>,
-    excess: f64,
-    run_ratio_sum: f64,
-    run_answers: u32,
+    run: SlowRun,
     history: u8,
 }
 
@@ -67,9 +95,7 @@
 
     /// Forgets the current run of slow answers; called when the limit was reduced.
     pub(super) fn restart(&mut self) {
-        self.excess = 0.0;
-        self.run_ratio_sum = 0.0;
-        self.run_answers = 0;
+        self.run = SlowRun::default();
     }
 
     /// Returns the usual latency of a class, once known.
@@ -105,60 +131,65 @@
 
     fn judge_latency(&mut self, class: CostClass, answer: &Answer) -> Verdict {
         let latency_ms = f64::from(answer.latency_ms).max(BASELINE_FLOOR_MS);
-        let Some(usual_ms) = self.baseline_ms(class) else {
-            self.learn(class, latency_ms, answer.at_cold_limit);
-            return Verdict::Good;
-        };
-        let ratio = latency_ms / usual_ms;
-        let alarm = self.add_excess(ratio);
-        if answer.at_cold_limit || self.excess < EXCESS_STRAIN {
-            self.learn(class, latency_ms, answer.at_cold_limit);
+        let baseline = self.baselines.entry(class).or_insert(Baseline {
+            latency_ms,
+            variance: 1.0,
+            answers: 0,
+        });
+        let ratio = latency_ms / baseline.latency_ms;
+        let spread = baseline.spread();
+        let alarm = self.run.add(ratio, spread);
+        let is_strained = self.run.excess >= EXCESS_STRAIN_SPREADS * spread;
+        if answer.at_cold_limit {
+            baseline.learn(latency_ms, COLD_BASELINE_GAIN);
+        } else if !is_strained {
+            let gain = if answer.is_ramping {
+                RAMP_BASELINE_GAIN
+            } else {
+                BASELINE_GAIN
+            };
+            baseline.learn(latency_ms, gain);
         }
+        let is_slow = ratio > 1.0 + spread;
         if let Some(verdict) = alarm {
-            return verdict;
-        }
-        if answer.latency_ms > answer.latency_limit_ms && ratio > TOLERATED_RATIO {
-            return Verdict::Overloaded;
-        }
-        if self.excess < EXCESS_STRAIN && ratio < TOLERATED_RATIO {
-            return Verdict::Good;
+            verdict
+        } else if answer.latency_ms > answer.latency_limit_ms && is_slow {
+            Verdict::Overloaded
+        } else if is_strained {
+            Verdict::Strained
+        } else {
+            Verdict::Good
         }
-        Verdict::Strained
     }
+}
 
-    fn add_excess(&mut self, ratio: f64) -> Option<Verdict> {
-        self.excess = (self.excess + ratio - TOLERATED_RATIO).max(0.0);
+/// A run of answers that were slower than usual on the whole.
+#[derive(Debug, Default)]
+struct SlowRun {
+    excess: f64,
+    ratio_sum: f64,
+    answers: u32,
+}
+
+impl SlowRun {
+    /// Adds the slowdown of one answer; returns the verdict when the run raises the alarm.
+    fn add(&mut self, ratio: f64, spread: f64) -> Option<Verdict> {
+        self.excess += ratio - (1.0 + spread);
         if self.excess <= 0.0 {
-            self.restart();
+            *self = Self::default();
             return None;
         }
-        self.run_ratio_sum += ratio;
-        self.run_answers += 1;
-        if self.excess < EXCESS_ALARM {
+        self.ratio_sum += ratio;
+        self.answers += 1;
+        if self.excess < EXCESS_ALARM_SPREADS * spread {
             return None;
         }
-        let mean_ratio = self.run_ratio_sum / f64::from(self.run_answers);
-        self.restart();
+        let mean_ratio = self.ratio_sum / f64::from(self.answers);
+        *self = Self::default();
         if mean_ratio >= COLLAPSE_RATIO {
             return Some(Verdict::Collapsed);
         }
-        Some(Verdict::Overloaded)
-    }
-
-    fn learn(&mut self, class: CostClass, latency_ms: f64, at_cold_limit: bool) {
-        let baseline = self.baselines.entry(class).or_insert(Baseline {
-            latency_ms,
-            answers: 0,
-        });
-        baseline.answers = baseline.answers.saturating_add(1);
-        let settled_gain = if at_cold_limit {
-            COLD_BASELINE_GAIN
-        } else {
-            BASELINE_GAIN
-        };
-        let gain = settled_gain.max(1.0 / f64::from(baseline.answers));
-        let clipped_ms = latency_ms.min(BASELINE_CLIP_RATIO * baseline.latency_ms);
-        baseline.latency_ms += gain * (clipped_ms - baseline.latency_ms);
+        Some(Verdict::Slowed { ratio: mean_ratio })
     }
 }
 
@@ -173,4 +204,6 @@
     pub(super) latency_limit_ms: u32,
     /// Whether the target runs at its cold limit, where its latency is not the load's doing.
     pub(super) at_cold_limit: bool,
+    /// Whether the limit ramps up.
+    pub(super) is_ramping: bool,
 }
--- a/crates/basilstep-core/src/admission/limit.rs
+++ b/crates/basilstep-core/src/admission/limit.rs
@@ -6,6 +6,8 @@
 const PROBES_PER_RAMP: u32 = 8;
 /// The longest time between two steps above the known good level.
 const PROBE_INTERVAL_MAX_MS: u64 = 60_000;
+/// A reduction divides the limit by at least this.
+const LEAST_DIVISOR: f64 = 2.0;
 /// So many reductions without a good round between them mean that the target has turned cold.
 const DECREASES_UNTIL_COLD: u32 = 2;
 
@@ -62,7 +64,23 @@
         self.begin_epoch();
     }
 
-    /// Reduces the limit on a sign of overload; returns whether the target counts as cold now.
+    /// Takes a slowdown at the present level; returns whether the target counts as newly cold.
+    ///
+    /// A level that was good before and no longer is means a cold target. During the ramp it
+    /// means that the ramp went ahead of the target, so it goes back by the slowdown.
+    pub(super) fn slow_down(&mut self, settings: &AdmissionSettings, ratio: f64) -> bool {
+        if !self.cold {
+            self.turn_cold(settings);
+            return true;
+        }
+        let slots = f64::from(self.in_force());
+        self.level = (slots / ratio.max(LEAST_DIVISOR)).floor();
+        self.cap(settings);
+        self.begin_epoch();
+        false
+    }
+
+    /// Halves the limit on a sign of overload; returns whether the target counts as cold now.
     pub(super) fn reduce(&mut self, settings: &AdmissionSettings, now_ms: u64) -> bool {
         let cold_level = f64::from(settings.cold_limit());
         let probing = !self.cold && self.good_level >= cold_level && self.level > self.good_level;
@@ -81,7 +99,7 @@
         }
         let failed_level = self.level.floor();
         self.good_level = (failed_level - 1.0).max(cold_level);
-        self.level = (failed_level / 2.0).max(cold_level);
+        self.level = (failed_level / LEAST_DIVISOR).max(cold_level);
         self.cold = false;
         self.next_probe_ms = now_ms + self.probe_interval_ms;
         self.begin_epoch();
--- a/crates/basilstep-core/src/admission/queue.rs
+++ b/crates/basilstep-core/src/admission/queue.rs
@@ -3,6 +3,9 @@
 use super::{CostClass, RequestId};
 use std::collections::BTreeMap;
 
+/// A newcomer is queued if it is expected to start within this share of its longest wait.
+const PROMISING_SHARE: f64 = 0.7;
+
 /// A request that waits.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Waiting {
@@ -42,10 +45,28 @@
 
     /// Tells whether a request at `position` can still be answered in time.
     pub(super) fn is_feasible(&self, position: usize, waiting: &Waiting, now_ms: u64) -> bool {
+        self.is_feasible_by(position, waiting, now_ms, waiting.expires_ms)
+    }
+
+    /// Tells whether a newcomer at `position` will be answered in time even if the target becomes
+    /// a little slower, so that hardly any request is refused after it has waited.
+    pub(super) fn is_promising(&self, position: usize, waiting: &Waiting, now_ms: u64) -> bool {
+        let longest_ms = waiting.expires_ms.saturating_sub(now_ms);
+        let start_by_ms = now_ms + (longest_ms as f64 * PROMISING_SHARE) as u64;
+        self.is_feasible_by(position, waiting, now_ms, start_by_ms)
+    }
+
+    fn is_feasible_by(
+        &self,
+        position: usize,
+        waiting: &Waiting,
+        now_ms: u64,
+        start_by_ms: u64,
+    ) -> bool {
         let starts_ms = now_ms + self.wait_ms(position);
         let ends_ms = starts_ms + self.service_ms as u64;
         let is_live = now_ms < waiting.expires_ms && now_ms < waiting.deadline_ms;
-        is_live && starts_ms <= waiting.expires_ms && ends_ms <= waiting.deadline_ms
+        is_live && starts_ms <= start_by_ms && ends_ms <= waiting.deadline_ms
     }
 }
 
