--- a/crates/basilstep-bench/src/demo/counts.rs
+++ b/crates/basilstep-bench/src/demo/counts.rs
@@ -34,6 +34,8 @@
     pub requests_to_returned_domain: Option<u64>,
     /// Time of the last request to the leaving target, counted from when it was told to leave.
     pub requests_to_leaving_after_s: f64,
+    /// Boards open at each target in calm.
+    pub boards_by_target: BTreeMap<String, u32>,
     /// Open flows of the fullest target over the mean of its service, where it is worst.
     pub imbalance_max_over_mean: f64,
     /// How often targets fell over.
@@ -147,7 +149,10 @@
         let promises = self.broken_promises.iter();
         let promises = promises.map(|promise| format!("broken promise: {promise}\n"));
         let remarks = self.callers.remarks.iter();
-        let remarks = remarks.map(|remark| format!("remark: {remark}\n"));
+        let remarks = remarks.flat_map(|(kind, texts)| {
+            let line = move |text| format!("{kind:?}: {text}\n");
+            texts.iter().map(line)
+        });
         values.chain(promises).chain(remarks).collect()
     }
 }
--- a/crates/basilstep-bench/src/demo/steps.rs
+++ b/crates/basilstep-bench/src/demo/steps.rs
@@ -238,7 +238,7 @@
             .write_domain(&self.plan, OUT_DOMAIN, DomainState::In)
             .await?;
         self.out.set([]);
-        self.add_callers(LATE_CALLERS_PER_SERVICE, root);
+        self.add_callers(LATE_CALLERS_PER_SERVICE, root).await;
         time::sleep(AFTER_RETURN).await;
         let after = self.requests_to_out_domain().await?;
         self.result.requests_to_returned_domain = Some(after - before);
--- a/crates/basilstep-bench/src/standins/caller/mod.rs
+++ b/crates/basilstep-bench/src/standins/caller/mod.rs
@@ -8,7 +8,7 @@
 mod operation;
 mod session;
 
-pub use counts::{CallerCounts, Ending, Tally};
+pub use counts::{CallerCounts, Ending, Remark, Tally};
 pub use flow::{Answer, Board, Flow, FlowError, FlowSettings, Loss, RequestError};
-pub use operation::{Kind, Next, Operation};
+pub use operation::{Kind, Known, Next, Operation};
 pub use session::{Caller, CallerSettings, OutTargets};
--- a/crates/basilstep-bench/src/standins/caller/session.rs
+++ b/crates/basilstep-bench/src/standins/caller/session.rs
@@ -1,7 +1,7 @@
 use super::{
-    counts::Tally,
+    counts::{Remark, Tally},
     flow::{Board, Flow, FlowSettings, Loss, RequestError, SERVER_NAME},
-    operation::{Next, Operation},
+    operation::{Known, Next, Operation},
 };
 use crate::standins::receipt::BoardLine;
 use basilstep_core::codes::ResultCode;
@@ -61,7 +61,7 @@
     stop: watch::Receiver<bool>,
     rng: ChaCha8Rng,
     pending: Option<Operation>,
-    ticket: Option<String>,
+    known: Known,
     next_id: u64,
 }
 
@@ -128,7 +128,7 @@
             out,
             stop: stopped,
             pending: None,
-            ticket: None,
+            known: Known::default(),
             next_id: 0,
         };
         let task = tokio::spawn(session.run());
@@ -158,7 +158,7 @@
                     let remark = format!("{}: flow not opened: {error}", self.settings.name);
                     self.tally.count(|counts| {
                         counts.flows_not_opened += 1;
-                        counts.remark(remark);
+                        counts.remark(Remark::FlowNotOpened, remark);
                     });
                     time::sleep(REOPEN_PAUSE).await;
                 }
@@ -170,7 +170,7 @@
     }
 
     async fn use_flow(&mut self, flow: Flow) {
-        self.ticket = None;
+        self.known = Known::default();
         let target = OnceLock::new();
         let settings = self.settings.clone();
         let tally = self.tally.clone();
@@ -191,7 +191,10 @@
                 self.tally.count(|counts| counts.flows_moved += 1);
                 flow.close().await;
             }
-            FlowEnd::Lost => self.lose(&flow, target.get().map(String::as_str)),
+            FlowEnd::Lost => {
+                let target = target.get().or(self.known.target.as_ref());
+                self.lose(&flow, target.map(String::as_str));
+            }
         }
     }
 
@@ -218,7 +221,7 @@
             };
             let service = &self.settings.service;
             let next = operation
-                .attempt(flow, service, &mut self.ticket, &self.tally)
+                .attempt(flow, service, &mut self.known, &self.tally)
                 .await;
             let pause = match next {
                 Next::Ended => self.pause(),
@@ -249,7 +252,7 @@
     fn next_operation(&mut self) -> Operation {
         self.next_id += 1;
         let id = format!("{}-{}", self.settings.name, self.next_id);
-        if self.ticket.is_none() {
+        if self.known.ticket.is_none() {
             return Operation::quote(id);
         }
         match self.rng.random_range(0..10) {
@@ -362,7 +365,7 @@
         let remark = format!("{}: board cut: {why}", self.settings.name);
         self.tally.count(|counts| {
             counts.boards_cut += 1;
-            counts.remark(remark);
+            counts.remark(Remark::BoardCut, remark);
         });
     }
 }
