--- a/crates/basilstep-bench/src/standins/store/data.rs
+++ b/crates/basilstep-bench/src/standins/store/data.rs
@@ -33,7 +33,7 @@
 }
 
 /// The records, and when removed ones were removed.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub(super) struct Tree {
     index: u64,
     records: BTreeMap<String, Record>,
@@ -174,12 +174,20 @@
     }
 }
 
+impl Default for Tree {
+    /// Starts above zero: the API keeps index 0 for a read that does not wait.
+    fn default() -> Self {
+        Self::restored(1)
+    }
+}
+
 impl Tree {
     /// Creates an empty tree, as restored from a backup taken at `index`.
     pub(super) fn restored(index: u64) -> Self {
         Self {
             index,
-            ..Self::default()
+            records: BTreeMap::new(),
+            removed: BTreeMap::new(),
         }
     }
 
@@ -203,7 +211,7 @@
             .into_iter()
             .map(|(key, record)| record.to_json(key))
             .collect();
-        (newest.unwrap_or(self.index).max(1), entries)
+        (newest.unwrap_or(self.index), entries)
     }
 }
 
--- /dev/null
+++ b/crates/basilstep-bench/tests/store_contract.rs
@@ -0,0 +1,237 @@
+//! The contract of the store's client, held against the stand-in with its faults.
+
+use basilstep_bench::standins::store::{Fault, StoreStandIn, WriteToken};
+use basilstep_core::codes::ResultCode;
+use basilstep_node::store::{
+    BALANCERS_PREFIX, ConsulStore, LeaseSettings, Reading, Renewal, SETTINGS_PREFIX, Store,
+    StoreError, StoreSettings, WriteOutcome, put_lease, spawn_watch,
+};
+use rstest::rstest;
+use std::{net::Ipv4Addr, time::Duration};
+
+const KEY: &str = "basilstep/domains/alder";
+const LEASE_KEY: &str = "basilstep-live/balancers/127.0.0.1:9000";
+
+async fn stand_in(tokens: &[(&str, &str)]) -> StoreStandIn {
+    let tokens = tokens
+        .iter()
+        .map(|(token, prefix)| WriteToken {
+            token: (*token).to_owned(),
+            prefix: (*prefix).to_owned(),
+        })
+        .collect();
+    StoreStandIn::bind((Ipv4Addr::LOCALHOST, 0).into(), tokens)
+        .await
+        .unwrap()
+}
+
+fn short_settings() -> StoreSettings {
+    StoreSettings {
+        call_timeout_ms: 300,
+        watch_wait_ms: 200,
+        retry_min_ms: 10,
+        retry_max_ms: 20,
+        watch_interval_ms: 1,
+        ..StoreSettings::default()
+    }
+}
+
+fn client(store: &StoreStandIn, token: Option<&str>) -> ConsulStore {
+    ConsulStore::open_with(&store.url(), token, short_settings()).unwrap()
+}
+
+fn values(reading: &Reading) -> Vec<(&str, u64, &str)> {
+    reading
+        .entries
+        .iter()
+        .map(|entry| {
+            let value = entry.value.as_deref().unwrap_or_default();
+            (entry.path.as_str(), entry.version, value)
+        })
+        .collect()
+}
+
+#[tokio::test]
+async fn tree_comes_whole_with_its_index_and_without_the_prefix() {
+    let server = stand_in(&[]).await;
+    let store = client(&server, None);
+    assert_eq!(store.read_tree(SETTINGS_PREFIX).await.unwrap().entries, []);
+    store.write(KEY, "one", 0).await.unwrap();
+    server.put("basilstep/teams/a/services/b", "two");
+    server.put("basilstep-live/balancers/127.0.0.1:1", "foreign prefix");
+    let reading = store.read_tree(SETTINGS_PREFIX).await.unwrap();
+    let expected = [
+        ("domains/alder", 2, "one"),
+        ("teams/a/services/b", 3, "two"),
+    ];
+    assert_eq!(values(&reading), expected);
+    assert_eq!(reading.index, 3);
+}
+
+#[rstest]
+#[case::create(0, WriteOutcome::Written)]
+#[case::current_version(2, WriteOutcome::Written)]
+#[case::lost_race(7, WriteOutcome::Conflict)]
+#[tokio::test]
+async fn write_takes_effect_only_at_the_expected_version(
+    #[case] expected: u64,
+    #[case] outcome: WriteOutcome,
+) {
+    let server = stand_in(&[]).await;
+    let store = client(&server, None);
+    if expected > 0 {
+        server.put(KEY, "before");
+    }
+    assert_eq!(store.write(KEY, "after", expected).await, Ok(outcome));
+    let record = store.read(KEY).await.unwrap().unwrap();
+    let written = outcome == WriteOutcome::Written;
+    assert_eq!(record.value, if written { "after" } else { "before" });
+}
+
+#[rstest]
+// The connection is taken and dropped: the client cannot tell that nothing was written.
+#[case::down(Fault::Down, WriteOutcome::Unknown, "before")]
+// The client gives up before the request is looked at.
+#[case::slow(Fault::Slow, WriteOutcome::Unknown, "before")]
+#[case::answer_lost(Fault::AnswerLost, WriteOutcome::Unknown, "after")]
+#[case::stale_reads(Fault::StaleReads, WriteOutcome::Written, "after")]
+#[tokio::test]
+async fn write_under_a_fault_never_claims_what_it_does_not_know(
+    #[case] fault: Fault,
+    #[case] outcome: WriteOutcome,
+    #[case] value: &str,
+) {
+    let server = stand_in(&[]).await;
+    let store = client(&server, None);
+    server.put(KEY, "before");
+    server.set_fault(fault, true);
+    let got = store.write(KEY, "after", 2).await;
+    assert_eq!(got, Ok(outcome));
+    server.set_fault(fault, false);
+    assert_eq!(store.read(KEY).await.unwrap().unwrap().value, value);
+}
+
+#[tokio::test]
+async fn write_to_a_closed_port_certainly_had_no_effect() {
+    let store = ConsulStore::open_with("http://127.0.0.1:1", None, short_settings()).unwrap();
+    let error = store.write(KEY, "after", 0).await.unwrap_err();
+    assert_eq!(error.code(), ResultCode::StoreUnavailable);
+}
+
+#[rstest]
+#[case::down(Fault::Down)]
+#[case::slow(Fault::Slow)]
+#[tokio::test]
+async fn read_under_a_fault_fails_and_never_reads_as_empty(#[case] fault: Fault) {
+    let server = stand_in(&[]).await;
+    let store = client(&server, None);
+    server.put(KEY, "value");
+    server.set_fault(fault, true);
+    let error = store.read_tree(SETTINGS_PREFIX).await.unwrap_err();
+    assert_eq!(error.code(), ResultCode::StoreUnavailable);
+}
+
+#[tokio::test]
+async fn stale_read_shows_its_lower_index() {
+    let server = stand_in(&[]).await;
+    let store = client(&server, None);
+    server.put(KEY, "old");
+    server.set_fault(Fault::StaleReads, true);
+    server.put(KEY, "new");
+    let stale = store.read_tree(SETTINGS_PREFIX).await.unwrap();
+    assert_eq!((stale.index, values(&stale)[0].2), (2, "old"));
+    server.set_fault(Fault::StaleReads, false);
+    let fresh = store.read_tree(SETTINGS_PREFIX).await.unwrap();
+    assert_eq!((fresh.index, values(&fresh)[0].2), (3, "new"));
+}
+
+#[rstest]
+#[case::own_prefix("basilstep/teams/a/services/b", true)]
+#[case::other_team("basilstep/teams/c/services/b", false)]
+#[tokio::test]
+async fn token_writes_only_its_prefix(#[case] key: &str, #[case] allowed: bool) {
+    let server = stand_in(&[("secret", "basilstep/teams/a/")]).await;
+    let store = client(&server, Some("secret"));
+    match store.write(key, "value", 0).await {
+        Ok(outcome) => assert!(allowed && outcome == WriteOutcome::Written),
+        Err(error) => {
+            assert!(!allowed);
+            assert!(matches!(error, StoreError::Forbidden { .. }));
+            assert_eq!(error.code(), ResultCode::ForeignSubtree);
+        }
+    }
+}
+
+#[tokio::test]
+async fn watch_wakes_on_a_write_and_on_a_removal() {
+    let server = stand_in(&[]).await;
+    let store = client(&server, None);
+    let mut watch = spawn_watch(store.clone(), SETTINGS_PREFIX, short_settings());
+    assert_eq!(watch.next().await.unwrap().entries, []);
+    store.write(KEY, "one", 0).await.unwrap();
+    assert_eq!(watch.next().await.unwrap().entries.len(), 1);
+    store.delete(KEY, 2).await.unwrap();
+    let reading = watch.next().await.unwrap();
+    assert_eq!((reading.index, reading.entries.len()), (3, 0));
+}
+
+#[tokio::test]
+async fn watch_goes_on_after_an_outage() {
+    let server = stand_in(&[]).await;
+    let store = client(&server, None);
+    server.put(KEY, "one");
+    let mut watch = spawn_watch(store.clone(), SETTINGS_PREFIX, short_settings());
+    watch.next().await.unwrap();
+    server.set_fault(Fault::Down, true);
+    while watch.status().failure.is_none() {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    server.put(KEY, "two");
+    server.set_fault(Fault::Down, false);
+    let reading = watch.next().await.unwrap();
+    assert_eq!(values(&reading)[0].2, "two");
+}
+
+#[tokio::test]
+async fn watch_of_a_slow_store_still_brings_the_change() {
+    let server = stand_in(&[]).await;
+    let store = client(&server, None);
+    let mut watch = spawn_watch(store.clone(), SETTINGS_PREFIX, short_settings());
+    watch.next().await.unwrap();
+    server.set_fault(Fault::Slow, true);
+    server.put(KEY, "one");
+    assert_eq!(values(&watch.next().await.unwrap())[0].2, "one");
+}
+
+#[tokio::test]
+async fn restarted_holder_replaces_its_earlier_lease() {
+    let server = stand_in(&[]).await;
+    let store = client(&server, None);
+    let settings = LeaseSettings::default();
+    let first = put_lease(&store, LEASE_KEY, "run 1", &settings)
+        .await
+        .unwrap();
+    let second = put_lease(&store, LEASE_KEY, "run 2", &settings)
+        .await
+        .unwrap();
+    let record = store.read(LEASE_KEY).await.unwrap().unwrap();
+    assert_eq!(record.value, "run 2");
+    assert_eq!(record.session.as_ref(), Some(second.session()));
+    let renewal = store.renew_session(first.session()).await.unwrap();
+    assert_eq!(renewal, Renewal::Lapsed);
+}
+
+#[tokio::test]
+async fn lapsed_lease_is_removed_and_its_renewal_says_so() {
+    let server = stand_in(&[]).await;
+    let store = client(&server, None);
+    let settings = LeaseSettings::default();
+    let lease = put_lease(&store, LEASE_KEY, "run", &settings)
+        .await
+        .unwrap();
+    server.set_fault(Fault::LapsedLeases, true);
+    let reading = store.read_tree(BALANCERS_PREFIX).await.unwrap();
+    assert_eq!(reading.entries, []);
+    let renewal = store.renew_session(lease.session()).await.unwrap();
+    assert_eq!(renewal, Renewal::Lapsed);
+}
