--- a/crates/basilstep-bench/src/load/placement/fleet.rs
+++ b/crates/basilstep-bench/src/load/placement/fleet.rs
@@ -35,6 +35,8 @@
     pub flows: u32,
     /// The flows that balancers last heard of.
     pub reported_flows: u32,
+    /// The weight by which the agent compares its load; ramped after it joins.
+    pub own_weight: u8,
     /// The agent's record of offers.
     pub recent: RecentOffers,
 }
@@ -54,6 +56,7 @@
             record,
             flows: 0,
             reported_flows: 0,
+            own_weight: weight,
             recent: RecentOffers::new(PlacementSettings::default(), context),
         }
     }
@@ -79,7 +82,7 @@
             address: self.record.address,
             flows: self.flows,
             flow_limit: FLOW_LIMIT,
-            weight: self.record.weight,
+            weight: self.own_weight,
             closed: (!self.is_serving()).then_some(ResultCode::Draining),
         }
     }
@@ -135,6 +138,17 @@
         usize::from(address.0.ip().octets()[3])
     }
 
+    /// Returns the flows of one target over the mean of the other serving targets.
+    pub fn share_of(&self, number: usize) -> f64 {
+        let others = || {
+            let numbered = self.targets.iter().enumerate();
+            numbered.filter(|(other, target)| *other != number && target.is_serving())
+        };
+        let flows: u32 = others().map(|(_, target)| target.flows).sum();
+        let mean = f64::from(flows) / others().count() as f64;
+        f64::from(self.targets[number].flows) / mean
+    }
+
     /// Returns the largest number of flows per weight over the mean, among serving targets.
     pub fn imbalance(&self) -> f64 {
         let serving = || self.targets.iter().filter(|target| target.is_serving());
--- /dev/null
+++ b/crates/basilstep-bench/src/load/placement/rows.rs
@@ -0,0 +1,61 @@
+//! The figures that runs are summarized to.
+
+use super::{policy::Policy, setup::Outcome};
+use serde::Serialize;
+
+/// The figures of one policy in one case, over all seeds.
+#[derive(Clone, Debug, Serialize)]
+pub struct Row {
+    /// The weights of the targets.
+    pub weights: Vec<u8>,
+    /// The mean number of flows of a target.
+    pub flows_per_target: u32,
+    /// Which target a new flow goes to.
+    pub policy: Policy,
+    /// The mean of the largest load over the mean.
+    pub mean: f64,
+    /// The 99th percentile of the largest load over the mean.
+    pub p99: f64,
+    /// The largest load over the mean that was seen.
+    pub worst: f64,
+    /// The packets between agents for each new flow.
+    pub agent_messages_per_flow: f64,
+}
+
+/// Summarizes the runs of one policy in one case.
+pub fn summarize(
+    weights: &[u8],
+    flows_per_target: u32,
+    policy: Policy,
+    outcomes: &[Outcome],
+) -> Row {
+    let samples: Vec<f64> = outcomes
+        .iter()
+        .flat_map(|outcome| outcome.imbalance.iter().copied())
+        .collect();
+    let messages: u64 = outcomes.iter().map(|outcome| outcome.agent_messages).sum();
+    let flows: u64 = outcomes.iter().map(|outcome| outcome.opened_flows).sum();
+    Row {
+        weights: weights.to_vec(),
+        flows_per_target,
+        policy,
+        mean: round(samples.iter().sum::<f64>() / samples.len() as f64),
+        p99: round(percentile(&samples, 0.99)),
+        worst: round(percentile(&samples, 1.0)),
+        agent_messages_per_flow: round(messages as f64 / flows as f64),
+    }
+}
+
+/// Returns the sample below which a share of all samples lies.
+pub fn percentile(samples: &[f64], share: f64) -> f64 {
+    let mut sorted = samples.to_vec();
+    sorted.sort_by(f64::total_cmp);
+    let last = sorted.len().saturating_sub(1);
+    let place = (share * last as f64).ceil() as usize;
+    sorted.get(place).copied().unwrap_or(f64::NAN)
+}
+
+/// Rounds to thousandths.
+pub fn round(value: f64) -> f64 {
+    (value * 1_000.0).round() / 1_000.0
+}
