--- /dev/null
+++ b/crates/basilstep-bench/src/load/membership/fleet.rs
@@ -0,0 +1,426 @@
+//! The members of a fleet around the decision core, driven by one event queue in virtual time.
+
+use super::traffic::{Role, Traffic};
+use basilstep_core::{
+    address::{AgentAddress, BalancerAddress, DomainId, Incarnation, ServiceId},
+    context::Context,
+    membership::{
+        Action, AgentPhase, AgentRecord, Announcer, BalancerRecord, MemberRecord, Membership,
+        MembershipMessage, MembershipSettings, Snapshot, SnapshotMember,
+    },
+};
+use rand::RngExt;
+use std::{
+    cmp::Reverse,
+    collections::BinaryHeap,
+    net::{Ipv4Addr, SocketAddrV4},
+};
+
+/// The shape of a fleet.
+#[derive(Clone, Copy, Debug)]
+pub struct Shape {
+    /// How many balancers.
+    pub balancers: usize,
+    /// How many agents.
+    pub agents: usize,
+    /// How many agents serve one service.
+    pub agents_a_service: usize,
+    /// How many failure domains; the first half of them is one region.
+    pub domains: usize,
+}
+
+/// The users' target size.
+pub const TARGET_SHAPE: Shape = Shape {
+    balancers: 640,
+    agents: 6_600,
+    agents_a_service: 3,
+    domains: 8,
+};
+
+/// The share of datagrams that the network loses, in thousandths.
+const LOSS_PERMILLE: u32 = 1;
+
+const TICK_MS: u64 = 100;
+const TICK_PHASES: u64 = 10;
+const START_MS: u64 = 1_000_000;
+const BALANCER_PORT: u16 = 9_000;
+const AGENT_PORT: u16 = 9_100;
+
+/// A running member.
+#[derive(Clone, Debug)]
+pub enum Node {
+    /// A balancer.
+    Balancer(Box<Membership>),
+    /// An agent.
+    Agent(Box<Announcer>),
+    /// Nothing runs at the address.
+    Stopped,
+}
+
+/// What is due at a time.
+#[derive(Clone, Debug)]
+enum Event {
+    Tick {
+        phase: u64,
+    },
+    Deliver {
+        from: usize,
+        to: usize,
+        message: MembershipMessage,
+    },
+    Join {
+        by: usize,
+        snapshot: Box<Snapshot>,
+    },
+}
+
+#[derive(Clone, Debug)]
+struct Queued {
+    at: Reverse<(u64, u64)>,
+    event: Event,
+}
+
+/// A view that changed: which balancer's, and of which service.
+#[derive(Clone, Copy, Debug)]
+pub struct Changed {
+    /// The balancer.
+    pub balancer: usize,
+    /// The service.
+    pub service: ServiceId,
+}
+
+/// All members, what is on its way between them, and what they sent.
+#[derive(Clone, Debug)]
+pub struct Fleet {
+    /// The shape.
+    pub shape: Shape,
+    /// The time and the random source.
+    pub ctx: Context,
+    /// The balancers, then the agents.
+    pub nodes: Vec<Node>,
+    /// The current run of each member.
+    pub incarnations: Vec<u32>,
+    /// What was sent and received.
+    pub traffic: Traffic,
+    /// The views that changed since they were last looked at.
+    pub changed: Vec<Changed>,
+    /// Whether the regions are cut from each other.
+    pub is_cut: bool,
+    settings: MembershipSettings,
+    queue: BinaryHeap<Queued>,
+    sequence: u64,
+}
+
+impl PartialEq for Queued {
+    fn eq(&self, other: &Self) -> bool {
+        self.at == other.at
+    }
+}
+
+impl Eq for Queued {}
+
+impl PartialOrd for Queued {
+    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for Queued {
+    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
+        self.at.cmp(&other.at)
+    }
+}
+
+impl Fleet {
+    /// Creates a fleet in which nobody runs yet.
+    pub fn new(shape: Shape, settings: MembershipSettings, seed: u64) -> Self {
+        let count = shape.balancers + shape.agents;
+        let mut ctx = Context::new(seed);
+        ctx.now_ms = START_MS;
+        let mut fleet = Self {
+            shape,
+            ctx,
+            nodes: vec![Node::Stopped; count],
+            incarnations: vec![1; count],
+            traffic: Traffic::new(shape.balancers, shape.agents, START_MS),
+            changed: Vec::new(),
+            is_cut: false,
+            settings,
+            queue: BinaryHeap::new(),
+            sequence: 0,
+        };
+        for phase in 0..TICK_PHASES {
+            let at_ms = START_MS + phase * TICK_MS / TICK_PHASES;
+            fleet.push(at_ms, Event::Tick { phase });
+        }
+        fleet
+    }
+
+    /// Creates a fleet in which everybody runs and knows everybody.
+    pub fn warm(shape: Shape, settings: MembershipSettings, seed: u64) -> Self {
+        let mut fleet = Self::new(shape, settings, seed);
+        let members = (0..fleet.nodes.len()).map(|index| SnapshotMember {
+            record: fleet.record(index),
+            silent_ms: None,
+        });
+        let snapshot = Snapshot {
+            members: members.collect(),
+            domains: Vec::new(),
+            settings_version: 0,
+        };
+        for index in 0..fleet.nodes.len() {
+            fleet.start(index);
+            if let Node::Balancer(balancer) = &mut fleet.nodes[index] {
+                balancer.merge_snapshot(&snapshot, &mut fleet.ctx);
+            }
+        }
+        fleet
+    }
+
+    /// Returns the time in milliseconds.
+    pub fn now_ms(&self) -> u64 {
+        self.ctx.now_ms
+    }
+
+    /// Starts a member, which learns the balancers from the store's list.
+    pub fn start(&mut self, index: usize) {
+        let listed: Vec<BalancerRecord> = (0..self.shape.balancers)
+            .filter_map(|balancer| self.record(balancer).as_balancer())
+            .collect();
+        let record = self.record(index);
+        let Some(own) = record.as_balancer() else {
+            let mut announcer = Announcer::new(self.settings, record);
+            announcer.learn(&listed);
+            self.nodes[index] = Node::Agent(Box::new(announcer));
+            return;
+        };
+        let mut membership = Membership::new(self.settings, own, &mut self.ctx);
+        membership.on_store_list(&listed, &mut self.ctx);
+        self.nodes[index] = Node::Balancer(Box::new(membership));
+    }
+
+    /// Stops a member without a word.
+    pub fn kill(&mut self, index: usize) {
+        self.nodes[index] = Node::Stopped;
+    }
+
+    /// Starts another run of a member.
+    pub fn restart(&mut self, index: usize) {
+        self.incarnations[index] += 1;
+        self.start(index);
+    }
+
+    /// Lets a member announce a phase.
+    pub fn set_phase(&mut self, index: usize, phase: AgentPhase) {
+        let actions = match &mut self.nodes[index] {
+            Node::Balancer(balancer) => balancer.set_phase(phase, &mut self.ctx),
+            Node::Agent(agent) => agent.set_phase(phase, &self.ctx),
+            Node::Stopped => Vec::new(),
+        };
+        self.carry_out(index, actions);
+    }
+
+    /// Runs until a time.
+    pub fn run_until(&mut self, end_ms: u64) {
+        while self
+            .queue
+            .peek()
+            .is_some_and(|queued| queued.at.0.0 <= end_ms)
+        {
+            let Some(queued) = self.queue.pop() else {
+                return;
+            };
+            self.ctx.now_ms = queued.at.0.0;
+            self.traffic.advance(self.ctx.now_ms);
+            self.handle(queued.event);
+        }
+        self.ctx.now_ms = end_ms;
+    }
+
+    /// Returns the domain of a member; racks are runs of consecutive members of a domain.
+    pub fn domain_of(&self, index: usize) -> usize {
+        if index < self.shape.balancers {
+            index * self.shape.domains / self.shape.balancers
+        } else {
+            (index - self.shape.balancers) % self.shape.domains
+        }
+    }
+
+    /// Returns the region of a member.
+    pub fn region_of(&self, index: usize) -> usize {
+        self.domain_of(index) * 2 / self.shape.domains
+    }
+
+    /// Returns the members of a domain in the order of their racks.
+    pub fn in_domain(&self, domain: usize) -> Vec<usize> {
+        (0..self.nodes.len())
+            .filter(|index| self.domain_of(*index) == domain)
+            .collect()
+    }
+
+    /// Tells whether a member runs.
+    pub fn is_running(&self, index: usize) -> bool {
+        !matches!(self.nodes[index], Node::Stopped)
+    }
+
+    /// Returns the indices of all agents.
+    pub fn agent_indices(&self) -> std::ops::Range<usize> {
+        self.shape.balancers..self.nodes.len()
+    }
+
+    /// Returns the running balancers.
+    pub fn balancers(&self) -> impl Iterator<Item = (usize, &Membership)> {
+        self.nodes
+            .iter()
+            .enumerate()
+            .filter_map(|(index, node)| match node {
+                Node::Balancer(balancer) => Some((index, balancer.as_ref())),
+                _ => None,
+            })
+    }
+
+    /// Returns the record of the current run of a member.
+    pub fn record(&self, index: usize) -> MemberRecord {
+        let address = self.address(index);
+        let domain = DomainId(self.domain_of(index) as u8);
+        let incarnation = Incarnation(1_800_000_000 + self.incarnations[index]);
+        if index < self.shape.balancers {
+            return MemberRecord::from(BalancerRecord {
+                address: BalancerAddress(address),
+                domain,
+                incarnation,
+            });
+        }
+        let number = index - self.shape.balancers;
+        MemberRecord::from(AgentRecord {
+            address: AgentAddress(address),
+            service: ServiceId((number / self.shape.agents_a_service) as u16),
+            domain,
+            incarnation,
+            revision: 0,
+            weight: 1,
+            phase: AgentPhase::Serving,
+        })
+    }
+
+    /// Returns the address of a member.
+    pub fn address(&self, index: usize) -> SocketAddrV4 {
+        let is_balancer = index < self.shape.balancers;
+        let port = if is_balancer {
+            BALANCER_PORT
+        } else {
+            AGENT_PORT
+        };
+        let ip = Ipv4Addr::from_bits(0x0a00_0000 | index as u32);
+        SocketAddrV4::new(ip, port)
+    }
+
+    /// Returns the member at an address.
+    pub fn index(address: SocketAddrV4) -> usize {
+        (address.ip().to_bits() & 0x00ff_ffff) as usize
+    }
+
+    /// Tells whether datagrams pass between two members.
+    pub fn is_reachable(&self, one: usize, other: usize) -> bool {
+        !self.is_cut || self.region_of(one) == self.region_of(other)
+    }
+
+    fn push(&mut self, at_ms: u64, event: Event) {
+        self.sequence += 1;
+        let at = Reverse((at_ms, self.sequence));
+        self.queue.push(Queued { at, event });
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Tick { phase } => self.tick(phase),
+            Event::Deliver { from, to, message } => self.deliver(from, to, &message),
+            Event::Join { by, snapshot } => {
+                if let Node::Balancer(balancer) = &mut self.nodes[by] {
+                    let actions = balancer.merge_snapshot(&snapshot, &mut self.ctx);
+                    self.carry_out(by, actions);
+                }
+            }
+        }
+    }
+
+    fn tick(&mut self, phase: u64) {
+        for index in (phase as usize..self.nodes.len()).step_by(TICK_PHASES as usize) {
+            let actions = match &mut self.nodes[index] {
+                Node::Balancer(balancer) => balancer.on_tick(&mut self.ctx),
+                Node::Agent(agent) => agent.on_tick(&mut self.ctx),
+                Node::Stopped => continue,
+            };
+            self.carry_out(index, actions);
+        }
+        self.push(self.ctx.now_ms + TICK_MS, Event::Tick { phase });
+    }
+
+    fn deliver(&mut self, from: usize, to: usize, message: &MembershipMessage) {
+        if !self.is_running(to) || !self.is_reachable(from, to) {
+            return;
+        }
+        self.traffic.receive(to, message.network_bytes());
+        let from = self.address(from);
+        let actions = match &mut self.nodes[to] {
+            Node::Balancer(balancer) => balancer.on_datagram(from, message, &mut self.ctx),
+            Node::Agent(agent) => agent.on_datagram(from, message, &self.ctx),
+            Node::Stopped => return,
+        };
+        self.carry_out(to, actions);
+    }
+
+    fn carry_out(&mut self, by: usize, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Send { to, message } => self.send(by, Self::index(to), message),
+                Action::FetchSnapshot { from } => self.fetch(by, Self::index(from.0)),
+                Action::AgentsChanged { service } => self.changed.push(Changed {
+                    balancer: by,
+                    service,
+                }),
+                _ => {}
+            }
+        }
+    }
+
+    fn send(&mut self, from: usize, to: usize, message: MembershipMessage) {
+        self.traffic
+            .send(from, message.network_bytes(), Role::of(&message));
+        if self.ctx.rng.random_ratio(LOSS_PERMILLE, 1_000) {
+            return;
+        }
+        let at_ms = self.ctx.now_ms + self.latency_ms(from, to);
+        self.push(at_ms, Event::Deliver { from, to, message });
+    }
+
+    fn fetch(&mut self, by: usize, from: usize) {
+        let Node::Balancer(peer) = &self.nodes[from] else {
+            return;
+        };
+        if !self.is_reachable(by, from) {
+            return;
+        }
+        let snapshot = Box::new(peer.snapshot(self.ctx.now_ms));
+        let bytes = snapshot.members.len() * SNAPSHOT_MEMBER_BYTES;
+        self.traffic.bulk(from, by, bytes);
+        let at_ms = self.ctx.now_ms + 2 * self.latency_ms(by, from) + TRANSFER_MS;
+        self.push(at_ms, Event::Join { by, snapshot });
+    }
+
+    fn latency_ms(&self, from: usize, to: usize) -> u64 {
+        if self.region_of(from) != self.region_of(to) {
+            5
+        } else if self.domain_of(from) != self.domain_of(to) {
+            2
+        } else {
+            1
+        }
+    }
+}
+
+/// The encoded size of a member in a snapshot.
+const SNAPSHOT_MEMBER_BYTES: usize = 20;
+
+/// How long the transfer of a snapshot takes.
+const TRANSFER_MS: u64 = 50;
--- /dev/null
+++ b/crates/basilstep-bench/src/load/membership/scenarios.rs
@@ -0,0 +1,204 @@
+//! The faults that the fleet goes through.
+
+use super::{
+    fleet::{Fleet, Shape, TARGET_SHAPE},
+    observe::Observer,
+};
+use basilstep_core::membership::{AgentPhase, MembershipSettings};
+use rand::RngExt;
+use serde_json::{Value, json};
+use std::time::Instant;
+
+const SETTLE_MS: u64 = 45_000;
+const CALM_MS: u64 = 60_000;
+const RACK: usize = 88;
+const LOST_DOMAIN: usize = 2;
+const CUT_MS: u64 = 120_000;
+
+/// What a scenario measured.
+#[derive(Debug)]
+pub struct Outcome {
+    /// Its name.
+    pub name: &'static str,
+    /// The figures.
+    pub figures: Value,
+    /// The mean bytes a second of a balancer, second by second.
+    pub balancer_means: Vec<f64>,
+    /// Whether the plot shows it.
+    pub is_plotted: bool,
+}
+
+/// Runs all scenarios with one seed.
+pub fn run_all(seed: u64) -> Vec<Outcome> {
+    let settled = settled(MembershipSettings::default(), seed);
+    let by_event = MembershipSettings {
+        domain_witnesses: usize::MAX,
+        ..MembershipSettings::default()
+    };
+    let chatty = MembershipSettings {
+        watchers: 3,
+        acknowledge_every: 1,
+        ..MembershipSettings::default()
+    };
+    vec![
+        calm("calm", settled.clone()),
+        single_loss(settled.clone()),
+        restarts(settled.clone()),
+        loss("rack loss", settled.clone(), RACK),
+        loss("domain loss", settled.clone(), usize::MAX),
+        region_cut(settled),
+        join_all(seed),
+        loss(
+            "domain loss, no summary",
+            self::settled(by_event, seed),
+            usize::MAX,
+        ),
+        calm("calm, 3 watchers that answer", self::settled(chatty, seed)),
+    ]
+}
+
+fn settled(settings: MembershipSettings, seed: u64) -> Fleet {
+    let mut fleet = Fleet::warm(TARGET_SHAPE, settings, seed);
+    fleet.run_until(fleet.now_ms() + SETTLE_MS);
+    fleet
+}
+
+fn begin(fleet: &mut Fleet, dead: &[usize]) -> (Observer, Instant) {
+    fleet.traffic.reset(fleet.now_ms());
+    for index in dead {
+        fleet.kill(*index);
+    }
+    (Observer::start(fleet, dead), Instant::now())
+}
+
+fn finish(
+    name: &'static str,
+    fleet: &Fleet,
+    observer: &Observer,
+    started: Instant,
+    is_plotted: bool,
+) -> Outcome {
+    let virtual_s = (fleet.now_ms() - fleet.traffic.started_ms()) as f64 / 1_000.0;
+    Outcome {
+        name,
+        figures: json!({
+            "views": observer.report(),
+            "traffic": fleet.traffic.report(),
+            "virtual_s": virtual_s,
+            "wall_s": started.elapsed().as_secs_f64(),
+        }),
+        balancer_means: fleet.traffic.balancer_means(),
+        is_plotted,
+    }
+}
+
+fn calm(name: &'static str, mut fleet: Fleet) -> Outcome {
+    let (mut observer, started) = begin(&mut fleet, &[]);
+    observer.run(&mut fleet, CALM_MS);
+    finish(name, &fleet, &observer, started, false)
+}
+
+/// A few agents die one after the other, each by itself.
+fn single_loss(mut fleet: Fleet) -> Outcome {
+    const DEATHS: usize = 20;
+    let dead: Vec<usize> = (0..DEATHS)
+        .map(|number| TARGET_SHAPE.balancers + number * 300 + number)
+        .collect();
+    let (mut observer, started) = begin(&mut fleet, &dead);
+    observer.run(&mut fleet, 15_000);
+    finish(
+        "20 agents of all domains die",
+        &fleet,
+        &observer,
+        started,
+        false,
+    )
+}
+
+/// Members drain, stop and come back: 1,800 a day, then a burst of 1% of the fleet in 10 s.
+fn restarts(mut fleet: Fleet) -> Outcome {
+    const BURST: usize = 72;
+    const BURST_MS: u64 = 10_000;
+    let (mut observer, started) = begin(&mut fleet, &[]);
+    let slow: Vec<usize> = (0..2).map(|_| random_member(&mut fleet)).collect();
+    for index in slow {
+        observer.run(&mut fleet, 30_000);
+        restart(&mut fleet, &mut observer, &[index], 1_000);
+    }
+    let burst: Vec<usize> = (0..BURST).map(|_| random_member(&mut fleet)).collect();
+    let step_ms = BURST_MS / 6;
+    restart(&mut fleet, &mut observer, &burst, step_ms);
+    observer.expect_convergence(&fleet);
+    observer.run(&mut fleet, 20_000);
+    finish("restarts", &fleet, &observer, started, true)
+}
+
+fn random_member(fleet: &mut Fleet) -> usize {
+    fleet.ctx.rng.random_range(0..fleet.nodes.len())
+}
+
+fn restart(fleet: &mut Fleet, observer: &mut Observer, members: &[usize], step_ms: u64) {
+    for phase in [AgentPhase::Draining, AgentPhase::Down] {
+        for index in members {
+            fleet.set_phase(*index, phase);
+            observer.run(fleet, step_ms / members.len() as u64);
+        }
+    }
+    observer.run(fleet, 200);
+    for index in members {
+        fleet.kill(*index);
+    }
+    observer.run(fleet, 2 * step_ms);
+    for index in members {
+        fleet.restart(*index);
+        observer.run(fleet, 2 * step_ms / members.len() as u64);
+    }
+}
+
+/// Consecutive members of one domain, or all of it, stop at once.
+fn loss(name: &'static str, mut fleet: Fleet, count: usize) -> Outcome {
+    let domain = fleet.in_domain(LOST_DOMAIN);
+    let (balancers, agents): (Vec<usize>, Vec<usize>) = domain
+        .into_iter()
+        .partition(|index| *index < TARGET_SHAPE.balancers);
+    let rack_balancers = (count / 11).min(balancers.len());
+    let rack_agents = (count - count / 11).min(agents.len());
+    let dead = [&balancers[..rack_balancers], &agents[..rack_agents]].concat();
+    let (mut observer, started) = begin(&mut fleet, &dead);
+    observer.run(&mut fleet, 20_000);
+    finish(name, &fleet, &observer, started, true)
+}
+
+/// The regions lose each other for two minutes.
+fn region_cut(mut fleet: Fleet) -> Outcome {
+    let (mut observer, started) = begin(&mut fleet, &[]);
+    fleet.is_cut = true;
+    observer.run(&mut fleet, CUT_MS);
+    let cut = observer.report();
+    fleet.is_cut = false;
+    observer.expect_convergence(&fleet);
+    observer.run(&mut fleet, 30_000);
+    let mut outcome = finish("region cut and heal", &fleet, &observer, started, true);
+    outcome.figures["views_during_the_cut"] = cut;
+    outcome
+}
+
+/// Everybody starts within five seconds and knows only the store's list of balancers.
+fn join_all(seed: u64) -> Outcome {
+    const STARTS_A_STEP: usize = 145;
+    let shape: Shape = TARGET_SHAPE;
+    let mut fleet = Fleet::new(shape, MembershipSettings::default(), seed);
+    let (mut observer, started) = begin(&mut fleet, &[]);
+    let indices: Vec<usize> = (0..fleet.nodes.len()).collect();
+    for group in indices.chunks(STARTS_A_STEP) {
+        for index in group {
+            fleet.start(*index);
+        }
+        observer.run(&mut fleet, 100);
+    }
+    observer.expect_convergence(&fleet);
+    while !observer.is_converged() && fleet.now_ms() < fleet.traffic.started_ms() + 60_000 {
+        observer.run(&mut fleet, 1_000);
+    }
+    finish("all join", &fleet, &observer, started, true)
+}
--- a/crates/basilstep-core/src/membership/announcer.rs
+++ b/crates/basilstep-core/src/membership/announcer.rs
@@ -12,7 +12,7 @@
 use std::{collections::BTreeMap, net::SocketAddrV4};
 
 /// Announces one process to its watchers; a balancer holds one for itself.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Announcer {
     settings: MembershipSettings,
     own: MemberRecord,
@@ -171,6 +171,14 @@
         match message {
             MembershipMessage::Ack(ack) => self.on_ack(from, ack, ctx),
             MembershipMessage::Probe => vec![self.answer_probe(from)],
+            MembershipMessage::Settings(delta) if delta.applies_to(self.settings_version) => {
+                let delta = delta.clone();
+                vec![Action::ApplySettings { delta }]
+            }
+            MembershipMessage::SettingsOverTcp { version } if *version > self.settings_version => {
+                let version = *version;
+                vec![Action::FetchSettingsOverTcp { from, version }]
+            }
             _ => Vec::new(),
         }
     }
--- a/crates/basilstep-core/src/membership/gossip.rs
+++ b/crates/basilstep-core/src/membership/gossip.rs
@@ -15,7 +15,7 @@
 }
 
 /// The news that are still being passed on, the least often sent first.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct Rumours {
     by_member: BTreeMap<SocketAddrV4, Rumour>,
     order: BTreeSet<(u8, u16, SocketAddrV4)>,
@@ -98,7 +98,7 @@
 }
 
 /// Bounds the bytes of gossip that a balancer sends.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct ByteBudget {
     settings: MembershipSettings,
     started_ms: u64,
--- a/crates/basilstep-core/src/membership/receive.rs
+++ b/crates/basilstep-core/src/membership/receive.rs
@@ -37,7 +37,10 @@
             MembershipMessage::Announce(announce) => {
                 self.on_announce(from, announce, ctx, &mut actions);
             }
-            MembershipMessage::Ack(_) | MembershipMessage::Probe => {
+            MembershipMessage::Ack(_)
+            | MembershipMessage::Probe
+            | MembershipMessage::Settings(_)
+            | MembershipMessage::SettingsOverTcp { .. } => {
                 actions = self.announcer.on_datagram(from, message, ctx);
             }
             MembershipMessage::ProbeAnswer(answer) => {
@@ -61,18 +64,6 @@
                 above_version: *above_version,
                 service: *service,
             }),
-            MembershipMessage::Settings(delta) => {
-                if delta.applies_to(self.settings_version) {
-                    let delta = delta.clone();
-                    actions.push(Action::ApplySettings { delta });
-                }
-            }
-            MembershipMessage::SettingsOverTcp { version } => {
-                if *version > self.settings_version {
-                    let version = *version;
-                    actions.push(Action::FetchSettingsOverTcp { from, version });
-                }
-            }
         }
         self.flush(ctx, &mut actions);
         actions
--- a/crates/basilstep-core/src/membership/state.rs
+++ b/crates/basilstep-core/src/membership/state.rs
@@ -31,7 +31,7 @@
 const FORGET_INTERVAL_MS: u64 = 60_000;
 
 /// The membership view of one balancer.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Membership {
     pub(super) settings: MembershipSettings,
     pub(super) announcer: Announcer,
@@ -187,6 +187,19 @@
         Some((record, self.table.is_live(member, now_ms)))
     }
 
+    /// Returns all agents that are known and whether each is live.
+    pub fn agents(&self, now_ms: u64) -> impl Iterator<Item = (AgentRecord, bool)> {
+        self.table.members().values().filter_map(move |member| {
+            let record = member.record.as_agent()?;
+            Some((record, self.table.is_live(member, now_ms)))
+        })
+    }
+
+    /// Returns the request for the settings above those in force here.
+    pub fn pull_settings(&self) -> MembershipMessage {
+        self.announcer.pull_settings()
+    }
+
     /// Returns the live balancers, this one included.
     pub fn balancers(&self, now_ms: u64) -> impl Iterator<Item = BalancerRecord> {
         self.table
--- a/crates/basilstep-core/src/membership/store_watch.rs
+++ b/crates/basilstep-core/src/membership/store_watch.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddrV4;
 
 /// Decides whether this balancer watches the store, from how fresh the fleet's last answer is.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 #[expect(clippy::struct_field_names, reason = "each is a time with its unit")]
 pub struct StoreWatch {
     started_ms: u64,
--- a/crates/basilstep-core/src/membership/sync.rs
+++ b/crates/basilstep-core/src/membership/sync.rs
@@ -21,7 +21,7 @@
 const CONTRADICTION_PROBES: u8 = 3;
 
 /// The members of which another balancer says, not from fresh evidence, that they are silent.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct Contradictions {
     open: BTreeMap<SocketAddrV4, Probing>,
     next_probe_ms: u64,
--- a/crates/basilstep-core/src/membership/table.rs
+++ b/crates/basilstep-core/src/membership/table.rs
@@ -15,7 +15,7 @@
 ///
 /// The state of a member is ordered by incarnation, then revision, then the time of the evidence,
 /// then silence over life; merging keeps the greatest, so the order of arrival does not matter.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Table {
     refute_window_ms: u64,
     members: BTreeMap<SocketAddrV4, Member>,
--- a/crates/basilstep-core/src/membership/watch.rs
+++ b/crates/basilstep-core/src/membership/watch.rs
@@ -6,7 +6,7 @@
 };
 
 /// The members that announce themselves to this balancer, and when each was last heard.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Watch {
     settings: MembershipSettings,
     own_domain: DomainId,
