--- a/crates/basilstep-balancer/src/controller.rs
+++ b/crates/basilstep-balancer/src/controller.rs
@@ -375,11 +375,7 @@
     }
 
     fn pull_settings(&self, from: SocketAddrV4) {
-        let pull = MembershipMessage::PullSettings {
-            above_version: self.settings.version(),
-            service: None,
-        };
-        self.send(from, &pull);
+        self.send(from, &self.membership.pull_settings());
     }
 
     fn fetch_settings(&self, from: SocketAddrV4) {
@@ -450,7 +446,15 @@
             .keys()
             .flat_map(|service| self.membership.agents_of(*service, now_ms))
             .collect();
-        let dead: Vec<DeadAgent> = self.membership.dead_agents(now_ms).collect();
+        let dead: Vec<DeadAgent> = self
+            .membership
+            .agents(now_ms)
+            .filter(|(_, is_live)| !is_live)
+            .map(|(agent, _)| DeadAgent {
+                address: agent.address,
+                incarnation: agent.incarnation,
+            })
+            .collect();
         let table = SteeringTable::build(view, &records, &dead);
         self.shared.put_in_force(table, self.settings.version());
     }
--- a/crates/basilstep-core/src/membership/state.rs
+++ b/crates/basilstep-core/src/membership/state.rs
@@ -13,7 +13,6 @@
 use crate::{
     address::{AgentAddress, BalancerAddress, DomainId, ServiceId},
     context::Context,
-    steering::DeadAgent,
 };
 use rand::RngExt;
 use serde::Serialize;
@@ -32,7 +31,7 @@
 const FORGET_INTERVAL_MS: u64 = 60_000;
 
 /// The membership view of one balancer.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Membership {
     pub(super) settings: MembershipSettings,
     pub(super) announcer: Announcer,
@@ -188,17 +187,17 @@
         Some((record, self.table.is_live(member, now_ms)))
     }
 
-    /// Returns the runs of agents that are known to have ended or to be out of reach.
-    pub fn dead_agents(&self, now_ms: u64) -> impl Iterator<Item = DeadAgent> {
-        self.table
-            .members()
-            .values()
-            .filter(move |member| !self.table.is_live(member, now_ms))
-            .filter_map(|member| member.record.as_agent())
-            .map(|agent| DeadAgent {
-                address: agent.address,
-                incarnation: agent.incarnation,
-            })
+    /// Returns all agents that are known and whether each is live.
+    pub fn agents(&self, now_ms: u64) -> impl Iterator<Item = (AgentRecord, bool)> {
+        self.table.members().values().filter_map(move |member| {
+            let record = member.record.as_agent()?;
+            Some((record, self.table.is_live(member, now_ms)))
+        })
+    }
+
+    /// Returns the request for the settings above those in force here.
+    pub fn pull_settings(&self) -> MembershipMessage {
+        self.announcer.pull_settings()
     }
 
     /// Returns the live balancers, this one included.
