--- a/crates/basilstep-balancer/src/main.rs
+++ b/crates/basilstep-balancer/src/main.rs
@@ -36,15 +36,14 @@
     sync::{Arc, atomic::Ordering},
     time::Duration,
 };
-use tokio::{sync::mpsc, time::sleep};
+use tokio::{runtime::Builder, sync::mpsc, time::sleep};
 use xtra::Address;
 
 const TICK_MS: u64 = 100;
 const METRICS_INTERVAL_MS: u64 = 10_000;
 const MEMBERSHIP_QUEUE: usize = 4_096;
 
-#[tokio::main]
-async fn main() -> ExitCode {
+fn main() -> ExitCode {
     let flags: BalancerFlags = argh::from_env();
     if flags.version {
         println!("basilstep-balancer {}", env!("CARGO_PKG_VERSION"));
@@ -53,7 +52,22 @@
     let resolver = Resolver::new(|name: &str| std::env::var(name).ok());
     let settings = exit_on_invalid(BalancerSettings::resolve(&flags, &resolver));
     logs::start(settings.common.log_level);
-    match run(settings).await {
+    let mut runtime = Builder::new_multi_thread();
+    if let Some(threads) = settings.threads {
+        runtime.worker_threads(threads);
+    }
+    let ended = runtime
+        .enable_all()
+        .build()
+        .map_err(Box::<dyn Error>::from)
+        .and_then(|runtime| {
+            // The packet tasks belong on the worker threads, not on this one.
+            let running =
+                runtime.spawn(async move { run(settings).await.map_err(|e| e.to_string()) });
+            let ended = runtime.block_on(running)?;
+            ended.map_err(Box::from)
+        });
+    match ended {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             log::error!(code = ResultCode::BindFailed.number(); "{error}");
@@ -62,7 +76,7 @@
     }
 }
 
-async fn run(settings: BalancerSettings) -> Result<(), Box<dyn Error>> {
+async fn run(settings: BalancerSettings) -> Result<(), Box<dyn Error + Send + Sync>> {
     let common = settings.common.clone();
     let shared = Arc::new(Shared::new(settings, Clock::start()));
     let store = ConsulStore::open(&common.store, common.store_token.as_deref())?;
--- a/crates/basilstep-balancer/src/settings.rs
+++ b/crates/basilstep-balancer/src/settings.rs
@@ -25,6 +25,9 @@
     /// sockets per service address, 1 to 64 (default 1)
     #[argh(option)]
     pub packet_sockets: Option<String>,
+    /// threads of the process, 1 to 256 (default: one for each core)
+    #[argh(option)]
+    pub threads: Option<String>,
     /// time that a planned stop goes on carrying after it says that it is not ready, in ms (default 3000)
     #[argh(option)]
     pub stop_wait_ms: Option<String>,
@@ -62,6 +65,8 @@
     pub ready_address: Option<SocketAddrV4>,
     /// The sockets per service address.
     pub packet_sockets: u8,
+    /// The threads of the process; `None` for one for each core.
+    pub threads: Option<usize>,
     /// How long a planned stop goes on carrying after it says that it is not ready.
     pub stop_wait_ms: u64,
 }
@@ -107,6 +112,9 @@
                 "1 to 64",
                 |count| (1..=64).contains(count),
             )?,
+            threads: from.optional("threads", flags.threads.as_deref(), "1 to 256", |count| {
+                (1..=256).contains(count)
+            })?,
             stop_wait_ms: from.with_default(
                 "stop-wait-ms",
                 flags.stop_wait_ms.as_deref(),
--- a/crates/basilstep-bench/src/demo/fleet.rs
+++ b/crates/basilstep-bench/src/demo/fleet.rs
@@ -258,6 +258,11 @@
         Ok(())
     }
 
+    /// Returns the id of a running process.
+    pub fn id(&self, name: &str) -> Option<u32> {
+        self.processes.get(name)?.child.id()
+    }
+
     /// Waits until a process ends; `None` when it still runs after `limit`.
     ///
     /// # Errors
--- a/crates/basilstep-bench/src/demo/plan.rs
+++ b/crates/basilstep-bench/src/demo/plan.rs
@@ -56,6 +56,8 @@
     pub domain: String,
     /// Its ip.
     pub ip: Ipv4Addr,
+    /// The threads that carry packets; `None` for the product's default.
+    pub threads: Option<u16>,
 }
 
 /// A target with its agent.
@@ -128,6 +130,7 @@
             name: format!("balancer-{}", number + 1),
             domain: self.domains[number % self.domains.len()].clone(),
             ip: self.network.ip(FIRST_BALANCER_HOST + number as u8),
+            threads: None,
         });
     }
 
@@ -215,6 +218,9 @@
         let ready = balancer.ready().to_string();
         let mut args = strings(&["--address", &address, "--listen-ip", &ip]);
         args.extend(strings(&["--ready-address", &ready]));
+        if let Some(threads) = balancer.threads {
+            args.extend(strings(&["--threads", &threads.to_string()]));
+        }
         args.extend(self.common_args(&balancer.domain));
         fleet.spawn(&balancer.name, Program::Balancer, &args)
     }
--- a/crates/basilstep-bench/src/demo/records.rs
+++ b/crates/basilstep-bench/src/demo/records.rs
@@ -4,12 +4,13 @@
 use basilstep_core::{
     address::{DomainId, ServiceId},
     admission::AdmissionSettings,
-    crypto::ClusterKey,
+    crypto::{ClusterKey, ShortKey},
     requests::RequestSettings,
     settings::{
         AddressClaim, CertificateRecord, DomainRecord, DomainState, FlowKeysRecord, IdClaim,
         SealedFlowKey, ServiceRecord, WriteStamp,
     },
+    token::FlowKey,
 };
 use rcgen::{
     BasicConstraints, CertificateParams, CertifiedIssuer, DnType, IsCa, KeyPair, KeyUsagePurpose,
@@ -43,6 +44,7 @@
     client: reqwest::Client,
     store: SocketAddrV4,
     cluster_key: ClusterKey,
+    flow_key: FlowKey,
 }
 
 /// The certificate authority of a run.
@@ -61,9 +63,18 @@
             client: reqwest::Client::builder().timeout(WRITE_TIMEOUT).build()?,
             store: plan.store(),
             cluster_key: ClusterKey::new(plan.cluster_key),
+            flow_key: FlowKey {
+                id: 1,
+                secret: ShortKey(rand::random()),
+            },
         })
     }
 
+    /// Returns the key that signs the flow tokens of the plan.
+    pub fn flow_key(&self) -> &FlowKey {
+        &self.flow_key
+    }
+
     /// Writes all settings of a plan and returns the root of the certificates.
     ///
     /// # Errors
@@ -103,11 +114,12 @@
     }
 
     async fn write_flow_keys(&self) -> Result<(), RecordError> {
-        let secret: [u8; 16] = rand::random();
         let record = FlowKeysRecord {
             current: SealedFlowKey {
-                id: 1,
-                sealed: self.cluster_key.seal("flow", rand::random(), &secret),
+                id: self.flow_key.id,
+                sealed: self
+                    .cluster_key
+                    .seal("flow", rand::random(), &self.flow_key.secret.0),
             },
             previous: None,
             stamp: stamp(),
--- a/crates/basilstep-bench/src/load/packets.rs
+++ b/crates/basilstep-bench/src/load/packets.rs
@@ -1,12 +1,294 @@
-//! The `packets` experiment.
+//! The `packets` experiment: what a balancer carries, against a bare loop of receive and send.
+//!
+//! Both get the same datagrams of established flows from the same senders, in turns, on one
+//! thread; a sink counts what comes out.
 
 use super::{LoadArgs, Report};
-use serde_json::json;
+use basilstep_bench::demo::{
+    fleet::{Binaries, Fleet},
+    observer::Observer,
+    plan::Plan,
+    records::RecordWriter,
+};
+use basilstep_core::{
+    address::{AgentAddress, DomainId, ServiceId},
+    token::FlowToken,
+};
+use serde_json::{Value, json};
+use std::{
+    error::Error,
+    fs,
+    io::ErrorKind,
+    net::{SocketAddr, SocketAddrV4, UdpSocket},
+    sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
+    thread,
+    time::{Duration, Instant},
+};
+
+const DATAGRAM_BYTES: usize = 1_200;
+const SENDERS: u32 = 2;
+const FLOWS_PER_SENDER: u32 = 50_000;
+const ROUNDS: usize = 5;
+const WARM_UP: Duration = Duration::from_millis(300);
+const ROUND: Duration = Duration::from_millis(1_500);
+const START_LIMIT: Duration = Duration::from_secs(10);
+const POLL: Duration = Duration::from_millis(20);
+const SOCKET_TIMEOUT: Duration = Duration::from_millis(50);
+const GOAL_SHARE: f64 = 0.7;
 
 /// Runs the experiment.
 pub fn run(args: &LoadArgs) -> Report {
+    let figures = measure(args)
+        .unwrap_or_else(|error| json!({"experiment": "packets", "error": error.to_string()}));
     Report {
-        figures: json!({"experiment": "packets", "state": "not built yet", "seed": args.seed, "seeds": args.seeds}),
+        figures,
         plot: None,
     }
 }
+
+fn measure(args: &LoadArgs) -> Result<Value, Box<dyn Error>> {
+    let runtime = tokio::runtime::Runtime::new()?;
+    let mut plan = Plan::demo(std::process::id());
+    plan.balancers.truncate(1);
+    plan.services.truncate(1);
+    plan.balancers[0].threads = Some(1);
+    let logs = std::env::temp_dir().join(format!("basilstep-packets-{}", std::process::id()));
+    let mut fleet = Fleet::open(Binaries::locate()?, logs)?;
+    let writer = RecordWriter::new(&plan)?;
+    runtime.block_on(start(&plan, &mut fleet, &writer))?;
+
+    let sink = Sink::open(plan.caller_ip())?;
+    let tokens = |sender| tokens(&writer, &plan, sink.address, sender);
+    let balancer = SocketAddrV4::new(plan.balancers[0].ip, plan.services[0].address.port());
+    let bare = BareLoop::open(plan.caller_ip(), sink.address)?;
+    let id = fleet.id(&plan.balancers[0].name).unwrap_or_default();
+    // The first round lets buffers and the allocator grow, so that memory is compared warm.
+    round(&sink, balancer, &tokens(0)[..1]);
+    let memory_before_kb = resident_kb(id);
+    let mut bare_per_s = Vec::new();
+    let mut balancer_per_s = Vec::new();
+    for _ in 0..ROUNDS {
+        let datagrams: Vec<Vec<Vec<u8>>> = (0..SENDERS).map(&tokens).collect();
+        bare_per_s.push(load(&sink, bare.address, &datagrams));
+        balancer_per_s.push(load(&sink, balancer, &datagrams));
+    }
+    let memory_after_kb = resident_kb(id);
+    let share = median(&balancer_per_s) / median(&bare_per_s);
+    let flows = u64::from(SENDERS * FLOWS_PER_SENDER);
+    Ok(json!({
+        "experiment": "packets",
+        "seed": args.seed,
+        "seeds": args.seeds,
+        "datagram_bytes": DATAGRAM_BYTES,
+        "threads": 1,
+        "rounds": ROUNDS,
+        "bare_loop_packets_per_s": rounded(&bare_per_s),
+        "balancer_packets_per_s": rounded(&balancer_per_s),
+        "bare_loop_median_packets_per_s": median(&bare_per_s).round(),
+        "balancer_median_packets_per_s": median(&balancer_per_s).round(),
+        "balancer_share_of_bare_loop": (share * 1_000.0).round() / 1_000.0,
+        "goal_share": GOAL_SHARE,
+        "goal_met": share >= GOAL_SHARE,
+        "established_flows": flows,
+        "balancer_resident_kb_before": memory_before_kb,
+        "balancer_resident_kb_after": memory_after_kb,
+        "balancer_bytes_per_flow": (memory_after_kb as f64 - memory_before_kb as f64)
+            * 1_024.0 / flows as f64,
+    }))
+}
+
+async fn start(
+    plan: &Plan,
+    fleet: &mut Fleet,
+    writer: &RecordWriter,
+) -> Result<(), Box<dyn Error>> {
+    let observer = Observer::new()?;
+    plan.start_store(fleet)?;
+    until_up(&observer, plan.store()).await?;
+    writer.write_all(plan).await?;
+    plan.start_balancer(fleet, &plan.balancers[0])?;
+    let ready = format!("http://{}/ready", plan.balancers[0].ready());
+    let began = Instant::now();
+    while began.elapsed() < START_LIMIT {
+        let answer = reqwest::get(&ready).await;
+        if answer.is_ok_and(|answer| answer.status().is_success()) {
+            return Ok(());
+        }
+        tokio::time::sleep(POLL).await;
+    }
+    Err("the balancer was not ready in time".into())
+}
+
+async fn until_up(observer: &Observer, address: SocketAddrV4) -> Result<(), Box<dyn Error>> {
+    let began = Instant::now();
+    while !observer.answers(address).await {
+        if began.elapsed() > START_LIMIT {
+            return Err("the store was not up in time".into());
+        }
+        tokio::time::sleep(POLL).await;
+    }
+    Ok(())
+}
+
+/// Makes one datagram for each flow of a sender, as a caller of an established flow sends it.
+fn tokens(writer: &RecordWriter, plan: &Plan, sink: SocketAddrV4, sender: u32) -> Vec<Vec<u8>> {
+    let first = sender * FLOWS_PER_SENDER;
+    (first..first + FLOWS_PER_SENDER)
+        .map(|flow| {
+            let [_, nonce @ ..] = flow.to_be_bytes();
+            let token = FlowToken {
+                agent: AgentAddress(sink),
+                service: ServiceId(plan.services[0].id),
+                domain: DomainId(1),
+                incarnation_low: 1,
+                nonce,
+            };
+            let mut datagram = vec![0; DATAGRAM_BYTES];
+            datagram[0] = 0x40;
+            datagram[1..21].copy_from_slice(&token.encode(writer.flow_key()));
+            datagram
+        })
+        .collect()
+}
+
+/// Measures what arrives at the sink in a second while all senders send as fast as they can.
+fn load(sink: &Sink, to: SocketAddrV4, datagrams: &[Vec<Vec<u8>>]) -> f64 {
+    let stop = AtomicBool::new(false);
+    thread::scope(|scope| {
+        for datagrams in datagrams {
+            scope.spawn(|| send_until(&stop, to, datagrams));
+        }
+        thread::sleep(WARM_UP);
+        let before = sink.received.load(Ordering::Relaxed);
+        let began = Instant::now();
+        thread::sleep(ROUND);
+        let received = sink.received.load(Ordering::Relaxed) - before;
+        let rate = received as f64 / began.elapsed().as_secs_f64();
+        stop.store(true, Ordering::Relaxed);
+        rate
+    })
+}
+
+fn round(sink: &Sink, to: SocketAddrV4, datagrams: &[Vec<u8>]) {
+    load(sink, to, &[datagrams.to_vec()]);
+}
+
+fn send_until(stop: &AtomicBool, to: SocketAddrV4, datagrams: &[Vec<u8>]) {
+    let Ok(socket) = UdpSocket::bind(("127.0.0.1", 0)) else {
+        return;
+    };
+    while !stop.load(Ordering::Relaxed) {
+        for datagram in datagrams {
+            // A full queue at the receiver is what the experiment wants.
+            let _ = socket.send_to(datagram, to);
+            if stop.load(Ordering::Relaxed) {
+                return;
+            }
+        }
+    }
+}
+
+/// Counts the datagrams that arrive.
+struct Sink {
+    address: SocketAddrV4,
+    received: Arc<AtomicU64>,
+    stop: Arc<AtomicBool>,
+}
+
+impl Sink {
+    fn open(ip: std::net::Ipv4Addr) -> Result<Self, Box<dyn Error>> {
+        let socket = UdpSocket::bind((ip, 0))?;
+        socket.set_read_timeout(Some(SOCKET_TIMEOUT))?;
+        let received = Arc::new(AtomicU64::new(0));
+        let stop = Arc::new(AtomicBool::new(false));
+        let sink = Self {
+            address: v4(socket.local_addr()?)?,
+            received: Arc::clone(&received),
+            stop: Arc::clone(&stop),
+        };
+        thread::spawn(move || {
+            let mut buffer = [0; 2 * DATAGRAM_BYTES];
+            while !stop.load(Ordering::Relaxed) {
+                if socket.recv_from(&mut buffer).is_ok() {
+                    received.fetch_add(1, Ordering::Relaxed);
+                }
+            }
+        });
+        Ok(sink)
+    }
+}
+
+impl Drop for Sink {
+    fn drop(&mut self) {
+        self.stop.store(true, Ordering::Relaxed);
+    }
+}
+
+/// Receives and sends on each datagram, with no work in between.
+struct BareLoop {
+    address: SocketAddrV4,
+    stop: Arc<AtomicBool>,
+}
+
+impl BareLoop {
+    fn open(ip: std::net::Ipv4Addr, to: SocketAddrV4) -> Result<Self, Box<dyn Error>> {
+        let receive = UdpSocket::bind((ip, 0))?;
+        let send = UdpSocket::bind((ip, 0))?;
+        receive.set_read_timeout(Some(SOCKET_TIMEOUT))?;
+        let stop = Arc::new(AtomicBool::new(false));
+        let bare = Self {
+            address: v4(receive.local_addr()?)?,
+            stop: Arc::clone(&stop),
+        };
+        thread::spawn(move || {
+            let mut buffer = [0; 2 * DATAGRAM_BYTES];
+            while !stop.load(Ordering::Relaxed) {
+                match receive.recv_from(&mut buffer) {
+                    Ok((length, _)) => {
+                        // What the sink does not take is lost, as at the balancer.
+                        let _ = send.send_to(&buffer[..length], to);
+                    }
+                    Err(error) if error.kind() == ErrorKind::WouldBlock => {}
+                    Err(_) => return,
+                }
+            }
+        });
+        Ok(bare)
+    }
+}
+
+impl Drop for BareLoop {
+    fn drop(&mut self) {
+        self.stop.store(true, Ordering::Relaxed);
+    }
+}
+
+fn v4(address: SocketAddr) -> Result<SocketAddrV4, Box<dyn Error>> {
+    match address {
+        SocketAddr::V4(address) => Ok(address),
+        SocketAddr::V6(_) => Err("an IPv4 address was bound".into()),
+    }
+}
+
+fn resident_kb(process: u32) -> u64 {
+    let status = fs::read_to_string(format!("/proc/{process}/status")).unwrap_or_default();
+    status
+        .lines()
+        .find_map(|line| line.strip_prefix("VmRSS:"))
+        .and_then(|value| value.split_whitespace().next())
+        .and_then(|number| number.parse().ok())
+        .unwrap_or_default()
+}
+
+fn median(values: &[f64]) -> f64 {
+    let mut sorted = values.to_vec();
+    sorted.sort_by(f64::total_cmp);
+    sorted.get(sorted.len() / 2).copied().unwrap_or_default()
+}
+
+fn rounded(values: &[f64]) -> Vec<f64> {
+    values.iter().map(|value| value.round()).collect()
+}
