fix(settings): never bring back a removed record, whoever hands it over

Cause: an entry at or below the version that all changes are known up to, and that is not held, has been replaced or removed; it was taken all the same from a peer that lagged. A delta also lacked removals that its sender had not seen: of records from before its start, and of records created and removed between two of its readings. A reading older than one entry of a peer was dropped whole, although its other entries were newer.

Now version() means: all changes up to it are known. A handover is whole when the sender's history does not cover the receiver's version. A service is served only while both its claims name its path. A refused record is handed over beside the last good one, so that it does not count as removed. Each entry updates the view by itself in O(log n), so a reading costs O(n log n) once. Ranges of all numbers of a service are checked, also on reading.

An agent is also sent claims that name its service: a claim on an address to move to is written before the record, and was filtered out.

--- a/crates/basilstep-agent/src/controller.rs
+++ b/crates/basilstep-agent/src/controller.rs
@@ -265,9 +265,8 @@
 
 /// Applies what changed and notes the version reached.
 pub fn apply(settings: &mut SettingsState, delta: SettingsDelta) {
-    for entry in delta.entries {
-        let path = entry.path.clone();
-        match settings.apply(entry) {
+    for (path, outcome) in delta.apply_to(settings) {
+        match outcome {
             Applied::Rejected(rejection) => log::error!(
                 code = rejection.code.number(), path = path, version = rejection.version;
                 "a settings record is refused and the last good one stays in force: {}",
@@ -277,5 +276,4 @@
             Applied::NotNewer => {}
         }
     }
-    settings.reach(delta.version);
 }
--- a/crates/basilstep-balancer/src/controller.rs
+++ b/crates/basilstep-balancer/src/controller.rs
@@ -8,7 +8,7 @@
         Action, AgentPhase, BalancerRecord, Membership, MembershipMessage, MembershipSettings,
         SettingsDelta, Snapshot,
     },
-    settings::{Applied, Entry, SettingsState},
+    settings::{Applied, SettingsState},
     steering::{DeadAgent, SteeringTable},
     wire::{decode_sealed, encode_sealed},
 };
@@ -411,19 +411,12 @@
         if !delta.applies_to(self.settings.version()) {
             return;
         }
-        for entry in delta.entries {
-            self.apply_entry(entry);
+        for (path, outcome) in delta.apply_to(&mut self.settings) {
+            log_applied(&path, &outcome);
         }
-        self.settings.reach(delta.version);
         self.settings_changed();
     }
 
-    fn apply_entry(&mut self, entry: Entry) {
-        let path = entry.path.clone();
-        let outcome = self.settings.apply(entry);
-        log_applied(&path, &outcome);
-    }
-
     fn settings_changed(&mut self) {
         self.membership
             .set_settings_version(self.settings.version());
--- a/crates/basilstep-balancer/src/store_link.rs
+++ b/crates/basilstep-balancer/src/store_link.rs
@@ -58,10 +58,7 @@
             continue;
         };
         if let Ok(delta) = serde_json::from_slice::<SettingsDelta>(&body) {
-            for entry in delta.entries {
-                state.apply(entry);
-            }
-            state.reach(delta.version);
+            delta.apply_to(state);
             return;
         }
     }
--- a/crates/basilstep-core/src/membership/settings_delta.rs
+++ b/crates/basilstep-core/src/membership/settings_delta.rs
@@ -1,7 +1,9 @@
 use super::messages::{MESSAGE_LIMIT_BYTES, MembershipMessage};
 use crate::{
     address::ServiceId,
-    settings::{Entry, SettingsState},
+    settings::{
+        Applied, Entry, SettingsState, address_claim_path, certificate_path_of, id_claim_path,
+    },
 };
 use serde::{Deserialize, Serialize};
 
@@ -11,7 +13,7 @@
 /// applies all entries is at `version`, whatever it missed in between.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct SettingsDelta {
-    /// The version that a receiver must have at least.
+    /// The version that a receiver must have at least; 0 when the entries are all there are.
     pub base_version: u64,
     /// The version that it has afterwards.
     pub version: u64,
@@ -23,23 +25,22 @@
     /// Collects what changed above a version; for an agent, only what concerns its service.
     pub fn collect(state: &SettingsState, above_version: u64, service: Option<ServiceId>) -> Self {
         let own_paths = service.map(|service| ServicePaths::new(state, service));
-        let entries = state
-            .entries()
-            .filter(|entry| entry.version > above_version)
-            .filter(|entry| {
-                own_paths
-                    .as_ref()
-                    .is_none_or(|paths| paths.concern(&entry.path))
-            })
-            .cloned()
-            .collect();
+        let (base_version, mut entries) = state.changes_since(above_version);
+        if let Some(paths) = own_paths {
+            entries.retain(|entry| paths.concern(entry));
+        }
         Self {
-            base_version: above_version,
+            base_version,
             version: state.version(),
             entries,
         }
     }
 
+    /// Applies the changes, unless they do not follow on from what `state` knows.
+    pub fn apply_to(self, state: &mut SettingsState) -> Vec<(String, Applied)> {
+        state.apply_changes(self.base_version, self.version, self.entries)
+    }
+
     /// Tells whether a process at `version` may apply it.
     pub fn applies_to(&self, version: u64) -> bool {
         self.base_version <= version && self.version > version
@@ -59,27 +60,31 @@
 
 /// The paths that concern the agents of one service.
 #[derive(Debug)]
-struct ServicePaths {
-    service: Option<String>,
-    certificate: Option<String>,
-    claim: Option<String>,
-}
+struct ServicePaths(Option<[String; 4]>);
 
 impl ServicePaths {
     fn new(state: &SettingsState, service: ServiceId) -> Self {
         let view = state.view().services.get(&service);
-        Self {
-            service: view.map(|view| view.path.clone()),
-            certificate: view.map(|view| view.path.replacen("/services/", "/certificates/", 1)),
-            claim: view.map(|view| format!("claims/addresses/{}", view.record.address)),
-        }
+        Self(view.map(|view| {
+            [
+                view.path.clone(),
+                certificate_path_of(&view.path),
+                address_claim_path(view.record.address),
+                id_claim_path(view.record.id),
+            ]
+        }))
     }
 
-    fn concern(&self, path: &str) -> bool {
-        let is_shared = path.starts_with("domains/") || path.starts_with("keys/");
-        let own = [&self.service, &self.certificate, &self.claim];
+    fn concern(&self, entry: &Entry) -> bool {
         // Without a view of the service nothing is known not to concern it.
-        let is_unknown = self.service.is_none();
-        is_shared || is_unknown || own.iter().any(|own| own.as_deref() == Some(path))
+        let Some(own) = &self.0 else { return true };
+        let is_shared = entry.path.starts_with("domains/") || entry.path.starts_with("keys/");
+        is_shared || own.contains(&entry.path) || self.is_own_claim(entry)
+    }
+
+    /// A claim on an address that the service is about to change to is written before its record.
+    fn is_own_claim(&self, entry: &Entry) -> bool {
+        let path = self.0.as_ref().map(|own| own[0].as_str());
+        entry.path.starts_with("claims/") && entry.claim_owner().as_deref() == path
     }
 }
--- /dev/null
+++ b/crates/basilstep-core/src/settings/checks.rs
@@ -0,0 +1,140 @@
+use super::records::ServiceRecord;
+
+const MAX_NAME_BYTES: usize = 63;
+const HOUR_MS: u64 = 3_600_000;
+
+/// A value that is not allowed.
+#[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
+#[error("{name} is {value}; allowed: {allowed}")]
+pub struct CheckError {
+    /// The setting.
+    pub name: String,
+    /// The value found.
+    pub value: String,
+    /// What is allowed.
+    pub allowed: String,
+}
+
+/// What a number in a service's record may be.
+#[derive(Clone, Copy, Debug)]
+pub struct SettingRange {
+    /// The name as `service change --set` takes it.
+    pub name: &'static str,
+    /// The unit.
+    pub unit: &'static str,
+    /// The smallest value allowed.
+    pub min: u64,
+    /// The largest value allowed.
+    pub max: u64,
+    /// Reads the value of a record.
+    pub value: fn(&ServiceRecord) -> u64,
+}
+
+macro_rules! ranges {
+    ($($slice:ident.$field:ident $unit:literal $min:literal..=$max:expr,)+) => {
+        &[$(SettingRange {
+            name: concat!(stringify!($slice), ".", stringify!($field)),
+            unit: $unit,
+            min: $min,
+            max: $max,
+            value: |record| u64::from(record.$slice.$field),
+        },)+]
+    };
+}
+
+/// Every number in a service's record with its range; docs/SETTINGS.md holds the same table.
+pub const SERVICE_RANGES: &[SettingRange] = ranges! {
+    admission.request_limit "requests" 1..=100_000,
+    admission.cold_request_limit "requests" 1..=100_000,
+    admission.ramp_ms "ms" 0..=HOUR_MS,
+    admission.connection_limit "connections" 1..=1_000_000,
+    admission.queue_limit "requests" 0..=100_000,
+    admission.queue_wait_ms "ms" 0..=60_000,
+    admission.latency_limit_ms "ms" 1..=HOUR_MS,
+    admission.retry_after_min_ms "ms" 1..=HOUR_MS,
+    admission.retry_after_max_ms "ms" 1..=HOUR_MS,
+    requests.deadline_ms "ms" 1..=HOUR_MS,
+    requests.record_limit "records" 1..=1_000_000,
+    requests.record_limit_bytes "bytes" 0..=256 << 20,
+    requests.record_retention_ms "ms" 1_000..=24 * HOUR_MS,
+    requests.recorded_answer_limit_bytes "bytes" 0..=1 << 20,
+    requests.retry_limit "attempts" 0..=10,
+    requests.retry_budget_percent "percent" 0..=100,
+};
+
+/// Checks every value of a service's record.
+///
+/// # Errors
+///
+/// Returns [`CheckError`] for the first value that is not allowed.
+pub fn check_service(record: &ServiceRecord) -> Result<(), CheckError> {
+    if record.address.port() == 0 || record.address.ip().is_unspecified() {
+        let allowed = "an IPv4 address and a port other than 0";
+        return Err(refuse("address", &record.address, allowed));
+    }
+    for range in SERVICE_RANGES {
+        range.check((range.value)(record))?;
+    }
+    check_order(
+        (
+            "admission.cold_request_limit",
+            record.admission.cold_request_limit,
+        ),
+        ("admission.request_limit", record.admission.request_limit),
+    )?;
+    check_order(
+        (
+            "admission.retry_after_min_ms",
+            record.admission.retry_after_min_ms,
+        ),
+        (
+            "admission.retry_after_max_ms",
+            record.admission.retry_after_max_ms,
+        ),
+    )
+}
+
+/// Checks the name of a team, service or failure domain: it becomes one segment of a path.
+///
+/// # Errors
+///
+/// Returns [`CheckError`] when it is empty, too long or holds other characters.
+pub fn check_name(what: &str, name: &str) -> Result<(), CheckError> {
+    let is_allowed = |c: char| c.is_ascii_lowercase() || c.is_ascii_digit() || c == '-';
+    if (1..=MAX_NAME_BYTES).contains(&name.len()) && name.chars().all(is_allowed) {
+        return Ok(());
+    }
+    let allowed = "1 to 63 of a-z, 0-9 and '-'";
+    Err(refuse(what, &format!("{name:?}"), allowed))
+}
+
+impl SettingRange {
+    /// Checks a value against the range.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`CheckError`] when the value is outside.
+    pub fn check(&self, value: u64) -> Result<(), CheckError> {
+        if (self.min..=self.max).contains(&value) {
+            return Ok(());
+        }
+        let allowed = format!("{} to {} {}", self.min, self.max, self.unit);
+        Err(refuse(self.name, &value, &allowed))
+    }
+}
+
+fn check_order(lower: (&str, u32), upper: (&str, u32)) -> Result<(), CheckError> {
+    if lower.1 <= upper.1 {
+        return Ok(());
+    }
+    let allowed = format!("at most {}, which is {}", upper.0, upper.1);
+    Err(refuse(lower.0, &lower.1, &allowed))
+}
+
+fn refuse(name: &str, value: &impl ToString, allowed: &str) -> CheckError {
+    CheckError {
+        name: name.to_owned(),
+        value: value.to_string(),
+        allowed: allowed.to_owned(),
+    }
+}
--- a/crates/basilstep-core/src/settings/mod.rs
+++ b/crates/basilstep-core/src/settings/mod.rs
@@ -1,9 +1,21 @@
 //! The operators' settings: paths, records, checks and versions.
 
+mod checks;
+mod history;
+mod parsed;
+mod paths;
 mod records;
 mod state;
 mod view;
 
+#[cfg(test)]
+mod tests;
+
+pub use checks::{CheckError, SERVICE_RANGES, SettingRange, check_name, check_service};
+pub use paths::{
+    FLOW_KEYS_PATH, SettingsPath, address_claim_path, certificate_path, certificate_path_of,
+    domain_path, id_claim_path, service_path,
+};
 pub use records::{
     AddressClaim, CertificateRecord, DomainRecord, DomainState, FlowKeysRecord, IdClaim,
     SealedFlowKey, ServiceRecord, WriteStamp,
--- a/crates/basilstep-core/src/settings/state.rs
+++ b/crates/basilstep-core/src/settings/state.rs
@@ -1,16 +1,12 @@
 use super::{
-    records::{
-        AddressClaim, CertificateRecord, DomainRecord, DomainState, FlowKeysRecord, SealedFlowKey,
-        ServiceRecord,
-    },
-    view::{ServiceView, SettingsView},
+    history::History,
+    parsed::Parsed,
+    paths::{SettingsPath, address_claim_path, certificate_path_of, id_claim_path},
+    records::{AddressClaim, CertificateRecord, ServiceRecord},
+    view::SettingsView,
 };
-use crate::{
-    codes::ResultCode,
-    crypto::{ClusterKey, ShortKey},
-    token::{FlowKey, FlowKeys},
-};
-use serde::{Deserialize, Serialize, de::DeserializeOwned};
+use crate::{codes::ResultCode, crypto::ClusterKey};
+use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
 /// One record of the store with the version that the store gave it.
@@ -24,6 +20,14 @@
     pub value: Option<String>,
 }
 
+impl Entry {
+    /// Returns the path of the service that a claim names; `None` for a removed one.
+    pub fn claim_owner(&self) -> Option<String> {
+        let claim: AddressClaim = serde_json::from_str(self.value.as_deref()?).ok()?;
+        Some(claim.owner)
+    }
+}
+
 /// Why a record is not in force.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize)]
 pub struct Rejection {
@@ -47,25 +51,55 @@
 }
 
 /// The settings of one process: the last good record of each path, and what follows from them.
+///
+/// All changes up to [`SettingsState::version`] are known; beyond it single newer entries may be.
+/// So an entry at or below the version that is not held has been replaced or removed since, and a
+/// peer that still has it cannot bring it back.
 #[derive(Debug)]
 pub struct SettingsState {
     cluster_key: ClusterKey,
-    entries: BTreeMap<String, Entry>,
-    seen: BTreeMap<String, u64>,
+    slots: BTreeMap<String, Slot>,
     rejections: BTreeMap<String, Rejection>,
     version: u64,
+    history: History,
+    store_behind: Option<u64>,
     view: SettingsView,
 }
 
+/// What is known of one path.
+#[derive(Debug, Default)]
+struct Slot {
+    good: Option<(Entry, Parsed)>,
+    refused: Option<Entry>,
+}
+
+impl Slot {
+    fn version(&self) -> u64 {
+        self.entries().map(|entry| entry.version).max().unwrap_or(0)
+    }
+
+    fn entries(&self) -> impl Iterator<Item = &Entry> {
+        let good = self.good.as_ref().map(|(entry, _)| entry);
+        good.into_iter().chain(&self.refused)
+    }
+
+    fn is_live(&self) -> bool {
+        self.entries()
+            .last()
+            .is_some_and(|last| last.value.is_some())
+    }
+}
+
 impl SettingsState {
     /// Creates an empty state; `cluster_key` opens the sealed keys.
     pub fn new(cluster_key: ClusterKey) -> Self {
         Self {
             cluster_key,
-            entries: BTreeMap::new(),
-            seen: BTreeMap::new(),
+            slots: BTreeMap::new(),
             rejections: BTreeMap::new(),
             version: 0,
+            history: History::default(),
+            store_behind: None,
             view: SettingsView::default(),
         }
     }
@@ -75,14 +109,21 @@
         &self.view
     }
 
-    /// Returns the highest version that has been applied.
+    /// Returns the version up to which all changes are known.
     pub fn version(&self) -> u64 {
         self.version
     }
 
-    /// Returns the last good records, for handing to a peer.
+    /// Returns the store's index when it is older than what is in force, as after a restore from a
+    /// backup; what is in force stays.
+    pub fn store_behind(&self) -> Option<u64> {
+        self.store_behind
+    }
+
+    /// Returns the last good record of each path and the refused one after it, for handing to a
+    /// peer; removed records too.
     pub fn entries(&self) -> impl Iterator<Item = &Entry> {
-        self.entries.values()
+        self.slots.values().flat_map(Slot::entries)
     }
 
     /// Returns the records that were refused, by path.
@@ -90,39 +131,42 @@
         &self.rejections
     }
 
-    /// Notes that all changes up to `version` that concern this process have been applied.
-    pub fn reach(&mut self, version: u64) {
-        self.version = self.version.max(version);
+    /// Returns the services that are well-formed and yet not served, by path.
+    pub fn unserved(&self) -> BTreeMap<String, Rejection> {
+        self.slots
+            .iter()
+            .filter_map(|(path, slot)| match &slot.good {
+                Some((entry, Parsed::Service(record))) => {
+                    let rejection = self.why_unserved(path, record, entry.version)?;
+                    Some((path.clone(), rejection))
+                }
+                _ => None,
+            })
+            .collect()
     }
 
     /// Returns the certificate in force of the service at this path.
     pub fn certificate_of(&self, service_path: &str) -> Option<CertificateRecord> {
-        let path = service_path.replacen("/services/", "/certificates/", 1);
-        let value = self.entries.get(&path)?.value.as_deref()?;
-        parse(value).ok()
+        match self.good(&certificate_path_of(service_path))? {
+            Parsed::Certificate(record) => Some(record.clone()),
+            _ => None,
+        }
     }
 
-    /// Takes one entry, whoever it comes from; never goes back to an older version of a path.
+    /// Notes that all changes up to `version` that concern this process have been applied.
+    pub fn reach(&mut self, version: u64) {
+        self.history.note_jump(self.version, version);
+        self.version = self.version.max(version);
+    }
+
+    /// Takes one entry from a peer; never goes back to an older version of a path.
+    ///
+    /// An entry at or below [`SettingsState::version`] that is not held is known to be outdated.
     pub fn apply(&mut self, entry: Entry) -> Applied {
-        let seen = self.seen.get(&entry.path).copied().unwrap_or(0);
-        if entry.version <= seen {
+        if entry.version <= self.version {
             return Applied::NotNewer;
         }
-        self.seen.insert(entry.path.clone(), entry.version);
-        self.version = self.version.max(entry.version);
-        if let Err(reason) = self.check(&entry) {
-            let rejection = Rejection {
-                version: entry.version,
-                code: ResultCode::MalformedRecord,
-                reason,
-            };
-            self.rejections.insert(entry.path, rejection.clone());
-            return Applied::Rejected(rejection);
-        }
-        self.rejections.remove(&entry.path);
-        self.entries.insert(entry.path.clone(), entry);
-        self.view = self.build_view();
-        Applied::InForce
+        self.take(entry)
     }
 
     /// Takes a whole reading of the store at `index`; a path that is missing has been removed.
@@ -130,13 +174,64 @@
     /// A reading older than what is in force is stale and changes nothing.
     pub fn apply_reading(&mut self, index: u64, entries: Vec<Entry>) -> Vec<(String, Applied)> {
         if index < self.version {
+            self.store_behind = (!self.agrees_with(&entries)).then_some(index);
+            return Vec::new();
+        }
+        self.store_behind = None;
+        self.apply_whole(index, entries)
+    }
+
+    /// Returns what a peer at `above_version` needs, as the version it must have and the entries.
+    ///
+    /// The version is 0 when removals since then are not known: the entries are then whole.
+    pub fn changes_since(&self, above_version: u64) -> (u64, Vec<Entry>) {
+        let is_whole = !self.history.covers(above_version);
+        let base_version = if is_whole { 0 } else { above_version };
+        let entries = self
+            .entries()
+            .filter(|entry| entry.version > base_version)
+            .filter(|entry| !is_whole || entry.value.is_some() || entry.version > self.version)
+            .cloned()
+            .collect();
+        (base_version, entries)
+    }
+
+    /// Takes what a peer at `version` changed since `base_version`; 0 stands for a whole handover.
+    ///
+    /// Changes nothing when it does not follow on from what is known here.
+    pub fn apply_changes(
+        &mut self,
+        base_version: u64,
+        version: u64,
+        mut entries: Vec<Entry>,
+    ) -> Vec<(String, Applied)> {
+        if version <= self.version || base_version > self.version {
             return Vec::new();
         }
+        if base_version == 0 {
+            return self.apply_whole(version, entries);
+        }
+        entries.retain(|entry| entry.version > self.version);
+        let known_version = self.version;
+        self.take_complete(version, entries, |slot| slot.version() > known_version)
+    }
+
+    fn apply_whole(&mut self, index: u64, entries: Vec<Entry>) -> Vec<(String, Applied)> {
+        self.take_complete(index, entries, |_| true)
+    }
+
+    /// Takes entries that are all there are at `index` of the slots that `covers` selects.
+    fn take_complete(
+        &mut self,
+        index: u64,
+        entries: Vec<Entry>,
+        covers: impl Fn(&Slot) -> bool,
+    ) -> Vec<(String, Applied)> {
         let mut removed: BTreeMap<String, u64> = self
-            .entries
-            .values()
-            .filter(|entry| entry.value.is_some())
-            .map(|entry| (entry.path.clone(), index))
+            .slots
+            .iter()
+            .filter(|(_, slot)| covers(slot) && slot.is_live() && slot.version() < index)
+            .map(|(path, _)| (path.clone(), index))
             .collect();
         for entry in &entries {
             removed.remove(&entry.path);
@@ -146,110 +241,123 @@
             version,
             value: None,
         });
-        let all: Vec<Entry> = entries.into_iter().chain(removals).collect();
-        all.into_iter()
-            .map(|entry| (entry.path.clone(), self.apply(entry)))
+        let all = entries.into_iter().chain(removals).collect();
+        let applied = self.take_all(all);
+        self.reach(index);
+        applied
+    }
+
+    fn take_all(&mut self, mut entries: Vec<Entry>) -> Vec<(String, Applied)> {
+        // A good record goes before the refused one that follows it.
+        entries.sort_by_key(|entry| entry.version);
+        entries
+            .into_iter()
+            .map(|entry| (entry.path.clone(), self.take(entry)))
             .filter(|(_, applied)| *applied != Applied::NotNewer)
             .collect()
     }
 
-    fn check(&self, entry: &Entry) -> Result<(), String> {
-        let Some(value) = &entry.value else {
-            return Ok(());
-        };
-        let parts: Vec<&str> = entry.path.split('/').collect();
-        match parts.as_slice() {
-            ["teams", _, "services", _] => parse::<ServiceRecord>(value).map(|_| ()),
-            ["domains", _] => parse::<DomainRecord>(value).map(|_| ()),
-            ["claims", "addresses", _] => parse::<AddressClaim>(value).map(|_| ()),
-            ["keys", "flow"] => {
-                let record = parse::<FlowKeysRecord>(value)?;
-                self.open_keys(&record).map(|_| ())
+    fn take(&mut self, entry: Entry) -> Applied {
+        let slot = self.slots.entry(entry.path.clone()).or_default();
+        if entry.version <= slot.version() {
+            return Applied::NotNewer;
+        }
+        match Parsed::read(&entry.path, entry.value.as_deref(), &self.cluster_key) {
+            Ok(parsed) => {
+                slot.refused = None;
+                self.rejections.remove(&entry.path);
+                self.put_in_force(entry, parsed);
+                Applied::InForce
+            }
+            Err(error) => {
+                let rejection = Rejection {
+                    version: entry.version,
+                    code: error.code(),
+                    reason: error.to_string(),
+                };
+                self.rejections
+                    .insert(entry.path.clone(), rejection.clone());
+                slot.refused = Some(entry);
+                Applied::Rejected(rejection)
             }
-            _ => Ok(()),
         }
     }
 
-    fn build_view(&self) -> SettingsView {
-        let mut view = SettingsView::default();
-        for entry in self.entries.values() {
-            self.add_to_view(entry, &mut view);
+    /// Tells whether a reading at a lower index holds the same records, as when the store has
+    /// forgotten its last removal.
+    fn agrees_with(&self, entries: &[Entry]) -> bool {
+        let held = self.slots.values().filter(|slot| slot.is_live()).count();
+        held == entries.len()
+            && entries.iter().all(|entry| {
+                let slot = self.slots.get(&entry.path);
+                slot.is_some_and(|slot| slot.version() == entry.version)
+            })
+    }
+
+    fn put_in_force(&mut self, entry: Entry, parsed: Parsed) {
+        let path = entry.path.clone();
+        let mut services = vec![path.clone()];
+        services.extend(self.claim_owner(&path));
+        let slot = self.slots.entry(path.clone()).or_default();
+        slot.good = Some((entry, parsed));
+        services.extend(self.claim_owner(&path));
+        match SettingsPath::parse(&path) {
+            SettingsPath::Domain(name) => self.refresh_domain(name, &path),
+            SettingsPath::FlowKeys => self.refresh_flow_keys(&path),
+            _ => services.iter().for_each(|path| self.refresh_service(path)),
         }
-        view
     }
 
-    fn add_to_view(&self, entry: &Entry, view: &mut SettingsView) {
-        let Some(value) = &entry.value else {
-            return;
+    fn refresh_domain(&mut self, name: &str, path: &str) {
+        let record = match self.good(path) {
+            Some(Parsed::Domain(record)) => Some(record.clone()),
+            _ => None,
         };
-        let parts: Vec<&str> = entry.path.split('/').collect();
-        match parts.as_slice() {
-            ["teams", _, "services", _] => self.add_service(&entry.path, value, view),
-            ["domains", name] => add_domain(name, value, view),
-            ["keys", "flow"] => {
-                let keys = parse::<FlowKeysRecord>(value).and_then(|keys| self.open_keys(&keys));
-                view.flow_keys = keys.ok();
-            }
-            _ => {}
+        self.view.set_domain(name, record);
+    }
+
+    fn refresh_flow_keys(&mut self, path: &str) {
+        if let Some(Parsed::FlowKeys(keys)) = self.good(path) {
+            self.view.flow_keys = Some(*keys);
         }
     }
 
-    fn add_service(&self, path: &str, value: &str, view: &mut SettingsView) {
-        let Ok(record) = parse::<ServiceRecord>(value) else {
+    fn refresh_service(&mut self, path: &str) {
+        self.view.remove_service(path);
+        let Some(Parsed::Service(record)) = self.good(path) else {
             return;
         };
-        if !self.owns_address(path, &record) {
-            return;
+        let record = record.clone();
+        if self.why_unserved(path, &record, 0).is_none() {
+            self.view.insert_service(path, record);
         }
-        view.by_address.insert(record.address, record.id);
-        let service = ServiceView {
-            path: path.to_owned(),
-            record,
-        };
-        view.services.insert(service.record.id, service);
     }
 
-    fn owns_address(&self, path: &str, record: &ServiceRecord) -> bool {
-        let claim_path = format!("claims/addresses/{}", record.address);
-        self.entries
-            .get(&claim_path)
-            .and_then(|entry| entry.value.as_deref())
-            .and_then(|value| parse::<AddressClaim>(value).ok())
-            .is_some_and(|claim| claim.owner == path)
-    }
-
-    fn open_keys(&self, record: &FlowKeysRecord) -> Result<FlowKeys, String> {
-        let current = self.open_key(&record.current)?;
-        let previous = match &record.previous {
-            Some(key) => Some(self.open_key(key)?),
-            None => None,
+    fn why_unserved(&self, path: &str, record: &ServiceRecord, version: u64) -> Option<Rejection> {
+        let claims = [address_claim_path(record.address), id_claim_path(record.id)];
+        let claim = claims
+            .iter()
+            .find(|claim| self.claim_owner(claim).as_deref() != Some(path))?;
+        let reason = match self.claim_owner(claim) {
+            Some(owner) => format!("{claim} belongs to {owner}"),
+            None => format!("{claim} is not claimed"),
         };
-        Ok(FlowKeys { current, previous })
-    }
-
-    fn open_key(&self, key: &SealedFlowKey) -> Result<FlowKey, String> {
-        let secret = self
-            .cluster_key
-            .open("flow", &key.sealed)
-            .map_err(|error| error.to_string())?;
-        let secret = <[u8; 16]>::try_from(secret).or(Err("a flow key has 16 bytes".to_owned()))?;
-        Ok(FlowKey {
-            id: key.id,
-            secret: ShortKey(secret),
+        Some(Rejection {
+            version,
+            code: ResultCode::AddressTaken,
+            reason,
         })
     }
-}
 
-fn add_domain(name: &str, value: &str, view: &mut SettingsView) {
-    let Ok(record) = parse::<DomainRecord>(value) else {
-        return;
-    };
-    if record.state == DomainState::Out {
-        view.out.insert(record.id);
+    fn claim_owner(&self, path: &str) -> Option<String> {
+        match self.good(path)? {
+            Parsed::Claim { owner } => Some(owner.clone()),
+            _ => None,
+        }
     }
-    view.domains.insert(name.to_owned(), record);
-}
 
-fn parse<T: DeserializeOwned>(value: &str) -> Result<T, String> {
-    serde_json::from_str(value).map_err(|error| error.to_string())
+    fn good(&self, path: &str) -> Option<&Parsed> {
+        let (_, parsed) = self.slots.get(path)?.good.as_ref()?;
+        Some(parsed)
+    }
 }
--- /dev/null
+++ b/crates/basilstep-core/src/settings/tests/invariants.rs
@@ -0,0 +1,178 @@
+//! Random histories of a store, read whole or stale and handed from process to process.
+
+use super::builders::{domain_json, state};
+use crate::settings::{DomainState, Entry, SettingsState};
+use proptest::{
+    collection::vec,
+    prelude::{Strategy, prop_oneof},
+    test_runner::{Config, RngAlgorithm, TestRng, TestRunner},
+};
+use std::collections::BTreeMap;
+
+const PATHS: usize = 4;
+const REPLICAS: usize = 3;
+const CASES: u32 = 300;
+
+#[derive(Clone, Debug)]
+enum Op {
+    Write { path: usize, is_good: bool },
+    Remove { path: usize },
+    Read { replica: usize, lag: usize },
+    HandOver { from: usize, to: usize },
+    Gossip { from: usize, to: usize, path: usize },
+    Restart { replica: usize },
+}
+
+fn op() -> impl Strategy<Value = Op> {
+    prop_oneof![
+        4 => (0..PATHS, 0..4_u8).prop_map(|(path, kind)| Op::Write { path, is_good: kind > 0 }),
+        2 => (0..PATHS).prop_map(|path| Op::Remove { path }),
+        3 => (0..REPLICAS, 0..4_usize).prop_map(|(replica, lag)| Op::Read { replica, lag }),
+        3 => (0..REPLICAS, 0..REPLICAS).prop_map(|(from, to)| Op::HandOver { from, to }),
+        2 => (0..REPLICAS, 0..REPLICAS, 0..PATHS)
+            .prop_map(|(from, to, path)| Op::Gossip { from, to, path }),
+        1 => (0..REPLICAS).prop_map(|replica| Op::Restart { replica }),
+    ]
+}
+
+/// The store at each index, and the processes.
+struct World {
+    history: Vec<BTreeMap<String, Entry>>,
+    replicas: Vec<SettingsState>,
+}
+
+impl World {
+    fn new() -> Self {
+        Self {
+            history: vec![BTreeMap::new(); 2],
+            replicas: (0..REPLICAS).map(|_| state()).collect(),
+        }
+    }
+
+    fn index(&self) -> u64 {
+        self.history.len() as u64 - 1
+    }
+
+    fn step(&mut self, op: &Op) {
+        match *op {
+            Op::Write { path, is_good } => self.write(path, is_good),
+            Op::Remove { path } => {
+                let mut next = self.history[self.history.len() - 1].clone();
+                next.remove(&path_of(path));
+                self.history.push(next);
+            }
+            Op::Read { replica, lag } => {
+                let index = (self.history.len() - 1).saturating_sub(lag).max(1);
+                let entries = self.history[index].values().cloned().collect();
+                self.replicas[replica].apply_reading(index as u64, entries);
+            }
+            Op::HandOver { from, to } => self.hand_over(from, to),
+            Op::Gossip { from, to, path } => {
+                let path = path_of(path);
+                let entries = self.replicas[from].entries();
+                let found: Vec<Entry> = entries.filter(|e| e.path == path).cloned().collect();
+                for entry in found {
+                    self.replicas[to].apply(entry);
+                }
+            }
+            Op::Restart { replica } => self.replicas[replica] = state(),
+        }
+    }
+
+    fn write(&mut self, path: usize, is_good: bool) {
+        let path = path_of(path);
+        let mut next = self.history[self.history.len() - 1].clone();
+        let value = if is_good {
+            domain_json(1, DomainState::In)
+        } else {
+            "{".to_owned()
+        };
+        let entry = Entry {
+            path: path.clone(),
+            version: self.index() + 1,
+            value: Some(value),
+        };
+        next.insert(path, entry);
+        self.history.push(next);
+    }
+
+    fn hand_over(&mut self, from: usize, to: usize) {
+        let above = self.replicas[to].version();
+        let (base, entries) = self.replicas[from].changes_since(above);
+        let version = self.replicas[from].version();
+        self.replicas[to].apply_changes(base, version, entries);
+    }
+
+    /// All changes up to its version are known to a process.
+    fn check_complete(&self, replica: &SettingsState) {
+        let truth = &self.history[replica.version() as usize];
+        for path in (0..PATHS).map(path_of) {
+            let newest = newest(replica, &path);
+            if newest
+                .as_ref()
+                .is_some_and(|e| e.version > replica.version())
+            {
+                continue;
+            }
+            let held = newest.filter(|entry| entry.value.is_some());
+            assert_eq!(held.as_ref(), truth.get(&path), "{path}");
+            let is_good = truth
+                .get(&path)
+                .is_some_and(|e| e.value.as_deref() != Some("{"));
+            let name = path.trim_start_matches("domains/");
+            let is_in_force = replica.view().domains.contains_key(name);
+            assert!(is_in_force || !is_good, "{path} is not in force");
+            assert!(
+                !is_in_force || truth.contains_key(&path),
+                "{path} was removed"
+            );
+        }
+    }
+}
+
+fn path_of(path: usize) -> String {
+    format!("domains/d{path}")
+}
+
+fn newest(replica: &SettingsState, path: &str) -> Option<Entry> {
+    let entries = replica.entries().filter(|entry| entry.path == path);
+    entries.max_by_key(|entry| entry.version).cloned()
+}
+
+fn versions(replica: &SettingsState) -> BTreeMap<String, u64> {
+    let mut versions = BTreeMap::from([("all".to_owned(), replica.version())]);
+    for entry in replica.entries() {
+        let version = versions.entry(entry.path.clone()).or_default();
+        *version = entry.version.max(*version);
+    }
+    versions
+}
+
+#[test]
+fn versions_never_fall_and_a_version_means_all_changes_up_to_it() {
+    let config = Config {
+        cases: CASES,
+        failure_persistence: None,
+        ..Config::default()
+    };
+    let rng = TestRng::deterministic_rng(RngAlgorithm::ChaCha);
+    TestRunner::new_with_rng(config, rng)
+        .run(&vec(op(), 1..60), |ops| {
+            let mut world = World::new();
+            for op in ops {
+                let before: Vec<_> = world.replicas.iter().map(versions).collect();
+                world.step(&op);
+                for (replica, before) in world.replicas.iter().zip(before) {
+                    let is_restart = matches!(op, Op::Restart { .. });
+                    let after = versions(replica);
+                    let has_fallen = before
+                        .iter()
+                        .any(|(path, version)| after.get(path).unwrap_or(&0) < version);
+                    assert!(is_restart || !has_fallen, "{before:?} fell to {after:?}");
+                    world.check_complete(replica);
+                }
+            }
+            Ok(())
+        })
+        .unwrap();
+}
--- /dev/null
+++ b/crates/basilstep-core/src/settings/tests/mod.rs
@@ -0,0 +1,6 @@
+mod builders;
+mod checks;
+mod delta;
+mod invariants;
+mod records;
+mod versions;
--- a/crates/basilstep-core/src/settings/view.rs
+++ b/crates/basilstep-core/src/settings/view.rs
@@ -1,4 +1,4 @@
-use super::records::{DomainRecord, ServiceRecord};
+use super::records::{DomainRecord, DomainState, ServiceRecord};
 use crate::{
     address::{DomainId, ServiceId},
     token::FlowKeys,
@@ -44,6 +44,9 @@
     pub services: BTreeMap<ServiceId, ServiceView>,
     /// The number of the service at each address.
     pub by_address: BTreeMap<SocketAddrV4, ServiceId>,
+    /// The number of the service at each path.
+    #[serde(skip)]
+    pub by_path: BTreeMap<String, ServiceId>,
     /// The failure domains by name.
     pub domains: BTreeMap<String, DomainRecord>,
     /// The failure domains that are out.
@@ -56,6 +59,36 @@
 impl SettingsView {
     /// Finds a service by the path of its record.
     pub fn service_at(&self, path: &str) -> Option<&ServiceView> {
-        self.services.values().find(|service| service.path == path)
+        self.services.get(self.by_path.get(path)?)
+    }
+
+    pub(super) fn insert_service(&mut self, path: &str, record: ServiceRecord) {
+        self.by_address.insert(record.address, record.id);
+        self.by_path.insert(path.to_owned(), record.id);
+        let service = ServiceView {
+            path: path.to_owned(),
+            record,
+        };
+        self.services.insert(service.record.id, service);
+    }
+
+    pub(super) fn remove_service(&mut self, path: &str) {
+        let id = self.by_path.remove(path);
+        if let Some(service) = id.and_then(|id| self.services.remove(&id)) {
+            self.by_address.remove(&service.record.address);
+        }
+    }
+
+    pub(super) fn set_domain(&mut self, name: &str, record: Option<DomainRecord>) {
+        match record {
+            Some(record) => self.domains.insert(name.to_owned(), record),
+            None => self.domains.remove(name),
+        };
+        self.out = DomainSet::default();
+        for domain in self.domains.values() {
+            if domain.state == DomainState::Out {
+                self.out.insert(domain.id);
+            }
+        }
     }
 }
