--- a/crates/basilstep-bench/src/load/placement/cases.rs
+++ b/crates/basilstep-bench/src/load/placement/cases.rs
@@ -3,7 +3,7 @@
 use super::{
     policy::Policy,
     rows::{Row, percentile, round, summarize},
-    setup::{Change, Outcome, Setup},
+    setup::{Change, Crash, Outcome, Setup},
     simulation::{MEAN_LIFE_S, Simulation},
 };
 use basilstep_core::membership::AgentPhase;
@@ -21,6 +21,7 @@
 const SERVICES: u64 = 2_200;
 const SERVICES_SAMPLED_AT_300: u64 = 150;
 const LIAR: usize = 0;
+const AT_ONCE_MS: f64 = 100.0;
 const RAMP_S: f64 = 60.0;
 const RAMPED_WEIGHT: u8 = 16;
 const JOIN_SAMPLES_S: [u32; 6] = [5, 10, 20, 30, 60, 90];
@@ -73,6 +74,17 @@
     share: f64,
 }
 
+/// How long new flows take to open while a crashed target is not yet detected.
+#[derive(Clone, Debug, Serialize)]
+pub struct CrashRow {
+    targets: usize,
+    policy: Policy,
+    flows: usize,
+    opened_at_once: f64,
+    mean_delay_ms: f64,
+    worst_delay_ms: f64,
+}
+
 /// The figures over all services at the target size.
 #[derive(Clone, Debug, Serialize)]
 pub struct TargetSizeRow {
@@ -208,6 +220,49 @@
     }
 }
 
+/// Measures the opening of flows between a crash and its detection.
+pub fn crashes(seeds: Range<u64>) -> Vec<CrashRow> {
+    let policies = [
+        Policy::PlainHash,
+        Policy::TwoReported,
+        Policy::TwoExact,
+        Policy::ThreeExact,
+    ];
+    let mut rows = Vec::new();
+    for targets in [3, 7] {
+        rows.extend(policies.map(|policy| crash(targets, policy, seeds.clone())));
+    }
+    rows
+}
+
+fn crash(targets: usize, policy: Policy, seeds: Range<u64>) -> CrashRow {
+    let run = |seed| {
+        let crash = Crash {
+            at_s: WARM_UP_S,
+            target: 0,
+        };
+        Simulation::run(Setup {
+            crash: Some(crash),
+            sampled_s: MEAN_LIFE_S,
+            ..setup(&vec![1; targets], 300, policy, seed)
+        })
+    };
+    let delays_ms: Vec<f64> = seeds.flat_map(|seed| run(seed).open_delays_ms).collect();
+    let at_once = delays_ms
+        .iter()
+        .filter(|delay| **delay < AT_ONCE_MS)
+        .count();
+    let flows = delays_ms.len();
+    CrashRow {
+        targets,
+        policy,
+        flows,
+        opened_at_once: round(at_once as f64 / flows as f64),
+        mean_delay_ms: round(delays_ms.iter().sum::<f64>() / flows as f64),
+        worst_delay_ms: round(percentile(&delays_ms, 1.0)),
+    }
+}
+
 /// Measures how fast a target that joins empty takes flows, with and without a ramp of the weight
 /// by which its agent compares its load.
 pub fn joins(seeds: Range<u64>) -> Vec<JoinRow> {
@@ -305,6 +360,7 @@
         liar: None,
         changes: Vec::new(),
         ramp_s: None,
+        crash: None,
         warm_up_s: WARM_UP_S,
         sampled_s: SAMPLED_S,
         seed,
--- a/crates/basilstep-bench/src/load/placement/fleet.rs
+++ b/crates/basilstep-bench/src/load/placement/fleet.rs
@@ -37,6 +37,8 @@
     pub reported_flows: u32,
     /// The weight by which the agent compares its load; ramped after it joins.
     pub own_weight: u8,
+    /// Whether it has crashed with its agent.
+    pub has_crashed: bool,
     /// The agent's record of offers.
     pub recent: RecentOffers,
 }
@@ -57,6 +59,7 @@
             flows: 0,
             reported_flows: 0,
             own_weight: weight,
+            has_crashed: false,
             recent: RecentOffers::new(PlacementSettings::default(), context),
         }
     }
--- a/crates/basilstep-bench/src/load/placement/mod.rs
+++ b/crates/basilstep-bench/src/load/placement/mod.rs
@@ -34,6 +34,7 @@
         "reports": cases::lagging_and_lying(seeds.clone()),
         "changes": cases::planned_changes(seeds.clone()),
         "joins": cases::joins(seeds.clone()),
+        "crashes": cases::crashes(seeds.clone()),
         "at_target_size": cases::target_size(args.seed),
         "draw_cost": cost::measure_draws(args.seed),
         "steer_cost": cost::measure_steering(),
--- a/crates/basilstep-bench/src/load/placement/setup.rs
+++ b/crates/basilstep-bench/src/load/placement/setup.rs
@@ -20,6 +20,8 @@
     pub changes: Vec<Change>,
     /// How long the agent of a target that joins raises its own weight, if it does.
     pub ramp_s: Option<f64>,
+    /// When a target crashes, if one does.
+    pub crash: Option<Crash>,
     /// The time before the first sample.
     pub warm_up_s: f64,
     /// The time of sampling.
@@ -39,6 +41,15 @@
     pub phase: AgentPhase,
 }
 
+/// An unplanned end of one target and its agent.
+#[derive(Clone, Copy, Debug)]
+pub struct Crash {
+    /// When it happens.
+    pub at_s: f64,
+    /// The number of the target.
+    pub target: usize,
+}
+
 /// What was measured.
 #[derive(Clone, Debug, Default)]
 pub struct Outcome {
@@ -46,6 +57,8 @@
     pub imbalance: Vec<f64>,
     /// The samples of the flows of the first target over the mean of the others.
     pub share_of_first: Vec<f64>,
+    /// How long flows took to open that began between a crash and its detection.
+    pub open_delays_ms: Vec<f64>,
     /// The flows that were opened.
     pub opened_flows: u64,
     /// The flows that no agent took.
--- a/crates/basilstep-bench/src/load/placement/simulation.rs
+++ b/crates/basilstep-bench/src/load/placement/simulation.rs
@@ -1,5 +1,7 @@
 //! Flows that arrive at random and live exponentially long, in virtual time.
 
+mod crash;
+
 use super::{
     fleet::{FLOW_KEYS, Fleet, SERVICE, Target},
     setup::{Outcome, Setup},
@@ -47,6 +49,9 @@
     Change { index: usize },
     RefreshViews,
     Ramp { index: usize },
+    Crash { target: usize },
+    Detect { target: usize },
+    Retransmit { flow: u64, attempt: usize },
 }
 
 /// A flow from its first packet on, with the packet that is under way until an agent takes it.
@@ -56,6 +61,7 @@
     packet: Packet,
     owner: Option<usize>,
     token: [u8; TOKEN_BYTES],
+    begun_us: u64,
 }
 
 #[derive(Clone, Copy)]
@@ -101,6 +107,10 @@
             let at_us = to_us(self.setup.changes[index].at_s);
             self.schedule(at_us, EventKind::Change { index });
         }
+        if let Some(crash) = self.setup.crash {
+            let target = crash.target;
+            self.schedule(to_us(crash.at_s), EventKind::Crash { target });
+        }
         self.schedule(0, EventKind::Open);
         self.schedule(0, EventKind::Report);
         self.schedule(to_us(self.setup.warm_up_s), EventKind::Sample);
@@ -122,6 +132,9 @@
                 EventKind::Change { index } => self.change(index),
                 EventKind::RefreshViews => self.refresh_views(),
                 EventKind::Ramp { index } => self.ramp(index),
+                EventKind::Crash { target } => self.crash(target),
+                EventKind::Detect { target } => self.detect(target),
+                EventKind::Retransmit { flow, attempt } => self.retransmit(flow, attempt),
             }
         }
     }
@@ -153,8 +166,10 @@
             packet: self.first_packet(candidates),
             owner: None,
             token: [0; TOKEN_BYTES],
+            begun_us: self.now_us,
         };
         self.flows.insert(number, flow);
+        self.schedule_retransmission(number, 0);
         self.schedule(HOP_US, EventKind::Arrive { flow: number });
     }
 
@@ -190,6 +205,9 @@
         let packet = flow.packet;
         let taker = Fleet::number_of(packet.to);
         let target = &mut self.fleet.targets[taker];
+        if target.has_crashed {
+            return;
+        }
         let offered = Offered {
             caller: flow.caller,
             connection_id: &flow.first_id,
@@ -219,11 +237,13 @@
         let Some(flow) = self.flows.get_mut(&number) else {
             return;
         };
+        let delay_ms = crash::delay_ms(self.setup.crash, flow.begun_us, self.now_us);
         flow.owner = Some(taker);
         flow.token = target.mint();
         target.flows += 1;
         target.recent.opened(&flow.caller, &flow.first_id);
         self.outcome.opened_flows += 1;
+        self.outcome.open_delays_ms.extend(delay_ms);
         self.outcome.opened_while_leaving += u64::from(!target.is_serving());
     }
 
