feat(placement): acknowledge offers between agents and pass over silent ones

Cause: any dead candidate broke the chain of an offer, so that between a crash and its detection no flow of a service of 3 targets opened at once. An agent that gets Leg::Compare now answers Leg::Seen without a payload; one that leaves an offer without acknowledgement for 100 ms is passed over until it is heard of again, for at most 5 s. Ruled out: marking agents after a caller's retransmission (a lost answer on the caller's way would mark living agents), and another order of candidates from second to second (packets of one flight through balancers whose clocks differ would be shown in a circle). Seen to fail first by changes, each reverted: no agent is silent, acknowledgements and offers are no sign of life, no second chance. The agent's carrier sends and takes the acknowledgement: the one change outside placement.

--- a/crates/basilstep-agent/src/carrier/mod.rs
+++ b/crates/basilstep-agent/src/carrier/mod.rs
@@ -6,7 +6,7 @@
 use crate::shared::Shared;
 use basilstep_core::{
     codes::ResultCode,
-    placement::{NextLeg, OfferDecision, Offered},
+    placement::{NextLeg, OfferDecision, Offered, acknowledge},
     steering::parse_header,
     wire::{
         CarrierHeader, Leg, MAX_FRAME_OVERHEAD_BYTES, MEMBERSHIP_VERSION, decode_frame,
@@ -121,6 +121,10 @@
         if header.leg == Leg::Established {
             return true;
         }
+        if let Leg::Seen { by } = header.leg {
+            self.shared.note_acknowledged(by);
+            return false;
+        }
         let packet = match parse_header(payload) {
             Ok(packet) => packet,
             Err(error) => {
@@ -133,13 +137,16 @@
             connection_id: packet.connection_id,
             leg: header.leg,
         };
+        if let Some(seen) = acknowledge(&header.leg, self.shared.address()) {
+            self.pass_on(header, seen, &[]);
+        }
         let decision = self.shared.decide_offer(&offered);
         match decision {
             OfferDecision::Take | OfferDecision::Refuse(_) => return true,
             OfferDecision::Drop(code) => self.shared.counters.count(code),
             OfferDecision::Show { .. } | OfferDecision::HandBack { .. } => {}
         }
-        if let Some(next) = decision.next_leg() {
+        if let Some(next) = decision.next_leg(self.shared.address()) {
             self.pass_on(header, next, payload);
         }
         false
--- a/crates/basilstep-agent/src/shared.rs
+++ b/crates/basilstep-agent/src/shared.rs
@@ -185,6 +185,11 @@
         decide(offered, &own, &mut self.lock_offers(), self.clock.now_ms())
     }
 
+    /// Notes that another agent has got an offer that this one showed to it.
+    pub fn note_acknowledged(&self, by: AgentAddress) {
+        self.lock_offers().acknowledged(by);
+    }
+
     /// Notes that the endpoint holds a flow that was offered.
     pub fn flow_opened(&self, caller: &SocketAddr, connection_id: &[u8]) {
         self.open_flows.fetch_add(1, Ordering::Relaxed);
--- a/crates/basilstep-bench/src/load/placement/rows.rs
+++ b/crates/basilstep-bench/src/load/placement/rows.rs
@@ -20,6 +20,8 @@
     pub worst: f64,
     /// The packets between agents for each new flow.
     pub agent_messages_per_flow: f64,
+    /// The acknowledgements between agents for each new flow, without a payload.
+    pub acknowledgements_per_flow: f64,
 }
 
 /// Summarizes the runs of one policy in one case.
@@ -34,6 +36,10 @@
         .flat_map(|outcome| outcome.imbalance.iter().copied())
         .collect();
     let messages: u64 = outcomes.iter().map(|outcome| outcome.agent_messages).sum();
+    let acknowledgements: u64 = outcomes
+        .iter()
+        .map(|outcome| outcome.acknowledgements)
+        .sum();
     let flows: u64 = outcomes.iter().map(|outcome| outcome.opened_flows).sum();
     Row {
         weights: weights.to_vec(),
@@ -43,6 +49,7 @@
         p99: round(percentile(&samples, 0.99)),
         worst: round(percentile(&samples, 1.0)),
         agent_messages_per_flow: round(messages as f64 / flows as f64),
+        acknowledgements_per_flow: round(acknowledgements as f64 / flows as f64),
     }
 }
 
--- a/crates/basilstep-bench/src/load/placement/setup.rs
+++ b/crates/basilstep-bench/src/load/placement/setup.rs
@@ -65,6 +65,8 @@
     pub refused_flows: u64,
     /// The packets between agents.
     pub agent_messages: u64,
+    /// The acknowledgements between agents, which carry no payload.
+    pub acknowledgements: u64,
     /// The flows opened at a target that was leaving.
     pub opened_while_leaving: u64,
     /// The open flows whose packets went to another agent after a change.
--- a/crates/basilstep-bench/src/load/placement/simulation.rs
+++ b/crates/basilstep-bench/src/load/placement/simulation.rs
@@ -10,7 +10,7 @@
     address::AgentAddress,
     context::Context,
     membership::AgentPhase,
-    placement::{OfferDecision, Offered, ServiceTargets, decide},
+    placement::{OfferDecision, Offered, ServiceTargets, acknowledge, decide},
     settings::SettingsView,
     steering::{Steer, SteeringTable},
     token::TOKEN_BYTES,
@@ -52,6 +52,7 @@
     Crash { target: usize },
     Detect { target: usize },
     Retransmit { flow: u64, attempt: usize },
+    Acknowledge { at: usize, by: usize },
 }
 
 /// A flow from its first packet on, with the packet that is under way until an agent takes it.
@@ -134,6 +135,7 @@
                 EventKind::Ramp { index } => self.ramp(index),
                 EventKind::Crash { target } => self.crash(target),
                 EventKind::Detect { target } => self.detect(target),
+                EventKind::Acknowledge { at, by } => self.acknowledge(at, by),
                 EventKind::Retransmit { flow, attempt } => self.retransmit(flow, attempt),
             }
         }
@@ -199,7 +201,7 @@
     }
 
     fn arrive(&mut self, number: u64) {
-        let Some(flow) = self.flows.get_mut(&number) else {
+        let Some(flow) = self.flows.get(&number) else {
             return;
         };
         let packet = flow.packet;
@@ -215,7 +217,14 @@
         };
         let now_ms = self.now_us / US_PER_MS;
         let decision = decide(&offered, &target.own_load(), &mut target.recent, now_ms);
-        if let Some(next) = decision.next_leg() {
+        if let Some(seen) = acknowledge(&packet.leg, packet.to) {
+            let at = Fleet::number_of(seen.to);
+            self.schedule(HOP_US, EventKind::Acknowledge { at, by: taker });
+        }
+        let Some(flow) = self.flows.get_mut(&number) else {
+            return;
+        };
+        if let Some(next) = decision.next_leg(packet.to) {
             flow.packet = Packet {
                 to: next.to,
                 leg: next.leg,
@@ -230,6 +239,12 @@
         self.outcome.refused_flows += 1;
     }
 
+    fn acknowledge(&mut self, at: usize, by: usize) {
+        let by = self.fleet.targets[by].record.address;
+        self.outcome.acknowledgements += 1;
+        self.fleet.targets[at].recent.acknowledged(by);
+    }
+
     fn take(&mut self, number: u64, taker: usize) {
         let life_us = to_us(self.draw_exponential(MEAN_LIFE_S));
         self.schedule(life_us, EventKind::Close { flow: number });
--- a/crates/basilstep-core/src/placement/decide.rs
+++ b/crates/basilstep-core/src/placement/decide.rs
@@ -58,7 +58,7 @@
 
 impl OfferDecision {
     /// Returns the leg to another agent, if the packet goes to one.
-    pub fn next_leg(&self) -> Option<NextLeg> {
+    pub fn next_leg(&self, own: AgentAddress) -> Option<NextLeg> {
         match *self {
             Self::Show {
                 to,
@@ -69,6 +69,7 @@
             } => Some(NextLeg {
                 to,
                 leg: Leg::Compare {
+                    from: own,
                     best,
                     load,
                     next,
@@ -90,6 +91,17 @@
     pub leg: Leg,
 }
 
+/// Returns the acknowledgement of a leg, which carries no payload, if the leg asks for one.
+pub fn acknowledge(leg: &Leg, own: AgentAddress) -> Option<NextLeg> {
+    match *leg {
+        Leg::Compare { from, .. } => Some(NextLeg {
+            to: from,
+            leg: Leg::Seen { by: own },
+        }),
+        _ => None,
+    }
+}
+
 /// Decides what this agent does with a first packet of a new flow.
 ///
 /// All packets of one first flight get decisions that lead to the same agent. An offer ends after
@@ -109,22 +121,32 @@
         recent,
         now_ms,
     };
-    match offered.leg {
+    let decision = match offered.leg {
         Leg::Offer { candidates } => step.offer(candidates),
         Leg::Compare {
+            from,
             best,
             load,
             next,
             hops,
-        } => step.compare(Comparison {
-            best,
-            load,
-            next,
-            hops,
-        }),
+        } => {
+            step.recent.peers.heard(from);
+            step.compare(Comparison {
+                best,
+                load,
+                next,
+                hops,
+            })
+        }
         Leg::Take => step.take(),
-        Leg::Established | Leg::Answer { .. } => OfferDecision::Drop(ResultCode::Malformed),
+        Leg::Established | Leg::Seen { .. } | Leg::Answer { .. } => {
+            OfferDecision::Drop(ResultCode::Malformed)
+        }
+    };
+    if let OfferDecision::Show { to, .. } = decision {
+        recent.peers.shown(to, now_ms);
     }
+    decision
 }
 
 /// What the candidates before this one say.
@@ -156,18 +178,22 @@
         }
     }
 
-    /// Shows the offer to the next candidate that is not this agent: a balancer with an old view
-    /// may name this agent in any place, or twice.
     fn new_offer(&mut self, candidates: Candidates) -> OfferDecision {
-        let own = self.own.address;
         let mut others = [candidates.second, candidates.third]
             .into_iter()
             .flatten()
-            .filter(|candidate| *candidate != own);
+            .filter(|candidate| self.may_show_to(*candidate));
         let (to, next) = (others.next(), others.next());
         self.show_or_take(to, next)
     }
 
+    /// Tells whether an agent can be shown an offer: it acknowledged the last one, and is another
+    /// than this agent, which a balancer with an old view may name in any place, or twice.
+    fn may_show_to(&self, candidate: AgentAddress) -> bool {
+        let is_silent = self.recent.is_silent(candidate, self.now_ms);
+        candidate != self.own.address && !is_silent
+    }
+
     /// Handles the retransmission of a caller that got no answer to its first flight.
     fn repeated_offer(&mut self, state: OfferState, candidates: Candidates) -> OfferDecision {
         match state {
@@ -175,7 +201,10 @@
             // A later candidate did not reply: it is dead or a packet was lost.
             OfferState::Shown(_) => self.take_or_refuse(),
             // The agent that had to take the flow may be dead; if it lives, it holds the flow.
-            OfferState::HandedBack { to } => self.show_or_take(Some(to), None),
+            OfferState::HandedBack { to } => {
+                let to = Some(to).filter(|to| self.may_show_to(*to));
+                self.show_or_take(to, None)
+            }
             OfferState::Refused { .. } => self.new_offer(candidates),
         }
     }
@@ -199,8 +228,7 @@
         let own_load = self.own_load();
         // Of equals the later one is the best: a packet that need not go back saves a hop.
         let is_best = own_load <= comparison.load;
-        let own = self.own.address;
-        if let Some(next) = comparison.next.filter(|next| *next != own) {
+        if let Some(next) = comparison.next.filter(|next| self.may_show_to(*next)) {
             let showing = Showing {
                 to: next,
                 best: if is_best {
--- a/crates/basilstep-core/src/placement/offers.rs
+++ b/crates/basilstep-core/src/placement/offers.rs
@@ -1,4 +1,4 @@
-use super::{hash::flow_code, load::Load, settings::PlacementSettings};
+use super::{hash::flow_code, load::Load, peers::Peers, settings::PlacementSettings};
 use crate::{address::AgentAddress, codes::ResultCode, context::Context, crypto::ShortKey};
 use rand::Rng;
 use serde::Serialize;
@@ -19,6 +19,7 @@
     by_age: VecDeque<AgedOffer>,
     pending_by_age: VecDeque<AgedOffer>,
     pending_flows: u32,
+    pub(super) peers: Peers,
 }
 
 /// Identifies the first flight of one flow.
@@ -76,6 +77,7 @@
             by_age: VecDeque::new(),
             pending_by_age: VecDeque::new(),
             pending_flows: 0,
+            peers: Peers::default(),
         }
     }
 
@@ -87,6 +89,13 @@
         self.settle(key);
     }
 
+    /// Notes that another agent has acknowledged an offer with [`Leg::Seen`].
+    ///
+    /// [`Leg::Seen`]: crate::wire::Leg::Seen
+    pub fn acknowledged(&mut self, by: AgentAddress) {
+        self.peers.heard(by);
+    }
+
     /// Returns the number of flows that were taken and that the endpoint does not count yet.
     pub fn pending_flows(&self) -> u32 {
         self.pending_flows
@@ -115,6 +124,12 @@
         now_ms.saturating_sub(offer.since_ms) >= self.settings.compare_timeout_ms
     }
 
+    /// Tells whether another agent has left an offer without acknowledgement for too long.
+    pub(super) fn is_silent(&self, peer: AgentAddress, now_ms: u64) -> bool {
+        let timeout_ms = self.settings.reply_timeout_ms;
+        self.peers.is_silent(peer, timeout_ms, now_ms)
+    }
+
     /// Keeps a decision; replaces an earlier one on the same offer.
     pub(super) fn keep(&mut self, key: OfferKey, state: OfferState, now_ms: u64) {
         self.settle(key);
@@ -148,6 +163,7 @@
 
     /// Evicts what is older than the retention and ends the pending time of flows never opened.
     pub(super) fn expire(&mut self, now_ms: u64) {
+        self.peers.expire(self.settings.silence_ms, now_ms);
         let pending_ms = self.settings.pending_ms;
         while let Some(aged) = pop_older(&mut self.pending_by_age, now_ms, pending_ms) {
             let is_same = self
--- a/crates/basilstep-core/src/placement/tests/chain.rs
+++ b/crates/basilstep-core/src/placement/tests/chain.rs
@@ -2,7 +2,8 @@
 //! reordered and when balancers name different candidates.
 
 use super::super::{
-    MAX_COMPARE_HOPS, OfferDecision, Offered, OwnLoad, PlacementSettings, RecentOffers, decide,
+    MAX_COMPARE_HOPS, OfferDecision, Offered, OwnLoad, PlacementSettings, RecentOffers,
+    acknowledge, decide,
 };
 use crate::{
     address::AgentAddress,
@@ -122,10 +123,13 @@
     }
 
     fn arrive(&mut self, packet: Packet) {
-        self.longest = self.longest.max(packet.legs);
         let Some(agent) = self.agents.get_mut(&packet.to) else {
             return;
         };
+        if let Leg::Seen { by } = packet.leg {
+            return agent.recent.acknowledged(by);
+        }
+        self.longest = self.longest.max(packet.legs);
         let offered = Offered {
             caller: SocketAddr::from(([127, 0, 0, 9], 50_000)),
             connection_id: b"first-id",
@@ -139,8 +143,9 @@
             OfferDecision::Refuse(_) => self.refusals += 1,
             _ => {}
         }
-        let next = decision.next_leg();
-        self.under_way.extend(next.map(|next| Packet {
+        let next = decision.next_leg(packet.to);
+        let legs = next.into_iter().chain(acknowledge(&packet.leg, packet.to));
+        self.under_way.extend(legs.map(|next| Packet {
             to: next.to,
             leg: next.leg,
             legs: packet.legs + 1,
--- a/crates/basilstep-core/src/placement/tests/mod.rs
+++ b/crates/basilstep-core/src/placement/tests/mod.rs
@@ -5,7 +5,7 @@
 
 use super::{
     Load, MAX_COMPARE_HOPS, OfferDecision, Offered, OwnLoad, PlacementSettings, RecentOffers,
-    decide,
+    acknowledge, decide,
 };
 use crate::{
     address::AgentAddress,
@@ -46,6 +46,7 @@
 
 fn compare(best: u8, flows: u32, next: Option<u8>) -> Leg {
     Leg::Compare {
+        from: agent(best),
         best: agent(best),
         load: Load::of(flows + 1, 1),
         next: next.map(agent),
@@ -55,6 +56,7 @@
 
 fn unwilling(best: u8) -> Leg {
     Leg::Compare {
+        from: agent(best),
         best: agent(best),
         load: Load::UNWILLING,
         next: None,
@@ -163,6 +165,7 @@
         ..own(1, flows)
     };
     let leg = Leg::Compare {
+        from: agent(2),
         best: agent(2),
         next: None,
         load: Load::of(other_flows + 1, other_weight),
@@ -224,6 +227,7 @@
     let mut recent = recent();
     step(offer(&[1, 2]), &own(1, 10), &mut recent, 0);
     let leg = Leg::Compare {
+        from: agent(3),
         best: agent(3),
         load: Load::of(1, 1),
         next: None,
@@ -294,3 +298,60 @@
     }
     assert_eq!((recent.len(), recent.pending_flows()), (10, 10));
 }
+
+/// Decides on the offer of another flow than [`step`] does.
+fn step_other(leg: Leg, recent: &mut RecentOffers, now_ms: u64) -> OfferDecision {
+    let offered = Offered {
+        caller: caller(),
+        connection_id: b"other-id",
+        leg,
+    };
+    decide(&offered, &own(1, 10), recent, now_ms)
+}
+
+#[rstest]
+#[case::not_yet(offer(&[1, 2, 3]), 99, show(2, 1, 10, Some(3)))]
+#[case::the_second(offer(&[1, 2, 3]), 100, show(3, 1, 10, None))]
+#[case::the_third(offer(&[1, 3, 2]), 100, show(3, 1, 10, None))]
+#[case::the_only_one(offer(&[1, 2]), 100, OfferDecision::Take)]
+#[case::the_next(compare(3, 0, Some(2)), 100, OfferDecision::HandBack { to: agent(3) })]
+#[case::tried_again(offer(&[1, 2, 3]), 5_000, show(2, 1, 10, Some(3)))]
+fn an_agent_that_does_not_acknowledge_is_passed_over(
+    #[case] leg: Leg,
+    #[case] now_ms: u64,
+    #[case] expected: OfferDecision,
+) {
+    let mut recent = recent();
+    step(offer(&[1, 2]), &own(1, 10), &mut recent, 0);
+    assert_eq!(step_other(leg, &mut recent, now_ms), expected);
+}
+
+#[test]
+fn an_acknowledgement_is_a_sign_of_life() {
+    let mut recent = recent();
+    step(offer(&[1, 2]), &own(1, 10), &mut recent, 0);
+    recent.acknowledged(agent(2));
+    let decision = step_other(offer(&[1, 2]), &mut recent, 100);
+    assert_eq!(decision, show(2, 1, 10, None));
+}
+
+#[test]
+fn an_offer_from_an_agent_is_a_sign_of_life() {
+    let mut recent = recent();
+    step(offer(&[1, 2]), &own(1, 10), &mut recent, 0);
+    let third_flow = Offered {
+        caller: caller(),
+        connection_id: b"third-id",
+        leg: compare(2, 9, None),
+    };
+    decide(&third_flow, &own(1, 10), &mut recent, 200);
+    let decision = step_other(offer(&[1, 2]), &mut recent, 300);
+    assert_eq!(decision, show(2, 1, 10, None));
+}
+
+#[test]
+fn each_comparison_is_acknowledged_to_the_agent_that_shows_it() {
+    let seen = acknowledge(&compare(2, 10, None), agent(1)).map(|seen| (seen.to, seen.leg));
+    assert_eq!(seen, Some((agent(2), Leg::Seen { by: agent(1) })));
+    assert_eq!(acknowledge(&offer(&[1, 2]), agent(1)), None);
+}
--- a/crates/basilstep-core/src/wire.rs
+++ b/crates/basilstep-core/src/wire.rs
@@ -63,6 +63,8 @@
     },
     /// A first packet that one candidate shows to the next.
     Compare {
+        /// The agent that shows it.
+        from: AgentAddress,
         /// The best candidate so far.
         best: AgentAddress,
         /// The load of the best candidate with the new flow.
@@ -74,6 +76,11 @@
     },
     /// A first packet that the last candidate hands to the best: it must take the flow.
     Take,
+    /// Acknowledges [`Leg::Compare`], without a payload.
+    Seen {
+        /// The agent that has got it.
+        by: AgentAddress,
+    },
     /// An answer on its way from the agent to the caller.
     Answer {
         /// The load of the agent relative to its capacity, in thousandths.
