--- a/crates/basilstep-bench/src/load/placement/simulation.rs
+++ b/crates/basilstep-bench/src/load/placement/simulation.rs
@@ -1,5 +1,7 @@
 //! Flows that arrive at random and live exponentially long, in virtual time.
 
+mod crash;
+
 use super::{
     fleet::{FLOW_KEYS, Fleet, SERVICE, Target},
     setup::{Outcome, Setup},
@@ -8,7 +10,7 @@
     address::AgentAddress,
     context::Context,
     membership::AgentPhase,
-    placement::{OfferDecision, Offered, ServiceTargets, decide},
+    placement::{OfferDecision, Offered, ServiceTargets, acknowledge, decide},
     settings::SettingsView,
     steering::{Steer, SteeringTable},
     token::TOKEN_BYTES,
@@ -47,6 +49,10 @@
     Change { index: usize },
     RefreshViews,
     Ramp { index: usize },
+    Crash { target: usize },
+    Detect { target: usize },
+    Retransmit { flow: u64, attempt: usize },
+    Acknowledge { at: usize, by: usize },
 }
 
 /// A flow from its first packet on, with the packet that is under way until an agent takes it.
@@ -56,6 +62,7 @@
     packet: Packet,
     owner: Option<usize>,
     token: [u8; TOKEN_BYTES],
+    begun_us: u64,
 }
 
 #[derive(Clone, Copy)]
@@ -101,6 +108,10 @@
             let at_us = to_us(self.setup.changes[index].at_s);
             self.schedule(at_us, EventKind::Change { index });
         }
+        if let Some(crash) = self.setup.crash {
+            let target = crash.target;
+            self.schedule(to_us(crash.at_s), EventKind::Crash { target });
+        }
         self.schedule(0, EventKind::Open);
         self.schedule(0, EventKind::Report);
         self.schedule(to_us(self.setup.warm_up_s), EventKind::Sample);
@@ -122,6 +133,10 @@
                 EventKind::Change { index } => self.change(index),
                 EventKind::RefreshViews => self.refresh_views(),
                 EventKind::Ramp { index } => self.ramp(index),
+                EventKind::Crash { target } => self.crash(target),
+                EventKind::Detect { target } => self.detect(target),
+                EventKind::Acknowledge { at, by } => self.acknowledge(at, by),
+                EventKind::Retransmit { flow, attempt } => self.retransmit(flow, attempt),
             }
         }
     }
@@ -153,8 +168,10 @@
             packet: self.first_packet(candidates),
             owner: None,
             token: [0; TOKEN_BYTES],
+            begun_us: self.now_us,
         };
         self.flows.insert(number, flow);
+        self.schedule_retransmission(number, 0);
         self.schedule(HOP_US, EventKind::Arrive { flow: number });
     }
 
@@ -184,12 +201,15 @@
     }
 
     fn arrive(&mut self, number: u64) {
-        let Some(flow) = self.flows.get_mut(&number) else {
+        let Some(flow) = self.flows.get(&number) else {
             return;
         };
         let packet = flow.packet;
         let taker = Fleet::number_of(packet.to);
         let target = &mut self.fleet.targets[taker];
+        if target.has_crashed {
+            return;
+        }
         let offered = Offered {
             caller: flow.caller,
             connection_id: &flow.first_id,
@@ -197,7 +217,14 @@
         };
         let now_ms = self.now_us / US_PER_MS;
         let decision = decide(&offered, &target.own_load(), &mut target.recent, now_ms);
-        if let Some(next) = decision.next_leg() {
+        if let Some(seen) = acknowledge(&packet.leg, packet.to) {
+            let at = Fleet::number_of(seen.to);
+            self.schedule(HOP_US, EventKind::Acknowledge { at, by: taker });
+        }
+        let Some(flow) = self.flows.get_mut(&number) else {
+            return;
+        };
+        if let Some(next) = decision.next_leg(packet.to) {
             flow.packet = Packet {
                 to: next.to,
                 leg: next.leg,
@@ -212,6 +239,12 @@
         self.outcome.refused_flows += 1;
     }
 
+    fn acknowledge(&mut self, at: usize, by: usize) {
+        let by = self.fleet.targets[by].record.address;
+        self.outcome.acknowledgements += 1;
+        self.fleet.targets[at].recent.acknowledged(by);
+    }
+
     fn take(&mut self, number: u64, taker: usize) {
         let life_us = to_us(self.draw_exponential(MEAN_LIFE_S));
         self.schedule(life_us, EventKind::Close { flow: number });
@@ -219,11 +252,13 @@
         let Some(flow) = self.flows.get_mut(&number) else {
             return;
         };
+        let delay_ms = crash::delay_ms(self.setup.crash, flow.begun_us, self.now_us);
         flow.owner = Some(taker);
         flow.token = target.mint();
         target.flows += 1;
         target.recent.opened(&flow.caller, &flow.first_id);
         self.outcome.opened_flows += 1;
+        self.outcome.open_delays_ms.extend(delay_ms);
         self.outcome.opened_while_leaving += u64::from(!target.is_serving());
     }
 
