fix(agent): send answers through a balancer that is known to live

Cause: answers went through the balancer of the caller's last packet. Ruled out: the fabric, which drops the dead balancer after one poll of 250 ms.

Change: the balancer of a packet counts as live for 150 ms; after that the answers take turns among the balancers heard in the last 3 s, by packets of any caller or by authenticated membership messages. The test listening_flow_does_not_hang_on_a_dead_balancer states the rule; the old table had no way to fulfil it.

An agent whose target is lost now relays new requests as a draining one does.

--- a/crates/basilstep-agent/src/carrier/mod.rs
+++ b/crates/basilstep-agent/src/carrier/mod.rs
@@ -1,6 +1,5 @@
 //! The carrier: callers' datagrams in frames from balancers, presented to QUIC as a socket.
 
-mod paths;
 mod poller;
 
 use crate::shared::Shared;
@@ -13,7 +12,6 @@
         encode_frame,
     },
 };
-use paths::ReturnPaths;
 use poller::CarrierPoller;
 use quinn::{
     AsyncUdpSocket, UdpPoller,
@@ -23,21 +21,19 @@
     io::{self, IoSliceMut},
     net::{SocketAddr, SocketAddrV4},
     pin::Pin,
-    sync::{Arc, Mutex, PoisonError},
+    sync::Arc,
     task::{Context, Poll, ready},
 };
 use tokio::{io::ReadBuf, net::UdpSocket, sync::mpsc};
 
 const DATAGRAM_BYTES: usize = 2_048;
 const FRAME_BYTES: usize = DATAGRAM_BYTES + MAX_FRAME_OVERHEAD_BYTES;
-const RETURN_PATH_LIMIT: usize = 8_192;
 
 /// A socket for the QUIC library that unwraps frames from balancers and wraps answers to them.
 #[derive(Debug)]
 pub struct CarrierSocket {
     socket: Arc<UdpSocket>,
     shared: Arc<Shared>,
-    paths: Mutex<ReturnPaths>,
     membership: mpsc::Sender<MembershipDatagram>,
 }
 
@@ -64,7 +60,6 @@
         Ok(Arc::new(Self {
             socket: Arc::new(socket),
             shared,
-            paths: Mutex::new(ReturnPaths::new(RETURN_PATH_LIMIT)),
             membership,
         }))
     }
@@ -83,15 +78,6 @@
         let _ = self.membership.try_send(MembershipDatagram { from, bytes });
     }
 
-    /// Returns the number of callers whose way back is remembered.
-    pub fn remembered_paths(&self) -> usize {
-        self.lock_paths().len()
-    }
-
-    fn lock_paths(&self) -> std::sync::MutexGuard<'_, ReturnPaths> {
-        self.paths.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
     /// Unwraps one frame; returns the caller and the payload that belong to the QUIC library.
     fn unwrap_frame<'a>(&self, frame: &'a [u8]) -> Option<(SocketAddr, &'a [u8])> {
         let decoded = decode_frame::<CarrierHeader>(&self.shared.keys.carrier, frame);
@@ -111,8 +97,9 @@
             return None;
         }
         let now_ms = self.shared.clock.now_ms();
-        self.lock_paths()
-            .note(header.caller, header.balancer, now_ms);
+        self.shared
+            .returns()
+            .note_packet(header.caller, header.balancer, now_ms);
         Some((header.caller, payload))
     }
 
@@ -166,7 +153,8 @@
     }
 
     fn send_answer(&self, caller: SocketAddr, payload: &[u8]) -> io::Result<()> {
-        let Some(balancer) = self.lock_paths().find(caller) else {
+        let now_ms = self.shared.clock.now_ms();
+        let Some(balancer) = self.shared.returns().choose(caller, now_ms) else {
             return Ok(());
         };
         let header = CarrierHeader {
--- a/crates/basilstep-agent/src/controller.rs
+++ b/crates/basilstep-agent/src/controller.rs
@@ -2,7 +2,7 @@
 
 use crate::shared::{ServiceInForce, Shared};
 use basilstep_core::{
-    address::AgentAddress,
+    address::{AgentAddress, BalancerAddress},
     context::Context as Environment,
     membership::{
         Action, AgentPhase, AgentRecord, Announcer, BalancerRecord, MemberRecord,
@@ -128,6 +128,10 @@
             Err(error) => return self.shared.counters.count(error.code()),
         };
         self.shared.clock.refresh(&mut self.environment);
+        let now_ms = self.environment.now_ms;
+        // Only balancers send membership messages to agents.
+        let balancer = BalancerAddress(received.from);
+        self.shared.returns().note_heard(balancer, now_ms);
         match message {
             MembershipMessage::Settings(delta) => self.apply_delta(delta),
             MembershipMessage::SettingsOverTcp { .. } => self.fetch_settings(received.from),
--- a/crates/basilstep-agent/src/exchange/dispatcher.rs
+++ b/crates/basilstep-agent/src/exchange/dispatcher.rs
@@ -127,7 +127,9 @@
         };
         let mut state = self.lock();
         let state = &mut *state;
-        state.requests.set_draining(self.shared.is_draining());
+        // Without its target an agent relays new requests, as when it drains.
+        let relays = self.shared.is_draining() || !self.shared.is_target_up();
+        state.requests.set_draining(relays);
         state.requests.arrive(arrival, &directory, &state.context)
     }
 
--- a/crates/basilstep-agent/src/main.rs
+++ b/crates/basilstep-agent/src/main.rs
@@ -95,7 +95,6 @@
     dispatcher.spawn_timers();
     let port = Arc::new(Port {
         shared: Arc::clone(&shared),
-        carrier,
         controller: controller.clone(),
         dispatcher: Arc::clone(&dispatcher),
     });
--- a/crates/basilstep-agent/src/port.rs
+++ b/crates/basilstep-agent/src/port.rs
@@ -1,7 +1,6 @@
 //! The control port of the agent.
 
 use crate::{
-    carrier::CarrierSocket,
     controller::{Controller, Dump, PhaseChanged},
     exchange::{self, AnswerBody, Dispatcher, Origin, RELAY_PATH, RELAYED_CLAIMED, RELAYED_HEADER},
     shared::Shared,
@@ -20,8 +19,6 @@
 pub struct Port {
     /// What the tasks share.
     pub shared: Arc<Shared>,
-    /// The carrier.
-    pub carrier: Arc<CarrierSocket>,
     /// The controller.
     pub controller: Address<Controller>,
     /// The decisions on requests.
@@ -81,7 +78,7 @@
             "uptime_ms": self.shared.clock.now_ms(),
             "settings_version": self.shared.settings_version(),
             "open_flows": self.shared.open_flows.load(Ordering::Relaxed),
-            "remembered_paths": self.carrier.remembered_paths(),
+            "remembered_paths": self.shared.returns().callers(),
             "admission": self.dispatcher.admission_view(),
             "requests": self.dispatcher.requests_view(),
             "codes": self.shared.counters.snapshot(),
--- a/crates/basilstep-agent/src/shared.rs
+++ b/crates/basilstep-agent/src/shared.rs
@@ -8,6 +8,7 @@
     membership::AgentRecord,
     placement::{OfferDecision, Offered, OwnLoad, PlacementSettings, RecentOffers, decide},
     requests::RequestSettings,
+    returns::{ReturnPaths, ReturnSettings},
     settings::{DomainSet, SettingsState},
     token::FlowKeys,
 };
@@ -80,6 +81,7 @@
     in_force: watch::Sender<Arc<ServiceInForce>>,
     peers: watch::Sender<Arc<[AgentRecord]>>,
     offers: Mutex<RecentOffers>,
+    returns: Mutex<ReturnPaths>,
     version: AtomicU64,
     heard_version: AtomicU64,
     is_draining: AtomicBool,
@@ -101,6 +103,7 @@
             in_force: watch::Sender::new(Arc::new(first)),
             peers: watch::Sender::new(Arc::from([])),
             offers: Mutex::new(offers),
+            returns: Mutex::new(ReturnPaths::new(ReturnSettings::default())),
             version: AtomicU64::new(version),
             heard_version: AtomicU64::new(version),
             is_draining: AtomicBool::new(false),
@@ -201,6 +204,11 @@
         self.open_flows.fetch_sub(1, Ordering::Relaxed);
     }
 
+    /// Returns the ways back to callers; the lock is held for one look-up at a time.
+    pub fn returns(&self) -> MutexGuard<'_, ReturnPaths> {
+        self.returns.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn lock_offers(&self) -> MutexGuard<'_, RecentOffers> {
         self.offers.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/basilstep-core/src/lib.rs
+++ b/crates/basilstep-core/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod membership;
 pub mod placement;
 pub mod requests;
+pub mod returns;
 pub mod settings;
 pub mod steering;
 pub mod token;
--- /dev/null
+++ b/crates/basilstep-core/src/returns/mod.rs
@@ -0,0 +1,9 @@
+//! Which balancer carries an answer back to its caller.
+
+mod settings;
+mod state;
+#[cfg(test)]
+mod tests;
+
+pub use settings::ReturnSettings;
+pub use state::ReturnPaths;
--- /dev/null
+++ b/crates/basilstep-core/src/returns/state.rs
@@ -0,0 +1,105 @@
+use super::ReturnSettings;
+use crate::address::BalancerAddress;
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    ops::Bound::{Excluded, Unbounded},
+};
+
+/// The ways back to callers, as soft state: what is evicted comes back with the next packet.
+///
+/// The balancer of a caller's last packet is known to be live only for a moment. After that the
+/// answers take turns among the balancers heard lately, so that a flow that only listens does not
+/// hang on one that has died.
+#[derive(Debug)]
+pub struct ReturnPaths {
+    settings: ReturnSettings,
+    callers: BTreeMap<SocketAddr, LastPacket>,
+    balancers: BTreeMap<BalancerAddress, u64>,
+    last_turn: Option<BalancerAddress>,
+}
+
+/// The last packet of one caller.
+#[derive(Clone, Copy, Debug)]
+struct LastPacket {
+    balancer: BalancerAddress,
+    at_ms: u64,
+}
+
+impl ReturnPaths {
+    /// Creates empty tables.
+    pub fn new(settings: ReturnSettings) -> Self {
+        Self {
+            settings,
+            callers: BTreeMap::new(),
+            balancers: BTreeMap::new(),
+            last_turn: None,
+        }
+    }
+
+    /// Notes that `balancer` carried a packet of `caller`.
+    pub fn note_packet(&mut self, caller: SocketAddr, balancer: BalancerAddress, now_ms: u64) {
+        self.note_heard(balancer, now_ms);
+        if self.callers.len() >= self.settings.caller_limit && !self.callers.contains_key(&caller) {
+            self.evict_older_callers();
+        }
+        let packet = LastPacket {
+            balancer,
+            at_ms: now_ms,
+        };
+        self.callers.insert(caller, packet);
+    }
+
+    /// Notes a sign of life of a balancer.
+    pub fn note_heard(&mut self, balancer: BalancerAddress, now_ms: u64) {
+        let is_new = !self.balancers.contains_key(&balancer);
+        if is_new && self.balancers.len() >= self.settings.balancer_limit {
+            let oldest_ms = now_ms.saturating_sub(self.settings.heard_ms);
+            self.balancers.retain(|_, heard_ms| *heard_ms > oldest_ms);
+            if self.balancers.len() >= self.settings.balancer_limit {
+                return;
+            }
+        }
+        self.balancers.insert(balancer, now_ms);
+    }
+
+    /// Returns the balancer that carries an answer to `caller` now.
+    pub fn choose(&mut self, caller: SocketAddr, now_ms: u64) -> Option<BalancerAddress> {
+        let last = *self.callers.get(&caller)?;
+        if now_ms.saturating_sub(last.at_ms) <= self.settings.fresh_ms {
+            return Some(last.balancer);
+        }
+        let next = self.next_turn(now_ms).unwrap_or(last.balancer);
+        self.last_turn = Some(next);
+        Some(next)
+    }
+
+    /// Returns the number of callers remembered.
+    pub fn callers(&self) -> usize {
+        self.callers.len()
+    }
+
+    /// Returns the number of balancers remembered.
+    pub fn balancers(&self) -> usize {
+        self.balancers.len()
+    }
+
+    fn next_turn(&self, now_ms: u64) -> Option<BalancerAddress> {
+        let oldest_ms = now_ms.saturating_sub(self.settings.heard_ms);
+        let after_last = match self.last_turn {
+            Some(last) => self.balancers.range((Excluded(last), Unbounded)),
+            None => self.balancers.range(..),
+        };
+        after_last
+            .chain(self.balancers.iter())
+            .find(|(_, heard_ms)| **heard_ms >= oldest_ms)
+            .map(|(balancer, _)| *balancer)
+    }
+
+    fn evict_older_callers(&mut self) {
+        let mut times: Vec<u64> = self.callers.values().map(|last| last.at_ms).collect();
+        times.sort_unstable();
+        let median_ms = times[times.len() / 2];
+        self.callers.retain(|_, last| last.at_ms > median_ms);
+    }
+}
