fix(bench): keep the demo's build from rebuilding the dependencies

cargo run sets CARGO_PKG_* and CARGO_MANIFEST_*, which build scripts such as that of ring watch, so the build started by the demo rebuilt them and all that depends on them. Without these variables it builds the missing programs only.

--- a/crates/basilstep-bench/src/demo/fleet.rs
+++ b/crates/basilstep-bench/src/demo/fleet.rs
@@ -17,6 +17,13 @@
 };
 
 const END_TIMEOUT: Duration = Duration::from_secs(5);
+/// What cargo sets for the one package that it runs.
+const PACKAGE_VARIABLES: [&str; 4] = [
+    "CARGO_BIN_",
+    "CARGO_CRATE_",
+    "CARGO_MANIFEST_",
+    "CARGO_PKG_",
+];
 
 /// The programs that a run starts.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -159,6 +166,17 @@
     if release {
         command.arg("--release");
     }
+    // Build scripts that watch what `cargo run` sets for this package would run again, and all
+    // that depends on them would be built again.
+    for (name, _) in env::vars_os() {
+        let text = name.to_string_lossy();
+        if PACKAGE_VARIABLES
+            .iter()
+            .any(|prefix| text.starts_with(prefix))
+        {
+            command.env_remove(&name);
+        }
+    }
     command.stdout(Stdio::null());
     let status = command
         .current_dir(env!("CARGO_MANIFEST_DIR"))
