feat(ctl): write, show and explain settings from the command line

service create, change, show, list and remove; certificate set; domain create, out, in and status; keys init and rotate; drain, dump, explain and wait.

A write whose answer was lost is read back by its id. While the version is still the expected one it is sent again: it is the same compare-and-swap, so that at most one of the two takes effect. When someone else has written since, the outcome is told as unknown (508), never guessed. An address and a number are claimed before the record; a claim taken up again is rewritten, so that a removal under way for an earlier service fails on its version.

--- a/crates/basilstep-bench/src/demo/records.rs
+++ b/crates/basilstep-bench/src/demo/records.rs
@@ -122,6 +122,7 @@
                     .seal("flow", rand::random(), &self.flow_key.secret.0),
             },
             previous: None,
+            rotated_at_s: 0,
             stamp: stamp(),
         };
         self.put("keys/flow", &record).await
--- a/crates/basilstep-core/src/settings/records.rs
+++ b/crates/basilstep-core/src/settings/records.rs
@@ -80,6 +80,9 @@
     /// Still accepted after a rotation.
     #[serde(default)]
     pub previous: Option<SealedFlowKey>,
+    /// When the current key was written, in seconds since 1970.
+    #[serde(default)]
+    pub rotated_at_s: u64,
     /// Who wrote the record.
     #[serde(default)]
     pub stamp: WriteStamp,
--- /dev/null
+++ b/crates/basilstep-ctl/src/commands/domain.rs
@@ -0,0 +1,273 @@
+use super::fleet::Fleet;
+use crate::{
+    edit::{Editor, Found, Lock},
+    error::CtlError,
+    output::Report,
+    settings::Ctl,
+};
+use argh::FromArgs;
+use basilstep_core::{
+    address::DomainId,
+    codes::ResultCode,
+    settings::{DomainRecord, DomainState, SettingsPath, check_name, domain_path},
+};
+use basilstep_node::store::Store;
+use serde_json::json;
+use std::{collections::BTreeMap, net::SocketAddrV4};
+
+const LOCK_NAME: &str = "failure domains";
+const LOCK_KEY: &str = "domains";
+
+/// Create failure domains, take them out of service and bring them back.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "domain")]
+pub struct DomainArgs {
+    #[argh(subcommand)]
+    command: DomainCommand,
+}
+
+#[derive(Debug, FromArgs)]
+#[argh(subcommand)]
+enum DomainCommand {
+    Create(CreateArgs),
+    Out(OutArgs),
+    In(InArgs),
+    Status(StatusArgs),
+}
+
+/// Create a failure domain, in service.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "create", example = "{command_name} north")]
+struct CreateArgs {
+    /// name of the failure domain, as its processes have it in --domain
+    #[argh(positional)]
+    name: String,
+    /// number of the failure domain (default: the lowest free one)
+    #[argh(option)]
+    id: Option<u8>,
+}
+
+/// Take a failure domain out: it gets no more packets, and its flows are given up.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "out", example = "{command_name} north")]
+struct OutArgs {
+    /// name of the failure domain
+    #[argh(positional)]
+    name: String,
+    /// take it out although no other failure domain is in service
+    #[argh(switch)]
+    force: bool,
+}
+
+/// Bring a failure domain back into service.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "in", example = "{command_name} north")]
+struct InArgs {
+    /// name of the failure domain
+    #[argh(positional)]
+    name: String,
+}
+
+/// Show each failure domain, and how each balancer treats it.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "status", example = "{command_name} --json")]
+struct StatusArgs {
+    /// a balancer to ask for the others when the store is down, IPv4:PORT
+    #[argh(option)]
+    at: Option<SocketAddrV4>,
+}
+
+impl DomainArgs {
+    pub async fn run(&self, ctl: &Ctl) -> Result<Report, CtlError> {
+        match &self.command {
+            DomainCommand::Create(args) => create(&ctl.open_editor()?, args).await,
+            DomainCommand::Out(args) => {
+                let change = Change::new(&args.name, DomainState::Out, args.force);
+                change.run(&ctl.open_editor()?).await
+            }
+            DomainCommand::In(args) => {
+                let change = Change::new(&args.name, DomainState::In, false);
+                change.run(&ctl.open_editor()?).await
+            }
+            DomainCommand::Status(args) => status(ctl, args.at).await,
+        }
+    }
+}
+
+async fn create<S: Store>(editor: &Editor<S>, args: &CreateArgs) -> Result<Report, CtlError> {
+    check_name("failure domain", &args.name)?;
+    let path = domain_path(&args.name);
+    editor.check_allowed(&path)?;
+    let lock = Lock::take(editor.store(), LOCK_KEY, LOCK_NAME).await?;
+    let result = create_locked(editor, args, &path, &lock).await;
+    lock.release(editor.store()).await;
+    result
+}
+
+async fn create_locked<S: Store>(
+    editor: &Editor<S>,
+    args: &CreateArgs,
+    path: &str,
+    lock: &Lock,
+) -> Result<Report, CtlError> {
+    let domains = read_domains(editor).await?;
+    if domains.contains_key(&args.name) {
+        let message = format!("{path} exists");
+        return Err(CtlError::new(ResultCode::AlreadyExists, message));
+    }
+    let record = DomainRecord {
+        id: free_id(&domains, args.id)?,
+        state: DomainState::In,
+        stamp: editor.stamp(),
+    };
+    lock.check_held()?;
+    editor.write(path, &record, &record.stamp, 0).await?;
+    let line = format!("{path} created with number {}", record.id);
+    Ok(Report::new(line, json!({ "path": path, "record": record })))
+}
+
+fn free_id(
+    domains: &BTreeMap<String, Found<DomainRecord>>,
+    wanted: Option<u8>,
+) -> Result<DomainId, CtlError> {
+    let owner_of = |id: u8| {
+        let mut owners = domains.iter();
+        owners.find(|(_, found)| found.record.id.0 == id)
+    };
+    let Some(id) = wanted else {
+        let free = (0..=u8::MAX).find(|id| owner_of(*id).is_none());
+        let none_free = || CtlError::invalid("all numbers of failure domains are taken");
+        return free.map(DomainId).ok_or_else(none_free);
+    };
+    match owner_of(id) {
+        Some((name, _)) => Err(CtlError::new(
+            ResultCode::AlreadyExists,
+            format!("failure domain {name} has the number {id}"),
+        )),
+        None => Ok(DomainId(id)),
+    }
+}
+
+/// A change of a failure domain's state.
+struct Change<'a> {
+    name: &'a str,
+    state: DomainState,
+    force: bool,
+}
+
+impl<'a> Change<'a> {
+    fn new(name: &'a str, state: DomainState, force: bool) -> Self {
+        Self { name, state, force }
+    }
+
+    async fn run<S: Store>(&self, editor: &Editor<S>) -> Result<Report, CtlError> {
+        let path = domain_path(self.name);
+        editor.check_allowed(&path)?;
+        let lock = Lock::take(editor.store(), LOCK_KEY, LOCK_NAME).await?;
+        let result = self.run_locked(editor, &path, &lock).await;
+        lock.release(editor.store()).await;
+        result
+    }
+
+    async fn run_locked<S: Store>(
+        &self,
+        editor: &Editor<S>,
+        path: &str,
+        lock: &Lock,
+    ) -> Result<Report, CtlError> {
+        let domains = read_domains(editor).await?;
+        let found = domains.get(self.name).ok_or_else(|| {
+            let known: Vec<&String> = domains.keys().collect();
+            let message = format!("{path} does not exist; there are {known:?}");
+            CtlError::new(ResultCode::NotFound, message)
+        })?;
+        if found.record.state == self.state {
+            return Ok(self.report(path, "already is"));
+        }
+        self.check_safe(&domains)?;
+        let record = DomainRecord {
+            id: found.record.id,
+            state: self.state,
+            stamp: editor.stamp(),
+        };
+        lock.check_held()?;
+        editor
+            .write(path, &record, &record.stamp, found.version)
+            .await?;
+        Ok(self.report(path, "is now"))
+    }
+
+    fn check_safe(&self, domains: &BTreeMap<String, Found<DomainRecord>>) -> Result<(), CtlError> {
+        let stays_in = domains
+            .iter()
+            .any(|(name, found)| name != self.name && found.record.state == DomainState::In);
+        if self.state == DomainState::In || self.force || stays_in {
+            return Ok(());
+        }
+        let message = format!(
+            "{} is the last failure domain in service; nothing was written; --force takes it out",
+            self.name
+        );
+        Err(CtlError::new(ResultCode::UnsafeChange, message))
+    }
+
+    fn report(&self, path: &str, verb: &str) -> Report {
+        let state = match self.state {
+            DomainState::In => "in",
+            DomainState::Out => "out",
+        };
+        let line = format!("failure domain {} {verb} {state}", self.name);
+        Report::new(line, json!({ "path": path, "state": state }))
+    }
+}
+
+async fn read_domains<S: Store>(
+    editor: &Editor<S>,
+) -> Result<BTreeMap<String, Found<DomainRecord>>, CtlError> {
+    let mut domains = BTreeMap::new();
+    for entry in editor.read_tree("domains/").await? {
+        let SettingsPath::Domain(name) = SettingsPath::parse(&entry.path) else {
+            continue;
+        };
+        let value = entry.value.as_deref().unwrap_or_default();
+        let record = serde_json::from_str(value).map_err(|error| {
+            let message = format!("{} in the store: {error}", entry.path);
+            CtlError::new(ResultCode::MalformedRecord, message)
+        })?;
+        let version = entry.version;
+        domains.insert(name.to_owned(), Found { version, record });
+    }
+    Ok(domains)
+}
+
+async fn status(ctl: &Ctl, at: Option<SocketAddrV4>) -> Result<Report, CtlError> {
+    let fleet = Fleet::open(ctl)?;
+    let balancers = fleet.dump_balancers(ctl, at).await?;
+    let mut lines = Vec::new();
+    let mut domains = BTreeMap::new();
+    for balancer in &balancers.answered {
+        for (name, record) in &balancer.dump.control.domains {
+            let state: &mut Vec<_> = domains.entry(name.clone()).or_default();
+            let agents = balancer.dump.control.agents.iter();
+            state.push(json!({
+                "balancer": balancer.address,
+                "state": record.state,
+                "agents_known": agents.filter(|agent| agent.domain == record.id).count(),
+                "settings_version": balancer.dump.settings_version,
+            }));
+        }
+    }
+    for (name, states) in &domains {
+        lines.push(format!("{name}:"));
+        lines.extend(states.iter().map(|state| {
+            format!(
+                "  {} at {} (version {}, {} agents known)",
+                state["state"], state["balancer"], state["settings_version"], state["agents_known"]
+            )
+            .replace('"', "")
+        }));
+    }
+    lines.extend(balancers.unreachable_lines());
+    let result = json!({ "domains": domains, "unreachable": balancers.unreachable });
+    Ok(Report::with_lines(lines, result))
+}
--- /dev/null
+++ b/crates/basilstep-ctl/src/commands/mod.rs
@@ -0,0 +1,48 @@
+//! The commands, one module for each subject.
+
+mod certificate;
+mod domain;
+mod explain;
+mod fleet;
+mod keys;
+mod process;
+mod service;
+mod service_write;
+mod wait;
+
+use crate::{error::CtlError, output::Report, settings::Ctl};
+use argh::FromArgs;
+
+/// The commands by subject.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand)]
+pub enum Command {
+    Service(service::ServiceArgs),
+    Certificate(certificate::CertificateArgs),
+    Domain(domain::DomainArgs),
+    Keys(keys::KeysArgs),
+    Drain(process::DrainArgs),
+    Dump(process::DumpArgs),
+    Explain(explain::ExplainArgs),
+    Wait(wait::WaitArgs),
+}
+
+impl Command {
+    /// Runs the command.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`CtlError`] with the code that decides the exit status.
+    pub async fn run(&self, ctl: &Ctl) -> Result<Report, CtlError> {
+        match self {
+            Self::Service(args) => args.run(ctl).await,
+            Self::Certificate(args) => args.run(ctl).await,
+            Self::Domain(args) => args.run(ctl).await,
+            Self::Keys(args) => args.run(ctl).await,
+            Self::Drain(args) => args.run(ctl).await,
+            Self::Dump(args) => args.run(ctl).await,
+            Self::Explain(args) => args.run(ctl).await,
+            Self::Wait(args) => args.run(ctl).await,
+        }
+    }
+}
--- /dev/null
+++ b/crates/basilstep-ctl/src/edit/lock.rs
@@ -0,0 +1,56 @@
+use crate::error::CtlError;
+use basilstep_core::codes::ResultCode;
+use basilstep_node::store::{Lease, LeaseSettings, Store, WriteOutcome};
+use std::time::{Duration, Instant};
+
+const LOCK_PREFIX: &str = "basilstep-live/locks/";
+
+/// Keeps other operators from a change that rests on several records.
+#[derive(Debug)]
+pub struct Lock {
+    lease: Lease,
+}
+
+impl Lock {
+    /// Takes the lock `key` on what operators know as `name`.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ResultCode::WriteConflict`] when another operator holds it.
+    pub async fn take<S: Store>(store: &S, key: &str, name: &str) -> Result<Self, CtlError> {
+        let settings = LeaseSettings::default();
+        let asked_at = Instant::now();
+        let ttl = Duration::from_millis(settings.ttl_ms);
+        let session = store.create_session(ttl).await?;
+        let path = format!("{LOCK_PREFIX}{key}");
+        let outcome = store.acquire(&path, name, &session).await?;
+        if outcome == WriteOutcome::Written {
+            let lease = Lease::new(session, &settings, asked_at);
+            return Ok(Self { lease });
+        }
+        // A session that cannot be ended lapses by itself.
+        let _ = store.destroy_session(&session).await;
+        Err(CtlError::new(
+            ResultCode::WriteConflict,
+            format!("another operator is changing the {name}; nothing was written, try again"),
+        ))
+    }
+
+    /// Tells whether the lock is still held, to be asked just before the write.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ResultCode::WriteConflict`] when it may have lapsed.
+    pub fn check_held(&self) -> Result<(), CtlError> {
+        if self.lease.is_held(Instant::now()) {
+            return Ok(());
+        }
+        let message = "the lock lapsed before the write; nothing was written, try again";
+        Err(CtlError::new(ResultCode::WriteConflict, message))
+    }
+
+    /// Gives the lock back; one that cannot be given back lapses by itself.
+    pub async fn release<S: Store>(self, store: &S) {
+        let _ = store.destroy_session(self.lease.session()).await;
+    }
+}
--- /dev/null
+++ b/crates/basilstep-ctl/src/edit/tests.rs
@@ -0,0 +1,201 @@
+use super::{Editor, Write, difference};
+use basilstep_core::{codes::ResultCode, settings::WriteStamp};
+use basilstep_node::store::{Reading, Record, Renewal, SessionId, Store, StoreError, WriteOutcome};
+use rstest::rstest;
+use serde::Serialize;
+use serde_json::json;
+use std::{
+    collections::VecDeque,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+const PATH: &str = "teams/a/services/x";
+
+/// What the fake store does with the next write.
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    /// Takes effect and is answered.
+    Answer,
+    /// Takes effect; the answer is lost.
+    LoseAnswer,
+    /// Is lost before it takes effect.
+    LoseCall,
+    /// Takes effect, is overwritten by another operator, and the answer is lost.
+    Overwritten,
+    /// Another operator writes first.
+    OtherFirst,
+}
+
+/// A store that holds one record and follows a script.
+#[derive(Clone, Debug, Default)]
+struct FakeStore(Arc<Mutex<Fake>>);
+
+#[derive(Debug, Default)]
+struct Fake {
+    record: Option<(u64, String)>,
+    index: u64,
+    script: VecDeque<Step>,
+    reads_fail: bool,
+    writes: usize,
+}
+
+impl Fake {
+    fn put(&mut self, value: Option<&str>, expected: u64) -> WriteOutcome {
+        let version = self.record.as_ref().map_or(0, |(version, _)| *version);
+        if version != expected {
+            return WriteOutcome::Conflict;
+        }
+        self.index += 1;
+        self.record = value.map(|value| (self.index, value.to_owned()));
+        WriteOutcome::Written
+    }
+
+    fn put_by_other(&mut self) {
+        self.index += 1;
+        let value = json!({ "stamp": { "write_id": "other" } }).to_string();
+        self.record = Some((self.index, value));
+    }
+
+    fn write(&mut self, value: Option<&str>, expected: u64) -> WriteOutcome {
+        self.writes += 1;
+        match self.script.pop_front().unwrap_or(Step::Answer) {
+            Step::Answer => self.put(value, expected),
+            Step::LoseAnswer => {
+                self.put(value, expected);
+                WriteOutcome::Unknown
+            }
+            Step::LoseCall => WriteOutcome::Unknown,
+            Step::Overwritten => {
+                self.put(value, expected);
+                self.put_by_other();
+                WriteOutcome::Unknown
+            }
+            Step::OtherFirst => {
+                self.put_by_other();
+                self.put(value, expected)
+            }
+        }
+    }
+}
+
+impl Store for FakeStore {
+    async fn read_tree(&self, _: &str) -> Result<Reading, StoreError> {
+        Ok(Reading::default())
+    }
+
+    async fn watch_tree(&self, _: &str, _: u64) -> Result<Reading, StoreError> {
+        Ok(Reading::default())
+    }
+
+    async fn read(&self, _: &str) -> Result<Option<Record>, StoreError> {
+        let fake = self.0.lock().unwrap();
+        if fake.reads_fail {
+            let reason = "down".to_owned();
+            return Err(StoreError::Unavailable { reason });
+        }
+        Ok(fake.record.clone().map(|(version, value)| Record {
+            version,
+            value,
+            session: None,
+        }))
+    }
+
+    async fn write(&self, _: &str, value: &str, expected: u64) -> Result<WriteOutcome, StoreError> {
+        Ok(self.0.lock().unwrap().write(Some(value), expected))
+    }
+
+    async fn delete(&self, _: &str, expected: u64) -> Result<WriteOutcome, StoreError> {
+        Ok(self.0.lock().unwrap().write(None, expected))
+    }
+
+    async fn create_session(&self, _: Duration) -> Result<SessionId, StoreError> {
+        Ok(SessionId("1".to_owned()))
+    }
+
+    async fn renew_session(&self, _: &SessionId) -> Result<Renewal, StoreError> {
+        Ok(Renewal::Renewed)
+    }
+
+    async fn destroy_session(&self, _: &SessionId) -> Result<(), StoreError> {
+        Ok(())
+    }
+
+    async fn acquire(&self, _: &str, _: &str, _: &SessionId) -> Result<WriteOutcome, StoreError> {
+        Ok(WriteOutcome::Written)
+    }
+}
+
+#[derive(Serialize)]
+struct Note {
+    stamp: WriteStamp,
+}
+
+fn store(script: &[Step]) -> FakeStore {
+    let fake = Fake {
+        script: script.iter().copied().collect(),
+        ..Fake::default()
+    };
+    FakeStore(Arc::new(Mutex::new(fake)))
+}
+
+async fn write(store: &FakeStore) -> Result<Write, ResultCode> {
+    let editor = Editor::new(store.clone(), Some("a"), "tester");
+    let stamp = editor.stamp();
+    let note = Note {
+        stamp: stamp.clone(),
+    };
+    let result = editor.write(PATH, &note, &stamp, 0).await;
+    result.map_err(|error| error.code)
+}
+
+#[rstest]
+#[case::answered(&[Step::Answer], Ok(Write::Confirmed))]
+#[case::answer_lost(&[Step::LoseAnswer], Ok(Write::ReadBack))]
+#[case::call_lost(&[Step::LoseCall], Ok(Write::ReadBack))]
+#[case::both_lost(&[Step::LoseCall, Step::LoseAnswer], Ok(Write::ReadBack))]
+#[case::lost_race(&[Step::OtherFirst], Err(ResultCode::WriteConflict))]
+#[case::overwritten(&[Step::Overwritten], Err(ResultCode::WriteUnknown))]
+#[case::lost_then_race(&[Step::LoseCall, Step::OtherFirst], Err(ResultCode::WriteUnknown))]
+#[case::always_lost(&[Step::LoseCall; 9], Err(ResultCode::WriteUnknown))]
+#[tokio::test(start_paused = true)]
+async fn outcome_of_a_write_is_told_truthfully(
+    #[case] script: &[Step],
+    #[case] expected: Result<Write, ResultCode>,
+) {
+    assert_eq!(write(&store(script)).await, expected);
+}
+
+#[tokio::test(start_paused = true)]
+async fn lost_answer_that_cannot_be_read_back_is_unknown() {
+    let store = store(&[Step::LoseAnswer]);
+    store.0.lock().unwrap().reads_fail = true;
+    assert_eq!(write(&store).await, Err(ResultCode::WriteUnknown));
+}
+
+#[rstest]
+#[case::own_subtree("teams/a/services/x", true)]
+#[case::claims("claims/ids/1", true)]
+#[case::other_team("teams/ab/services/x", false)]
+#[case::domains("domains/north", false)]
+#[case::keys("keys/flow", false)]
+#[tokio::test]
+async fn team_writes_only_its_own_subtree(#[case] path: &str, #[case] allowed: bool) {
+    let store = store(&[]);
+    let editor = Editor::new(store.clone(), Some("a"), "tester");
+    let stamp = editor.stamp();
+    let result = editor.write(path, &json!({}), &stamp, 0).await;
+    assert_eq!(result.is_ok(), allowed);
+    assert_eq!(store.0.lock().unwrap().writes, usize::from(allowed));
+    if let Err(error) = result {
+        assert_eq!(error.code, ResultCode::ForeignSubtree);
+    }
+}
+
+#[test]
+fn difference_names_each_changed_value_and_no_stamp() {
+    let before = json!({ "a": { "b": 1, "c": 2 }, "stamp": { "write_id": "1" } });
+    let after = json!({ "a": { "b": 3 }, "d": true, "stamp": { "write_id": "2" } });
+    let expected = ["~ a.b: 1 -> 3", "- a.c: 2", "+ d: true"];
+    assert_eq!(difference(&before, &after), expected);
+}
--- /dev/null
+++ b/crates/basilstep-ctl/src/output.rs
@@ -0,0 +1,59 @@
+use crate::error::CtlError;
+use argh::EarlyExit;
+use basilstep_core::codes::ResultCode;
+use serde_json::{Value, json};
+use std::process::{ExitCode, exit};
+
+/// What a command found or did.
+#[derive(Clone, Debug, Default)]
+pub struct Report {
+    /// The lines for people.
+    pub lines: Vec<String>,
+    /// The same for programs.
+    pub result: Value,
+}
+
+impl Report {
+    pub fn new(line: impl Into<String>, result: Value) -> Self {
+        Self {
+            lines: vec![line.into()],
+            result,
+        }
+    }
+
+    pub fn with_lines(lines: Vec<String>, result: Value) -> Self {
+        Self { lines, result }
+    }
+}
+
+/// Prints the outcome and returns the exit status of its code.
+pub fn print(json: bool, outcome: &Result<Report, CtlError>) -> ExitCode {
+    let code = match outcome {
+        Ok(_) => ResultCode::Done,
+        Err(error) => error.code,
+    };
+    match outcome {
+        Ok(report) if json => println!(
+            "{}",
+            json!({ "code": code.number(), "name": code.name(), "result": report.result })
+        ),
+        Err(error) if json => println!(
+            "{}",
+            json!({ "code": code.number(), "name": code.name(), "message": error.message })
+        ),
+        Ok(report) => report.lines.iter().for_each(|line| println!("{line}")),
+        Err(error) => eprintln!("{error}"),
+    }
+    ExitCode::from(code.exit_status())
+}
+
+/// Prints the help, or what is wrong with the arguments, and ends the process.
+pub fn leave(early: &EarlyExit) -> ! {
+    if early.status.is_ok() {
+        println!("{}", early.output);
+        exit(0)
+    }
+    let code = ResultCode::InvalidSetting;
+    eprintln!("{code}: {}", early.output.trim());
+    exit(i32::from(code.exit_status()))
+}
