--- /dev/null
+++ b/crates/basilstep-core/tests/docs.rs
@@ -0,0 +1,62 @@
+//! The pages for operators say what the code does.
+
+use basilstep_core::{
+    codes::ResultCode,
+    settings::{SERVICE_RANGES, ServiceRecord},
+};
+use std::{fs, path::Path};
+
+const NEW_RECORD: &str = r#"{"id":1,"address":"127.0.0.1:443"}"#;
+
+fn page(name: &str) -> String {
+    let docs = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../docs");
+    fs::read_to_string(docs.join(name)).unwrap()
+}
+
+/// The cells of all table rows whose first cell passes the filter.
+fn rows(page: &str, filter: fn(&str) -> bool) -> Vec<Vec<&str>> {
+    page.lines()
+        .filter_map(|line| line.strip_prefix("| ")?.strip_suffix(" |"))
+        .map(|line| line.split(" | ").collect::<Vec<&str>>())
+        .filter(|cells| filter(cells[0]))
+        .collect()
+}
+
+#[test]
+fn table_of_result_codes_is_the_code() {
+    let page = page("RESULT-CODES.md");
+    let written = rows(&page, |cell| cell.parse::<u16>().is_ok());
+    let expected: Vec<Vec<String>> = ResultCode::ALL
+        .iter()
+        .map(|code| {
+            vec![
+                code.number().to_string(),
+                code.name().to_owned(),
+                code.meaning().trim().to_owned(),
+            ]
+        })
+        .collect();
+    assert_eq!(written, expected);
+}
+
+#[test]
+fn table_of_a_services_numbers_is_the_code() {
+    let page = page("SETTINGS.md");
+    let written = rows(&page, |cell| {
+        cell.starts_with("`admission.") || cell.starts_with("`requests.")
+    });
+    let written: Vec<&[&str]> = written.iter().map(|cells| &cells[..4]).collect();
+    let record: ServiceRecord = serde_json::from_str(NEW_RECORD).unwrap();
+    let expected: Vec<Vec<String>> = SERVICE_RANGES
+        .iter()
+        .map(|range| {
+            vec![
+                format!("`{}`", range.name),
+                range.unit.to_owned(),
+                (range.value)(&record).to_string(),
+                format!("{} to {}", range.min, range.max),
+            ]
+        })
+        .collect();
+    assert_eq!(written, expected);
+}
