--- a/crates/basilstep-core/src/admission/tests.rs
+++ b/crates/basilstep-core/src/admission/tests.rs
@@ -18,6 +18,7 @@
     next_id: u64,
     running: BTreeMap<RequestId, u64>,
     queued: BTreeSet<RequestId>,
+    wait_ends_ms: BTreeMap<RequestId, u64>,
     refused: Vec<(ResultCode, u32)>,
 }
 
@@ -29,6 +30,7 @@
             next_id: 0,
             running: BTreeMap::new(),
             queued: BTreeSet::new(),
+            wait_ends_ms: BTreeMap::new(),
             refused: Vec::new(),
         }
     }
@@ -66,6 +68,9 @@
     fn arrive(&mut self, timeout_ms: u64) -> Vec<Action> {
         let id = RequestId(self.next_id);
         self.next_id += 1;
+        let longest_ms = timeout_ms.min(u64::from(settings().queue_wait_ms));
+        self.wait_ends_ms
+            .insert(id, self.context.now_ms + longest_ms);
         self.handle(Event::Arrived {
             id,
             deadline_ms: self.context.now_ms + timeout_ms,
@@ -129,6 +134,13 @@
     }
 }
 
+fn long_queue() -> AdmissionSettings {
+    AdmissionSettings {
+        queue_limit: 64,
+        ..settings()
+    }
+}
+
 #[test]
 fn starts_with_one_in_flight_and_queues_the_next() {
     let mut driver = Driver::new(settings());
@@ -306,6 +318,18 @@
     ));
 }
 
+#[test]
+fn request_that_would_wait_too_long_is_refused_at_once() {
+    let mut driver = Driver::warm(long_queue());
+    driver.fill();
+    for _ in 0..60 {
+        driver.arrive(10_000);
+    }
+    let turns_in_wait = u64::from(settings().queue_wait_ms) / SERVICE_MS;
+    assert!(driver.queued.len() as u64 <= turns_in_wait * u64::from(FULL_LIMIT));
+    assert!(!driver.queued.is_empty());
+}
+
 #[test]
 fn request_whose_deadline_has_passed_is_refused_even_with_a_free_slot() {
     let mut driver = Driver::new(settings());
@@ -319,6 +343,31 @@
     ));
 }
 
+#[test]
+fn at_four_times_the_capacity_no_request_waits_in_vain() {
+    let mut driver = Driver::warm(long_queue());
+    for turn in 0..4_000_u64 {
+        driver.context.advance(1);
+        if turn * 4 % (SERVICE_MS / u64::from(FULL_LIMIT)) < 4 {
+            driver.arrive(120);
+        }
+        let due_ms = driver.context.now_ms - SERVICE_MS;
+        let is_due = |sent_ms: &u64| *sent_ms <= due_ms;
+        let due = driver.running.iter().filter(|(_, sent_ms)| is_due(sent_ms));
+        let due: Vec<RequestId> = due.map(|(id, _)| *id).collect();
+        for id in due {
+            driver.finish(id, Outcome::Ok);
+        }
+        let now_ms = driver.context.now_ms;
+        let mut waits = driver.queued.iter().map(|id| driver.wait_ends_ms[id]);
+        assert!(
+            waits.all(|end_ms| end_ms >= now_ms + SERVICE_MS),
+            "hopeless"
+        );
+    }
+    assert!(driver.refused.len() > 1_000);
+}
+
 #[test]
 fn retry_times_of_a_burst_are_spread_over_the_time_that_the_burst_needs() {
     let mut driver = Driver::warm(settings());
@@ -474,6 +523,9 @@
     prop_assert!(view.in_flight as usize == running);
     prop_assert!(view.queued as usize == driver.queued.len());
     prop_assert!(view.queued <= settings().queue_limit);
+    let now_ms = driver.context.now_ms;
+    let mut wait_ends = driver.queued.iter().map(|id| driver.wait_ends_ms[id]);
+    prop_assert!(wait_ends.all(|end_ms| end_ms > now_ms), "waits for nothing");
     let wake_ms = driver.admission.wake_at_ms();
     let wakes_later = wake_ms.is_none_or(|at_ms| at_ms > driver.context.now_ms);
     prop_assert!(wakes_later, "asks to be woken in the past");
