fix(admission): judge slowdowns by the spread of latencies

Each loss was a false alarm: the usual latency was learned from few answers with a weight of 1/4, and clipping at three times the mean hid the spread.

Now the baseline learns at 1/16 (cold limit), 1/128 (ramp) and 1/64, is clipped at five times the mean, and the tolerated slowdown grows with the square of the spread as well.

The experiments keep the exponential case. Not cured: a target of 9 slots with exponential work that turns cold and stands more than twice its bearable load for 500 ms falls over once, because what is in flight takes longer than that to drain.

--- a/crates/basilstep-bench/src/load/cold_start/mod.rs
+++ b/crates/basilstep-bench/src/load/cold_start/mod.rs
@@ -6,7 +6,7 @@
 use super::{
     LoadArgs, Report,
     plot::{Line, Plot},
-    target_model::{Aimd, FifoQueue, NoLimit, TargetSettings},
+    target_model::{Aimd, FifoQueue, NoLimit, ServiceTimes, TargetSettings},
 };
 use basilstep_core::admission::{Admission, AdmissionSettings};
 use figures::Figures;
@@ -24,6 +24,9 @@
 /// How long it refuses connections after it fell over.
 const DOWN_MS: u64 = 2_000;
 
+/// The scenario that the plot shows: a target of 9 slots turns cold.
+const PLOTTED: usize = 1;
+
 const POLICIES: [&str; 4] = ["no limit", "fixed limit", "aimd", "ours"];
 
 /// Runs the experiment.
@@ -66,34 +69,47 @@
     let mut all = Vec::new();
     for slots in [9, 2] {
         for event in [Event::JoinsCold, Event::TurnsCold, Event::FallsOver] {
-            all.push(Scenario {
-                event,
-                target: target(slots, WARM_UP_MS, FALL_AFTER_MS),
-                is_plotted: slots == 9 && event == Event::TurnsCold,
-            });
+            all.push(scenario(event, target(slots)));
         }
-        all.push(Scenario {
-            event: Event::JoinsCold,
-            target: target(slots, WARM_UP_MS, FRAGILE_FALL_AFTER_MS),
-            is_plotted: false,
-        });
+        let fragile = TargetSettings {
+            fall_after_ms: Some(FRAGILE_FALL_AFTER_MS),
+            ..target(slots)
+        };
+        all.push(scenario(Event::JoinsCold, fragile));
     }
     for warm_up_ms in [1_000.0, 10_000.0] {
-        all.push(Scenario {
-            event: Event::JoinsCold,
-            target: target(9, warm_up_ms, FALL_AFTER_MS),
-            is_plotted: false,
-        });
+        let other = TargetSettings {
+            warm_up_ms,
+            ..target(9)
+        };
+        all.push(scenario(Event::JoinsCold, other));
+    }
+    for event in [Event::JoinsCold, Event::TurnsCold] {
+        let uneven = TargetSettings {
+            service_times: ServiceTimes::Exponential,
+            ..target(9)
+        };
+        all.push(scenario(event, uneven));
     }
+    all[PLOTTED].is_plotted = true;
     all
 }
 
-fn target(slots: u32, warm_up_ms: f64, fall_after_ms: u64) -> TargetSettings {
+fn scenario(event: Event, target: TargetSettings) -> Scenario {
+    Scenario {
+        event,
+        target,
+        is_plotted: false,
+    }
+}
+
+fn target(slots: u32) -> TargetSettings {
     TargetSettings {
         slots,
-        warm_up_ms,
-        fall_after_ms: Some(fall_after_ms),
+        warm_up_ms: WARM_UP_MS,
+        fall_after_ms: Some(FALL_AFTER_MS),
         down_ms: DOWN_MS,
+        service_times: ServiceTimes::Even,
     }
 }
 
@@ -123,6 +139,7 @@
         "scenario": scenario.event.name(),
         "slots": scenario.target.slots,
         "warm_up_ms": scenario.target.warm_up_ms,
+        "service_times": scenario.target.service_times.name(),
         "fall_after_ms": scenario.target.fall_after_ms,
         "policy": policy,
         "full_after_ms_worst": full_after_ms,
--- a/crates/basilstep-bench/src/load/overload/mod.rs
+++ b/crates/basilstep-bench/src/load/overload/mod.rs
@@ -6,11 +6,11 @@
 use super::{
     LoadArgs, Report,
     plot::{Line, Plot},
-    target_model::{FifoQueue, FixedRetry, NoLimit, SERVICE_MS},
+    target_model::{FifoQueue, FixedRetry, NoLimit, SERVICE_MS, ServiceTimes},
 };
 use basilstep_core::admission::{Admission, AdmissionSettings};
 use callers::Counts;
-use run::{SLOTS, Shape, WATCH_MS, run_gate};
+use run::{Case, SLOTS, Shape, WATCH_MS, run_gate};
 use serde_json::{Value, json};
 
 /// How long the first-in-first-out queue lets a request wait.
@@ -33,9 +33,14 @@
         for budget_percent in [None, Some(BUDGET_PERCENT)] {
             let mut points = Vec::new();
             for load in LOADS {
-                let runs = run_seeds(args, policy, Shape::Steady(load), budget_percent);
+                let case = Case {
+                    shape: Shape::Steady(load),
+                    budget_percent,
+                    service_times: ServiceTimes::Even,
+                };
+                let runs = run_seeds(args, policy, &case);
                 points.push((load, mean(&runs, goodput)));
-                rows.push(row(policy, &format!("{load} x"), budget_percent, &runs));
+                rows.push(row(policy, &case, &runs));
             }
             let budget = budget_percent.map_or("no budget", |_| "budget of 10%");
             lines.push(Line {
@@ -43,8 +48,9 @@
                 points,
             });
         }
-        let runs = run_seeds(args, policy, Shape::Burst, None);
-        rows.push(row(policy, "0.5 x and a burst of 600", None, &runs));
+        for case in further_cases() {
+            rows.push(row(policy, &case, &run_seeds(args, policy, &case)));
+        }
     }
     Report {
         figures: json!({
@@ -63,45 +69,57 @@
     }
 }
 
-fn run_seeds(
-    args: &LoadArgs,
-    policy: &str,
-    shape: Shape,
-    budget_percent: Option<u32>,
-) -> Vec<Counts> {
+fn further_cases() -> [Case; 2] {
+    [
+        Case {
+            shape: Shape::Burst,
+            budget_percent: None,
+            service_times: ServiceTimes::Even,
+        },
+        Case {
+            shape: Shape::Steady(4.0),
+            budget_percent: None,
+            service_times: ServiceTimes::Exponential,
+        },
+    ]
+}
+
+fn run_seeds(args: &LoadArgs, policy: &str, case: &Case) -> Vec<Counts> {
     (args.seed..args.seed + args.seeds)
-        .map(|seed| run_policy(policy, shape, budget_percent, seed))
+        .map(|seed| run_policy(policy, case, seed))
         .collect()
 }
 
-fn run_policy(policy: &str, shape: Shape, budget_percent: Option<u32>, seed: u64) -> Counts {
+fn run_policy(policy: &str, case: &Case, seed: u64) -> Counts {
     let settings = AdmissionSettings {
         request_limit: SLOTS,
         ..AdmissionSettings::default()
     };
     let ours = Admission::new(settings, 0);
     match policy {
-        "no admission" => run_gate(NoLimit, shape, budget_percent, seed),
-        "fifo queue" => {
-            let gate = FifoQueue::new(SLOTS, FIFO_WAIT_MS);
-            run_gate(gate, shape, budget_percent, seed)
-        }
+        "no admission" => run_gate(NoLimit, case, seed),
+        "fifo queue" => run_gate(FifoQueue::new(SLOTS, FIFO_WAIT_MS), case, seed),
         "ours, fixed retry" => {
             let gate = FixedRetry {
                 inner: ours,
                 retry_after_ms: FIXED_RETRY_MS,
             };
-            run_gate(gate, shape, budget_percent, seed)
+            run_gate(gate, case, seed)
         }
-        _ => run_gate(ours, shape, budget_percent, seed),
+        _ => run_gate(ours, case, seed),
     }
 }
 
-fn row(policy: &str, load: &str, budget_percent: Option<u32>, runs: &[Counts]) -> Value {
+fn row(policy: &str, case: &Case, runs: &[Counts]) -> Value {
+    let load = match case.shape {
+        Shape::Steady(load) => format!("{load} x"),
+        Shape::Burst => "0.5 x and a burst of 600".to_owned(),
+    };
     json!({
         "policy": policy,
         "load": load,
-        "caller_budget_percent": budget_percent,
+        "service_times": case.service_times.name(),
+        "caller_budget_percent": case.budget_percent,
         "goodput_over_capacity": mean(runs, goodput),
         "goodput_over_capacity_least": runs.iter().map(goodput).fold(f64::MAX, f64::min),
         "answered_share_of_requests": mean(runs, answered_share),
--- a/crates/basilstep-bench/src/load/overload/run.rs
+++ b/crates/basilstep-bench/src/load/overload/run.rs
@@ -1,7 +1,7 @@
 //! One run: a warm target, then more load than it can carry.
 
 use super::{
-    super::target_model::{Gate, Harness, SERVICE_MS, TargetModel, TargetSettings},
+    super::target_model::{Gate, Harness, SERVICE_MS, ServiceTimes, TargetModel, TargetSettings},
     callers::{Callers, Counts},
 };
 use rand::RngExt;
@@ -28,22 +28,34 @@
     Burst,
 }
 
+/// One case of the experiment.
+#[derive(Clone, Copy, Debug)]
+pub struct Case {
+    /// How the load comes.
+    pub shape: Shape,
+    /// The callers' budget of retries for each hundred requests; `None` without a budget.
+    pub budget_percent: Option<u32>,
+    /// How the work of the requests varies.
+    pub service_times: ServiceTimes,
+}
+
 /// Runs one gate; returns what the callers saw while the load was held.
-pub fn run_gate<G: Gate>(gate: G, shape: Shape, budget_percent: Option<u32>, seed: u64) -> Counts {
+pub fn run_gate<G: Gate>(gate: G, case: &Case, seed: u64) -> Counts {
     let settings = TargetSettings {
         slots: SLOTS,
         warm_up_ms: 1_000.0,
         fall_after_ms: None,
         down_ms: 0,
+        service_times: case.service_times,
     };
     let mut harness = Harness::new(gate, TargetModel::new(settings, 1.0), seed);
-    let mut callers = Callers::new(budget_percent);
+    let mut callers = Callers::new(case.budget_percent);
     let mut arrivals = Arrivals::default();
     for _ in 0..WARM_RUN_MS {
         step(&mut harness, &mut callers, &mut arrivals, WARM_SHARE, 0);
     }
     callers.take_counts();
-    let (load, burst) = match shape {
+    let (load, burst) = match case.shape {
         Shape::Steady(load) => (load, 0),
         Shape::Burst => (BURST_SHARE, BURST_REQUESTS),
     };
--- a/crates/basilstep-bench/src/load/target_model/harness.rs
+++ b/crates/basilstep-bench/src/load/target_model/harness.rs
@@ -10,8 +10,6 @@
 
 /// The mean work of a request at full speed.
 pub const SERVICE_MS: f64 = 50.0;
-/// The work varies evenly by this share to both sides.
-const SERVICE_SPREAD: f64 = 0.4;
 
 /// How a request ended, as its caller sees it.
 #[derive(Clone, Copy, Debug)]
@@ -199,8 +197,8 @@
 
     /// A refused connection means that no byte was sent, so the request was not run.
     fn send(&mut self, id: RequestId) -> Option<Event> {
-        let spread = SERVICE_SPREAD * (2.0 * self.context.rng.random::<f64>() - 1.0);
-        let work_ms = SERVICE_MS * (1.0 + spread);
+        let uniform: f64 = self.context.rng.random();
+        let work_ms = SERVICE_MS * self.target.service_times().factor(uniform);
         if self.target.send(id, work_ms, self.context.now_ms) {
             self.open.get_mut(&id)?.sent_ms = Some(self.context.now_ms);
             return None;
--- a/crates/basilstep-bench/src/load/target_model/mod.rs
+++ b/crates/basilstep-bench/src/load/target_model/mod.rs
@@ -6,4 +6,4 @@
 
 pub use gate::{Aimd, FifoQueue, FixedRetry, Gate, NoLimit};
 pub use harness::{Ending, EndingKind, Harness, SERVICE_MS};
-pub use target::{TargetModel, TargetSettings};
+pub use target::{ServiceTimes, TargetModel, TargetSettings};
--- a/crates/basilstep-bench/src/load/target_model/target.rs
+++ b/crates/basilstep-bench/src/load/target_model/target.rs
@@ -8,6 +8,36 @@
 /// A target falls over beyond this multiple of its bearable load.
 const FALL_RATIO: f64 = 2.0;
 
+/// Even service times vary by this share to both sides.
+const EVEN_SPREAD: f64 = 0.4;
+
+/// How the work of requests varies around its mean.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ServiceTimes {
+    /// Evenly, within a narrow range.
+    Even,
+    /// Exponentially: many short ones and a few that are several times as long.
+    Exponential,
+}
+
+impl ServiceTimes {
+    /// Returns the name in the figures.
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Even => "even",
+            Self::Exponential => "exponential",
+        }
+    }
+
+    /// Turns a random number between 0 and 1 into a factor whose mean is 1.
+    pub fn factor(self, uniform: f64) -> f64 {
+        match self {
+            Self::Even => 1.0 + EVEN_SPREAD * (2.0 * uniform - 1.0),
+            Self::Exponential => -(1.0 - uniform).ln(),
+        }
+    }
+}
+
 /// What a modelled target is like.
 #[derive(Clone, Copy, Debug)]
 pub struct TargetSettings {
@@ -19,6 +49,8 @@
     pub fall_after_ms: Option<u64>,
     /// How long it refuses connections after it fell over.
     pub down_ms: u64,
+    /// How the work of its requests varies.
+    pub service_times: ServiceTimes,
 }
 
 /// The target: each request gets its share of the speed that the target has now.
@@ -63,6 +95,11 @@
         1.0 + f64::from(self.settings.slots - 1) * self.warmth
     }
 
+    /// Returns how the work of its requests varies.
+    pub fn service_times(&self) -> ServiceTimes {
+        self.settings.service_times
+    }
+
     /// Returns how often it fell over.
     pub fn falls(&self) -> u32 {
         self.falls
--- a/crates/basilstep-core/src/admission/evidence.rs
+++ b/crates/basilstep-core/src/admission/evidence.rs
@@ -6,18 +6,20 @@
 /// Latencies below this are too short to be compared with each other.
 const BASELINE_FLOOR_MS: f64 = 5.0;
 /// The weight of one answer in the baseline once enough answers are known.
-const BASELINE_GAIN: f64 = 1.0 / 32.0;
+const BASELINE_GAIN: f64 = 1.0 / 64.0;
 /// The weight of one answer while the target runs at its cold limit.
-const COLD_BASELINE_GAIN: f64 = 0.25;
+const COLD_BASELINE_GAIN: f64 = 1.0 / 16.0;
 /// The weight of one answer during the ramp, whose latency may be the load's doing.
-const RAMP_BASELINE_GAIN: f64 = 1.0 / 256.0;
+const RAMP_BASELINE_GAIN: f64 = 1.0 / 128.0;
 /// The weight of one answer in the recent mean latency.
 const TYPICAL_GAIN: f64 = 1.0 / 16.0;
 /// An answer moves the baseline by no more than this multiple of it.
-const BASELINE_CLIP_RATIO: f64 = 3.0;
+const BASELINE_CLIP_RATIO: f64 = 5.0;
 /// The least and the largest spread of latencies that is reckoned with, relative to their mean;
 /// the largest is that of exponential service times.
 const SPREAD_RANGE: (f64, f64) = (0.25, 1.0);
+/// How much more slowdown is tolerated for ever the wider the spread is.
+const TOLERATED_BY_SQUARE: f64 = 0.65;
 /// The excess sum at which the target counts as overloaded, in spreads; exponential service times
 /// reach it by chance once in some hundred thousand answers.
 const EXCESS_ALARM_SPREADS: f64 = 16.0;
@@ -174,7 +176,7 @@
 impl SlowRun {
     /// Adds the slowdown of one answer; returns the verdict when the run raises the alarm.
     fn add(&mut self, ratio: f64, spread: f64) -> Option<Verdict> {
-        self.excess += ratio - (1.0 + spread);
+        self.excess += ratio - (1.0 + spread + TOLERATED_BY_SQUARE * spread.powi(2));
         if self.excess <= 0.0 {
             *self = Self::default();
             return None;
