feat(requests): relay what an impaired target refuses, once

The flows of a target that fell over or is cold stay with its agent, so until it is warm their requests were refused although other targets have room. Requests::relays_overflow tells the shell when to hand a request that was not run to another agent, with the authority claimed; Admission::is_impaired says when. Ordinary overload relays nothing. Admission also gives placement closed() and ramped_weight().

At the cold limit latencies are no longer judged, only learned: dearer requests there counted as a cold turn and put the ramp back (dearer_requests_at_the_cold_limit_are_no_sign_of_load failed before, with one cold turn).

--- a/crates/basilstep-core/src/admission/evidence.rs
+++ b/crates/basilstep-core/src/admission/evidence.rs
@@ -138,13 +138,15 @@
             variance: 1.0,
             answers: 0,
         });
+        if answer.at_cold_limit {
+            baseline.learn(latency_ms, COLD_BASELINE_GAIN);
+            return Verdict::Good;
+        }
         let ratio = latency_ms / baseline.latency_ms;
         let spread = baseline.spread();
         let alarm = self.run.add(ratio, spread);
         let is_strained = self.run.excess >= EXCESS_STRAIN_SPREADS * spread;
-        if answer.at_cold_limit {
-            baseline.learn(latency_ms, COLD_BASELINE_GAIN);
-        } else if !is_strained {
+        if !is_strained {
             let gain = if answer.is_ramping {
                 RAMP_BASELINE_GAIN
             } else {
--- a/crates/basilstep-core/src/admission/state.rs
+++ b/crates/basilstep-core/src/admission/state.rs
@@ -3,7 +3,7 @@
     in_flight::InFlight, limit::ConcurrencyLimit, queue::DeadlineQueue,
     retry_after::ReturnSchedule,
 };
-use crate::context::Context;
+use crate::{codes::ResultCode, context::Context};
 
 /// How long sending pauses after the target was found gone, at first.
 pub(super) const PAUSE_MIN_MS: u64 = 100;
@@ -114,14 +114,40 @@
         .min()
     }
 
-    /// Returns the load relative to capacity for placement, in thousandths.
+    /// Returns why the target takes no new flow, if it takes none: while it leaves, is gone or
+    /// silent, has no connection left, or is cold and used up.
+    pub fn closed(&self) -> Option<ResultCode> {
+        if self.draining {
+            return Some(ResultCode::Draining);
+        }
+        if self.gone || self.held {
+            return Some(ResultCode::TargetUnreachable);
+        }
+        if self.free_connections() == 0 {
+            return Some(ResultCode::ConnectionsFull);
+        }
+        let cold_and_full = self.limit.is_cold() && self.free_slots() == 0;
+        cold_and_full.then_some(ResultCode::Overloaded)
+    }
+
+    /// Tells whether the target carries less than usual: it is cold, gone or silent.
     ///
-    /// It is `u16::MAX` when the target takes no new flow: while it drains, is gone, has no
-    /// connection left, or is cold and used up.
+    /// Other targets of the service are then better placed for what it refuses; see
+    /// [`crate::requests::Requests::relays_overflow`].
+    pub fn is_impaired(&self) -> bool {
+        self.limit.is_cold() || self.gone || self.held
+    }
+
+    /// Returns a weight of placement in proportion to the limit in force, at least one.
+    pub fn ramped_weight(&self, weight: u8) -> u8 {
+        let share = f64::from(self.limit.in_force()) / f64::from(self.settings.full_limit());
+        (f64::from(weight) * share.min(1.0)).ceil().max(1.0) as u8
+    }
+
+    /// Returns the load relative to capacity, in thousandths; `u16::MAX` when the target takes no
+    /// new flow.
     pub fn load_permille(&self) -> u16 {
-        let cold_and_full = self.limit.is_cold() && self.free_slots() == 0;
-        if self.draining || self.gone || self.held || self.free_connections() == 0 || cold_and_full
-        {
+        if self.closed().is_some() {
             return LOAD_FULL_PERMILLE;
         }
         let connection_share = permille(self.open_connections(), self.settings.connection_limit);
--- a/crates/basilstep-core/src/admission/tests.rs
+++ b/crates/basilstep-core/src/admission/tests.rs
@@ -436,6 +436,28 @@
     assert!(driver.admission.load_permille() < 1_000);
 }
 
+#[test]
+fn cold_target_is_closed_to_flows_while_it_is_used_up_and_weighs_less() {
+    let mut driver = Driver::new(settings());
+    assert_eq!(driver.admission.closed(), None);
+    assert_eq!(driver.admission.ramped_weight(16), 2);
+    driver.arrive(1_000);
+    assert_eq!(driver.admission.closed(), Some(ResultCode::Overloaded));
+    assert!(driver.admission.is_impaired());
+    let warm = Driver::warm(settings());
+    assert_eq!(warm.admission.ramped_weight(16), 16);
+    assert!(!warm.admission.is_impaired());
+}
+
+#[test]
+fn dearer_requests_at_the_cold_limit_are_no_sign_of_load() {
+    let mut driver = Driver::new(settings());
+    driver.serve(300, 10);
+    driver.serve(2 * 5_000, 2 * SERVICE_MS);
+    assert_eq!(driver.limit(), FULL_LIMIT);
+    assert_eq!(driver.admission.view().cold_turns, 0);
+}
+
 #[derive(Clone, Debug)]
 enum Step {
     Arrive(u64),
--- a/crates/basilstep-core/src/requests/state.rs
+++ b/crates/basilstep-core/src/requests/state.rs
@@ -1,6 +1,7 @@
 use super::{
-    AfterFailure, AgentDirectory, AgentStanding, Arrival, AttemptEnd, Decision, IdempotencyKey,
-    MethodClass, RequestSettings, RequestsView, Resolution, SendPermit, Ticket, TicketKey,
+    AfterFailure, AgentDirectory, AgentStanding, Arrival, AttemptEnd, Decision, Failure,
+    IdempotencyKey, MethodClass, RequestSettings, RequestsView, Resolution, SendPermit, Ticket,
+    TicketKey,
     records::{Lookup, Record, Records},
     resolve::{resolve, resolve_foreign},
     retry::RetryBudget,
@@ -150,11 +151,7 @@
     /// Takes the end of an attempt without an answer: it is repeated if that is safe, in time and
     /// within the budget, and otherwise resolved at once.
     pub fn fail(&mut self, end: &AttemptEnd<'_>, context: &mut Context) -> AfterFailure {
-        let foreign = end
-            .key
-            .and_then(IdempotencyKey::ticket)
-            .is_some_and(|ticket| !self.is_own(ticket));
-        let resolution = if foreign {
+        let resolution = if self.is_foreign(end.key) {
             resolve_foreign(end.failure)
         } else {
             resolve(end.sent, end.failure)
@@ -171,6 +168,22 @@
         AfterFailure::Final(resolution)
     }
 
+    /// Tells whether a request that admission refused is relayed to another agent with the mark
+    /// that the authority is claimed, in place of [`Requests::fail`].
+    ///
+    /// That is done once for each request, and only while the own target is impaired: at an
+    /// ordinary overload the other targets are as full, and relaying would only add work. A
+    /// request that was itself relayed is not relayed again. The record, if any, stays as it is.
+    pub fn relays_overflow(&self, end: &AttemptEnd<'_>, is_target_impaired: bool) -> bool {
+        let is_first = end.attempts == 1 && !end.sent;
+        let was_refused = matches!(
+            end.failure,
+            Failure::Refused(ResultCode::Overloaded | ResultCode::TargetUnreachable)
+                | Failure::TargetLost
+        );
+        is_target_impaired && is_first && was_refused && !self.is_foreign(end.key)
+    }
+
     /// Returns the state for dumps and metrics.
     pub fn view(&self) -> RequestsView {
         RequestsView {
@@ -287,6 +300,11 @@
             && ticket.run == self.run
     }
 
+    fn is_foreign(&self, key: Option<&IdempotencyKey>) -> bool {
+        key.and_then(IdempotencyKey::ticket)
+            .is_some_and(|ticket| !self.is_own(ticket))
+    }
+
     fn parse_ticketed(&self, text: &str) -> Option<IdempotencyKey> {
         let (ticket, own_id) = text.split_once('.')?;
         let ticket = self.ticket_key.decode(ticket)?;
--- a/crates/basilstep-core/src/requests/tests.rs
+++ b/crates/basilstep-core/src/requests/tests.rs
@@ -400,6 +400,33 @@
     assert_eq!(matches!(after, AfterFailure::RetryAfter { .. }), retried);
 }
 
+#[rstest]
+#[case::cold_target(true, 1, false, Failure::Refused(ResultCode::Overloaded), true)]
+#[case::connect_refused(true, 1, false, Failure::TargetLost, true)]
+#[case::ordinary_overload(false, 1, false, Failure::Refused(ResultCode::Overloaded), false)]
+#[case::second_attempt(true, 2, false, Failure::Refused(ResultCode::Overloaded), false)]
+#[case::sent(true, 1, true, Failure::TargetLost, false)]
+#[case::late(true, 1, false, Failure::Refused(ResultCode::DeadlineBeforeRun), false)]
+fn overflow_of_an_impaired_target_is_relayed_once(
+    #[case] impaired: bool,
+    #[case] attempts: u32,
+    #[case] sent: bool,
+    #[case] failure: Failure,
+    #[case] relayed: bool,
+) {
+    let (mut requests, mut context) = single(NO_RETRIES);
+    let key = key_of(&mut requests, "a", 0);
+    requests.arrive(&arrival(Some(&key)), &REACHABLE, &context);
+    let end = AttemptEnd {
+        attempts,
+        ..end(Some(&key), sent, failure)
+    };
+    assert_eq!(requests.relays_overflow(&end, impaired), relayed);
+    let other = open(NO_RETRIES, 2, &mut context);
+    assert!(!other.relays_overflow(&end, impaired), "of a foreign key");
+    assert_eq!(requests.permit_send(Some(&key)), SendPermit::Send);
+}
+
 #[rstest]
 #[case::too_many_attempts(3, 10_000)]
 #[case::no_time_left(1, 0)]
