--- a/crates/basilstep-bench/src/load/cold_start/mod.rs
+++ b/crates/basilstep-bench/src/load/cold_start/mod.rs
@@ -2,6 +2,7 @@
 
 mod figures;
 mod scenario;
+mod service;
 
 use super::{
     LoadArgs, Report,
@@ -55,6 +56,7 @@
             "down_ms": DOWN_MS,
             "ramp_ms": AdmissionSettings::default().ramp_ms,
             "rows": rows,
+            "service": service::rows(args, target(9)),
         }),
         plot: Some(Plot {
             title: "A target of 9 slots turns cold unannounced at 0 s under 90% load".to_owned(),
--- a/crates/basilstep-bench/src/load/cold_start/scenario.rs
+++ b/crates/basilstep-bench/src/load/cold_start/scenario.rs
@@ -9,11 +9,11 @@
 /// The load that is offered, as a share of the warm target's capacity.
 const OFFERED_SHARE: f64 = 0.9;
 /// How long a warm target runs before it turns cold.
-const WARM_RUN_MS: u64 = 15_000;
+pub const WARM_RUN_MS: u64 = 15_000;
 /// How long it is watched.
 const WATCH_MS: u64 = 30_000;
 /// When callers stop waiting.
-const TIMEOUT_MS: u64 = 2_000;
+pub const TIMEOUT_MS: u64 = 2_000;
 
 /// What happens to the target.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -52,7 +52,7 @@
 pub fn run_scenario<G: Gate>(gate: G, scenario: &Scenario, seed: u64) -> Figures {
     let warmth = f64::from(scenario.event != Event::JoinsCold);
     let mut harness = Harness::new(gate, TargetModel::new(scenario.target, warmth), seed);
-    let mut arrivals = Arrivals::new(scenario.target.slots);
+    let mut arrivals = Arrivals::new(scenario.target.slots, OFFERED_SHARE);
     if scenario.event != Event::JoinsCold {
         for _ in 0..WARM_RUN_MS {
             arrivals.arrive(&mut harness);
@@ -82,21 +82,22 @@
 }
 
 /// Evenly random arrivals at a fixed mean rate.
-struct Arrivals {
+pub struct Arrivals {
     mean_gap_ms: f64,
     next_in_ms: f64,
 }
 
 impl Arrivals {
-    fn new(slots: u32) -> Self {
+    /// Offers `share` of the capacity of a warm target.
+    pub fn new(slots: u32, share: f64) -> Self {
         Self {
-            mean_gap_ms: SERVICE_MS / (f64::from(slots) * OFFERED_SHARE),
+            mean_gap_ms: SERVICE_MS / (f64::from(slots) * share),
             next_in_ms: 0.0,
         }
     }
 
     /// Lets the requests of one millisecond arrive and returns how many they were.
-    fn arrive<G: Gate>(&mut self, harness: &mut Harness<G>) -> u32 {
+    pub fn arrive<G: Gate>(&mut self, harness: &mut Harness<G>) -> u32 {
         let mut count = 0;
         self.next_in_ms -= 1.0;
         while self.next_in_ms <= 0.0 {
--- a/crates/basilstep-bench/src/load/target_model/gate.rs
+++ b/crates/basilstep-bench/src/load/target_model/gate.rs
@@ -16,6 +16,11 @@
     fn wake_at_ms(&self) -> Option<u64> {
         None
     }
+
+    /// Tells whether the target carries less than usual.
+    fn is_impaired(&self) -> bool {
+        false
+    }
 }
 
 impl Gate for Admission {
@@ -26,6 +31,10 @@
     fn wake_at_ms(&self) -> Option<u64> {
         Admission::wake_at_ms(self)
     }
+
+    fn is_impaired(&self) -> bool {
+        Admission::is_impaired(self)
+    }
 }
 
 /// Sends everything at once.
--- a/crates/basilstep-bench/src/load/target_model/harness.rs
+++ b/crates/basilstep-bench/src/load/target_model/harness.rs
@@ -97,6 +97,11 @@
         id
     }
 
+    /// Tells whether the gate takes the target for less than usual.
+    pub fn is_impaired(&self) -> bool {
+        self.gate.is_impaired()
+    }
+
     /// Lets the target fall over.
     pub fn crash(&mut self) {
         let lost = self.target.fall(self.context.now_ms);
