fix(balancer): limit stateless resets for the whole process

Cause: each service's packet task had a limit of its own, so that a balancer of the target size, with 2,200 services, could send 2,200 times what docs/design/steering.md states. Found by reading. All tasks now share one limit; the lock is taken for resets only. The core's limit has its tests; that the tasks share it has none, since the limit here follows the process's clock.

--- a/crates/basilstep-balancer/src/ingress.rs
+++ b/crates/basilstep-balancer/src/ingress.rs
@@ -4,7 +4,7 @@
 use basilstep_core::{
     address::{AgentAddress, ServiceId},
     codes::ResultCode,
-    steering::{ResetLimit, Steer, SteeringSettings, stateless_reset},
+    steering::{Steer, stateless_reset},
     token::TOKEN_BYTES,
     wire::{CarrierHeader, Leg, MAX_FRAME_OVERHEAD_BYTES, encode_frame},
 };
@@ -51,7 +51,6 @@
     service: ServiceId,
     callers: Arc<UdpSocket>,
     carrier: Arc<UdpSocket>,
-    resets: ResetLimit,
     rng: ChaCha8Rng,
     frame: [u8; FRAME_BYTES],
 }
@@ -63,14 +62,12 @@
         callers: Arc<UdpSocket>,
         carrier: Arc<UdpSocket>,
     ) -> Self {
-        let context = shared.clock.context();
         Self {
             shared,
             service,
             callers,
             carrier,
-            resets: ResetLimit::new(SteeringSettings::default(), context.now_ms),
-            rng: context.rng,
+            rng: shared.clock.context().rng,
             frame: [0; FRAME_BYTES],
         }
     }
@@ -115,7 +112,7 @@
         trigger_bytes: usize,
     ) {
         self.shared.counters.count(code);
-        if !self.resets.allow(self.shared.clock.now_ms()) {
+        if !self.shared.allow_reset() {
             return;
         }
         let key = &self.shared.keys.reset;
--- a/crates/basilstep-balancer/src/shared.rs
+++ b/crates/basilstep-balancer/src/shared.rs
@@ -1,10 +1,13 @@
 //! What the tasks of one balancer share.
 
 use crate::{ready::Readiness, settings::BalancerSettings};
-use basilstep_core::{address::BalancerAddress, steering::SteeringTable};
+use basilstep_core::{
+    address::BalancerAddress,
+    steering::{ResetLimit, SteeringSettings, SteeringTable},
+};
 use basilstep_node::{clock::Clock, counters::CodeCounters, keys::NodeKeys};
 use std::sync::{
-    Arc,
+    Arc, Mutex, PoisonError,
     atomic::{AtomicU64, Ordering},
 };
 use tokio::sync::{Notify, watch};
@@ -28,6 +31,7 @@
     pub readiness: Readiness,
     /// Wakes the settings task when a newer version has been heard of.
     pub newer_settings: Notify,
+    resets: Mutex<ResetLimit>,
     table: watch::Sender<Arc<SteeringTable>>,
     version: AtomicU64,
     heard_version: AtomicU64,
@@ -36,6 +40,7 @@
 impl Shared {
     /// Creates the shared state with an empty table.
     pub fn new(settings: BalancerSettings, clock: Clock) -> Self {
+        let resets = ResetLimit::new(SteeringSettings::default(), clock.now_ms());
         Self {
             keys: NodeKeys::derive(&settings.common.cluster_key),
             settings,
@@ -45,6 +50,7 @@
             answered: AtomicU64::new(0),
             readiness: Readiness::default(),
             newer_settings: Notify::new(),
+            resets: Mutex::new(resets),
             table: watch::Sender::new(Arc::default()),
             version: AtomicU64::new(0),
             heard_version: AtomicU64::new(0),
@@ -56,6 +62,13 @@
         BalancerAddress(self.settings.common.address)
     }
 
+    /// Tells whether one more stateless reset may be sent, and counts it; one limit holds for the
+    /// packets of all services.
+    pub fn allow_reset(&self) -> bool {
+        let mut resets = self.resets.lock().unwrap_or_else(PoisonError::into_inner);
+        resets.allow(self.clock.now_ms())
+    }
+
     /// Returns a view of the steering table that follows its changes.
     pub fn table(&self) -> watch::Receiver<Arc<SteeringTable>> {
         self.table.subscribe()
