fix(core): let regions find each other again after a cut

Both sides took each other to be silent and nobody sent the first datagram; a balancer now probes one balancer of each silent domain every 5 s.

--- a/crates/basilstep-bench/src/load/membership/observe.rs
+++ b/crates/basilstep-bench/src/load/membership/observe.rs
@@ -4,7 +4,10 @@
     fleet::{Fleet, Node},
     traffic::summary,
 };
-use basilstep_core::{address::AgentAddress, membership::AgentPhase};
+use basilstep_core::{
+    address::AgentAddress,
+    membership::{AgentPhase, MembershipCounters},
+};
 use serde_json::{Value, json};
 use std::collections::BTreeSet;
 
@@ -84,6 +87,23 @@
         })
     }
 
+    /// Returns what the balancers counted themselves.
+    pub fn counters(fleet: &Fleet) -> Value {
+        let sum = |count: fn(MembershipCounters) -> u64| -> u64 {
+            let balancers = fleet.balancers();
+            balancers
+                .map(|(_, balancer)| count(balancer.counters()))
+                .sum()
+        };
+        json!({
+            "suspected": sum(|counters| counters.suspected),
+            "domains_suspected": sum(|counters| counters.domains_suspected),
+            "refuted": sum(|counters| counters.refuted),
+            "pauses": sum(|counters| counters.pauses),
+            "syncs": sum(|counters| counters.syncs),
+        })
+    }
+
     fn look(&mut self, fleet: &mut Fleet) {
         self.check_dead(fleet);
         self.check_changes(fleet);
--- a/crates/basilstep-bench/src/load/membership/scenarios.rs
+++ b/crates/basilstep-bench/src/load/membership/scenarios.rs
@@ -112,6 +112,7 @@
         name,
         figures: json!({
             "views": observer.report(),
+            "counted_since_start": Observer::counters(fleet),
             "traffic": fleet.traffic.report(),
             "virtual_s": virtual_s,
             "wall_s": started.elapsed().as_secs_f64(),
--- a/crates/basilstep-core/src/membership/gossip.rs
+++ b/crates/basilstep-core/src/membership/gossip.rs
@@ -37,9 +37,9 @@
         self.by_member.is_empty()
     }
 
-    /// Returns how many members there is news of.
-    pub fn len(&self) -> usize {
-        self.by_member.len()
+    /// Tells whether there is news of many members, so that bytes matter more than delay.
+    pub fn has_much(&self) -> bool {
+        self.by_member.len() > FEW_NEWS
     }
 
     /// Starts passing on news of a member in place of any older news of it.
@@ -61,7 +61,7 @@
     /// Notes that a peer knows the news already, which counts as having sent it when there is much
     /// other news.
     pub fn note_duplicate(&mut self, member: SocketAddrV4, limit: u8) {
-        if self.len() > FEW_NEWS {
+        if self.has_much() {
             self.count(member, limit);
         }
     }
--- a/crates/basilstep-core/src/membership/receive.rs
+++ b/crates/basilstep-core/src/membership/receive.rs
@@ -179,7 +179,11 @@
             self.on_domain_evidence(*evidence, ctx, actions);
         }
         for record in &gossip.records {
-            self.take_record(*record, ctx, actions);
+            if self.is_settling(ctx.now_ms) {
+                self.learn_record(*record, ctx, actions);
+            } else {
+                self.take_record(*record, ctx, actions);
+            }
         }
         for evidence in &gossip.evidence {
             self.on_evidence_item(*evidence, ctx, actions);
@@ -280,25 +284,36 @@
         ctx: &mut Context,
         actions: &mut Vec<Action>,
     ) {
-        if record.address == self.own().address {
-            return;
-        }
-        match self.table.merge_record(record, ctx.now_ms) {
-            Merged::News => {
-                self.last_news_ms = ctx.now_ms;
-                self.start_rumour(record.address, RumourKind::Record, ctx);
-                if let Some(member) = self.table.get(record.address).copied() {
-                    self.announce_change(&member, actions);
-                }
-            }
+        match self.learn_record(record, ctx, actions) {
+            Merged::News => self.start_rumour(record.address, RumourKind::Record, ctx),
             Merged::Known => {
-                let limit = self.settings.sends_per_item;
+                let limit = self.sends_per_item(ctx.now_ms);
                 self.rumours.note_duplicate(record.address, limit);
             }
             Merged::Outdated | Merged::Unknown => self.counters.outdated += 1,
         }
     }
 
+    /// Merges a record without passing it on.
+    pub(super) fn learn_record(
+        &mut self,
+        record: MemberRecord,
+        ctx: &mut Context,
+        actions: &mut Vec<Action>,
+    ) -> Merged {
+        if record.address == self.own().address {
+            return Merged::Outdated;
+        }
+        let merged = self.table.merge_record(record, ctx.now_ms);
+        if merged == Merged::News {
+            self.last_news_ms = ctx.now_ms;
+            if let Some(member) = self.table.get(record.address).copied() {
+                self.announce_change(&member, actions);
+            }
+        }
+        merged
+    }
+
     /// Merges evidence about a member and passes it on if it is news.
     pub(super) fn take_evidence(
         &mut self,
@@ -327,7 +342,7 @@
                 }
             }
             Merged::Known => {
-                let limit = self.settings.sends_per_item;
+                let limit = self.sends_per_item(ctx.now_ms);
                 self.rumours.note_duplicate(address, limit);
             }
             Merged::Outdated | Merged::Unknown => self.counters.outdated += 1,
--- a/crates/basilstep-core/src/membership/settings.rs
+++ b/crates/basilstep-core/src/membership/settings.rs
@@ -40,6 +40,10 @@
     pub fanout: usize,
     /// How often a process passes on one item.
     pub sends_per_item: u8,
+    /// How often it does when there is news of many members.
+    pub busy_sends_per_item: u8,
+    /// How often it does while its own view is incomplete.
+    pub settling_sends_per_item: u8,
     /// The rate at which a balancer sends gossip, with IP and UDP headers.
     pub gossip_bytes_per_s: u64,
     /// How many bytes of gossip a balancer may send at once.
@@ -82,8 +86,10 @@
             gossip_interval_ms: 500,
             fanout: 2,
             sends_per_item: 8,
-            gossip_bytes_per_s: 1_000,
-            gossip_burst_bytes: 3_000,
+            busy_sends_per_item: 5,
+            settling_sends_per_item: 2,
+            gossip_bytes_per_s: 600,
+            gossip_burst_bytes: 5_000,
             joining_bytes_per_s: 12_000,
             settle_ms: 30_000,
             sync_interval_ms: 5_000,
--- a/crates/basilstep-core/src/membership/spread.rs
+++ b/crates/basilstep-core/src/membership/spread.rs
@@ -19,9 +19,6 @@
 /// What the lengths of longer lists add to an empty message.
 const LIST_LENGTH_BYTES: usize = 2;
 
-/// How much news a balancer whose view is incomplete passes on; comparisons bring the rest.
-const SETTLING_NEWS: usize = 8;
-
 impl Membership {
     /// Starts passing on news of a member.
     pub(super) fn start_rumour(
@@ -30,10 +27,19 @@
         kind: RumourKind,
         ctx: &mut Context,
     ) {
-        let is_flooded = self.is_settling(ctx.now_ms) && self.rumours.len() >= SETTLING_NEWS;
-        if !is_flooded {
-            self.rumours.start(member, kind, &mut ctx.rng);
-            self.has_fresh_news = true;
+        self.rumours.start(member, kind, &mut ctx.rng);
+        self.has_fresh_news = true;
+    }
+
+    /// Returns how often one item is passed on; comparisons of views repair the rest.
+    pub(super) fn sends_per_item(&self, now_ms: u64) -> u8 {
+        let settings = &self.settings;
+        if self.is_settling(now_ms) {
+            settings.settling_sends_per_item
+        } else if self.rumours.has_much() {
+            settings.busy_sends_per_item
+        } else {
+            settings.sends_per_item
         }
     }
 
@@ -49,7 +55,7 @@
     /// Passes on news that has just arrived; the rest waits for the next tick, so that more of it
     /// shares a datagram.
     pub(super) fn flush_fresh(&mut self, ctx: &mut Context, actions: &mut Vec<Action>) {
-        if std::mem::take(&mut self.has_fresh_news) {
+        if std::mem::take(&mut self.has_fresh_news) && !self.rumours.has_much() {
             self.flush(ctx, actions);
         }
     }
@@ -103,7 +109,8 @@
             }
             sent.push(address);
         }
-        self.rumours.mark_sent(&sent, self.settings.sends_per_item);
+        let limit = self.sends_per_item(now_ms);
+        self.rumours.mark_sent(&sent, limit);
         for address in stale {
             self.rumours.drop_news(address);
         }
--- a/crates/basilstep-core/src/membership/state.rs
+++ b/crates/basilstep-core/src/membership/state.rs
@@ -24,6 +24,9 @@
 /// ages of evidence gather on their way.
 pub(super) const SILENCE_LAG_MS: u64 = 150;
 
+/// The time between two probes of each silent domain.
+const OUTREACH_INTERVAL_MS: u64 = 5_000;
+
 /// How many balancers are asked for a sign of life before a member is suspected.
 const LIFE_PROBES: usize = 2;
 
@@ -62,6 +65,7 @@
     needs_snapshot: bool,
     next_snapshot_ms: u64,
     next_forget_ms: u64,
+    next_outreach_ms: u64,
     last_active_ms: u64,
     trusted_from_ms: u64,
     started_ms: u64,
@@ -129,6 +133,7 @@
             needs_snapshot: true,
             next_snapshot_ms: now_ms,
             next_forget_ms: now_ms + FORGET_INTERVAL_MS,
+            next_outreach_ms: now_ms + ctx.rng.random_range(0..OUTREACH_INTERVAL_MS),
             last_active_ms: now_ms,
             trusted_from_ms: now_ms,
             started_ms: now_ms,
@@ -269,8 +274,7 @@
         let mut actions = Vec::new();
         for balancer in balancers {
             if balancer.address.0 != self.own().address {
-                self.take_record(MemberRecord::from(*balancer), ctx, &mut actions);
-                self.rumours.drop_news(balancer.address.0);
+                self.learn_record(MemberRecord::from(*balancer), ctx, &mut actions);
             }
         }
         actions
@@ -287,11 +291,13 @@
     /// Does what is due; the shell calls it every 100 ms.
     pub fn on_tick(&mut self, ctx: &mut Context) -> Vec<Action> {
         self.note_activity(ctx);
+        self.refresh_peers(ctx.now_ms);
         let mut actions = self.announcer.on_tick(ctx);
         let findings = self.watch.on_tick(ctx.now_ms, self.heard_any_ms);
         self.act_on(&findings, ctx, &mut actions);
         self.settle_due(ctx.now_ms, &mut actions);
         self.probe_contradictions(ctx, &mut actions);
+        self.reach_out(ctx, &mut actions);
         self.request_snapshot(ctx, &mut actions);
         self.gossip(ctx, &mut actions);
         if ctx.now_ms >= self.next_forget_ms {
@@ -333,6 +339,27 @@
         self.needs_snapshot = false;
     }
 
+    /// Probes a random member of each silent domain: after a cut both sides take each other to be
+    /// silent, and nobody else would send the first datagram.
+    fn reach_out(&mut self, ctx: &mut Context, actions: &mut Vec<Action>) {
+        if ctx.now_ms < self.next_outreach_ms {
+            return;
+        }
+        self.next_outreach_ms = ctx.now_ms + OUTREACH_INTERVAL_MS;
+        let silent = self.table.domains().iter();
+        let silent: Vec<DomainId> = silent
+            .filter(|(_, status)| status.silent)
+            .map(|(domain, _)| *domain)
+            .collect();
+        for domain in silent {
+            let members = self.table.balancers_in(domain);
+            if !members.is_empty() {
+                let index = ctx.rng.random_range(0..members.len());
+                actions.push(probe(members[index]));
+            }
+        }
+    }
+
     fn request_snapshot(&mut self, ctx: &mut Context, actions: &mut Vec<Action>) {
         if !self.needs_snapshot || ctx.now_ms < self.next_snapshot_ms {
             return;
@@ -431,7 +458,7 @@
 
     /// Returns a random live balancer other than this one.
     pub(super) fn random_peer(&mut self, ctx: &mut Context) -> Option<SocketAddrV4> {
-        if self.are_peers_outdated {
+        if self.live_peers.is_empty() {
             self.refresh_peers(ctx.now_ms);
         }
         if self.live_peers.is_empty() {
@@ -442,6 +469,9 @@
     }
 
     fn refresh_peers(&mut self, now_ms: u64) {
+        if !self.are_peers_outdated {
+            return;
+        }
         let own = self.own().address;
         let live: Vec<BalancerRecord> = self.balancers(now_ms).collect();
         let live: BTreeSet<SocketAddrV4> = live.iter().map(|balancer| balancer.address.0).collect();
--- a/crates/basilstep-core/src/membership/sync.rs
+++ b/crates/basilstep-core/src/membership/sync.rs
@@ -11,7 +11,7 @@
 };
 
 /// The time without news before two views that differ are compared.
-const QUIET_MS: u64 = 2_000;
+const QUIET_MS: u64 = 700;
 
 /// The time between two probes of a member on which views contradict each other.
 const CONTRADICTION_PROBE_MS: u64 = 500;
@@ -146,7 +146,7 @@
             if self.contradicts(record) {
                 contradicted.push(record.address);
             } else {
-                self.take_record(*record, ctx, actions);
+                self.learn_record(*record, ctx, actions);
             }
         }
         if !contradicted.is_empty() {
--- a/crates/basilstep-core/src/membership/table.rs
+++ b/crates/basilstep-core/src/membership/table.rs
@@ -95,6 +95,19 @@
         &self.balancers
     }
 
+    /// Returns the balancers of a domain, live or not.
+    pub fn balancers_in(&self, domain: DomainId) -> Vec<SocketAddrV4> {
+        let is_there = |member: &&Member| member.record.domain == domain;
+        let members = self
+            .balancers
+            .iter()
+            .filter_map(|address| self.get(*address));
+        members
+            .filter(is_there)
+            .map(|member| member.record.address)
+            .collect()
+    }
+
     /// Returns the agents of a service, live or not.
     pub fn agents_of(&self, service: ServiceId) -> impl Iterator<Item = &Member> {
         self.by_service
