perf(core): compare views by state hashes instead of records

Cause of the slow repair: an answer to a comparison carried whole records, one bucket in a datagram. It now carries 4-byte state hashes, and either side sends only the records or the evidence that the other lacks. Restarts and all joining still do not converge.

--- a/crates/basilstep-bench/src/load/membership/traffic.rs
+++ b/crates/basilstep-bench/src/load/membership/traffic.rs
@@ -29,7 +29,9 @@
             MembershipMessage::Heartbeat(_) | MembershipMessage::Announce(_) => Self::Announce,
             MembershipMessage::Ack(_) => Self::Ack,
             MembershipMessage::Probe | MembershipMessage::ProbeAnswer(_) => Self::Probe,
-            MembershipMessage::Buckets { .. } | MembershipMessage::BucketRecords(_) => Self::Sync,
+            MembershipMessage::Buckets { .. }
+            | MembershipMessage::BucketStates(_)
+            | MembershipMessage::Difference(_) => Self::Sync,
             _ => Self::Gossip,
         }
     }
--- a/crates/basilstep-core/src/membership/gossip.rs
+++ b/crates/basilstep-core/src/membership/gossip.rs
@@ -58,14 +58,6 @@
         self.insert(member, rumour);
     }
 
-    /// Notes that a peer knows the news already, which counts as having sent it when there is much
-    /// other news.
-    pub fn note_duplicate(&mut self, member: SocketAddrV4, limit: u8) {
-        if self.has_much() {
-            self.count(member, limit);
-        }
-    }
-
     /// Returns the members whose news goes out next, most urgent first.
     pub fn next(&self) -> impl Iterator<Item = (SocketAddrV4, RumourKind)> {
         self.order.iter().filter_map(|(_, _, member)| {
--- a/crates/basilstep-core/src/membership/messages.rs
+++ b/crates/basilstep-core/src/membership/messages.rs
@@ -16,6 +16,15 @@
 /// The largest membership message, in bytes.
 pub const MESSAGE_LIMIT_BYTES: usize = 1_150;
 
+/// How many records of at most 25 bytes a [`Difference`] carries.
+const RECORDS_A_DATAGRAM: usize = 30;
+
+/// How many pieces of evidence a [`Difference`] carries.
+const EVIDENCE_A_DATAGRAM: usize = 30;
+
+/// How many states a [`Difference`] asks for.
+const WANTED_A_DATAGRAM: usize = 50;
+
 /// Marks evidence of silence.
 const SILENT_BIT: u16 = 0x8000;
 
@@ -39,8 +48,10 @@
         /// A digest of each bucket of the sender's view.
         digests: Vec<[u8; 2]>,
     },
-    /// Answers with the live records of buckets that differ.
-    BucketRecords(BucketRecords),
+    /// Answers with the states of the live members in some buckets that differ.
+    BucketStates(BucketStates),
+    /// Answers with what one side lacks.
+    Difference(Difference),
     /// Asks for the settings above a version.
     PullSettings {
         /// What the sender has.
@@ -148,13 +159,22 @@
 
 /// All live members in some buckets.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
-pub struct BucketRecords {
+pub struct BucketStates {
     /// Which buckets.
     pub buckets: Vec<u8>,
-    /// The members.
+    /// The states of their members.
+    pub states: Vec<StateHash>,
+}
+
+/// How two views differ in the buckets that were compared.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Difference {
+    /// Records that the receiver lacks.
     pub records: Vec<MemberRecord>,
-    /// Whether the receiver sends what the sender lacks.
-    pub wants_reply: bool,
+    /// Members that the receiver takes to be live and the sender to be silent.
+    pub evidence: Vec<Evidence>,
+    /// States of which the sender wants the record.
+    pub wanted: Vec<StateHash>,
 }
 
 /// The whole view of a balancer, for one that joins.
@@ -246,6 +266,28 @@
     postcard::experimental::serialized_size(value).unwrap_or(usize::MAX / 2)
 }
 
+impl Difference {
+    /// Tells whether there is nothing to say.
+    pub fn is_empty(&self) -> bool {
+        self.records.is_empty() && self.evidence.is_empty() && self.wanted.is_empty()
+    }
+
+    /// Takes as much out of it as fits a datagram.
+    #[must_use]
+    pub fn take_part(&mut self) -> Self {
+        Self {
+            records: take(&mut self.records, RECORDS_A_DATAGRAM),
+            evidence: take(&mut self.evidence, EVIDENCE_A_DATAGRAM),
+            wanted: take(&mut self.wanted, WANTED_A_DATAGRAM),
+        }
+    }
+}
+
+fn take<T>(list: &mut Vec<T>, limit: usize) -> Vec<T> {
+    let rest = list.split_off(limit.min(list.len()));
+    std::mem::replace(list, rest)
+}
+
 impl Evidence {
     /// Describes an observation made at `stamp_ms`; a greater age than fits is capped.
     pub fn new(state: StateHash, silent: bool, stamp_ms: u64, now_ms: u64) -> Self {
--- a/crates/basilstep-core/src/membership/mod.rs
+++ b/crates/basilstep-core/src/membership/mod.rs
@@ -24,8 +24,8 @@
 pub use announcer::Announcer;
 pub use member::{Duty, MemberRecord, RunCheck, StateHash, rendezvous_score};
 pub use messages::{
-    Ack, Action, Announce, DomainEvidence, Evidence, Gossip, Heartbeat, MembershipMessage,
-    ProbeAnswer, Snapshot, SnapshotMember,
+    Ack, Action, Announce, BucketStates, Difference, DomainEvidence, Evidence, Gossip, Heartbeat,
+    MembershipMessage, ProbeAnswer, Snapshot, SnapshotMember,
 };
 pub use record::{AgentPhase, AgentRecord, BalancerRecord};
 pub use settings::MembershipSettings;
--- a/crates/basilstep-core/src/membership/receive.rs
+++ b/crates/basilstep-core/src/membership/receive.rs
@@ -50,8 +50,11 @@
             MembershipMessage::Buckets { digests } => {
                 self.on_buckets(from, digests, ctx, &mut actions);
             }
-            MembershipMessage::BucketRecords(answer) => {
-                self.on_bucket_records(from, answer, ctx, &mut actions);
+            MembershipMessage::BucketStates(theirs) => {
+                self.on_bucket_states(from, theirs, ctx, &mut actions);
+            }
+            MembershipMessage::Difference(difference) => {
+                self.on_difference(from, difference, ctx, &mut actions);
             }
             MembershipMessage::PullSettings {
                 above_version,
@@ -191,7 +194,7 @@
         self.compare_digests(from, gossip.digest, ctx, actions);
     }
 
-    fn on_evidence_item(
+    pub(super) fn on_evidence_item(
         &mut self,
         evidence: Evidence,
         ctx: &mut Context,
@@ -214,7 +217,7 @@
         let is_hearsay = ctx.now_ms > stamp_ms + self.settings.hearsay_limit_ms;
         if is_hearsay {
             if !member.silent {
-                self.contradictions.add(address);
+                self.contradictions.add(address, ctx);
             }
             return;
         }
@@ -286,10 +289,7 @@
     ) {
         match self.learn_record(record, ctx, actions) {
             Merged::News => self.start_rumour(record.address, RumourKind::Record, ctx),
-            Merged::Known => {
-                let limit = self.sends_per_item(ctx.now_ms);
-                self.rumours.note_duplicate(record.address, limit);
-            }
+            Merged::Known => {}
             Merged::Outdated | Merged::Unknown => self.counters.outdated += 1,
         }
     }
@@ -341,10 +341,7 @@
                     self.announce_change(&member, actions);
                 }
             }
-            Merged::Known => {
-                let limit = self.sends_per_item(ctx.now_ms);
-                self.rumours.note_duplicate(address, limit);
-            }
+            Merged::Known => {}
             Merged::Outdated | Merged::Unknown => self.counters.outdated += 1,
         }
     }
--- a/crates/basilstep-core/src/membership/settings.rs
+++ b/crates/basilstep-core/src/membership/settings.rs
@@ -86,7 +86,7 @@
             gossip_interval_ms: 500,
             fanout: 2,
             sends_per_item: 8,
-            busy_sends_per_item: 5,
+            busy_sends_per_item: 6,
             settling_sends_per_item: 2,
             gossip_bytes_per_s: 600,
             gossip_burst_bytes: 5_000,
--- a/crates/basilstep-core/src/membership/spread.rs
+++ b/crates/basilstep-core/src/membership/spread.rs
@@ -128,16 +128,6 @@
         }
     }
 
-    /// Returns gossip that tells one peer what is known of some members.
-    pub(super) fn evidence_of(&self, members: &[SocketAddrV4], now_ms: u64) -> Gossip {
-        let known = members
-            .iter()
-            .filter_map(|address| self.table.get(*address));
-        let mut gossip = self.empty_gossip(now_ms);
-        gossip.evidence = known.map(|member| evidence(member, now_ms)).collect();
-        gossip
-    }
-
     /// Returns what is said of domains that are silent or were so lately.
     pub(super) fn domain_evidence(&self, now_ms: u64) -> Vec<DomainEvidence> {
         self.table
@@ -161,7 +151,8 @@
     !member.silent || now_ms <= member.silent_since_ms + NEWS_LIMIT_MS
 }
 
-fn evidence(member: &Member, now_ms: u64) -> Evidence {
+/// Returns the evidence that the view holds about a member.
+pub(super) fn evidence(member: &Member, now_ms: u64) -> Evidence {
     let state = member.record.state_hash();
     Evidence::new(state, member.silent, member.stamp_ms, now_ms)
 }
--- a/crates/basilstep-core/src/membership/sync.rs
+++ b/crates/basilstep-core/src/membership/sync.rs
@@ -1,7 +1,9 @@
 use super::{
-    member::MemberRecord,
-    messages::{Action, BucketRecords, MembershipMessage, Snapshot, SnapshotMember},
+    member::{MemberRecord, StateHash},
+    messages::{Action, BucketStates, Difference, MembershipMessage, Snapshot, SnapshotMember},
+    spread::evidence,
     state::{Membership, SILENCE_LAG_MS, probe},
+    table::bucket_of,
 };
 use crate::context::Context;
 use rand::RngExt;
@@ -19,8 +21,11 @@
 /// How many probes such a member may leave unanswered.
 const CONTRADICTION_PROBES: u8 = 3;
 
-/// How many records go into one datagram.
-const RECORDS_A_DATAGRAM: usize = 40;
+/// How many states go into one datagram.
+const STATES_A_DATAGRAM: usize = 220;
+
+/// The longest time before a contradiction is probed, so that the first answers spare the rest.
+const CONTRADICTION_DELAY_MS: u64 = 2_000;
 
 /// The members of which another balancer says, not from fresh evidence, that they are silent.
 #[derive(Clone, Debug, Default)]
@@ -37,8 +42,13 @@
 
 impl Contradictions {
     /// Notes a contradiction, to be settled by a probe.
-    pub fn add(&mut self, member: SocketAddrV4) {
-        self.open.entry(member).or_default();
+    pub fn add(&mut self, member: SocketAddrV4, ctx: &mut Context) {
+        let delay_ms = ctx.rng.random_range(0..CONTRADICTION_DELAY_MS);
+        let probing = Probing {
+            sent: 0,
+            next_ms: ctx.now_ms + delay_ms,
+        };
+        self.open.entry(member).or_insert(probing);
     }
 
     /// Notes that a member gave a sign of life or that there is fresh evidence; returns whether
@@ -104,7 +114,7 @@
         self.send_counted(from, MembershipMessage::Buckets { digests }, actions);
     }
 
-    /// Answers a comparison with the records of buckets that differ, as the budget allows.
+    /// Answers a comparison with the states in buckets that differ, as the budget allows.
     pub(super) fn on_buckets(
         &mut self,
         from: SocketAddrV4,
@@ -113,119 +123,119 @@
         actions: &mut Vec<Action>,
     ) {
         let own = self.table.digests();
-        let differing = own
-            .iter()
-            .zip(digests)
-            .enumerate()
+        let pairs = own.iter().zip(digests).enumerate();
+        let mut differing: Vec<u8> = pairs
             .filter(|(_, (own, other))| own != other)
             .map(|(bucket, _)| bucket as u8)
             .collect();
-        self.send_buckets(from, differing, ctx, actions);
+        if differing.is_empty() {
+            return;
+        }
+        let first = ctx.rng.random_range(0..differing.len());
+        differing.rotate_left(first);
+        let mut states = self.states_by_bucket(&differing);
+        let mut answer = BucketStates::default();
+        for bucket in differing {
+            let in_bucket = states.remove(&bucket).unwrap_or_default();
+            if answer.states.len() + in_bucket.len() > STATES_A_DATAGRAM {
+                let full = std::mem::take(&mut answer);
+                self.send_counted(from, MembershipMessage::BucketStates(full), actions);
+                if !self.budget.is_open(ctx.now_ms) {
+                    return;
+                }
+            }
+            answer.buckets.push(bucket);
+            answer.states.extend(in_bucket);
+        }
+        self.send_counted(from, MembershipMessage::BucketStates(answer), actions);
     }
 
-    /// Merges a peer's records and answers with what it lacks.
-    pub(super) fn on_bucket_records(
+    fn states_by_bucket(&self, buckets: &[u8]) -> BTreeMap<u8, Vec<StateHash>> {
+        let wanted: BTreeSet<u8> = buckets.iter().copied().collect();
+        let mut states: BTreeMap<u8, Vec<StateHash>> = BTreeMap::new();
+        for member in self.table.in_buckets(&wanted) {
+            let bucket = bucket_of(&member.record);
+            states
+                .entry(bucket)
+                .or_default()
+                .push(member.record.state_hash());
+        }
+        states
+    }
+
+    /// Answers a peer's states with what either side lacks.
+    pub(super) fn on_bucket_states(
         &mut self,
         from: SocketAddrV4,
-        answer: &BucketRecords,
+        theirs: &BucketStates,
         ctx: &mut Context,
         actions: &mut Vec<Action>,
     ) {
-        let BucketRecords {
-            buckets,
-            records,
-            wants_reply,
-        } = answer;
-        let buckets: BTreeSet<u8> = buckets.iter().copied().collect();
-        let theirs: BTreeMap<SocketAddrV4, MemberRecord> = records
-            .iter()
-            .map(|record| (record.address, *record))
-            .collect();
-        let mut contradicted = Vec::new();
-        for record in records {
-            if self.contradicts(record) {
-                contradicted.push(record.address);
-            } else {
-                self.learn_record(*record, ctx, actions);
+        let buckets: BTreeSet<u8> = theirs.buckets.iter().copied().collect();
+        let their_states: BTreeSet<StateHash> = theirs.states.iter().copied().collect();
+        let own = self.table.in_buckets(&buckets).map(|member| member.record);
+        let own: BTreeMap<StateHash, MemberRecord> =
+            own.map(|record| (record.state_hash(), record)).collect();
+        let mut difference = Difference::default();
+        for (state, record) in &own {
+            if !their_states.contains(state) {
+                difference.records.push(*record);
             }
         }
-        if !contradicted.is_empty() {
-            let gossip = self.evidence_of(&contradicted, ctx.now_ms);
-            self.send_counted(from, MembershipMessage::Gossip(gossip), actions);
-        }
-        if !*wants_reply {
-            return;
-        }
-        let lacking: Vec<MemberRecord> = self
-            .table
-            .in_buckets(&buckets)
-            .map(|member| member.record)
-            .filter(|record| {
-                let known = theirs.get(&record.address);
-                known.is_none_or(|known| known.order() < record.order())
-            })
-            .collect();
-        if lacking.is_empty() {
-            return;
-        }
-        for records in lacking.chunks(RECORDS_A_DATAGRAM) {
-            let answer = BucketRecords {
-                buckets: Vec::new(),
-                records: records.to_vec(),
-                wants_reply: false,
-            };
-            self.send_counted(from, MembershipMessage::BucketRecords(answer), actions);
+        for state in their_states {
+            match self.table.find(state) {
+                None => difference.wanted.push(state),
+                Some(member) if !own.contains_key(&state) => {
+                    difference.evidence.push(evidence(member, ctx.now_ms));
+                }
+                Some(_) => {}
+            }
         }
+        self.send_difference(from, difference, ctx, actions);
     }
 
-    /// Tells whether a record says that a member lives which is silent here in the same state.
-    fn contradicts(&self, record: &MemberRecord) -> bool {
-        self.table
-            .get(record.address)
-            .is_some_and(|member| member.silent && member.record.order() == record.order())
-    }
-
-    /// Sends the records of whole buckets, beginning with a random one.
-    fn send_buckets(
+    /// Takes what this side lacks and answers with what the other side wants.
+    pub(super) fn on_difference(
         &mut self,
-        to: SocketAddrV4,
-        mut differing: Vec<u8>,
+        from: SocketAddrV4,
+        difference: &Difference,
         ctx: &mut Context,
         actions: &mut Vec<Action>,
     ) {
-        if differing.is_empty() {
-            return;
+        let mut answer = Difference::default();
+        for record in &difference.records {
+            self.learn_record(*record, ctx, actions);
+            let Some(member) = self.table.get(record.address) else {
+                continue;
+            };
+            if member.record.order() > record.order() {
+                answer.records.push(member.record);
+            } else if member.silent {
+                answer.evidence.push(evidence(member, ctx.now_ms));
+            }
         }
-        let first = ctx.rng.random_range(0..differing.len());
-        differing.rotate_left(first);
-        let mut by_bucket: BTreeMap<u8, Vec<MemberRecord>> = differing
-            .iter()
-            .map(|bucket| (*bucket, Vec::new()))
-            .collect();
-        let wanted = differing.iter().copied().collect();
-        for member in self.table.in_buckets(&wanted) {
-            let bucket = super::table::bucket_of(&member.record);
-            by_bucket.entry(bucket).or_default().push(member.record);
+        for item in &difference.evidence {
+            self.on_evidence_item(*item, ctx, actions);
         }
-        let mut answer = BucketRecords::default();
-        for bucket in differing {
-            let records = by_bucket.remove(&bucket).unwrap_or_default();
-            if answer.records.len() + records.len() > RECORDS_A_DATAGRAM
-                && !answer.buckets.is_empty()
-            {
-                let full = std::mem::take(&mut answer);
-                self.send_counted(to, MembershipMessage::BucketRecords(full), actions);
-                if !self.budget.is_open(ctx.now_ms) {
-                    return;
-                }
-            }
-            answer.wants_reply = true;
-            answer.buckets.push(bucket);
+        for state in &difference.wanted {
             answer
                 .records
-                .extend(records.into_iter().take(RECORDS_A_DATAGRAM));
+                .extend(self.table.find(*state).map(|member| member.record));
+        }
+        self.send_difference(from, answer, ctx, actions);
+    }
+
+    fn send_difference(
+        &mut self,
+        to: SocketAddrV4,
+        mut difference: Difference,
+        ctx: &Context,
+        actions: &mut Vec<Action>,
+    ) {
+        while !difference.is_empty() && self.budget.is_open(ctx.now_ms) {
+            let part = difference.take_part();
+            self.send_counted(to, MembershipMessage::Difference(part), actions);
         }
-        self.send_counted(to, MembershipMessage::BucketRecords(answer), actions);
     }
 
     fn send_counted(
--- a/crates/basilstep-core/src/membership/tests.rs
+++ b/crates/basilstep-core/src/membership/tests.rs
@@ -367,10 +367,17 @@
     });
     let view = fleet.balancers.get_mut(&at).unwrap();
     view.on_datagram(balancer(2).address.0, &gossip, &mut fleet.ctx);
-    let actions = view.on_tick(&mut fleet.ctx);
     let is_probe = |action: &Action| matches!(action, Action::Send { to, message: MembershipMessage::Probe } if *to == member.address.0);
-    assert!(actions.iter().any(is_probe));
-    assert!(fleet.is_live_at(member.address.0, at));
+    let mut probes = 0;
+    for _ in 0..21 {
+        fleet.ctx.advance(STEP_MS);
+        let view = fleet.balancers.get_mut(&at).unwrap();
+        let actions = view.on_tick(&mut fleet.ctx);
+        probes += actions.iter().filter(|action| is_probe(action)).count();
+        fleet.carry_out(at, actions);
+        assert!(fleet.is_live_at(member.address.0, at));
+    }
+    assert_eq!(probes, 1);
 }
 
 /// One merge, as it may come from any side in any order.
