--- a/crates/basilstep-core/src/membership/receive.rs
+++ b/crates/basilstep-core/src/membership/receive.rs
@@ -50,8 +50,11 @@
             MembershipMessage::Buckets { digests } => {
                 self.on_buckets(from, digests, ctx, &mut actions);
             }
-            MembershipMessage::BucketRecords(answer) => {
-                self.on_bucket_records(from, answer, ctx, &mut actions);
+            MembershipMessage::BucketStates(theirs) => {
+                self.on_bucket_states(from, theirs, ctx, &mut actions);
+            }
+            MembershipMessage::Difference(difference) => {
+                self.on_difference(from, difference, ctx, &mut actions);
             }
             MembershipMessage::PullSettings {
                 above_version,
@@ -179,7 +182,11 @@
             self.on_domain_evidence(*evidence, ctx, actions);
         }
         for record in &gossip.records {
-            self.take_record(*record, ctx, actions);
+            if self.is_settling(ctx.now_ms) {
+                self.learn_record(*record, ctx, actions);
+            } else {
+                self.take_record(*record, ctx, actions);
+            }
         }
         for evidence in &gossip.evidence {
             self.on_evidence_item(*evidence, ctx, actions);
@@ -187,7 +194,7 @@
         self.compare_digests(from, gossip.digest, ctx, actions);
     }
 
-    fn on_evidence_item(
+    pub(super) fn on_evidence_item(
         &mut self,
         evidence: Evidence,
         ctx: &mut Context,
@@ -210,7 +217,7 @@
         let is_hearsay = ctx.now_ms > stamp_ms + self.settings.hearsay_limit_ms;
         if is_hearsay {
             if !member.silent {
-                self.contradictions.add(address);
+                self.contradictions.add(address, ctx);
             }
             return;
         }
@@ -280,23 +287,31 @@
         ctx: &mut Context,
         actions: &mut Vec<Action>,
     ) {
+        match self.learn_record(record, ctx, actions) {
+            Merged::News => self.start_rumour(record.address, RumourKind::Record, ctx),
+            Merged::Known => {}
+            Merged::Outdated | Merged::Unknown => self.counters.outdated += 1,
+        }
+    }
+
+    /// Merges a record without passing it on.
+    pub(super) fn learn_record(
+        &mut self,
+        record: MemberRecord,
+        ctx: &mut Context,
+        actions: &mut Vec<Action>,
+    ) -> Merged {
         if record.address == self.own().address {
-            return;
+            return Merged::Outdated;
         }
-        match self.table.merge_record(record, ctx.now_ms) {
-            Merged::News => {
-                self.last_news_ms = ctx.now_ms;
-                self.start_rumour(record.address, RumourKind::Record, ctx);
-                if let Some(member) = self.table.get(record.address).copied() {
-                    self.announce_change(&member, actions);
-                }
-            }
-            Merged::Known => {
-                let limit = self.settings.sends_per_item;
-                self.rumours.note_duplicate(record.address, limit);
+        let merged = self.table.merge_record(record, ctx.now_ms);
+        if merged == Merged::News {
+            self.last_news_ms = ctx.now_ms;
+            if let Some(member) = self.table.get(record.address).copied() {
+                self.announce_change(&member, actions);
             }
-            Merged::Outdated | Merged::Unknown => self.counters.outdated += 1,
         }
+        merged
     }
 
     /// Merges evidence about a member and passes it on if it is news.
@@ -326,10 +341,7 @@
                     self.announce_change(&member, actions);
                 }
             }
-            Merged::Known => {
-                let limit = self.settings.sends_per_item;
-                self.rumours.note_duplicate(address, limit);
-            }
+            Merged::Known => {}
             Merged::Outdated | Merged::Unknown => self.counters.outdated += 1,
         }
     }
