--- a/crates/basilstep-core/src/membership/state.rs
+++ b/crates/basilstep-core/src/membership/state.rs
@@ -283,7 +283,6 @@
             // Nobody has a view to hand over: the own one is the first.
             self.finish_join();
         }
-        }
         actions
     }
 
