fix(admission): take an idle target that was down for a cold one

Cause: a warm target that restarted while no request was under way kept its full limit, since only failed requests told of the restart; the next burst would have met a cold target with all slots. Now a target that its health check called down, and that has answered nothing until it is called up again, counts as started anew. An answer in between rules that out, so a check that lags or misleads cannot cool a target that serves (target_that_was_down_and_silent_counts_as_started_anew::idle_in_between failed before).

What is known about reaching the target moves to a state of its own.

--- a/crates/basilstep-core/src/admission/answers.rs
+++ b/crates/basilstep-core/src/admission/answers.rs
@@ -4,11 +4,8 @@
     Admission, Outcome, RequestId,
     evidence::{Answer, Verdict},
     in_flight::Running,
-    state::PAUSE_MIN_MS,
 };
 
-/// How long sending pauses at most before the target is tried again.
-const PAUSE_MAX_MS: u64 = 500;
 /// How much longer a silence lasts than the one that stops sending before the target counts as
 /// cold.
 const COLD_PATIENCE: f64 = 1.5;
@@ -40,9 +37,7 @@
         self.evidence.note_latency(latency_ms);
         self.last_answer_ms = now_ms;
         self.held = false;
-        self.gone = false;
-        self.pause_ms = PAUSE_MIN_MS;
-        self.paused_until_ms = 0;
+        self.reach.note_answer();
     }
 
     fn apply_verdict(&mut self, verdict: Verdict, running: &Running, latency_ms: u32, now_ms: u64) {
@@ -72,31 +67,16 @@
 
     fn apply_outcome(&mut self, outcome: Outcome, now_ms: u64) {
         match outcome {
-            Outcome::TargetGone => {
-                self.gone = true;
-                self.pause(self.pause_ms, now_ms);
-                self.pause_ms = (self.pause_ms * 2).min(PAUSE_MAX_MS);
-            }
+            Outcome::TargetGone => self.reach.note_gone(now_ms),
             Outcome::Shed {
                 retry_after_ms: Some(wait_ms),
             } if self.limit.is_cold() && self.in_flight.len() == 0 => {
-                self.pause(u64::from(wait_ms).min(PAUSE_MAX_MS), now_ms);
+                self.reach.pause(u64::from(wait_ms), now_ms);
             }
             _ => {}
         }
     }
 
-    fn pause(&mut self, length_ms: u64, now_ms: u64) {
-        self.paused_until_ms = now_ms + length_ms;
-    }
-
-    pub(super) fn end_pause(&mut self, now_ms: u64) {
-        if self.paused_until_ms <= now_ms {
-            self.paused_until_ms = 0;
-            self.gone = false;
-        }
-    }
-
     pub(super) fn turn_cold(&mut self) {
         self.cold_turns += 1;
         self.evidence.restart();
--- a/crates/basilstep-core/src/admission/arrivals.rs
+++ b/crates/basilstep-core/src/admission/arrivals.rs
@@ -132,7 +132,7 @@
     fn refusal_code(&self) -> ResultCode {
         if self.draining {
             ResultCode::Draining
-        } else if self.gone {
+        } else if self.reach.is_gone() {
             ResultCode::TargetUnreachable
         } else {
             ResultCode::Overloaded
@@ -148,17 +148,22 @@
 
     fn drain_rate(&self, now_ms: u64) -> DrainRate {
         DrainRate {
-            starts_after_ms: self.paused_until_ms.saturating_sub(now_ms),
+            starts_after_ms: self.pause_left_ms(now_ms),
             service_ms: self.service_ms(),
             slots: self.limit.in_force(),
         }
     }
 
+    fn pause_left_ms(&self, now_ms: u64) -> u64 {
+        let until_ms = self.reach.paused_until_ms();
+        until_ms.map_or(0, |until_ms| until_ms.saturating_sub(now_ms))
+    }
+
     fn service_ms(&self) -> f64 {
         self.evidence.typical_ms().unwrap_or(INITIAL_SERVICE_MS)
     }
 
     fn may_send(&self, now_ms: u64) -> bool {
-        !self.draining && !self.held && now_ms >= self.paused_until_ms && self.free_slots() > 0
+        !self.draining && !self.held && self.pause_left_ms(now_ms) == 0 && self.free_slots() > 0
     }
 }
--- a/crates/basilstep-core/src/admission/mod.rs
+++ b/crates/basilstep-core/src/admission/mod.rs
@@ -11,6 +11,7 @@
 mod limit;
 mod messages;
 mod queue;
+mod reach;
 mod retry_after;
 mod settings;
 mod state;
--- a/crates/basilstep-core/src/admission/state.rs
+++ b/crates/basilstep-core/src/admission/state.rs
@@ -1,12 +1,10 @@
 use super::{
     Action, AdmissionSettings, AdmissionView, Event, Outcome, evidence::Evidence,
-    in_flight::InFlight, limit::ConcurrencyLimit, queue::DeadlineQueue,
+    in_flight::InFlight, limit::ConcurrencyLimit, queue::DeadlineQueue, reach::Reach,
     retry_after::ReturnSchedule,
 };
 use crate::{codes::ResultCode, context::Context};
 
-/// How long sending pauses after the target was found gone, at first.
-pub(super) const PAUSE_MIN_MS: u64 = 100;
 /// The load that tells placement to offer no new flow.
 const LOAD_FULL_PERMILLE: u16 = u16::MAX;
 /// The highest load of a target that takes new flows.
@@ -25,9 +23,7 @@
     pub(super) streams: u32,
     pub(super) draining: bool,
     pub(super) held: bool,
-    pub(super) gone: bool,
-    pub(super) paused_until_ms: u64,
-    pub(super) pause_ms: u64,
+    pub(super) reach: Reach,
     pub(super) last_answer_ms: u64,
     pub(super) last_full_ms: u64,
     pub(super) cold_turns: u64,
@@ -49,9 +45,7 @@
             streams: 0,
             draining: false,
             held: false,
-            gone: false,
-            paused_until_ms: 0,
-            pause_ms: PAUSE_MIN_MS,
+            reach: Reach::default(),
             last_answer_ms: now_ms,
             last_full_ms: now_ms,
             cold_turns: 0,
@@ -63,7 +57,7 @@
     /// Takes one event and returns what has to be done, in order.
     pub fn handle(&mut self, event: Event, context: &mut Context) -> Vec<Action> {
         let mut actions = Vec::new();
-        self.end_pause(context.now_ms);
+        self.reach.end_pause(context.now_ms);
         if !ends_request(&event) {
             self.check_silence(context.now_ms);
         }
@@ -88,7 +82,7 @@
             Event::ConnectionClosed => self.connections = self.connections.saturating_sub(1),
             Event::Tick => {}
             Event::TargetStarted => self.start(context.now_ms),
-            Event::HealthHint { up } => self.take_hint(up),
+            Event::HealthHint { up } => self.take_hint(up, context.now_ms),
             Event::DrainAnnounced => self.draining = true,
             Event::DrainWithdrawn => self.draining = false,
             Event::SettingsChanged(settings) => {
@@ -103,10 +97,9 @@
 
     /// Returns when [`Event::Tick`] is due, or `None` while nothing can happen by itself.
     pub fn wake_at_ms(&self) -> Option<u64> {
-        let pause_end = (self.paused_until_ms > 0).then_some(self.paused_until_ms);
         [
             self.queue.next_expiry_ms(),
-            pause_end,
+            self.reach.paused_until_ms(),
             self.silence_due_ms(),
         ]
         .into_iter()
@@ -120,7 +113,7 @@
         if self.draining {
             return Some(ResultCode::Draining);
         }
-        if self.gone || self.held {
+        if self.reach.is_gone() || self.held {
             return Some(ResultCode::TargetUnreachable);
         }
         if self.free_connections() == 0 {
@@ -135,7 +128,7 @@
     /// Other targets of the service are then better placed for what it refuses; see
     /// [`crate::requests::Requests::relays_overflow`].
     pub fn is_impaired(&self) -> bool {
-        self.limit.is_cold() || self.gone || self.held
+        self.limit.is_cold() || self.reach.is_gone() || self.held
     }
 
     /// Returns a weight of placement in proportion to the limit in force, at least one.
@@ -174,17 +167,13 @@
         self.limit.turn_cold(&self.settings);
         self.evidence.reset();
         self.held = false;
-        self.gone = false;
-        self.paused_until_ms = 0;
-        self.pause_ms = PAUSE_MIN_MS;
+        self.reach = Reach::default();
         self.last_answer_ms = now_ms;
     }
 
-    /// A hint that the target is up only shortens a pause; one that it is down changes nothing.
-    fn take_hint(&mut self, up: bool) {
-        if up && self.gone {
-            self.paused_until_ms = 0;
-            self.gone = false;
+    fn take_hint(&mut self, up: bool, now_ms: u64) {
+        if self.reach.take_hint(up) {
+            self.start(now_ms);
         }
     }
 
--- a/crates/basilstep-core/src/admission/tests.rs
+++ b/crates/basilstep-core/src/admission/tests.rs
@@ -293,6 +293,24 @@
     assert!(matches!(driver.arrive(1_000)[..], [Action::Run { .. }]));
 }
 
+#[rstest]
+#[case::idle_in_between(false, 1)]
+#[case::answered_in_between(true, FULL_LIMIT)]
+fn target_that_was_down_and_silent_counts_as_started_anew(
+    #[case] answered: bool,
+    #[case] limit: u32,
+) {
+    let mut driver = Driver::warm(settings());
+    driver.handle(Event::HealthHint { up: false });
+    if answered {
+        driver.arrive(1_000);
+        driver.context.advance(SERVICE_MS);
+        driver.finish(driver.first_running(), Outcome::Ok);
+    }
+    driver.handle(Event::HealthHint { up: true });
+    assert_eq!(driver.limit(), limit);
+}
+
 #[test]
 fn earliest_deadline_runs_first() {
     let mut driver = Driver::new(settings());
