fix(requests): count only runs towards the budget of retries

A duplicate that waits for a run asks again whenever any run ends, and each time added a tenth of a retry: a hundred waits filled the budget (duplicates_that_wait_add_nothing_to_the_budget_of_retries failed before). Only requests that are run or relayed count now.

--- a/crates/basilstep-core/src/requests/messages.rs
+++ b/crates/basilstep-core/src/requests/messages.rs
@@ -191,7 +191,7 @@
     pub retry_tokens: u32,
     /// Answers repeated to duplicates.
     pub repeated: u64,
-    /// Duplicates that joined a run in progress.
+    /// Times that a duplicate had to wait for a run in progress.
     pub joined: u64,
     /// Requests whose outcome was said to be unknown.
     pub unknown: u64,
--- a/crates/basilstep-core/src/requests/state.rs
+++ b/crates/basilstep-core/src/requests/state.rs
@@ -113,7 +113,6 @@
         context: &Context,
     ) -> Decision {
         self.records.advance(&self.settings, context.now_ms);
-        self.retries.add_request(&self.settings);
         let decision = self.decide(arrival, directory, context.now_ms);
         self.count(&decision);
         decision
@@ -343,6 +342,9 @@
 
     fn count(&mut self, decision: &Decision) {
         match decision {
+            Decision::RunHere { .. } | Decision::RelayDraining { .. } => {
+                self.retries.add_request(&self.settings);
+            }
             Decision::RepeatRecordedAnswer(_) => self.repeated += 1,
             Decision::Join => self.joined += 1,
             Decision::OutcomeUnknown(_) => self.unknown += 1,
--- a/crates/basilstep-core/src/requests/tests.rs
+++ b/crates/basilstep-core/src/requests/tests.rs
@@ -457,6 +457,20 @@
     assert!((100..=110).contains(&retries), "{retries}");
 }
 
+#[test]
+fn duplicates_that_wait_add_nothing_to_the_budget_of_retries() {
+    let (mut requests, mut context) = single(RequestSettings::default());
+    let key = key_of(&mut requests, "a", 0);
+    for _ in 0..10 {
+        requests.fail(&end(None, false, Failure::TargetLost), &mut context);
+    }
+    assert_eq!(requests.view().retry_tokens, 0);
+    for _ in 0..100 {
+        requests.arrive(&arrival(Some(&key)), &REACHABLE, &context);
+    }
+    assert_eq!(requests.view().retry_tokens, 0);
+}
+
 /// Two agents, their callers and all that a shell keeps of the requests under way.
 struct World {
     agents: Vec<Requests>,
