--- a/crates/basilstep-core/src/membership/gossip.rs
+++ b/crates/basilstep-core/src/membership/gossip.rs
@@ -6,7 +6,7 @@
 };
 
 /// Up to how many members with news every item is sent in full number.
-const FEW_NEWS: usize = 12;
+const FEW_NEWS: usize = 3;
 
 /// What a rumour tells of a member; its content is taken from the table when it is sent.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
--- a/crates/basilstep-core/src/membership/settings.rs
+++ b/crates/basilstep-core/src/membership/settings.rs
@@ -89,7 +89,7 @@
             busy_sends_per_item: 6,
             settling_sends_per_item: 2,
             gossip_bytes_per_s: 600,
-            gossip_burst_bytes: 5_000,
+            gossip_burst_bytes: 6_000,
             joining_bytes_per_s: 12_000,
             settle_ms: 30_000,
             sync_interval_ms: 5_000,
--- a/crates/basilstep-core/src/membership/spread.rs
+++ b/crates/basilstep-core/src/membership/spread.rs
@@ -87,7 +87,8 @@
         let mut bytes = encoded_bytes(&gossip) + LIST_LENGTH_BYTES;
         let mut sent = Vec::new();
         let mut stale = Vec::new();
-        for (address, kind) in self.rumours.next() {
+        let may_carry_news = self.budget.is_open(now_ms);
+        for (address, kind) in self.rumours.next().take_while(|_| may_carry_news) {
             let Some(member) = self.table.get(address).filter(|m| is_news(m, now_ms)) else {
                 stale.push(address);
                 continue;
--- a/crates/basilstep-core/src/membership/state.rs
+++ b/crates/basilstep-core/src/membership/state.rs
@@ -36,6 +36,12 @@
 /// The time between two attempts to get a snapshot.
 const SNAPSHOT_RETRY_MS: u64 = 3_000;
 
+/// The time between two snapshots while they still bring many members.
+const SNAPSHOT_INTERVAL_MS: u64 = 1_000;
+
+/// How many snapshots in a row may bring hardly anything before comparisons take over.
+const DRY_SNAPSHOTS: u8 = 2;
+
 /// The time between two clean-ups of forgotten members.
 const FORGET_INTERVAL_MS: u64 = 60_000;
 
@@ -63,6 +69,7 @@
     are_peers_outdated: bool,
     due: BTreeSet<Due>,
     needs_snapshot: bool,
+    dry_snapshots: u8,
     next_snapshot_ms: u64,
     next_forget_ms: u64,
     next_outreach_ms: u64,
@@ -131,6 +138,7 @@
             are_peers_outdated: true,
             due: BTreeSet::new(),
             needs_snapshot: true,
+            dry_snapshots: 0,
             next_snapshot_ms: now_ms,
             next_forget_ms: now_ms + FORGET_INTERVAL_MS,
             next_outreach_ms: now_ms + ctx.rng.random_range(0..OUTREACH_INTERVAL_MS),
@@ -332,11 +340,36 @@
         self.counters.pauses += 1;
         self.watch.restart(now_ms);
         self.needs_snapshot = true;
+        self.dry_snapshots = 0;
         self.next_snapshot_ms = now_ms + STALE_QUEUE_MS;
     }
 
-    pub(super) fn finish_join(&mut self) {
+    /// Notes that a snapshot was merged into a view that knew `known_before` members.
+    pub(super) fn finish_join(&mut self, known_before: usize) {
         self.needs_snapshot = false;
+        let is_dry = self.known() < known_before + known_before / 50 + 1;
+        self.dry_snapshots = if is_dry { self.dry_snapshots + 1 } else { 0 };
+    }
+
+    /// Tells whether the last snapshots still brought many members.
+    pub(super) fn is_far_behind(&self) -> bool {
+        self.dry_snapshots < DRY_SNAPSHOTS
+    }
+
+    /// Gets a peer's whole view, at a bounded rate: when all join at once, what a balancer knows
+    /// doubles with each snapshot.
+    pub(super) fn pull_snapshot(
+        &mut self,
+        from: SocketAddrV4,
+        ctx: &Context,
+        actions: &mut Vec<Action>,
+    ) {
+        if ctx.now_ms < self.next_snapshot_ms {
+            return;
+        }
+        self.next_snapshot_ms = ctx.now_ms + SNAPSHOT_INTERVAL_MS;
+        let from = BalancerAddress(from);
+        actions.push(Action::FetchSnapshot { from });
     }
 
     /// Probes a random member of each silent domain: after a cut both sides take each other to be
--- a/crates/basilstep-core/src/membership/sync.rs
+++ b/crates/basilstep-core/src/membership/sync.rs
@@ -97,18 +97,20 @@
     ) {
         let is_settling = self.is_settling(ctx.now_ms);
         let is_quiet = is_settling || ctx.now_ms >= self.last_news_ms + QUIET_MS;
-        if digest == self.table.digest() || !is_quiet || ctx.now_ms < self.next_sync_ms {
+        if digest == self.table.digest() {
+            return;
+        }
+        if is_settling && self.is_far_behind() {
+            self.pull_snapshot(from, ctx, actions);
+            return;
+        }
+        if !is_quiet || ctx.now_ms < self.next_sync_ms {
             return;
         }
         if !self.budget.is_open(ctx.now_ms) {
             return;
         }
-        let interval_ms = if is_settling {
-            self.settings.gossip_interval_ms
-        } else {
-            self.settings.sync_interval_ms
-        };
-        self.next_sync_ms = ctx.now_ms + interval_ms;
+        self.next_sync_ms = ctx.now_ms + self.settings.sync_interval_ms;
         self.counters.syncs += 1;
         let digests = self.table.digests();
         self.send_counted(from, MembershipMessage::Buckets { digests }, actions);
@@ -269,6 +271,7 @@
     /// greatest state of each member, so nothing has to be held back and applied afterwards.
     pub fn merge_snapshot(&mut self, snapshot: &Snapshot, ctx: &mut Context) -> Vec<Action> {
         let mut actions = Vec::new();
+        let known_before = self.known();
         for member in &snapshot.members {
             self.merge_snapshot_member(member, ctx, &mut actions);
         }
@@ -276,7 +279,7 @@
             let stamp_ms = evidence.stamp_ms(ctx.now_ms);
             self.take_domain(evidence.domain, evidence.silent, stamp_ms, &mut actions);
         }
-        self.finish_join();
+        self.finish_join(known_before);
         actions
     }
 
