feat(agent): relay overflow of an impaired target and ramp its placement

Cause: the flows of a cold or fallen target stay with its agent, so their requests were refused although other targets had room; and failures before anything was sent were taken as evidence against the target. The admission slice decides both; the shell now follows it, and placement sees the ramped weight. A cold target that is used up is not closed to new flows: when a whole service starts cold, its flows have to open somewhere.

--- a/crates/basilstep-agent/src/exchange/attempt.rs
+++ b/crates/basilstep-agent/src/exchange/attempt.rs
@@ -99,6 +99,15 @@
             refusal: None,
         }
     }
+
+    /// Returns what the attempt says about the target, if it got that far.
+    fn outcome(&self) -> Option<Outcome> {
+        match (self.failure, self.sent) {
+            (Failure::DeadlinePassed, true) => Some(Outcome::Slow),
+            (Failure::TargetLost, _) => Some(Outcome::TargetGone),
+            _ => None,
+        }
+    }
 }
 
 impl Attempt<'_> {
@@ -131,7 +140,10 @@
         let response = match result {
             Ok(response) => response,
             Err(failed) => {
-                slot.end(latency_ms, outcome_of(failed.failure));
+                // Only what the target did is evidence about it; dropping the slot cancels.
+                if let Some(outcome) = failed.outcome() {
+                    slot.end(latency_ms, outcome);
+                }
                 return Err(failed);
             }
         };
@@ -209,11 +221,12 @@
         if remaining_ms == 0 {
             return Err(Failed::unsent(Failure::DeadlinePassed));
         }
+        let not_sent = Failure::Refused(ResultCode::KeyInProgress);
         if self.dispatcher.permit_send(self.key) == SendPermit::DoNotSend {
-            return Err(Failed::unsent(Failure::TargetLost));
+            return Err(Failed::unsent(not_sent));
         }
         let Some(body) = body.take() else {
-            return Err(Failed::unsent(Failure::TargetLost));
+            return Err(Failed::unsent(not_sent));
         };
         let request = Request::from_parts(adapt(self.head.clone()), body);
         match timeout(Duration::from_millis(remaining_ms), upstream.send(request)).await {
@@ -276,13 +289,6 @@
     }
 }
 
-fn outcome_of(failure: Failure) -> Outcome {
-    match failure {
-        Failure::DeadlinePassed => Outcome::Slow,
-        _ => Outcome::TargetGone,
-    }
-}
-
 fn retry_after_ms(response: &Response<Incoming>) -> Option<u32> {
     let header = response.headers().get(header::RETRY_AFTER)?;
     let seconds: u32 = header.to_str().ok()?.parse().ok()?;
--- a/crates/basilstep-agent/src/exchange/dispatcher.rs
+++ b/crates/basilstep-agent/src/exchange/dispatcher.rs
@@ -149,6 +149,13 @@
         self.run_ended.notify_waiters();
     }
 
+    /// Tells whether the request of an attempt that was not run goes to another agent instead.
+    pub fn relays_overflow(&self, end: &AttemptEnd<'_>) -> bool {
+        let state = self.lock();
+        let is_impaired = state.admission.is_impaired();
+        state.requests.relays_overflow(end, is_impaired)
+    }
+
     /// Takes the end of an attempt without an answer.
     pub fn fail(&self, end: &AttemptEnd<'_>) -> AfterFailure {
         let after = {
@@ -220,10 +227,22 @@
                 Action::Queue { .. } | Action::AcceptConnection => {}
             }
         }
+        self.note_admission(&state.admission);
         self.wake_changed.notify_one();
         refusal
     }
 
+    /// Lets placement see what admission knows: a cold target counts for less.
+    fn note_admission(&self, admission: &Admission) {
+        let weight = admission.ramped_weight(self.shared.settings.target_weight);
+        // A cold target that is used up has the least weight already; when all targets of a
+        // service are cold, its flows still have to open somewhere.
+        let closed = admission
+            .closed()
+            .filter(|code| *code != ResultCode::Overloaded);
+        self.shared.note_admission(weight, closed);
+    }
+
     /// Returns the state of admission, for dumps.
     pub fn admission_view(&self) -> AdmissionView {
         self.lock().admission.view()
--- a/crates/basilstep-agent/src/exchange/run.rs
+++ b/crates/basilstep-agent/src/exchange/run.rs
@@ -177,7 +177,7 @@
 
     async fn attempt_until_final(
         mut self,
-        destination: Destination,
+        mut destination: Destination,
         recorded: bool,
     ) -> Response<AnswerBody> {
         let mut attempts = 0;
@@ -191,6 +191,10 @@
                 Ok(answered) => return self.pass_on(answered),
                 Err(failed) => failed,
             };
+            if self.overflows(failed, destination, recorded, attempts) {
+                destination = Destination::AnyPeer;
+                continue;
+            }
             match self.after(failed, destination, recorded, attempts) {
                 AfterFailure::RetryAfter { backoff_ms } => {
                     sleep(Duration::from_millis(backoff_ms)).await;
@@ -242,6 +246,20 @@
         })
     }
 
+    /// Tells whether another agent gets what the impaired target here did not run, once.
+    fn overflows(
+        &self,
+        failed: Failed,
+        destination: Destination,
+        recorded: bool,
+        attempts: u32,
+    ) -> bool {
+        let is_own = matches!(self.origin, Origin::Flow(_));
+        let is_first = matches!(destination, Destination::Target);
+        let end = self.end_of(failed, destination, recorded, attempts);
+        is_own && is_first && self.body.is_some() && self.dispatcher.relays_overflow(&end)
+    }
+
     fn after(
         &self,
         failed: Failed,
@@ -249,21 +267,31 @@
         recorded: bool,
         attempts: u32,
     ) -> AfterFailure {
+        let end = self.end_of(failed, destination, recorded, attempts);
+        self.dispatcher.fail(&end)
+    }
+
+    fn end_of(
+        &self,
+        failed: Failed,
+        destination: Destination,
+        recorded: bool,
+        attempts: u32,
+    ) -> AttemptEnd<'_> {
         let is_named = recorded || matches!(destination, Destination::Minter(_));
-        // A body that has been passed on in part cannot be sent again.
-        let attempts = if self.body.is_some() {
-            attempts
-        } else {
-            u32::MAX
-        };
-        self.dispatcher.fail(&AttemptEnd {
+        AttemptEnd {
             method: self.method,
             key: self.key.as_ref().filter(|_| is_named),
             sent: failed.sent,
             failure: failed.failure,
-            attempts,
+            // A body that has been passed on in part cannot be sent again.
+            attempts: if self.body.is_some() {
+                attempts
+            } else {
+                u32::MAX
+            },
             deadline_ms: self.deadline_ms,
-        })
+        }
     }
 
     fn remaining_ms(&self) -> u64 {
--- a/crates/basilstep-agent/src/shared.rs
+++ b/crates/basilstep-agent/src/shared.rs
@@ -86,11 +86,23 @@
     heard_version: AtomicU64,
     is_draining: AtomicBool,
     is_target_up: AtomicBool,
+    admission: Mutex<AdmissionHint>,
+}
+
+/// What admission tells placement.
+#[derive(Clone, Copy, Debug)]
+struct AdmissionHint {
+    weight: u8,
+    closed: Option<ResultCode>,
 }
 
 impl Shared {
     /// Creates the shared state with the first settings.
     pub fn new(settings: AgentSettings, clock: Clock, first: ServiceInForce, version: u64) -> Self {
+        let hint = AdmissionHint {
+            weight: settings.target_weight,
+            closed: None,
+        };
         let offers = RecentOffers::new(PlacementSettings::default(), &mut clock.context());
         Self {
             keys: NodeKeys::derive(&settings.common.cluster_key),
@@ -108,6 +120,7 @@
             heard_version: AtomicU64::new(version),
             is_draining: AtomicBool::new(false),
             is_target_up: AtomicBool::new(false),
+            admission: Mutex::new(hint),
         }
     }
 
@@ -173,15 +186,27 @@
 
     /// Returns what placement needs to know about this agent.
     pub fn own_load(&self) -> OwnLoad {
+        let hint = *self.lock_hint();
         OwnLoad {
             address: self.address(),
             flows: self.open_flows.load(Ordering::Relaxed),
             flow_limit: self.in_force().admission.connection_limit,
-            weight: self.settings.target_weight,
-            closed: self.closed(),
+            weight: hint.weight,
+            closed: self.closed().or(hint.closed),
         }
     }
 
+    /// Notes the weight of the target after a cold start, and why it takes no new flow, if so.
+    pub fn note_admission(&self, weight: u8, closed: Option<ResultCode>) {
+        *self.lock_hint() = AdmissionHint { weight, closed };
+    }
+
+    fn lock_hint(&self) -> MutexGuard<'_, AdmissionHint> {
+        self.admission
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Decides on a first packet of a new flow.
     pub fn decide_offer(&self, offered: &Offered<'_>) -> OfferDecision {
         let own = self.own_load();
--- a/crates/basilstep-core/src/membership/state.rs
+++ b/crates/basilstep-core/src/membership/state.rs
@@ -289,7 +289,7 @@
         }
         if is_alone {
             // Nobody has a view to hand over: the own one is the first.
-            self.finish_join();
+            self.needs_snapshot = false;
         }
         actions
     }
