--- a/crates/basilstep-bench/src/standins/caller/counts.rs
+++ b/crates/basilstep-bench/src/standins/caller/counts.rs
@@ -1,4 +1,4 @@
-use super::flow::Loss;
+use super::{super::now_ms, flow::Loss};
 use serde::{Deserialize, Serialize};
 use std::{
     collections::BTreeMap,
@@ -7,6 +7,7 @@
 };
 
 const MAX_REMARKS_OF_A_KIND: usize = 6;
+const SLOW_ANSWER_MS: u64 = 500;
 
 /// What callers have counted.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
@@ -70,6 +71,8 @@
     FlowNotOpened,
     /// An answer that did not come.
     AnswerLost,
+    /// An answer that took long.
+    AnswerSlow,
     /// An answer that was damaged or belongs to another request.
     AnswerWrong,
     /// A board that ended while its flow was alive.
@@ -126,7 +129,7 @@
     }
 
     /// Counts a lost flow.
-    pub fn lose_flow(&self, loss: &Loss, remark: String) {
+    pub fn lose_flow(&self, loss: &Loss, remark: &str) {
         self.count(|counts| match loss {
             Loss::GivenUp => counts.flows_given_up += 1,
             Loss::Broken => {
@@ -137,19 +140,23 @@
     }
 
     /// Counts the time that an answer took.
-    pub fn time_answer(&self, took: Duration) {
+    pub fn time_answer(&self, id: &str, took: Duration) {
+        let took_ms = took.as_millis() as u64;
         self.count(|counts| {
-            counts.slowest_answer_ms = counts.slowest_answer_ms.max(took.as_millis() as u64);
+            counts.slowest_answer_ms = counts.slowest_answer_ms.max(took_ms);
+            if took_ms > SLOW_ANSWER_MS {
+                counts.remark(Remark::AnswerSlow, &format!("{id}: {took_ms} ms"));
+            }
         });
     }
 }
 
 impl CallerCounts {
-    /// Keeps a remark for whoever looks into a failure.
-    pub fn remark(&mut self, kind: Remark, text: String) {
+    /// Keeps a remark with the time in ms since the epoch, as in the logs of the processes.
+    pub fn remark(&mut self, kind: Remark, text: &str) {
         let own = self.remarks.entry(kind).or_default();
         if own.len() < MAX_REMARKS_OF_A_KIND {
-            own.push(text);
+            own.push(format!("{}: {text}", now_ms()));
         }
     }
 
--- a/crates/basilstep-bench/src/standins/caller/operation.rs
+++ b/crates/basilstep-bench/src/standins/caller/operation.rs
@@ -126,7 +126,7 @@
             Ok(Err(error)) => return self.lose_answer(&error.to_string(), tally),
             Err(_) => return self.lose_answer("no answer in time", tally),
         };
-        tally.time_answer(began.elapsed());
+        tally.time_answer(&self.id, began.elapsed());
         if answer.ticket.is_some() {
             known.ticket.clone_from(&answer.ticket);
         }
@@ -210,7 +210,7 @@
                 let length = answer.body.len();
                 counts.remark(
                     Remark::AnswerWrong,
-                    format!("{}: wrong answer of {length} bytes", self.id),
+                    &format!("{}: wrong answer of {length} bytes", self.id),
                 );
             }
         });
@@ -225,7 +225,7 @@
             counts.target_errors += 1;
             counts.remark(
                 Remark::TargetError,
-                format!("{}: status {} without a code", self.id, answer.status),
+                &format!("{}: status {} without a code", self.id, answer.status),
             );
         });
         self.may_have_run = true;
@@ -239,7 +239,7 @@
         self.may_have_run = true;
         tally.count(|counts| {
             counts.answers_lost += 1;
-            counts.remark(Remark::AnswerLost, format!("{}: {why}", self.id));
+            counts.remark(Remark::AnswerLost, &format!("{}: {why}", self.id));
         });
         if self.attempts >= MAX_ATTEMPTS {
             return self.end(tally, false);
--- a/crates/basilstep-bench/src/standins/caller/session.rs
+++ b/crates/basilstep-bench/src/standins/caller/session.rs
@@ -158,7 +158,7 @@
                     let remark = format!("{}: flow not opened: {error}", self.settings.name);
                     self.tally.count(|counts| {
                         counts.flows_not_opened += 1;
-                        counts.remark(Remark::FlowNotOpened, remark);
+                        counts.remark(Remark::FlowNotOpened, &remark);
                     });
                     time::sleep(REOPEN_PAUSE).await;
                 }
@@ -205,7 +205,7 @@
         let loss = self.out.judge(target, &error);
         let name = &self.settings.name;
         let remark = format!("{name}: flow to {target:?} lost: {error}");
-        self.tally.lose_flow(&loss, remark);
+        self.tally.lose_flow(&loss, &remark);
     }
 
     /// Makes one operation after the other until the flow ends or the caller is stopped.
@@ -365,7 +365,7 @@
         let remark = format!("{}: board cut: {why}", self.settings.name);
         self.tally.count(|counts| {
             counts.boards_cut += 1;
-            counts.remark(Remark::BoardCut, remark);
+            counts.remark(Remark::BoardCut, &remark);
         });
     }
 }
