feat(ctl): show unserved records and the flows left in a domain that is out

The balancer's dump lists services that are well-formed and not served, and store_is_behind now follows the core: a store that has only forgotten its last removal is not behind. domain status asks the agents of a domain that is out how many flows they hold.

--- a/crates/basilstep-balancer/src/controller.rs
+++ b/crates/basilstep-balancer/src/controller.rs
@@ -192,8 +192,8 @@
         self.shared.clock.refresh(&mut self.environment);
         self.membership.on_store_answer(&self.environment);
         let reading = answer.0;
-        self.store_is_behind = reading.index < self.settings.version();
         let applied = self.settings.apply_reading(reading.index, reading.entries);
+        self.store_is_behind = self.settings.store_behind().is_some();
         for (path, outcome) in applied {
             log_applied(&path, &outcome);
         }
@@ -300,6 +300,7 @@
             settings_version: self.settings.version(),
             store_is_behind: self.store_is_behind,
             rejections: self.settings.rejections().clone(),
+            unserved: self.settings.unserved(),
             domains: self.settings.view().domains.clone(),
             watches_store: self.membership.is_store_watcher(now_ms),
             is_joined: self.membership.is_joined(),
@@ -322,6 +323,7 @@
     settings_version: u64,
     store_is_behind: bool,
     rejections: std::collections::BTreeMap<String, basilstep_core::settings::Rejection>,
+    unserved: std::collections::BTreeMap<String, basilstep_core::settings::Rejection>,
     domains: std::collections::BTreeMap<String, basilstep_core::settings::DomainRecord>,
     watches_store: bool,
     is_joined: bool,
--- a/crates/basilstep-ctl/src/commands/domain.rs
+++ b/crates/basilstep-ctl/src/commands/domain.rs
@@ -1,4 +1,4 @@
-use super::fleet::Fleet;
+use super::domain_status;
 use crate::{
     edit::{Editor, Found, Lock},
     error::CtlError,
@@ -89,7 +89,7 @@
                 let change = Change::new(&args.name, DomainState::In, false);
                 change.run(&ctl.open_editor()?).await
             }
-            DomainCommand::Status(args) => status(ctl, args.at).await,
+            DomainCommand::Status(args) => domain_status::run(ctl, args.at).await,
         }
     }
 }
@@ -239,35 +239,3 @@
     }
     Ok(domains)
 }
-
-async fn status(ctl: &Ctl, at: Option<SocketAddrV4>) -> Result<Report, CtlError> {
-    let fleet = Fleet::open(ctl)?;
-    let balancers = fleet.dump_balancers(ctl, at).await?;
-    let mut lines = Vec::new();
-    let mut domains = BTreeMap::new();
-    for balancer in &balancers.answered {
-        for (name, record) in &balancer.dump.control.domains {
-            let state: &mut Vec<_> = domains.entry(name.clone()).or_default();
-            let agents = balancer.dump.control.agents.iter();
-            state.push(json!({
-                "balancer": balancer.address,
-                "state": record.state,
-                "agents_known": agents.filter(|agent| agent.domain == record.id).count(),
-                "settings_version": balancer.dump.settings_version,
-            }));
-        }
-    }
-    for (name, states) in &domains {
-        lines.push(format!("{name}:"));
-        lines.extend(states.iter().map(|state| {
-            format!(
-                "  {} at {} (version {}, {} agents known)",
-                state["state"], state["balancer"], state["settings_version"], state["agents_known"]
-            )
-            .replace('"', "")
-        }));
-    }
-    lines.extend(balancers.unreachable_lines());
-    let result = json!({ "domains": domains, "unreachable": balancers.unreachable });
-    Ok(Report::with_lines(lines, result))
-}
--- a/crates/basilstep-ctl/src/commands/explain.rs
+++ b/crates/basilstep-ctl/src/commands/explain.rs
@@ -195,21 +195,32 @@
     let mut lines = Vec::new();
     let mut versions = Vec::new();
     for balancer in &balancers.answered {
-        let version = balancer.dump.settings_version;
-        let rejections = &balancer.dump.control.rejections;
+        let (version, control) = (balancer.dump.settings_version, &balancer.dump.control);
         lines.push(format!(
             "{} has version {version} in force",
             balancer.address
         ));
-        lines.extend(
-            rejections
-                .iter()
-                .map(|(path, why)| format!("  refused: {path}: {} {}", why["code"], why["reason"])),
-        );
+        if control.store_is_behind {
+            lines.push("  the store holds older settings, which are not taken".to_owned());
+        }
+        for (path, why) in &control.rejections {
+            lines.push(format!(
+                "  refused: {path}: {} {}",
+                why["code"], why["reason"]
+            ));
+        }
+        for (path, why) in &control.unserved {
+            lines.push(format!(
+                "  not served: {path}: {} {}",
+                why["code"], why["reason"]
+            ));
+        }
         versions.push(json!({
             "balancer": balancer.address,
             "version": version,
-            "rejections": rejections,
+            "store_is_behind": control.store_is_behind,
+            "rejections": control.rejections,
+            "unserved": control.unserved,
         }));
     }
     lines.extend(balancers.unreachable_lines());
--- a/crates/basilstep-ctl/src/commands/fleet.rs
+++ b/crates/basilstep-ctl/src/commands/fleet.rs
@@ -37,7 +37,9 @@
 #[serde(default)]
 pub struct BalancerControl {
     pub domains: BTreeMap<String, DomainRecord>,
+    pub store_is_behind: bool,
     pub rejections: BTreeMap<String, Value>,
+    pub unserved: BTreeMap<String, Value>,
     pub agents: Vec<KnownAgent>,
     pub balancers: Vec<SocketAddrV4>,
 }
@@ -59,6 +61,7 @@
     pub target: Value,
     pub target_up: bool,
     pub draining: bool,
+    pub open_flows: u64,
 }
 
 /// A process that answered.
--- a/crates/basilstep-ctl/src/commands/mod.rs
+++ b/crates/basilstep-ctl/src/commands/mod.rs
@@ -2,6 +2,7 @@
 
 mod certificate;
 mod domain;
+mod domain_status;
 mod explain;
 mod fleet;
 mod keys;
--- a/crates/basilstep-ctl/src/error.rs
+++ b/crates/basilstep-ctl/src/error.rs
@@ -53,6 +53,10 @@
 
 impl From<ControlError> for CtlError {
     fn from(error: ControlError) -> Self {
-        Self::new(error.code(), error.to_string())
+        let message = match &error {
+            ControlError::Unreachable { address, reason } => format!("{address}: {reason}"),
+            ControlError::Refused { address, .. } => format!("{address} refuses"),
+        };
+        Self::new(error.code(), message)
     }
 }
