--- a/crates/basilstep-bench/src/load/membership/fleet.rs
+++ b/crates/basilstep-bench/src/load/membership/fleet.rs
@@ -6,8 +6,9 @@
     context::Context,
     membership::{
         Action, AgentPhase, AgentRecord, Announcer, BalancerRecord, MemberRecord, Membership,
-        MembershipMessage, MembershipSettings, Snapshot, SnapshotMember,
+        MembershipMessage, MembershipSettings, SettingsDelta, Snapshot, SnapshotMember,
     },
+    settings::Entry,
 };
 use rand::RngExt;
 use std::{
@@ -100,6 +101,8 @@
     pub nodes: Vec<Node>,
     /// The current run of each member.
     pub incarnations: Vec<u32>,
+    /// The settings version in force at each member.
+    pub versions: Vec<u64>,
     /// What was sent and received.
     pub traffic: Traffic,
     /// The views that changed since they were last looked at.
@@ -142,6 +145,7 @@
             ctx,
             nodes: vec![Node::Stopped; count],
             incarnations: vec![1; count],
+            versions: vec![0; count],
             traffic: Traffic::new(shape.balancers, shape.agents, START_MS),
             changed: Vec::new(),
             is_cut: false,
@@ -379,11 +383,52 @@
                     balancer: by,
                     service,
                 }),
-                _ => {}
+                Action::FetchSettings { from, .. } => {
+                    let request = self.settings_request(by);
+                    self.send(by, Self::index(from), request);
+                }
+                Action::ServeSettings {
+                    to, above_version, ..
+                } => {
+                    let delta = self.settings_delta(by, above_version);
+                    self.send(by, Self::index(to), MembershipMessage::Settings(delta));
+                }
+                Action::ApplySettings { delta } => self.apply_settings(by, delta.version),
+                Action::BalancersChanged | Action::FetchSettingsOverTcp { .. } => {}
             }
         }
     }
 
+    fn settings_request(&self, by: usize) -> MembershipMessage {
+        MembershipMessage::PullSettings {
+            above_version: self.versions[by],
+            service: self.record(by).service(),
+        }
+    }
+
+    fn settings_delta(&self, by: usize, above_version: u64) -> SettingsDelta {
+        let entry = Entry {
+            path: "teams/hanbit/services/quotes".to_owned(),
+            version: self.versions[by],
+            value: Some("x".repeat(SERVICE_RECORD_BYTES)),
+        };
+        SettingsDelta {
+            base_version: above_version,
+            version: self.versions[by],
+            entries: vec![entry],
+        }
+    }
+
+    /// Puts a settings version in force at a member.
+    pub fn apply_settings(&mut self, member: usize, version: u64) {
+        self.versions[member] = version;
+        match &mut self.nodes[member] {
+            Node::Balancer(balancer) => balancer.set_settings_version(version),
+            Node::Agent(agent) => agent.set_settings_version(version),
+            Node::Stopped => {}
+        }
+    }
+
     fn send(&mut self, from: usize, to: usize, message: MembershipMessage) {
         self.traffic
             .send(from, message.network_bytes(), Role::of(&message));
@@ -419,6 +464,9 @@
     }
 }
 
+/// The size of the record of a service.
+const SERVICE_RECORD_BYTES: usize = 300;
+
 /// The encoded size of a member in a snapshot.
 const SNAPSHOT_MEMBER_BYTES: usize = 20;
 
--- a/crates/basilstep-bench/src/load/membership/mod.rs
+++ b/crates/basilstep-bench/src/load/membership/mod.rs
@@ -1,9 +1,9 @@
 //! The `membership` experiment: the decision core at the target size in virtual time.
 
-mod fleet;
+pub(super) mod fleet;
 mod observe;
 mod scenarios;
-mod traffic;
+pub(super) mod traffic;
 
 use super::{
     LoadArgs, Report,
--- a/crates/basilstep-core/src/membership/receive.rs
+++ b/crates/basilstep-core/src/membership/receive.rs
@@ -182,7 +182,7 @@
             self.on_domain_evidence(*evidence, ctx, actions);
         }
         for record in &gossip.records {
-            if self.is_settling(ctx.now_ms) {
+            if self.is_incomplete(ctx.now_ms) {
                 self.learn_record(*record, ctx, actions);
             } else {
                 self.take_record(*record, ctx, actions);
--- a/crates/basilstep-core/src/membership/spread.rs
+++ b/crates/basilstep-core/src/membership/spread.rs
@@ -34,7 +34,7 @@
     /// Returns how often one item is passed on; comparisons of views repair the rest.
     pub(super) fn sends_per_item(&self, now_ms: u64) -> u8 {
         let settings = &self.settings;
-        if self.is_settling(now_ms) {
+        if self.is_incomplete(now_ms) {
             settings.settling_sends_per_item
         } else if self.rumours.has_much() {
             settings.busy_sends_per_item
--- a/crates/basilstep-core/src/membership/state.rs
+++ b/crates/basilstep-core/src/membership/state.rs
@@ -351,9 +351,9 @@
         self.dry_snapshots = if is_dry { self.dry_snapshots + 1 } else { 0 };
     }
 
-    /// Tells whether the last snapshots still brought many members.
-    pub(super) fn is_far_behind(&self) -> bool {
-        self.dry_snapshots < DRY_SNAPSHOTS
+    /// Tells whether this balancer has joined lately and snapshots still brought many members.
+    pub(super) fn is_incomplete(&self, now_ms: u64) -> bool {
+        self.is_settling(now_ms) && self.dry_snapshots < DRY_SNAPSHOTS
     }
 
     /// Gets a peer's whole view, at a bounded rate: when all join at once, what a balancer knows
--- a/crates/basilstep-core/src/membership/sync.rs
+++ b/crates/basilstep-core/src/membership/sync.rs
@@ -95,12 +95,11 @@
         ctx: &Context,
         actions: &mut Vec<Action>,
     ) {
-        let is_settling = self.is_settling(ctx.now_ms);
-        let is_quiet = is_settling || ctx.now_ms >= self.last_news_ms + QUIET_MS;
+        let is_quiet = ctx.now_ms >= self.last_news_ms + QUIET_MS;
         if digest == self.table.digest() {
             return;
         }
-        if is_settling && self.is_far_behind() {
+        if self.is_incomplete(ctx.now_ms) {
             self.pull_snapshot(from, ctx, actions);
             return;
         }
