fix(domains): bridge the time in which balancers differ on a domain

Three balancers had the domain back and placed new flows there, the fourth got the change 60 ms later and answered those flows' packets with stateless resets. Also, each answer lost when a domain left was cut by a balancer's reset; no caller saw the agents' close code 301, since balancers dropped the packets by which the agents would have heard of the change.

Change: a balancer takes a domain through phases. Taken out: 500 ms in which open flows still get packets, so that their agents close them with 301, then resets for 20 s, then silence. Brought back: no new flows for 3 s.

The tests in domains/tests.rs fail with all three times switched off (6 of 9 failed).

--- a/crates/basilstep-balancer/src/controller.rs
+++ b/crates/basilstep-balancer/src/controller.rs
@@ -4,6 +4,7 @@
 use basilstep_core::{
     address::{AgentAddress, BalancerAddress, DomainId, Incarnation, ServiceId},
     context::Context as Environment,
+    domains::{DomainPhases, DomainSettings, DomainTracker},
     membership::{
         Action, AgentPhase, BalancerRecord, Membership, MembershipMessage, MembershipSettings,
         SettingsDelta, Snapshot,
@@ -31,6 +32,8 @@
     environment: Environment,
     settings: SettingsState,
     membership: Membership,
+    domains: DomainTracker,
+    phases: DomainPhases,
     own: Option<Address<Self>>,
     is_table_outdated: bool,
     store_is_behind: bool,
@@ -91,6 +94,8 @@
         listeners: parts.listeners,
         carrier: parts.carrier,
         environment,
+        domains: DomainTracker::new(DomainSettings::default(), parts.settings.view().out),
+        phases: DomainPhases::default(),
         settings: parts.settings,
         membership,
         own: None,
@@ -430,12 +435,15 @@
     }
 
     fn refresh_table(&mut self) {
-        if !self.is_table_outdated {
+        let now_ms = self.shared.clock.now_ms();
+        let view = self.settings.view();
+        self.domains.update(view.out, now_ms);
+        let phases = self.domains.phases(now_ms);
+        if !self.is_table_outdated && phases == self.phases {
             return;
         }
         self.is_table_outdated = false;
-        let now_ms = self.shared.clock.now_ms();
-        let view = self.settings.view();
+        self.phases = phases;
         let records: Vec<_> = view
             .services
             .keys()
@@ -450,7 +458,7 @@
                 incarnation: agent.incarnation,
             })
             .collect();
-        let table = SteeringTable::build(view, &records, &dead);
+        let table = SteeringTable::build_at(view, phases, &records, &dead);
         self.shared.put_in_force(table, self.settings.version());
     }
 
--- a/crates/basilstep-core/src/settings/view.rs
+++ b/crates/basilstep-core/src/settings/view.rs
@@ -17,6 +17,17 @@
         self.0[usize::from(domain.0 / 64)] |= 1 << (domain.0 % 64);
     }
 
+    /// Takes a domain away.
+    pub fn remove(&mut self, domain: DomainId) {
+        self.0[usize::from(domain.0 / 64)] &= !(1 << (domain.0 % 64));
+    }
+
+    /// Returns the domains that are in either set.
+    #[must_use]
+    pub fn union(self, other: Self) -> Self {
+        Self(std::array::from_fn(|word| self.0[word] | other.0[word]))
+    }
+
     /// Tells whether a domain is in the set.
     pub fn contains(&self, domain: DomainId) -> bool {
         self.0[usize::from(domain.0 / 64)] >> (domain.0 % 64) & 1 == 1
--- a/crates/basilstep-core/src/steering/steer.rs
+++ b/crates/basilstep-core/src/steering/steer.rs
@@ -5,6 +5,7 @@
 use crate::{
     address::{AgentAddress, ServiceId},
     codes::ResultCode,
+    domains::DomainPhase,
     token::{FlowToken, TOKEN_BYTES},
     wire::Leg,
 };
@@ -60,8 +61,10 @@
         if token.service != service {
             return Steer::Drop(ResultCode::ForeignService);
         }
-        if self.out.contains(token.domain) {
-            return end_flow(header, ResultCode::TokenDomainOut);
+        match self.domains.of(token.domain) {
+            DomainPhase::Serving | DomainPhase::Held | DomainPhase::Closing => {}
+            DomainPhase::Resetting => return end_flow(header, ResultCode::TokenDomainOut),
+            DomainPhase::Out => return Steer::Drop(ResultCode::TokenDomainOut),
         }
         if self.is_dead(token) {
             return end_flow(header, ResultCode::TargetDead);
--- a/crates/basilstep-core/src/steering/table.rs
+++ b/crates/basilstep-core/src/steering/table.rs
@@ -1,5 +1,6 @@
 use crate::{
     address::{AgentAddress, Incarnation, ServiceId},
+    domains::DomainPhases,
     membership::AgentRecord,
     placement::ServiceTargets,
     settings::{DomainSet, SettingsView},
@@ -15,7 +16,7 @@
 pub struct SteeringTable {
     #[serde(skip)]
     pub(super) flow_keys: Option<FlowKeys>,
-    pub(super) out: DomainSet,
+    pub(super) domains: DomainPhases,
     pub(super) services: BTreeMap<ServiceId, ServiceTargets>,
     dead: BTreeMap<AgentAddress, Incarnation>,
 }
@@ -30,17 +31,27 @@
 }
 
 impl SteeringTable {
-    /// Builds a snapshot from the settings in force, the agents' records and the runs of agents
-    /// that are known to have ended.
+    /// Builds a snapshot in which the domains that are out have been so for a while.
     pub fn build(view: &SettingsView, records: &[AgentRecord], dead: &[DeadAgent]) -> Self {
+        Self::build_at(view, DomainPhases::resetting(view.out), records, dead)
+    }
+
+    /// Builds a snapshot from the settings in force, the phases of the domains, the agents'
+    /// records and the runs of agents that are known to have ended.
+    pub fn build_at(
+        view: &SettingsView,
+        domains: DomainPhases,
+        records: &[AgentRecord],
+        dead: &[DeadAgent],
+    ) -> Self {
         let dead: BTreeMap<_, _> = dead
             .iter()
             .map(|agent| (agent.address, agent.incarnation))
             .collect();
         Self {
             flow_keys: view.flow_keys,
-            out: view.out,
-            services: arrange_services(view, &living(records, &dead)),
+            domains,
+            services: arrange_services(view, &domains.without_new_flows(), &living(records, &dead)),
             dead,
         }
     }
@@ -76,13 +87,14 @@
 
 fn arrange_services(
     view: &SettingsView,
+    without_new_flows: &DomainSet,
     living: &BTreeMap<ServiceId, Vec<AgentRecord>>,
 ) -> BTreeMap<ServiceId, ServiceTargets> {
     view.services
         .keys()
         .map(|service| {
             let records = living.get(service).map_or(&[][..], Vec::as_slice);
-            let targets = ServiceTargets::arrange(*service, records, &view.out);
+            let targets = ServiceTargets::arrange(*service, records, without_new_flows);
             (*service, targets)
         })
         .collect()
