perf(store): read only the subtrees that changed

Cause: each change made a watcher read the whole tree.

Now a listing of the top level wakes the watch, listings with the mode consistent lead to what changed, and the result counts only when the index of the tree is the same before and after; else the tree is read whole, as at the start, after any failure, when the index went back, and every 6 hours. Trees of up to 500 records are read whole as before.

The two cases of a removed last child failed without the rule for what is no longer listed (seen by taking the rule out).

--- a/crates/basilstep-balancer/src/controller.rs
+++ b/crates/basilstep-balancer/src/controller.rs
@@ -197,7 +197,7 @@
         self.shared.clock.refresh(&mut self.environment);
         self.membership.on_store_answer(&self.environment);
         let reading = answer.0;
-        let applied = self.settings.apply_reading(reading.index, reading.entries);
+        let applied = reading.apply_to(&mut self.settings);
         self.store_is_behind = self.settings.store_behind().is_some();
         for (path, outcome) in applied {
             log_applied(&path, &outcome);
--- a/crates/basilstep-bench/src/standins/store.rs
+++ b/crates/basilstep-bench/src/standins/store.rs
@@ -1,6 +1,7 @@
 //! Stands in for the platform's key-value service: a subset of the published Consul HTTP API.
 //!
-//! `GET|PUT|DELETE /v1/kv/<key>` with `recurse`, `raw`, `index`, `wait`, `cas` and `acquire`;
+//! `GET|PUT|DELETE /v1/kv/<key>` with `recurse`, `keys`, `separator`, `raw`, `index`, `wait`, `cas`
+//! and `acquire`;
 //! `PUT /v1/session/create`, `/v1/session/renew/<id>` and `/v1/session/destroy/<id>`. Besides,
 //! `POST /admin/fault/<name>` (`?off` ends it, `?delay_ms=` sets a delay) and `GET /admin/counts`.
 
--- a/crates/basilstep-bench/src/standins/store/data.rs
+++ b/crates/basilstep-bench/src/standins/store/data.rs
@@ -2,9 +2,13 @@
 
 use super::Fault;
 use base64::{Engine, prelude::BASE64_STANDARD};
+use reqwest::Url;
 use serde::Serialize;
 use serde_json::{Value, json};
-use std::{collections::BTreeMap, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 use tokio::time::Instant;
 
 const DEFAULT_WAIT_MS: u64 = 300_000;
@@ -207,10 +211,14 @@
             .map(|(_, record)| record.modify_index)
             .chain(removed)
             .max();
-        let entries = found
-            .into_iter()
-            .map(|(key, record)| record.to_json(key))
-            .collect();
+        let entries = if query.has("keys") {
+            query.cut_keys(found.into_iter().map(|(key, _)| key))
+        } else {
+            found
+                .into_iter()
+                .map(|(key, record)| record.to_json(key))
+                .collect()
+        };
         (newest.unwrap_or(self.index), entries)
     }
 }
@@ -240,19 +248,29 @@
 impl Query {
     /// Reads the query string of a request for `key`.
     pub(super) fn parse(key: &str, query: Option<&str>) -> Self {
-        let parameters: BTreeMap<String, String> = query
-            .unwrap_or_default()
-            .split('&')
-            .map(|pair| pair.split_once('=').unwrap_or((pair, "")))
-            .map(|(name, value)| (name.to_owned(), value.to_owned()))
-            .collect();
+        let url = format!("http://store/?{}", query.unwrap_or_default());
+        let parameters: BTreeMap<String, String> = Url::parse(&url)
+            .map(|url| url.query_pairs().into_owned().collect())
+            .unwrap_or_default();
         Self {
             key: key.to_owned(),
-            recurse: parameters.contains_key("recurse"),
+            recurse: parameters.contains_key("recurse") || parameters.contains_key("keys"),
             parameters,
         }
     }
 
+    /// Cuts keys after the first separator that follows the prefix, and lists each once.
+    fn cut_keys<'a>(&self, keys: impl Iterator<Item = &'a String>) -> Vec<Value> {
+        let separator = self.parameters.get("separator").map_or("", String::as_str);
+        let cut: BTreeSet<&str> = keys
+            .map(|key| match key[self.key.len()..].find(separator) {
+                Some(at) if !separator.is_empty() => &key[..=self.key.len() + at],
+                _ => key.as_str(),
+            })
+            .collect();
+        cut.into_iter().map(Value::from).collect()
+    }
+
     fn matches(&self, key: &str) -> bool {
         key == self.key || self.recurse && key.starts_with(&self.key)
     }
--- a/crates/basilstep-bench/tests/store_contract.rs
+++ b/crates/basilstep-bench/tests/store_contract.rs
@@ -1,10 +1,10 @@
 //! The contract of the store's client, held against the stand-in with its faults.
 
 use basilstep_bench::standins::store::{Fault, StoreStandIn, WriteToken};
-use basilstep_core::codes::ResultCode;
+use basilstep_core::{codes::ResultCode, crypto::ClusterKey, settings::SettingsState};
 use basilstep_node::store::{
     BALANCERS_PREFIX, ConsulStore, LeaseSettings, Reading, Renewal, SETTINGS_PREFIX, Store,
-    StoreError, StoreSettings, WriteOutcome, put_lease, spawn_watch,
+    StoreError, StoreSettings, WatchHandle, WriteOutcome, put_lease, spawn_watch,
 };
 use rstest::rstest;
 use std::{net::Ipv4Addr, time::Duration};
@@ -235,3 +235,89 @@
     let renewal = store.renew_session(lease.session()).await.unwrap();
     assert_eq!(renewal, Renewal::Lapsed);
 }
+
+/// A watch that reads by subtrees from the first change on.
+fn subtree_settings() -> StoreSettings {
+    StoreSettings {
+        whole_limit_records: 0,
+        ..short_settings()
+    }
+}
+
+async fn follow(watch: &mut WatchHandle, state: &mut SettingsState, version: u64) {
+    while state.version() < version {
+        watch.next().await.unwrap().apply_to(state);
+    }
+}
+
+fn paths_of(state: &SettingsState) -> Vec<&str> {
+    let live = state.entries().filter(|entry| entry.value.is_some());
+    live.map(|entry| entry.path.as_str()).collect()
+}
+
+#[tokio::test]
+async fn change_is_read_without_the_subtrees_that_stay_the_same() {
+    let server = stand_in(&[]).await;
+    let store = client(&server, None);
+    for team in ["a", "b"] {
+        server.put(&format!("basilstep/teams/{team}/notes/x"), "one");
+    }
+    server.put(KEY, "malformed");
+    let mut watch = spawn_watch(store.clone(), SETTINGS_PREFIX, subtree_settings());
+    assert_eq!(watch.next().await.unwrap().subtrees, None);
+    server.put("basilstep/teams/b/notes/x", "two");
+    let reading = watch.next().await.unwrap();
+    assert_eq!(values(&reading), [("teams/b/notes/x", 5, "two")]);
+    assert_eq!(reading.index, 5);
+}
+
+#[rstest]
+#[case::one_record("teams/a/notes/x", &["domains/alder", "teams/a/notes/y", "teams/b/notes/x"])]
+#[case::last_of_its_team("teams/b/notes/x", &["domains/alder", "teams/a/notes/x", "teams/a/notes/y"])]
+#[case::last_of_its_kind("domains/alder", &["teams/a/notes/x", "teams/a/notes/y", "teams/b/notes/x"])]
+#[tokio::test]
+async fn removal_is_seen_by_subtrees(#[case] removed: &str, #[case] left: &[&str]) {
+    let server = stand_in(&[]).await;
+    let store = client(&server, None);
+    for path in ["teams/a/notes/x", "teams/a/notes/y", "teams/b/notes/x"] {
+        server.put(&format!("{SETTINGS_PREFIX}{path}"), "one");
+    }
+    server.put(KEY, r#"{"id":1,"state":"in"}"#);
+    let mut state = SettingsState::new(ClusterKey::new([1; 32]));
+    let mut watch = spawn_watch(store.clone(), SETTINGS_PREFIX, subtree_settings());
+    follow(&mut watch, &mut state, 5).await;
+    let key = format!("{SETTINGS_PREFIX}{removed}");
+    let version = store.read(&key).await.unwrap().unwrap().version;
+    store.delete(&key, version).await.unwrap();
+    follow(&mut watch, &mut state, 6).await;
+    assert_eq!(paths_of(&state), left);
+}
+
+#[tokio::test]
+async fn tree_is_read_whole_after_an_outage() {
+    let server = stand_in(&[]).await;
+    let store = client(&server, None);
+    server.put(KEY, "one");
+    let mut watch = spawn_watch(store.clone(), SETTINGS_PREFIX, subtree_settings());
+    watch.next().await.unwrap();
+    server.set_fault(Fault::Down, true);
+    while watch.status().failure.is_none() {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    server.put(KEY, "two");
+    server.set_fault(Fault::Down, false);
+    assert_eq!(watch.next().await.unwrap().subtrees, None);
+}
+
+#[tokio::test]
+async fn tree_whose_index_went_back_is_read_whole() {
+    let server = stand_in(&[]).await;
+    let store = client(&server, None);
+    server.put(KEY, "one");
+    server.put(KEY, "two");
+    let mut watch = spawn_watch(store.clone(), SETTINGS_PREFIX, subtree_settings());
+    assert_eq!(watch.next().await.unwrap().index, 3);
+    server.restore_empty(2);
+    let reading = watch.next().await.unwrap();
+    assert_eq!((reading.index, reading.subtrees), (2, None));
+}
--- a/crates/basilstep-core/src/settings/mod.rs
+++ b/crates/basilstep-core/src/settings/mod.rs
@@ -20,5 +20,5 @@
     AddressClaim, CertificateRecord, DomainRecord, DomainState, FlowKeysRecord, IdClaim,
     SealedFlowKey, ServiceRecord, WriteStamp,
 };
-pub use state::{Applied, Entry, Rejection, SettingsState};
+pub use state::{Applied, Entry, Rejection, SettingsState, Subtree};
 pub use view::{DomainSet, ServiceView, SettingsView};
--- a/crates/basilstep-core/src/settings/state.rs
+++ b/crates/basilstep-core/src/settings/state.rs
@@ -7,7 +7,7 @@
 };
 use crate::{codes::ResultCode, crypto::ClusterKey};
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// One record of the store with the version that the store gave it.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -28,6 +28,27 @@
     }
 }
 
+/// A part of the store that was read at one moment.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Subtree {
+    /// What the paths in it start with.
+    pub prefix: String,
+    /// The store's index for the prefix.
+    pub index: u64,
+    /// The parts of it that were there and were not read with it.
+    pub except: Vec<String>,
+}
+
+impl Subtree {
+    /// Tells whether a record that was not read is no longer there.
+    fn has_removed(&self, path: &str, version: u64) -> bool {
+        let mut except = self.except.iter();
+        version < self.index
+            && path.starts_with(&self.prefix)
+            && !except.any(|part| path.starts_with(part))
+    }
+}
+
 /// Why a record is not in force.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize)]
 pub struct Rejection {
@@ -181,6 +202,27 @@
         self.apply_whole(index, entries)
     }
 
+    /// Takes the subtrees of the store that changed, all as they were at `index`.
+    ///
+    /// A path of a subtree that is missing has been removed.
+    pub fn apply_subtrees(
+        &mut self,
+        index: u64,
+        subtrees: &[Subtree],
+        entries: Vec<Entry>,
+    ) -> Vec<(String, Applied)> {
+        if index < self.version {
+            return Vec::new();
+        }
+        self.store_behind = None;
+        let removals = self.missing_from(&entries, |path, slot| {
+            let mut subtrees = subtrees.iter();
+            let subtree = subtrees.find(|subtree| subtree.has_removed(path, slot.version()))?;
+            Some(subtree.index)
+        });
+        self.take_complete(index, entries, removals)
+    }
+
     /// Returns what a peer at `above_version` needs, as the version it must have and the entries.
     ///
     /// The version is 0 when removals since then are not known: the entries are then whole.
@@ -212,38 +254,50 @@
             return self.apply_whole(version, entries);
         }
         entries.retain(|entry| entry.version > self.version);
-        let known_version = self.version;
-        self.take_complete(version, entries, |slot| slot.version() > known_version)
+        let removals = self.missing_from(&entries, |_, slot| {
+            let is_covered = slot.version() > self.version && slot.version() < version;
+            is_covered.then_some(version)
+        });
+        self.take_complete(version, entries, removals)
     }
 
     fn apply_whole(&mut self, index: u64, entries: Vec<Entry>) -> Vec<(String, Applied)> {
-        self.take_complete(index, entries, |_| true)
+        let removals = self.missing_from(&entries, |_, slot| {
+            (slot.version() < index).then_some(index)
+        });
+        self.take_complete(index, entries, removals)
     }
 
-    /// Takes entries that are all there are at `index` of the slots that `covers` selects.
+    /// Returns a removal for each record that `removed_at` gives a version and `entries` lack.
+    fn missing_from(
+        &self,
+        entries: &[Entry],
+        removed_at: impl Fn(&str, &Slot) -> Option<u64>,
+    ) -> Vec<Entry> {
+        let present: BTreeSet<&str> = entries.iter().map(|entry| entry.path.as_str()).collect();
+        self.slots
+            .iter()
+            .filter(|(path, slot)| slot.is_live() && !present.contains(path.as_str()))
+            .filter_map(|(path, slot)| {
+                Some(Entry {
+                    path: path.clone(),
+                    version: removed_at(path, slot)?,
+                    value: None,
+                })
+            })
+            .collect()
+    }
+
+    /// Takes entries and removals after which all changes up to `version` are known.
     fn take_complete(
         &mut self,
-        index: u64,
-        entries: Vec<Entry>,
-        covers: impl Fn(&Slot) -> bool,
+        version: u64,
+        mut entries: Vec<Entry>,
+        removals: Vec<Entry>,
     ) -> Vec<(String, Applied)> {
-        let mut removed: BTreeMap<String, u64> = self
-            .slots
-            .iter()
-            .filter(|(_, slot)| covers(slot) && slot.is_live() && slot.version() < index)
-            .map(|(path, _)| (path.clone(), index))
-            .collect();
-        for entry in &entries {
-            removed.remove(&entry.path);
-        }
-        let removals = removed.into_iter().map(|(path, version)| Entry {
-            path,
-            version,
-            value: None,
-        });
-        let all = entries.into_iter().chain(removals).collect();
-        let applied = self.take_all(all);
-        self.reach(index);
+        entries.extend(removals);
+        let applied = self.take_all(entries);
+        self.reach(version);
         applied
     }
 
--- a/crates/basilstep-core/src/settings/tests/invariants.rs
+++ b/crates/basilstep-core/src/settings/tests/invariants.rs
@@ -1,7 +1,7 @@
 //! Random histories of a store, read whole or stale and handed from process to process.
 
 use super::builders::{domain_json, state};
-use crate::settings::{DomainState, Entry, SettingsState};
+use crate::settings::{DomainState, Entry, SettingsState, Subtree};
 use proptest::{
     collection::vec,
     prelude::{Strategy, prop_oneof},
@@ -18,6 +18,7 @@
     Write { path: usize, is_good: bool },
     Remove { path: usize },
     Read { replica: usize, lag: usize },
+    ReadSubtrees { replica: usize, lag: usize },
     HandOver { from: usize, to: usize },
     Gossip { from: usize, to: usize, path: usize },
     Restart { replica: usize },
@@ -28,6 +29,8 @@
         4 => (0..PATHS, 0..4_u8).prop_map(|(path, kind)| Op::Write { path, is_good: kind > 0 }),
         2 => (0..PATHS).prop_map(|path| Op::Remove { path }),
         3 => (0..REPLICAS, 0..4_usize).prop_map(|(replica, lag)| Op::Read { replica, lag }),
+        3 => (0..REPLICAS, 0..4_usize)
+            .prop_map(|(replica, lag)| Op::ReadSubtrees { replica, lag }),
         3 => (0..REPLICAS, 0..REPLICAS).prop_map(|(from, to)| Op::HandOver { from, to }),
         2 => (0..REPLICAS, 0..REPLICAS, 0..PATHS)
             .prop_map(|(from, to, path)| Op::Gossip { from, to, path }),
@@ -66,6 +69,7 @@
                 let entries = self.history[index].values().cloned().collect();
                 self.replicas[replica].apply_reading(index as u64, entries);
             }
+            Op::ReadSubtrees { replica, lag } => self.read_subtrees(replica, lag),
             Op::HandOver { from, to } => self.hand_over(from, to),
             Op::Gossip { from, to, path } => {
                 let path = path_of(path);
@@ -79,6 +83,37 @@
         }
     }
 
+    /// Lists the paths, then reads those that changed.
+    fn read_subtrees(&mut self, replica: usize, lag: usize) {
+        let read_at = (self.history.len() - 1).saturating_sub(lag).max(1);
+        let history = &self.history[..=read_at];
+        let index = (0..PATHS).map(|path| last_change(history, &path_of(path)));
+        let index = index.max().unwrap_or(0);
+        let state = &mut self.replicas[replica];
+        if state.version() == 0 || index <= state.version() {
+            return;
+        }
+        let listed: Vec<String> = history[read_at].keys().cloned().collect();
+        let mut subtrees = vec![Subtree {
+            prefix: "domains/".to_owned(),
+            index,
+            except: listed.clone(),
+        }];
+        let mut entries = Vec::new();
+        for prefix in listed {
+            let changed_at = last_change(history, &prefix);
+            if changed_at > state.version() {
+                entries.extend(history[read_at].get(&prefix).cloned());
+                subtrees.push(Subtree {
+                    prefix,
+                    index: changed_at,
+                    except: Vec::new(),
+                });
+            }
+        }
+        state.apply_subtrees(index, &subtrees, entries);
+    }
+
     fn write(&mut self, path: usize, is_good: bool) {
         let path = path_of(path);
         let mut next = self.history[self.history.len() - 1].clone();
@@ -130,6 +165,12 @@
     }
 }
 
+fn last_change(history: &[BTreeMap<String, Entry>], path: &str) -> u64 {
+    let steps = history.windows(2).enumerate();
+    let mut changed = steps.filter(|(_, pair)| pair[0].get(path) != pair[1].get(path));
+    changed.next_back().map_or(0, |(at, _)| at as u64 + 1)
+}
+
 fn path_of(path: usize) -> String {
     format!("domains/d{path}")
 }
--- a/crates/basilstep-ctl/src/edit/tests.rs
+++ b/crates/basilstep-ctl/src/edit/tests.rs
@@ -1,6 +1,8 @@
 use super::{Editor, Write, difference};
 use basilstep_core::{codes::ResultCode, settings::WriteStamp};
-use basilstep_node::store::{Reading, Record, Renewal, SessionId, Store, StoreError, WriteOutcome};
+use basilstep_node::store::{
+    Listing, Reading, Record, Renewal, SessionId, Store, StoreError, WriteOutcome,
+};
 use rstest::rstest;
 use serde::Serialize;
 use serde_json::json;
@@ -88,6 +90,14 @@
         Ok(Reading::default())
     }
 
+    async fn list(&self, _: &str) -> Result<Listing, StoreError> {
+        Ok(Listing::default())
+    }
+
+    async fn watch_list(&self, _: &str, _: u64) -> Result<Listing, StoreError> {
+        Ok(Listing::default())
+    }
+
     async fn read(&self, _: &str) -> Result<Option<Record>, StoreError> {
         let fake = self.0.lock().unwrap();
         if fake.reads_fail {
--- a/crates/basilstep-node/src/store/consul.rs
+++ b/crates/basilstep-node/src/store/consul.rs
@@ -1,6 +1,6 @@
 use super::{
     Store,
-    messages::{Reading, Record, Renewal, SessionId, StoreError, WriteOutcome},
+    messages::{Listing, Reading, Record, Renewal, SessionId, StoreError, WriteOutcome},
     settings::StoreSettings,
 };
 use base64::{Engine, prelude::BASE64_STANDARD};
@@ -13,6 +13,9 @@
 const INDEX_HEADER: &str = "X-Consul-Index";
 const TOKEN_HEADER: &str = "X-Consul-Token";
 
+/// Asks for what lies directly below a prefix.
+const LIST_QUERY: [(&str, &str); 2] = [("keys", "true"), ("separator", "/")];
+
 /// How much longer than its wait a blocking read may take to answer.
 const WATCH_GRACE_MS: u64 = 5_000;
 
@@ -41,6 +44,19 @@
     id: String,
 }
 
+/// The parameters of a blocking read.
+struct Waiting {
+    index: String,
+    wait: String,
+    timeout: Duration,
+}
+
+impl Waiting {
+    fn query(&self) -> [(&str, &str); 2] {
+        [("index", &self.index), ("wait", &self.wait)]
+    }
+}
+
 struct Answer {
     status: StatusCode,
     index: u64,
@@ -171,8 +187,28 @@
         Ok(Reading {
             index: answer.index,
             entries,
+            subtrees: None,
         })
     }
+
+    async fn listing(&self, request: RequestBuilder) -> Result<Listing, StoreError> {
+        let answer = self.read_call(request).await?;
+        Ok(Listing {
+            index: answer.index,
+            children: answer.list()?,
+        })
+    }
+
+    /// Adds the wait for a change; the service may add a sixteenth of it as jitter of its own.
+    fn waiting(&self, index: u64) -> Waiting {
+        let longest_ms = self.settings.watch_wait_ms;
+        let wait_ms = rand::rng().random_range(longest_ms * 4 / 5..=longest_ms);
+        Waiting {
+            index: index.to_string(),
+            wait: format!("{wait_ms}ms"),
+            timeout: Duration::from_millis(wait_ms + wait_ms / 16 + WATCH_GRACE_MS),
+        }
+    }
 }
 
 impl Store for ConsulStore {
@@ -181,23 +217,31 @@
     }
 
     async fn watch_tree(&self, prefix: &str, index: u64) -> Result<Reading, StoreError> {
-        let longest_ms = self.settings.watch_wait_ms;
-        let wait_ms = rand::rng().random_range(longest_ms * 4 / 5..=longest_ms);
-        let query = [
-            ("index", index.to_string()),
-            ("wait", format!("{wait_ms}ms")),
-        ];
-        let query = query
-            .each_ref()
-            .map(|(name, value)| (*name, value.as_str()));
-        // The service may add a sixteenth of the wait as jitter of its own.
-        let timeout_ms = wait_ms + wait_ms / 16 + WATCH_GRACE_MS;
+        let waiting = self.waiting(index);
         let request = self
-            .tree_request(prefix, &query)
-            .timeout(Duration::from_millis(timeout_ms));
+            .tree_request(prefix, &waiting.query())
+            .timeout(waiting.timeout);
         self.tree(prefix, request).await
     }
 
+    async fn list(&self, prefix: &str) -> Result<Listing, StoreError> {
+        // What is listed decides what is not read, so it must not be older than what woke us.
+        let mut query = LIST_QUERY.to_vec();
+        query.push(("consistent", "true"));
+        let request = self.request(Method::GET, &kv_path(prefix), &query);
+        self.listing(request).await
+    }
+
+    async fn watch_list(&self, prefix: &str, index: u64) -> Result<Listing, StoreError> {
+        let waiting = self.waiting(index);
+        let mut query = LIST_QUERY.to_vec();
+        query.extend(waiting.query());
+        let request = self
+            .request(Method::GET, &kv_path(prefix), &query)
+            .timeout(waiting.timeout);
+        self.listing(request).await
+    }
+
     async fn read(&self, key: &str) -> Result<Option<Record>, StoreError> {
         let request = self.request(Method::GET, &kv_path(key), &[]);
         let answer = self.read_call(request).await?;
@@ -293,6 +337,10 @@
     }
 
     fn pairs(&self) -> Result<Vec<KvPair>, StoreError> {
+        self.list()
+    }
+
+    fn list<T: DeserializeOwned>(&self) -> Result<Vec<T>, StoreError> {
         if self.index == 0 {
             let reason = format!("no {INDEX_HEADER} header");
             return Err(StoreError::BadAnswer { reason });
--- a/crates/basilstep-node/src/store/messages.rs
+++ b/crates/basilstep-node/src/store/messages.rs
@@ -1,13 +1,37 @@
-use basilstep_core::{codes::ResultCode, settings::Entry};
+use basilstep_core::{
+    codes::ResultCode,
+    settings::{Applied, Entry, SettingsState, Subtree},
+};
 use std::fmt;
 
-/// All records below a prefix at one moment.
+/// The records below a prefix: all of them at one moment, or those of the subtrees that changed.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct Reading {
     /// The store's index for the prefix; rises with each write or removal below it.
     pub index: u64,
     /// The records, their paths without the prefix.
     pub entries: Vec<Entry>,
+    /// The subtrees that were read; `None` when the reading is whole.
+    pub subtrees: Option<Vec<Subtree>>,
+}
+
+impl Reading {
+    /// Applies the reading to the settings of a process.
+    pub fn apply_to(self, state: &mut SettingsState) -> Vec<(String, Applied)> {
+        match self.subtrees {
+            None => state.apply_reading(self.index, self.entries),
+            Some(subtrees) => state.apply_subtrees(self.index, &subtrees, self.entries),
+        }
+    }
+}
+
+/// What lies directly below a prefix.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Listing {
+    /// The store's index for the prefix.
+    pub index: u64,
+    /// Whole keys; one that ends with a slash stands for all below it.
+    pub children: Vec<String>,
 }
 
 /// One record with the session that holds it.
--- a/crates/basilstep-node/src/store/mod.rs
+++ b/crates/basilstep-node/src/store/mod.rs
@@ -9,12 +9,13 @@
 mod lease;
 mod messages;
 mod settings;
+mod subtrees;
 mod watch;
 
 pub use backoff::Backoff;
 pub use consul::ConsulStore;
 pub use lease::{Lease, LeaseHandle, put_lease, spawn_lease};
-pub use messages::{Reading, Record, Renewal, SessionId, StoreError, WriteOutcome};
+pub use messages::{Listing, Reading, Record, Renewal, SessionId, StoreError, WriteOutcome};
 pub use settings::{LeaseSettings, StoreSettings};
 use std::time::Duration;
 pub use watch::{WatchHandle, WatchStatus, spawn_watch};
@@ -50,6 +51,24 @@
         index: u64,
     ) -> impl Future<Output = Result<Reading, StoreError>> + Send;
 
+    /// Lists what lies directly below `prefix`.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`StoreError`] when no usable answer came in time.
+    fn list(&self, prefix: &str) -> impl Future<Output = Result<Listing, StoreError>> + Send;
+
+    /// Waits like [`Store::watch_tree`], but only lists what lies directly below `prefix`.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`StoreError`] when no usable answer came in time.
+    fn watch_list(
+        &self,
+        prefix: &str,
+        index: u64,
+    ) -> impl Future<Output = Result<Listing, StoreError>> + Send;
+
     /// Reads one record.
     ///
     /// # Errors
--- a/crates/basilstep-node/src/store/settings.rs
+++ b/crates/basilstep-node/src/store/settings.rs
@@ -16,6 +16,12 @@
     pub retry_max_ms: u64,
     /// The shortest time between two readings of one watch.
     pub watch_interval_ms: u64,
+    /// A tree of more records is read by the subtrees that changed, after a first whole reading.
+    pub whole_limit_records: usize,
+    /// The longest time between two whole readings of one watch.
+    pub whole_interval_ms: u64,
+    /// The longest time to read the changed subtrees; after it the tree is read whole.
+    pub subtrees_timeout_ms: u64,
     /// The largest answer that is read.
     pub answer_limit_bytes: u64,
 }
@@ -29,6 +35,9 @@
             retry_min_ms: 250,
             retry_max_ms: 10_000,
             watch_interval_ms: 200,
+            whole_limit_records: 500,
+            whole_interval_ms: 6 * 3_600_000,
+            subtrees_timeout_ms: 2_000,
             answer_limit_bytes: 64 * 1024 * 1024,
         }
     }
--- a/crates/basilstep-node/src/store/watch.rs
+++ b/crates/basilstep-node/src/store/watch.rs
@@ -1,10 +1,15 @@
-use super::{Backoff, Store, messages::Reading, settings::StoreSettings};
+use super::{
+    Backoff, Store,
+    messages::{Listing, Reading, StoreError},
+    settings::StoreSettings,
+    subtrees::read_changed,
+};
 use basilstep_core::codes::ResultCode;
-use std::time::Duration;
+use std::{cmp::Ordering, time::Duration};
 use tokio::{
     sync::{mpsc, watch},
     task::JoinHandle,
-    time::sleep,
+    time::{Instant, sleep, timeout},
 };
 
 /// How a watch is doing.
@@ -61,6 +66,7 @@
         settings,
         status: status_in,
         index: 0,
+        whole: None,
     };
     WatchHandle {
         readings,
@@ -76,6 +82,13 @@
     backoff: Backoff,
     status: watch::Sender<WatchStatus>,
     index: u64,
+    whole: Option<WholeReading>,
+}
+
+/// The last whole reading, while no call has failed since.
+struct WholeReading {
+    read_at: Instant,
+    records: usize,
 }
 
 impl<S: Store> Watcher<S> {
@@ -92,13 +105,11 @@
     }
 
     async fn step(&mut self) -> Option<Reading> {
-        let result = match self.index {
-            0 => self.store.read_tree(&self.prefix).await,
-            index => self.store.watch_tree(&self.prefix, index).await,
-        };
-        match result {
+        match self.read().await {
             Ok(reading) => self.take(reading),
             Err(error) => {
+                // A store may forget removals during an outage, so what comes next is read whole.
+                self.whole = None;
                 let pause = self.backoff.next_pause(&mut rand::rng());
                 self.report(Some(error.code()));
                 sleep(pause).await;
@@ -107,6 +118,59 @@
         }
     }
 
+    async fn read(&mut self) -> Result<Reading, StoreError> {
+        if self.index > 0 && self.reads_by_subtrees() {
+            return self.read_by_subtrees().await;
+        }
+        if self.index == 0 {
+            return self.read_whole().await;
+        }
+        let reading = self.store.watch_tree(&self.prefix, self.index).await?;
+        self.note_whole(&reading);
+        Ok(reading)
+    }
+
+    fn reads_by_subtrees(&self) -> bool {
+        let longest = Duration::from_millis(self.settings.whole_interval_ms);
+        self.whole.as_ref().is_some_and(|whole| {
+            whole.records > self.settings.whole_limit_records && whole.read_at.elapsed() < longest
+        })
+    }
+
+    async fn read_by_subtrees(&mut self) -> Result<Reading, StoreError> {
+        let woken = self.store.watch_list(&self.prefix, self.index).await?;
+        match woken.index.cmp(&self.index) {
+            Ordering::Equal => Ok(Reading {
+                index: self.index,
+                ..Reading::default()
+            }),
+            Ordering::Greater => self.read_after(woken).await,
+            Ordering::Less => self.read_whole().await,
+        }
+    }
+
+    async fn read_after(&mut self, woken: Listing) -> Result<Reading, StoreError> {
+        let limit = Duration::from_millis(self.settings.subtrees_timeout_ms);
+        let changed = read_changed(&self.store, &self.prefix, self.index, woken);
+        match timeout(limit, changed).await {
+            Ok(Ok(reading)) => Ok(reading),
+            Ok(Err(_)) | Err(_) => self.read_whole().await,
+        }
+    }
+
+    async fn read_whole(&mut self) -> Result<Reading, StoreError> {
+        let reading = self.store.read_tree(&self.prefix).await?;
+        self.note_whole(&reading);
+        Ok(reading)
+    }
+
+    fn note_whole(&mut self, reading: &Reading) {
+        self.whole = Some(WholeReading {
+            read_at: Instant::now(),
+            records: reading.entries.len(),
+        });
+    }
+
     fn take(&mut self, reading: Reading) -> Option<Reading> {
         let moved = reading.index != self.index;
         // An index that went back is taken over, as the API's documentation demands; whether the
