--- a/crates/basilstep-core/src/membership/sync.rs
+++ b/crates/basilstep-core/src/membership/sync.rs
@@ -1,6 +1,6 @@
 use super::{
     member::{MemberRecord, StateHash},
-    messages::{Action, BucketStates, Difference, MembershipMessage, Snapshot, SnapshotMember},
+    messages::{Action, BucketStates, Difference, Gossip, MembershipMessage},
     spread::evidence,
     state::{Membership, SILENCE_LAG_MS, probe},
     table::bucket_of,
@@ -88,18 +88,18 @@
     }
 
     /// Asks a peer to compare views if they have differed for a while.
-    pub(super) fn compare_digests(
+    pub(super) fn compare_views(
         &mut self,
         from: SocketAddrV4,
-        digest: u32,
+        gossip: &Gossip,
         ctx: &Context,
         actions: &mut Vec<Action>,
     ) {
         let is_quiet = ctx.now_ms >= self.last_news_ms + QUIET_MS;
-        if digest == self.table.digest() {
+        if gossip.digest == self.table.digest() {
             return;
         }
-        if self.is_incomplete(ctx.now_ms) {
+        if self.is_far_behind(gossip.members, ctx.now_ms) {
             self.pull_snapshot(from, ctx, actions);
             return;
         }
@@ -109,7 +109,12 @@
         if !self.budget.is_open(ctx.now_ms) {
             return;
         }
-        self.next_sync_ms = ctx.now_ms + self.settings.sync_interval_ms;
+        let interval_ms = if self.is_settling(ctx.now_ms) {
+            self.settings.settling_sync_interval_ms
+        } else {
+            self.settings.sync_interval_ms
+        };
+        self.next_sync_ms = ctx.now_ms + interval_ms;
         self.counters.syncs += 1;
         let digests = self.table.digests();
         self.send_counted(from, MembershipMessage::Buckets { digests }, actions);
@@ -248,62 +253,4 @@
         self.budget.spend(message.network_bytes());
         actions.push(Action::Send { to, message });
     }
-
-    /// Returns the whole view for a balancer that joins.
-    pub fn snapshot(&self, now_ms: u64) -> Snapshot {
-        let members = self.table.members().values().map(|member| SnapshotMember {
-            record: member.record,
-            silent_ms: member
-                .silent
-                .then(|| now_ms.saturating_sub(member.stamp_ms)),
-        });
-        Snapshot {
-            members: members.collect(),
-            domains: self.domain_evidence(now_ms),
-            settings_version: self.settings_version,
-        }
-    }
-
-    /// Merges the view of a peer.
-    ///
-    /// What arrived while the snapshot was under way was merged at once: the merge keeps the
-    /// greatest state of each member, so nothing has to be held back and applied afterwards.
-    pub fn merge_snapshot(&mut self, snapshot: &Snapshot, ctx: &mut Context) -> Vec<Action> {
-        let mut actions = Vec::new();
-        let known_before = self.known();
-        for member in &snapshot.members {
-            self.merge_snapshot_member(member, ctx, &mut actions);
-        }
-        for evidence in &snapshot.domains {
-            let stamp_ms = evidence.stamp_ms(ctx.now_ms);
-            self.take_domain(evidence.domain, evidence.silent, stamp_ms, &mut actions);
-        }
-        self.finish_join(known_before);
-        actions
-    }
-
-    fn merge_snapshot_member(
-        &mut self,
-        member: &SnapshotMember,
-        ctx: &mut Context,
-        actions: &mut Vec<Action>,
-    ) {
-        let record = member.record;
-        let is_unknown = self.table.get(record.address).is_none();
-        if is_unknown {
-            // No stamp: the evidence about the member's domain in the snapshot is newer.
-            self.table.merge_record(record, 0);
-            if let Some(member) = self.table.get(record.address).copied() {
-                self.announce_change(&member, actions);
-            }
-        } else {
-            self.take_record(record, ctx, actions);
-        }
-        let Some(silent_ms) = member.silent_ms else {
-            return;
-        };
-        let stamp_ms = ctx.now_ms.saturating_sub(silent_ms);
-        self.table
-            .merge_evidence(record.address, record.run_check(), true, stamp_ms);
-    }
 }
