fix(balancer): carry nothing after a pause until the view is confirmed

Cause: a balancer that is paused and resumed steers what waits in its sockets by the table of before the pause. A domain taken out meanwhile would get those packets, and new flows, until gossip arrives. A lease does not help: packet tasks run before anything has noticed the pause.

Change: PauseGuard gives packet tasks a time until which they may carry, one second after each tick; after a longer gap it is renewed only when the membership view has been fetched anew and no peer has newer settings.

Ruled out: asking the store, which may be down. The rule is tested in steering/tests/pause.rs.

--- a/crates/basilstep-balancer/src/controller.rs
+++ b/crates/basilstep-balancer/src/controller.rs
@@ -10,7 +10,7 @@
         SettingsDelta, Snapshot,
     },
     settings::{Applied, SettingsState},
-    steering::{DeadAgent, SteeringTable},
+    steering::{DeadAgent, PauseGuard, SteeringSettings, SteeringTable},
     wire::{decode_sealed, encode_sealed},
 };
 use basilstep_node::{control::ControlClient, store::Reading};
@@ -34,6 +34,7 @@
     membership: Membership,
     domains: DomainTracker,
     phases: DomainPhases,
+    pause: PauseGuard,
     own: Option<Address<Self>>,
     is_table_outdated: bool,
     store_is_behind: bool,
@@ -69,6 +70,7 @@
 /// Starts the controller and the timer that drives it.
 pub fn spawn(parts: Parts) -> Address<Controller> {
     let mut environment = parts.shared.clock.context();
+    let pause = PauseGuard::new(SteeringSettings::default(), environment.now_ms);
     let settings = MembershipSettings::default();
     let mut membership = Membership::new(settings, parts.record, &mut environment);
     // Seeds are known by address only; what they announce replaces these records.
@@ -96,6 +98,7 @@
         environment,
         domains: DomainTracker::new(DomainSettings::default(), parts.settings.view().out),
         phases: DomainPhases::default(),
+        pause,
         settings: parts.settings,
         membership,
         own: None,
@@ -169,6 +172,9 @@
         let actions = self.membership.on_tick(&mut self.environment);
         self.carry_out(actions);
         self.refresh_table();
+        let is_confirmed = self.membership.is_joined() && self.shared.has_newest_settings();
+        let until_ms = self.pause.on_tick(self.environment.now_ms, is_confirmed);
+        self.shared.set_carry_until(until_ms);
         self.refresh_readiness();
     }
 }
@@ -308,7 +314,7 @@
             unserved: self.settings.unserved(),
             domains: self.settings.view().domains.clone(),
             watches_store: self.membership.is_store_watcher(now_ms),
-            is_joined: self.membership.is_joined(),
+            carrying: self.carrying(),
             members_known: self.membership.known(),
             members_watched: self.membership.watched(),
             membership: self.membership.counters(),
@@ -331,7 +337,7 @@
     unserved: std::collections::BTreeMap<String, basilstep_core::settings::Rejection>,
     domains: std::collections::BTreeMap<String, basilstep_core::settings::DomainRecord>,
     watches_store: bool,
-    is_joined: bool,
+    carrying: Carrying,
     members_known: usize,
     members_watched: usize,
     membership: basilstep_core::membership::MembershipCounters,
@@ -339,6 +345,18 @@
     balancers: Vec<BalancerAddress>,
 }
 
+/// Whether a balancer carries packets, in a dump.
+#[derive(Clone, Copy, Debug, Serialize)]
+#[serde(rename_all = "snake_case")]
+enum Carrying {
+    /// It has no view of the agents yet.
+    Joining,
+    /// It was paused and waits until its view is confirmed.
+    Recovering,
+    /// It carries packets.
+    Normal,
+}
+
 #[derive(Clone, Debug, Serialize)]
 struct AgentDump {
     address: AgentAddress,
@@ -356,7 +374,10 @@
                     self.is_table_outdated = true;
                 }
                 Action::FetchSnapshot { from } => self.fetch_snapshot(from),
-                Action::FetchSettings { from, .. } => self.pull_settings(from),
+                Action::FetchSettings { from, version } => {
+                    self.shared.note_settings_version(version);
+                    self.pull_settings(from);
+                }
                 Action::FetchSettingsOverTcp { from, .. } => self.fetch_settings(from),
                 Action::ServeSettings {
                     to,
@@ -462,6 +483,16 @@
         self.shared.put_in_force(table, self.settings.version());
     }
 
+    fn carrying(&self) -> Carrying {
+        if self.pause.is_recovering() {
+            Carrying::Recovering
+        } else if self.membership.is_joined() {
+            Carrying::Normal
+        } else {
+            Carrying::Joining
+        }
+    }
+
     /// The fabric may send packets once settings and a view are there, and until the process or
     /// its failure domain leaves.
     fn refresh_readiness(&self) {
@@ -471,6 +502,7 @@
         let is_ready = self.settings.version() > 0
             && view.flow_keys.is_some()
             && self.membership.is_joined()
+            && !self.pause.is_recovering()
             && !is_out
             && !self.is_stopping;
         self.shared.readiness.set(is_ready);
--- a/crates/basilstep-balancer/src/ingress.rs
+++ b/crates/basilstep-balancer/src/ingress.rs
@@ -34,10 +34,15 @@
             continue;
         }
         let current = Arc::clone(&table.borrow_and_update());
+        let may_carry = shared.may_carry();
         for _ in 0..BATCH {
             let Ok((length, caller)) = ingress.callers.try_recv_from(&mut buffer) else {
                 break;
             };
+            if !may_carry {
+                shared.counters.count(ResultCode::Recovering);
+                continue;
+            }
             let datagram = &buffer[..length];
             let steer = current.steer(service, &caller, datagram);
             ingress.carry_out(steer, caller, datagram);
--- a/crates/basilstep-balancer/src/shared.rs
+++ b/crates/basilstep-balancer/src/shared.rs
@@ -10,7 +10,7 @@
     Arc, Mutex, PoisonError,
     atomic::{AtomicU64, Ordering},
 };
-use tokio::sync::{Notify, watch};
+use tokio::sync::watch;
 
 /// The state that all tasks of a balancer can reach.
 #[derive(Debug)]
@@ -29,12 +29,11 @@
     pub answered: AtomicU64,
     /// Whether the fabric may send packets.
     pub readiness: Readiness,
-    /// Wakes the settings task when a newer version has been heard of.
-    pub newer_settings: Notify,
     resets: Mutex<ResetLimit>,
     table: watch::Sender<Arc<SteeringTable>>,
     version: AtomicU64,
     heard_version: AtomicU64,
+    carry_until_ms: AtomicU64,
 }
 
 impl Shared {
@@ -49,11 +48,11 @@
             carried: AtomicU64::new(0),
             answered: AtomicU64::new(0),
             readiness: Readiness::default(),
-            newer_settings: Notify::new(),
             resets: Mutex::new(resets),
             table: watch::Sender::new(Arc::default()),
             version: AtomicU64::new(0),
             heard_version: AtomicU64::new(0),
+            carry_until_ms: AtomicU64::new(u64::MAX),
         }
     }
 
@@ -86,12 +85,26 @@
         self.version.load(Ordering::Relaxed)
     }
 
-    /// Notes the version of a peer and wakes the settings task when it is newer.
+    /// Tells whether packets may be carried now; not while a pause of the process is made up for.
+    pub fn may_carry(&self) -> bool {
+        self.clock.now_ms() < self.carry_until_ms.load(Ordering::Relaxed)
+    }
+
+    /// Sets the time until which packets may be carried; `None` stops them at once.
+    pub fn set_carry_until(&self, until_ms: Option<u64>) {
+        self.carry_until_ms
+            .store(until_ms.unwrap_or(0), Ordering::Relaxed);
+    }
+
+    /// Tells whether the settings in force are the newest that any peer has been heard to have.
+    pub fn has_newest_settings(&self) -> bool {
+        self.settings_version() >= self.heard_version.load(Ordering::Relaxed)
+    }
+
+    /// Notes the version of a peer; gossip brings the settings themselves.
     pub fn note_settings_version(&self, version: u64) {
-        if version <= self.heard_version.load(Ordering::Relaxed) {
-            return;
+        if version > self.heard_version.load(Ordering::Relaxed) {
+            self.heard_version.fetch_max(version, Ordering::Relaxed);
         }
-        self.heard_version.fetch_max(version, Ordering::Relaxed);
-        self.newer_settings.notify_one();
     }
 }
--- a/crates/basilstep-core/src/codes.rs
+++ b/crates/basilstep-core/src/codes.rs
@@ -110,6 +110,8 @@
     BadSeal = 409,
     /// The datagram was dropped: its target is dead.
     TargetDead = 410,
+    /// The datagram was dropped: the balancer was paused and its view is not confirmed yet.
+    Recovering = 411,
     /// A setting of the process has a value that is not allowed.
     InvalidSetting = 501,
     /// A record in the store is malformed.
--- a/crates/basilstep-core/src/steering/mod.rs
+++ b/crates/basilstep-core/src/steering/mod.rs
@@ -4,6 +4,7 @@
 //! immutable snapshot that packet tasks share and that is replaced as a whole.
 
 mod header;
+mod pause;
 mod reset;
 mod settings;
 mod steer;
@@ -13,6 +14,7 @@
 mod tests;
 
 pub use header::{HeaderError, PacketHeader, PacketKind, parse_header};
+pub use pause::PauseGuard;
 pub use reset::{
     MIN_RESET_BYTES, RESET_TOKEN_BYTES, ResetLimit, StatelessReset, reset_key, stateless_reset,
 };
--- /dev/null
+++ b/crates/basilstep-core/src/steering/pause.rs
@@ -0,0 +1,45 @@
+use super::SteeringSettings;
+
+/// Keeps a balancer that was paused from carrying packets by settings that may be out of date.
+///
+/// While the process was paused, a failure domain may have been taken out, and old packets wait
+/// in its sockets. It carries on once a peer has confirmed its view.
+#[derive(Clone, Copy, Debug)]
+pub struct PauseGuard {
+    settings: SteeringSettings,
+    last_tick_ms: u64,
+    is_recovering: bool,
+}
+
+impl PauseGuard {
+    /// Creates the guard of a process that is running now.
+    pub fn new(settings: SteeringSettings, now_ms: u64) -> Self {
+        Self {
+            settings,
+            last_tick_ms: now_ms,
+            is_recovering: false,
+        }
+    }
+
+    /// Notes that the process runs, and whether its view has been confirmed since its last pause.
+    ///
+    /// Returns the time until which packets may be carried, if any may. A packet task compares it
+    /// with its own clock, so that it stops even before the first tick after a pause.
+    pub fn on_tick(&mut self, now_ms: u64, is_confirmed: bool) -> Option<u64> {
+        let gap_ms = now_ms.saturating_sub(self.last_tick_ms);
+        self.last_tick_ms = now_ms;
+        if gap_ms > self.settings.pause_limit_ms {
+            self.is_recovering = true;
+            return None;
+        }
+        if is_confirmed {
+            self.is_recovering = false;
+        }
+        (!self.is_recovering).then_some(now_ms + self.settings.pause_limit_ms)
+    }
+
+    /// Tells whether the process was paused and its view has not been confirmed since.
+    pub fn is_recovering(&self) -> bool {
+        self.is_recovering
+    }
+}
--- a/crates/basilstep-core/src/steering/settings.rs
+++ b/crates/basilstep-core/src/steering/settings.rs
@@ -8,6 +8,8 @@
     pub reset_limit_per_s: u32,
     /// The most stateless resets that a balancer sends at once after a calm time.
     pub reset_burst: u32,
+    /// The gap between two ticks above which the balancer was paused.
+    pub pause_limit_ms: u64,
 }
 
 impl Default for SteeringSettings {
@@ -15,6 +17,7 @@
         Self {
             reset_limit_per_s: 2_000,
             reset_burst: 2_000,
+            pause_limit_ms: 1_000,
         }
     }
 }
--- a/crates/basilstep-core/src/steering/tests.rs
+++ b/crates/basilstep-core/src/steering/tests/mod.rs
@@ -1,3 +1,5 @@
+mod pause;
+
 use super::{
     DeadAgent, MIN_RESET_BYTES, RESET_TOKEN_BYTES, ResetLimit, Steer, SteeringSettings,
     SteeringTable, reset_key, stateless_reset,
@@ -277,6 +279,7 @@
     let settings = SteeringSettings {
         reset_limit_per_s: 10,
         reset_burst: 3,
+        ..SteeringSettings::default()
     };
     let mut limit = ResetLimit::new(settings, 0);
     let mut sent = |now_ms| (0..100).filter(|_| limit.allow(now_ms)).count();
