--- /dev/null
+++ b/crates/basilstep-bench/src/load/membership/costs.rs
@@ -0,0 +1,104 @@
+//! Processor time a message and memory a member, for the slopes of the capacity page.
+
+use super::fleet::{Fleet, Node, TARGET_SHAPE};
+use basilstep_core::{
+    address::BalancerAddress,
+    membership::{
+        Action, Announcer, BalancerRecord, Gossip, MemberRecord, Membership, MembershipMessage,
+        MembershipSettings,
+    },
+};
+use serde_json::{Value, json};
+use std::{fs, time::Instant};
+
+const VIEWS: usize = 100;
+const MESSAGES: u32 = 100_000;
+
+/// Measures on one thread at the target size.
+pub fn measure() -> Value {
+    let mut fleet = Fleet::warm(TARGET_SHAPE, MembershipSettings::default(), 1);
+    let members = fleet.nodes.len();
+    let Node::Balancer(view) = fleet.nodes[0].clone() else {
+        return Value::Null;
+    };
+    let before = resident_bytes();
+    let copies = vec![view.clone(); VIEWS];
+    let bytes_a_view = resident_bytes().saturating_sub(before) / VIEWS;
+    drop(copies);
+    fleet.run_until(fleet.now_ms() + 5_000);
+    let agent = fleet.record(TARGET_SHAPE.balancers);
+    let Node::Balancer(mut view) = fleet.nodes[0].clone() else {
+        return Value::Null;
+    };
+    json!({
+        "members": members,
+        "bytes_a_view": bytes_a_view,
+        "bytes_a_member": bytes_a_view / members,
+        "announcement_us": announcement_us(&mut view, &mut fleet, agent),
+        "empty_gossip_us": gossip_us(&mut view, &mut fleet),
+        "tick_us": tick_us(&mut view, &mut fleet),
+    })
+}
+
+fn announcement_us(view: &mut Membership, fleet: &mut Fleet, agent: MemberRecord) -> f64 {
+    let mut announcer = Announcer::new(MembershipSettings::default(), agent);
+    announcer.learn(&[BalancerRecord {
+        address: BalancerAddress(view.own().address),
+        domain: view.own().domain,
+        incarnation: view.own().incarnation,
+    }]);
+    let Some(message) = first_message(&announcer.on_tick(&mut fleet.ctx)) else {
+        return f64::NAN;
+    };
+    timed(|| {
+        view.on_datagram(agent.address, &message, &mut fleet.ctx);
+    })
+}
+
+fn first_message(actions: &[Action]) -> Option<MembershipMessage> {
+    actions.iter().find_map(|action| match action {
+        Action::Send { message, .. } => Some(message.clone()),
+        _ => None,
+    })
+}
+
+fn gossip_us(view: &mut Membership, fleet: &mut Fleet) -> f64 {
+    let from = fleet.address(1);
+    let message = MembershipMessage::Gossip(Gossip {
+        digest: 0,
+        members: 0,
+        settings_version: 0,
+        store_age_ms: None,
+        domains: Vec::new(),
+        records: Vec::new(),
+        evidence: Vec::new(),
+    });
+    timed(|| {
+        view.on_datagram(from, &message, &mut fleet.ctx);
+    })
+}
+
+fn tick_us(view: &mut Membership, fleet: &mut Fleet) -> f64 {
+    timed(|| {
+        view.on_tick(&mut fleet.ctx);
+    })
+}
+
+fn timed(mut step: impl FnMut()) -> f64 {
+    let started = Instant::now();
+    for _ in 0..MESSAGES {
+        step();
+    }
+    started.elapsed().as_secs_f64() * 1e6 / f64::from(MESSAGES)
+}
+
+/// Returns the resident memory of this process, or zero where the platform does not tell it.
+fn resident_bytes() -> usize {
+    const PAGE_BYTES: usize = 4_096;
+    let statm = fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages = statm
+        .split_whitespace()
+        .nth(1)
+        .and_then(|pages| pages.parse::<usize>().ok());
+    pages.unwrap_or_default() * PAGE_BYTES
+}
--- a/crates/basilstep-bench/src/load/membership/mod.rs
+++ b/crates/basilstep-bench/src/load/membership/mod.rs
@@ -1,5 +1,6 @@
 //! The `membership` experiment: the decision core at the target size in virtual time.
 
+mod costs;
 pub(super) mod fleet;
 mod observe;
 mod scenarios;
@@ -36,6 +37,7 @@
                 "converged_ms": 12_000,
             },
             "arithmetic": arithmetic(),
+            "costs": costs::measure(),
             "runs": runs,
         }),
         plot: Some(Plot {
--- a/crates/basilstep-core/src/membership/messages.rs
+++ b/crates/basilstep-core/src/membership/messages.rs
@@ -125,6 +125,8 @@
 pub struct Gossip {
     /// A digest of the sender's view.
     pub digest: u32,
+    /// How many members are in it.
+    pub members: u32,
     /// The settings version in force at the sender.
     pub settings_version: u64,
     /// The age of the last answer that any balancer got from the store, as far as known.
--- a/crates/basilstep-core/src/membership/receive.rs
+++ b/crates/basilstep-core/src/membership/receive.rs
@@ -191,7 +191,7 @@
         for evidence in &gossip.evidence {
             self.on_evidence_item(*evidence, ctx, actions);
         }
-        self.compare_digests(from, gossip.digest, ctx, actions);
+        self.compare_views(from, gossip, ctx, actions);
     }
 
     pub(super) fn on_evidence_item(
--- a/crates/basilstep-core/src/membership/settings.rs
+++ b/crates/basilstep-core/src/membership/settings.rs
@@ -54,6 +54,8 @@
     pub settle_ms: u64,
     /// The least time between two comparisons of the view with a peer.
     pub sync_interval_ms: u64,
+    /// The least time between two comparisons while the balancer's view is new.
+    pub settling_sync_interval_ms: u64,
     /// The age above which hearsay of silence leads to a probe instead of a removal.
     pub hearsay_limit_ms: u64,
     /// How many probes a second are spent on contradictions between views.
@@ -93,6 +95,7 @@
             joining_bytes_per_s: 12_000,
             settle_ms: 30_000,
             sync_interval_ms: 5_000,
+            settling_sync_interval_ms: 1_000,
             hearsay_limit_ms: 5_000,
             probes_per_s: 5,
             forget_after_ms: 3_600_000,
--- a/crates/basilstep-core/src/membership/state.rs
+++ b/crates/basilstep-core/src/membership/state.rs
@@ -37,10 +37,10 @@
 const SNAPSHOT_RETRY_MS: u64 = 3_000;
 
 /// The time between two snapshots while they still bring many members.
-const SNAPSHOT_INTERVAL_MS: u64 = 1_000;
+const SNAPSHOT_INTERVAL_MS: u64 = 500;
 
-/// How many snapshots in a row may bring hardly anything before comparisons take over.
-const DRY_SNAPSHOTS: u8 = 2;
+/// A peer that knows more members by this share, one in so many, is asked for a snapshot.
+const FAR_BEHIND_SHARE: usize = 100;
 
 /// The time between two clean-ups of forgotten members.
 const FORGET_INTERVAL_MS: u64 = 60_000;
@@ -69,7 +69,6 @@
     are_peers_outdated: bool,
     due: BTreeSet<Due>,
     needs_snapshot: bool,
-    dry_snapshots: u8,
     next_snapshot_ms: u64,
     next_forget_ms: u64,
     next_outreach_ms: u64,
@@ -138,7 +137,6 @@
             are_peers_outdated: true,
             due: BTreeSet::new(),
             needs_snapshot: true,
-            dry_snapshots: 0,
             next_snapshot_ms: now_ms,
             next_forget_ms: now_ms + FORGET_INTERVAL_MS,
             next_outreach_ms: now_ms + ctx.rng.random_range(0..OUTREACH_INTERVAL_MS),
@@ -346,20 +344,23 @@
         self.counters.pauses += 1;
         self.watch.restart(now_ms);
         self.needs_snapshot = true;
-        self.dry_snapshots = 0;
         self.next_snapshot_ms = now_ms + STALE_QUEUE_MS;
     }
 
-    /// Notes that a snapshot was merged into a view that knew `known_before` members.
-    pub(super) fn finish_join(&mut self, known_before: usize) {
+    pub(super) fn finish_join(&mut self) {
         self.needs_snapshot = false;
-        let is_dry = self.known() < known_before + known_before / 50 + 1;
-        self.dry_snapshots = if is_dry { self.dry_snapshots + 1 } else { 0 };
     }
 
-    /// Tells whether this balancer has joined lately and snapshots still brought many members.
+    /// Tells whether this balancer has joined lately and still learns most by snapshots.
     pub(super) fn is_incomplete(&self, now_ms: u64) -> bool {
-        self.is_settling(now_ms) && self.dry_snapshots < DRY_SNAPSHOTS
+        let is_pulling = now_ms < self.next_snapshot_ms + SNAPSHOT_RETRY_MS;
+        self.is_settling(now_ms) && (self.needs_snapshot || is_pulling)
+    }
+
+    /// Tells whether a peer that knows `members` has clearly more than a view that is new.
+    pub(super) fn is_far_behind(&self, members: u32, now_ms: u64) -> bool {
+        let known = self.known();
+        self.is_settling(now_ms) && members as usize > known + known / FAR_BEHIND_SHARE
     }
 
     /// Gets a peer's whole view, at a bounded rate: when all join at once, what a balancer knows
--- a/crates/basilstep-core/src/membership/sync.rs
+++ b/crates/basilstep-core/src/membership/sync.rs
@@ -1,6 +1,8 @@
 use super::{
     member::{MemberRecord, StateHash},
-    messages::{Action, BucketStates, Difference, MembershipMessage, Snapshot, SnapshotMember},
+    messages::{
+        Action, BucketStates, Difference, Gossip, MembershipMessage, Snapshot, SnapshotMember,
+    },
     spread::evidence,
     state::{Membership, SILENCE_LAG_MS, probe},
     table::bucket_of,
@@ -88,18 +90,18 @@
     }
 
     /// Asks a peer to compare views if they have differed for a while.
-    pub(super) fn compare_digests(
+    pub(super) fn compare_views(
         &mut self,
         from: SocketAddrV4,
-        digest: u32,
+        gossip: &Gossip,
         ctx: &Context,
         actions: &mut Vec<Action>,
     ) {
         let is_quiet = ctx.now_ms >= self.last_news_ms + QUIET_MS;
-        if digest == self.table.digest() {
+        if gossip.digest == self.table.digest() {
             return;
         }
-        if self.is_incomplete(ctx.now_ms) {
+        if self.is_far_behind(gossip.members, ctx.now_ms) {
             self.pull_snapshot(from, ctx, actions);
             return;
         }
@@ -109,7 +111,12 @@
         if !self.budget.is_open(ctx.now_ms) {
             return;
         }
-        self.next_sync_ms = ctx.now_ms + self.settings.sync_interval_ms;
+        let interval_ms = if self.is_settling(ctx.now_ms) {
+            self.settings.settling_sync_interval_ms
+        } else {
+            self.settings.sync_interval_ms
+        };
+        self.next_sync_ms = ctx.now_ms + interval_ms;
         self.counters.syncs += 1;
         let digests = self.table.digests();
         self.send_counted(from, MembershipMessage::Buckets { digests }, actions);
@@ -270,7 +277,6 @@
     /// greatest state of each member, so nothing has to be held back and applied afterwards.
     pub fn merge_snapshot(&mut self, snapshot: &Snapshot, ctx: &mut Context) -> Vec<Action> {
         let mut actions = Vec::new();
-        let known_before = self.known();
         for member in &snapshot.members {
             self.merge_snapshot_member(member, ctx, &mut actions);
         }
@@ -278,7 +284,7 @@
             let stamp_ms = evidence.stamp_ms(ctx.now_ms);
             self.take_domain(evidence.domain, evidence.silent, stamp_ms, &mut actions);
         }
-        self.finish_join(known_before);
+        self.finish_join();
         actions
     }
 
--- a/crates/basilstep-core/src/membership/tests.rs
+++ b/crates/basilstep-core/src/membership/tests.rs
@@ -354,6 +354,7 @@
     let member = agent(1, 0);
     let gossip = MembershipMessage::Gossip(Gossip {
         digest: 0,
+        members: 0,
         settings_version: 0,
         store_age_ms: None,
         domains: Vec::new(),
