--- /dev/null
+++ b/crates/basilstep-core/src/membership/acks.rs
@@ -0,0 +1,72 @@
+use super::{
+    announcer::peers_check,
+    messages::{Ack, Action, MembershipMessage},
+    record::{AgentRecord, BalancerRecord},
+    state::Membership,
+};
+use crate::context::Context;
+use std::net::SocketAddrV4;
+
+/// How many balancers an acknowledgement names.
+const ACK_SAMPLE: usize = 1;
+
+/// The number of watched members below which a balancer is never busy.
+const BUSY_FLOOR: usize = 8;
+
+impl Membership {
+    pub(super) fn acknowledge(
+        &mut self,
+        to: SocketAddrV4,
+        address: SocketAddrV4,
+        peers: Option<Vec<AgentRecord>>,
+        ctx: &mut Context,
+        actions: &mut Vec<Action>,
+    ) {
+        let run = self.table.get(address).map(|m| m.record.run_check());
+        let ack = Ack {
+            run,
+            busy: self.is_busy(ctx.now_ms),
+            settings_version: self.settings_version,
+            balancers: self.sample_balancers(ctx),
+            peers,
+        };
+        actions.push(Action::Send {
+            to,
+            message: MembershipMessage::Ack(ack),
+        });
+    }
+
+    fn sample_balancers(&mut self, ctx: &mut Context) -> Vec<BalancerRecord> {
+        let sample: Vec<SocketAddrV4> = (0..ACK_SAMPLE)
+            .filter_map(|_| self.random_peer(ctx))
+            .collect();
+        sample
+            .into_iter()
+            .filter_map(|address| self.table.get(address)?.record.as_balancer())
+            .collect()
+    }
+
+    /// Tells whether this balancer watches clearly more members than its share.
+    fn is_busy(&self, now_ms: u64) -> bool {
+        let balancers = self.table.balancers().len().max(1);
+        let share = self.settings.watchers * self.table.members().len() / balancers;
+        let limit = share + share / 4 + 1;
+        !self.is_settling(now_ms) && self.watch.active() > limit.max(BUSY_FLOOR)
+    }
+
+    /// Returns the agents of the member's service if its list of them is out of date.
+    pub(super) fn outdated_peers(
+        &self,
+        address: SocketAddrV4,
+        known: [u8; 2],
+        now_ms: u64,
+    ) -> Option<Vec<AgentRecord>> {
+        let service = self.table.get(address)?.record.service()?;
+        let peers: Vec<AgentRecord> = self
+            .agents_of(service, now_ms)
+            .into_iter()
+            .filter(|agent| agent.address.0 != address)
+            .collect();
+        (peers_check(&peers) != known).then_some(peers)
+    }
+}
--- a/crates/basilstep-core/src/membership/mod.rs
+++ b/crates/basilstep-core/src/membership/mod.rs
@@ -4,10 +4,14 @@
 //! processes that announce themselves to it, spreads what it finds by gossip and merges what it
 //! hears, so that every balancer holds the same view of all members.
 
+mod acks;
 mod announcer;
 mod gossip;
+mod join;
 mod member;
+mod merge;
 mod messages;
+mod queries;
 mod receive;
 mod record;
 mod settings;
--- /dev/null
+++ b/crates/basilstep-core/src/membership/queries.rs
@@ -0,0 +1,108 @@
+use super::{
+    member::MemberRecord,
+    messages::MembershipMessage,
+    record::{AgentPhase, AgentRecord, BalancerRecord},
+    state::{Membership, MembershipCounters},
+    store_watch::store_score,
+};
+use crate::address::{AgentAddress, DomainId, ServiceId};
+
+impl Membership {
+    /// Returns a number that rises with each change of who is in placement.
+    pub fn view_version(&self) -> u64 {
+        self.view_version
+    }
+
+    /// Returns what this balancer announces about itself.
+    pub fn own(&self) -> &MemberRecord {
+        self.announcer.own()
+    }
+
+    /// Returns what has been done so far.
+    pub fn counters(&self) -> MembershipCounters {
+        self.counters
+    }
+
+    /// Returns how many members this balancer watches.
+    pub fn watched(&self) -> usize {
+        self.watch.len()
+    }
+
+    /// Returns how many members are known, live or not.
+    pub fn known(&self) -> usize {
+        self.table.members().len()
+    }
+
+    /// Tells whether the balancer has the view of a peer, or is alone, and may take traffic.
+    pub fn is_joined(&self) -> bool {
+        !self.needs_snapshot
+    }
+
+    /// Returns the agents of a service that are in placement, with those that drain.
+    ///
+    /// When all of them are out on suspicion alone, the suspicion is not acted upon: the last
+    /// agents of a service stay.
+    pub fn agents_of(&self, service: ServiceId, now_ms: u64) -> Vec<AgentRecord> {
+        let running = || {
+            let agents = self.table.agents_of(service);
+            agents.filter(|member| member.record.phase != AgentPhase::Down)
+        };
+        let is_serving = |agent: &AgentRecord| agent.phase == AgentPhase::Serving;
+        let live: Vec<AgentRecord> = running()
+            .filter(|member| self.table.is_live(member, now_ms))
+            .filter_map(|member| member.record.as_agent())
+            .collect();
+        if live.iter().any(is_serving) {
+            return live;
+        }
+        running()
+            .filter_map(|member| member.record.as_agent())
+            .collect()
+    }
+
+    /// Returns what is known of an agent and whether it is live.
+    pub fn agent(&self, address: AgentAddress, now_ms: u64) -> Option<(AgentRecord, bool)> {
+        let member = self.table.get(address.0)?;
+        let record = member.record.as_agent()?;
+        Some((record, self.table.is_live(member, now_ms)))
+    }
+
+    /// Returns all agents that are known and whether each is live.
+    pub fn agents(&self, now_ms: u64) -> impl Iterator<Item = (AgentRecord, bool)> {
+        self.table.members().values().filter_map(move |member| {
+            let record = member.record.as_agent()?;
+            Some((record, self.table.is_live(member, now_ms)))
+        })
+    }
+
+    /// Returns the request for the settings above those in force here.
+    pub fn pull_settings(&self) -> MembershipMessage {
+        self.announcer.pull_settings()
+    }
+
+    /// Returns the live balancers, this one included.
+    pub fn balancers(&self, now_ms: u64) -> impl Iterator<Item = BalancerRecord> {
+        self.table
+            .balancers()
+            .iter()
+            .filter_map(|address| self.table.get(*address))
+            .filter(move |member| self.table.is_live(member, now_ms))
+            .filter_map(|member| member.record.as_balancer())
+    }
+
+    /// Returns the domains that are silent or were so lately, for dumps.
+    pub fn is_domain_silent(&self, domain: DomainId) -> bool {
+        self.table.is_domain_silent(domain)
+    }
+
+    /// Tells whether this balancer is one that watches the store.
+    pub fn is_store_watcher(&self, now_ms: u64) -> bool {
+        let own = store_score(self.own().address);
+        let better = self
+            .balancers(now_ms)
+            .filter(|balancer| store_score(balancer.address.0) > own)
+            .take(self.settings.store_watchers)
+            .count();
+        better < self.settings.store_watchers || self.store_watch.is_stale(now_ms)
+    }
+}
--- a/crates/basilstep-core/src/membership/receive.rs
+++ b/crates/basilstep-core/src/membership/receive.rs
@@ -1,24 +1,15 @@
 use super::{
-    announcer::peers_check,
     gossip::RumourKind,
-    member::{MemberRecord, RunCheck},
+    member::RunCheck,
     messages::{
-        Ack, Action, Announce, DomainEvidence, Evidence, Gossip, Heartbeat, MembershipMessage,
+        Action, Announce, DomainEvidence, Evidence, Gossip, Heartbeat, MembershipMessage,
         ProbeAnswer,
     },
-    record::{AgentRecord, BalancerRecord},
     state::{Membership, probe},
-    table::Merged,
 };
-use crate::{address::DomainId, context::Context};
+use crate::context::Context;
 use std::net::SocketAddrV4;
 
-/// How many balancers an acknowledgement names.
-const ACK_SAMPLE: usize = 1;
-
-/// The number of watched members below which a balancer is never busy.
-const BUSY_FLOOR: usize = 8;
-
 impl Membership {
     /// Takes an authenticated datagram.
     pub fn on_datagram(
@@ -279,158 +270,4 @@
         }
         self.take_domain(domain, true, stamp_ms, actions);
     }
-
-    /// Merges a record and passes it on if it is news.
-    pub(super) fn take_record(
-        &mut self,
-        record: MemberRecord,
-        ctx: &mut Context,
-        actions: &mut Vec<Action>,
-    ) {
-        match self.learn_record(record, ctx, actions) {
-            Merged::News => self.start_rumour(record.address, RumourKind::Record, ctx),
-            Merged::Known => {}
-            Merged::Outdated | Merged::Unknown => self.counters.outdated += 1,
-        }
-    }
-
-    /// Merges a record without passing it on.
-    pub(super) fn learn_record(
-        &mut self,
-        record: MemberRecord,
-        ctx: &mut Context,
-        actions: &mut Vec<Action>,
-    ) -> Merged {
-        if record.address == self.own().address {
-            return Merged::Outdated;
-        }
-        let merged = self.table.merge_record(record, ctx.now_ms);
-        if merged == Merged::News {
-            self.last_news_ms = ctx.now_ms;
-            if let Some(member) = self.table.get(record.address).copied() {
-                self.announce_change(&member, actions);
-            }
-        }
-        merged
-    }
-
-    /// Merges evidence about a member and passes it on if it is news.
-    pub(super) fn take_evidence(
-        &mut self,
-        address: SocketAddrV4,
-        run: RunCheck,
-        silent: bool,
-        stamp_ms: u64,
-        ctx: &mut Context,
-        actions: &mut Vec<Action>,
-    ) {
-        let before = self.table.get(address).copied();
-        let was_live = before.is_some_and(|member| self.table.is_live(&member, ctx.now_ms));
-        match self.table.merge_evidence(address, run, silent, stamp_ms) {
-            Merged::News => {
-                self.last_news_ms = ctx.now_ms;
-                self.contradictions.resolve(address);
-                self.start_rumour(address, RumourKind::Evidence, ctx);
-                if silent {
-                    self.schedule_member(address, stamp_ms);
-                }
-                if let Some(member) = self.table.get(address).copied()
-                    && !silent
-                    && !was_live
-                {
-                    self.announce_change(&member, actions);
-                }
-            }
-            Merged::Known => {}
-            Merged::Outdated | Merged::Unknown => self.counters.outdated += 1,
-        }
-    }
-
-    /// Merges evidence about a domain and passes it on if it is news.
-    pub(super) fn take_domain(
-        &mut self,
-        domain: DomainId,
-        silent: bool,
-        stamp_ms: u64,
-        actions: &mut Vec<Action>,
-    ) {
-        let old = self.table.domains().get(&domain).copied();
-        if self.table.merge_domain(domain, silent, stamp_ms) != Merged::News {
-            return;
-        }
-        self.hurry();
-        if silent {
-            self.watch.suspend(domain);
-            self.schedule_domain(domain, stamp_ms);
-            return;
-        }
-        self.watch.resume(domain, stamp_ms);
-        let was_in_force =
-            old.is_some_and(|old| stamp_ms >= old.stamp_ms + self.settings.refute_window_ms);
-        if was_in_force {
-            self.announce_domain_change(domain, actions);
-        }
-    }
-
-    /// Sends gossip now, for what every datagram of gossip tells.
-    fn hurry(&mut self) {
-        self.urgent_sends = self.settings.sends_per_item;
-        self.has_fresh_news = true;
-    }
-
-    fn acknowledge(
-        &mut self,
-        to: SocketAddrV4,
-        address: SocketAddrV4,
-        peers: Option<Vec<AgentRecord>>,
-        ctx: &mut Context,
-        actions: &mut Vec<Action>,
-    ) {
-        let run = self.table.get(address).map(|m| m.record.run_check());
-        let ack = Ack {
-            run,
-            busy: self.is_busy(ctx.now_ms),
-            settings_version: self.settings_version,
-            balancers: self.sample_balancers(ctx),
-            peers,
-        };
-        actions.push(Action::Send {
-            to,
-            message: MembershipMessage::Ack(ack),
-        });
-    }
-
-    fn sample_balancers(&mut self, ctx: &mut Context) -> Vec<BalancerRecord> {
-        let sample: Vec<SocketAddrV4> = (0..ACK_SAMPLE)
-            .filter_map(|_| self.random_peer(ctx))
-            .collect();
-        sample
-            .into_iter()
-            .filter_map(|address| self.table.get(address)?.record.as_balancer())
-            .collect()
-    }
-
-    /// Tells whether this balancer watches clearly more members than its share.
-    fn is_busy(&self, now_ms: u64) -> bool {
-        let balancers = self.table.balancers().len().max(1);
-        let share = self.settings.watchers * self.table.members().len() / balancers;
-        let limit = share + share / 4 + 1;
-        !self.is_settling(now_ms) && self.watch.active() > limit.max(BUSY_FLOOR)
-    }
-
-    /// Returns the agents of the member's service if its list of them is out of date.
-    fn outdated_peers(
-        &self,
-        address: SocketAddrV4,
-        known: [u8; 2],
-        now_ms: u64,
-    ) -> Option<Vec<AgentRecord>> {
-        let service = self.table.get(address)?.record.service()?;
-        let peers: Vec<AgentRecord> = self
-            .agents_of(service, now_ms)
-            .into_iter()
-            .filter(|agent| agent.address.0 != address)
-            .collect();
-        (peers_check(&peers) != known).then_some(peers)
-    }
 }
--- a/crates/basilstep-core/src/membership/state.rs
+++ b/crates/basilstep-core/src/membership/state.rs
@@ -1,19 +1,18 @@
 use super::{
     announcer::Announcer,
     gossip::{ByteBudget, RumourKind, Rumours},
+    join::OUTREACH_INTERVAL_MS,
     member::MemberRecord,
+    merge::Due,
     messages::{Action, MembershipMessage},
-    record::{AgentPhase, AgentRecord, BalancerRecord},
+    record::{AgentPhase, BalancerRecord},
     settings::MembershipSettings,
-    store_watch::{StoreWatch, store_score},
+    store_watch::StoreWatch,
     sync::Contradictions,
-    table::{Member, Merged, Table},
+    table::{Merged, Table},
     watch::{Findings, Watch},
 };
-use crate::{
-    address::{AgentAddress, BalancerAddress, DomainId, ServiceId},
-    context::Context,
-};
+use crate::{address::AgentAddress, context::Context};
 use rand::RngExt;
 use serde::Serialize;
 use std::{collections::BTreeSet, net::SocketAddrV4};
@@ -24,24 +23,12 @@
 /// ages of evidence gather on their way.
 pub(super) const SILENCE_LAG_MS: u64 = 150;
 
-/// The time between two probes of each silent domain.
-const OUTREACH_INTERVAL_MS: u64 = 5_000;
-
 /// How many balancers are asked for a sign of life before a member is suspected.
 const LIFE_PROBES: usize = 2;
 
 /// How long datagrams are not trusted after a pause, since their ages are wrong.
 const STALE_QUEUE_MS: u64 = 200;
 
-/// The time between two attempts to get a snapshot.
-const SNAPSHOT_RETRY_MS: u64 = 3_000;
-
-/// The time between two snapshots while they still bring many members.
-const SNAPSHOT_INTERVAL_MS: u64 = 500;
-
-/// A peer that knows more members by this share, one in so many, is asked for a snapshot.
-const FAR_BEHIND_SHARE: usize = 100;
-
 /// The time between two clean-ups of forgotten members.
 const FORGET_INTERVAL_MS: u64 = 60_000;
 
@@ -65,30 +52,17 @@
     pub(super) next_sync_ms: u64,
     pub(super) next_fetch_ms: u64,
     pub(super) counters: MembershipCounters,
-    live_peers: Vec<SocketAddrV4>,
-    are_peers_outdated: bool,
-    due: BTreeSet<Due>,
-    needs_snapshot: bool,
-    next_snapshot_ms: u64,
-    next_forget_ms: u64,
-    next_outreach_ms: u64,
-    last_active_ms: u64,
-    trusted_from_ms: u64,
-    started_ms: u64,
-    view_version: u64,
-}
-
-/// A suspicion whose window for refutations ends.
-#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-struct Due {
-    at_ms: u64,
-    subject: Subject,
-}
-
-#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-enum Subject {
-    Member(SocketAddrV4),
-    Domain(DomainId),
+    pub(super) live_peers: Vec<SocketAddrV4>,
+    pub(super) are_peers_outdated: bool,
+    pub(super) due: BTreeSet<Due>,
+    pub(super) needs_snapshot: bool,
+    pub(super) next_snapshot_ms: u64,
+    pub(super) next_forget_ms: u64,
+    pub(super) next_outreach_ms: u64,
+    pub(super) last_active_ms: u64,
+    pub(super) trusted_from_ms: u64,
+    pub(super) started_ms: u64,
+    pub(super) view_version: u64,
 }
 
 /// What a balancer's membership has done so far, for dumps and metrics.
@@ -147,104 +121,6 @@
         }
     }
 
-    /// Returns a number that rises with each change of who is in placement.
-    pub fn view_version(&self) -> u64 {
-        self.view_version
-    }
-
-    /// Returns what this balancer announces about itself.
-    pub fn own(&self) -> &MemberRecord {
-        self.announcer.own()
-    }
-
-    /// Returns what has been done so far.
-    pub fn counters(&self) -> MembershipCounters {
-        self.counters
-    }
-
-    /// Returns how many members this balancer watches.
-    pub fn watched(&self) -> usize {
-        self.watch.len()
-    }
-
-    /// Returns how many members are known, live or not.
-    pub fn known(&self) -> usize {
-        self.table.members().len()
-    }
-
-    /// Tells whether the balancer has the view of a peer, or is alone, and may take traffic.
-    pub fn is_joined(&self) -> bool {
-        !self.needs_snapshot
-    }
-
-    /// Returns the agents of a service that are in placement, with those that drain.
-    ///
-    /// When all of them are out on suspicion alone, the suspicion is not acted upon: the last
-    /// agents of a service stay.
-    pub fn agents_of(&self, service: ServiceId, now_ms: u64) -> Vec<AgentRecord> {
-        let running = || {
-            let agents = self.table.agents_of(service);
-            agents.filter(|member| member.record.phase != AgentPhase::Down)
-        };
-        let is_serving = |agent: &AgentRecord| agent.phase == AgentPhase::Serving;
-        let live: Vec<AgentRecord> = running()
-            .filter(|member| self.table.is_live(member, now_ms))
-            .filter_map(|member| member.record.as_agent())
-            .collect();
-        if live.iter().any(is_serving) {
-            return live;
-        }
-        running()
-            .filter_map(|member| member.record.as_agent())
-            .collect()
-    }
-
-    /// Returns what is known of an agent and whether it is live.
-    pub fn agent(&self, address: AgentAddress, now_ms: u64) -> Option<(AgentRecord, bool)> {
-        let member = self.table.get(address.0)?;
-        let record = member.record.as_agent()?;
-        Some((record, self.table.is_live(member, now_ms)))
-    }
-
-    /// Returns all agents that are known and whether each is live.
-    pub fn agents(&self, now_ms: u64) -> impl Iterator<Item = (AgentRecord, bool)> {
-        self.table.members().values().filter_map(move |member| {
-            let record = member.record.as_agent()?;
-            Some((record, self.table.is_live(member, now_ms)))
-        })
-    }
-
-    /// Returns the request for the settings above those in force here.
-    pub fn pull_settings(&self) -> MembershipMessage {
-        self.announcer.pull_settings()
-    }
-
-    /// Returns the live balancers, this one included.
-    pub fn balancers(&self, now_ms: u64) -> impl Iterator<Item = BalancerRecord> {
-        self.table
-            .balancers()
-            .iter()
-            .filter_map(|address| self.table.get(*address))
-            .filter(move |member| self.table.is_live(member, now_ms))
-            .filter_map(|member| member.record.as_balancer())
-    }
-
-    /// Returns the domains that are silent or were so lately, for dumps.
-    pub fn is_domain_silent(&self, domain: DomainId) -> bool {
-        self.table.is_domain_silent(domain)
-    }
-
-    /// Tells whether this balancer is one that watches the store.
-    pub fn is_store_watcher(&self, now_ms: u64) -> bool {
-        let own = store_score(self.own().address);
-        let better = self
-            .balancers(now_ms)
-            .filter(|balancer| store_score(balancer.address.0) > own)
-            .take(self.settings.store_watchers)
-            .count();
-        better < self.settings.store_watchers || self.store_watch.is_stale(now_ms)
-    }
-
     /// Notes that the store has answered this balancer.
     pub fn on_store_answer(&mut self, ctx: &Context) {
         self.store_watch.note_answer(ctx.now_ms);
@@ -347,73 +223,6 @@
         self.next_snapshot_ms = now_ms + STALE_QUEUE_MS;
     }
 
-    pub(super) fn finish_join(&mut self) {
-        self.needs_snapshot = false;
-    }
-
-    /// Tells whether this balancer has joined lately and still learns most by snapshots.
-    pub(super) fn is_incomplete(&self, now_ms: u64) -> bool {
-        let is_pulling = now_ms < self.next_snapshot_ms + SNAPSHOT_RETRY_MS;
-        self.is_settling(now_ms) && (self.needs_snapshot || is_pulling)
-    }
-
-    /// Tells whether a peer that knows `members` has clearly more than a view that is new.
-    pub(super) fn is_far_behind(&self, members: u32, now_ms: u64) -> bool {
-        let known = self.known();
-        self.is_settling(now_ms) && members as usize > known + known / FAR_BEHIND_SHARE
-    }
-
-    /// Gets a peer's whole view, at a bounded rate: when all join at once, what a balancer knows
-    /// doubles with each snapshot.
-    pub(super) fn pull_snapshot(
-        &mut self,
-        from: SocketAddrV4,
-        ctx: &Context,
-        actions: &mut Vec<Action>,
-    ) {
-        if ctx.now_ms < self.next_snapshot_ms {
-            return;
-        }
-        self.next_snapshot_ms = ctx.now_ms + SNAPSHOT_INTERVAL_MS;
-        let from = BalancerAddress(from);
-        actions.push(Action::FetchSnapshot { from });
-    }
-
-    /// Probes a random member of each silent domain: after a cut both sides take each other to be
-    /// silent, and nobody else would send the first datagram.
-    fn reach_out(&mut self, ctx: &mut Context, actions: &mut Vec<Action>) {
-        if ctx.now_ms < self.next_outreach_ms {
-            return;
-        }
-        self.next_outreach_ms = ctx.now_ms + OUTREACH_INTERVAL_MS;
-        let silent = self.table.domains().iter();
-        let silent: Vec<DomainId> = silent
-            .filter(|(_, status)| status.silent)
-            .map(|(domain, _)| *domain)
-            .collect();
-        for domain in silent {
-            let members = self.table.balancers_in(domain);
-            if !members.is_empty() {
-                let index = ctx.rng.random_range(0..members.len());
-                actions.push(probe(members[index]));
-            }
-        }
-    }
-
-    fn request_snapshot(&mut self, ctx: &mut Context, actions: &mut Vec<Action>) {
-        if !self.needs_snapshot || ctx.now_ms < self.next_snapshot_ms {
-            return;
-        }
-        self.next_snapshot_ms = ctx.now_ms + SNAPSHOT_RETRY_MS;
-        match self.random_peer(ctx) {
-            Some(peer) => actions.push(Action::FetchSnapshot {
-                from: BalancerAddress(peer),
-            }),
-            None if !self.is_settling(ctx.now_ms) => self.needs_snapshot = false,
-            None => {}
-        }
-    }
-
     fn act_on(&mut self, findings: &Findings, ctx: &mut Context, actions: &mut Vec<Action>) {
         if findings.has_rejoined {
             self.recover(ctx.now_ms);
@@ -441,61 +250,6 @@
         self.take_evidence(address, run, true, stamp_ms, ctx, actions);
     }
 
-    /// Notes that a suspicion takes effect when its window for refutations is over.
-    pub(super) fn schedule_member(&mut self, address: SocketAddrV4, stamp_ms: u64) {
-        self.due.insert(Due {
-            at_ms: stamp_ms + self.settings.refute_window_ms,
-            subject: Subject::Member(address),
-        });
-    }
-
-    /// Notes that a suspicion of a domain takes effect when its window is over.
-    pub(super) fn schedule_domain(&mut self, domain: DomainId, stamp_ms: u64) {
-        self.due.insert(Due {
-            at_ms: stamp_ms + self.settings.refute_window_ms,
-            subject: Subject::Domain(domain),
-        });
-    }
-
-    fn settle_due(&mut self, now_ms: u64, actions: &mut Vec<Action>) {
-        while let Some(due) = self.due.first().copied().filter(|due| due.at_ms <= now_ms) {
-            self.due.remove(&due);
-            match due.subject {
-                Subject::Member(address) => {
-                    let member = self.table.get(address).copied();
-                    if let Some(member) = member.filter(|m| !self.table.is_live(m, now_ms)) {
-                        self.announce_change(&member, actions);
-                    }
-                }
-                Subject::Domain(domain) => {
-                    if self.table.is_domain_silent(domain) {
-                        self.announce_domain_change(domain, actions);
-                    }
-                }
-            }
-        }
-    }
-
-    /// Tells the shell that a member came into or fell out of placement.
-    pub(super) fn announce_change(&mut self, member: &Member, actions: &mut Vec<Action>) {
-        self.view_version += 1;
-        if let Some(service) = member.record.service() {
-            actions.push(Action::AgentsChanged { service });
-            return;
-        }
-        self.are_peers_outdated = true;
-        actions.push(Action::BalancersChanged);
-    }
-
-    /// Tells the shell that a whole domain came into or fell out of placement.
-    pub(super) fn announce_domain_change(&mut self, domain: DomainId, actions: &mut Vec<Action>) {
-        self.view_version += 1;
-        self.are_peers_outdated = true;
-        actions.push(Action::BalancersChanged);
-        let services = self.table.services_in(domain).into_iter();
-        actions.extend(services.map(|service| Action::AgentsChanged { service }));
-    }
-
     /// Returns a random live balancer other than this one.
     pub(super) fn random_peer(&mut self, ctx: &mut Context) -> Option<SocketAddrV4> {
         if self.live_peers.is_empty() {
--- a/crates/basilstep-core/src/membership/sync.rs
+++ b/crates/basilstep-core/src/membership/sync.rs
@@ -1,8 +1,6 @@
 use super::{
     member::{MemberRecord, StateHash},
-    messages::{
-        Action, BucketStates, Difference, Gossip, MembershipMessage, Snapshot, SnapshotMember,
-    },
+    messages::{Action, BucketStates, Difference, Gossip, MembershipMessage},
     spread::evidence,
     state::{Membership, SILENCE_LAG_MS, probe},
     table::bucket_of,
@@ -255,61 +253,4 @@
         self.budget.spend(message.network_bytes());
         actions.push(Action::Send { to, message });
     }
-
-    /// Returns the whole view for a balancer that joins.
-    pub fn snapshot(&self, now_ms: u64) -> Snapshot {
-        let members = self.table.members().values().map(|member| SnapshotMember {
-            record: member.record,
-            silent_ms: member
-                .silent
-                .then(|| now_ms.saturating_sub(member.stamp_ms)),
-        });
-        Snapshot {
-            members: members.collect(),
-            domains: self.domain_evidence(now_ms),
-            settings_version: self.settings_version,
-        }
-    }
-
-    /// Merges the view of a peer.
-    ///
-    /// What arrived while the snapshot was under way was merged at once: the merge keeps the
-    /// greatest state of each member, so nothing has to be held back and applied afterwards.
-    pub fn merge_snapshot(&mut self, snapshot: &Snapshot, ctx: &mut Context) -> Vec<Action> {
-        let mut actions = Vec::new();
-        for member in &snapshot.members {
-            self.merge_snapshot_member(member, ctx, &mut actions);
-        }
-        for evidence in &snapshot.domains {
-            let stamp_ms = evidence.stamp_ms(ctx.now_ms);
-            self.take_domain(evidence.domain, evidence.silent, stamp_ms, &mut actions);
-        }
-        self.finish_join();
-        actions
-    }
-
-    fn merge_snapshot_member(
-        &mut self,
-        member: &SnapshotMember,
-        ctx: &mut Context,
-        actions: &mut Vec<Action>,
-    ) {
-        let record = member.record;
-        let is_unknown = self.table.get(record.address).is_none();
-        if is_unknown {
-            // No stamp: the evidence about the member's domain in the snapshot is newer.
-            self.table.merge_record(record, 0);
-            if let Some(member) = self.table.get(record.address).copied() {
-                self.announce_change(&member, actions);
-            }
-        } else {
-            self.take_record(record, ctx, actions);
-        }
-        let Some(silent_ms) = member.silent_ms else {
-            return;
-        };
-        let stamp_ms = ctx.now_ms.saturating_sub(silent_ms);
-        self.table
-            .merge_evidence(record.address, record.run_check(), true, stamp_ms);
-    }
 }
--- a/crates/basilstep-core/src/membership/tests.rs
+++ b/crates/basilstep-core/src/membership/tests.rs
@@ -1,12 +1,14 @@
 use super::{
     Action, AgentPhase, AgentRecord, Announcer, BalancerRecord, Evidence, MemberRecord, Membership,
-    MembershipMessage, MembershipSettings,
+    MembershipMessage, MembershipSettings, ProbeAnswer, SettingsDelta,
     messages::Gossip,
     table::{Merged, Table},
 };
 use crate::{
     address::{AgentAddress, BalancerAddress, DomainId, Incarnation, ServiceId},
     context::Context,
+    crypto::ClusterKey,
+    wire::{decode_sealed, encode_sealed},
 };
 use proptest::{prelude::*, test_runner::RngSeed};
 use rstest::rstest;
@@ -333,6 +335,98 @@
     }
 }
 
+#[test]
+fn cut_regions_go_on_by_themselves_and_find_each_other_again() {
+    let agents: Vec<AgentRecord> = (1..=40).map(|index| agent(index, index % 4)).collect();
+    let mut fleet = Fleet::settled(8, &agents);
+    let region = |domain: DomainId| domain.0 / 2;
+    let members: Vec<(SocketAddrV4, u8)> = (1..=8)
+        .map(|index| (balancer(index).address.0, region(balancer(index).domain)))
+        .chain(agents.iter().map(|a| (a.address.0, region(a.domain))))
+        .collect();
+    for (one, one_region) in &members {
+        for (other, other_region) in &members {
+            if one_region != other_region {
+                fleet.cut.insert((*one, *other));
+            }
+        }
+    }
+    fleet.run_ms(60_000);
+    for record in &agents {
+        assert_eq!(fleet.live_views(record.address.0), 4, "{record:?}");
+    }
+    fleet.cut.clear();
+    fleet.run_ms(12_000);
+    for record in &agents {
+        assert_eq!(fleet.live_views(record.address.0), 8, "{record:?}");
+    }
+}
+
+#[test]
+fn three_balancers_watch_the_store_and_others_take_over() {
+    let mut fleet = Fleet::settled(8, &[]);
+    let watching = |fleet: &Fleet| -> Vec<SocketAddrV4> {
+        let now_ms = fleet.ctx.now_ms;
+        let running = fleet
+            .balancers
+            .iter()
+            .filter(|(at, _)| !fleet.stopped.contains(at));
+        let watchers = running.filter(|(_, view)| view.is_store_watcher(now_ms));
+        watchers.map(|(at, _)| *at).collect()
+    };
+    let answer = |fleet: &mut Fleet| {
+        for view in fleet.balancers.values_mut() {
+            view.on_store_answer(&fleet.ctx);
+        }
+    };
+    answer(&mut fleet);
+    let first = watching(&fleet);
+    assert_eq!(first.len(), 3);
+    fleet.stopped.extend(&first);
+    fleet.run_ms(4_000);
+    assert_eq!(watching(&fleet).len(), 3);
+    fleet.run_ms(20_000);
+    assert_eq!(watching(&fleet).len(), 5);
+}
+
+#[rstest]
+#[case::next(3, 5, true)]
+#[case::gap_before_it(4, 5, false)]
+#[case::not_newer(1, 3, false)]
+#[case::older(1, 2, false)]
+fn settings_apply_only_forwards_and_without_a_gap(
+    #[case] base_version: u64,
+    #[case] version: u64,
+    #[case] applies: bool,
+) {
+    let delta = SettingsDelta {
+        base_version,
+        version,
+        entries: Vec::new(),
+    };
+    assert_eq!(delta.applies_to(3), applies);
+}
+
+#[test]
+fn altered_message_is_refused_wherever_it_was_altered() {
+    let key = ClusterKey::new([9; 32]).derive("gossip");
+    let record = MemberRecord::from(agent(1, 0));
+    let message = MembershipMessage::ProbeAnswer(ProbeAnswer {
+        address: record.address,
+        run: record.run_check(),
+        watched: true,
+    });
+    let mut buffer = [0; 64];
+    let length = encode_sealed(&key, &message, &mut buffer).unwrap();
+    let whole: MembershipMessage = decode_sealed(&key, &buffer[..length]).unwrap();
+    assert_eq!(whole, message);
+    for at in 0..length {
+        let mut altered = buffer;
+        altered[at] ^= 1;
+        assert!(decode_sealed::<MembershipMessage>(&key, &altered[..length]).is_err());
+    }
+}
+
 #[test]
 fn restarted_balancer_gets_the_view_of_a_peer() {
     let mut fleet = Fleet::settled(6, &three_agents());
