test(core): distrust what was queued during a pause

Seen to fail with the detection of pauses disabled; the frozen-balancer test alone passed without it, since the check for isolation covers it too.

--- a/crates/basilstep-core/src/membership/tests.rs
+++ b/crates/basilstep-core/src/membership/tests.rs
@@ -276,6 +276,41 @@
     assert_eq!(fleet.balancers[&frozen].counters().suspected, 0);
 }
 
+#[test]
+fn gossip_queued_during_a_pause_is_not_trusted() {
+    let mut fleet = Fleet::settled(6, &three_agents());
+    let member = agent(1, 0);
+    let at = balancer(1).address.0;
+    let gossip = gossip_of_silence(member, 100, fleet.ctx.now_ms);
+    fleet.ctx.advance(20_000);
+    let view = fleet.balancers.get_mut(&at).unwrap();
+    view.on_datagram(balancer(2).address.0, &gossip, &mut fleet.ctx);
+    let mut fetched = 0;
+    for _ in 0..10 {
+        fleet.ctx.advance(STEP_MS);
+        let view = fleet.balancers.get_mut(&at).unwrap();
+        let actions = view.on_tick(&mut fleet.ctx);
+        let is_fetch = |action: &&Action| matches!(action, Action::FetchSnapshot { .. });
+        fetched += actions.iter().filter(is_fetch).count();
+        assert!(fleet.is_live_at(member.address.0, at));
+    }
+    assert!(fetched > 0);
+}
+
+/// Gossip in which somebody says that an agent has been silent for a time.
+fn gossip_of_silence(member: AgentRecord, age_ms: u64, now_ms: u64) -> MembershipMessage {
+    let state = MemberRecord::from(member).state_hash();
+    MembershipMessage::Gossip(Gossip {
+        digest: 0,
+        members: 0,
+        settings_version: 0,
+        store_age_ms: None,
+        domains: Vec::new(),
+        records: Vec::new(),
+        evidence: vec![Evidence::new(state, true, now_ms - age_ms, now_ms)],
+    })
+}
+
 #[test]
 fn isolated_balancer_declares_nobody_dead() {
     let agents: Vec<AgentRecord> = (1..=12).map(|index| agent(index, index % 4)).collect();
@@ -446,20 +481,7 @@
     let mut fleet = Fleet::settled(6, &three_agents());
     let at = balancer(1).address.0;
     let member = agent(1, 0);
-    let gossip = MembershipMessage::Gossip(Gossip {
-        digest: 0,
-        members: 0,
-        settings_version: 0,
-        store_age_ms: None,
-        domains: Vec::new(),
-        records: Vec::new(),
-        evidence: vec![Evidence::new(
-            MemberRecord::from(member).state_hash(),
-            true,
-            fleet.ctx.now_ms - 10_000,
-            fleet.ctx.now_ms,
-        )],
-    });
+    let gossip = gossip_of_silence(member, 10_000, fleet.ctx.now_ms);
     let view = fleet.balancers.get_mut(&at).unwrap();
     view.on_datagram(balancer(2).address.0, &gossip, &mut fleet.ctx);
     let is_probe = |action: &Action| matches!(action, Action::Send { to, message: MembershipMessage::Probe } if *to == member.address.0);
