feat(bench): measure a failure domain that leaves and returns

Drives steering tables, offers between agents and admission in virtual time; settings arrive evenly spread over 200 to 2000 ms.

--- /dev/null
+++ b/crates/basilstep-bench/src/load/domain/agent.rs
@@ -0,0 +1,147 @@
+//! One agent with its target.
+
+use super::{
+    super::target_model::{Harness, NoLimit, ServiceTimes, TargetModel, TargetSettings},
+    cases::{Policy, ServiceCase},
+    gate::DomainGate,
+};
+use basilstep_core::{
+    address::{AgentAddress, DomainId, Incarnation, ServiceId},
+    admission::{Admission, AdmissionSettings},
+    codes::ResultCode,
+    context::Context,
+    membership::{AgentPhase, AgentRecord},
+    placement::{OfferDecision, Offered, OwnLoad, PlacementSettings, RecentOffers, decide},
+};
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
+
+/// The service of all targets.
+pub const SERVICE: ServiceId = ServiceId(1);
+/// The domain that leaves.
+pub const LEAVING: DomainId = DomainId(0);
+
+/// The weight of each target, the default of the agent.
+const WEIGHT: u8 = 16;
+/// The target's own time from cold to warm.
+const WARM_UP_MS: f64 = 3_000.0;
+/// How long it stands more than twice its bearable load.
+const FALL_AFTER_MS: u64 = 500;
+/// How long it refuses connections after it fell over.
+const DOWN_MS: u64 = 2_000;
+
+/// One agent with its target.
+pub struct Agent {
+    /// What it announces.
+    pub record: AgentRecord,
+    /// Admission and the target.
+    pub harness: Harness<DomainGate>,
+    /// Its record of offers.
+    pub recent: RecentOffers,
+    /// The flows that it holds.
+    pub flows: u32,
+    /// Whether the settings that it has in force take its domain out.
+    pub is_out: bool,
+    /// Whether its machine runs.
+    pub is_powered: bool,
+    policy: Policy,
+    slots: u32,
+}
+
+impl Agent {
+    /// Creates an agent with a warm target.
+    pub fn new(number: u8, case: &ServiceCase, policy: Policy, context: &mut Context) -> Self {
+        let address = SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, number), 7_000);
+        let record = AgentRecord {
+            address: AgentAddress(address),
+            service: SERVICE,
+            domain: DomainId(case.domains[usize::from(number)]),
+            incarnation: Incarnation(1),
+            revision: 1,
+            weight: WEIGHT,
+            phase: AgentPhase::Serving,
+        };
+        Self {
+            record,
+            harness: open_harness(policy, case.slots, 1.0, context),
+            recent: RecentOffers::new(PlacementSettings::default(), context),
+            flows: 0,
+            is_out: false,
+            is_powered: true,
+            policy,
+            slots: case.slots,
+        }
+    }
+
+    /// Finds an agent by its address.
+    pub fn number_of(address: AgentAddress) -> usize {
+        usize::from(address.0.ip().octets()[3])
+    }
+
+    /// Tells whether the agent is in the domain that leaves.
+    pub fn is_leaving(&self) -> bool {
+        self.record.domain == LEAVING
+    }
+
+    /// Starts the agent and its cold target anew.
+    pub fn restart(&mut self, context: &mut Context) {
+        self.record.incarnation.0 += 1;
+        self.harness = open_harness(self.policy, self.slots, 0.0, context);
+        self.recent = RecentOffers::new(PlacementSettings::default(), context);
+        self.flows = 0;
+        self.is_powered = true;
+    }
+
+    /// Decides on a first packet of a new flow.
+    pub fn decide(&mut self, offered: &Offered<'_>, now_ms: u64) -> OfferDecision {
+        let own = self.own_load();
+        decide(offered, &own, &mut self.recent, now_ms)
+    }
+
+    /// Notes that the endpoint holds a flow that was offered.
+    pub fn opened(&mut self, caller: &SocketAddr, connection_id: &[u8]) {
+        self.flows += 1;
+        self.recent.opened(caller, connection_id);
+    }
+
+    fn own_load(&self) -> OwnLoad {
+        let weight = match self.policy {
+            Policy::Ours => self.harness.gate().ramped_weight(WEIGHT),
+            _ => WEIGHT,
+        };
+        OwnLoad {
+            address: self.record.address,
+            flows: self.flows,
+            flow_limit: AdmissionSettings::default().connection_limit,
+            weight,
+            closed: self.is_out.then_some(ResultCode::DomainOut),
+        }
+    }
+}
+
+fn open_harness(
+    policy: Policy,
+    slots: u32,
+    warmth: f64,
+    context: &mut Context,
+) -> Harness<DomainGate> {
+    let settings = TargetSettings {
+        slots,
+        warm_up_ms: WARM_UP_MS,
+        fall_after_ms: Some(FALL_AFTER_MS),
+        down_ms: DOWN_MS,
+        service_times: ServiceTimes::Even,
+    };
+    let admission = AdmissionSettings {
+        request_limit: slots,
+        ..AdmissionSettings::default()
+    };
+    let gate = if policy.has_limits() {
+        DomainGate::Limits(Box::new(Admission::new(admission, context.now_ms)))
+    } else {
+        DomainGate::Open(NoLimit)
+    };
+    let seed = rand::Rng::next_u64(&mut context.rng);
+    let mut harness = Harness::new(gate, TargetModel::new(settings, warmth), seed);
+    harness.context.now_ms = context.now_ms;
+    harness
+}
--- /dev/null
+++ b/crates/basilstep-bench/src/load/domain/callers.rs
@@ -0,0 +1,125 @@
+//! Callers with their flows and requests.
+
+use super::balancer::FLOW_KEYS;
+use basilstep_core::{
+    address::Incarnation,
+    context::Context,
+    membership::AgentRecord,
+    token::{FlowToken, TOKEN_BYTES},
+};
+use rand::{Rng, RngExt};
+use std::net::{Ipv4Addr, SocketAddr};
+
+/// The size of a first packet.
+const OPENING_BYTES: usize = 1_200;
+/// The length of the connection ID that a caller chooses.
+const FIRST_ID_BYTES: usize = 8;
+/// The first byte of an opening packet.
+const LONG_HEADER: u8 = 0xc0;
+/// The first byte of a packet of an open flow.
+const SHORT_HEADER: u8 = 0x40;
+/// The size of a packet of an open flow.
+const SHORT_BYTES: usize = 64;
+
+/// One caller; when its flow ends by itself another caller takes its place.
+#[derive(Clone, Debug)]
+pub struct Caller {
+    /// Where it sends from.
+    pub address: SocketAddr,
+    /// Its flow, once it is open.
+    pub flow: Option<Flow>,
+    /// Rises with each flow, so that the end of an earlier one is told apart.
+    pub generation: u32,
+    /// When its last flow was lost, while it has no other.
+    pub lost_ms: Option<u64>,
+    /// The requests that wait for a flow.
+    pub waiting: Vec<Job>,
+}
+
+/// An open flow.
+#[derive(Clone, Copy, Debug)]
+pub struct Flow {
+    /// The number of its agent.
+    pub agent: usize,
+    /// The run of the agent.
+    pub incarnation: Incarnation,
+    /// The connection ID that the agent minted.
+    pub token: [u8; TOKEN_BYTES],
+}
+
+/// One request.
+#[derive(Clone, Copy, Debug)]
+pub struct Job {
+    /// The number of its caller.
+    pub caller: usize,
+    /// When its caller stops waiting.
+    pub deadline_ms: u64,
+    /// Whether it must be taken once; it then counts twice.
+    pub is_hold: bool,
+    /// The number of this attempt, from 1.
+    pub attempt: u32,
+    /// Whether an agent has passed it on.
+    pub was_relayed: bool,
+}
+
+/// The first packet of a new flow.
+#[derive(Clone, Debug)]
+pub struct FirstPacket {
+    /// The connection ID that the caller chose.
+    pub id: [u8; FIRST_ID_BYTES],
+    /// The datagram.
+    pub datagram: Vec<u8>,
+}
+
+impl Caller {
+    /// Creates a caller without a flow.
+    pub fn new(context: &mut Context) -> Self {
+        let ip = Ipv4Addr::from_bits(context.rng.next_u32());
+        let port: u16 = context.rng.random();
+        Self {
+            address: SocketAddr::from((ip, port)),
+            flow: None,
+            generation: 0,
+            lost_ms: None,
+            waiting: Vec::new(),
+        }
+    }
+}
+
+impl Flow {
+    /// Opens a flow at an agent.
+    pub fn new(agent: usize, record: &AgentRecord) -> Self {
+        let token = FlowToken {
+            agent: record.address,
+            service: record.service,
+            domain: record.domain,
+            incarnation_low: record.incarnation.0 as u16,
+            nonce: [0; 3],
+        };
+        Self {
+            agent,
+            incarnation: record.incarnation,
+            token: token.encode(&FLOW_KEYS.current),
+        }
+    }
+
+    /// Returns a packet of the flow.
+    pub fn datagram(&self) -> [u8; SHORT_BYTES] {
+        let mut datagram = [0; SHORT_BYTES];
+        datagram[0] = SHORT_HEADER;
+        datagram[1..=TOKEN_BYTES].copy_from_slice(&self.token);
+        datagram
+    }
+}
+
+impl FirstPacket {
+    /// Draws the connection ID and writes the packet.
+    pub fn new(context: &mut Context) -> Self {
+        let id: [u8; FIRST_ID_BYTES] = context.rng.random();
+        let head = [LONG_HEADER, 0, 0, 0, 1, FIRST_ID_BYTES as u8];
+        let mut datagram = vec![0; OPENING_BYTES];
+        datagram[..head.len()].copy_from_slice(&head);
+        datagram[head.len()..head.len() + FIRST_ID_BYTES].copy_from_slice(&id);
+        Self { id, datagram }
+    }
+}
--- /dev/null
+++ b/crates/basilstep-bench/src/load/domain/figures.rs
@@ -0,0 +1,139 @@
+//! What one run measured.
+
+use super::run::{END_MS, OUT_MS, RETURN_MS};
+use std::ops::Range;
+
+/// The length of one interval of the score.
+const BIN_MS: u64 = 1_000;
+/// The intervals that a dip is averaged over.
+const WINDOW_BINS: usize = 3;
+/// The time after the change within which the domain has to be left, in intervals.
+const DEPARTURE_BINS: usize = 2;
+/// The intervals before the return that a dip is compared with.
+const BEFORE_BINS: usize = 10;
+/// The intervals after the return in which a dip is looked for.
+const RETURN_BINS: usize = 20;
+/// The share of what the capacity allows that counts as full service.
+const FULL_SHARE: f64 = 0.95;
+
+/// The counts of one run.
+#[derive(Debug)]
+pub struct Figures {
+    offered: Vec<f64>,
+    served: Vec<f64>,
+    /// The score a second that the whole service can serve.
+    pub capacity: f64,
+    /// The part of it that stays while the domain is out.
+    pub remaining_share: f64,
+    /// When the last packet went to the domain, after the change was accepted.
+    pub last_packet_ms: u64,
+    /// The flows that ended in the domain taken out.
+    pub given_up_flows: u32,
+    /// Any other flow that was lost.
+    pub broken_flows: u32,
+    /// The longest time that a caller was without a flow after it lost one.
+    pub reopened_after_ms: u64,
+    /// The holds of which nobody knows whether they were taken.
+    pub unknown_holds: u32,
+    /// The requests that were not answered in time.
+    pub timed_out: u32,
+    /// How often targets fell over.
+    pub falls: u32,
+    /// The largest load of a returned target over its bearable one.
+    pub returned_peak_ratio: f64,
+    /// The flows of the returned domain over its share of the targets, at the end.
+    pub returned_flow_share: f64,
+}
+
+impl Figures {
+    /// Creates empty counts.
+    pub fn new(capacity: f64, remaining_share: f64) -> Self {
+        let bins = (END_MS / BIN_MS) as usize;
+        Self {
+            offered: vec![0.0; bins],
+            served: vec![0.0; bins],
+            capacity,
+            remaining_share,
+            last_packet_ms: 0,
+            given_up_flows: 0,
+            broken_flows: 0,
+            reopened_after_ms: 0,
+            unknown_holds: 0,
+            timed_out: 0,
+            falls: 0,
+            returned_peak_ratio: 0.0,
+            returned_flow_share: 0.0,
+        }
+    }
+
+    /// Counts a request that a caller makes.
+    pub fn offer(&mut self, now_ms: u64, score: f64) {
+        self.offered[bin(now_ms)] += score;
+    }
+
+    /// Counts a request that was answered in time.
+    pub fn serve(&mut self, now_ms: u64, score: f64) {
+        self.served[bin(now_ms)] += score;
+    }
+
+    /// Returns the served part of what the capacity allowed in the first seconds after the change.
+    pub fn departure_share(&self) -> f64 {
+        let start = bin(OUT_MS);
+        self.share_of_allowed(start..start + DEPARTURE_BINS, self.remaining_share)
+    }
+
+    /// Returns the same from then on until the return.
+    pub fn out_share(&self) -> f64 {
+        let start = bin(OUT_MS) + DEPARTURE_BINS;
+        self.share_of_allowed(start..bin(RETURN_MS), self.remaining_share)
+    }
+
+    /// Returns the least score after the return over the mean before it.
+    pub fn return_dip(&self) -> f64 {
+        let start = bin(RETURN_MS);
+        let before = mean(&self.served[start - BEFORE_BINS..start]);
+        let after = &self.served[start..start + RETURN_BINS];
+        let least = after
+            .windows(WINDOW_BINS)
+            .map(mean)
+            .fold(f64::MAX, f64::min);
+        least / before
+    }
+
+    /// Returns the served part of what the whole capacity allowed from the return to the end.
+    pub fn returned_share(&self) -> f64 {
+        self.share_of_allowed(bin(RETURN_MS)..self.served.len(), 1.0)
+    }
+
+    /// Returns the time from the return to full service, if it came.
+    pub fn full_after_s(&self) -> Option<usize> {
+        let start = bin(RETURN_MS);
+        let last = self.served.len() - WINDOW_BINS;
+        (start..=last)
+            .find(|first| self.share_of_allowed(*first..first + WINDOW_BINS, 1.0) >= FULL_SHARE)
+            .map(|first| first - start)
+    }
+
+    /// Returns the score a second over the time since the change in seconds.
+    pub fn curve(&self) -> Vec<(f64, f64)> {
+        let start = bin(OUT_MS) as f64;
+        let windows = self.served.windows(WINDOW_BINS).enumerate();
+        windows
+            .map(|(first, window)| (first as f64 + 1.0 - start, mean(window)))
+            .collect()
+    }
+
+    fn share_of_allowed(&self, bins: Range<usize>, capacity_share: f64) -> f64 {
+        let offered: f64 = self.offered[bins.clone()].iter().sum();
+        let capacity = self.capacity * capacity_share * bins.len() as f64;
+        self.served[bins].iter().sum::<f64>() / offered.min(capacity)
+    }
+}
+
+fn bin(now_ms: u64) -> usize {
+    (now_ms / BIN_MS) as usize
+}
+
+fn mean(values: &[f64]) -> f64 {
+    values.iter().sum::<f64>() / values.len() as f64
+}
--- /dev/null
+++ b/crates/basilstep-bench/src/load/domain/flows.rs
@@ -0,0 +1,158 @@
+//! Flows: opened, lost and ended.
+
+use super::{
+    agent::Agent,
+    callers::{Caller, FirstPacket, Flow},
+    run::{BALANCERS, Due, OUT_MS, RETURN_MS, Run},
+};
+use basilstep_core::{
+    address::AgentAddress,
+    placement::{OfferDecision, Offered},
+    steering::Steer,
+    wire::Leg,
+};
+use rand::RngExt;
+
+/// The time from the first packet of a flow to its first request.
+const OPENING_MS: u64 = 10;
+/// The mean pause of a caller whose flow was refused.
+const REFUSED_PAUSE_MS: u64 = 100;
+/// After this time without an answer a caller sends its first packet again.
+const LOST_PAUSE_MS: u64 = 1_000;
+
+/// A first packet on its way between agents.
+#[derive(Clone, Copy, Debug)]
+struct Hop {
+    to: AgentAddress,
+    leg: Leg,
+}
+
+impl Run {
+    pub(super) fn open(&mut self, caller: usize) {
+        let first = FirstPacket::new(&mut self.context);
+        let balancer = self.draw_balancer();
+        let address = self.callers[caller].address;
+        let steer = self.balancers[balancer].place(&address, &first.datagram);
+        let Steer::Forward { agent, leg } = steer else {
+            return self.open_later(caller, LOST_PAUSE_MS);
+        };
+        let mut hop = Hop { to: agent, leg };
+        loop {
+            let number = Agent::number_of(hop.to);
+            self.note_packet(number);
+            if !self.agents[number].is_powered {
+                return self.open_later(caller, LOST_PAUSE_MS);
+            }
+            let offered = Offered {
+                caller: address,
+                connection_id: &first.id,
+                leg: hop.leg,
+            };
+            let now_ms = self.context.now_ms;
+            let decision = self.agents[number].decide(&offered, now_ms);
+            if let Some(next) = decision.next_leg(hop.to) {
+                hop = Hop {
+                    to: next.to,
+                    leg: next.leg,
+                };
+                continue;
+            }
+            if decision != OfferDecision::Take {
+                return self.open_later(caller, REFUSED_PAUSE_MS);
+            }
+            self.agents[number].opened(&address, &first.id);
+            let agent = number;
+            return self.schedule_in(OPENING_MS, Due::Opened { caller, agent });
+        }
+    }
+
+    fn open_later(&mut self, caller: usize, pause_ms: u64) {
+        let jittered_ms = self
+            .context
+            .rng
+            .random_range(pause_ms / 2..=pause_ms * 3 / 2);
+        self.schedule_in(jittered_ms, Due::Open { caller });
+    }
+
+    /// An agent that has closed meanwhile ends the flow at its first packet.
+    pub(super) fn opened(&mut self, caller: usize, agent: usize) {
+        let now_ms = self.context.now_ms;
+        let record = self.agents[agent].record;
+        let one = &mut self.callers[caller];
+        one.flow = Some(Flow::new(agent, &record));
+        one.generation += 1;
+        let generation = one.generation;
+        if let Some(lost_ms) = one.lost_ms.take() {
+            let after_ms = now_ms - lost_ms;
+            self.figures.reopened_after_ms = self.figures.reopened_after_ms.max(after_ms);
+        }
+        let waiting = std::mem::take(&mut one.waiting);
+        let uniform: f64 = self.context.rng.random();
+        let life_ms = -(1.0 - uniform).ln() * self.case.flow_life_s * 1_000.0;
+        let end = Due::End { caller, generation };
+        self.schedule_in((life_ms as u64).max(1), end);
+        if self.agents[agent].is_out && self.policy.ends_flows() {
+            self.lose_flow(caller);
+        }
+        for job in waiting {
+            self.send(job);
+        }
+    }
+
+    /// Another caller takes the place of one whose flow has ended by itself.
+    pub(super) fn end_flow(&mut self, caller: usize, generation: u32) {
+        if self.callers[caller].generation != generation || self.callers[caller].flow.is_none() {
+            return;
+        }
+        self.remove_flow(caller);
+        let mut next = Caller::new(&mut self.context);
+        next.generation = generation;
+        self.callers[caller] = next;
+        self.open(caller);
+    }
+
+    /// The caller learns that its flow is lost and opens another at once.
+    pub(super) fn lose_flow(&mut self, caller: usize) {
+        let Some(flow) = self.remove_flow(caller) else {
+            return;
+        };
+        if self.agents[flow.agent].is_leaving() && self.context.now_ms >= OUT_MS {
+            self.figures.given_up_flows += 1;
+        } else {
+            self.figures.broken_flows += 1;
+        }
+        self.callers[caller].lost_ms = Some(self.context.now_ms);
+        self.open(caller);
+    }
+
+    fn remove_flow(&mut self, caller: usize) -> Option<Flow> {
+        let flow = self.callers[caller].flow.take()?;
+        let agent = &mut self.agents[flow.agent];
+        if agent.record.incarnation == flow.incarnation {
+            agent.flows -= 1;
+        }
+        Some(flow)
+    }
+
+    /// The agent closes all its flows with a numbered code.
+    pub(super) fn close_flows(&mut self, number: usize) {
+        self.fail_requests(number);
+        for caller in 0..self.callers.len() {
+            let flow = self.callers[caller].flow;
+            if flow.is_some_and(|flow| flow.agent == number) {
+                self.lose_flow(caller);
+            }
+        }
+    }
+
+    pub(super) fn draw_balancer(&mut self) -> usize {
+        self.context.rng.random_range(0..BALANCERS)
+    }
+
+    pub(super) fn note_packet(&mut self, number: usize) {
+        let is_out_time = (OUT_MS..RETURN_MS).contains(&self.context.now_ms);
+        if is_out_time && self.agents[number].is_leaving() {
+            self.figures.last_packet_ms = self.context.now_ms - OUT_MS;
+        }
+    }
+}
--- /dev/null
+++ b/crates/basilstep-bench/src/load/domain/gate.rs
@@ -0,0 +1,49 @@
+//! Admission, or none.
+
+use super::super::target_model::{Gate, NoLimit};
+use basilstep_core::{
+    admission::{Action, Admission, Event},
+    context::Context,
+};
+
+/// What stands before the targets of one run.
+#[derive(Debug)]
+pub enum DomainGate {
+    /// The limits of the agent.
+    Limits(Box<Admission>),
+    /// No limit.
+    Open(NoLimit),
+}
+
+impl DomainGate {
+    /// Returns the weight in proportion to the limit in force.
+    pub fn ramped_weight(&self, weight: u8) -> u8 {
+        match self {
+            Self::Limits(admission) => admission.ramped_weight(weight),
+            Self::Open(_) => weight,
+        }
+    }
+}
+
+impl Gate for DomainGate {
+    fn handle(&mut self, event: Event, context: &mut Context) -> Vec<Action> {
+        match self {
+            Self::Limits(admission) => admission.handle(event, context),
+            Self::Open(gate) => gate.handle(event, context),
+        }
+    }
+
+    fn wake_at_ms(&self) -> Option<u64> {
+        match self {
+            Self::Limits(admission) => admission.wake_at_ms(),
+            Self::Open(gate) => gate.wake_at_ms(),
+        }
+    }
+
+    fn is_impaired(&self) -> bool {
+        match self {
+            Self::Limits(admission) => admission.is_impaired(),
+            Self::Open(gate) => gate.is_impaired(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/basilstep-bench/src/load/domain/run.rs
@@ -0,0 +1,260 @@
+//! One run in virtual time: all domains in, one out, and in again.
+
+use super::{
+    agent::Agent,
+    balancer::Balancer,
+    callers::{Caller, Job},
+    cases::{Policy, ServiceCase},
+    figures::Figures,
+};
+use crate::load::target_model::{Retries, SERVICE_MS};
+use basilstep_core::{admission::RequestId, context::Context, membership::AgentRecord};
+use rand::RngExt;
+use std::collections::BTreeMap;
+
+/// When the change is accepted that takes the domain out.
+pub const OUT_MS: u64 = 30_000;
+/// When the change is accepted that brings it back.
+pub const RETURN_MS: u64 = 60_000;
+/// When the run ends.
+pub const END_MS: u64 = 120_000;
+/// When the power of the domain goes.
+const POWER_OFF_MS: u64 = OUT_MS + 10_000;
+/// When its machines are started again, with cold targets.
+const RESTART_MS: u64 = RETURN_MS - 5_000;
+/// The time within which a change is in force at a process; evenly distributed.
+const SPREAD_MS: std::ops::RangeInclusive<u64> = 200..=2_000;
+/// The balancers before the service.
+pub const BALANCERS: usize = 4;
+/// The callers for each target, each with one flow.
+const CALLERS_PER_TARGET: usize = 30;
+/// The share of requests that must be taken once.
+const HOLD_SHARE: f64 = 0.2;
+/// How long a caller waits for an answer, retries included.
+pub const TIMEOUT_MS: u64 = 2_000;
+/// The callers' budget of retries for each hundred requests.
+const BUDGET_PERCENT: u32 = 10;
+
+/// Something that happens at a later time.
+#[derive(Clone, Copy, Debug)]
+pub enum Due {
+    /// A caller opens a flow.
+    Open { caller: usize },
+    /// The flow of a caller can carry requests.
+    Opened { caller: usize, agent: usize },
+    /// The flow of a caller ends by itself.
+    End { caller: usize, generation: u32 },
+    /// A caller tries a request again.
+    Retry(Job),
+    /// A caller that got no sign stops waiting.
+    Unanswered(Job),
+    /// A balancer puts a change in force.
+    BalancerChanges { number: usize, is_out: bool },
+    /// An agent puts a change in force.
+    AgentChanges { number: usize, is_out: bool },
+    /// The power of the domain goes.
+    PowerOff,
+    /// The machines of the domain start.
+    Restart,
+}
+
+/// A request at an agent.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub struct Sent {
+    /// The number of the agent.
+    pub agent: usize,
+    /// The request there.
+    pub id: RequestId,
+}
+
+/// All that takes part in a run.
+pub struct Run {
+    pub(super) case: ServiceCase,
+    pub(super) policy: Policy,
+    pub(super) context: Context,
+    pub(super) agents: Vec<Agent>,
+    pub(super) balancers: Vec<Balancer>,
+    pub(super) callers: Vec<Caller>,
+    pub(super) retries: Retries,
+    pub(super) running: BTreeMap<Sent, Job>,
+    pub(super) figures: Figures,
+    due: BTreeMap<u64, Vec<Due>>,
+    is_out_at: [bool; BALANCERS],
+    mean_gap_ms: f64,
+    next_request_in_ms: f64,
+}
+
+/// Runs one policy and returns what it measured.
+pub fn run_policy(case: &ServiceCase, policy: Policy, load: f64, seed: u64) -> Figures {
+    let mut run = Run::new(case, policy, load, seed);
+    run.plan();
+    while run.context.now_ms < END_MS {
+        run.step();
+    }
+    run.finish()
+}
+
+impl Run {
+    fn new(case: &ServiceCase, policy: Policy, load: f64, seed: u64) -> Self {
+        let mut context = Context::new(seed);
+        let agents: Vec<Agent> = (0_u8..case.domains.len() as u8)
+            .map(|number| Agent::new(number, case, policy, &mut context))
+            .collect();
+        let records: Vec<AgentRecord> = agents.iter().map(|agent| agent.record).collect();
+        let requests_per_ms = agents.len() as f64 * f64::from(case.slots) / SERVICE_MS;
+        let capacity = requests_per_ms * 1_000.0 * (1.0 + HOLD_SHARE);
+        let staying = agents.iter().filter(|agent| !agent.is_leaving()).count();
+        let remaining_share = staying as f64 / agents.len() as f64;
+        Self {
+            case: *case,
+            policy,
+            balancers: (0..BALANCERS)
+                .map(|_| Balancer::build(&records, false, policy))
+                .collect(),
+            callers: (0..agents.len() * CALLERS_PER_TARGET)
+                .map(|_| Caller::new(&mut context))
+                .collect(),
+            agents,
+            context,
+            retries: Retries::new(Some(BUDGET_PERCENT)),
+            running: BTreeMap::new(),
+            figures: Figures::new(capacity, remaining_share),
+            due: BTreeMap::new(),
+            is_out_at: [false; BALANCERS],
+            mean_gap_ms: 1.0 / (requests_per_ms * load),
+            next_request_in_ms: 0.0,
+        }
+    }
+
+    fn plan(&mut self) {
+        for caller in 0..self.callers.len() {
+            self.schedule(caller as u64, Due::Open { caller });
+        }
+        for (at_ms, is_out) in [(OUT_MS, true), (RETURN_MS, false)] {
+            for number in 0..BALANCERS {
+                let spread_ms = self.context.rng.random_range(SPREAD_MS);
+                let due = Due::BalancerChanges { number, is_out };
+                self.schedule(at_ms + spread_ms, due);
+            }
+            for number in 0..self.agents.len() {
+                let spread_ms = self.context.rng.random_range(SPREAD_MS);
+                let due = Due::AgentChanges { number, is_out };
+                self.schedule(at_ms + spread_ms, due);
+            }
+        }
+        self.schedule(POWER_OFF_MS, Due::PowerOff);
+        self.schedule(RESTART_MS, Due::Restart);
+    }
+
+    pub(super) fn schedule(&mut self, at_ms: u64, due: Due) {
+        self.due.entry(at_ms).or_default().push(due);
+    }
+
+    pub(super) fn schedule_in(&mut self, delay_ms: u64, due: Due) {
+        self.schedule(self.context.now_ms + delay_ms, due);
+    }
+
+    fn step(&mut self) {
+        while let Some(entry) = self.due.first_entry() {
+            if *entry.key() > self.context.now_ms {
+                break;
+            }
+            for due in entry.remove() {
+                self.carry_out(due);
+            }
+        }
+        self.make_requests();
+        for number in 0..self.agents.len() {
+            if !self.agents[number].is_powered {
+                continue;
+            }
+            for ending in self.agents[number].harness.step() {
+                self.end_request(number, &ending);
+            }
+        }
+        self.context.advance(1);
+    }
+
+    fn make_requests(&mut self) {
+        self.next_request_in_ms -= 1.0;
+        while self.next_request_in_ms <= 0.0 {
+            let uniform: f64 = self.context.rng.random();
+            self.next_request_in_ms += -self.mean_gap_ms * (1.0 - uniform).ln();
+            let job = Job {
+                caller: self.context.rng.random_range(0..self.callers.len()),
+                deadline_ms: self.context.now_ms + TIMEOUT_MS,
+                is_hold: self.context.rng.random_bool(HOLD_SHARE),
+                attempt: 1,
+                was_relayed: false,
+            };
+            self.retries.add_request();
+            self.figures.offer(self.context.now_ms, job.score());
+            self.send(job);
+        }
+    }
+
+    fn carry_out(&mut self, due: Due) {
+        match due {
+            Due::Open { caller } => self.open(caller),
+            Due::Opened { caller, agent } => self.opened(caller, agent),
+            Due::End { caller, generation } => self.end_flow(caller, generation),
+            Due::Retry(job) => self.send(job),
+            Due::Unanswered(job) => self.give_up(job),
+            Due::BalancerChanges { number, is_out } => {
+                self.is_out_at[number] = is_out;
+                self.rebuild(number);
+            }
+            Due::AgentChanges { number, is_out } => self.change_agent(number, is_out),
+            Due::PowerOff => self.power_off(),
+            Due::Restart => self.restart(),
+        }
+    }
+
+    fn rebuild(&mut self, number: usize) {
+        let records: Vec<AgentRecord> = self.agents.iter().map(|agent| agent.record).collect();
+        self.balancers[number] = Balancer::build(&records, self.is_out_at[number], self.policy);
+    }
+
+    fn change_agent(&mut self, number: usize, is_out: bool) {
+        if !self.agents[number].is_leaving() {
+            return;
+        }
+        self.agents[number].is_out = is_out;
+        if is_out && self.policy.ends_flows() {
+            self.close_flows(number);
+        }
+    }
+
+    fn power_off(&mut self) {
+        for number in 0..self.agents.len() {
+            if self.agents[number].is_leaving() {
+                self.agents[number].is_powered = false;
+                self.drop_requests(number);
+                self.figures.falls += self.agents[number].harness.target.falls();
+            }
+        }
+    }
+
+    fn restart(&mut self) {
+        for agent in &mut self.agents {
+            if agent.is_leaving() {
+                agent.restart(&mut self.context);
+            }
+        }
+        for number in 0..BALANCERS {
+            self.rebuild(number);
+        }
+    }
+
+    fn finish(mut self) -> Figures {
+        let leaving: Vec<&Agent> = self.agents.iter().filter(|one| one.is_leaving()).collect();
+        let peak = leaving.iter().map(|one| one.harness.target.peak_ratio());
+        self.figures.returned_peak_ratio = peak.fold(0.0, f64::max);
+        let flows: u32 = leaving.iter().map(|one| one.flows).sum();
+        let fair = (leaving.len() * CALLERS_PER_TARGET) as f64;
+        self.figures.returned_flow_share = f64::from(flows) / fair;
+        let falls = self.agents.iter().map(|one| one.harness.target.falls());
+        self.figures.falls += falls.sum::<u32>();
+        self.figures
+    }
+}
--- a/crates/basilstep-bench/src/load/overload/callers.rs
+++ b/crates/basilstep-bench/src/load/overload/callers.rs
@@ -1,24 +1,16 @@
 //! Callers that come back when they are refused.
 
-use super::super::target_model::{Ending, EndingKind, Gate, Harness};
+use super::super::target_model::{Ending, EndingKind, Gate, Harness, Retries};
 use basilstep_core::admission::RequestId;
-use rand::RngExt;
 use std::collections::BTreeMap;
 
 /// When a caller stops waiting for one attempt.
 const TIMEOUT_MS: u64 = 1_000;
-/// How often a caller comes back.
-const RETRY_LIMIT: u32 = 3;
-/// The first pause of a caller that was told no time; it doubles.
-const BACKOFF_MS: f64 = 100.0;
-/// The most retries that the callers' budget saves up.
-const BUDGET_LIMIT_TOKENS: f64 = 10.0;
 
 /// All callers of the target.
 #[derive(Debug)]
 pub struct Callers {
-    budget_percent: Option<u32>,
-    tokens: f64,
+    retries: Retries,
     attempts: BTreeMap<RequestId, u32>,
     returns: BTreeMap<u64, Vec<u32>>,
     counts: Counts,
@@ -45,8 +37,7 @@
     /// Creates the callers; `budget_percent` bounds their retries for each hundred requests.
     pub fn new(budget_percent: Option<u32>) -> Self {
         Self {
-            budget_percent,
-            tokens: BUDGET_LIMIT_TOKENS,
+            retries: Retries::new(budget_percent),
             attempts: BTreeMap::new(),
             returns: BTreeMap::new(),
             counts: Counts::default(),
@@ -63,8 +54,7 @@
         let now_ms = harness.context.now_ms;
         for _ in 0..new_requests {
             self.counts.requests += 1;
-            let share = f64::from(self.budget_percent.unwrap_or(0)) / 100.0;
-            self.tokens = (self.tokens + share).min(BUDGET_LIMIT_TOKENS);
+            self.retries.add_request();
             self.attempt(harness, 1);
         }
         while let Some(entry) = self.returns.first_entry() {
@@ -103,27 +93,11 @@
     }
 
     fn come_back<G: Gate>(&mut self, harness: &mut Harness<G>, attempt: u32, told_ms: u32) {
-        if attempt > RETRY_LIMIT || !self.take_token() {
+        let context = &mut harness.context;
+        let Some(pause_ms) = self.retries.pause_ms(attempt, told_ms, context) else {
             return;
-        }
-        let pause_ms = if told_ms > 0 {
-            u64::from(told_ms)
-        } else {
-            let jitter = 0.5 + harness.context.rng.random::<f64>();
-            (BACKOFF_MS * f64::from(1_u32 << (attempt - 1)) * jitter) as u64
         };
-        let at_ms = harness.context.now_ms + pause_ms.max(1);
+        let at_ms = context.now_ms + pause_ms;
         self.returns.entry(at_ms).or_default().push(attempt + 1);
     }
-
-    fn take_token(&mut self) -> bool {
-        if self.budget_percent.is_none() {
-            return true;
-        }
-        let has_token = self.tokens >= 1.0;
-        if has_token {
-            self.tokens -= 1.0;
-        }
-        has_token
-    }
 }
--- a/crates/basilstep-bench/src/load/target_model/harness.rs
+++ b/crates/basilstep-bench/src/load/target_model/harness.rs
@@ -102,6 +102,22 @@
         self.gate.is_impaired()
     }
 
+    /// Returns what stands before the target.
+    pub fn gate(&self) -> &G {
+        &self.gate
+    }
+
+    /// Cancels all requests, as when their flows are closed, and returns them.
+    pub fn cancel_all(&mut self) -> Vec<RequestId> {
+        let open = std::mem::take(&mut self.open);
+        self.deadlines.clear();
+        for id in open.keys() {
+            self.target.cancel(*id);
+            self.handle(Event::Cancelled { id: *id });
+        }
+        open.into_keys().collect()
+    }
+
     /// Lets the target fall over.
     pub fn crash(&mut self) {
         let lost = self.target.fall(self.context.now_ms);
