feat(core): pass overflow on to agents that may have room

Cause: flows stay where they are when a domain returns, so targets whose flows last long stay idle while the others have too much. Overflow was passed on only by impaired targets.

Adds a fixed limit as another simpler policy.

--- a/crates/basilstep-bench/src/load/domain/agent.rs
+++ b/crates/basilstep-bench/src/load/domain/agent.rs
@@ -1,7 +1,7 @@
 //! One agent with its target.
 
 use super::{
-    super::target_model::{Harness, NoLimit, ServiceTimes, TargetModel, TargetSettings},
+    super::target_model::{FifoQueue, Harness, NoLimit, ServiceTimes, TargetModel, TargetSettings},
     cases::{Policy, ServiceCase},
     gate::DomainGate,
 };
@@ -10,6 +10,7 @@
     admission::{Admission, AdmissionSettings},
     codes::ResultCode,
     context::Context,
+    domains::{OverflowRelays, OverflowSettings},
     membership::{AgentPhase, AgentRecord},
     placement::{OfferDecision, Offered, OwnLoad, PlacementSettings, RecentOffers, decide},
 };
@@ -37,6 +38,8 @@
     pub harness: Harness<DomainGate>,
     /// Its record of offers.
     pub recent: RecentOffers,
+    /// Which agents get its overflow.
+    pub relays: OverflowRelays,
     /// The flows that it holds.
     pub flows: u32,
     /// Whether the settings that it has in force take its domain out.
@@ -64,6 +67,7 @@
             record,
             harness: open_harness(policy, case.slots, 1.0, context),
             recent: RecentOffers::new(PlacementSettings::default(), context),
+            relays: OverflowRelays::new(OverflowSettings::default()),
             flows: 0,
             is_out: false,
             is_powered: true,
@@ -105,7 +109,7 @@
 
     fn own_load(&self) -> OwnLoad {
         let weight = match self.policy {
-            Policy::Ours => self.harness.gate().ramped_weight(WEIGHT),
+            Policy::RampedWeight => self.harness.gate().ramped_weight(WEIGHT),
             _ => WEIGHT,
         };
         OwnLoad {
@@ -131,17 +135,24 @@
         down_ms: DOWN_MS,
         service_times: ServiceTimes::Even,
     };
-    let admission = AdmissionSettings {
-        request_limit: slots,
-        ..AdmissionSettings::default()
-    };
-    let gate = if policy.has_limits() {
-        DomainGate::Limits(Box::new(Admission::new(admission, context.now_ms)))
-    } else {
-        DomainGate::Open(NoLimit)
-    };
+    let gate = open_gate(policy, slots, context.now_ms);
     let seed = rand::Rng::next_u64(&mut context.rng);
     let mut harness = Harness::new(gate, TargetModel::new(settings, warmth), seed);
     harness.context.now_ms = context.now_ms;
     harness
 }
+
+fn open_gate(policy: Policy, slots: u32, now_ms: u64) -> DomainGate {
+    let settings = AdmissionSettings {
+        request_limit: slots,
+        ..AdmissionSettings::default()
+    };
+    match policy {
+        Policy::SilentDrop => DomainGate::Open(NoLimit),
+        Policy::FixedLimit => {
+            let wait_ms = u64::from(settings.queue_wait_ms);
+            DomainGate::Fixed(FifoQueue::new(slots, wait_ms))
+        }
+        _ => DomainGate::Limits(Box::new(Admission::new(settings, now_ms))),
+    }
+}
--- a/crates/basilstep-bench/src/load/domain/callers.rs
+++ b/crates/basilstep-bench/src/load/domain/callers.rs
@@ -58,8 +58,8 @@
     pub is_hold: bool,
     /// The number of this attempt, from 1.
     pub attempt: u32,
-    /// Whether an agent has passed it on.
-    pub was_relayed: bool,
+    /// The agent that has passed it on, if one has.
+    pub relayed_by: Option<usize>,
 }
 
 /// The first packet of a new flow.
--- a/crates/basilstep-bench/src/load/domain/cases.rs
+++ b/crates/basilstep-bench/src/load/domain/cases.rs
@@ -37,20 +37,26 @@
 pub enum Policy {
     /// No limits at the agents; tokens of the domain are dropped without a word.
     SilentDrop,
+    /// The same with a fixed limit at the agents that knows no cold target.
+    FixedLimit,
     /// The domain gets no new flow, but its tokens still work until its power goes.
     PlacementOnly,
-    /// Limits, resets and closes, but each agent compares its load by its full weight at once.
-    FullWeight,
-    /// As [`Self::FullWeight`], with a weight that follows the limit in force.
+    /// Limits, resets and closes; an agent passes overflow on while its target is impaired.
+    WhileImpaired,
+    /// As [`Self::WhileImpaired`], with a weight of placement that follows the limit in force.
+    RampedWeight,
+    /// As [`Self::WhileImpaired`], but overflow is passed on whenever another agent may have room.
     Ours,
 }
 
 impl Policy {
     /// All policies.
-    pub const ALL: [Self; 4] = [
+    pub const ALL: [Self; 6] = [
         Self::SilentDrop,
+        Self::FixedLimit,
         Self::PlacementOnly,
-        Self::FullWeight,
+        Self::WhileImpaired,
+        Self::RampedWeight,
         Self::Ours,
     ];
 
@@ -58,19 +64,21 @@
     pub const fn name(self) -> &'static str {
         match self {
             Self::SilentDrop => "no admission, tokens dropped",
+            Self::FixedLimit => "fixed limit, tokens dropped",
             Self::PlacementOnly => "out of placement only",
-            Self::FullWeight => "ours, full weight at once",
+            Self::WhileImpaired => "overflow relayed while impaired",
+            Self::RampedWeight => "the same, ramped weight",
             Self::Ours => "ours",
         }
     }
 
-    /// Tells whether agents limit what their targets get.
-    pub fn has_limits(self) -> bool {
-        self != Self::SilentDrop
+    /// Tells whether agents pass on what an impaired target cannot take.
+    pub fn relays(self) -> bool {
+        !matches!(self, Self::SilentDrop | Self::FixedLimit)
     }
 
     /// Tells whether the flows of the domain are ended with a word to their callers.
     pub fn ends_flows(self) -> bool {
-        matches!(self, Self::FullWeight | Self::Ours)
+        matches!(self, Self::WhileImpaired | Self::RampedWeight | Self::Ours)
     }
 }
--- a/crates/basilstep-bench/src/load/domain/figures.rs
+++ b/crates/basilstep-bench/src/load/domain/figures.rs
@@ -37,6 +37,12 @@
     pub unknown_holds: u32,
     /// The requests that were not answered in time.
     pub timed_out: u32,
+    /// The requests that were passed on to another agent.
+    pub relayed: u32,
+    /// Those that the other agent refused.
+    pub relays_refused: u32,
+    /// The requests that were made.
+    pub requests: u32,
     /// How often targets fell over.
     pub falls: u32,
     /// The largest load of a returned target over its bearable one.
@@ -60,6 +66,9 @@
             reopened_after_ms: 0,
             unknown_holds: 0,
             timed_out: 0,
+            relayed: 0,
+            relays_refused: 0,
+            requests: 0,
             falls: 0,
             returned_peak_ratio: 0.0,
             returned_flow_share: 0.0,
@@ -69,6 +78,7 @@
     /// Counts a request that a caller makes.
     pub fn offer(&mut self, now_ms: u64, score: f64) {
         self.offered[bin(now_ms)] += score;
+        self.requests += 1;
     }
 
     /// Counts a request that was answered in time.
@@ -114,6 +124,11 @@
             .map(|first| first - start)
     }
 
+    /// Returns a count relative to the requests that were made.
+    pub fn share_of_requests(&self, count: u32) -> f64 {
+        f64::from(count) / f64::from(self.requests)
+    }
+
     /// Returns the score a second over the time since the change in seconds.
     pub fn curve(&self) -> Vec<(f64, f64)> {
         let start = bin(OUT_MS) as f64;
--- a/crates/basilstep-bench/src/load/domain/flows.rs
+++ b/crates/basilstep-bench/src/load/domain/flows.rs
@@ -92,7 +92,7 @@
         let end = Due::End { caller, generation };
         self.schedule_in((life_ms as u64).max(1), end);
         if self.agents[agent].is_out && self.policy.ends_flows() {
-            self.lose_flow(caller);
+            self.lose_flow(caller, self.context.now_ms);
         }
         for job in waiting {
             self.send(job);
@@ -111,8 +111,8 @@
         self.open(caller);
     }
 
-    /// The caller learns that its flow is lost and opens another at once.
-    pub(super) fn lose_flow(&mut self, caller: usize) {
+    /// The caller learns that its flow has been lost since `since_ms` and opens another at once.
+    pub(super) fn lose_flow(&mut self, caller: usize, since_ms: u64) {
         let Some(flow) = self.remove_flow(caller) else {
             return;
         };
@@ -121,7 +121,7 @@
         } else {
             self.figures.broken_flows += 1;
         }
-        self.callers[caller].lost_ms = Some(self.context.now_ms);
+        self.callers[caller].lost_ms = Some(since_ms);
         self.open(caller);
     }
 
@@ -140,7 +140,7 @@
         for caller in 0..self.callers.len() {
             let flow = self.callers[caller].flow;
             if flow.is_some_and(|flow| flow.agent == number) {
-                self.lose_flow(caller);
+                self.lose_flow(caller, self.context.now_ms);
             }
         }
     }
--- a/crates/basilstep-bench/src/load/domain/gate.rs
+++ b/crates/basilstep-bench/src/load/domain/gate.rs
@@ -1,6 +1,6 @@
 //! Admission, or none.
 
-use super::super::target_model::{Gate, NoLimit};
+use super::super::target_model::{FifoQueue, Gate, NoLimit};
 use basilstep_core::{
     admission::{Action, Admission, Event},
     context::Context,
@@ -11,6 +11,8 @@
 pub enum DomainGate {
     /// The limits of the agent.
     Limits(Box<Admission>),
+    /// A fixed limit.
+    Fixed(FifoQueue),
     /// No limit.
     Open(NoLimit),
 }
@@ -20,7 +22,7 @@
     pub fn ramped_weight(&self, weight: u8) -> u8 {
         match self {
             Self::Limits(admission) => admission.ramped_weight(weight),
-            Self::Open(_) => weight,
+            Self::Fixed(_) | Self::Open(_) => weight,
         }
     }
 }
@@ -29,6 +31,7 @@
     fn handle(&mut self, event: Event, context: &mut Context) -> Vec<Action> {
         match self {
             Self::Limits(admission) => admission.handle(event, context),
+            Self::Fixed(gate) => gate.handle(event, context),
             Self::Open(gate) => gate.handle(event, context),
         }
     }
@@ -36,6 +39,7 @@
     fn wake_at_ms(&self) -> Option<u64> {
         match self {
             Self::Limits(admission) => admission.wake_at_ms(),
+            Self::Fixed(gate) => gate.wake_at_ms(),
             Self::Open(gate) => gate.wake_at_ms(),
         }
     }
@@ -43,6 +47,7 @@
     fn is_impaired(&self) -> bool {
         match self {
             Self::Limits(admission) => admission.is_impaired(),
+            Self::Fixed(gate) => gate.is_impaired(),
             Self::Open(gate) => gate.is_impaired(),
         }
     }
--- a/crates/basilstep-bench/src/load/domain/mod.rs
+++ b/crates/basilstep-bench/src/load/domain/mod.rs
@@ -96,6 +96,8 @@
         "served_over_allowed_after_return_least": rounded(least(Figures::returned_share)),
         "returned_flows_over_fair_least": rounded(least(|run| run.returned_flow_share)),
         "returned_peak_load_over_bearable": rounded(most(|run| run.returned_peak_ratio)),
+        "relayed_share_worst": rounded(most(|run| run.share_of_requests(run.relayed))),
+        "relays_refused_share_worst": rounded(most(|run| run.share_of_requests(run.relays_refused))),
         "falls_worst": most(|run| f64::from(run.falls)),
         "unknown_holds_worst": most(|run| f64::from(run.unknown_holds)),
         "timed_out_worst": most(|run| f64::from(run.timed_out)),
--- a/crates/basilstep-bench/src/load/domain/requests.rs
+++ b/crates/basilstep-bench/src/load/domain/requests.rs
@@ -3,11 +3,13 @@
 use super::{
     agent::Agent,
     callers::Job,
+    cases::Policy,
     run::{Due, Run, Sent, TIMEOUT_MS},
 };
 use crate::load::target_model::{Ending, EndingKind, Gate};
-use basilstep_core::steering::Steer;
-use rand::RngExt;
+use basilstep_core::{
+    domains::OverflowRelays, membership::AgentRecord, settings::DomainSet, steering::Steer,
+};
 
 /// What a request counts that must be taken once.
 const HOLD_SCORE: f64 = 2.0;
@@ -52,7 +54,7 @@
     /// The caller's packet was answered with a reset, so its request was not run.
     fn reset(&mut self, job: Job) {
         self.callers[job.caller].waiting.push(job);
-        self.lose_flow(job.caller);
+        self.lose_flow(job.caller, self.context.now_ms);
     }
 
     fn wait_in_vain(&mut self, job: Job) {
@@ -68,7 +70,7 @@
             !agent.is_out && agent.is_powered
         });
         if !is_reachable {
-            self.lose_flow(job.caller);
+            self.lose_flow(job.caller, job.deadline_ms - TIMEOUT_MS);
         }
     }
 
@@ -88,7 +90,7 @@
             return;
         };
         match ending.kind {
-            EndingKind::Answered => self.figures.serve(self.context.now_ms, job.score()),
+            EndingKind::Answered => self.answered(number, &job),
             EndingKind::Refused { retry_after_ms } => {
                 if !self.relay(number, job) {
                     self.retry(job, retry_after_ms);
@@ -100,27 +102,51 @@
         }
     }
 
-    /// An impaired agent passes on once what it refuses.
+    fn answered(&mut self, number: usize, job: &Job) {
+        self.figures.serve(self.context.now_ms, job.score());
+        if let Some(from) = job.relayed_by {
+            let peer = self.agents[number].record.address;
+            self.agents[from].relays.answered(peer);
+        }
+    }
+
+    /// An agent passes on once what it refuses, where the policy lets it.
     fn relay(&mut self, from: usize, mut job: Job) -> bool {
-        let is_allowed = self.policy.has_limits() && !job.was_relayed;
-        if !is_allowed || !self.agents[from].harness.gate().is_impaired() {
+        if let Some(first) = job.relayed_by {
+            let peer = self.agents[from].record.address;
+            let now_ms = self.context.now_ms;
+            self.agents[first].relays.refused(peer, now_ms);
+            self.figures.relays_refused += 1;
             return false;
         }
-        let is_other = |number: &usize| {
-            let agent = &self.agents[*number];
-            *number != from && !agent.is_out && agent.is_powered
-        };
-        let others: Vec<usize> = (0..self.agents.len()).filter(is_other).collect();
-        if others.is_empty() {
+        let Some(to) = self.draw_relay(from) else {
             return false;
-        }
-        job.was_relayed = true;
-        let to = others[self.context.rng.random_range(0..others.len())];
+        };
+        job.relayed_by = Some(from);
+        self.figures.relayed += 1;
         self.note_packet(to);
         self.arrive(to, job);
         true
     }
 
+    fn draw_relay(&mut self, from: usize) -> Option<usize> {
+        let is_impaired = self.agents[from].harness.gate().is_impaired();
+        if !self.policy.relays() || !(is_impaired || self.policy == Policy::Ours) {
+            return None;
+        }
+        let others = self.agents.iter().enumerate();
+        let peers: Vec<AgentRecord> = others
+            .filter(|(number, agent)| *number != from && !agent.is_out && agent.is_powered)
+            .map(|(_, agent)| agent.record)
+            .collect();
+        let relays = match self.policy {
+            Policy::Ours => self.agents[from].relays.clone(),
+            _ => OverflowRelays::default(),
+        };
+        let picked = relays.pick(&peers, &DomainSet::default(), &mut self.context);
+        picked.map(Agent::number_of)
+    }
+
     fn retry(&mut self, mut job: Job, told_ms: u32) {
         let pause_ms = self
             .retries
@@ -129,7 +155,7 @@
             return;
         };
         job.attempt += 1;
-        job.was_relayed = false;
+        job.relayed_by = None;
         self.schedule_in(pause_ms, Due::Retry(job));
     }
 
--- a/crates/basilstep-bench/src/load/domain/run.rs
+++ b/crates/basilstep-bench/src/load/domain/run.rs
@@ -185,7 +185,7 @@
                 deadline_ms: self.context.now_ms + TIMEOUT_MS,
                 is_hold: self.context.rng.random_bool(HOLD_SHARE),
                 attempt: 1,
-                was_relayed: false,
+                relayed_by: None,
             };
             self.retries.add_request();
             self.figures.offer(self.context.now_ms, job.score());
