--- a/crates/basilstep-core/src/settings/mod.rs
+++ b/crates/basilstep-core/src/settings/mod.rs
@@ -6,6 +6,7 @@
 mod paths;
 mod records;
 mod state;
+mod subtree;
 mod view;
 
 #[cfg(test)]
@@ -20,5 +21,6 @@
     AddressClaim, CertificateRecord, DomainRecord, DomainState, FlowKeysRecord, IdClaim,
     SealedFlowKey, ServiceRecord, WriteStamp,
 };
-pub use state::{Applied, Entry, Rejection, SettingsState, Subtree};
+pub use state::{Applied, Entry, Rejection, SettingsState};
+pub use subtree::Subtree;
 pub use view::{DomainSet, ServiceView, SettingsView};
--- a/crates/basilstep-core/src/settings/state.rs
+++ b/crates/basilstep-core/src/settings/state.rs
@@ -3,6 +3,7 @@
     parsed::Parsed,
     paths::{SettingsPath, address_claim_path, certificate_path_of, id_claim_path},
     records::{AddressClaim, CertificateRecord, ServiceRecord},
+    subtree::Subtree,
     view::SettingsView,
 };
 use crate::{codes::ResultCode, crypto::ClusterKey};
@@ -28,27 +29,6 @@
     }
 }
 
-/// A part of the store that was read at one moment.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
-pub struct Subtree {
-    /// What the paths in it start with.
-    pub prefix: String,
-    /// The store's index for the prefix.
-    pub index: u64,
-    /// The parts of it that were there and were not read with it.
-    pub except: Vec<String>,
-}
-
-impl Subtree {
-    /// Tells whether a record that was not read is no longer there.
-    fn has_removed(&self, path: &str, version: u64) -> bool {
-        let mut except = self.except.iter();
-        version < self.index
-            && path.starts_with(&self.prefix)
-            && !except.any(|part| path.starts_with(part))
-    }
-}
-
 /// Why a record is not in force.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize)]
 pub struct Rejection {
