fix(agent): close the flows of a leaving domain with the domain's code

Cause: the select macro drops the other branch before it runs a handler, and a dropped HTTP/3 connection closes itself with code 256. Ruled out: the reset of a balancer, which carries no code.

Change: the connection is closed with 301 inside the branch, before anything is dropped.

--- a/crates/basilstep-agent/src/flows.rs
+++ b/crates/basilstep-agent/src/flows.rs
@@ -55,7 +55,7 @@
     async fn serve_connection(&self, connection: Connection) {
         tokio::select! {
             () = self.serve_requests(connection.clone()) => {}
-            () = domain_out(&self.shared) => close(&connection, ResultCode::FlowDomainOut),
+            () = close_when_domain_out(&self.shared, &connection) => {}
         }
         // Requests that still run hold the connection; its end is the end of the flow.
         connection.closed().await;
@@ -94,19 +94,16 @@
     }
 }
 
-/// Waits until operators take the agent's failure domain out.
-async fn domain_out(shared: &Shared) {
+/// Closes the connection when operators take the agent's failure domain out.
+///
+/// It closes before it returns: a dropped HTTP/3 connection closes itself with a code of its own.
+async fn close_when_domain_out(shared: &Shared, connection: &Connection) {
     let mut in_force = shared.watch_in_force();
-    if in_force
-        .wait_for(|settings| settings.is_domain_out())
-        .await
-        .is_err()
-    {
+    let is_out = in_force.wait_for(|settings| settings.is_domain_out());
+    if is_out.await.is_err() {
         std::future::pending::<()>().await;
     }
-}
-
-fn close(connection: &Connection, code: ResultCode) {
+    let code = ResultCode::FlowDomainOut;
     let number = VarInt::from_u32(u32::from(code.number()));
     connection.close(number, code.name().as_bytes());
 }
