--- a/crates/basilstep-bench/src/load/mod.rs
+++ b/crates/basilstep-bench/src/load/mod.rs
@@ -2,11 +2,13 @@
 
 mod cold_start;
 mod domain;
+mod flows;
 mod membership;
 mod overload;
 mod packets;
 mod placement;
 mod plot;
+mod processes;
 mod settings;
 mod target_model;
 
@@ -18,7 +20,7 @@
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "load")]
 pub struct LoadArgs {
-    /// one of: placement, cold-start, domain, overload, membership, settings, packets
+    /// one of: placement, cold-start, domain, overload, membership, settings, packets, flows
     #[argh(option)]
     experiment: String,
     /// first seed of the random source (default 1)
@@ -51,6 +53,7 @@
         "membership" => membership::run(args),
         "settings" => settings::run(args),
         "packets" => packets::run(args),
+        "flows" => flows::run(args),
         other => {
             eprintln!("no experiment is named {other:?}; see --help");
             return ExitCode::from(5);
--- a/crates/basilstep-bench/src/load/packets.rs
+++ b/crates/basilstep-bench/src/load/packets.rs
@@ -3,13 +3,7 @@
 //! Both get the same datagrams of established flows from the same senders, in turns, on one
 //! thread; a sink counts what comes out.
 
-use super::{LoadArgs, Report};
-use basilstep_bench::demo::{
-    fleet::{Binaries, Fleet},
-    observer::Observer,
-    plan::Plan,
-    records::RecordWriter,
-};
+use super::{LoadArgs, Report, processes::Processes};
 use basilstep_core::{
     address::{AgentAddress, DomainId, ServiceId},
     token::FlowToken,
@@ -17,7 +11,6 @@
 use serde_json::{Value, json};
 use std::{
     error::Error,
-    fs,
     io::ErrorKind,
     net::{SocketAddr, SocketAddrV4, UdpSocket},
     sync::{
@@ -34,8 +27,6 @@
 const ROUNDS: usize = 5;
 const WARM_UP: Duration = Duration::from_millis(300);
 const ROUND: Duration = Duration::from_millis(1_500);
-const START_LIMIT: Duration = Duration::from_secs(10);
-const POLL: Duration = Duration::from_millis(20);
 const SOCKET_TIMEOUT: Duration = Duration::from_millis(50);
 const GOAL_SHARE: f64 = 0.7;
 
@@ -51,23 +42,16 @@
 
 fn measure(args: &LoadArgs) -> Result<Value, Box<dyn Error>> {
     let runtime = tokio::runtime::Runtime::new()?;
-    let mut plan = Plan::demo(std::process::id());
-    plan.balancers.truncate(1);
-    plan.services.truncate(1);
-    plan.balancers[0].threads = Some(1);
-    let logs = std::env::temp_dir().join(format!("basilstep-packets-{}", std::process::id()));
-    let mut fleet = Fleet::open(Binaries::locate()?, logs)?;
-    let writer = RecordWriter::new(&plan)?;
-    runtime.block_on(start(&plan, &mut fleet, &writer))?;
-
+    let processes = runtime.block_on(Processes::start("packets", Some(1), 0))?;
+    let plan = &processes.plan;
     let sink = Sink::open(plan.caller_ip())?;
-    let tokens = |sender| tokens(&writer, &plan, sink.address, sender);
-    let balancer = SocketAddrV4::new(plan.balancers[0].ip, plan.services[0].address.port());
+    let tokens = |sender| tokens(&processes, sink.address, sender);
+    let balancer = processes.service_at_balancer();
     let bare = BareLoop::open(plan.caller_ip(), sink.address)?;
-    let id = fleet.id(&plan.balancers[0].name).unwrap_or_default();
+    let memory_kb = || processes.usage(&plan.balancers[0].name).resident_kb;
     // The first round lets buffers and the allocator grow, so that memory is compared warm.
     round(&sink, balancer, &tokens(0)[..1]);
-    let memory_before_kb = resident_kb(id);
+    let memory_before_kb = memory_kb();
     let mut bare_per_s = Vec::new();
     let mut balancer_per_s = Vec::new();
     for _ in 0..ROUNDS {
@@ -75,7 +59,7 @@
         bare_per_s.push(load(&sink, bare.address, &datagrams));
         balancer_per_s.push(load(&sink, balancer, &datagrams));
     }
-    let memory_after_kb = resident_kb(id);
+    let memory_after_kb = memory_kb();
     let share = median(&balancer_per_s) / median(&bare_per_s);
     let flows = u64::from(SENDERS * FLOWS_PER_SENDER);
     Ok(json!({
@@ -100,55 +84,22 @@
     }))
 }
 
-async fn start(
-    plan: &Plan,
-    fleet: &mut Fleet,
-    writer: &RecordWriter,
-) -> Result<(), Box<dyn Error>> {
-    let observer = Observer::new()?;
-    plan.start_store(fleet)?;
-    until_up(&observer, plan.store()).await?;
-    writer.write_all(plan).await?;
-    plan.start_balancer(fleet, &plan.balancers[0])?;
-    let ready = format!("http://{}/ready", plan.balancers[0].ready());
-    let began = Instant::now();
-    while began.elapsed() < START_LIMIT {
-        let answer = reqwest::get(&ready).await;
-        if answer.is_ok_and(|answer| answer.status().is_success()) {
-            return Ok(());
-        }
-        tokio::time::sleep(POLL).await;
-    }
-    Err("the balancer was not ready in time".into())
-}
-
-async fn until_up(observer: &Observer, address: SocketAddrV4) -> Result<(), Box<dyn Error>> {
-    let began = Instant::now();
-    while !observer.answers(address).await {
-        if began.elapsed() > START_LIMIT {
-            return Err("the store was not up in time".into());
-        }
-        tokio::time::sleep(POLL).await;
-    }
-    Ok(())
-}
-
 /// Makes one datagram for each flow of a sender, as a caller of an established flow sends it.
-fn tokens(writer: &RecordWriter, plan: &Plan, sink: SocketAddrV4, sender: u32) -> Vec<Vec<u8>> {
+fn tokens(processes: &Processes, sink: SocketAddrV4, sender: u32) -> Vec<Vec<u8>> {
     let first = sender * FLOWS_PER_SENDER;
     (first..first + FLOWS_PER_SENDER)
         .map(|flow| {
             let [_, nonce @ ..] = flow.to_be_bytes();
             let token = FlowToken {
                 agent: AgentAddress(sink),
-                service: ServiceId(plan.services[0].id),
+                service: ServiceId(processes.plan.services[0].id),
                 domain: DomainId(1),
                 incarnation_low: 1,
                 nonce,
             };
             let mut datagram = vec![0; DATAGRAM_BYTES];
             datagram[0] = 0x40;
-            datagram[1..21].copy_from_slice(&token.encode(writer.flow_key()));
+            datagram[1..21].copy_from_slice(&token.encode(processes.writer.flow_key()));
             datagram
         })
         .collect()
@@ -273,16 +224,6 @@
     }
 }
 
-fn resident_kb(process: u32) -> u64 {
-    let status = fs::read_to_string(format!("/proc/{process}/status")).unwrap_or_default();
-    status
-        .lines()
-        .find_map(|line| line.strip_prefix("VmRSS:"))
-        .and_then(|value| value.split_whitespace().next())
-        .and_then(|number| number.parse().ok())
-        .unwrap_or_default()
-}
-
 fn median(values: &[f64]) -> f64 {
     let mut sorted = values.to_vec();
     sorted.sort_by(f64::total_cmp);
