feat(bench): drive the phases of a domain in its experiment

Balancers follow the domain with the tracker that has come into the core, and agents weigh cold targets as the shell now does.

--- a/crates/basilstep-bench/src/load/domain/agent.rs
+++ b/crates/basilstep-bench/src/load/domain/agent.rs
@@ -108,16 +108,18 @@
     }
 
     fn own_load(&self) -> OwnLoad {
+        let gate = self.harness.gate();
         let weight = match self.policy {
-            Policy::RampedWeight => self.harness.gate().ramped_weight(WEIGHT),
-            _ => WEIGHT,
+            Policy::FullWeight => WEIGHT,
+            _ => gate.ramped_weight(WEIGHT),
         };
+        let out = self.is_out.then_some(ResultCode::DomainOut);
         OwnLoad {
             address: self.record.address,
             flows: self.flows,
             flow_limit: AdmissionSettings::default().connection_limit,
             weight,
-            closed: self.is_out.then_some(ResultCode::DomainOut),
+            closed: out.or(gate.closed()),
         }
     }
 }
--- a/crates/basilstep-bench/src/load/domain/balancer.rs
+++ b/crates/basilstep-bench/src/load/domain/balancer.rs
@@ -7,9 +7,10 @@
 use basilstep_core::{
     admission::AdmissionSettings,
     crypto::ShortKey,
+    domains::{DomainPhase, DomainPhases, DomainSettings, DomainTracker},
     membership::AgentRecord,
     requests::RequestSettings,
-    settings::{ServiceRecord, ServiceView, SettingsView, WriteStamp},
+    settings::{DomainSet, ServiceRecord, ServiceView, SettingsView, WriteStamp},
     steering::{Steer, SteeringTable},
     token::{FlowKey, FlowKeys},
 };
@@ -24,23 +25,54 @@
     previous: None,
 };
 
-/// The tables of one balancer: both are the same but where a policy still serves old tokens.
+/// One balancer; the two tables differ only where a policy still serves tokens of the domain.
 #[derive(Debug)]
 pub struct Balancer {
+    policy: Policy,
+    domains: DomainTracker,
     placement: SteeringTable,
     established: SteeringTable,
 }
 
 impl Balancer {
-    /// Builds the tables from the records and the settings that are in force at this balancer.
-    pub fn build(records: &[AgentRecord], is_out: bool, policy: Policy) -> Self {
-        let refuses_tokens = is_out && policy != Policy::PlacementOnly;
+    /// Creates a balancer that knows these agents, with all domains in.
+    pub fn new(records: &[AgentRecord], policy: Policy) -> Self {
+        let phases = DomainPhases::default();
         Self {
-            placement: SteeringTable::build(&view(is_out), records, &[]),
-            established: SteeringTable::build(&view(refuses_tokens), records, &[]),
+            policy,
+            domains: DomainTracker::new(DomainSettings::default(), DomainSet::default()),
+            placement: table(phases, records),
+            established: table(phases, records),
         }
     }
 
+    /// Takes the domain out or brings it back.
+    pub fn change(&mut self, is_out: bool, now_ms: u64) {
+        let mut out = DomainSet::default();
+        if is_out {
+            out.insert(LEAVING);
+        }
+        self.domains.update(out, now_ms);
+    }
+
+    /// Builds the tables anew; it is due at a change and at the end of each phase.
+    pub fn rebuild(&mut self, records: &[AgentRecord], now_ms: u64) {
+        let phases = match self.policy {
+            Policy::SilentDrop | Policy::FixedLimit => self.dropping(now_ms),
+            _ => self.domains.phases(now_ms),
+        };
+        self.placement = table(phases, records);
+        if self.policy != Policy::PlacementOnly {
+            self.established = table(phases, records);
+        }
+    }
+
+    /// Returns how long after a change the phases end.
+    pub fn phase_ends_ms() -> [u64; 3] {
+        let settings = DomainSettings::default();
+        [settings.close_ms, settings.reset_ms, settings.hold_ms]
+    }
+
     /// Decides where the first packet of a new flow goes.
     pub fn place(&self, caller: &SocketAddr, datagram: &[u8]) -> Steer {
         self.placement.steer(SERVICE, caller, datagram)
@@ -50,16 +82,30 @@
     pub fn steer(&self, caller: &SocketAddr, datagram: &[u8]) -> Steer {
         self.established.steer(SERVICE, caller, datagram)
     }
+
+    /// Returns phases in which a domain that is out counts as out for long.
+    fn dropping(&self, now_ms: u64) -> DomainPhases {
+        let out = match self.domains.phases(now_ms).of(LEAVING) {
+            DomainPhase::Serving | DomainPhase::Held => DomainSet::default(),
+            DomainPhase::Closing | DomainPhase::Resetting | DomainPhase::Out => {
+                let mut out = DomainSet::default();
+                out.insert(LEAVING);
+                out
+            }
+        };
+        DomainTracker::new(DomainSettings::default(), out).phases(now_ms)
+    }
 }
 
-fn view(is_out: bool) -> SettingsView {
+fn table(phases: DomainPhases, records: &[AgentRecord]) -> SteeringTable {
+    SteeringTable::build_at(&view(), phases, records, &[])
+}
+
+fn view() -> SettingsView {
     let mut view = SettingsView {
         flow_keys: Some(FLOW_KEYS),
         ..SettingsView::default()
     };
-    if is_out {
-        view.out.insert(LEAVING);
-    }
     let record = ServiceRecord {
         address: SocketAddrV4::new(Ipv4Addr::LOCALHOST, 443),
         id: SERVICE,
--- a/crates/basilstep-bench/src/load/domain/cases.rs
+++ b/crates/basilstep-bench/src/load/domain/cases.rs
@@ -43,9 +43,9 @@
     PlacementOnly,
     /// Limits, resets and closes; an agent passes overflow on while its target is impaired.
     WhileImpaired,
-    /// As [`Self::WhileImpaired`], with a weight of placement that follows the limit in force.
-    RampedWeight,
-    /// As [`Self::WhileImpaired`], but overflow is passed on whenever another agent may have room.
+    /// As [`Self::Ours`], but a cold target counts with its full weight for placement.
+    FullWeight,
+    /// Overflow is passed on whenever another agent may have room.
     Ours,
 }
 
@@ -56,7 +56,7 @@
         Self::FixedLimit,
         Self::PlacementOnly,
         Self::WhileImpaired,
-        Self::RampedWeight,
+        Self::FullWeight,
         Self::Ours,
     ];
 
@@ -67,7 +67,7 @@
             Self::FixedLimit => "fixed limit, tokens dropped",
             Self::PlacementOnly => "out of placement only",
             Self::WhileImpaired => "overflow relayed while impaired",
-            Self::RampedWeight => "the same, ramped weight",
+            Self::FullWeight => "ours, full weight at once",
             Self::Ours => "ours",
         }
     }
@@ -77,8 +77,13 @@
         !matches!(self, Self::SilentDrop | Self::FixedLimit)
     }
 
+    /// Tells whether agents learn which others have room, and pass on what these can take.
+    pub fn relays_to_room(self) -> bool {
+        matches!(self, Self::FullWeight | Self::Ours)
+    }
+
     /// Tells whether the flows of the domain are ended with a word to their callers.
     pub fn ends_flows(self) -> bool {
-        matches!(self, Self::WhileImpaired | Self::RampedWeight | Self::Ours)
+        matches!(self, Self::WhileImpaired | Self::FullWeight | Self::Ours)
     }
 }
--- a/crates/basilstep-bench/src/load/domain/gate.rs
+++ b/crates/basilstep-bench/src/load/domain/gate.rs
@@ -3,6 +3,7 @@
 use super::super::target_model::{FifoQueue, Gate, NoLimit};
 use basilstep_core::{
     admission::{Action, Admission, Event},
+    codes::ResultCode,
     context::Context,
 };
 
@@ -25,6 +26,16 @@
             Self::Fixed(_) | Self::Open(_) => weight,
         }
     }
+
+    /// Returns why the target takes no new flow, if so; one that is cold and used up takes some.
+    pub fn closed(&self) -> Option<ResultCode> {
+        match self {
+            Self::Limits(admission) => admission
+                .closed()
+                .filter(|code| *code != ResultCode::Overloaded),
+            Self::Fixed(_) | Self::Open(_) => None,
+        }
+    }
 }
 
 impl Gate for DomainGate {
--- a/crates/basilstep-bench/src/load/domain/requests.rs
+++ b/crates/basilstep-bench/src/load/domain/requests.rs
@@ -3,7 +3,6 @@
 use super::{
     agent::Agent,
     callers::Job,
-    cases::Policy,
     run::{Due, Run, Sent, TIMEOUT_MS},
 };
 use crate::load::target_model::{Ending, EndingKind, Gate};
@@ -46,8 +45,8 @@
                     self.reset(job);
                 }
             }
-            Steer::Reset { .. } if self.policy.ends_flows() => self.reset(job),
-            Steer::Reset { .. } | Steer::Drop(_) => self.wait_in_vain(job),
+            Steer::Reset { .. } => self.reset(job),
+            Steer::Drop(_) => self.wait_in_vain(job),
         }
     }
 
@@ -131,7 +130,7 @@
 
     fn draw_relay(&mut self, from: usize) -> Option<usize> {
         let is_impaired = self.agents[from].harness.gate().is_impaired();
-        if !self.policy.relays() || !(is_impaired || self.policy == Policy::Ours) {
+        if !self.policy.relays() || !(is_impaired || self.policy.relays_to_room()) {
             return None;
         }
         let others = self.agents.iter().enumerate();
@@ -139,9 +138,10 @@
             .filter(|(number, agent)| *number != from && !agent.is_out && agent.is_powered)
             .map(|(_, agent)| agent.record)
             .collect();
-        let relays = match self.policy {
-            Policy::Ours => self.agents[from].relays.clone(),
-            _ => OverflowRelays::default(),
+        let relays = if self.policy.relays_to_room() {
+            self.agents[from].relays.clone()
+        } else {
+            OverflowRelays::default()
         };
         let picked = relays.pick(&peers, &DomainSet::default(), &mut self.context);
         picked.map(Agent::number_of)
--- a/crates/basilstep-bench/src/load/domain/run.rs
+++ b/crates/basilstep-bench/src/load/domain/run.rs
@@ -50,6 +50,8 @@
     Unanswered(Job),
     /// A balancer puts a change in force.
     BalancerChanges { number: usize, is_out: bool },
+    /// A balancer goes on to the next phase of the domain.
+    PhaseEnds { number: usize },
     /// An agent puts a change in force.
     AgentChanges { number: usize, is_out: bool },
     /// The power of the domain goes.
@@ -79,7 +81,6 @@
     pub(super) running: BTreeMap<Sent, Job>,
     pub(super) figures: Figures,
     due: BTreeMap<u64, Vec<Due>>,
-    is_out_at: [bool; BALANCERS],
     mean_gap_ms: f64,
     next_request_in_ms: f64,
 }
@@ -109,7 +110,7 @@
             case: *case,
             policy,
             balancers: (0..BALANCERS)
-                .map(|_| Balancer::build(&records, false, policy))
+                .map(|_| Balancer::new(&records, policy))
                 .collect(),
             callers: (0..agents.len() * CALLERS_PER_TARGET)
                 .map(|_| Caller::new(&mut context))
@@ -120,7 +121,6 @@
             running: BTreeMap::new(),
             figures: Figures::new(capacity, remaining_share),
             due: BTreeMap::new(),
-            is_out_at: [false; BALANCERS],
             mean_gap_ms: 1.0 / (requests_per_ms * load),
             next_request_in_ms: 0.0,
         }
@@ -201,9 +201,13 @@
             Due::Retry(job) => self.send(job),
             Due::Unanswered(job) => self.give_up(job),
             Due::BalancerChanges { number, is_out } => {
-                self.is_out_at[number] = is_out;
+                self.balancers[number].change(is_out, self.context.now_ms);
                 self.rebuild(number);
+                for end_ms in Balancer::phase_ends_ms() {
+                    self.schedule_in(end_ms, Due::PhaseEnds { number });
+                }
             }
+            Due::PhaseEnds { number } => self.rebuild(number),
             Due::AgentChanges { number, is_out } => self.change_agent(number, is_out),
             Due::PowerOff => self.power_off(),
             Due::Restart => self.restart(),
@@ -212,7 +216,7 @@
 
     fn rebuild(&mut self, number: usize) {
         let records: Vec<AgentRecord> = self.agents.iter().map(|agent| agent.record).collect();
-        self.balancers[number] = Balancer::build(&records, self.is_out_at[number], self.policy);
+        self.balancers[number].rebuild(&records, self.context.now_ms);
     }
 
     fn change_agent(&mut self, number: usize, is_out: bool) {
