perf(core): halve the pause of an agent that answers overflow

Cause: one answer forgot all refusals, so agents that were nearly full got too much.

The argument of Requests::relays_overflow now says that another agent may have room; the rule itself and its test are as before.

--- a/crates/basilstep-core/src/domains/overflow/state.rs
+++ b/crates/basilstep-core/src/domains/overflow/state.rs
@@ -12,7 +12,8 @@
 /// Decides which other agent gets a request that the own target has no room for.
 ///
 /// An agent knows no load of others. It learns from their answers: one that refuses is passed
-/// over for a time that doubles with each refusal, so that few requests go to agents without room.
+/// over for a time that doubles with each refusal and halves with each answer, so that few
+/// requests go to agents without room.
 #[derive(Clone, Debug, Default, Serialize)]
 pub struct OverflowRelays {
     settings: OverflowSettings,
@@ -73,9 +74,17 @@
         self.full.insert(peer, full);
     }
 
-    /// Notes that an agent has answered what was passed on to it, so that it has room.
+    /// Notes that an agent has answered what was passed on to it: its next pause is shorter.
+    ///
+    /// One answer does not mean that it has room for the rest, so the pause is only halved.
     pub fn answered(&mut self, peer: AgentAddress) {
-        self.full.remove(&peer);
+        let Some(full) = self.full.get_mut(&peer) else {
+            return;
+        };
+        full.pause_ms /= 2;
+        if full.pause_ms < self.settings.pause_min_ms {
+            self.full.remove(&peer);
+        }
     }
 
     /// Returns the number of agents of which a refusal is remembered.
--- a/crates/basilstep-core/src/requests/state.rs
+++ b/crates/basilstep-core/src/requests/state.rs
@@ -170,17 +170,17 @@
     /// Tells whether a request that admission refused is relayed to another agent with the mark
     /// that the authority is claimed, in place of [`Requests::fail`].
     ///
-    /// That is done once for each request, and only while the own target is impaired: at an
-    /// ordinary overload the other targets are as full, and relaying would only add work. A
-    /// request that was itself relayed is not relayed again. The record, if any, stays as it is.
-    pub fn relays_overflow(&self, end: &AttemptEnd<'_>, is_target_impaired: bool) -> bool {
+    /// That is done once for each request, and only while another agent may have room; see
+    /// [`crate::domains::OverflowRelays`]. A request that was itself relayed is not relayed
+    /// again. The record, if any, stays as it is.
+    pub fn relays_overflow(&self, end: &AttemptEnd<'_>, another_has_room: bool) -> bool {
         let is_first = end.attempts == 1 && !end.sent;
         let was_refused = matches!(
             end.failure,
             Failure::Refused(ResultCode::Overloaded | ResultCode::TargetUnreachable)
                 | Failure::TargetLost
         );
-        is_target_impaired && is_first && was_refused && !self.is_foreign(end.key)
+        another_has_room && is_first && was_refused && !self.is_foreign(end.key)
     }
 
     /// Returns the state for dumps and metrics.
