feat(agent): pass overflow on while another agent may have room

Cause: an agent passed requests on only while its own target was impaired, to any agent, so a domain that had returned stayed idle beside full ones whose flows last. The agent now follows OverflowRelays: it draws one that may have room and notes whether it had. When that one refuses too, the caller gets the retry time of the first refusal, which was lost before.

--- a/crates/basilstep-agent/src/exchange/dispatcher.rs
+++ b/crates/basilstep-agent/src/exchange/dispatcher.rs
@@ -4,6 +4,7 @@
     admission::{Action, Admission, AdmissionView, CostClass, Event, RequestId},
     codes::ResultCode,
     context::Context,
+    domains::{OverflowRelays, OverflowSettings},
     membership::AgentRecord,
     requests::{
         AfterFailure, AgentDirectory, AgentStanding, Arrival, AttemptEnd, Decision, IdempotencyKey,
@@ -55,6 +56,7 @@
 struct State {
     requests: Requests,
     admission: Admission,
+    overflow: OverflowRelays,
     context: Context,
     waiting: BTreeMap<RequestId, oneshot::Sender<Admitted>>,
     next_id: u64,
@@ -76,6 +78,7 @@
         let state = State {
             requests,
             admission,
+            overflow: OverflowRelays::new(OverflowSettings::default()),
             context,
             waiting: BTreeMap::new(),
             next_id: 0,
@@ -149,11 +152,25 @@
         self.run_ended.notify_waiters();
     }
 
-    /// Tells whether the request of an attempt that was not run goes to another agent instead.
-    pub fn relays_overflow(&self, end: &AttemptEnd<'_>) -> bool {
-        let state = self.lock();
-        let is_impaired = state.admission.is_impaired();
-        state.requests.relays_overflow(end, is_impaired)
+    /// Draws the agent that gets the request of an attempt that was not run, if one does.
+    pub fn draw_overflow(&self, end: &AttemptEnd<'_>) -> Option<AgentAddress> {
+        let peers = self.shared.peers();
+        let out = self.shared.in_force().out;
+        let mut state = self.lock();
+        let state = &mut *state;
+        let peer = state.overflow.pick(&peers, &out, &mut state.context);
+        peer.filter(|_| state.requests.relays_overflow(end, true))
+    }
+
+    /// Notes whether an agent had room for a request that was passed on to it.
+    pub fn note_overflow(&self, peer: AgentAddress, had_room: bool) {
+        let mut state = self.lock();
+        let now_ms = state.context.now_ms;
+        if had_room {
+            state.overflow.answered(peer);
+        } else {
+            state.overflow.refused(peer, now_ms);
+        }
     }
 
     /// Takes the end of an attempt without an answer.
--- a/crates/basilstep-agent/src/exchange/run.rs
+++ b/crates/basilstep-agent/src/exchange/run.rs
@@ -58,6 +58,7 @@
 enum Destination {
     Target,
     AnyPeer,
+    Overflow(AgentAddress),
     Minter(AgentAddress),
 }
 
@@ -181,6 +182,8 @@
         recorded: bool,
     ) -> Response<AnswerBody> {
         let mut attempts = 0;
+        // The caller is told when to come back also if the other agent had no room either.
+        let mut own_refusal = None;
         loop {
             attempts += 1;
             let failed = match self.attempt(destination, recorded).await {
@@ -191,10 +194,15 @@
                 Ok(answered) => return self.pass_on(answered),
                 Err(failed) => failed,
             };
-            if self.overflows(failed, destination, recorded, attempts) {
-                destination = Destination::AnyPeer;
+            if let Some(peer) = self.draw_overflow(failed, destination, recorded, attempts) {
+                destination = Destination::Overflow(peer);
+                own_refusal = failed.refusal;
                 continue;
             }
+            let failed = Failed {
+                refusal: failed.refusal.or(own_refusal),
+                ..failed
+            };
             match self.after(failed, destination, recorded, attempts) {
                 AfterFailure::RetryAfter { backoff_ms } => {
                     sleep(Duration::from_millis(backoff_ms)).await;
@@ -213,6 +221,7 @@
             Destination::Target => None,
             Destination::Minter(agent) => Some((agent.0, RELAYED_TO_MINTER)),
             Destination::AnyPeer => Some((self.pick_peer()?, RELAYED_CLAIMED)),
+            Destination::Overflow(agent) => Some((agent.0, RELAYED_CLAIMED)),
         };
         let attempt = Attempt {
             shared: &self.shared,
@@ -225,6 +234,9 @@
             None => attempt.at_target(&mut self.body).await,
             Some((agent, relayed)) => attempt.at_agent(agent, relayed, &mut self.body).await,
         };
+        if let Destination::Overflow(agent) = destination {
+            self.dispatcher.note_overflow(agent, result.is_ok());
+        }
         if self.body.is_none() && matches!(self.head.method, Method::GET | Method::HEAD) {
             self.body = Some(RequestBody::Empty);
         }
@@ -246,18 +258,21 @@
         })
     }
 
-    /// Tells whether another agent gets what the impaired target here did not run, once.
-    fn overflows(
+    /// Draws the agent that gets what the target here did not run, once.
+    fn draw_overflow(
         &self,
         failed: Failed,
         destination: Destination,
         recorded: bool,
         attempts: u32,
-    ) -> bool {
+    ) -> Option<AgentAddress> {
         let is_own = matches!(self.origin, Origin::Flow(_));
         let is_first = matches!(destination, Destination::Target);
+        if !is_own || !is_first || self.body.is_none() {
+            return None;
+        }
         let end = self.end_of(failed, destination, recorded, attempts);
-        is_own && is_first && self.body.is_some() && self.dispatcher.relays_overflow(&end)
+        self.dispatcher.draw_overflow(&end)
     }
 
     fn after(
