fix(balancer): wait for a view when no seeds are given

Cause, found while splitting the controller: a balancer without seeds passed an empty list to the core, which took that for being alone, so it was ready before it had a view of the agents. The list of seeds is passed on only when there are some; the rule of the core gets a test of its own.

--- /dev/null
+++ b/crates/basilstep-balancer/src/controller/actions.rs
@@ -0,0 +1,82 @@
+//! How the controller carries out what membership asks for.
+
+use super::{Controller, DeltaFetched, SnapshotFetched};
+use basilstep_core::{
+    address::BalancerAddress,
+    membership::{Action, MembershipMessage, SettingsDelta},
+    wire::encode_sealed,
+};
+use std::net::SocketAddrV4;
+
+const DATAGRAM_BYTES: usize = 1_500;
+
+impl Controller {
+    pub(super) fn carry_out(&mut self, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Send { to, message } => self.send(to, &message),
+                Action::AgentsChanged { .. } | Action::BalancersChanged => {
+                    self.is_table_outdated = true;
+                }
+                Action::FetchSnapshot { from } => self.fetch_snapshot(from),
+                Action::FetchSettings { from, version } => {
+                    self.shared.note_settings_version(version);
+                    self.pull_settings(from);
+                }
+                Action::FetchSettingsOverTcp { from, .. } => self.fetch_settings(from),
+                Action::ServeSettings {
+                    to,
+                    above_version,
+                    service,
+                } => {
+                    let delta = SettingsDelta::collect(&self.settings, above_version, service);
+                    self.send(to, &delta.into_message());
+                }
+                Action::ApplySettings { delta } => self.apply_delta(delta),
+            }
+        }
+    }
+
+    fn send(&self, to: SocketAddrV4, message: &MembershipMessage) {
+        let mut buffer = [0; DATAGRAM_BYTES];
+        let Ok(length) = encode_sealed(&self.shared.keys.gossip, message, &mut buffer) else {
+            log::error!("a membership message is too long");
+            return;
+        };
+        // Membership repeats what matters.
+        let _ = self.carrier.try_send_to(&buffer[..length], to.into());
+    }
+
+    fn pull_settings(&self, from: SocketAddrV4) {
+        self.send(from, &self.membership.pull_settings());
+    }
+
+    fn fetch_settings(&self, from: SocketAddrV4) {
+        let Some(own) = self.own.clone() else { return };
+        let client = self.client.clone();
+        let path = format!("/settings?above={}", self.settings.version());
+        tokio::spawn(async move {
+            let Ok(body) = client.get(from, &path).await else {
+                return;
+            };
+            if let Ok(delta) = serde_json::from_slice(&body) {
+                // The actor is gone only when the process ends.
+                let _ = own.send(DeltaFetched(delta)).await;
+            }
+        });
+    }
+
+    fn fetch_snapshot(&self, from: BalancerAddress) {
+        let Some(own) = self.own.clone() else { return };
+        let client = self.client.clone();
+        tokio::spawn(async move {
+            let Ok(body) = client.get(from.0, "/snapshot").await else {
+                return;
+            };
+            if let Ok(snapshot) = postcard::from_bytes(&body) {
+                // The actor is gone only when the process ends.
+                let _ = own.send(SnapshotFetched(snapshot)).await;
+            }
+        });
+    }
+}
--- /dev/null
+++ b/crates/basilstep-balancer/src/controller/dump.rs
@@ -0,0 +1,99 @@
+//! The control state of a balancer in a dump.
+
+use super::{Controller, Dump};
+use basilstep_core::{
+    address::{AgentAddress, BalancerAddress, DomainId, ServiceId},
+    membership::{AgentPhase, MembershipCounters},
+    settings::{DomainRecord, Rejection},
+};
+use serde::Serialize;
+use std::collections::BTreeMap;
+use xtra::{Context, Handler};
+
+/// The control state of a balancer in a dump.
+#[derive(Clone, Debug, Serialize)]
+pub struct ControlDump {
+    settings_version: u64,
+    store_is_behind: bool,
+    rejections: BTreeMap<String, Rejection>,
+    unserved: BTreeMap<String, Rejection>,
+    domains: BTreeMap<String, DomainRecord>,
+    watches_store: bool,
+    carrying: Carrying,
+    members_known: usize,
+    members_watched: usize,
+    membership: MembershipCounters,
+    agents: Vec<AgentDump>,
+    balancers: Vec<BalancerAddress>,
+}
+
+/// Whether a balancer carries packets, in a dump.
+#[derive(Clone, Copy, Debug, Serialize)]
+#[serde(rename_all = "snake_case")]
+enum Carrying {
+    /// It has no view of the agents yet.
+    Joining,
+    /// It was paused and waits until its view is confirmed.
+    Recovering,
+    /// It carries packets.
+    Normal,
+}
+
+#[derive(Clone, Debug, Serialize)]
+struct AgentDump {
+    address: AgentAddress,
+    service: ServiceId,
+    domain: DomainId,
+    phase: AgentPhase,
+}
+
+impl Handler<Dump> for Controller {
+    type Return = ControlDump;
+
+    async fn handle(&mut self, _: Dump, _: &mut Context<Self>) -> ControlDump {
+        let now_ms = self.shared.clock.now_ms();
+        let agents = self
+            .settings
+            .view()
+            .services
+            .keys()
+            .flat_map(|service| self.membership.agents_of(*service, now_ms))
+            .map(|agent| AgentDump {
+                address: agent.address,
+                service: agent.service,
+                domain: agent.domain,
+                phase: agent.phase,
+            })
+            .collect();
+        ControlDump {
+            settings_version: self.settings.version(),
+            store_is_behind: self.store_is_behind,
+            rejections: self.settings.rejections().clone(),
+            unserved: self.settings.unserved(),
+            domains: self.settings.view().domains.clone(),
+            watches_store: self.membership.is_store_watcher(now_ms),
+            carrying: self.carrying(),
+            members_known: self.membership.known(),
+            members_watched: self.membership.watched(),
+            membership: self.membership.counters(),
+            agents,
+            balancers: self
+                .membership
+                .balancers(now_ms)
+                .map(|balancer| balancer.address)
+                .collect(),
+        }
+    }
+}
+
+impl Controller {
+    fn carrying(&self) -> Carrying {
+        if self.pause.is_recovering() {
+            Carrying::Recovering
+        } else if self.membership.is_joined() {
+            Carrying::Normal
+        } else {
+            Carrying::Joining
+        }
+    }
+}
--- /dev/null
+++ b/crates/basilstep-balancer/src/controller/mod.rs
@@ -0,0 +1,192 @@
+//! The control duties of a balancer: settings and membership, in one actor.
+
+mod actions;
+mod dump;
+mod handlers;
+mod messages;
+
+pub use messages::{
+    BalancersListed, CollectDelta, DeltaFetched, Dump, Leave, Received, SnapshotFetched,
+    StoreAnswered, TakeSnapshot, Tick, WatchesStore,
+};
+
+use crate::{listeners::Listeners, shared::Shared};
+use basilstep_core::{
+    address::{BalancerAddress, Incarnation},
+    context::Context as Environment,
+    domains::{DomainPhases, DomainSettings, DomainTracker},
+    membership::{BalancerRecord, Membership, MembershipSettings, SettingsDelta},
+    settings::{Applied, SettingsState},
+    steering::{DeadAgent, PauseGuard, SteeringSettings, SteeringTable},
+};
+use basilstep_node::control::ControlClient;
+use std::sync::Arc;
+use tokio::net::UdpSocket;
+use xtra::{Actor, Address, Mailbox};
+
+const MAILBOX: usize = 4_096;
+
+/// Holds the settings and the membership view of one balancer.
+#[derive(Debug)]
+pub struct Controller {
+    shared: Arc<Shared>,
+    listeners: Arc<Listeners>,
+    carrier: Arc<UdpSocket>,
+    client: ControlClient,
+    environment: Environment,
+    settings: SettingsState,
+    membership: Membership,
+    domains: DomainTracker,
+    phases: DomainPhases,
+    pause: PauseGuard,
+    own: Option<Address<Self>>,
+    is_table_outdated: bool,
+    store_is_behind: bool,
+    is_stopping: bool,
+}
+
+/// What the controller is made of.
+#[derive(Debug)]
+pub struct Parts {
+    /// What the tasks share.
+    pub shared: Arc<Shared>,
+    /// The sockets that face callers.
+    pub listeners: Arc<Listeners>,
+    /// The carrier socket.
+    pub carrier: Arc<UdpSocket>,
+    /// What the balancer announces about itself.
+    pub record: BalancerRecord,
+    /// The first settings.
+    pub settings: SettingsState,
+}
+
+impl Actor for Controller {
+    type Stop = ();
+
+    async fn started(&mut self, mailbox: &Mailbox<Self>) -> Result<(), ()> {
+        self.own = mailbox.address().try_upgrade();
+        Ok(())
+    }
+
+    async fn stopped(self) {}
+}
+
+/// Starts the controller and the timer that drives it.
+pub fn spawn(parts: Parts) -> Address<Controller> {
+    let mut environment = parts.shared.clock.context();
+    let pause = PauseGuard::new(SteeringSettings::default(), environment.now_ms);
+    let settings = MembershipSettings::default();
+    let mut membership = Membership::new(settings, parts.record, &mut environment);
+    let seeds = seed_records(&parts);
+    if !seeds.is_empty() {
+        membership.on_store_list(&seeds, &mut environment);
+    }
+    let mut controller = Controller {
+        client: ControlClient::open(parts.shared.keys.control),
+        shared: parts.shared,
+        listeners: parts.listeners,
+        carrier: parts.carrier,
+        environment,
+        domains: DomainTracker::new(DomainSettings::default(), parts.settings.view().out),
+        phases: DomainPhases::default(),
+        pause,
+        settings: parts.settings,
+        membership,
+        own: None,
+        is_table_outdated: true,
+        store_is_behind: false,
+        is_stopping: false,
+    };
+    controller.settings_changed();
+    xtra::spawn_tokio(controller, Mailbox::bounded(MAILBOX))
+}
+
+/// Returns records of the seeds, known by address only; what they announce replaces these.
+fn seed_records(parts: &Parts) -> Vec<BalancerRecord> {
+    let seeds = &parts.shared.settings.common.seeds;
+    seeds
+        .iter()
+        .map(|seed| BalancerRecord {
+            address: BalancerAddress(*seed),
+            domain: parts.record.domain,
+            incarnation: Incarnation::default(),
+        })
+        .collect()
+}
+
+impl Controller {
+    fn apply_delta(&mut self, delta: SettingsDelta) {
+        if !delta.applies_to(self.settings.version()) {
+            return;
+        }
+        for (path, outcome) in delta.apply_to(&mut self.settings) {
+            log_applied(&path, &outcome);
+        }
+        self.settings_changed();
+    }
+
+    fn settings_changed(&mut self) {
+        self.membership
+            .set_settings_version(self.settings.version());
+        self.listeners
+            .follow(&self.shared, &self.carrier, self.settings.view());
+        self.is_table_outdated = true;
+        self.refresh_table();
+        self.refresh_readiness();
+    }
+
+    fn refresh_table(&mut self) {
+        let now_ms = self.shared.clock.now_ms();
+        let view = self.settings.view();
+        self.domains.update(view.out, now_ms);
+        let phases = self.domains.phases(now_ms);
+        if !self.is_table_outdated && phases == self.phases {
+            return;
+        }
+        self.is_table_outdated = false;
+        self.phases = phases;
+        let records: Vec<_> = view
+            .services
+            .keys()
+            .flat_map(|service| self.membership.agents_of(*service, now_ms))
+            .collect();
+        let dead: Vec<DeadAgent> = self
+            .membership
+            .agents(now_ms)
+            .filter(|(_, is_live)| !is_live)
+            .map(|(agent, _)| DeadAgent {
+                address: agent.address,
+                incarnation: agent.incarnation,
+            })
+            .collect();
+        let table = SteeringTable::build_at(view, phases, &records, &dead);
+        self.shared.put_in_force(table, self.settings.version());
+    }
+
+    /// The fabric may send packets once settings and a view are there, and until the process or
+    /// its failure domain leaves.
+    fn refresh_readiness(&self) {
+        let view = self.settings.view();
+        let own_domain = view.domains.get(&self.shared.settings.common.domain);
+        let is_out = own_domain.is_some_and(|domain| view.out.contains(domain.id));
+        let is_ready = self.settings.version() > 0
+            && view.flow_keys.is_some()
+            && self.membership.is_joined()
+            && !self.pause.is_recovering()
+            && !is_out
+            && !self.is_stopping;
+        self.shared.readiness.set(is_ready);
+    }
+}
+
+fn log_applied(path: &str, outcome: &Applied) {
+    match outcome {
+        Applied::Rejected(rejection) => log::error!(
+            code = rejection.code.number(), path = path, version = rejection.version;
+            "a settings record is refused and the last good one stays in force: {}",
+            rejection.reason
+        ),
+        Applied::InForce => log::info!(path = path; "a settings record is in force"),
+        Applied::NotNewer => {}
+    }
+}
--- a/crates/basilstep-core/src/membership/tests.rs
+++ b/crates/basilstep-core/src/membership/tests.rs
@@ -462,6 +462,18 @@
     }
 }
 
+#[rstest]
+#[case::nobody_else(1, true)]
+#[case::others(3, false)]
+fn starting_balancer_waits_for_a_view_unless_it_is_alone(#[case] listed: u8, #[case] joined: bool) {
+    let mut ctx = Context::new(5);
+    let mut membership = Membership::new(MembershipSettings::default(), balancer(1), &mut ctx);
+    assert!(!membership.is_joined());
+    let list: Vec<BalancerRecord> = (1..=listed).map(balancer).collect();
+    membership.on_store_list(&list, &mut ctx);
+    assert_eq!(membership.is_joined(), joined);
+}
+
 #[test]
 fn restarted_balancer_gets_the_view_of_a_peer() {
     let mut fleet = Fleet::settled(6, &three_agents());
