feat(bench): kill and freeze agents and targets, and steps in which two things fail

The demo had no step that hits an agent, a target beside a living agent, or two things together. New steps: kill-agent, freeze-agent, kill-target, freeze-and-out, store-down-at-start, pairs. Targets note the offers that run in a file, so that a kill hides no run. A tap on the port of an agent that was killed counts authentic carrier frames.

--- a/crates/basilstep-bench/src/demo/counts.rs
+++ b/crates/basilstep-bench/src/demo/counts.rs
@@ -9,6 +9,9 @@
 const DOMAIN_OUT_LIMIT_S: f64 = 5.0;
 /// The time after which a leaving target gets no new work.
 const LEAVING_LIMIT_S: f64 = 5.0;
+/// The time after which callers that lost a flow with its agent have new ones: their idle time-out
+/// and one retransmission.
+const REOPENED_LIMIT_S: f64 = 6.0;
 /// The largest number of flows of a target over the mean of its service, with ten flows on each.
 const IMBALANCE_LIMIT: f64 = 1.5;
 
@@ -34,6 +37,20 @@
     pub requests_to_returned_domain: Option<u64>,
     /// Time of the last request to the leaving target, counted from when it was told to leave.
     pub requests_to_leaving_after_s: f64,
+    /// Callers' packets that came to agents of the domain that was out, from a balancer that had
+    /// been paused when it was taken out.
+    pub packets_to_out_agents_from_resumed: u64,
+    /// Targets of the domain that was out which got requests long after.
+    pub out_targets_with_requests_after_resumption: u64,
+    /// When the last caller that lost its flow with an agent had a new one, counted from the fault.
+    pub flows_reopened_after_s: f64,
+    /// Requests that ran at the target that was killed, after its return; `None` when none was.
+    pub requests_to_restarted_target: Option<u64>,
+    /// How long a balancer took to be ready without the store; `None` when it was not or not tried.
+    pub ready_without_store_after_s: Option<f64>,
+    /// Requests that ran at the target whose agent was started without the store; `None` when
+    /// none was.
+    pub requests_to_agent_without_store: Option<u64>,
     /// Boards open at each target in calm.
     pub boards_by_target: BTreeMap<String, u32>,
     /// Open flows of the fullest target over the mean of its service, where it is worst.
@@ -93,6 +110,14 @@
                 self.targets_fell_over
                     .saturating_sub(self.targets_turned_cold),
             ),
+            (
+                "a domain that is out gets no packet of a resumed balancer",
+                self.packets_to_out_agents_from_resumed,
+            ),
+            (
+                "a domain that is out gets no request long after",
+                self.out_targets_with_requests_after_resumption,
+            ),
             (
                 "no process ends by itself",
                 self.unexpected_ends.len() as u64,
@@ -115,6 +140,11 @@
                 self.requests_to_leaving_after_s,
                 LEAVING_LIMIT_S,
             ),
+            (
+                "callers soon have new flows when an agent is lost",
+                self.flows_reopened_after_s,
+                REOPENED_LIMIT_S,
+            ),
             (
                 "load is spread evenly",
                 self.imbalance_max_over_mean,
@@ -132,6 +162,15 @@
                 "a domain that is back serves",
                 self.requests_to_returned_domain.unwrap_or(1),
             ),
+            (
+                "a target that is back serves",
+                self.requests_to_restarted_target.unwrap_or(1),
+            ),
+            (
+                "a balancer and an agent start without the store",
+                self.requests_to_agent_without_store.unwrap_or(1)
+                    * u64::from(!self.is_balancer_missing()),
+            ),
         ];
         for (promise, count) in some {
             if count == 0 {
@@ -141,6 +180,10 @@
         self.broken_promises = broken;
     }
 
+    const fn is_balancer_missing(&self) -> bool {
+        self.requests_to_agent_without_store.is_some() && self.ready_without_store_after_s.is_none()
+    }
+
     /// Returns the result as lines of a name and a value.
     pub fn table(&self) -> String {
         let fields = match serde_json::to_value(self) {
--- a/crates/basilstep-bench/src/demo/mod.rs
+++ b/crates/basilstep-bench/src/demo/mod.rs
@@ -1,12 +1,15 @@
 //! Runs a whole fleet as processes on loopback under failure.
 
 pub mod counts;
+mod faults;
 pub mod fleet;
 pub mod observer;
+mod pairs;
 pub mod plan;
 pub mod records;
 mod run;
 pub mod steps;
+mod tap;
 #[cfg(test)]
 mod tests;
 
@@ -25,7 +28,8 @@
     #[argh(option)]
     logs: Option<PathBuf>,
     /// a step to run; may be repeated (default: kill-balancer, drain-target, domain); others are
-    /// freeze-balancer, store-outage, cold-targets, rough-fabric and overload
+    /// freeze-balancer, store-outage, cold-targets, rough-fabric, overload, kill-agent, freeze-agent,
+    /// kill-target, freeze-and-out, store-down-at-start and pairs
     #[argh(option)]
     step: Vec<Step>,
 }
--- a/crates/basilstep-bench/src/demo/plan.rs
+++ b/crates/basilstep-bench/src/demo/plan.rs
@@ -235,6 +235,10 @@
         let slots = target.slots.to_string();
         let mut args = strings(&["target", "--listen", &listen, "--service", &target.service]);
         args.extend(strings(&["--slots", &slots]));
+        let journal = fleet
+            .logs()
+            .join(format!("{}-{}.runs", target.name, std::process::id()));
+        args.extend(strings(&["--journal", &journal.to_string_lossy()]));
         fleet.spawn(&target.name, Program::Bench, &args)
     }
 
@@ -255,7 +259,11 @@
     fn common_args(&self, domain: &str) -> Vec<String> {
         let store = format!("http://{}", self.store());
         let key = encode_hex(&self.cluster_key);
-        strings(&["--domain", domain, "--store", &store, "--cluster-key", &key])
+        let seeds = self.balancers.iter().map(BalancerPlan::address);
+        let seeds: Vec<String> = seeds.map(|seed| seed.to_string()).collect();
+        let mut args = strings(&["--domain", domain, "--store", &store, "--cluster-key", &key]);
+        args.extend(strings(&["--seeds", &seeds.join(",")]));
+        args
     }
 }
 
--- a/crates/basilstep-bench/src/demo/steps.rs
+++ b/crates/basilstep-bench/src/demo/steps.rs
@@ -18,9 +18,9 @@
 const AFTER_DRAIN: Duration = Duration::from_secs(6);
 const AFTER_OUT: Duration = Duration::from_secs(7);
 const AFTER_RETURN: Duration = Duration::from_secs(5);
-const KILLED_BALANCER: usize = 3;
+pub(super) const KILLED_BALANCER: usize = 3;
 const LEAVING_TARGET: usize = 1;
-const OUT_DOMAIN: &str = "d3";
+pub(super) const OUT_DOMAIN: &str = "d3";
 const FROZEN: Duration = Duration::from_secs(4);
 const STORE_DOWN: Duration = Duration::from_secs(5);
 const ROUGH: Duration = Duration::from_secs(4);
@@ -32,7 +32,7 @@
 const OVERLOAD_INTERVAL_MS: u64 = 2;
 const OVERLOAD_ARRIVAL_INTERVAL: Duration = Duration::from_millis(5);
 const OVERLOADED: Duration = Duration::from_secs(5);
-const STORE_DOWN_FAULT: &str = "admin/fault/down";
+pub(super) const STORE_DOWN_FAULT: &str = "admin/fault/down";
 
 /// One step of a run.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -53,6 +53,18 @@
     RoughFabric,
     /// Asks each service for more than its targets can serve, and turns them cold meanwhile.
     Overload,
+    /// Kills an agent beside a living target, then starts it anew.
+    KillAgent,
+    /// Pauses an agent for longer than callers wait.
+    FreezeAgent,
+    /// Kills a target beside a living agent, then starts it anew.
+    KillTarget,
+    /// Takes a failure domain out while a balancer is paused.
+    FreezeAndOut,
+    /// Starts a balancer and an agent anew while the store fails.
+    StoreDownAtStart,
+    /// Kills a balancer while a failure domain is out and the store fails.
+    Pairs,
 }
 
 /// A name that no step has.
@@ -63,7 +75,7 @@
 impl Step {
     /// The steps of the demo.
     pub const DEMO: [Self; 3] = [Self::KillBalancer, Self::DrainTarget, Self::Domain];
-    const ALL: [Self; 8] = [
+    const ALL: [Self; 14] = [
         Self::KillBalancer,
         Self::FreezeBalancer,
         Self::DrainTarget,
@@ -72,6 +84,12 @@
         Self::ColdTargets,
         Self::RoughFabric,
         Self::Overload,
+        Self::KillAgent,
+        Self::FreezeAgent,
+        Self::KillTarget,
+        Self::FreezeAndOut,
+        Self::StoreDownAtStart,
+        Self::Pairs,
     ];
 
     /// Returns the name on the command line.
@@ -85,6 +103,12 @@
             Self::ColdTargets => "cold-targets",
             Self::RoughFabric => "rough-fabric",
             Self::Overload => "overload",
+            Self::KillAgent => "kill-agent",
+            Self::FreezeAgent => "freeze-agent",
+            Self::KillTarget => "kill-target",
+            Self::FreezeAndOut => "freeze-and-out",
+            Self::StoreDownAtStart => "store-down-at-start",
+            Self::Pairs => "pairs",
         }
     }
 }
@@ -117,6 +141,12 @@
             Step::ColdTargets => self.turn_targets_cold().await,
             Step::RoughFabric => self.roughen_fabric().await,
             Step::Overload => self.overload(root).await,
+            Step::KillAgent => self.kill_agent().await,
+            Step::FreezeAgent => self.freeze_agent().await,
+            Step::KillTarget => self.kill_target().await,
+            Step::FreezeAndOut => self.freeze_and_out(root).await,
+            Step::StoreDownAtStart => self.start_without_store(root).await,
+            Step::Pairs => self.kill_while_out_and_store_down(root).await,
         }
     }
 
@@ -203,7 +233,7 @@
         Ok(())
     }
 
-    async fn kill_balancer(&mut self) -> Result<(), DemoError> {
+    pub(super) async fn kill_balancer(&mut self) -> Result<(), DemoError> {
         let balancer = self.plan.balancers[KILLED_BALANCER].clone();
         self.say(&format!("killing {}", balancer.name));
         self.fleet.kill(&balancer.name).await?;
@@ -232,7 +262,7 @@
         self.plan.targets[LEAVING_TARGET].clone()
     }
 
-    async fn take_domain_out(&mut self) -> Result<(), DemoError> {
+    pub(super) async fn take_domain_out(&mut self) -> Result<(), DemoError> {
         self.say(&format!("taking domain {OUT_DOMAIN} out"));
         let targets = self.plan.targets_in(OUT_DOMAIN);
         self.out
@@ -260,7 +290,10 @@
         Ok(())
     }
 
-    async fn bring_domain_back(&mut self, root: &CertificateDer<'static>) -> Result<(), DemoError> {
+    pub(super) async fn bring_domain_back(
+        &mut self,
+        root: &CertificateDer<'static>,
+    ) -> Result<(), DemoError> {
         self.say(&format!(
             "bringing domain {OUT_DOMAIN} back, with more callers"
         ));
@@ -287,6 +320,6 @@
 }
 
 /// Returns how long after `from_ms` something happened, and 0 when it was before.
-fn seconds_between(from_ms: u64, to_ms: u64) -> f64 {
+pub(super) fn seconds_between(from_ms: u64, to_ms: u64) -> f64 {
     Duration::from_millis(to_ms.saturating_sub(from_ms)).as_secs_f64()
 }
--- a/crates/basilstep-bench/src/demo/tests.rs
+++ b/crates/basilstep-bench/src/demo/tests.rs
@@ -32,6 +32,19 @@
 #[case::stop(|result: &mut DemoResult| result.failed_stops.push(String::new()))]
 #[case::out(|result: &mut DemoResult| result.packets_to_out_domain_after_s = 5.1)]
 #[case::leaving(|result: &mut DemoResult| result.requests_to_leaving_after_s = 5.1)]
+#[case::out_and_paused(|result: &mut DemoResult| result.packets_to_out_agents_from_resumed = 1)]
+#[case::out_long_after(
+    |result: &mut DemoResult| result.out_targets_with_requests_after_resumption = 1
+)]
+#[case::reopened(|result: &mut DemoResult| result.flows_reopened_after_s = 6.1)]
+#[case::target_not_back(|result: &mut DemoResult| result.requests_to_restarted_target = Some(0))]
+#[case::agent_without_store(|result: &mut DemoResult| {
+    result.ready_without_store_after_s = Some(1.0);
+    result.requests_to_agent_without_store = Some(0);
+})]
+#[case::balancer_without_store(
+    |result: &mut DemoResult| result.requests_to_agent_without_store = Some(1)
+)]
 #[case::imbalance(|result: &mut DemoResult| result.imbalance_max_over_mean = 1.6)]
 #[case::silence(|result: &mut DemoResult| result.callers.answers_whole = 0)]
 #[case::no_return(|result: &mut DemoResult| result.requests_to_returned_domain = Some(0))]
--- a/crates/basilstep-bench/src/standins/caller/counts.rs
+++ b/crates/basilstep-bench/src/standins/caller/counts.rs
@@ -21,6 +21,11 @@
     pub flows_broken: u64,
     /// Flows that ended because their failure domain was taken out.
     pub flows_given_up: u64,
+    /// Flows that were lost because their agent was killed or paused.
+    pub flows_lost_with_agent: u64,
+    /// When a caller last had a new flow after it had lost one with its agent, in ms since the
+    /// epoch; 0 when there was none.
+    pub last_reopened_ms: u64,
     /// Flows that the system asked the caller to replace, with no answer lost.
     pub flows_moved: u64,
     /// Requests that were sent, each attempt counted.
@@ -49,6 +54,8 @@
     pub board_gaps: u64,
     /// Boards that ended while their flow was alive.
     pub boards_cut: u64,
+    /// Boards that ended because their target was killed.
+    pub boards_lost_with_target: u64,
     /// Times that a board had no line for too long.
     pub boards_stalled: u64,
     /// The longest time between two lines of a board, in ms.
@@ -132,6 +139,7 @@
     pub fn lose_flow(&self, loss: &Loss, remark: &str) {
         self.count(|counts| match loss {
             Loss::GivenUp => counts.flows_given_up += 1,
+            Loss::WithAgent => counts.flows_lost_with_agent += 1,
             Loss::Broken => {
                 counts.flows_broken += 1;
                 counts.remark(Remark::FlowBroken, remark);
--- a/crates/basilstep-bench/src/standins/caller/flow.rs
+++ b/crates/basilstep-bench/src/standins/caller/flow.rs
@@ -57,6 +57,8 @@
 pub enum Loss {
     /// Its failure domain was taken out.
     GivenUp,
+    /// Its agent was killed or paused past the time that a flow may be silent.
+    WithAgent,
     /// It should have lived on.
     Broken,
 }
--- a/crates/basilstep-bench/src/standins/caller/session.rs
+++ b/crates/basilstep-bench/src/standins/caller/session.rs
@@ -3,7 +3,7 @@
     flow::{Board, Flow, FlowSettings, Loss, RequestError, SERVER_NAME},
     operation::{Known, Next, Operation},
 };
-use crate::standins::receipt::BoardLine;
+use crate::standins::{now_ms, receipt::BoardLine};
 use basilstep_core::codes::ResultCode;
 use http::Request;
 use quinn::ConnectionError;
@@ -11,7 +11,7 @@
 use rand_chacha::ChaCha8Rng;
 use std::{
     collections::BTreeSet,
-    sync::{Arc, Mutex, OnceLock, PoisonError},
+    sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError},
     time::Duration,
 };
 use tokio::{
@@ -43,9 +43,16 @@
     pub seed: u64,
 }
 
-/// The targets in failure domains that operators have taken out.
+/// The targets whose flows or boards end for a cause that the bench or operators set.
 #[derive(Clone, Debug, Default)]
-pub struct OutTargets(Arc<Mutex<BTreeSet<String>>>);
+pub struct OutTargets(Arc<Mutex<Causes>>);
+
+#[derive(Debug, Default)]
+struct Causes {
+    out: BTreeSet<String>,
+    without_agent: BTreeSet<String>,
+    killed: BTreeSet<String>,
+}
 
 /// A running caller.
 #[derive(Debug)]
@@ -63,6 +70,7 @@
     pending: Option<Operation>,
     known: Known,
     next_id: u64,
+    lost_agent: bool,
 }
 
 /// What the board of a flow needs.
@@ -71,6 +79,7 @@
     settings: &'a CallerSettings,
     tally: &'a Tally,
     target: &'a OnceLock<String>,
+    out: &'a OutTargets,
 }
 
 /// Why a caller stopped using a flow.
@@ -82,30 +91,40 @@
 }
 
 impl OutTargets {
-    /// Replaces the targets that are out.
+    /// Replaces the targets in failure domains that operators have taken out.
     pub fn set(&self, targets: impl IntoIterator<Item = String>) {
-        let mut out = self.0.lock().unwrap_or_else(PoisonError::into_inner);
-        *out = targets.into_iter().collect();
+        self.causes().out = targets.into_iter().collect();
+    }
+
+    /// Replaces the targets whose agents are killed or paused.
+    pub fn set_without_agent(&self, targets: impl IntoIterator<Item = String>) {
+        self.causes().without_agent = targets.into_iter().collect();
+    }
+
+    /// Replaces the targets that are killed beside their agents.
+    pub fn set_killed(&self, targets: impl IntoIterator<Item = String>) {
+        self.causes().killed = targets.into_iter().collect();
     }
 
-    fn contains(&self, target: &str) -> bool {
-        let out = self.0.lock().unwrap_or_else(PoisonError::into_inner);
-        out.contains(target)
+    fn causes(&self) -> MutexGuard<'_, Causes> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn is_empty(&self) -> bool {
-        let out = self.0.lock().unwrap_or_else(PoisonError::into_inner);
-        out.is_empty()
+    fn is_killed(&self, target: &str) -> bool {
+        self.causes().killed.contains(target)
     }
 
     /// Judges a loss by the target that the flow led to, or by its code when that is unknown.
     fn judge(&self, target: Option<&str>, error: &ConnectionError) -> Loss {
+        let causes = self.causes();
         let given_up = match target {
-            Some(target) => self.contains(target),
-            None => says_domain_out(error) && !self.is_empty(),
+            Some(target) => causes.out.contains(target),
+            None => says_domain_out(error) && !causes.out.is_empty(),
         };
         if given_up {
             Loss::GivenUp
+        } else if target.is_some_and(|target| causes.without_agent.contains(target)) {
+            Loss::WithAgent
         } else {
             Loss::Broken
         }
@@ -130,6 +149,7 @@
             pending: None,
             known: Known::default(),
             next_id: 0,
+            lost_agent: false,
         };
         let task = tokio::spawn(session.run());
         Self { stop, task }
@@ -151,7 +171,13 @@
         while !*self.stop.borrow() {
             match Flow::open(&self.settings.flow).await {
                 Ok(flow) => {
-                    self.tally.count(|counts| counts.flows_opened += 1);
+                    let reopened = std::mem::take(&mut self.lost_agent);
+                    self.tally.count(|counts| {
+                        counts.flows_opened += 1;
+                        if reopened {
+                            counts.last_reopened_ms = now_ms();
+                        }
+                    });
                     self.use_flow(flow).await;
                 }
                 Err(error) => {
@@ -174,11 +200,13 @@
         let target = OnceLock::new();
         let settings = self.settings.clone();
         let tally = self.tally.clone();
+        let out = self.out.clone();
         let keeper = BoardKeeper {
             flow: &flow,
             settings: &settings,
             tally: &tally,
             target: &target,
+            out: &out,
         };
         // Only the board may be dropped half-way: an offer that is under way must be accounted for.
         let end = tokio::select! {
@@ -192,19 +220,20 @@
                 flow.close().await;
             }
             FlowEnd::Lost => {
-                let target = target.get().or(self.known.target.as_ref());
-                self.lose(&flow, target.map(String::as_str));
+                let target = target.get().cloned().or_else(|| self.known.target.clone());
+                self.lose(&flow, target.as_deref());
             }
         }
     }
 
-    fn lose(&self, flow: &Flow, target: Option<&str>) {
+    fn lose(&mut self, flow: &Flow, target: Option<&str>) {
         let Some(error) = flow.loss() else {
             return;
         };
         let loss = self.out.judge(target, &error);
         let name = &self.settings.name;
         let remark = format!("{name}: flow to {target:?} lost: {error}");
+        self.lost_agent = loss == Loss::WithAgent;
         self.tally.lose_flow(&loss, &remark);
     }
 
@@ -362,6 +391,12 @@
         if self.flow.loss().is_some() {
             return;
         }
+        let target = self.target.get();
+        if target.is_some_and(|target| self.out.is_killed(target)) {
+            self.tally
+                .count(|counts| counts.boards_lost_with_target += 1);
+            return;
+        }
         let remark = format!("{}: board cut: {why}", self.settings.name);
         self.tally.count(|counts| {
             counts.boards_cut += 1;
--- a/crates/basilstep-bench/src/standins/target.rs
+++ b/crates/basilstep-bench/src/standins/target.rs
@@ -34,6 +34,7 @@
     convert::Infallible,
     io,
     net::{SocketAddr, SocketAddrV4},
+    path::PathBuf,
     process::ExitCode,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::{Duration, Instant},
@@ -72,6 +73,9 @@
     /// extra bytes in each answer (default 3000)
     #[argh(option, default = "3000")]
     pub answer_bytes: usize,
+    /// file in which offers are noted when they run, read again at the next start
+    #[argh(option)]
+    pub journal: Option<PathBuf>,
 }
 
 /// A running target; stops when dropped.
@@ -132,10 +136,11 @@
         let listener = TcpListener::bind(args.listen).await?;
         let address = listener.local_addr()?;
         let connections = args.connections;
+        let state = State::open(args.journal.as_deref())?;
         let target = Arc::new(Target {
             args,
             name: address.to_string(),
-            state: Mutex::default(),
+            state: Mutex::new(state),
         });
         let report = tokio::spawn(report_load(Arc::clone(&target)));
         let accept = tokio::spawn(serve(listener, connections, move |request| {
--- a/crates/basilstep-bench/src/standins/target/state.rs
+++ b/crates/basilstep-bench/src/standins/target/state.rs
@@ -2,6 +2,9 @@
 use serde::{Deserialize, Serialize};
 use std::{
     collections::{BTreeMap, BTreeSet},
+    fs::{self, File},
+    io::{self, Write},
+    path::Path,
     time::{Duration, Instant},
 };
 
@@ -67,6 +70,7 @@
     answered_work_ms: f64,
     fallen_until: Option<Instant>,
     pub(super) reported: LoadReport,
+    journal: Option<File>,
 }
 
 /// Why a request does not run.
@@ -77,6 +81,22 @@
 }
 
 impl State {
+    /// Reads which offers ran before the process was killed, and notes those to come.
+    pub(super) fn open(journal: Option<&Path>) -> io::Result<Self> {
+        let mut state = Self::default();
+        let Some(path) = journal else {
+            return Ok(state);
+        };
+        if path.exists() {
+            for operation in fs::read_to_string(path)?.lines() {
+                state.count_offer(operation);
+            }
+        }
+        let journal = File::options().create(true).append(true).open(path)?;
+        state.journal = Some(journal);
+        Ok(state)
+    }
+
     pub(super) fn has(&self, fault: &str) -> bool {
         self.faults.contains(fault)
     }
@@ -155,6 +175,15 @@
         if kind != "offers" || !may_record {
             return;
         }
+        if let Some(journal) = &mut self.journal
+            && let Err(error) = journal.write_all(format!("{operation}\n").as_bytes())
+        {
+            eprintln!("cannot note that {operation} runs: {error}");
+        }
+        self.count_offer(operation);
+    }
+
+    fn count_offer(&mut self, operation: &str) {
         let runs = self
             .runs_by_operation
             .entry(operation.to_owned())
