fix(bench): bring callers after the time in which a returned domain gets no flows

Cause: a returned domain gets no new flows for hold_ms (3 s), and all new callers of the step came within the first second; flows do not move later. Ruled out: agents that were not up yet (3 s more before the return changed nothing; their logs show the domain in). The step now brings the same callers at the return and as many again 4 s later.

--- a/crates/basilstep-bench/src/demo/steps.rs
+++ b/crates/basilstep-bench/src/demo/steps.rs
@@ -17,6 +17,8 @@
 const AFTER_REPLACEMENT: Duration = Duration::from_secs(2);
 const AFTER_DRAIN: Duration = Duration::from_secs(6);
 const AFTER_OUT: Duration = Duration::from_secs(7);
+/// A domain that is back gets no new flows for 3 s, the default of `hold_ms`.
+const HOLD: Duration = Duration::from_secs(4);
 const AFTER_RETURN: Duration = Duration::from_secs(5);
 pub(super) const KILLED_BALANCER: usize = 3;
 const LEAVING_TARGET: usize = 1;
@@ -303,6 +305,8 @@
             .await?;
         self.out.set([]);
         self.add_callers(LATE_CALLERS_PER_SERVICE, root).await;
+        time::sleep(HOLD).await;
+        self.add_callers(LATE_CALLERS_PER_SERVICE, root).await;
         time::sleep(AFTER_RETURN).await;
         let after = self.requests_to_out_domain().await?;
         self.result.requests_to_returned_domain = Some(after - before);
