feat(bench): send strange packets to each port, and records that cannot be read

Steps stranger and bad-record. stranger: 20,000 datagrams (random, truncated, a replayed first packet of a real client, frames and membership messages sealed with another key) to each service, carrier and agent port, and garbage to each control port.

Not covered: replayed frames and membership messages that were sealed with the cluster's own key.

--- a/crates/basilstep-bench/src/demo/counts.rs
+++ b/crates/basilstep-bench/src/demo/counts.rs
@@ -9,6 +9,8 @@
 const DOMAIN_OUT_LIMIT_S: f64 = 5.0;
 /// The time after which a leaving target gets no new work.
 const LEAVING_LIMIT_S: f64 = 5.0;
+/// A few MB: what strange packets may add to the memory of a process.
+const MEMORY_GROWTH_LIMIT_KB: u64 = 4_096;
 /// The time after which callers that lost a flow with its agent have new ones: their idle time-out
 /// and one retransmission.
 const REOPENED_LIMIT_S: f64 = 6.0;
@@ -51,6 +53,14 @@
     /// Requests that ran at the target whose agent was started without the store; `None` when
     /// none was.
     pub requests_to_agent_without_store: Option<u64>,
+    /// The most that the memory of a process grew by strange packets, in KiB.
+    pub most_memory_growth_kb: u64,
+    /// Processes whose dump counts none of the strange packets.
+    pub processes_that_count_no_drop: u64,
+    /// Flows that opened while the record of their service was a bad one; `None` when none was.
+    pub flows_opened_on_good_record: Option<u64>,
+    /// Balancers whose dump does not show a bad record.
+    pub balancers_that_hide_a_bad_record: u64,
     /// Boards open at each target in calm.
     pub boards_by_target: BTreeMap<String, u32>,
     /// Open flows of the fullest target over the mean of its service, where it is worst.
@@ -90,40 +100,7 @@
 
     /// Fills in which promises were broken.
     pub fn judge(&mut self) {
-        let callers = &self.callers;
-        let none = [
-            ("an established flow survives", callers.flows_broken),
-            ("a board loses no line", callers.board_gaps),
-            ("no planned stop cuts a request", callers.boards_cut),
-            ("a caller gets its own whole answer", callers.answers_wrong),
-            ("no packet reaches another service", self.misrouted_packets),
-            ("an offer runs at most once", self.ran_twice),
-            (
-                "what was refused as not run did not run",
-                self.not_run_but_ran,
-            ),
-            ("what was answered did run", self.answered_but_not_run),
-            (
-                "no target gets more than it can bear",
-                // What is in flight when a target turns cold cannot be taken back: it may fall
-                // over once for each such turn.
-                self.targets_fell_over
-                    .saturating_sub(self.targets_turned_cold),
-            ),
-            (
-                "a domain that is out gets no packet of a resumed balancer",
-                self.packets_to_out_agents_from_resumed,
-            ),
-            (
-                "a domain that is out gets no request long after",
-                self.out_targets_with_requests_after_resumption,
-            ),
-            (
-                "no process ends by itself",
-                self.unexpected_ends.len() as u64,
-            ),
-            ("a planned stop is graceful", self.failed_stops.len() as u64),
-        ];
+        let none = self.must_be_none();
         let mut broken: Vec<String> = none
             .iter()
             .filter(|(_, count)| *count > 0)
@@ -157,11 +134,15 @@
             }
         }
         let some = [
-            ("requests are served", callers.answers_whole),
+            ("requests are served", self.callers.answers_whole),
             (
                 "a domain that is back serves",
                 self.requests_to_returned_domain.unwrap_or(1),
             ),
+            (
+                "a bad record leaves the last good one in force",
+                self.flows_opened_on_good_record.unwrap_or(1),
+            ),
             (
                 "a target that is back serves",
                 self.requests_to_restarted_target.unwrap_or(1),
@@ -180,6 +161,57 @@
         self.broken_promises = broken;
     }
 
+    /// Returns the promises that hold when a count is 0.
+    fn must_be_none(&self) -> Vec<(&'static str, u64)> {
+        let callers = &self.callers;
+        vec![
+            ("an established flow survives", callers.flows_broken),
+            ("a board loses no line", callers.board_gaps),
+            ("no planned stop cuts a request", callers.boards_cut),
+            ("a caller gets its own whole answer", callers.answers_wrong),
+            ("no packet reaches another service", self.misrouted_packets),
+            ("an offer runs at most once", self.ran_twice),
+            (
+                "what was refused as not run did not run",
+                self.not_run_but_ran,
+            ),
+            ("what was answered did run", self.answered_but_not_run),
+            (
+                "no target gets more than it can bear",
+                // What is in flight when a target turns cold cannot be taken back: it may fall
+                // over once for each such turn.
+                self.targets_fell_over
+                    .saturating_sub(self.targets_turned_cold),
+            ),
+            (
+                "a domain that is out gets no packet of a resumed balancer",
+                self.packets_to_out_agents_from_resumed,
+            ),
+            (
+                "a domain that is out gets no request long after",
+                self.out_targets_with_requests_after_resumption,
+            ),
+            (
+                "strange packets take no memory (KiB above the limit)",
+                self.most_memory_growth_kb
+                    .saturating_sub(MEMORY_GROWTH_LIMIT_KB),
+            ),
+            (
+                "strange packets are counted",
+                self.processes_that_count_no_drop,
+            ),
+            (
+                "a bad record shows in the dump",
+                self.balancers_that_hide_a_bad_record,
+            ),
+            (
+                "no process ends by itself",
+                self.unexpected_ends.len() as u64,
+            ),
+            ("a planned stop is graceful", self.failed_stops.len() as u64),
+        ]
+    }
+
     const fn is_balancer_missing(&self) -> bool {
         self.requests_to_agent_without_store.is_some() && self.ready_without_store_after_s.is_none()
     }
--- a/crates/basilstep-bench/src/demo/pairs.rs
+++ b/crates/basilstep-bench/src/demo/pairs.rs
@@ -43,7 +43,7 @@
         let mut taps = Vec::new();
         for target in &out {
             self.fleet.kill(&target.agent).await?;
-            taps.push(Tap::open(target.agent_address(), carrier_key.clone()).await?);
+            taps.push(Tap::open(target.agent_address(), carrier_key).await?);
         }
         let resumed_ms = now_ms();
         self.say(&format!("letting {} go on", balancer.name));
--- a/crates/basilstep-bench/src/demo/records.rs
+++ b/crates/basilstep-bench/src/demo/records.rs
@@ -178,9 +178,17 @@
     }
 
     async fn put<T: Serialize>(&self, path: &str, record: &T) -> Result<(), RecordError> {
+        self.put_text(path, &serde_json::to_string(record)?).await
+    }
+
+    /// Writes any text as a record.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`RecordError::Store`] when the store does not take it.
+    pub async fn put_text(&self, path: &str, text: &str) -> Result<(), RecordError> {
         let url = format!("http://{}/v1/kv/basilstep/{path}", self.store);
-        let body = serde_json::to_string(record)?;
-        let response = self.client.put(url).body(body).send().await?;
+        let response = self.client.put(url).body(text.to_owned()).send().await?;
         response.error_for_status()?;
         Ok(())
     }
--- a/crates/basilstep-bench/src/demo/steps.rs
+++ b/crates/basilstep-bench/src/demo/steps.rs
@@ -67,6 +67,10 @@
     StoreDownAtStart,
     /// Kills a balancer while a failure domain is out and the store fails.
     Pairs,
+    /// Sends strange datagrams and garbage to each port.
+    Stranger,
+    /// Writes records that cannot be read.
+    BadRecord,
 }
 
 /// A name that no step has.
@@ -77,7 +81,7 @@
 impl Step {
     /// The steps of the demo.
     pub const DEMO: [Self; 3] = [Self::KillBalancer, Self::DrainTarget, Self::Domain];
-    const ALL: [Self; 14] = [
+    const ALL: [Self; 16] = [
         Self::KillBalancer,
         Self::FreezeBalancer,
         Self::DrainTarget,
@@ -92,6 +96,8 @@
         Self::FreezeAndOut,
         Self::StoreDownAtStart,
         Self::Pairs,
+        Self::Stranger,
+        Self::BadRecord,
     ];
 
     /// Returns the name on the command line.
@@ -111,6 +117,8 @@
             Self::FreezeAndOut => "freeze-and-out",
             Self::StoreDownAtStart => "store-down-at-start",
             Self::Pairs => "pairs",
+            Self::Stranger => "stranger",
+            Self::BadRecord => "bad-record",
         }
     }
 }
@@ -149,6 +157,8 @@
             Step::FreezeAndOut => self.freeze_and_out(root).await,
             Step::StoreDownAtStart => self.start_without_store(root).await,
             Step::Pairs => self.kill_while_out_and_store_down(root).await,
+            Step::Stranger => self.strange_packets(root).await,
+            Step::BadRecord => self.write_bad_records(root).await,
         }
     }
 
--- /dev/null
+++ b/crates/basilstep-bench/src/demo/stranger.rs
@@ -0,0 +1,293 @@
+//! Steps that send processes what none of them should take: foreign datagrams and a bad record.
+
+use super::{
+    plan::{BalancerPlan, TargetPlan},
+    run::{Demo, DemoError},
+};
+use basilstep_core::{
+    address::{BalancerAddress, ServiceId},
+    crypto::{ClusterKey, ShortKey},
+    wire::{CarrierHeader, Leg, MEMBERSHIP_VERSION, encode_frame},
+};
+use basilstep_node::control::ControlClient;
+use quinn::Endpoint;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use rustls::pki_types::CertificateDer;
+use serde_json::Value;
+use std::{
+    collections::BTreeMap,
+    fs,
+    net::{SocketAddr, SocketAddrV4},
+    time::Duration,
+};
+use tokio::{
+    io::AsyncWriteExt,
+    net::{TcpStream, UdpSocket},
+    time,
+};
+
+const SEED: u64 = 1;
+const DATAGRAMS: usize = 20_000;
+const DATAGRAMS_PER_SOCKET: usize = 1_000;
+const DATAGRAMS_PER_PAUSE: usize = 20;
+const PAUSE: Duration = Duration::from_millis(2);
+const KINDS: usize = 5;
+const MAX_DATAGRAM_BYTES: usize = 1_400;
+const TCP_ROUNDS: usize = 10;
+const TCP_GARBAGE_BYTES: usize = 4_096;
+const TCP_TIMEOUT: Duration = Duration::from_millis(500);
+const CAPTURE_TIMEOUT: Duration = Duration::from_secs(2);
+const SETTLE: Duration = Duration::from_secs(5);
+const LATE_CALLERS_PER_SERVICE: usize = 10;
+const BAD_RECORD: &str = "{\"address\": 7, \"id\": ";
+
+/// The kinds of datagrams that a stranger sends.
+struct Strange {
+    rng: ChaCha8Rng,
+    initial: Vec<u8>,
+    foreign_key: ShortKey,
+    balancer: SocketAddrV4,
+}
+
+impl Strange {
+    fn datagram(&mut self, number: usize) -> Vec<u8> {
+        match number % KINDS {
+            0 => self.random(),
+            1 => self.truncated(),
+            2 => self.initial.clone(),
+            3 => self.foreign(),
+            _ => self.foreign_membership(),
+        }
+    }
+
+    fn random(&mut self) -> Vec<u8> {
+        let length = self.rng.random_range(0..MAX_DATAGRAM_BYTES);
+        (0..length).map(|_| self.rng.random()).collect()
+    }
+
+    fn truncated(&mut self) -> Vec<u8> {
+        let length = self.rng.random_range(0..self.initial.len());
+        self.initial[..length].to_vec()
+    }
+
+    /// Returns a frame that is sealed with another cluster's key.
+    fn foreign(&self) -> Vec<u8> {
+        let header = CarrierHeader {
+            service: ServiceId(1),
+            caller: SocketAddr::V4(self.balancer),
+            balancer: BalancerAddress(self.balancer),
+            settings_version: u64::MAX,
+            leg: Leg::Take,
+        };
+        let mut frame = vec![0; MAX_DATAGRAM_BYTES + self.initial.len()];
+        let length = encode_frame(&self.foreign_key, &header, &self.initial, &mut frame);
+        frame.truncate(length.unwrap_or_default());
+        frame
+    }
+
+    fn foreign_membership(&mut self) -> Vec<u8> {
+        let mut message = self.random();
+        message.insert(0, MEMBERSHIP_VERSION);
+        message
+    }
+}
+
+impl Demo {
+    /// Sends strange datagrams to each UDP port and garbage to each control port.
+    pub(super) async fn strange_packets(
+        &mut self,
+        root: &CertificateDer<'static>,
+    ) -> Result<(), DemoError> {
+        let names = self.processes();
+        let codes_before = self.codes_counted().await;
+        let memory_before = self.memory_kb(&names);
+        self.say(&format!("sending {DATAGRAMS} strange datagrams"));
+        self.send_strange_datagrams(root).await?;
+        self.say("sending garbage to the control ports");
+        for address in self.control_ports() {
+            send_garbage(address).await;
+        }
+        time::sleep(SETTLE).await;
+        let codes_after = self.codes_counted().await;
+        let memory_after = self.memory_kb(&names);
+        let growths = names.iter().map(|name| {
+            let before = memory_before.get(name).copied().unwrap_or_default();
+            let after = memory_after.get(name).copied().unwrap_or_default();
+            after.saturating_sub(before)
+        });
+        self.result.most_memory_growth_kb = growths.max().unwrap_or_default();
+        let silent = codes_before
+            .iter()
+            .filter(|(address, before)| codes_after.get(*address).unwrap_or(&0) <= *before);
+        self.result.processes_that_count_no_drop = silent.count() as u64;
+        Ok(())
+    }
+
+    /// Writes records that cannot be read over good ones.
+    pub(super) async fn write_bad_records(
+        &mut self,
+        root: &CertificateDer<'static>,
+    ) -> Result<(), DemoError> {
+        self.say("writing a bad record over that of each service");
+        for service in &self.plan.services {
+            self.writer.put_text(&service.path, BAD_RECORD).await?;
+        }
+        time::sleep(SETTLE).await;
+        let opened_before = self.tally.counts().flows_opened;
+        self.add_callers(LATE_CALLERS_PER_SERVICE, root).await;
+        time::sleep(SETTLE).await;
+        let opened = self.tally.counts().flows_opened - opened_before;
+        self.result.flows_opened_on_good_record = Some(opened);
+        let client = self.control_client();
+        for balancer in &self.plan.balancers {
+            let dump = read_dump(&client, balancer.address()).await;
+            let rejections = &dump["control"]["rejections"];
+            let shown = self
+                .plan
+                .services
+                .iter()
+                .all(|service| rejections.get(&service.path).is_some());
+            self.result.balancers_that_hide_a_bad_record += u64::from(!shown);
+        }
+        Ok(())
+    }
+
+    async fn send_strange_datagrams(
+        &self,
+        root: &CertificateDer<'static>,
+    ) -> Result<(), DemoError> {
+        let mut strange = Strange {
+            rng: ChaCha8Rng::seed_from_u64(SEED),
+            initial: self.capture_initial(root).await?,
+            foreign_key: ShortKey([7; 16]),
+            balancer: self.plan.balancers[0].address(),
+        };
+        let ports = self.udp_ports();
+        let own = SocketAddr::from((self.plan.caller_ip(), 0));
+        let mut socket = UdpSocket::bind(own).await?;
+        for number in 0..DATAGRAMS {
+            if number % DATAGRAMS_PER_SOCKET == 0 {
+                socket = UdpSocket::bind(own).await?;
+            }
+            if number % DATAGRAMS_PER_PAUSE == 0 {
+                time::sleep(PAUSE).await;
+            }
+            let port = ports[(number / KINDS) % ports.len()];
+            socket.send_to(&strange.datagram(number), port).await?;
+        }
+        Ok(())
+    }
+
+    /// Returns the first datagram of a flow that a real client opens.
+    async fn capture_initial(&self, root: &CertificateDer<'static>) -> Result<Vec<u8>, DemoError> {
+        let own = SocketAddr::from((self.plan.caller_ip(), 0));
+        let server = UdpSocket::bind(own).await?;
+        let client = Endpoint::client(own)?;
+        let config = crate::standins::caller::client_config(root)
+            .map_err(|error| std::io::Error::other(error.to_string()))?;
+        let connecting = client
+            .connect_with(config, server.local_addr()?, "basilstep.test")
+            .map_err(std::io::Error::other)?;
+        let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
+        let received = time::timeout(CAPTURE_TIMEOUT, server.recv_from(&mut buffer)).await;
+        drop(connecting);
+        let (length, _) = received.map_err(std::io::Error::other)??;
+        buffer.truncate(length);
+        Ok(buffer)
+    }
+
+    fn udp_ports(&self) -> Vec<SocketAddrV4> {
+        let services = &self.plan.services;
+        let balancers = self.plan.balancers.iter();
+        let at_balancers = balancers.flat_map(|balancer| {
+            let ports = services
+                .iter()
+                .map(|service| SocketAddrV4::new(balancer.ip, service.address.port()));
+            ports.chain([balancer.address()])
+        });
+        let agents = self.plan.targets.iter();
+        let at_agents = agents.map(TargetPlan::agent_address);
+        at_balancers.chain(at_agents).collect()
+    }
+
+    fn control_ports(&self) -> Vec<SocketAddrV4> {
+        let balancers = self.plan.balancers.iter();
+        let at_balancers = balancers.flat_map(|balancer| [balancer.address(), balancer.ready()]);
+        let agents = self.plan.targets.iter();
+        let at_agents = agents.map(TargetPlan::agent_address);
+        at_balancers.chain(at_agents).collect()
+    }
+
+    fn processes(&self) -> Vec<String> {
+        let balancers = self.plan.balancers.iter();
+        let agents = self.plan.targets.iter();
+        balancers
+            .map(|balancer| balancer.name.clone())
+            .chain(agents.map(|target| target.agent.clone()))
+            .collect()
+    }
+
+    fn memory_kb(&self, names: &[String]) -> BTreeMap<String, u64> {
+        let ids = names
+            .iter()
+            .filter_map(|name| Some((name, self.fleet.id(name)?)));
+        ids.map(|(name, id)| (name.clone(), resident_kb(id)))
+            .collect()
+    }
+
+    fn control_client(&self) -> ControlClient {
+        ControlClient::open(ClusterKey::new(self.plan.cluster_key).derive("control"))
+    }
+
+    /// Returns how many events with a code each process has counted.
+    async fn codes_counted(&self) -> BTreeMap<SocketAddrV4, u64> {
+        let client = self.control_client();
+        let balancers = self.plan.balancers.iter();
+        let agents = self.plan.targets.iter();
+        let addresses = balancers
+            .map(BalancerPlan::address)
+            .chain(agents.map(TargetPlan::agent_address));
+        let mut counted = BTreeMap::new();
+        for address in addresses {
+            let dump = read_dump(&client, address).await;
+            let codes = dump["codes"].as_object();
+            let counts = codes.map(|codes| codes.values().filter_map(Value::as_u64).sum());
+            counted.insert(address, counts.unwrap_or_default());
+        }
+        counted
+    }
+}
+
+async fn read_dump(client: &ControlClient, address: SocketAddrV4) -> Value {
+    let text = client.get(address, "/dump").await.unwrap_or_default();
+    serde_json::from_slice(&text).unwrap_or_default()
+}
+
+async fn send_garbage(address: SocketAddrV4) {
+    let mut rng = ChaCha8Rng::seed_from_u64(SEED);
+    for round in 0..TCP_ROUNDS {
+        let mut garbage: Vec<u8> = (0..TCP_GARBAGE_BYTES).map(|_| rng.random()).collect();
+        if round % 2 == 0 {
+            garbage.splice(0..0, b"GET /dump HTTP/1.1\r\nhost: x\r\n".iter().copied());
+        }
+        let sent = time::timeout(TCP_TIMEOUT, async {
+            let mut stream = TcpStream::connect(address).await?;
+            stream.write_all(&garbage).await
+        });
+        // A process may close the connection before it has read all of it.
+        drop(sent.await);
+    }
+}
+
+fn resident_kb(process: u32) -> u64 {
+    let status = fs::read_to_string(format!("/proc/{process}/status")).unwrap_or_default();
+    let lines = status.lines();
+    let mut values = lines.filter_map(|line| line.strip_prefix("VmRSS:"));
+    let value = values
+        .next()
+        .and_then(|value| value.split_whitespace().next());
+    value
+        .and_then(|value| value.parse().ok())
+        .unwrap_or_default()
+}
--- a/crates/basilstep-bench/src/demo/tests.rs
+++ b/crates/basilstep-bench/src/demo/tests.rs
@@ -36,6 +36,10 @@
 #[case::out_long_after(
     |result: &mut DemoResult| result.out_targets_with_requests_after_resumption = 1
 )]
+#[case::memory(|result: &mut DemoResult| result.most_memory_growth_kb = 4_097)]
+#[case::uncounted(|result: &mut DemoResult| result.processes_that_count_no_drop = 1)]
+#[case::hidden(|result: &mut DemoResult| result.balancers_that_hide_a_bad_record = 1)]
+#[case::bad_record(|result: &mut DemoResult| result.flows_opened_on_good_record = Some(0))]
 #[case::reopened(|result: &mut DemoResult| result.flows_reopened_after_s = 6.1)]
 #[case::target_not_back(|result: &mut DemoResult| result.requests_to_restarted_target = Some(0))]
 #[case::agent_without_store(|result: &mut DemoResult| {
--- a/crates/basilstep-bench/src/standins/caller/flow.rs
+++ b/crates/basilstep-bench/src/standins/caller/flow.rs
@@ -309,7 +309,8 @@
     }
 }
 
-fn client_config(root: &CertificateDer<'static>) -> Result<ClientConfig, FlowError> {
+/// Returns what a client needs to open a flow.
+pub(crate) fn client_config(root: &CertificateDer<'static>) -> Result<ClientConfig, FlowError> {
     let setup = |error: &dyn std::fmt::Display| FlowError::Setup(error.to_string());
     let mut roots = RootCertStore::empty();
     roots.add(root.clone()).map_err(|error| setup(&error))?;
