--- a/crates/basilstep-bench/src/demo/mod.rs
+++ b/crates/basilstep-bench/src/demo/mod.rs
@@ -1,12 +1,16 @@
 //! Runs a whole fleet as processes on loopback under failure.
 
 pub mod counts;
+mod faults;
 pub mod fleet;
 pub mod observer;
+mod pairs;
 pub mod plan;
 pub mod records;
 mod run;
 pub mod steps;
+mod stranger;
+mod tap;
 #[cfg(test)]
 mod tests;
 
@@ -25,7 +29,9 @@
     #[argh(option)]
     logs: Option<PathBuf>,
     /// a step to run; may be repeated (default: kill-balancer, drain-target, domain); others are
-    /// freeze-balancer, store-outage, cold-targets, rough-fabric and overload
+    /// freeze-balancer, store-outage, cold-targets, rough-fabric, overload, kill-agent, freeze-agent,
+    /// kill-target, freeze-and-out, store-down-at-start, pairs,
+    /// stranger and bad-record
     #[argh(option)]
     step: Vec<Step>,
 }
