--- /dev/null
+++ b/crates/basilstep-balancer/tests/invalid_settings.rs
@@ -0,0 +1,53 @@
+//! A setting that is not allowed ends the process at once.
+
+use rstest::rstest;
+use std::process::Command;
+
+const GOOD: [(&str, &str); 4] = [
+    ("ADDRESS", "127.0.0.1:7000"),
+    ("DOMAIN", "north"),
+    ("STORE", "http://127.0.0.1:1"),
+    (
+        "CLUSTER_KEY",
+        "000102030405060708090a0b0c0d0e0f101112131415161718191a1b1c1d1e1f",
+    ),
+];
+
+#[rstest]
+#[case("ADDRESS", "127.0.0.1:0", "an own IPv4:PORT, port not 0")]
+#[case("ADDRESS", "0.0.0.0:7000", "an own IPv4:PORT, port not 0")]
+#[case("DOMAIN", "a/b", "a failure domain's name")]
+#[case("STORE", "https://store:8500", "http://HOST:PORT")]
+#[case("SEEDS", "balancer:7000", "IPv4:PORT, separated by commas")]
+#[case("METRICS_ADDRESS", "8125", "IP:PORT of a statsd server")]
+#[case("LOG_LEVEL", "loud", "off, error, warn, info, debug or trace")]
+#[case("LISTEN_IP", "::1", "an own IPv4 address")]
+#[case("READY_ADDRESS", "127.0.0.1", "an own IPv4:PORT")]
+#[case("PACKET_SOCKETS", "0", "1 to 64")]
+#[case("PACKET_SOCKETS", "65", "1 to 64")]
+#[case("THREADS", "257", "1 to 256")]
+#[case("STOP_WAIT_MS", "600001", "0 to 600000")]
+fn a_bad_value_is_named_with_what_is_allowed(
+    #[case] variable: &str,
+    #[case] value: &str,
+    #[case] allowed: &str,
+    #[values(false, true)] is_flag: bool,
+) {
+    let flag = variable.replace('_', "-").to_lowercase();
+    let mut command = Command::new(env!("CARGO_BIN_EXE_basilstep-balancer"));
+    command.env_clear();
+    for (name, good) in GOOD {
+        command.env(format!("BASILSTEP_{name}"), good);
+    }
+    if is_flag {
+        command.arg(format!("--{flag}")).arg(value);
+    } else {
+        command.env(format!("BASILSTEP_{variable}"), value);
+    }
+    let output = command.output().unwrap();
+    let expected = format!(
+        "501 InvalidSetting: --{flag} (BASILSTEP_{variable}) is \"{value}\"; allowed: {allowed}\n"
+    );
+    assert_eq!(String::from_utf8(output.stderr).unwrap(), expected);
+    assert_eq!(output.status.code(), Some(5));
+}
