test(docs): compare the built-in settings with their page

Cause: the tables of settings that no flag sets would drift from the code. Each struct's Default is compared with its table.

--- a/crates/basilstep-core/tests/docs.rs
+++ b/crates/basilstep-core/tests/docs.rs
@@ -2,9 +2,16 @@
 
 use basilstep_core::{
     codes::ResultCode,
+    domains::{DomainSettings, OverflowSettings},
+    membership::MembershipSettings,
+    placement::PlacementSettings,
+    returns::ReturnSettings,
     settings::{SERVICE_RANGES, ServiceRecord},
+    steering::SteeringSettings,
 };
-use std::{fs, path::Path};
+use rstest::rstest;
+use serde::Serialize;
+use std::{collections::BTreeMap, fs, path::Path};
 
 const NEW_RECORD: &str = r#"{"id":1,"address":"127.0.0.1:443"}"#;
 
@@ -60,3 +67,28 @@
         .collect();
     assert_eq!(written, expected);
 }
+
+#[rstest]
+#[case("DomainSettings", DomainSettings::default())]
+#[case("OverflowSettings", OverflowSettings::default())]
+#[case("SteeringSettings", SteeringSettings::default())]
+#[case("PlacementSettings", PlacementSettings::default())]
+#[case("ReturnSettings", ReturnSettings::default())]
+#[case("MembershipSettings", MembershipSettings::default())]
+fn table_of_built_in_settings_is_the_code(#[case] name: &str, #[case] defaults: impl Serialize) {
+    let page = page("SETTINGS.md");
+    let after = page.split(&format!("### `{name}`\n")).nth(1).unwrap();
+    let section = after.split("\n##").next().unwrap();
+    let written: BTreeMap<String, String> = rows(section, |cell| cell.starts_with('`'))
+        .iter()
+        .map(|cells| (cells[0].replace('`', ""), cells[2].to_owned()))
+        .collect();
+    let defaults = serde_json::to_value(defaults).unwrap();
+    let expected: BTreeMap<String, String> = defaults
+        .as_object()
+        .unwrap()
+        .iter()
+        .map(|(setting, value)| (setting.clone(), value.to_string()))
+        .collect();
+    assert_eq!(written, expected);
+}
