feat(core): let agents report silent agents to membership

Cause: a crash was found by heartbeats only, after 1.7 s (p50), while the agents that show offers to the dead one notice its silence within 100 ms. An agent now sends `Unanswered` to its watchers on its tick, once in a silence and at most two agents each 500 ms. A balancer probes the named agent and another member of its domain, and suspects it 150 ms later (as `on_evidence` does) if only the agent has left its probe unanswered.

Ruled out: suspecting on the report itself, which let one mistaken report start a suspicion of a live agent; suspecting without the second probe, which tells the loss of a domain agent by agent.

Seen to fail first, by changing the finished code: without the suspicion the dead agent stays beyond one second; with a suspicion in place of the probe, or with answers that do not end a report, the live agent is suspected; without the second probe the lost domain is told one by one. The placement tests were not run against a changed code.

--- a/crates/basilstep-agent/src/controller.rs
+++ b/crates/basilstep-agent/src/controller.rs
@@ -114,6 +114,9 @@
         self.shared.clock.refresh(&mut self.environment);
         let actions = self.announcer.on_tick(&mut self.environment);
         self.carry_out(actions);
+        for agent in self.shared.take_silent_agents() {
+            self.carry_out(self.announcer.report_unanswered(agent));
+        }
         self.shared.set_peers(self.announcer.peers());
     }
 }
--- a/crates/basilstep-agent/src/shared.rs
+++ b/crates/basilstep-agent/src/shared.rs
@@ -218,6 +218,11 @@
         self.lock_offers().acknowledged(by);
     }
 
+    /// Returns other agents that have newly left an offer without acknowledgement.
+    pub fn take_silent_agents(&self) -> Vec<AgentAddress> {
+        self.lock_offers().take_silent(self.clock.now_ms())
+    }
+
     /// Notes that the endpoint holds a flow that was offered.
     pub fn flow_opened(&self, caller: &SocketAddr, connection_id: &[u8]) {
         self.open_flows.fetch_add(1, Ordering::Relaxed);
--- a/crates/basilstep-bench/src/load/membership/fleet.rs
+++ b/crates/basilstep-bench/src/load/membership/fleet.rs
@@ -224,6 +224,23 @@
         self.carry_out(index, actions);
     }
 
+    /// Lets the live agents of the services of some dead agents report these as silent.
+    pub fn report_dead(&mut self, dead: &[usize]) {
+        let first_agent = self.shape.balancers;
+        let size = self.shape.agents_a_service;
+        for index in dead.iter().filter(|index| **index >= first_agent) {
+            let reported = AgentAddress(self.address(*index));
+            let first = *index - (*index - first_agent) % size;
+            for by in first..(first + size).min(self.nodes.len()) {
+                let actions = match &self.nodes[by] {
+                    Node::Agent(agent) => agent.report_unanswered(reported),
+                    _ => continue,
+                };
+                self.carry_out(by, actions);
+            }
+        }
+    }
+
     /// Runs until a time.
     pub fn run_until(&mut self, end_ms: u64) {
         while self
--- a/crates/basilstep-bench/src/load/membership/scenarios.rs
+++ b/crates/basilstep-bench/src/load/membership/scenarios.rs
@@ -21,6 +21,20 @@
 const LOST_DOMAIN: usize = 2;
 const CUT_MS: u64 = 120_000;
 
+/// When live agents report the dead ones of their service: two ticks after the death, since an
+/// agent notices silence 100 ms after it has shown an offer.
+const REPORT_AFTER_MS: u64 = 200;
+
+const REPORTED: Reporting = Reporting::ByAgents;
+const UNREPORTED: Reporting = Reporting::Off;
+
+/// Whether live agents report dead ones.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Reporting {
+    Off,
+    ByAgents,
+}
+
 /// What a scenario measured.
 #[derive(Debug)]
 pub struct Outcome {
@@ -52,12 +66,22 @@
         Box::new(|| join_all(seed)),
         Box::new(|| restarts(settled.clone())),
         Box::new(|| calm("calm", settled.clone())),
-        Box::new(|| single_loss(settled.clone())),
-        Box::new(|| loss("rack loss", settled.clone(), RACK)),
-        Box::new(|| loss("domain loss", settled.clone(), usize::MAX)),
+        Box::new(|| single_loss(UNREPORTED, settled.clone())),
+        Box::new(|| single_loss(REPORTED, settled.clone())),
+        Box::new(|| loss("rack loss", UNREPORTED, settled.clone(), RACK)),
+        Box::new(|| loss("rack loss, reported", REPORTED, settled.clone(), RACK)),
+        Box::new(|| loss("domain loss", UNREPORTED, settled.clone(), usize::MAX)),
+        Box::new(|| {
+            loss(
+                "domain loss, reported",
+                REPORTED,
+                settled.clone(),
+                usize::MAX,
+            )
+        }),
         Box::new(|| {
             let fleet = self::settled(by_event, seed);
-            loss("domain loss, no summary", fleet, usize::MAX)
+            loss("domain loss, no summary", UNREPORTED, fleet, usize::MAX)
         }),
         Box::new(|| calm("calm, 3 watchers that answer", self::settled(chatty, seed))),
     ];
@@ -129,20 +153,26 @@
 }
 
 /// A few agents die one after the other, each by itself.
-fn single_loss(mut fleet: Fleet) -> Outcome {
+fn single_loss(reporting: Reporting, mut fleet: Fleet) -> Outcome {
     const DEATHS: usize = 20;
     let dead: Vec<usize> = (0..DEATHS)
         .map(|number| TARGET_SHAPE.balancers + number * 300 + number)
         .collect();
     let (mut observer, started) = begin(&mut fleet, &dead);
-    observer.run(&mut fleet, 15_000);
-    finish(
-        "20 agents of all domains die",
-        &fleet,
-        &observer,
-        started,
-        false,
-    )
+    let name = match reporting {
+        Reporting::Off => "20 agents of all domains die",
+        Reporting::ByAgents => "20 agents of all domains die, reported",
+    };
+    report(&mut fleet, &mut observer, &dead, reporting);
+    observer.run(&mut fleet, 15_000 - REPORT_AFTER_MS);
+    finish(name, &fleet, &observer, started, false)
+}
+
+fn report(fleet: &mut Fleet, observer: &mut Observer, dead: &[usize], reporting: Reporting) {
+    observer.run(fleet, REPORT_AFTER_MS);
+    if reporting == Reporting::ByAgents {
+        fleet.report_dead(dead);
+    }
 }
 
 /// Members drain, stop and come back: 1,800 a day, then 1% of the fleet within a minute.
@@ -186,7 +216,7 @@
 }
 
 /// Consecutive members of one domain, or all of it, stop at once.
-fn loss(name: &'static str, mut fleet: Fleet, count: usize) -> Outcome {
+fn loss(name: &'static str, reporting: Reporting, mut fleet: Fleet, count: usize) -> Outcome {
     let domain = fleet.in_domain(LOST_DOMAIN);
     let (balancers, agents): (Vec<usize>, Vec<usize>) = domain
         .into_iter()
@@ -195,8 +225,9 @@
     let rack_agents = (count - count / 11).min(agents.len());
     let dead = [&balancers[..rack_balancers], &agents[..rack_agents]].concat();
     let (mut observer, started) = begin(&mut fleet, &dead);
-    observer.run(&mut fleet, 20_000);
-    finish(name, &fleet, &observer, started, true)
+    report(&mut fleet, &mut observer, &dead, reporting);
+    observer.run(&mut fleet, 20_000 - REPORT_AFTER_MS);
+    finish(name, &fleet, &observer, started, reporting == UNREPORTED)
 }
 
 /// The regions lose each other for two minutes.
--- a/crates/basilstep-bench/src/load/membership/traffic.rs
+++ b/crates/basilstep-bench/src/load/membership/traffic.rs
@@ -14,7 +14,7 @@
     Announce,
     /// Acknowledgements.
     Ack,
-    /// Probes and their answers.
+    /// Reports of silence, probes and their answers.
     Probe,
     /// Gossip between balancers.
     Gossip,
@@ -28,7 +28,9 @@
         match message {
             MembershipMessage::Heartbeat(_) | MembershipMessage::Announce(_) => Self::Announce,
             MembershipMessage::Ack(_) => Self::Ack,
-            MembershipMessage::Probe | MembershipMessage::ProbeAnswer(_) => Self::Probe,
+            MembershipMessage::Probe
+            | MembershipMessage::ProbeAnswer(_)
+            | MembershipMessage::Unanswered { .. } => Self::Probe,
             MembershipMessage::Buckets { .. }
             | MembershipMessage::BucketStates(_)
             | MembershipMessage::Difference(_) => Self::Sync,
--- a/crates/basilstep-core/src/membership/announcer.rs
+++ b/crates/basilstep-core/src/membership/announcer.rs
@@ -5,7 +5,7 @@
     settings::MembershipSettings,
 };
 use crate::{
-    address::{DomainId, ServiceId},
+    address::{AgentAddress, DomainId, ServiceId},
     context::Context,
 };
 use rand::RngExt;
@@ -133,6 +133,16 @@
         actions
     }
 
+    /// Tells the watchers that another agent has not acknowledged an offer.
+    pub fn report_unanswered(&self, agent: AgentAddress) -> Vec<Action> {
+        self.watchers()
+            .map(|to| Action::Send {
+                to,
+                message: MembershipMessage::Unanswered { agent },
+            })
+            .collect()
+    }
+
     /// Takes a watcher's answer.
     pub fn on_ack(&mut self, from: SocketAddrV4, ack: &Ack, ctx: &Context) -> Vec<Action> {
         self.learn(&ack.balancers);
--- a/crates/basilstep-core/src/membership/messages.rs
+++ b/crates/basilstep-core/src/membership/messages.rs
@@ -4,7 +4,7 @@
     settings_delta::SettingsDelta,
 };
 use crate::{
-    address::{BalancerAddress, DomainId, ServiceId},
+    address::{AgentAddress, BalancerAddress, DomainId, ServiceId},
     wire::SEAL_OVERHEAD_BYTES,
 };
 use serde::{Deserialize, Serialize};
@@ -66,6 +66,11 @@
         /// What the answer would bring.
         version: u64,
     },
+    /// An agent tells a watcher that another agent has not acknowledged an offer.
+    Unanswered {
+        /// The agent that is silent.
+        agent: AgentAddress,
+    },
 }
 
 /// A sign of life.
--- a/crates/basilstep-core/src/membership/mod.rs
+++ b/crates/basilstep-core/src/membership/mod.rs
@@ -14,6 +14,7 @@
 mod queries;
 mod receive;
 mod record;
+mod reports;
 mod settings;
 mod settings_delta;
 mod spread;
--- a/crates/basilstep-core/src/membership/receive.rs
+++ b/crates/basilstep-core/src/membership/receive.rs
@@ -55,6 +55,9 @@
                 above_version: *above_version,
                 service: *service,
             }),
+            MembershipMessage::Unanswered { agent } => {
+                self.on_unanswered(*agent, ctx, &mut actions);
+            }
         }
         self.flush_fresh(ctx, &mut actions);
         actions
@@ -126,6 +129,7 @@
         let Some(member) = self.table.get(address).copied() else {
             return false;
         };
+        self.reports.note_life(address, member.record.domain);
         if member.record.run_check() != run {
             return false;
         }
--- /dev/null
+++ b/crates/basilstep-core/src/membership/reports.rs
@@ -0,0 +1,117 @@
+use super::{
+    messages::Action,
+    record::AgentPhase,
+    state::{Membership, SILENCE_LAG_MS, probe},
+};
+use crate::{
+    address::{AgentAddress, DomainId},
+    context::Context,
+};
+use std::{collections::BTreeMap, net::SocketAddrV4};
+
+/// The most reported agents that are probed at the same time; other reports are ignored.
+const REPORTS_LIMIT: usize = 16;
+
+/// The agents that others have reported as silent and that have not answered a probe yet.
+#[derive(Clone, Debug, Default)]
+pub struct Reports {
+    open: BTreeMap<SocketAddrV4, Reported>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Reported {
+    domain: DomainId,
+    probed_ms: u64,
+    /// Whether another member of the domain was heard since, so that the domain is not lost.
+    is_domain_heard: bool,
+}
+
+impl Reports {
+    /// Notes a sign of life of a member: it is not silent, and neither is its whole domain.
+    pub(super) fn note_life(&mut self, address: SocketAddrV4, domain: DomainId) {
+        self.open.remove(&address);
+        for reported in self.open.values_mut() {
+            reported.is_domain_heard |= reported.domain == domain;
+        }
+    }
+
+    /// Takes out the agents that have left their probe unanswered, if they are to be suspected.
+    fn take_silent(&mut self, now_ms: u64) -> Vec<SocketAddrV4> {
+        let is_due = |reported: &Reported| now_ms >= reported.probed_ms + SILENCE_LAG_MS;
+        let due: Vec<(SocketAddrV4, Reported)> = self
+            .open
+            .iter()
+            .filter(|(_, reported)| is_due(reported))
+            .map(|(address, reported)| (*address, *reported))
+            .collect();
+        self.open.retain(|_, reported| !is_due(reported));
+        due.into_iter()
+            .filter(|(_, reported)| reported.is_domain_heard)
+            .map(|(address, _)| address)
+            .collect()
+    }
+}
+
+impl Membership {
+    /// Probes an agent that another agent has reported as silent.
+    ///
+    /// A report is no evidence by itself: only an unanswered probe of this balancer is.
+    pub(super) fn on_unanswered(
+        &mut self,
+        agent: AgentAddress,
+        ctx: &mut Context,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(member) = self.table.get(agent.0).copied() else {
+            return;
+        };
+        let domain = member.record.domain;
+        let is_agent = member.record.service().is_some();
+        let is_out = member.silent || member.record.phase == AgentPhase::Down;
+        if !is_agent || is_out || self.table.is_domain_silent(domain) {
+            return;
+        }
+        let is_full = self.reports.open.len() >= REPORTS_LIMIT;
+        let is_probed = self.reports.open.contains_key(&agent.0);
+        if is_full || is_probed || !self.trusts_ages(ctx.now_ms) {
+            return;
+        }
+        let witness = self.witness_of(agent.0, domain, ctx.now_ms);
+        let reported = Reported {
+            domain,
+            probed_ms: ctx.now_ms,
+            is_domain_heard: witness.is_none(),
+        };
+        self.reports.open.insert(agent.0, reported);
+        actions.push(probe(agent.0));
+        actions.extend(witness.map(probe));
+    }
+
+    /// Suspects the reported agents that have not answered, as their watchers would later.
+    ///
+    /// When nobody else of the domain answers either, the watchers judge the domain as a whole.
+    pub(super) fn settle_reports(&mut self, ctx: &mut Context, actions: &mut Vec<Action>) {
+        for agent in self.reports.take_silent(ctx.now_ms) {
+            self.suspect(agent, ctx, actions);
+        }
+    }
+
+    /// Returns another member of a domain that can show that the domain is not lost, if one is
+    /// needed and known.
+    fn witness_of(
+        &self,
+        agent: SocketAddrV4,
+        domain: DomainId,
+        now_ms: u64,
+    ) -> Option<SocketAddrV4> {
+        if domain == self.own().domain {
+            return None;
+        }
+        let watched = self.watch.last_other_heard_in(domain, agent);
+        watched.or_else(|| {
+            let mut balancers = self.balancers(now_ms);
+            let known = balancers.find(|balancer| balancer.domain == domain);
+            known.map(|balancer| balancer.address.0)
+        })
+    }
+}
--- a/crates/basilstep-core/src/membership/state.rs
+++ b/crates/basilstep-core/src/membership/state.rs
@@ -6,6 +6,7 @@
     merge::Due,
     messages::{Action, MembershipMessage},
     record::{AgentPhase, BalancerRecord},
+    reports::Reports,
     settings::MembershipSettings,
     store_watch::StoreWatch,
     sync::Contradictions,
@@ -43,6 +44,7 @@
     pub(super) budget: ByteBudget,
     pub(super) store_watch: StoreWatch,
     pub(super) contradictions: Contradictions,
+    pub(super) reports: Reports,
     pub(super) settings_version: u64,
     pub(super) urgent_sends: u8,
     pub(super) has_fresh_news: bool,
@@ -98,6 +100,7 @@
             budget: ByteBudget::new(settings, now_ms),
             store_watch: StoreWatch::new(&settings, ctx),
             contradictions: Contradictions::default(),
+            reports: Reports::default(),
             settings_version: 0,
             urgent_sends: 0,
             has_fresh_news: false,
@@ -183,6 +186,7 @@
         let mut actions = self.announcer.on_tick(ctx);
         let findings = self.watch.on_tick(ctx.now_ms, self.heard_any_ms);
         self.act_on(&findings, ctx, &mut actions);
+        self.settle_reports(ctx, &mut actions);
         self.settle_due(ctx.now_ms, &mut actions);
         self.probe_contradictions(ctx, &mut actions);
         self.reach_out(ctx, &mut actions);
@@ -219,6 +223,7 @@
     fn recover(&mut self, now_ms: u64) {
         self.counters.pauses += 1;
         self.watch.restart(now_ms);
+        self.reports = Reports::default();
         self.needs_snapshot = true;
         self.next_snapshot_ms = now_ms + STALE_QUEUE_MS;
     }
@@ -241,7 +246,12 @@
         }
     }
 
-    fn suspect(&mut self, address: SocketAddrV4, ctx: &mut Context, actions: &mut Vec<Action>) {
+    pub(super) fn suspect(
+        &mut self,
+        address: SocketAddrV4,
+        ctx: &mut Context,
+        actions: &mut Vec<Action>,
+    ) {
         let Some(run) = self.table.get(address).map(|m| m.record.run_check()) else {
             return;
         };
--- a/crates/basilstep-core/src/membership/tests.rs
+++ b/crates/basilstep-core/src/membership/tests.rs
@@ -223,6 +223,99 @@
     assert_eq!(fleet.live_views(live.0), 6);
 }
 
+/// Lets the third agent report another as silent, `times` times, `interval_ms` apart.
+fn report(fleet: &mut Fleet, reported: AgentAddress, times: u32, interval_ms: u64) {
+    let by = agent(3, 2).address.0;
+    for _ in 0..times {
+        let actions = fleet.agents[&by].report_unanswered(reported);
+        fleet.carry_out(by, actions);
+        fleet.run_ms(interval_ms);
+    }
+}
+
+#[test]
+fn dead_agent_that_another_reports_leaves_every_view_within_a_second() {
+    let mut fleet = Fleet::settled(6, &three_agents());
+    let dead = agent(1, 0).address;
+    fleet.stopped.insert(dead.0);
+    fleet.run_ms(200);
+    report(&mut fleet, dead, 1, 1_000);
+    assert_eq!(fleet.live_views(dead.0), 0);
+}
+
+#[rstest]
+#[case::once(1)]
+#[case::again_and_again(40)]
+fn live_agent_that_another_reports_stays_in_every_view(#[case] times: u32) {
+    let mut fleet = Fleet::settled(6, &three_agents());
+    let live = agent(1, 0).address;
+    fleet.changes = 0;
+    for _ in 0..times {
+        report(&mut fleet, live, 1, STEP_MS);
+        assert_eq!(fleet.live_views(live.0), 6);
+    }
+    fleet.run_ms(3_000);
+    let suspected: u64 = fleet
+        .balancers
+        .values()
+        .map(|b| b.counters().suspected)
+        .sum();
+    assert_eq!((fleet.changes, suspected), (0, 0));
+}
+
+#[test]
+fn live_agent_that_only_the_reporting_side_has_lost_stays_in_every_view() {
+    let mut fleet = Fleet::settled(6, &three_agents());
+    let live = agent(1, 0).address;
+    let told: Vec<SocketAddrV4> = fleet.agents[&agent(3, 2).address.0].watchers().collect();
+    for at in told {
+        fleet.cut.insert((live.0, at));
+        fleet.cut.insert((at, live.0));
+    }
+    for _ in 0..20 {
+        report(&mut fleet, live, 1, STEP_MS);
+        assert_eq!(fleet.live_views(live.0), 6);
+    }
+    let suspected: u64 = fleet
+        .balancers
+        .values()
+        .map(|b| b.counters().suspected)
+        .sum();
+    assert!(suspected > 0);
+}
+
+#[test]
+fn report_of_an_unknown_agent_does_nothing() {
+    let mut fleet = Fleet::settled(6, &three_agents());
+    let unknown = MembershipMessage::Unanswered {
+        agent: agent(9, 0).address,
+    };
+    let view = fleet.balancers.get_mut(&balancer(1).address.0).unwrap();
+    let from = agent(3, 2).address.0;
+    assert_eq!(view.on_datagram(from, &unknown, &mut fleet.ctx), []);
+}
+
+#[test]
+fn reports_of_agents_in_a_lost_domain_are_left_to_the_judgement_of_the_domain() {
+    let agents: Vec<AgentRecord> = (1..=40).map(|index| agent(index, index % 4)).collect();
+    let mut fleet = Fleet::settled(8, &agents);
+    let lost = |record: &&AgentRecord| record.domain == DomainId(1);
+    let lost: Vec<AgentAddress> = agents.iter().filter(lost).map(|a| a.address).collect();
+    fleet.stopped.extend(lost.iter().map(|address| address.0));
+    fleet.stopped.insert(balancer(1).address.0);
+    fleet.stopped.insert(balancer(5).address.0);
+    for reported in &lost {
+        report(&mut fleet, *reported, 1, 0);
+    }
+    fleet.run_ms(600);
+    let suspected: u64 = fleet
+        .balancers
+        .values()
+        .map(|b| b.counters().suspected)
+        .sum();
+    assert_eq!(suspected, 0);
+}
+
 #[rstest]
 #[case::draining(AgentPhase::Draining)]
 #[case::down(AgentPhase::Down)]
--- a/crates/basilstep-core/src/membership/watch.rs
+++ b/crates/basilstep-core/src/membership/watch.rs
@@ -89,6 +89,19 @@
             .max_by_key(|(_, heard_ms)| *heard_ms)
     }
 
+    /// Returns the watched member of a domain that was heard last, other than one member.
+    pub fn last_other_heard_in(
+        &self,
+        domain: DomainId,
+        except: SocketAddrV4,
+    ) -> Option<SocketAddrV4> {
+        self.entries
+            .iter()
+            .filter(|(address, watched)| watched.domain == domain && **address != except)
+            .max_by_key(|(_, watched)| watched.heard_ms)
+            .map(|(address, _)| *address)
+    }
+
     /// Stops judging the members of a silent domain.
     pub fn suspend(&mut self, domain: DomainId) {
         self.suspended.insert(domain);
--- a/crates/basilstep-core/src/placement/offers.rs
+++ b/crates/basilstep-core/src/placement/offers.rs
@@ -96,6 +96,15 @@
         self.peers.heard(by);
     }
 
+    /// Returns agents that have newly left an offer without acknowledgement, for membership.
+    ///
+    /// Each is returned once in a silence, and only a few a second.
+    pub fn take_silent(&mut self, now_ms: u64) -> Vec<AgentAddress> {
+        self.peers.expire(self.settings.silence_ms, now_ms);
+        self.peers
+            .take_silent(self.settings.reply_timeout_ms, now_ms)
+    }
+
     /// Returns the number of flows that were taken and that the endpoint does not count yet.
     pub fn pending_flows(&self) -> u32 {
         self.pending_flows
--- a/crates/basilstep-core/src/placement/peers.rs
+++ b/crates/basilstep-core/src/placement/peers.rs
@@ -1,6 +1,12 @@
 use crate::address::AgentAddress;
 use serde::Serialize;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// The least time between two reports of agents that have gone silent.
+const REPORT_INTERVAL_MS: u64 = 500;
+
+/// The most agents that one report names; the others wait for the next.
+const REPORTED_AT_ONCE: usize = 2;
 
 /// Which other agents have not acknowledged an offer that was shown to them.
 ///
@@ -9,6 +15,8 @@
 #[derive(Debug, Default, Serialize)]
 pub(super) struct Peers {
     awaited_since_ms: BTreeMap<AgentAddress, u64>,
+    reported: BTreeSet<AgentAddress>,
+    next_report_ms: u64,
 }
 
 impl Peers {
@@ -20,6 +28,27 @@
     /// Notes a sign of life of an agent.
     pub(super) fn heard(&mut self, peer: AgentAddress) {
         self.awaited_since_ms.remove(&peer);
+        self.reported.remove(&peer);
+    }
+
+    /// Returns some agents that have gone silent, each once in a silence.
+    pub(super) fn take_silent(&mut self, reply_timeout_ms: u64, now_ms: u64) -> Vec<AgentAddress> {
+        if now_ms < self.next_report_ms {
+            return Vec::new();
+        }
+        let silent: Vec<AgentAddress> = self
+            .awaited_since_ms
+            .keys()
+            .copied()
+            .filter(|peer| self.is_silent(*peer, reply_timeout_ms, now_ms))
+            .filter(|peer| !self.reported.contains(peer))
+            .take(REPORTED_AT_ONCE)
+            .collect();
+        if !silent.is_empty() {
+            self.next_report_ms = now_ms + REPORT_INTERVAL_MS;
+            self.reported.extend(&silent);
+        }
+        silent
     }
 
     /// Tells whether an agent is passed over.
@@ -33,5 +62,7 @@
     pub(super) fn expire(&mut self, silence_ms: u64, now_ms: u64) {
         self.awaited_since_ms
             .retain(|_, since_ms| now_ms.saturating_sub(*since_ms) < silence_ms);
+        let awaited = &self.awaited_since_ms;
+        self.reported.retain(|peer| awaited.contains_key(peer));
     }
 }
--- a/crates/basilstep-core/src/placement/tests/mod.rs
+++ b/crates/basilstep-core/src/placement/tests/mod.rs
@@ -355,3 +355,38 @@
     assert_eq!(seen, Some((agent(2), Leg::Seen { by: agent(1) })));
     assert_eq!(acknowledge(&offer(&[1, 2]), agent(1)), None);
 }
+
+#[test]
+fn a_silent_agent_is_reported_once_in_a_silence() {
+    let mut recent = recent();
+    step(offer(&[1, 2]), &own(1, 10), &mut recent, 0);
+    assert_eq!(recent.take_silent(99), []);
+    assert_eq!(recent.take_silent(100), [agent(2)]);
+    assert_eq!(recent.take_silent(1_000), []);
+    recent.acknowledged(agent(2));
+    step_other(offer(&[1, 2]), &mut recent, 1_000);
+    assert_eq!(recent.take_silent(1_100), [agent(2)]);
+}
+
+#[test]
+fn an_agent_that_acknowledges_is_not_reported() {
+    let mut recent = recent();
+    step(offer(&[1, 2]), &own(1, 10), &mut recent, 0);
+    recent.acknowledged(agent(2));
+    assert_eq!(recent.take_silent(1_000), []);
+}
+
+#[test]
+fn reports_of_many_silent_agents_are_spread_over_time() {
+    let mut recent = recent();
+    for second in 2..=6_u8 {
+        let offered = Offered {
+            caller: caller(),
+            connection_id: &[second],
+            leg: offer(&[1, second]),
+        };
+        decide(&offered, &own(1, 10), &mut recent, 0);
+    }
+    let reported = [100, 200, 600, 1_100, 1_600].map(|now_ms| recent.take_silent(now_ms).len());
+    assert_eq!(reported, [2, 0, 2, 1, 0]);
+}
