fix: hide keys in errors, retry binding, wait longer for flows at a stop

A malformed cluster key was printed; the error now names only its length. The tests that asked for the value ask that it is hidden, which is as strict; the new test of the shared flags failed before. A balancer that could bind no address at all stayed ready; it is not ready now and tries again every 5 s, while one address that cannot be bound still takes no other service down (not run as processes). A stopping agent closed its flows after 30 s; the default is 10 min, which does not mend the fault itself: no GOAWAY is sent.

--- a/crates/basilstep-agent/src/settings.rs
+++ b/crates/basilstep-agent/src/settings.rs
@@ -28,7 +28,7 @@
     /// path of the target's health endpoint (default /health)
     #[argh(option)]
     pub health_path: Option<String>,
-    /// longest time that a planned stop waits for flows to end, in ms (default 30000)
+    /// longest time that a planned stop waits for flows to end, in ms (default 600000)
     #[argh(option)]
     pub stop_wait_ms: Option<String>,
     /// URL of the platform's key-value service
@@ -117,7 +117,7 @@
             stop_wait_ms: from.with_default(
                 "stop-wait-ms",
                 flags.stop_wait_ms.as_deref(),
-                30_000,
+                600_000,
                 "0 to 3600000",
                 |wait_ms| *wait_ms <= 3_600_000,
             )?,
--- a/crates/basilstep-agent/tests/invalid_settings.rs
+++ b/crates/basilstep-agent/tests/invalid_settings.rs
@@ -47,9 +47,18 @@
         command.env(format!("BASILSTEP_{variable}"), value);
     }
     let output = command.output().unwrap();
+    let shown = shown(variable, value);
     let expected = format!(
-        "501 InvalidSetting: --{flag} (BASILSTEP_{variable}) is \"{value}\"; allowed: {allowed}\n"
+        "501 InvalidSetting: --{flag} (BASILSTEP_{variable}) is {shown}; allowed: {allowed}\n"
     );
     assert_eq!(String::from_utf8(output.stderr).unwrap(), expected);
     assert_eq!(output.status.code(), Some(5));
 }
+
+/// Returns the value as the error names it: a key is never shown.
+fn shown(variable: &str, value: &str) -> String {
+    if variable == "CLUSTER_KEY" {
+        return format!("a text of {} characters (not shown)", value.len());
+    }
+    format!("\"{value}\"")
+}
--- a/crates/basilstep-balancer/src/controller/handlers.rs
+++ b/crates/basilstep-balancer/src/controller/handlers.rs
@@ -21,6 +21,7 @@
         let is_confirmed = self.membership.is_joined() && self.shared.has_newest_settings();
         let until_ms = self.pause.on_tick(self.environment.now_ms, is_confirmed);
         self.shared.set_carry_until(until_ms);
+        self.retry_binding();
         self.refresh_readiness();
     }
 }
--- a/crates/basilstep-balancer/src/controller/mod.rs
+++ b/crates/basilstep-balancer/src/controller/mod.rs
@@ -25,6 +25,7 @@
 use xtra::{Actor, Address, Mailbox};
 
 const MAILBOX: usize = 4_096;
+const BIND_RETRY_MS: u64 = 5_000;
 
 /// Holds the settings and the membership view of one balancer.
 #[derive(Debug)]
@@ -43,6 +44,7 @@
     is_table_outdated: bool,
     store_is_behind: bool,
     is_stopping: bool,
+    next_bind_ms: u64,
 }
 
 /// What the controller is made of.
@@ -96,6 +98,7 @@
         is_table_outdated: true,
         store_is_behind: false,
         is_stopping: false,
+        next_bind_ms: 0,
     };
     controller.settings_changed();
     xtra::spawn_tokio(controller, Mailbox::bounded(MAILBOX))
@@ -163,6 +166,17 @@
         self.shared.put_in_force(table, self.settings.version());
     }
 
+    /// Tries again to bind what could not be bound, now and then.
+    fn retry_binding(&mut self) {
+        let now_ms = self.shared.clock.now_ms();
+        if now_ms < self.next_bind_ms {
+            return;
+        }
+        self.next_bind_ms = now_ms + BIND_RETRY_MS;
+        self.listeners
+            .follow(&self.shared, &self.carrier, self.settings.view());
+    }
+
     /// The fabric may send packets once settings and a view are there, and until the process or
     /// its failure domain leaves.
     fn refresh_readiness(&self) {
@@ -173,6 +187,7 @@
             && view.flow_keys.is_some()
             && self.membership.is_joined()
             && !self.pause.is_recovering()
+            && self.listeners.are_open(view)
             && !is_out
             && !self.is_stopping;
         self.shared.readiness.set(is_ready);
--- a/crates/basilstep-balancer/src/listeners.rs
+++ b/crates/basilstep-balancer/src/listeners.rs
@@ -74,6 +74,14 @@
         }
     }
 
+    /// Tells whether packets of any service can arrive, or there is no service yet.
+    ///
+    /// One address that cannot be bound is the fault of one record, and must not take the balancer
+    /// away from all other services.
+    pub fn are_open(&self, view: &SettingsView) -> bool {
+        view.services.is_empty() || !self.addresses().is_empty()
+    }
+
     /// Returns the service addresses that are bound.
     pub fn addresses(&self) -> BTreeSet<SocketAddrV4> {
         let open = self.open.read().unwrap_or_else(PoisonError::into_inner);
--- a/crates/basilstep-node/src/flags/resolve.rs
+++ b/crates/basilstep-node/src/flags/resolve.rs
@@ -1,6 +1,9 @@
 use basilstep_core::codes::ResultCode;
 use std::{process::exit, str::FromStr};
 
+/// Settings whose values are never shown.
+const SECRET_SETTINGS: [&str; 2] = ["cluster-key", "store-token"];
+
 /// A setting whose value is missing or not allowed.
 #[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
 #[error("{code}: --{name} ({variable}) is {found}; allowed: {allowed}")]
@@ -52,7 +55,7 @@
                 code: ResultCode::InvalidSetting,
                 name,
                 variable,
-                found: format!("{text:?}"),
+                found: shown(name, &text),
                 allowed,
             }),
         }
@@ -110,6 +113,14 @@
     }
 }
 
+/// Returns the value as the error shows it; a secret is never shown, however malformed.
+fn shown(name: &str, text: &str) -> String {
+    if SECRET_SETTINGS.contains(&name) {
+        return format!("a text of {} characters (not shown)", text.chars().count());
+    }
+    format!("{text:?}")
+}
+
 fn variable_name(name: &str) -> String {
     format!("BASILSTEP_{}", name.replace('-', "_").to_uppercase())
 }
--- a/crates/basilstep-node/src/flags/tests.rs
+++ b/crates/basilstep-node/src/flags/tests.rs
@@ -51,3 +51,14 @@
     assert_eq!(settings.domain, "north");
     assert_eq!(settings.log_level, log::LevelFilter::Warn);
 }
+
+#[test]
+fn malformed_key_is_not_shown() {
+    let flags = CommonFlags {
+        cluster_key: Some("5ec2e7"),
+        ..good()
+    };
+    let error = resolve(flags).unwrap_err().to_string();
+    assert!(error.contains("a text of 6 characters"), "{error}");
+    assert!(!error.contains("5ec2e7"), "{error}");
+}
