--- a/crates/basilstep-ctl/tests/fleet.rs
+++ b/crates/basilstep-ctl/tests/fleet.rs
@@ -13,7 +13,7 @@
 use hyper::body::Incoming;
 use serde_json::{Value, json};
 use std::{
-    net::{Ipv4Addr, SocketAddrV4, TcpListener},
+    net::{Ipv4Addr, SocketAddr, SocketAddrV4},
     sync::Arc,
 };
 use tokio::process::Command;
@@ -21,6 +21,9 @@
 const KEY: &str = "000102030405060708090a0b0c0d0e0f101112131415161718191a1b1c1d1e1f";
 const OTHER_KEY: &str = "ff0102030405060708090a0b0c0d0e0f101112131415161718191a1b1c1d1e1f";
 
+/// A port below those that the kernel hands out, on which nothing listens.
+const UNUSED_PORT: u16 = 1;
+
 /// A process that answers with one dump.
 struct Process {
     dump: Value,
@@ -58,12 +61,17 @@
     }
 
     async fn spawn(&mut self, dump: Value) -> SocketAddrV4 {
-        let address = free_address();
+        let any = SocketAddrV4::new(Ipv4Addr::LOCALHOST, 0);
         let keys = NodeKeys::derive(&ClusterKey::from_hex(KEY).unwrap());
         let process = Arc::new(Process { dump });
         let counters = Arc::new(CodeCounters::default());
-        let server = ControlServer::spawn(address, keys.control, counters, process).await;
-        self.processes.push(server.unwrap());
+        let server = ControlServer::spawn(any, keys.control, counters, process).await;
+        let server = server.unwrap();
+        let address = match server.address() {
+            SocketAddr::V4(address) => address,
+            SocketAddr::V6(address) => panic!("{address} is no IPv4 address"),
+        };
+        self.processes.push(server);
         address
     }
 
@@ -111,12 +119,6 @@
     }
 }
 
-fn free_address() -> SocketAddrV4 {
-    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
-    let port = listener.local_addr().unwrap().port();
-    SocketAddrV4::new(Ipv4Addr::LOCALHOST, port)
-}
-
 fn known_agent(address: SocketAddrV4, phase: &str) -> Value {
     json!({ "address": address, "service": 1, "domain": 0, "phase": phase })
 }
@@ -149,7 +151,7 @@
 async fn wait_lists_a_balancer_that_does_not_answer() {
     let mut world = World::new().await;
     world.spawn_balancer(8, json!({})).await;
-    let silent = free_address();
+    let silent = SocketAddrV4::new(Ipv4Addr::LOCALHOST, UNUSED_PORT);
     world.lease(silent);
     let (code, printed) = world.run("wait --until 7").await;
     let unreachable = &printed["result"]["unreachable"];
--- a/crates/basilstep-node/src/control/server.rs
+++ b/crates/basilstep-node/src/control/server.rs
@@ -11,7 +11,7 @@
     convert::Infallible,
     error::Error,
     io,
-    net::SocketAddrV4,
+    net::{SocketAddr, SocketAddrV4},
     sync::{Arc, Mutex, PoisonError},
     time::Duration,
 };
@@ -80,6 +80,7 @@
 /// A running control port.
 #[derive(Debug)]
 pub struct ControlServer {
+    address: SocketAddr,
     task: JoinHandle<()>,
 }
 
@@ -96,13 +97,19 @@
         handler: Arc<H>,
     ) -> io::Result<Self> {
         let listener = TcpListener::bind(address).await?;
+        let address = listener.local_addr()?;
         let port = Arc::new(Port {
             guard: Mutex::new(AuthGuard::new(key)),
             counters,
             handler,
         });
         let task = tokio::spawn(accept_loop(listener, port));
-        Ok(Self { task })
+        Ok(Self { address, task })
+    }
+
+    /// Returns the address that is bound, with its real port when port 0 was asked for.
+    pub fn address(&self) -> SocketAddr {
+        self.address
     }
 }
 
