--- a/crates/basilstep-bench/src/main.rs
+++ b/crates/basilstep-bench/src/main.rs
@@ -3,10 +3,9 @@
 //! This tool starts processes; the product's own processes never do.
 
 mod load;
-mod scenario;
 
 use argh::FromArgs;
-use basilstep_bench::{demo, standins};
+use basilstep_bench::{demo, scenario, standins};
 use std::process::ExitCode;
 
 /// Stand-ins, demo, scenarios and load experiments of basilstep.
--- a/crates/basilstep-core/src/domains/tracker.rs
+++ b/crates/basilstep-core/src/domains/tracker.rs
@@ -79,6 +79,11 @@
         }
     }
 
+    /// Returns the domains that are out.
+    pub fn out(&self) -> DomainSet {
+        self.out
+    }
+
     /// Takes the domains that are out now.
     pub fn update(&mut self, out: DomainSet, now_ms: u64) {
         for domain in (0..=u8::MAX).map(DomainId) {
