--- a/crates/basilstep-core/src/drain/mod.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! Planned stops of agents and balancers.
--- a/crates/basilstep-core/src/lib.rs
+++ b/crates/basilstep-core/src/lib.rs
@@ -10,7 +10,6 @@
 pub mod context;
 pub mod crypto;
 pub mod domains;
-pub mod drain;
 pub mod membership;
 pub mod placement;
 pub mod requests;
