--- a/crates/basilstep-agent/src/exchange/mod.rs
+++ b/crates/basilstep-agent/src/exchange/mod.rs
@@ -4,6 +4,7 @@
 mod attempt;
 mod body;
 mod dispatcher;
+mod recorder;
 mod run;
 
 pub use attempt::{RELAY_PATH, RELAYED_CLAIMED, RELAYED_HEADER};
--- a/crates/basilstep-agent/src/exchange/run.rs
+++ b/crates/basilstep-agent/src/exchange/run.rs
@@ -1,13 +1,13 @@
 use super::{
-    answers::{RecordedAnswer, insert, of_code, of_refusal, own},
+    answers::{RecordedAnswer, insert, of_code, of_refusal},
     attempt::{Answered, Attempt, DEADLINE_HEADER, Failed, RELAYED_CLAIMED, RELAYED_TO_MINTER},
     body::{AnswerBody, PassedOn, RequestBody},
     dispatcher::Dispatcher,
+    recorder::Recorder,
 };
 use crate::shared::Shared;
 use basilstep_core::{
     address::AgentAddress,
-    admission::Outcome,
     codes::ResultCode,
     membership::AgentPhase,
     requests::{
@@ -18,7 +18,6 @@
 use bytes::Bytes;
 use http::{HeaderMap, HeaderName, Method, Request, Response, header, request::Parts};
 use http_body::Body;
-use http_body_util::{BodyExt, Limited};
 use rand::seq::IndexedRandom;
 use std::{net::SocketAddrV4, sync::Arc, time::Duration};
 use tokio::time::{sleep, timeout};
@@ -27,9 +26,6 @@
 const TICKET_HEADER: &str = "basilstep-ticket";
 const LONG_RESPONSE_TYPE: &str = "text/event-stream";
 
-/// The largest answer of a request whose run is recorded.
-const RECORDED_RUN_LIMIT_BYTES: usize = 8 << 20;
-
 /// Where a request comes from.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Origin {
@@ -338,45 +334,6 @@
     }
 }
 
-/// What recording the answer of a run needs.
-struct Recorder {
-    dispatcher: Arc<Dispatcher>,
-    key: Option<IdempotencyKey>,
-    deadline_ms: u64,
-}
-
-impl Recorder {
-    /// Reads the whole answer of a recorded run and records it before the caller sees it.
-    async fn record(self, answered: Answered) -> Result<Response<AnswerBody>, Failed> {
-        let Answered {
-            response,
-            slot,
-            latency_ms,
-        } = answered;
-        let (head, body) = response.into_parts();
-        let remaining_ms = self.deadline_ms.saturating_sub(self.dispatcher.now_ms());
-        let limited = Limited::new(body, RECORDED_RUN_LIMIT_BYTES);
-        let read = timeout(Duration::from_millis(remaining_ms), limited.collect()).await;
-        let (outcome, result) = match read {
-            Ok(Ok(whole)) => (Outcome::Ok, Ok(whole.to_bytes())),
-            Ok(Err(_)) => (Outcome::TargetGone, Err(Failure::TargetLost)),
-            Err(_) => (Outcome::Slow, Err(Failure::DeadlinePassed)),
-        };
-        if let Some(slot) = slot {
-            slot.end(latency_ms, outcome);
-        }
-        let body = result.map_err(|failure| Failed {
-            sent: true,
-            failure,
-            refusal: None,
-        })?;
-        let recorded = RecordedAnswer::of(&head, &body);
-        self.dispatcher
-            .complete(self.key.as_ref(), &recorded.to_bytes());
-        Ok(Response::from_parts(head, own(body.to_vec())))
-    }
-}
-
 fn answer_of(resolution: Resolution, failed: Failed) -> Response<AnswerBody> {
     match (resolution, failed.refusal) {
         (Resolution::NotRun(code), Some(refusal)) if refusal.code == code => of_refusal(refusal),
