refactor(store): read the balancers' leases in one place

The same filter over the lease records stood in the agent's bootstrap, the balancer's store link and ctl's fleet commands; Reading::balancers serves all three. The agent's BalancersListed message is gone: nothing sent it.

--- a/crates/basilstep-agent/src/bootstrap.rs
+++ b/crates/basilstep-agent/src/bootstrap.rs
@@ -63,14 +63,11 @@
 }
 
 /// Lists balancers from the store, or the seeds when the store does not answer.
-pub async fn list_balancers(settings: &AgentSettings, store: &ConsulStore) -> Vec<BalancerRecord> {
+async fn list_balancers(settings: &AgentSettings, store: &ConsulStore) -> Vec<BalancerRecord> {
     let listed = store.read_tree(BALANCERS_PREFIX).await;
-    let from_store: Vec<BalancerRecord> = listed
-        .map(|reading| reading.entries)
-        .unwrap_or_default()
-        .iter()
-        .filter_map(|entry| serde_json::from_str(entry.value.as_deref()?).ok())
-        .collect();
+    let from_store = listed
+        .map(|reading| reading.balancers())
+        .unwrap_or_default();
     if !from_store.is_empty() {
         return from_store;
     }
--- a/crates/basilstep-agent/src/controller.rs
+++ b/crates/basilstep-agent/src/controller.rs
@@ -99,10 +99,6 @@
 #[derive(Clone, Copy, Debug)]
 pub struct PhaseChanged(pub AgentPhase);
 
-/// Balancers that the store lists or the settings name.
-#[derive(Clone, Debug)]
-pub struct BalancersListed(pub Vec<BalancerRecord>);
-
 /// Asks for the state, for a dump.
 #[derive(Clone, Copy, Debug)]
 pub struct Dump;
@@ -177,14 +173,6 @@
     }
 }
 
-impl Handler<BalancersListed> for Controller {
-    type Return = ();
-
-    async fn handle(&mut self, listed: BalancersListed, _: &mut Context<Self>) {
-        self.announcer.learn(&listed.0);
-    }
-}
-
 impl Handler<Dump> for Controller {
     type Return = ControlDump;
 
--- a/crates/basilstep-balancer/src/store_link.rs
+++ b/crates/basilstep-balancer/src/store_link.rs
@@ -6,7 +6,7 @@
 };
 use basilstep_core::{
     membership::{BalancerRecord, SettingsDelta},
-    settings::{Entry, SettingsState},
+    settings::SettingsState,
 };
 use basilstep_node::{
     control::ControlClient,
@@ -83,8 +83,11 @@
             continue;
         };
         backoff.reset();
-        let records = parse_balancers(&reading.entries);
-        if controller.send(BalancersListed(records)).await.is_err() {
+        if controller
+            .send(BalancersListed(reading.balancers()))
+            .await
+            .is_err()
+        {
             return;
         }
         let pause = calm.next_pause(&mut rand::rng());
@@ -92,14 +95,6 @@
     }
 }
 
-/// Reads the balancers' records from their leases.
-pub fn parse_balancers(entries: &[Entry]) -> Vec<BalancerRecord> {
-    entries
-        .iter()
-        .filter_map(|entry| serde_json::from_str(entry.value.as_deref()?).ok())
-        .collect()
-}
-
 /// Watches the settings while this balancer is one of those that do.
 pub async fn watch_settings(
     shared: Arc<Shared>,
--- a/crates/basilstep-ctl/src/commands/fleet.rs
+++ b/crates/basilstep-ctl/src/commands/fleet.rs
@@ -1,9 +1,5 @@
 use crate::{error::CtlError, settings::Ctl};
-use basilstep_core::{
-    address::DomainId,
-    membership::{AgentPhase, BalancerRecord},
-    settings::DomainRecord,
-};
+use basilstep_core::{address::DomainId, membership::AgentPhase, settings::DomainRecord};
 use basilstep_node::{
     control::ControlClient,
     store::{BALANCERS_PREFIX, Store},
@@ -116,12 +112,8 @@
             return Ok(others.chain([at]).collect());
         }
         let reading = ctl.open_store()?.read_tree(BALANCERS_PREFIX).await?;
-        Ok(reading
-            .entries
-            .iter()
-            .filter_map(|entry| serde_json::from_str(entry.value.as_deref()?).ok())
-            .map(|record: BalancerRecord| record.address.0)
-            .collect())
+        let records = reading.balancers().into_iter();
+        Ok(records.map(|record| record.address.0).collect())
     }
 
     /// Reads the dumps of all balancers.
--- a/crates/basilstep-node/src/store/messages.rs
+++ b/crates/basilstep-node/src/store/messages.rs
@@ -1,5 +1,6 @@
 use basilstep_core::{
     codes::ResultCode,
+    membership::BalancerRecord,
     settings::{Applied, Entry, SettingsState, Subtree},
 };
 use std::fmt;
@@ -16,6 +17,14 @@
 }
 
 impl Reading {
+    /// Reads the records of balancers from their leases; one that is malformed is left out.
+    pub fn balancers(&self) -> Vec<BalancerRecord> {
+        self.entries
+            .iter()
+            .filter_map(|entry| serde_json::from_str(entry.value.as_deref()?).ok())
+            .collect()
+    }
+
     /// Applies the reading to the settings of a process.
     pub fn apply_to(self, state: &mut SettingsState) -> Vec<(String, Applied)> {
         match self.subtrees {
