--- a/crates/basilstep-core/src/codes.rs
+++ b/crates/basilstep-core/src/codes.rs
@@ -112,6 +112,18 @@
     TargetDead = 410,
     /// The datagram was dropped: the balancer was paused and its view is not confirmed yet.
     Recovering = 411,
+    /// The packet was passed back: its flow is not held by this target.
+    FlowNotHeld = 412,
+    /// The flow was reset: the lifetime of the target that held it has ended.
+    FlowLost = 413,
+    /// The flow was not opened: the target has just started and takes no more for now.
+    TargetCold = 414,
+    /// The flow was not opened: the target did not answer the opening packet.
+    TargetSilent = 415,
+    /// The flow was reset: nothing has been heard from its target for too long.
+    FlowUnreachable = 416,
+    /// The packet was dropped: the holder of its flow is being searched.
+    FlowSearched = 417,
     /// A setting of the process has a value that is not allowed.
     InvalidSetting = 501,
     /// A record in the store is malformed.
--- /dev/null
+++ b/crates/basilstep-core/src/flows/agent/source.rs
@@ -0,0 +1,50 @@
+use crate::{address::DomainId, flows::peers::Peers};
+use std::net::Ipv4Addr;
+
+/// How many reports a source may leave unanswered before another one is asked.
+const UNANSWERED_LIMIT: u32 = 3;
+
+/// The balancer from which an agent takes settings and the list of balancers.
+#[derive(Clone, Debug, Default)]
+pub struct SettingsSource {
+    current: Option<Ipv4Addr>,
+    unanswered: u32,
+    answered_ms: u64,
+}
+
+impl SettingsSource {
+    /// Returns the balancer to ask with the next report, one of the own domain if there is any.
+    pub fn next(&mut self, peers: &Peers, domain: DomainId) -> Option<Ipv4Addr> {
+        let is_lost = self.unanswered >= UNANSWERED_LIMIT;
+        let is_known = self
+            .current
+            .is_some_and(|current| peers.domain_of(current).is_some());
+        if is_lost || !is_known {
+            self.current = Self::other_than(self.current, peers, domain);
+            self.unanswered = 0;
+        }
+        self.unanswered += 1;
+        self.current
+    }
+
+    /// Notes an answer.
+    pub const fn on_reply(&mut self, now_ms: u64) {
+        self.unanswered = 0;
+        self.answered_ms = now_ms;
+    }
+
+    /// Returns when a balancer last answered.
+    pub const fn answered_ms(&self) -> u64 {
+        self.answered_ms
+    }
+
+    /// Goes round the balancers, those of the own domain first.
+    fn other_than(last: Option<Ipv4Addr>, peers: &Peers, domain: DomainId) -> Option<Ipv4Addr> {
+        let mut order: Vec<Ipv4Addr> = peers.addresses().collect();
+        order.sort_by_key(|ip| (peers.domain_of(*ip) != Some(domain), *ip));
+        let next = last
+            .and_then(|last| order.iter().position(|ip| *ip == last))
+            .map_or(0, |place| place + 1);
+        order.get(next % order.len().max(1)).copied()
+    }
+}
--- /dev/null
+++ b/crates/basilstep-core/src/flows/agent/state.rs
@@ -0,0 +1,422 @@
+use super::{
+    gate::{ColdAllowance, Gate, GateInputs},
+    table::{Flow, FlowStage, FlowTable},
+    target::{Ping, PingOutcome, TargetState},
+};
+use crate::{
+    address::DomainId,
+    codes::ResultCode,
+    context::Context,
+    flows::{
+        frame::{AgentReport, BalancerEntry, Carry, ReportReply, TargetPhase},
+        key::{FlowKey, Lifetime, ServiceTag},
+        limits::ServiceLimits,
+        peers::Peers,
+        segment::Segment,
+        settings::FlowSettings,
+    },
+};
+use std::{collections::BTreeMap, net::Ipv4Addr};
+
+/// Who an agent is.
+#[derive(Clone, Copy, Debug)]
+pub struct AgentIdentity {
+    /// The service that its target serves.
+    pub service: ServiceTag,
+    /// Its failure domain.
+    pub domain: DomainId,
+    /// Its run.
+    pub lifetime: Lifetime,
+    /// How often its target pings.
+    pub heartbeat_ms: u64,
+    /// What a cold target may get.
+    pub allowance: ColdAllowance,
+}
+
+/// What happens to a packet that a balancer brought.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum CallerVerdict {
+    /// It goes to the target, with a cookie that tells where to return it if it bounces.
+    Deliver {
+        /// The address of the balancer as a number.
+        cookie: u32,
+    },
+    /// It goes back to the balancer.
+    Return {
+        /// Why.
+        code: ResultCode,
+    },
+}
+
+/// What happens to a packet of the target.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum TargetVerdict {
+    /// It goes to the caller.
+    ToCaller {
+        /// How long the target took to answer the opening packet, if this is the answer.
+        opened_after_ms: Option<u64>,
+    },
+    /// The target has not taken it: it goes back to a balancer.
+    Return {
+        /// The balancer.
+        origin: Ipv4Addr,
+        /// Why.
+        code: ResultCode,
+    },
+}
+
+/// A flow whose target has ended, with what a reset of it needs.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct LostFlow {
+    /// The flow.
+    pub flow: FlowKey,
+    /// The caller's last acknowledgement.
+    pub sequence: u32,
+}
+
+/// The flow table and the gate of one agent.
+#[derive(Clone, Debug)]
+pub struct AgentFlows {
+    settings: FlowSettings,
+    own: AgentIdentity,
+    target: TargetState,
+    gate: Gate,
+    table: FlowTable,
+    limits: Option<ServiceLimits>,
+    is_domain_out: bool,
+    settings_revision: u64,
+    settings_version: u64,
+    peers: Peers,
+    untold: BTreeMap<Ipv4Addr, Vec<FlowKey>>,
+    is_stopping: bool,
+}
+
+impl AgentFlows {
+    /// Creates the state of an agent that knows nothing yet.
+    pub fn new(settings: FlowSettings, own: AgentIdentity) -> Self {
+        Self {
+            settings,
+            own,
+            target: TargetState::default(),
+            gate: Gate::new(own.allowance),
+            table: FlowTable::default(),
+            limits: None,
+            is_domain_out: false,
+            settings_revision: 0,
+            settings_version: 0,
+            peers: Peers::default(),
+            untold: BTreeMap::new(),
+            is_stopping: false,
+        }
+    }
+
+    /// Decides about a packet that a balancer brought.
+    pub fn on_packet(&mut self, carry: &Carry, segment: &Segment, ctx: &Context) -> CallerVerdict {
+        if carry.service != self.own.service {
+            return CallerVerdict::Return {
+                code: ResultCode::ForeignService,
+            };
+        }
+        let key = segment.flow_of_caller();
+        if segment.opens() {
+            return self.on_opening(key, carry, ctx);
+        }
+        let Some(flow) = self.table.get(&key).copied() else {
+            return self.on_unknown(key, carry, ctx);
+        };
+        if flow.stage == FlowStage::Lost {
+            return CallerVerdict::Return {
+                code: ResultCode::FlowLost,
+            };
+        }
+        if !flow.is_continued_by(segment) {
+            return CallerVerdict::Return {
+                code: ResultCode::FlowNotHeld,
+            };
+        }
+        let is_elsewhere = flow.origin != carry.origin || carry.is_search;
+        self.table.update(&key, |flow| {
+            flow.origin = carry.origin;
+            flow.origin_domain = carry.origin_domain;
+            flow.note_caller(segment, ctx.now_ms);
+        });
+        if is_elsewhere {
+            self.untold.entry(carry.origin).or_default().push(key);
+        }
+        deliver(carry)
+    }
+
+    /// Decides about a packet that the target sent.
+    pub fn on_target_packet(&mut self, segment: &Segment, ctx: &Context) -> TargetVerdict {
+        if segment.flags.bounced {
+            return self.on_bounced(segment, ctx);
+        }
+        let key = segment.flow_of_target();
+        let is_first = self
+            .table
+            .get(&key)
+            .is_some_and(|flow| flow.stage == FlowStage::Offered);
+        let flow = self
+            .table
+            .update(&key, |flow| flow.note_target(segment, ctx.now_ms));
+        let mut opened_after_ms = None;
+        if let Some(flow) = flow.filter(|_| is_first) {
+            opened_after_ms = Some(ctx.now_ms - flow.opened_ms);
+            self.tell_domain(key, &flow);
+        }
+        TargetVerdict::ToCaller { opened_after_ms }
+    }
+
+    /// Takes a ping of the target; returns the flows that a new lifetime has lost.
+    pub fn on_ping(&mut self, ping: &Ping, ctx: &Context) -> (PingOutcome, Vec<LostFlow>) {
+        let outcome = self.target.on_ping(ping, self.own.heartbeat_ms, ctx.now_ms);
+        if outcome == PingOutcome::NewLifetime {
+            return (outcome, self.lose_flows(ctx));
+        }
+        (outcome, Vec::new())
+    }
+
+    /// Notes that the lifetime of the target has ended; returns the flows that it lost.
+    pub fn on_target_ended(&mut self, ctx: &Context) -> Vec<LostFlow> {
+        self.target.set_down();
+        self.lose_flows(ctx)
+    }
+
+    /// Takes settings from a balancer; returns whether the domain left or came back.
+    pub fn on_reply(&mut self, reply: &ReportReply) -> bool {
+        if reply.version >= self.settings_version {
+            self.settings_version = reply.version;
+            self.limits = reply.limits.or(self.limits);
+        }
+        if reply.revision < self.settings_revision {
+            return false;
+        }
+        self.settings_revision = reply.revision;
+        let is_changed = self.is_domain_out != reply.is_domain_out;
+        self.is_domain_out = reply.is_domain_out;
+        is_changed
+    }
+
+    /// Takes a list of balancers and tells those that are new about the flows of their domain.
+    pub fn on_balancers(&mut self, entries: &[BalancerEntry], ctx: &Context) {
+        for entry in entries {
+            if self.peers.learn(entry, ctx.now_ms) {
+                self.tell_newcomer(entry);
+            }
+        }
+    }
+
+    /// Does what is due.
+    pub fn on_tick(&mut self, ctx: &Context) {
+        let now_ms = ctx.now_ms;
+        self.peers
+            .forget(now_ms.saturating_sub(self.settings.forget_after_ms));
+        self.table.expire(
+            now_ms.saturating_sub(self.settings.flow_idle_ms),
+            now_ms.saturating_sub(self.settings.linger_ms),
+        );
+    }
+
+    /// Returns the agent's report.
+    pub fn report(&mut self, ctx: &Context) -> AgentReport {
+        let room = self.gate.room(
+            &self.target,
+            self.limits.as_ref(),
+            &self.settings,
+            ctx.now_ms,
+        );
+        AgentReport {
+            lifetime: self.own.lifetime,
+            service: self.own.service,
+            domain: self.own.domain,
+            phase: self.target.phase(),
+            is_cold: self.target.is_cold(ctx.now_ms),
+            is_stopping: self.is_stopping,
+            at_work: saturate(self.table.at_work()),
+            open_flows: saturate(self.table.live()),
+            capacity: self.target.capacity(),
+            room,
+            wants_reply: false,
+        }
+    }
+
+    /// Takes the flows that balancers have to be told about, by balancer.
+    pub fn take_untold(&mut self) -> BTreeMap<Ipv4Addr, Vec<FlowKey>> {
+        std::mem::take(&mut self.untold)
+    }
+
+    /// Announces from now on that this agent stops while its target goes on.
+    pub fn stop(&mut self) {
+        self.is_stopping = true;
+    }
+
+    /// Returns the target as the agent knows it.
+    pub const fn target(&self) -> &TargetState {
+        &self.target
+    }
+
+    /// Returns the flow table.
+    pub const fn table(&self) -> &FlowTable {
+        &self.table
+    }
+
+    /// Returns the balancers known here.
+    pub const fn peers(&self) -> &Peers {
+        &self.peers
+    }
+
+    /// Returns the balancers known here, to be changed.
+    pub const fn peers_mut(&mut self) -> &mut Peers {
+        &mut self.peers
+    }
+
+    /// Tells whether operators have taken the agent's domain out.
+    pub const fn is_domain_out(&self) -> bool {
+        self.is_domain_out
+    }
+
+    fn on_opening(&mut self, key: FlowKey, carry: &Carry, ctx: &Context) -> CallerVerdict {
+        match self.table.get(&key).copied() {
+            Some(flow) if flow.stage == FlowStage::Open => return deliver(carry),
+            Some(flow) if flow.stage == FlowStage::Offered => {
+                if ctx.now_ms < flow.opened_ms + self.settings.confirm_within_ms {
+                    return deliver(carry);
+                }
+                self.table.remove(&key);
+                return CallerVerdict::Return {
+                    code: ResultCode::TargetSilent,
+                };
+            }
+            _ => {}
+        }
+        let inputs = GateInputs {
+            at_work: self.table.at_work(),
+            open_flows: self.table.live(),
+            is_domain_out: self.is_domain_out,
+            is_stopping: self.is_stopping,
+        };
+        let refusal = self.gate.refusal(
+            &self.target,
+            self.limits.as_ref(),
+            inputs,
+            &self.settings,
+            ctx.now_ms,
+        );
+        if let Some(code) = refusal {
+            return CallerVerdict::Return { code };
+        }
+        self.gate.count(ctx.now_ms);
+        let flow = Flow::new(
+            FlowStage::Offered,
+            carry.origin,
+            carry.origin_domain,
+            ctx.now_ms,
+        );
+        self.table.insert(key, flow);
+        deliver(carry)
+    }
+
+    /// Handles a packet of a flow that is not in the table.
+    ///
+    /// An agent that has not watched its target from the start asks the target: a flow that the
+    /// target does not hold bounces.
+    fn on_unknown(&mut self, key: FlowKey, carry: &Carry, ctx: &Context) -> CallerVerdict {
+        if self.target.is_witnessed() || self.target.phase() == TargetPhase::Down {
+            return CallerVerdict::Return {
+                code: ResultCode::FlowNotHeld,
+            };
+        }
+        let flow = Flow::new(
+            FlowStage::Offered,
+            carry.origin,
+            carry.origin_domain,
+            ctx.now_ms,
+        );
+        self.table.insert(key, flow);
+        deliver(carry)
+    }
+
+    fn on_bounced(&mut self, segment: &Segment, ctx: &Context) -> TargetVerdict {
+        let key = segment.flow_of_caller();
+        let origin = Ipv4Addr::from_bits(segment.cookie);
+        let stage = self.table.get(&key).map(|flow| flow.stage);
+        if segment.opens() {
+            if stage == Some(FlowStage::Offered) {
+                self.table.remove(&key);
+            }
+            return TargetVerdict::Return {
+                origin,
+                code: ResultCode::TargetShed,
+            };
+        }
+        if stage == Some(FlowStage::Open) {
+            self.table.update(&key, |flow| {
+                flow.stage = FlowStage::Lost;
+                flow.used_ms = ctx.now_ms;
+            });
+            return TargetVerdict::Return {
+                origin,
+                code: ResultCode::FlowLost,
+            };
+        }
+        if stage == Some(FlowStage::Offered) {
+            self.table.remove(&key);
+        }
+        TargetVerdict::Return {
+            origin,
+            code: ResultCode::FlowNotHeld,
+        }
+    }
+
+    fn lose_flows(&mut self, ctx: &Context) -> Vec<LostFlow> {
+        self.table
+            .lose_all(ctx.now_ms)
+            .into_iter()
+            .filter(|(_, flow)| flow.stage == FlowStage::Open)
+            .map(|(key, flow)| LostFlow {
+                flow: key,
+                sequence: flow.caller_acknowledged,
+            })
+            .collect()
+    }
+
+    fn tell_domain(&mut self, key: FlowKey, flow: &Flow) {
+        let limit = self.settings.told_balancers;
+        let mut told = self.peers.told(flow.origin_domain, key.hash(), limit);
+        if !told.contains(&flow.origin) {
+            told.push(flow.origin);
+        }
+        for balancer in told {
+            self.untold.entry(balancer).or_default().push(key);
+        }
+    }
+
+    fn tell_newcomer(&mut self, entry: &BalancerEntry) {
+        let limit = self.settings.told_balancers;
+        let told: Vec<FlowKey> = self
+            .table
+            .iter()
+            .filter(|(_, flow)| flow.stage == FlowStage::Open)
+            .filter(|(_, flow)| flow.origin_domain == entry.domain)
+            .map(|(key, _)| *key)
+            .filter(|key| {
+                self.peers
+                    .told(entry.domain, key.hash(), limit)
+                    .contains(&entry.ip)
+            })
+            .collect();
+        if !told.is_empty() {
+            self.untold.entry(entry.ip).or_default().extend(told);
+        }
+    }
+}
+
+const fn deliver(carry: &Carry) -> CallerVerdict {
+    CallerVerdict::Deliver {
+        cookie: carry.origin.to_bits(),
+    }
+}
+
+fn saturate(count: usize) -> u16 {
+    u16::try_from(count).unwrap_or(u16::MAX)
+}
--- /dev/null
+++ b/crates/basilstep-core/src/flows/agent/table.rs
@@ -0,0 +1,242 @@
+use crate::{
+    address::DomainId,
+    flows::{
+        key::FlowKey,
+        segment::{Segment, is_ahead},
+    },
+};
+use std::{collections::BTreeMap, net::Ipv4Addr};
+
+/// How far an acknowledgement may lie behind the target's first sequence number and still belong
+/// to this flow, in bytes; the flows of callers carry less.
+const ACKNOWLEDGED_SPAN: u32 = 1 << 28;
+
+/// Where a flow is in its life.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum FlowStage {
+    /// The opening packet went to the target.
+    Offered,
+    /// The target has answered the opening packet, or any later one.
+    Open,
+    /// Both ends have closed it, or one has reset it.
+    Closed,
+    /// The lifetime of the target that held it has ended.
+    Lost,
+}
+
+/// A flow of the target.
+#[derive(Clone, Copy, Debug)]
+pub struct Flow {
+    /// Where it is in its life.
+    pub stage: FlowStage,
+    /// The balancer that the caller's last packet came through.
+    pub origin: Ipv4Addr,
+    /// The domain of that balancer.
+    pub origin_domain: DomainId,
+    /// When the opening packet, or the first one seen, came.
+    pub opened_ms: u64,
+    /// When the last packet of either end passed.
+    pub used_ms: u64,
+    /// The caller has sent data that the target has not answered.
+    pub is_busy: bool,
+    /// The caller's last acknowledgement.
+    pub caller_acknowledged: u32,
+    target_first: Option<u32>,
+    caller_end: Option<u32>,
+    is_caller_finished: bool,
+    is_target_finished: bool,
+}
+
+impl Flow {
+    /// Creates a flow that `origin` has brought.
+    pub const fn new(
+        stage: FlowStage,
+        origin: Ipv4Addr,
+        origin_domain: DomainId,
+        now_ms: u64,
+    ) -> Self {
+        Self {
+            stage,
+            origin,
+            origin_domain,
+            opened_ms: now_ms,
+            used_ms: now_ms,
+            is_busy: false,
+            caller_acknowledged: 0,
+            target_first: None,
+            caller_end: None,
+            is_caller_finished: false,
+            is_target_finished: false,
+        }
+    }
+
+    /// Tells whether a packet of the caller continues what the target has sent.
+    pub fn is_continued_by(&self, segment: &Segment) -> bool {
+        let Some(first) = self.target_first else {
+            return true;
+        };
+        !segment.flags.ack || segment.acknowledged.wrapping_sub(first) < ACKNOWLEDGED_SPAN
+    }
+
+    /// Takes account of a packet on its way to the target.
+    pub fn note_caller(&mut self, segment: &Segment, now_ms: u64) {
+        self.used_ms = now_ms;
+        if segment.flags.ack {
+            self.caller_acknowledged = segment.acknowledged;
+        }
+        if segment.data_bytes > 0 {
+            let end = segment.end_sequence();
+            if self.caller_end.is_none_or(|known| is_ahead(end, known)) {
+                self.caller_end = Some(end);
+                self.is_busy = true;
+            }
+        }
+        self.is_caller_finished |= segment.flags.fin;
+        if segment.flags.rst {
+            self.close();
+        }
+        self.close_if_finished();
+    }
+
+    /// Takes account of a packet of the target.
+    pub fn note_target(&mut self, segment: &Segment, now_ms: u64) {
+        self.used_ms = now_ms;
+        if segment.flags.syn && segment.flags.ack {
+            self.target_first = Some(segment.sequence);
+        }
+        if self.stage == FlowStage::Offered {
+            self.stage = FlowStage::Open;
+        }
+        if segment.data_bytes > 0 {
+            self.is_busy = false;
+        }
+        self.is_target_finished |= segment.flags.fin;
+        if segment.flags.rst {
+            self.close();
+        }
+        self.close_if_finished();
+    }
+
+    fn close_if_finished(&mut self) {
+        if self.is_caller_finished && self.is_target_finished {
+            self.close();
+        }
+    }
+
+    fn close(&mut self) {
+        self.is_busy = false;
+        if self.stage != FlowStage::Lost {
+            self.stage = FlowStage::Closed;
+        }
+    }
+
+    const fn is_live(&self) -> bool {
+        matches!(self.stage, FlowStage::Offered | FlowStage::Open)
+    }
+
+    const fn is_at_work(&self) -> bool {
+        self.is_live() && (self.is_busy || matches!(self.stage, FlowStage::Offered))
+    }
+}
+
+/// The flows that a target holds, with running counts.
+#[derive(Clone, Debug, Default)]
+pub struct FlowTable {
+    flows: BTreeMap<FlowKey, Flow>,
+    live: usize,
+    at_work: usize,
+}
+
+impl FlowTable {
+    /// Returns a flow.
+    pub fn get(&self, key: &FlowKey) -> Option<&Flow> {
+        self.flows.get(key)
+    }
+
+    /// Adds a flow, in place of an earlier one with the same ends.
+    pub fn insert(&mut self, key: FlowKey, flow: Flow) {
+        self.remove(&key);
+        self.count(&flow, true);
+        self.flows.insert(key, flow);
+    }
+
+    /// Removes a flow.
+    pub fn remove(&mut self, key: &FlowKey) -> Option<Flow> {
+        let flow = self.flows.remove(key)?;
+        self.count(&flow, false);
+        Some(flow)
+    }
+
+    /// Changes a flow and returns it as it then is.
+    pub fn update(&mut self, key: &FlowKey, change: impl FnOnce(&mut Flow)) -> Option<Flow> {
+        let flow = self.flows.get_mut(key)?;
+        let before = *flow;
+        change(flow);
+        let after = *flow;
+        self.count(&before, false);
+        self.count(&after, true);
+        Some(after)
+    }
+
+    /// Returns all flows.
+    pub fn iter(&self) -> impl Iterator<Item = (&FlowKey, &Flow)> {
+        self.flows.iter()
+    }
+
+    /// Returns how many flows the target holds.
+    pub const fn live(&self) -> usize {
+        self.live
+    }
+
+    /// Returns how many requests the target works on or has queued.
+    pub const fn at_work(&self) -> usize {
+        self.at_work
+    }
+
+    /// Marks all live flows as lost and returns them as they were.
+    pub fn lose_all(&mut self, now_ms: u64) -> Vec<(FlowKey, Flow)> {
+        let mut lost = Vec::new();
+        for (key, flow) in &mut self.flows {
+            if flow.is_live() {
+                lost.push((*key, *flow));
+                flow.stage = FlowStage::Lost;
+                flow.used_ms = now_ms;
+            }
+        }
+        self.live = 0;
+        self.at_work = 0;
+        lost
+    }
+
+    /// Drops flows by how long they have been unused.
+    pub fn expire(&mut self, live_before_ms: u64, ended_before_ms: u64) {
+        let expired: Vec<FlowKey> = self
+            .flows
+            .iter()
+            .filter(|(_, flow)| {
+                let limit_ms = if flow.is_live() {
+                    live_before_ms
+                } else {
+                    ended_before_ms
+                };
+                flow.used_ms < limit_ms
+            })
+            .map(|(key, _)| *key)
+            .collect();
+        for key in expired {
+            self.remove(&key);
+        }
+    }
+
+    fn count(&mut self, flow: &Flow, is_added: bool) {
+        let live = usize::from(flow.is_live());
+        let at_work = usize::from(flow.is_at_work());
+        if is_added {
+            self.live += live;
+            self.at_work += at_work;
+        } else {
+            self.live -= live;
+            self.at_work -= at_work;
+        }
+    }
+}
--- /dev/null
+++ b/crates/basilstep-core/src/flows/agent/target.rs
@@ -0,0 +1,121 @@
+use crate::flows::{frame::TargetPhase, settings::FlowSettings};
+use serde::{Deserialize, Serialize};
+
+/// How many ping intervals a target may stay silent before another lifetime may take its place.
+const SILENT_PINGS: u64 = 3;
+
+/// What a target says of its state.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum PingState {
+    /// It takes new work.
+    Ready,
+    /// It is about to stop.
+    Draining,
+}
+
+/// What a target says about itself.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Ping {
+    /// When this lifetime started, in milliseconds of its own time of day.
+    pub born_ms: u64,
+    /// Rises with each ping of a lifetime.
+    pub sequence: u64,
+    /// Whether it takes new work.
+    pub state: PingState,
+    /// Requests that it works on at once.
+    pub capacity: u16,
+    /// How much longer it stays cold.
+    pub warmup_left_ms: u32,
+}
+
+/// What became of a ping.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum PingOutcome {
+    /// It tells nothing new.
+    Unchanged,
+    /// The target entered another phase.
+    PhaseChanged,
+    /// A new lifetime has begun: what the last one held is lost.
+    NewLifetime,
+    /// It is older than what is known.
+    Outdated,
+}
+
+/// The target beside an agent, as it describes itself.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct TargetState {
+    phase: TargetPhase,
+    last: Option<Ping>,
+    heard_ms: u64,
+    cold_until_ms: u64,
+    /// The agent has watched this lifetime of the target from its start.
+    is_witnessed: bool,
+}
+
+impl TargetState {
+    /// Takes a ping.
+    pub fn on_ping(&mut self, ping: &Ping, heartbeat_ms: u64, now_ms: u64) -> PingOutcome {
+        let silence_ms = now_ms.saturating_sub(self.heard_ms);
+        if let Some(last) = self.last {
+            let is_older = ping.born_ms < last.born_ms;
+            // A clock that was set back gives a later lifetime an earlier start.
+            if is_older && silence_ms < heartbeat_ms * SILENT_PINGS {
+                return PingOutcome::Outdated;
+            }
+            if ping.born_ms == last.born_ms && ping.sequence <= last.sequence {
+                return PingOutcome::Outdated;
+            }
+        }
+        let is_new = self.last.is_some_and(|last| last.born_ms != ping.born_ms);
+        let phase = match ping.state {
+            PingState::Ready => TargetPhase::Serving,
+            PingState::Draining => TargetPhase::Draining,
+        };
+        let is_other_phase = phase != self.phase;
+        self.is_witnessed |= is_new;
+        self.phase = phase;
+        self.last = Some(*ping);
+        self.heard_ms = now_ms;
+        self.cold_until_ms = now_ms + u64::from(ping.warmup_left_ms);
+        if is_new {
+            return PingOutcome::NewLifetime;
+        }
+        if is_other_phase {
+            return PingOutcome::PhaseChanged;
+        }
+        PingOutcome::Unchanged
+    }
+
+    /// Notes that the target has ended or does not answer; returns whether that is new.
+    pub fn set_down(&mut self) -> bool {
+        let is_new = self.phase != TargetPhase::Down;
+        self.phase = TargetPhase::Down;
+        is_new
+    }
+
+    /// Returns whether the target takes new flows.
+    pub const fn phase(&self) -> TargetPhase {
+        self.phase
+    }
+
+    /// Tells whether the target is known to be cold, or may be because it has not said anything.
+    pub const fn is_cold(&self, now_ms: u64) -> bool {
+        self.last.is_none() || now_ms < self.cold_until_ms
+    }
+
+    /// Tells whether the agent knows every flow of the target.
+    pub const fn is_witnessed(&self) -> bool {
+        self.is_witnessed
+    }
+
+    /// Returns how many requests the target works on at once.
+    pub fn capacity(&self) -> u16 {
+        self.last.map_or(1, |last| last.capacity.max(1))
+    }
+
+    /// Returns the most requests at work before new flows are refused.
+    pub fn overload_limit(&self, settings: &FlowSettings) -> u32 {
+        u32::from(self.capacity()) * settings.overload_factor
+    }
+}
--- /dev/null
+++ b/crates/basilstep-core/src/flows/balancer/hints.rs
@@ -0,0 +1,82 @@
+use crate::flows::key::{FlowKey, ServiceTag};
+use std::{collections::BTreeMap, net::Ipv4Addr};
+
+/// Where a balancer believes a flow to be.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Hint {
+    /// The agent.
+    pub agent: Ipv4Addr,
+    /// The service that the flow was opened to.
+    pub service: ServiceTag,
+    /// The agent has said that it holds the flow.
+    pub is_confirmed: bool,
+    /// When the opening packet was last sent to the agent.
+    pub offered_ms: u64,
+    /// When the last packet of the flow passed.
+    pub used_ms: u64,
+}
+
+/// A bounded cache from flows to agents; never more than a hint.
+#[derive(Clone, Debug)]
+pub struct Hints {
+    by_flow: BTreeMap<FlowKey, Hint>,
+    limit: usize,
+    swept_to: Option<FlowKey>,
+}
+
+impl Hints {
+    /// Creates an empty cache.
+    pub const fn new(limit: usize) -> Self {
+        Self {
+            by_flow: BTreeMap::new(),
+            limit,
+            swept_to: None,
+        }
+    }
+
+    /// Returns the hint of a flow.
+    pub fn get_mut(&mut self, flow: &FlowKey) -> Option<&mut Hint> {
+        self.by_flow.get_mut(flow)
+    }
+
+    /// Stores a hint; when the cache is full, one of another flow makes room.
+    pub fn insert(&mut self, flow: FlowKey, hint: Hint) {
+        if self.by_flow.len() >= self.limit && !self.by_flow.contains_key(&flow) {
+            self.by_flow.pop_first();
+        }
+        self.by_flow.insert(flow, hint);
+    }
+
+    /// Forgets a flow.
+    pub fn remove(&mut self, flow: &FlowKey) {
+        self.by_flow.remove(flow);
+    }
+
+    /// Returns how many hints there are.
+    pub fn len(&self) -> usize {
+        self.by_flow.len()
+    }
+
+    /// Looks at up to `budget` hints, going round, and drops those unused since `before_ms`.
+    pub fn sweep(&mut self, budget: usize, before_ms: u64) {
+        let start = self
+            .swept_to
+            .map_or(std::ops::Bound::Unbounded, std::ops::Bound::Excluded);
+        let visited: Vec<(FlowKey, u64)> = self
+            .by_flow
+            .range((start, std::ops::Bound::Unbounded))
+            .take(budget)
+            .map(|(flow, hint)| (*flow, hint.used_ms))
+            .collect();
+        self.swept_to = if visited.len() < budget {
+            None
+        } else {
+            visited.last().map(|(flow, _)| *flow)
+        };
+        for (flow, used_ms) in visited {
+            if used_ms < before_ms {
+                self.by_flow.remove(&flow);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/basilstep-core/src/flows/balancer/roster.rs
@@ -0,0 +1,183 @@
+use crate::{
+    address::DomainId,
+    flows::{
+        frame::{AgentReport, TargetPhase},
+        key::ServiceTag,
+        settings::FlowSettings,
+    },
+};
+use serde::Serialize;
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::Ipv4Addr,
+};
+
+/// An agent as a balancer knows it.
+#[derive(Clone, Copy, Debug, Serialize)]
+pub struct AgentState {
+    /// Its last report.
+    pub report: AgentReport,
+    /// When the report came.
+    pub heard_ms: u64,
+    /// New flows that this balancer has sent to it since.
+    pub offered_since: u16,
+    /// Until when it gets no new flows, because it did not confirm one.
+    pub doubted_until_ms: u64,
+}
+
+/// The agents that report to a balancer.
+#[derive(Clone, Debug, Default)]
+pub struct Roster {
+    agents: BTreeMap<Ipv4Addr, AgentState>,
+    by_service: BTreeMap<ServiceTag, BTreeSet<Ipv4Addr>>,
+}
+
+/// What placement needs to know about the balancer that asks.
+#[derive(Clone, Copy, Debug)]
+pub struct Placing<'a> {
+    /// The balancer's own domain.
+    pub domain: DomainId,
+    /// The domains that operators have taken out.
+    pub domains_out: &'a BTreeSet<DomainId>,
+    /// The agents that have refused the flow.
+    pub refused_by: &'a BTreeSet<Ipv4Addr>,
+    /// The time.
+    pub now_ms: u64,
+}
+
+impl Roster {
+    /// Takes a report; returns whether the agent's phase, run or service changed.
+    pub fn hear(&mut self, agent: Ipv4Addr, report: AgentReport, now_ms: u64) -> bool {
+        let before = self.agents.get(&agent).copied();
+        let is_same_run = before.is_some_and(|state| state.report.lifetime == report.lifetime);
+        if let Some(before) = before
+            && before.report.service != report.service
+        {
+            self.unlist(agent, before.report.service);
+        }
+        self.by_service
+            .entry(report.service)
+            .or_default()
+            .insert(agent);
+        let doubted_until_ms = before
+            .filter(|_| is_same_run)
+            .map_or(0, |state| state.doubted_until_ms);
+        let state = AgentState {
+            report,
+            heard_ms: now_ms,
+            offered_since: 0,
+            doubted_until_ms,
+        };
+        self.agents.insert(agent, state);
+        !is_same_run || before.is_some_and(|state| state.report.phase != report.phase)
+    }
+
+    /// Returns what is known about an agent.
+    pub fn get(&self, agent: Ipv4Addr) -> Option<&AgentState> {
+        self.agents.get(&agent)
+    }
+
+    /// Returns all agents.
+    pub fn iter(&self) -> impl Iterator<Item = (&Ipv4Addr, &AgentState)> {
+        self.agents.iter()
+    }
+
+    /// Returns the agents of a service.
+    pub fn of_service(&self, service: ServiceTag) -> impl Iterator<Item = Ipv4Addr> + '_ {
+        self.by_service.get(&service).into_iter().flatten().copied()
+    }
+
+    /// Passes an agent over for new flows until `until_ms`.
+    pub fn doubt(&mut self, agent: Ipv4Addr, until_ms: u64) {
+        if let Some(state) = self.agents.get_mut(&agent) {
+            state.doubted_until_ms = until_ms;
+        }
+    }
+
+    /// Notes that an agent has just answered something other than a report.
+    pub fn trust(&mut self, agent: Ipv4Addr) {
+        if let Some(state) = self.agents.get_mut(&agent) {
+            state.doubted_until_ms = 0;
+        }
+    }
+
+    /// Notes a new flow that was sent to an agent.
+    pub fn count_offer(&mut self, agent: Ipv4Addr) {
+        if let Some(state) = self.agents.get_mut(&agent) {
+            state.offered_since = state.offered_since.saturating_add(1);
+        }
+    }
+
+    /// Makes all reports older by `pause_ms`, after the process stood still for that long.
+    pub fn age(&mut self, pause_ms: u64) {
+        for state in self.agents.values_mut() {
+            state.heard_ms = state.heard_ms.saturating_sub(pause_ms);
+        }
+    }
+
+    /// Forgets agents that have not reported since `before_ms`, and returns them.
+    pub fn forget(&mut self, before_ms: u64) -> Vec<Ipv4Addr> {
+        let gone: Vec<Ipv4Addr> = self
+            .agents
+            .iter()
+            .filter(|(_, state)| state.heard_ms < before_ms)
+            .map(|(agent, _)| *agent)
+            .collect();
+        for agent in &gone {
+            if let Some(state) = self.agents.remove(agent) {
+                self.unlist(*agent, state.report.service);
+            }
+        }
+        gone
+    }
+
+    /// Chooses the agent for a new flow: the one with the least work for its capacity.
+    ///
+    /// An agent of another domain has to be ahead by [`FlowSettings::other_domain_cost`].
+    pub fn place(
+        &self,
+        service: ServiceTag,
+        placing: &Placing<'_>,
+        settings: &FlowSettings,
+    ) -> Option<Ipv4Addr> {
+        self.of_service(service)
+            .filter(|agent| !placing.refused_by.contains(agent))
+            .filter_map(|agent| Some((agent, self.agents.get(&agent)?)))
+            .filter(|(_, state)| takes_new_flows(state, placing, settings))
+            .map(|(agent, state)| (agent, expected_wait(state, placing, settings)))
+            .min_by(|(_, left), (_, right)| left.total_cmp(right))
+            .map(|(agent, _)| agent)
+    }
+
+    fn unlist(&mut self, agent: Ipv4Addr, service: ServiceTag) {
+        if let Some(agents) = self.by_service.get_mut(&service) {
+            agents.remove(&agent);
+            if agents.is_empty() {
+                self.by_service.remove(&service);
+            }
+        }
+    }
+}
+
+fn takes_new_flows(state: &AgentState, placing: &Placing<'_>, settings: &FlowSettings) -> bool {
+    state.report.phase == TargetPhase::Serving
+        && !state.report.is_stopping
+        && state.offered_since < state.report.room
+        && !placing.domains_out.contains(&state.report.domain)
+        && placing.now_ms < state.heard_ms + settings.suspect_after_ms
+        && placing.now_ms >= state.doubted_until_ms
+}
+
+/// Returns the requests at work for each that the target works on at once.
+fn expected_wait(state: &AgentState, placing: &Placing<'_>, settings: &FlowSettings) -> f64 {
+    let report = &state.report;
+    let mut work = f64::from(report.at_work) + f64::from(state.offered_since);
+    work += f64::from(report.open_flows) * settings.open_flow_load;
+    if report.is_cold {
+        work = (work + 1.0) * settings.cold_slowdown;
+    }
+    if report.domain != placing.domain {
+        work += settings.other_domain_cost;
+    }
+    work / f64::from(report.capacity.max(1))
+}
--- /dev/null
+++ b/crates/basilstep-core/src/flows/balancer/state.rs
@@ -0,0 +1,442 @@
+use super::{
+    hints::{Hint, Hints},
+    roster::{Placing, Roster},
+    search::Searches,
+};
+use crate::{
+    address::DomainId,
+    codes::ResultCode,
+    context::Context,
+    flows::{
+        frame::{AgentReport, BalancerBeat, BalancerEntry, Carry, ReportReply, Returned},
+        key::{FlowKey, Lifetime, ServiceTag},
+        peers::Peers,
+        routes::{FleetSettings, RequestKind},
+        segment::Segment,
+        settings::FlowSettings,
+    },
+};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::{Ipv4Addr, SocketAddrV4},
+};
+
+/// How many hints are looked at in one tick.
+const SWEEP_BUDGET: usize = 256;
+
+/// The number of the last copy of an opening packet that a caller sends.
+const LAST_COPY: u32 = 2;
+
+/// Who a balancer is.
+#[derive(Clone, Copy, Debug)]
+pub struct BalancerIdentity {
+    /// Its address.
+    pub ip: Ipv4Addr,
+    /// Its failure domain.
+    pub domain: DomainId,
+    /// Its run.
+    pub lifetime: Lifetime,
+}
+
+impl BalancerIdentity {
+    fn entry(&self) -> BalancerEntry {
+        BalancerEntry {
+            ip: self.ip,
+            domain: self.domain,
+            lifetime: self.lifetime,
+            age_ms: 0,
+        }
+    }
+}
+
+/// One way of a packet to an agent.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Leg {
+    /// The agent.
+    pub agent: Ipv4Addr,
+    /// What goes before the packet.
+    pub carry: Carry,
+}
+
+/// What happens to a packet.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Verdict {
+    /// It goes to one agent.
+    Forward(Leg),
+    /// It goes to all agents that may hold its flow.
+    Search(Vec<Leg>),
+    /// The caller's end of the flow is reset.
+    Reset {
+        /// Why.
+        code: ResultCode,
+    },
+    /// It is dropped; the caller sends it again if it still matters.
+    Drop {
+        /// Why.
+        code: ResultCode,
+    },
+}
+
+/// The steering state of one balancer.
+#[derive(Clone, Debug)]
+pub struct BalancerFlows {
+    settings: FlowSettings,
+    own: BalancerIdentity,
+    fleet: FleetSettings,
+    /// Services that open flows of a route may still be at.
+    former_services: BTreeMap<SocketAddrV4, BTreeSet<ServiceTag>>,
+    roster: Roster,
+    peers: Peers,
+    hints: Hints,
+    searches: Searches,
+    resets_from_ms: u64,
+    store_answered_ms: u64,
+    is_stopping: bool,
+}
+
+impl BalancerFlows {
+    /// Creates the state of a balancer that knows nobody.
+    pub fn new(settings: FlowSettings, own: BalancerIdentity, ctx: &Context) -> Self {
+        let mut peers = Peers::default();
+        peers.learn(&own.entry(), ctx.now_ms);
+        Self {
+            settings,
+            own,
+            fleet: FleetSettings::default(),
+            former_services: BTreeMap::new(),
+            roster: Roster::default(),
+            peers,
+            hints: Hints::new(settings.hint_limit),
+            searches: Searches::default(),
+            resets_from_ms: ctx.now_ms + settings.settle_ms,
+            store_answered_ms: 0,
+            is_stopping: false,
+        }
+    }
+
+    /// Decides about a packet that a caller sent.
+    pub fn on_packet(&mut self, segment: &Segment, ctx: &Context) -> Verdict {
+        let flow = segment.flow_of_caller();
+        if segment.opens() {
+            return self.steer_opening(flow, segment, ctx);
+        }
+        let Some(hint) = self.hints.get_mut(&flow) else {
+            return self.search(flow, ctx);
+        };
+        hint.used_ms = ctx.now_ms;
+        let (agent, service) = (hint.agent, hint.service);
+        if self.is_beyond_reach(agent, &flow, ctx.now_ms) {
+            self.hints.remove(&flow);
+            return Verdict::Reset {
+                code: ResultCode::FlowUnreachable,
+            };
+        }
+        self.forward(agent, service)
+    }
+
+    /// Decides about a packet that an agent did not take.
+    pub fn on_returned(
+        &mut self,
+        agent: Ipv4Addr,
+        returned: Returned,
+        segment: &Segment,
+        ctx: &Context,
+    ) -> Verdict {
+        let flow = segment.flow_of_caller();
+        self.roster.trust(agent);
+        if let Some(hint) = self.hints.get_mut(&flow)
+            && hint.agent == agent
+        {
+            self.hints.remove(&flow);
+        }
+        let search_ms = self.settings.search_ms;
+        let search = self.searches.entry(flow, ctx.now_ms, search_ms);
+        search.refused_by.insert(agent);
+        if segment.opens() {
+            return self.place(flow, Some(returned.service), segment, returned.code, ctx);
+        }
+        if returned.code == ResultCode::FlowLost {
+            return Verdict::Reset {
+                code: ResultCode::FlowLost,
+            };
+        }
+        match self.hints.get_mut(&flow) {
+            Some(hint) if hint.is_confirmed => Verdict::Drop {
+                code: ResultCode::FlowNotHeld,
+            },
+            _ => self.resume_search(flow, ctx),
+        }
+    }
+
+    /// Takes word from an agent that it holds a flow.
+    pub fn on_held(&mut self, agent: Ipv4Addr, flow: FlowKey, ctx: &Context) {
+        self.roster.trust(agent);
+        self.searches.end(&flow);
+        let Some(service) = self.roster.get(agent).map(|state| state.report.service) else {
+            return;
+        };
+        let hint = Hint {
+            agent,
+            service,
+            is_confirmed: true,
+            offered_ms: ctx.now_ms,
+            used_ms: ctx.now_ms,
+        };
+        self.hints.insert(flow, hint);
+    }
+
+    /// Takes a report; returns whether the agent's phase or run changed.
+    pub fn on_report(&mut self, agent: Ipv4Addr, report: AgentReport, ctx: &Context) -> bool {
+        self.roster.hear(agent, report, ctx.now_ms)
+    }
+
+    /// Answers the report of an agent.
+    pub fn reply_to(&self, report: &AgentReport) -> ReportReply {
+        ReportReply {
+            lifetime: self.own.lifetime,
+            version: self.fleet.table.version,
+            revision: self.fleet.revision,
+            is_domain_out: self.fleet.domains_out.contains(&report.domain),
+            limits: self.fleet.table.services.get(&report.service).copied(),
+            balancers_hash: self.peers.hash(),
+        }
+    }
+
+    /// Returns this balancer's sign of life.
+    pub fn beat(&self, ctx: &Context) -> BalancerBeat {
+        BalancerBeat {
+            lifetime: self.own.lifetime,
+            domain: self.own.domain,
+            version: self.fleet.table.version,
+            revision: self.fleet.revision,
+            store_age_ms: ctx.now_ms.saturating_sub(self.store_answered_ms) as u32,
+            is_stopping: self.is_stopping,
+            balancers_hash: self.peers.hash(),
+        }
+    }
+
+    /// Takes settings from the store or a peer; returns whether anything changed.
+    pub fn on_fleet_settings(&mut self, fleet: FleetSettings) -> bool {
+        let before = self.fleet.table.clone();
+        let is_changed = self.fleet.adopt(fleet);
+        for (entry, route) in before.routes {
+            let now = self.fleet.table.routes.get(&entry);
+            if now.is_some_and(|now| now.shares != route.shares) {
+                let services = route.shares.iter().map(|share| share.service);
+                self.former_services
+                    .entry(entry)
+                    .or_default()
+                    .extend(services);
+            }
+        }
+        is_changed
+    }
+
+    /// Notes that the store has answered.
+    pub fn on_store_answer(&mut self, ctx: &Context) {
+        self.store_answered_ms = ctx.now_ms;
+    }
+
+    /// Takes note that the process stood still for `pause_ms` that its clock did not count.
+    pub fn on_pause(&mut self, pause_ms: u64, ctx: &Context) {
+        self.roster.age(pause_ms);
+        self.resets_from_ms = ctx.now_ms + self.settings.settle_ms;
+    }
+
+    /// Announces from now on that this balancer stops.
+    pub fn stop(&mut self) {
+        self.is_stopping = true;
+    }
+
+    /// Does what is due; returns the agents that were forgotten.
+    pub fn on_tick(&mut self, ctx: &Context) -> Vec<Ipv4Addr> {
+        let settings = self.settings;
+        self.hints.sweep(
+            SWEEP_BUDGET,
+            ctx.now_ms.saturating_sub(settings.hint_idle_ms),
+        );
+        self.searches
+            .forget(ctx.now_ms.saturating_sub(settings.search_ms));
+        let before_ms = ctx.now_ms.saturating_sub(settings.forget_after_ms);
+        self.peers.learn(&self.own.entry(), ctx.now_ms);
+        self.peers.forget(before_ms);
+        self.roster.forget(before_ms)
+    }
+
+    /// Tells whether the balancer can place new flows.
+    pub fn is_ready(&self) -> bool {
+        self.fleet.is_known() && !self.is_stopping && self.roster.iter().next().is_some()
+    }
+
+    /// Returns the settings in force.
+    pub const fn fleet(&self) -> &FleetSettings {
+        &self.fleet
+    }
+
+    /// Returns the agents that report here.
+    pub const fn roster(&self) -> &Roster {
+        &self.roster
+    }
+
+    /// Returns the balancers known here, this one included.
+    pub const fn peers(&self) -> &Peers {
+        &self.peers
+    }
+
+    /// Returns the balancers known here, this one included, to be changed.
+    pub const fn peers_mut(&mut self) -> &mut Peers {
+        &mut self.peers
+    }
+
+    /// Returns how many hints there are.
+    pub fn hint_count(&self) -> usize {
+        self.hints.len()
+    }
+
+    fn steer_opening(&mut self, flow: FlowKey, segment: &Segment, ctx: &Context) -> Verdict {
+        let confirm_within_ms = self.settings.confirm_within_ms;
+        if let Some(hint) = self.hints.get_mut(&flow) {
+            hint.used_ms = ctx.now_ms;
+            let (agent, service) = (hint.agent, hint.service);
+            let is_overdue = ctx.now_ms >= hint.offered_ms + confirm_within_ms;
+            if hint.is_confirmed || !is_overdue {
+                return self.forward(agent, service);
+            }
+            self.roster
+                .doubt(agent, ctx.now_ms + self.settings.doubt_ms);
+            self.hints.remove(&flow);
+            return self.place(flow, Some(service), segment, ResultCode::NoTarget, ctx);
+        }
+        self.place(flow, None, segment, ResultCode::NoTarget, ctx)
+    }
+
+    /// Sends an opening packet to the best agent left; `code` says why the last one refused it.
+    fn place(
+        &mut self,
+        flow: FlowKey,
+        service: Option<ServiceTag>,
+        segment: &Segment,
+        code: ResultCode,
+        ctx: &Context,
+    ) -> Verdict {
+        let Some(route) = self.fleet.table.routes.get(&flow.entry) else {
+            return self.refuse_unknown(ctx);
+        };
+        let Some(service) = service.or_else(|| route.service_for(&flow)) else {
+            return self.refuse_unknown(ctx);
+        };
+        let refused_by = self.searches.refused_by(&flow);
+        let placing = Placing {
+            domain: self.own.domain,
+            domains_out: &self.fleet.domains_out,
+            refused_by: &refused_by,
+            now_ms: ctx.now_ms,
+        };
+        let Some(agent) = self.roster.place(service, &placing, &self.settings) else {
+            return Self::refuse(segment, code);
+        };
+        self.roster.count_offer(agent);
+        let hint = Hint {
+            agent,
+            service,
+            is_confirmed: false,
+            offered_ms: ctx.now_ms,
+            used_ms: ctx.now_ms,
+        };
+        self.hints.insert(flow, hint);
+        self.forward(agent, service)
+    }
+
+    /// Refuses an opening packet that no agent takes now.
+    ///
+    /// Earlier copies are dropped, because the caller sends another within 400 ms that may find
+    /// room; after the last copy the caller is told at once.
+    fn refuse(segment: &Segment, code: ResultCode) -> Verdict {
+        if segment.acknowledged < LAST_COPY {
+            return Verdict::Drop { code };
+        }
+        Verdict::Reset { code }
+    }
+
+    fn refuse_unknown(&self, ctx: &Context) -> Verdict {
+        let code = ResultCode::UnknownService;
+        if self.fleet.is_known() && ctx.now_ms >= self.resets_from_ms {
+            return Verdict::Reset { code };
+        }
+        Verdict::Drop { code }
+    }
+
+    fn search(&mut self, flow: FlowKey, ctx: &Context) -> Verdict {
+        let search_ms = self.settings.search_ms;
+        self.searches.entry(flow, ctx.now_ms, search_ms);
+        self.resume_search(flow, ctx)
+    }
+
+    /// Asks the agents that have not answered yet, or resets the flow when all have said no.
+    fn resume_search(&mut self, flow: FlowKey, ctx: &Context) -> Verdict {
+        let Some(route) = self.fleet.table.routes.get(&flow.entry) else {
+            return self.refuse_unknown(ctx);
+        };
+        let refused_by = self.searches.refused_by(&flow);
+        let mut services: BTreeSet<ServiceTag> =
+            route.shares.iter().map(|share| share.service).collect();
+        services.extend(self.former_services.get(&flow.entry).into_iter().flatten());
+        let now_ms = ctx.now_ms;
+        let legs: Vec<Leg> = services
+            .iter()
+            .flat_map(|service| self.roster.of_service(*service).map(|a| (a, *service)))
+            .filter(|(agent, _)| !refused_by.contains(agent) && !self.is_silent(*agent, now_ms))
+            .map(|(agent, service)| self.leg(agent, service, true))
+            .collect();
+        if legs.is_empty() {
+            if now_ms < self.resets_from_ms {
+                return Verdict::Drop {
+                    code: ResultCode::FlowSearched,
+                };
+            }
+            return Verdict::Reset {
+                code: ResultCode::FlowLost,
+            };
+        }
+        if !refused_by.is_empty() {
+            // The packet is already on its way to the agents that have not answered.
+            return Verdict::Drop {
+                code: ResultCode::FlowSearched,
+            };
+        }
+        Verdict::Search(legs)
+    }
+
+    /// Tells whether a flow is lost to its caller because its agent has fallen silent.
+    ///
+    /// Only callers of idempotent requests gain by a reset: they repeat the request elsewhere.
+    fn is_beyond_reach(&self, agent: Ipv4Addr, flow: &FlowKey, now_ms: u64) -> bool {
+        let kind = self.fleet.table.routes.get(&flow.entry).map(|r| r.kind);
+        kind == Some(RequestKind::Idempotent) && self.is_silent(agent, now_ms)
+    }
+
+    fn is_silent(&self, agent: Ipv4Addr, now_ms: u64) -> bool {
+        if now_ms < self.resets_from_ms {
+            return false;
+        }
+        self.roster.get(agent).is_none_or(|state| {
+            !state.report.is_stopping && now_ms >= state.heard_ms + self.settings.reset_after_ms
+        })
+    }
+
+    const fn forward(&self, agent: Ipv4Addr, service: ServiceTag) -> Verdict {
+        Verdict::Forward(self.leg(agent, service, false))
+    }
+
+    const fn leg(&self, agent: Ipv4Addr, service: ServiceTag, is_search: bool) -> Leg {
+        Leg {
+            agent,
+            carry: Carry {
+                service,
+                origin: self.own.ip,
+                origin_domain: self.own.domain,
+                is_search,
+            },
+        }
+    }
+}
--- /dev/null
+++ b/crates/basilstep-core/src/flows/key.rs
@@ -0,0 +1,46 @@
+use serde::{Deserialize, Serialize};
+use siphasher::sip::SipHasher13;
+use std::{hash::Hasher, net::SocketAddrV4};
+
+/// The two ends of a flow as its packets name them.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct FlowKey {
+    /// The caller's end.
+    pub caller: SocketAddrV4,
+    /// The service address that the caller wrote to.
+    pub entry: SocketAddrV4,
+}
+
+impl FlowKey {
+    /// Returns a hash that is the same in every process.
+    pub fn hash(&self) -> u64 {
+        let mut hasher = SipHasher13::new();
+        for end in [self.caller, self.entry] {
+            hasher.write_u32(end.ip().to_bits());
+            hasher.write_u16(end.port());
+        }
+        hasher.finish()
+    }
+}
+
+/// Names a service in frames between our processes: 48 bits of a hash of its name.
+///
+/// Two of 2,200 services share a tag with a probability of about one in a hundred million.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(transparent)]
+pub struct ServiceTag(pub [u8; 6]);
+
+impl ServiceTag {
+    /// Returns the tag of the service called `name`.
+    pub fn of(name: &str) -> Self {
+        let mut hasher = SipHasher13::new();
+        hasher.write(name.as_bytes());
+        let bytes = hasher.finish().to_le_bytes();
+        Self([bytes[0], bytes[1], bytes[2], bytes[3], bytes[4], bytes[5]])
+    }
+}
+
+/// Distinguishes the runs of one process at the same address; drawn at random when it starts.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(transparent)]
+pub struct Lifetime(pub u32);
--- /dev/null
+++ b/crates/basilstep-core/src/flows/peers.rs
@@ -0,0 +1,172 @@
+use super::{
+    frame::{BalancerBeat, BalancerEntry},
+    key::Lifetime,
+};
+use crate::address::DomainId;
+use siphasher::sip::SipHasher13;
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    hash::Hasher,
+    net::Ipv4Addr,
+};
+
+/// A balancer as another process knows it.
+#[derive(Clone, Copy, Debug)]
+struct Peer {
+    domain: DomainId,
+    lifetime: Lifetime,
+    heard_ms: i64,
+    beat: Option<BalancerBeat>,
+}
+
+/// The balancers that a process knows, itself included if it is one.
+#[derive(Clone, Debug, Default)]
+pub struct Peers {
+    peers: BTreeMap<Ipv4Addr, Peer>,
+    /// Runs that have said that they stop; a list may still name them.
+    departed: BTreeSet<Lifetime>,
+}
+
+/// The most departed runs that are remembered.
+const DEPARTED_LIMIT: usize = 1_024;
+
+impl Peers {
+    /// Takes an entry of a list; tells whether it is a balancer, or a run, that was not known.
+    pub fn learn(&mut self, entry: &BalancerEntry, now_ms: u64) -> bool {
+        let heard_ms = now_ms.cast_signed() - i64::from(entry.age_ms);
+        if self.departed.contains(&entry.lifetime) {
+            return false;
+        }
+        let known = self.peers.get_mut(&entry.ip);
+        if let Some(peer) = known
+            && (peer.lifetime == entry.lifetime || peer.heard_ms >= heard_ms)
+        {
+            if peer.lifetime == entry.lifetime {
+                peer.heard_ms = peer.heard_ms.max(heard_ms);
+            }
+            return false;
+        }
+        let peer = Peer {
+            domain: entry.domain,
+            lifetime: entry.lifetime,
+            heard_ms,
+            beat: None,
+        };
+        self.peers.insert(entry.ip, peer);
+        true
+    }
+
+    /// Takes a sign of life; tells whether it is a balancer, or a run, that was not known.
+    pub fn hear(&mut self, ip: Ipv4Addr, beat: &BalancerBeat, now_ms: u64) -> bool {
+        if beat.is_stopping {
+            self.depart(ip, beat.lifetime);
+            return false;
+        }
+        let entry = BalancerEntry {
+            ip,
+            domain: beat.domain,
+            lifetime: beat.lifetime,
+            age_ms: 0,
+        };
+        let is_new = self.learn(&entry, now_ms);
+        if let Some(peer) = self.peers.get_mut(&ip) {
+            peer.beat = Some(*beat);
+        }
+        is_new
+    }
+
+    /// Forgets balancers that nobody has heard since `before_ms`.
+    pub fn forget(&mut self, before_ms: u64) {
+        self.peers
+            .retain(|_, peer| peer.heard_ms >= before_ms.cast_signed());
+    }
+
+    fn depart(&mut self, ip: Ipv4Addr, lifetime: Lifetime) {
+        if self.departed.len() >= DEPARTED_LIMIT {
+            self.departed.pop_first();
+        }
+        self.departed.insert(lifetime);
+        if self
+            .peers
+            .get(&ip)
+            .is_some_and(|peer| peer.lifetime == lifetime)
+        {
+            self.peers.remove(&ip);
+        }
+    }
+
+    /// Returns the list to hand on.
+    pub fn entries(&self, now_ms: u64) -> Vec<BalancerEntry> {
+        self.peers
+            .iter()
+            .map(|(ip, peer)| BalancerEntry {
+                ip: *ip,
+                domain: peer.domain,
+                lifetime: peer.lifetime,
+                age_ms: (now_ms.cast_signed() - peer.heard_ms).max(0) as u32,
+            })
+            .collect()
+    }
+
+    /// Returns the addresses of all balancers.
+    pub fn addresses(&self) -> impl Iterator<Item = Ipv4Addr> + '_ {
+        self.peers.keys().copied()
+    }
+
+    /// Returns the last signs of life by address, with how long ago they came.
+    pub fn beats(&self, now_ms: u64) -> impl Iterator<Item = (Ipv4Addr, &BalancerBeat, u64)> + '_ {
+        self.peers.iter().filter_map(move |(ip, peer)| {
+            let age_ms = (now_ms.cast_signed() - peer.heard_ms)
+                .max(0)
+                .cast_unsigned();
+            peer.beat.as_ref().map(|beat| (*ip, beat, age_ms))
+        })
+    }
+
+    /// Returns the balancers of a domain that are told about the flow with this hash.
+    pub fn told(&self, domain: DomainId, flow_hash: u64, limit: usize) -> Vec<Ipv4Addr> {
+        let mut told: Vec<(u64, Ipv4Addr)> = self
+            .peers
+            .iter()
+            .filter(|(_, peer)| peer.domain == domain)
+            .map(|(ip, _)| (score(flow_hash, *ip), *ip))
+            .collect();
+        if told.len() > limit {
+            told.sort_unstable_by(|left, right| right.cmp(left));
+            told.truncate(limit);
+        }
+        told.into_iter().map(|(_, ip)| ip).collect()
+    }
+
+    /// Returns the domain of a balancer.
+    pub fn domain_of(&self, ip: Ipv4Addr) -> Option<DomainId> {
+        self.peers.get(&ip).map(|peer| peer.domain)
+    }
+
+    /// Returns how many balancers are known.
+    pub fn len(&self) -> usize {
+        self.peers.len()
+    }
+
+    /// Tells whether no balancer is known.
+    pub fn is_empty(&self) -> bool {
+        self.peers.is_empty()
+    }
+
+    /// Returns a hash of the addresses and runs, by which two lists are compared.
+    pub fn hash(&self) -> u32 {
+        let mut hasher = SipHasher13::new();
+        for (ip, peer) in &self.peers {
+            hasher.write_u32(ip.to_bits());
+            hasher.write_u32(peer.lifetime.0);
+        }
+        hasher.finish() as u32
+    }
+}
+
+fn score(flow_hash: u64, ip: Ipv4Addr) -> u64 {
+    let mut hasher = SipHasher13::new();
+    hasher.write_u64(flow_hash);
+    hasher.write_u32(ip.to_bits());
+    hasher.finish()
+}
--- /dev/null
+++ b/crates/basilstep-core/src/flows/settings.rs
@@ -0,0 +1,68 @@
+use serde::{Deserialize, Serialize};
+
+/// Tunables of steering without tokens.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct FlowSettings {
+    /// How often an agent reports to balancers, and balancers to each other.
+    pub report_interval_ms: u64,
+    /// How long after its last report an agent gets no new flows.
+    pub suspect_after_ms: u64,
+    /// How long after its last report an agent's idempotent flows are reset.
+    pub reset_after_ms: u64,
+    /// How long after its last report an agent is forgotten.
+    pub forget_after_ms: u64,
+    /// How long an opening packet may stay unconfirmed before its next copy goes elsewhere.
+    pub confirm_within_ms: u64,
+    /// How long an agent that did not confirm an opening packet gets no new flows.
+    pub doubt_ms: u64,
+    /// How long a search for the holder of a flow counts each answer.
+    pub search_ms: u64,
+    /// How long a balancer must have been up before it resets flows that nobody holds.
+    pub settle_ms: u64,
+    /// What a flow to another domain costs in placement, in requests at work.
+    pub other_domain_cost: f64,
+    /// What an open flow counts in placement, in requests at work.
+    pub open_flow_load: f64,
+    /// How much slower a cold target works.
+    pub cold_slowdown: f64,
+    /// The most requests at work before new flows are refused, as a multiple of the capacity.
+    pub overload_factor: u32,
+    /// How much of the permitted rate of a cold target is used.
+    pub cold_rate_share: f64,
+    /// How long a balancer keeps a hint after the flow's last packet.
+    pub hint_idle_ms: u64,
+    /// The most hints that a balancer keeps.
+    pub hint_limit: usize,
+    /// How long an agent keeps a flow after its last packet.
+    pub flow_idle_ms: u64,
+    /// How long an agent keeps a flow after both ends closed it.
+    pub linger_ms: u64,
+    /// The most balancers of a domain that are told where a flow is.
+    pub told_balancers: usize,
+}
+
+impl Default for FlowSettings {
+    fn default() -> Self {
+        Self {
+            report_interval_ms: 250,
+            suspect_after_ms: 800,
+            reset_after_ms: 1_500,
+            forget_after_ms: 20_000,
+            confirm_within_ms: 150,
+            doubt_ms: 500,
+            search_ms: 1_000,
+            settle_ms: 1_500,
+            other_domain_cost: 3.0,
+            open_flow_load: 0.1,
+            cold_slowdown: 1.6,
+            overload_factor: 4,
+            cold_rate_share: 0.9,
+            hint_idle_ms: 30_000,
+            hint_limit: 32_768,
+            flow_idle_ms: 30_000,
+            linger_ms: 5_000,
+            told_balancers: 8,
+        }
+    }
+}
--- a/crates/basilstep-core/src/lib.rs
+++ b/crates/basilstep-core/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod context;
 pub mod crypto;
 pub mod domains;
+pub mod flows;
 pub mod membership;
 pub mod placement;
 pub mod requests;
--- a/crates/basilstep-node/src/lib.rs
+++ b/crates/basilstep-node/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod control;
 pub mod counters;
 pub mod flags;
+pub mod http;
 pub mod keys;
 pub mod logs;
 pub mod metrics;
--- /dev/null
+++ b/crates/basilstep-packet/src/agent/frames.rs
@@ -0,0 +1,62 @@
+use super::serve::Agent;
+use crate::datagrams::{BATCH, DATAGRAM_BYTES};
+use basilstep_core::{
+    codes::ResultCode,
+    flows::{Frame, ReportReply, decode_frame},
+};
+use std::net::Ipv4Addr;
+
+impl Agent {
+    /// Handles the frames of balancers that have arrived.
+    pub(super) fn read_frames(&mut self) {
+        self.refresh_time();
+        let mut buffer = [0; DATAGRAM_BYTES];
+        for _ in 0..BATCH {
+            let Some((bytes, peer)) = self.internal.receive(&mut buffer) else {
+                return;
+            };
+            let datagram = &mut buffer[..bytes];
+            match decode_frame(datagram) {
+                Ok((Frame::Carry(carry), packet)) => {
+                    let packet_at = datagram.len() - packet.len();
+                    self.on_carry(&carry, &mut datagram[packet_at..]);
+                }
+                Ok((frame, _)) => self.on_frame(peer, &frame),
+                Err(error) => {
+                    self.metrics.count(ResultCode::Malformed);
+                    if let Some(left_out) = self.limit.admit(ResultCode::Malformed, self.ctx.now_ms)
+                    {
+                        log::warn!(peer:% = peer, reason:% = error, left_out; "a frame cannot be read");
+                    }
+                }
+            }
+        }
+    }
+
+    fn on_frame(&mut self, peer: Ipv4Addr, frame: &Frame) {
+        match frame {
+            Frame::Reply(reply) => self.on_reply(peer, reply),
+            Frame::Balancers(entries) => self.flows.on_balancers(entries, &self.ctx),
+            Frame::Beat(beat) => {
+                self.flows.peers_mut().hear(peer, beat, self.ctx.now_ms);
+            }
+            _ => self.metrics.count(ResultCode::Malformed),
+        }
+    }
+
+    fn on_reply(&mut self, peer: Ipv4Addr, reply: &ReportReply) {
+        self.source.on_reply(self.ctx.now_ms);
+        if self.flows.on_reply(reply) {
+            log::info!(
+                is_domain_out = self.flows.is_domain_out(),
+                revision = reply.revision,
+                source:% = peer;
+                "the failure domain left or came back"
+            );
+            self.send_reports();
+        }
+        if reply.balancers_hash != self.flows.peers().hash() {
+            self.tell(peer, &Frame::ListBalancers, &[]);
+        }
+    }
+}
--- /dev/null
+++ b/crates/basilstep-packet/src/agent/packets.rs
@@ -0,0 +1,104 @@
+use super::serve::Agent;
+use crate::datagrams::{BATCH, DATAGRAM_BYTES, Sent};
+use basilstep_core::{
+    codes::ResultCode,
+    flows::{
+        Carry, Frame, Returned, Segment, ServiceTag,
+        agent::{CallerVerdict, TargetVerdict},
+    },
+};
+use basilstep_platform::header;
+use std::net::Ipv4Addr;
+
+impl Agent {
+    /// Handles a packet of a caller that a balancer has brought.
+    pub(super) fn on_carry(&mut self, carry: &Carry, packet: &mut [u8]) {
+        let Ok(segment) = header::decode(packet) else {
+            self.metrics.count(ResultCode::Malformed);
+            return;
+        };
+        match self.flows.on_packet(carry, &segment, &self.ctx) {
+            CallerVerdict::Deliver { cookie } => {
+                if segment.opens() {
+                    self.log_decision(ResultCode::Done, &segment);
+                }
+                header::set_cookie(packet, cookie);
+                if self.target.send(packet) == Sent::Refused {
+                    self.on_refused();
+                }
+            }
+            CallerVerdict::Return { code } => {
+                self.log_decision(code, &segment);
+                self.give_back(carry.origin, carry.service, code, packet);
+            }
+        }
+    }
+
+    /// Handles the packets that the target has sent.
+    pub(super) fn read_target(&mut self) {
+        self.refresh_time();
+        let mut buffer = [0; DATAGRAM_BYTES];
+        for _ in 0..BATCH {
+            let Some((bytes, _peer)) = self.outbound.receive(&mut buffer) else {
+                return;
+            };
+            self.on_target_packet(&mut buffer[..bytes]);
+        }
+    }
+
+    fn on_target_packet(&mut self, packet: &mut [u8]) {
+        let segment = match header::decode(packet) {
+            Ok(segment) => segment,
+            Err(error) => {
+                self.metrics.count(ResultCode::Malformed);
+                if let Some(left_out) = self.limit.admit(ResultCode::Malformed, self.ctx.now_ms) {
+                    log::warn!(reason:% = error, left_out; "a packet of the target cannot be read");
+                }
+                return;
+            }
+        };
+        match self.flows.on_target_packet(&segment, &self.ctx) {
+            TargetVerdict::ToCaller { opened_after_ms } => {
+                if let Some(opened_after_ms) = opened_after_ms {
+                    self.metrics.opening_ms.observe(opened_after_ms as f64);
+                }
+                self.send_to_caller(packet, *segment.destination.ip());
+            }
+            TargetVerdict::Return { origin, code } => {
+                self.log_decision(code, &segment);
+                header::clear_bounce(packet);
+                let service = ServiceTag::of(&self.service);
+                self.give_back(origin, service, code, packet);
+            }
+        }
+    }
+
+    fn give_back(
+        &mut self,
+        origin: Ipv4Addr,
+        service: ServiceTag,
+        code: ResultCode,
+        packet: &[u8],
+    ) {
+        self.metrics.count(code);
+        self.tell(origin, &Frame::Returned(Returned { code, service }), packet);
+    }
+
+    fn log_decision(&mut self, code: ResultCode, segment: &Segment) {
+        let Some(left_out) = self.limit.admit(code, self.ctx.now_ms) else {
+            return;
+        };
+        let flow = segment.flow_of_caller();
+        log::info!(
+            flow:% = format_args!("{}>{}", flow.caller, flow.entry),
+            code:% = code,
+            opens = segment.opens(),
+            copy_or_ack = segment.acknowledged,
+            phase:? = self.flows.target().phase(),
+            at_work = self.flows.table().at_work(),
+            open_flows = self.flows.table().live(),
+            left_out;
+            "packet"
+        );
+    }
+}
--- /dev/null
+++ b/crates/basilstep-packet/src/agent/pings.rs
@@ -0,0 +1,96 @@
+use super::serve::Agent;
+use crate::node_port::Asked;
+use basilstep_core::flows::{TargetPhase, agent::PingOutcome};
+use basilstep_node::http::Answer;
+use basilstep_platform::{
+    calls::{self, Call},
+    ping,
+};
+use bytes::Bytes;
+use http::StatusCode;
+use serde_json::json;
+
+impl Agent {
+    /// Answers an HTTP request.
+    pub(super) fn answer(&mut self, asked: Asked) {
+        let request = &asked.request;
+        let answer = match calls::decode(&request.method, &request.path) {
+            Some(Call::Ping { id }) => self.on_ping(&id, &request.body),
+            Some(Call::Leave { id }) => self.on_leave(&id),
+            Some(Call::Readiness) => Answer::empty(StatusCode::OK),
+            None if request.path == "/metrics" => Answer::text(Bytes::from(self.metrics.render())),
+            None if request.path == "/state" => {
+                Answer::json(StatusCode::OK, Bytes::from(self.dump()))
+            }
+            None => Answer::empty(StatusCode::NOT_FOUND),
+        };
+        if asked.answer.send(answer).is_err() {
+            log::debug!("a client left before its answer");
+        }
+    }
+
+    fn on_ping(&mut self, id: &str, body: &[u8]) -> Answer {
+        let ping = match ping::decode(body) {
+            Ok(ping) => ping,
+            Err(error) => {
+                log::warn!(id, reason:% = error; "a ping is left out");
+                return Answer::empty(StatusCode::BAD_REQUEST);
+            }
+        };
+        if ping.service != self.service {
+            log::warn!(id, service = ping.service.as_str(); "a ping of another service is left out");
+            return Answer::empty(StatusCode::CONFLICT);
+        }
+        let (outcome, lost) = self.flows.on_ping(&ping.ping, &self.ctx);
+        self.reset_lost(&lost);
+        if matches!(
+            outcome,
+            PingOutcome::NewLifetime | PingOutcome::PhaseChanged
+        ) {
+            log::info!(
+                id,
+                outcome:? = outcome,
+                state:? = ping.ping.state,
+                born_ms = ping.ping.born_ms,
+                sequence = ping.ping.sequence,
+                capacity = ping.ping.capacity,
+                warmup_left_ms = ping.ping.warmup_left_ms;
+                "the target changed"
+            );
+            self.send_reports();
+        }
+        Answer::empty(StatusCode::OK)
+    }
+
+    fn on_leave(&mut self, id: &str) -> Answer {
+        let lost = self.flows.on_target_ended(&self.ctx);
+        log::info!(id, flows = lost.len(); "the target has left");
+        self.reset_lost(&lost);
+        self.send_reports();
+        Answer::empty(StatusCode::OK)
+    }
+
+    /// Notes that nobody listens at the target's address.
+    pub(super) fn on_refused(&mut self) {
+        if self.flows.target().phase() == TargetPhase::Down {
+            return;
+        }
+        let lost = self.flows.on_target_ended(&self.ctx);
+        log::warn!(flows = lost.len(); "the target does not listen: its lifetime has ended");
+        self.reset_lost(&lost);
+        self.send_reports();
+    }
+
+    fn dump(&self) -> String {
+        json!({
+            "node": self.machine.node,
+            "now_ms": self.ctx.now_ms,
+            "target": self.flows.target(),
+            "is_domain_out": self.flows.is_domain_out(),
+            "open_flows": self.flows.table().live(),
+            "at_work": self.flows.table().at_work(),
+            "balancers": self.flows.peers().entries(self.ctx.now_ms),
+        })
+        .to_string()
+    }
+}
--- /dev/null
+++ b/crates/basilstep-packet/src/agent/serve.rs
@@ -0,0 +1,300 @@
+use crate::{
+    datagrams::{ConnectedDatagrams, Datagrams},
+    decisions::DecisionLimit,
+    metrics::{METRICS_PORT, Metrics},
+    node_port::{Asked, NodePort},
+    pause::PauseWatch,
+    process::{ProcessError, Start},
+    store_tasks,
+};
+use basilstep_core::{
+    codes::ResultCode,
+    context::Context,
+    flows::{
+        AgentFlows, FlowKey, FlowSettings, Frame, ServiceTag,
+        agent::{AgentIdentity, ColdAllowance, LostFlow, SettingsSource},
+        encode_frame,
+    },
+};
+use basilstep_node::{clock::Clock, http::spawn_server, stop};
+use basilstep_platform::{
+    header,
+    settings::{self, MachineSettings},
+    store::StoreClient,
+};
+use std::{
+    net::{Ipv4Addr, SocketAddrV4},
+    time::Duration,
+};
+use tokio::{
+    signal::unix::{SignalKind, signal},
+    sync::mpsc,
+    time::{MissedTickBehavior, interval},
+};
+
+/// How often what is due is done.
+const TICK: Duration = Duration::from_millis(50);
+
+/// How long no balancer may have answered before the store is asked for others.
+const LOST_AFTER_MS: u64 = 1_500;
+
+/// How often the store is asked while no balancer answers.
+const LIST_INTERVAL_MS: u64 = 2_000;
+
+/// How many events may wait for the packet task.
+const INBOX: usize = 256;
+
+/// The most flows that one datagram tells of; each takes at most 14 bytes.
+const FLOWS_PER_FRAME: usize = 80;
+
+/// What reaches the packet task from other tasks.
+#[derive(Debug)]
+pub enum Event {
+    /// An HTTP request.
+    Asked(Asked),
+    /// The balancers that have an entry in the store.
+    Listed(Vec<Ipv4Addr>),
+}
+
+/// The state and the sockets of an agent.
+#[derive(Debug)]
+pub struct Agent {
+    pub(super) machine: MachineSettings,
+    pub(super) service: String,
+    pub(super) flows: AgentFlows,
+    pub(super) source: SettingsSource,
+    pub(super) ctx: Context,
+    pub(super) internal: Datagrams,
+    pub(super) outbound: Datagrams,
+    pub(super) target: ConnectedDatagrams,
+    pub(super) limit: DecisionLimit,
+    pub(super) metrics: Metrics,
+    pub(super) frame: Vec<u8>,
+    inbox: mpsc::Sender<Event>,
+    clock: Clock,
+    pause: PauseWatch,
+    next_report_ms: u64,
+    next_list_ms: u64,
+}
+
+/// Serves as an agent until it is told to stop.
+///
+/// # Errors
+///
+/// Returns [`ProcessError`] when an address cannot be bound or the settings lack one.
+pub async fn serve(start: Start) -> Result<(), ProcessError> {
+    let machine = start.machine.clone();
+    let (inbox, mut events) = mpsc::channel(INBOX);
+    let mut agent = Agent::bind(start, inbox.clone()).await?;
+    spawn_servers(&machine, &inbox).await?;
+    let mut ticks = interval(TICK);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut hangups = signal(SignalKind::hangup()).map_err(|source| ProcessError::System {
+        what: "handling SIGHUP",
+        source,
+    })?;
+    let stopped = stop::requested();
+    tokio::pin!(stopped);
+    agent.send_reports();
+    loop {
+        tokio::select! {
+            () = agent.internal.readable() => agent.read_frames(),
+            () = agent.outbound.readable() => agent.read_target(),
+            Some(event) = events.recv() => agent.on_event(event),
+            _ = hangups.recv() => agent.reload(),
+            _ = ticks.tick() => agent.on_tick(),
+            _ = &mut stopped => break,
+        }
+        agent.tell_untold();
+    }
+    agent.flows.stop();
+    agent.send_reports();
+    Ok(())
+}
+
+async fn spawn_servers(
+    machine: &MachineSettings,
+    inbox: &mpsc::Sender<Event>,
+) -> Result<(), ProcessError> {
+    let port = NodePort::open(inbox.clone(), Event::Asked);
+    let metrics = SocketAddrV4::new(machine.ip, METRICS_PORT);
+    let addresses = [
+        ("the readiness address", machine.ready),
+        ("the control address", machine.control),
+        ("the metrics address", Some(metrics)),
+    ];
+    for (what, address) in addresses {
+        if let Some(address) = address {
+            spawn_server(address, port.clone())
+                .await
+                .map_err(|source| ProcessError::Bind { what, source })?;
+        }
+    }
+    Ok(())
+}
+
+impl Agent {
+    async fn bind(start: Start, inbox: mpsc::Sender<Event>) -> Result<Self, ProcessError> {
+        let machine = start.machine;
+        let missing = |what| ProcessError::Missing { what };
+        let outbound = machine.outbound.ok_or(missing("outbound address"))?;
+        let target = machine.target.ok_or(missing("target address"))?;
+        let service = machine.service.clone().ok_or(missing("service"))?;
+        let own = AgentIdentity {
+            service: ServiceTag::of(&service),
+            domain: machine.domain,
+            lifetime: start.lifetime,
+            heartbeat_ms: machine.heartbeat_ms,
+            allowance: ColdAllowance {
+                overage: machine.warmup_overage,
+                slack: machine.warmup_slack,
+            },
+        };
+        let internal = SocketAddrV4::new(machine.ip, machine.internal_port);
+        Ok(Self {
+            service,
+            flows: AgentFlows::new(FlowSettings::default(), own),
+            source: SettingsSource::default(),
+            ctx: start.clock.context(),
+            internal: Datagrams::bind("the internal port", internal).await?,
+            outbound: Datagrams::bind("the outbound address", outbound).await?,
+            target: ConnectedDatagrams::open(machine.ip, target).await?,
+            limit: DecisionLimit::default(),
+            metrics: Metrics::open(),
+            frame: Vec::new(),
+            inbox,
+            clock: start.clock,
+            pause: PauseWatch::start(),
+            next_report_ms: 0,
+            next_list_ms: LOST_AFTER_MS,
+            machine,
+        })
+    }
+
+    pub(super) fn refresh_time(&mut self) {
+        self.clock.refresh(&mut self.ctx);
+    }
+
+    /// Sends a frame with the packet that belongs to it, if any.
+    pub(super) fn tell(&mut self, peer: Ipv4Addr, frame: &Frame, packet: &[u8]) {
+        encode_frame(frame, packet, &mut self.frame);
+        let address = SocketAddrV4::new(peer, self.machine.internal_port);
+        self.internal.send(&self.frame, address);
+    }
+
+    fn on_event(&mut self, event: Event) {
+        self.refresh_time();
+        match event {
+            Event::Asked(asked) => self.answer(asked),
+            Event::Listed(balancers) => {
+                log::info!(balancers = balancers.len(); "the store named balancers");
+                for balancer in balancers {
+                    self.ask(balancer);
+                }
+            }
+        }
+    }
+
+    fn on_tick(&mut self) {
+        self.refresh_time();
+        if let Some(pause_ms) = self.pause.pause_ms() {
+            log::warn!(pause_ms; "the machine stood still");
+        }
+        self.flows.on_tick(&self.ctx);
+        if self.ctx.now_ms >= self.next_report_ms {
+            self.send_reports();
+        }
+        let is_lost = self.ctx.now_ms >= self.source.answered_ms() + LOST_AFTER_MS;
+        if is_lost && self.ctx.now_ms >= self.next_list_ms {
+            self.next_list_ms = self.ctx.now_ms + LIST_INTERVAL_MS;
+            self.list_balancers();
+        }
+    }
+
+    /// Reports to all balancers, or to the seeds while none is known.
+    pub(super) fn send_reports(&mut self) {
+        self.refresh_time();
+        self.next_report_ms = self.ctx.now_ms + FlowSettings::default().report_interval_ms;
+        let source = self.source.next(self.flows.peers(), self.machine.domain);
+        let mut report = self.flows.report(&self.ctx);
+        let balancers: Vec<Ipv4Addr> = self.flows.peers().addresses().collect();
+        for balancer in balancers {
+            report.wants_reply = Some(balancer) == source;
+            self.tell(balancer, &Frame::Report(report), &[]);
+        }
+        if self.flows.peers().is_empty() {
+            for seed in self.machine.seeds.clone() {
+                self.ask(seed);
+            }
+        }
+    }
+
+    /// Asks a balancer for settings and the list of balancers.
+    fn ask(&mut self, balancer: Ipv4Addr) {
+        let mut report = self.flows.report(&self.ctx);
+        report.wants_reply = true;
+        self.tell(balancer, &Frame::Report(report), &[]);
+        self.tell(balancer, &Frame::ListBalancers, &[]);
+    }
+
+    fn list_balancers(&self) {
+        let Some(store) = self.machine.store else {
+            return;
+        };
+        let inbox = self.inbox.clone();
+        tokio::spawn(async move {
+            let listed = store_tasks::list_balancers(&mut StoreClient::open(store)).await;
+            match listed {
+                Ok(balancers) => {
+                    if inbox.send(Event::Listed(balancers)).await.is_err() {
+                        log::debug!("the list of balancers came too late");
+                    }
+                }
+                Err(error) => log::warn!(reason:% = error; "the store named no balancers"),
+            }
+        });
+    }
+
+    /// Tells balancers which flows are here.
+    fn tell_untold(&mut self) {
+        for (balancer, flows) in self.flows.take_untold() {
+            for some in flows.chunks(FLOWS_PER_FRAME) {
+                let held: Vec<FlowKey> = some.to_vec();
+                self.tell(balancer, &Frame::Held(held), &[]);
+            }
+        }
+    }
+
+    /// Resets flows whose target has ended, so that their callers repeat what they wait for.
+    pub(super) fn reset_lost(&mut self, lost: &[LostFlow]) {
+        if lost.is_empty() {
+            return;
+        }
+        log::info!(
+            code:% = ResultCode::FlowLost,
+            flows = lost.len(),
+            first:% = lost[0].flow.caller;
+            "flows are reset: the lifetime of their target has ended"
+        );
+        for flow in lost {
+            self.metrics.count(ResultCode::FlowLost);
+            let reset = header::reset(&flow.flow, flow.sequence);
+            self.send_to_caller(&reset, *flow.flow.caller.ip());
+        }
+    }
+
+    pub(super) fn send_to_caller(&self, packet: &[u8], caller: Ipv4Addr) {
+        let address = SocketAddrV4::new(caller, self.machine.packets.port());
+        self.internal.send(packet, address);
+    }
+
+    fn reload(&mut self) {
+        match settings::read() {
+            Ok(machine) => {
+                self.machine.seeds = machine.seeds;
+                log::info!(seeds = self.machine.seeds.len(); "the settings file was read again");
+            }
+            Err(error) => log::error!(reason:% = error; "the settings in force stay"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/basilstep-packet/src/balancer/frames.rs
@@ -0,0 +1,113 @@
+use super::serve::{Balancer, spawn_pull};
+use crate::datagrams::{BATCH, DATAGRAM_BYTES};
+use basilstep_core::{
+    codes::ResultCode,
+    flows::{AgentReport, BalancerBeat, Frame, Returned, decode_frame},
+};
+use basilstep_platform::header;
+use std::net::{Ipv4Addr, SocketAddrV4};
+
+impl Balancer {
+    /// Handles the frames of our own processes that have arrived.
+    pub(super) fn read_frames(&mut self) {
+        self.refresh_time();
+        let mut buffer = [0; DATAGRAM_BYTES];
+        for _ in 0..BATCH {
+            let Some((bytes, peer)) = self.internal.receive(&mut buffer) else {
+                return;
+            };
+            match decode_frame(&buffer[..bytes]) {
+                Ok((frame, packet)) => self.on_frame(peer, frame, packet),
+                Err(error) => {
+                    self.metrics.count(ResultCode::Malformed);
+                    if let Some(left_out) = self.admit_line(ResultCode::Malformed) {
+                        log::warn!(peer:% = peer, reason:% = error, left_out; "a frame cannot be read");
+                    }
+                }
+            }
+        }
+    }
+
+    fn on_frame(&mut self, peer: Ipv4Addr, frame: Frame, packet: &[u8]) {
+        match frame {
+            Frame::Returned(returned) => self.on_returned(peer, returned, packet),
+            Frame::Held(flows) => {
+                for flow in flows {
+                    self.flows.on_held(peer, flow, &self.ctx);
+                }
+            }
+            Frame::Report(report) => self.on_report(peer, report),
+            Frame::Beat(beat) => self.on_beat(peer, &beat),
+            Frame::ListBalancers => {
+                let entries = self.flows.peers().entries(self.ctx.now_ms);
+                self.tell(peer, &Frame::Balancers(entries));
+            }
+            Frame::Balancers(entries) => {
+                for entry in entries {
+                    if entry.ip != self.machine.ip {
+                        self.flows.peers_mut().learn(&entry, self.ctx.now_ms);
+                    }
+                }
+            }
+            Frame::Carry(_) | Frame::Reply(_) => self.metrics.count(ResultCode::Malformed),
+        }
+    }
+
+    fn on_returned(&mut self, agent: Ipv4Addr, returned: Returned, packet: &[u8]) {
+        let Ok(segment) = header::decode(packet) else {
+            self.metrics.count(ResultCode::Malformed);
+            return;
+        };
+        self.metrics.count(returned.code);
+        if let Some(left_out) = self.admit_line(returned.code) {
+            let flow = segment.flow_of_caller();
+            log::info!(
+                flow:% = format_args!("{}>{}", flow.caller, flow.entry),
+                agent:% = agent,
+                code:% = returned.code,
+                opens = segment.opens(),
+                left_out;
+                "an agent did not take a packet"
+            );
+        }
+        let verdict = self.flows.on_returned(agent, returned, &segment, &self.ctx);
+        self.carry_out(&verdict, &segment, packet);
+    }
+
+    fn on_report(&mut self, agent: Ipv4Addr, report: AgentReport) {
+        if self.flows.on_report(agent, report, &self.ctx) {
+            log::info!(
+                agent:% = agent,
+                phase:? = report.phase,
+                is_cold = report.is_cold,
+                is_stopping = report.is_stopping,
+                domain = report.domain.0,
+                lifetime = report.lifetime.0;
+                "an agent changed"
+            );
+        }
+        if report.wants_reply {
+            let reply = self.flows.reply_to(&report);
+            self.tell(agent, &Frame::Reply(reply));
+        }
+    }
+
+    fn on_beat(&mut self, peer: Ipv4Addr, beat: &BalancerBeat) {
+        let is_new = self.flows.peers_mut().hear(peer, beat, self.ctx.now_ms);
+        if is_new {
+            log::info!(balancer:% = peer, lifetime = beat.lifetime.0; "a balancer is there");
+            let own = Frame::Beat(self.flows.beat(&self.ctx));
+            self.tell(peer, &own);
+        }
+        if is_new || beat.balancers_hash != self.flows.peers().hash() {
+            self.tell(peer, &Frame::ListBalancers);
+        }
+        let fleet = self.flows.fleet();
+        let is_ahead = beat.version > fleet.table.version || beat.revision > fleet.revision;
+        if is_ahead && !self.is_pulling && !beat.is_stopping {
+            self.is_pulling = true;
+            let address = SocketAddrV4::new(peer, self.machine.internal_port);
+            spawn_pull(address, self.inbox.clone());
+        }
+    }
+}
--- /dev/null
+++ b/crates/basilstep-packet/src/balancer/packets.rs
@@ -0,0 +1,100 @@
+use super::serve::Balancer;
+use crate::datagrams::{BATCH, DATAGRAM_BYTES};
+use basilstep_core::{
+    codes::ResultCode,
+    flows::{Frame, Segment, balancer::Leg, balancer::Verdict, encode_frame},
+};
+use basilstep_platform::header;
+use std::net::SocketAddrV4;
+
+impl Balancer {
+    /// Handles the packets of callers that have arrived.
+    pub(super) fn read_packets(&mut self) {
+        self.refresh_time();
+        let mut buffer = [0; DATAGRAM_BYTES];
+        for _ in 0..BATCH {
+            let Some((bytes, _peer)) = self.packets.receive(&mut buffer) else {
+                return;
+            };
+            let packet = &buffer[..bytes];
+            match header::decode(packet) {
+                Ok(segment) => {
+                    let verdict = self.flows.on_packet(&segment, &self.ctx);
+                    self.carry_out(&verdict, &segment, packet);
+                }
+                Err(error) => {
+                    self.metrics.count(ResultCode::Malformed);
+                    if let Some(left_out) = self.admit_line(ResultCode::Malformed) {
+                        log::warn!(reason:% = error, left_out; "a packet cannot be read");
+                    }
+                }
+            }
+        }
+    }
+
+    /// Does with a packet what was decided.
+    pub(super) fn carry_out(&mut self, verdict: &Verdict, segment: &Segment, packet: &[u8]) {
+        match verdict {
+            Verdict::Forward(leg) => {
+                if segment.opens() {
+                    self.log_decision(ResultCode::Done, segment, Some(leg));
+                }
+                self.send_leg(leg, packet);
+            }
+            Verdict::Search(legs) => {
+                self.metrics.count(ResultCode::FlowSearched);
+                self.log_decision(ResultCode::FlowSearched, segment, None);
+                for leg in legs {
+                    self.send_leg(leg, packet);
+                }
+            }
+            Verdict::Reset { code } => {
+                self.metrics.count(*code);
+                self.log_decision(*code, segment, None);
+                self.send_reset(segment);
+            }
+            Verdict::Drop { code } => {
+                self.metrics.count(*code);
+                self.log_decision(*code, segment, None);
+            }
+        }
+    }
+
+    fn send_leg(&mut self, leg: &Leg, packet: &[u8]) {
+        encode_frame(&Frame::Carry(leg.carry), packet, &mut self.frame);
+        let address = SocketAddrV4::new(leg.agent, self.machine.internal_port);
+        self.internal.send(&self.frame, address);
+    }
+
+    fn send_reset(&mut self, segment: &Segment) {
+        let flow = segment.flow_of_caller();
+        let reset = header::reset(&flow, segment.acknowledged);
+        let address = SocketAddrV4::new(*flow.caller.ip(), self.machine.packets.port());
+        self.packets.send(&reset, address);
+    }
+
+    pub(super) fn admit_line(&mut self, code: ResultCode) -> Option<u64> {
+        self.limit.admit(code, self.ctx.now_ms)
+    }
+
+    fn log_decision(&mut self, code: ResultCode, segment: &Segment, leg: Option<&Leg>) {
+        let Some(left_out) = self.admit_line(code) else {
+            return;
+        };
+        let flow = segment.flow_of_caller();
+        let agent = leg.map(|leg| leg.agent);
+        let state = agent.and_then(|agent| self.flows.roster().get(agent));
+        log::info!(
+            flow:% = format_args!("{}>{}", flow.caller, flow.entry),
+            code:% = code,
+            opens = segment.opens(),
+            copy_or_ack = segment.acknowledged,
+            version = self.flows.fleet().table.version,
+            agent:? = agent,
+            at_work = state.map(|state| state.report.at_work),
+            report_age_ms = state.map(|state| self.ctx.now_ms.saturating_sub(state.heard_ms)),
+            left_out;
+            "packet"
+        );
+    }
+}
--- /dev/null
+++ b/crates/basilstep-packet/src/balancer/serve.rs
@@ -0,0 +1,359 @@
+use super::pull;
+use crate::{
+    datagrams::Datagrams,
+    decisions::DecisionLimit,
+    metrics::{METRICS_PORT, Metrics},
+    node_port::{Asked, NodePort},
+    pause::PauseWatch,
+    process::{ProcessError, Start},
+    store_tasks::{self, StoreNews},
+};
+use basilstep_core::{
+    context::Context,
+    flows::{
+        BalancerFlows, FleetSettings, FlowSettings, Frame, balancer::BalancerIdentity, encode_frame,
+    },
+};
+use basilstep_node::{
+    clock::Clock,
+    http::{Answer, spawn_server},
+    stop,
+};
+use basilstep_platform::{
+    calls::{self, Call},
+    settings::{self, MachineSettings},
+};
+use bytes::Bytes;
+use http::StatusCode;
+use serde_json::json;
+use std::{
+    net::{Ipv4Addr, SocketAddrV4},
+    time::Duration,
+};
+use tokio::{
+    signal::unix::{SignalKind, signal},
+    sync::mpsc,
+    time::{MissedTickBehavior, interval, sleep},
+};
+
+/// How often what is due is done.
+const TICK: Duration = Duration::from_millis(50);
+
+/// How long a balancer goes on after SIGTERM: the routers need two misses at two a second, and
+/// packets under way a moment more.
+const LEAVE_AFTER_MS: u64 = 1_800;
+
+/// How many events may wait for the packet task.
+const INBOX: usize = 256;
+
+/// The path under which a balancer hands its settings to others.
+pub const SETTINGS_PATH: &str = "/settings";
+
+/// What reaches the packet task from other tasks.
+#[derive(Debug)]
+pub enum Event {
+    /// An HTTP request.
+    Asked(Asked),
+    /// Settings of another balancer; `None` stands for a pull that failed.
+    Pulled(Option<FleetSettings>),
+}
+
+/// The state and the sockets of a balancer.
+#[derive(Debug)]
+pub struct Balancer {
+    pub(super) machine: MachineSettings,
+    pub(super) flows: BalancerFlows,
+    pub(super) ctx: Context,
+    pub(super) packets: Datagrams,
+    pub(super) internal: Datagrams,
+    pub(super) limit: DecisionLimit,
+    pub(super) metrics: Metrics,
+    pub(super) frame: Vec<u8>,
+    pub(super) is_pulling: bool,
+    pub(super) inbox: mpsc::Sender<Event>,
+    clock: Clock,
+    pause: PauseWatch,
+    next_beat_ms: u64,
+    leave_at_ms: Option<u64>,
+}
+
+/// Serves as a balancer until it is told to stop.
+///
+/// # Errors
+///
+/// Returns [`ProcessError`] when an address cannot be bound or the settings lack one.
+pub async fn serve(start: Start) -> Result<(), ProcessError> {
+    let machine = start.machine.clone();
+    let (inbox, mut events) = mpsc::channel(INBOX);
+    let (news, mut store_news) = mpsc::channel(INBOX);
+    let mut balancer = Balancer::bind(start, inbox.clone()).await?;
+    spawn_servers(&machine, &inbox).await?;
+    if let Some(store) = machine.store {
+        let names = machine.domain_names.clone();
+        tokio::spawn(store_tasks::watch_operators(store, names, news.clone()));
+        tokio::spawn(store_tasks::keep_entry(store, machine.ip, news.clone()));
+    }
+    let mut ticks = interval(TICK);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut hangups = signal(SignalKind::hangup()).map_err(|source| ProcessError::System {
+        what: "handling SIGHUP",
+        source,
+    })?;
+    let stopped = stop::requested();
+    tokio::pin!(stopped);
+    let mut is_stopping = false;
+    balancer.greet();
+    loop {
+        tokio::select! {
+            () = balancer.packets.readable() => balancer.read_packets(),
+            () = balancer.internal.readable() => balancer.read_frames(),
+            Some(event) = events.recv() => balancer.on_event(event),
+            Some(item) = store_news.recv() => balancer.on_store_news(item),
+            _ = hangups.recv() => balancer.reload(),
+            _ = ticks.tick() => balancer.on_tick(),
+            _ = &mut stopped, if !is_stopping => {
+                is_stopping = true;
+                balancer.begin_stop();
+            }
+        }
+        if balancer.has_left() {
+            break;
+        }
+    }
+    Ok(())
+}
+
+async fn spawn_servers(
+    machine: &MachineSettings,
+    inbox: &mpsc::Sender<Event>,
+) -> Result<(), ProcessError> {
+    let port = NodePort::open(inbox.clone(), Event::Asked);
+    let internal = SocketAddrV4::new(machine.ip, machine.internal_port);
+    let metrics = SocketAddrV4::new(machine.ip, METRICS_PORT);
+    let addresses = [
+        ("the readiness address", machine.ready),
+        ("the control address", machine.control),
+        ("the internal port", Some(internal)),
+        ("the metrics address", Some(metrics)),
+    ];
+    for (what, address) in addresses {
+        if let Some(address) = address {
+            spawn_server(address, port.clone())
+                .await
+                .map_err(|source| ProcessError::Bind { what, source })?;
+        }
+    }
+    Ok(())
+}
+
+impl Balancer {
+    async fn bind(start: Start, inbox: mpsc::Sender<Event>) -> Result<Self, ProcessError> {
+        let machine = start.machine;
+        let ctx = start.clock.context();
+        let own = BalancerIdentity {
+            ip: machine.ip,
+            domain: machine.domain,
+            lifetime: start.lifetime,
+        };
+        let internal = SocketAddrV4::new(machine.ip, machine.internal_port);
+        Ok(Self {
+            flows: BalancerFlows::new(FlowSettings::default(), own, &ctx),
+            ctx,
+            packets: Datagrams::bind("the address for packets", machine.packets).await?,
+            internal: Datagrams::bind("the internal port", internal).await?,
+            limit: DecisionLimit::default(),
+            metrics: Metrics::open(),
+            frame: Vec::new(),
+            is_pulling: false,
+            inbox,
+            clock: start.clock,
+            pause: PauseWatch::start(),
+            next_beat_ms: 0,
+            leave_at_ms: None,
+            machine,
+        })
+    }
+
+    pub(super) fn refresh_time(&mut self) {
+        self.clock.refresh(&mut self.ctx);
+    }
+
+    /// Sends a frame without a packet.
+    pub(super) fn tell(&mut self, peer: Ipv4Addr, frame: &Frame) {
+        encode_frame(frame, &[], &mut self.frame);
+        let address = SocketAddrV4::new(peer, self.machine.internal_port);
+        self.internal.send(&self.frame, address);
+    }
+
+    /// Makes this balancer known to the seeds.
+    fn greet(&mut self) {
+        let beat = Frame::Beat(self.flows.beat(&self.ctx));
+        for seed in self.machine.seeds.clone() {
+            if seed != self.machine.ip {
+                self.tell(seed, &beat);
+                self.tell(seed, &Frame::ListBalancers);
+            }
+        }
+    }
+
+    fn on_event(&mut self, event: Event) {
+        self.refresh_time();
+        match event {
+            Event::Asked(asked) => {
+                let answer = self.answer(&asked);
+                if asked.answer.send(answer).is_err() {
+                    log::debug!("a client left before its answer");
+                }
+            }
+            Event::Pulled(settings) => {
+                self.is_pulling = false;
+                if let Some(settings) = settings {
+                    self.adopt(settings, "peer");
+                }
+            }
+        }
+    }
+
+    fn on_store_news(&mut self, news: StoreNews) {
+        self.refresh_time();
+        self.flows.on_store_answer(&self.ctx);
+        match news {
+            StoreNews::Settings(settings) => self.adopt(settings, "store"),
+            StoreNews::Answered => {}
+            StoreNews::Balancers(ips) => {
+                let beat = Frame::Beat(self.flows.beat(&self.ctx));
+                let known: Vec<Ipv4Addr> = self.flows.peers().addresses().collect();
+                for ip in ips {
+                    if ip != self.machine.ip && !known.contains(&ip) {
+                        self.tell(ip, &beat);
+                    }
+                }
+            }
+        }
+    }
+
+    fn adopt(&mut self, settings: FleetSettings, source: &str) {
+        if !self.flows.on_fleet_settings(settings) {
+            return;
+        }
+        let fleet = self.flows.fleet();
+        log::info!(
+            source,
+            version = fleet.table.version,
+            routes = fleet.table.routes.len(),
+            domains_out:? = fleet.domains_out,
+            revision = fleet.revision;
+            "settings are in force"
+        );
+        self.send_beats();
+    }
+
+    fn on_tick(&mut self) {
+        self.refresh_time();
+        if let Some(pause_ms) = self.pause.pause_ms() {
+            log::warn!(pause_ms; "the machine stood still");
+            self.flows.on_pause(pause_ms, &self.ctx);
+        }
+        for agent in self.flows.on_tick(&self.ctx) {
+            log::info!(agent:% = agent; "an agent is forgotten");
+        }
+        if self.ctx.now_ms >= self.next_beat_ms {
+            if self.flows.peers().len() == 1 {
+                self.greet();
+            }
+            self.send_beats();
+        }
+    }
+
+    pub(super) fn send_beats(&mut self) {
+        self.next_beat_ms = self.ctx.now_ms + FlowSettings::default().report_interval_ms;
+        let beat = Frame::Beat(self.flows.beat(&self.ctx));
+        let peers: Vec<Ipv4Addr> = self.flows.peers().addresses().collect();
+        for peer in peers {
+            if peer != self.machine.ip {
+                self.tell(peer, &beat);
+            }
+        }
+    }
+
+    fn reload(&mut self) {
+        match settings::read() {
+            Ok(machine) => {
+                self.machine.seeds = machine.seeds;
+                log::info!(seeds = self.machine.seeds.len(); "the settings file was read again");
+                self.greet();
+            }
+            Err(error) => log::error!(reason:% = error; "the settings in force stay"),
+        }
+    }
+
+    fn begin_stop(&mut self) {
+        self.refresh_time();
+        log::info!("stopping: no longer ready");
+        self.flows.stop();
+        self.leave_at_ms = Some(self.ctx.now_ms + LEAVE_AFTER_MS);
+    }
+
+    /// Tells whether the time to go has come, and says goodbye when it has.
+    fn has_left(&mut self) -> bool {
+        if self.leave_at_ms.is_none_or(|at_ms| self.ctx.now_ms < at_ms) {
+            return false;
+        }
+        self.send_beats();
+        let beat = Frame::Beat(self.flows.beat(&self.ctx));
+        let agents: Vec<Ipv4Addr> = self.flows.roster().iter().map(|(ip, _)| *ip).collect();
+        for agent in agents {
+            self.tell(agent, &beat);
+        }
+        true
+    }
+
+    fn answer(&self, asked: &Asked) -> Answer {
+        let request = &asked.request;
+        if request.path == SETTINGS_PATH {
+            return Answer::bytes(Bytes::from(pull::encode(self.flows.fleet())));
+        }
+        if request.path == "/metrics" {
+            return Answer::text(Bytes::from(self.metrics.render()));
+        }
+        if request.path == "/state" {
+            return Answer::json(StatusCode::OK, Bytes::from(self.dump()));
+        }
+        match calls::decode(&request.method, &request.path) {
+            Some(Call::Readiness) if self.flows.is_ready() => Answer::empty(StatusCode::OK),
+            Some(Call::Readiness) => Answer::empty(StatusCode::SERVICE_UNAVAILABLE),
+            Some(Call::Ping { .. } | Call::Leave { .. }) | None => {
+                Answer::empty(StatusCode::NOT_FOUND)
+            }
+        }
+    }
+
+    fn dump(&self) -> String {
+        let agents: Vec<_> = self.flows.roster().iter().collect();
+        json!({
+            "node": self.machine.node,
+            "now_ms": self.ctx.now_ms,
+            "version": self.flows.fleet().table.version,
+            "domains_out": self.flows.fleet().domains_out,
+            "revision": self.flows.fleet().revision,
+            "hints": self.flows.hint_count(),
+            "balancers": self.flows.peers().entries(self.ctx.now_ms),
+            "agents": agents,
+        })
+        .to_string()
+    }
+}
+
+/// Asks a balancer for its settings, in a task of its own.
+pub(super) fn spawn_pull(peer: SocketAddrV4, inbox: mpsc::Sender<Event>) {
+    tokio::spawn(async move {
+        let pulled = pull::fetch(peer).await;
+        if let Err(error) = &pulled {
+            log::warn!(peer:% = peer, reason:% = error; "settings could not be pulled");
+            sleep(pull::PAUSE_AFTER_FAILURE).await;
+        }
+        if inbox.send(Event::Pulled(pulled.ok())).await.is_err() {
+            log::debug!("settings were pulled too late");
+        }
+    });
+}
--- /dev/null
+++ b/crates/basilstep-packet/src/bin/basilstep-packet-agent.rs
@@ -0,0 +1,9 @@
+//! Stands beside a target: holds its flow table and decides which new flows it gets.
+
+use basilstep_packet::{Flags, agent, run};
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    let flags: Flags = argh::from_env();
+    run("agent", &flags, agent::serve)
+}
--- /dev/null
+++ b/crates/basilstep-packet/src/lib.rs
@@ -0,0 +1,17 @@
+//! Balancer and agent for flows whose packets carry no token.
+//!
+//! Both are single-threaded: one task owns the state and both sockets, so that a packet costs one
+//! receive, one decision and one send. Everything that waits, such as the store, runs in tasks of
+//! its own and reports to that task through its inbox.
+
+pub mod agent;
+pub mod balancer;
+mod datagrams;
+mod decisions;
+mod metrics;
+mod node_port;
+mod pause;
+mod process;
+mod store_tasks;
+
+pub use process::{Flags, run};
--- /dev/null
+++ b/crates/basilstep-packet/src/metrics.rs
@@ -0,0 +1,78 @@
+//! Counters and latency histograms, served as text.
+
+use basilstep_core::codes::ResultCode;
+use prometheus::{Encoder, Histogram, HistogramOpts, IntCounterVec, Opts, Registry, TextEncoder};
+use std::collections::BTreeMap;
+
+/// The port on which every process serves its metrics and its state.
+pub const METRICS_PORT: u16 = 9_464;
+
+/// Upper bounds of the buckets of latencies, in milliseconds.
+const LATENCY_BUCKETS_MS: [f64; 12] = [
+    1.0, 2.0, 5.0, 10.0, 20.0, 50.0, 100.0, 200.0, 500.0, 1_000.0, 2_000.0, 5_000.0,
+];
+
+/// The metrics of one process.
+#[derive(Debug)]
+pub struct Metrics {
+    registry: Registry,
+    decisions: IntCounterVec,
+    counters: BTreeMap<ResultCode, prometheus::IntCounter>,
+    /// From the opening packet at the agent to the target's answer.
+    pub opening_ms: Histogram,
+}
+
+impl Metrics {
+    /// Creates the metrics.
+    ///
+    /// # Panics
+    ///
+    /// Panics when a metric's name is malformed, which none is.
+    pub fn open() -> Self {
+        let registry = Registry::new();
+        let decisions = IntCounterVec::new(
+            Opts::new("basilstep_decisions_total", "Packets by result code"),
+            &["code"],
+        )
+        .expect("the name of the counter is well formed");
+        let opening_ms = Histogram::with_opts(
+            HistogramOpts::new(
+                "basilstep_opening_ms",
+                "Time from an opening packet to its answer in milliseconds",
+            )
+            .buckets(LATENCY_BUCKETS_MS.to_vec()),
+        )
+        .expect("the name of the histogram is well formed");
+        for collector in [
+            Box::new(decisions.clone()) as Box<dyn prometheus::core::Collector>,
+            Box::new(opening_ms.clone()),
+        ] {
+            registry
+                .register(collector)
+                .expect("each metric is registered once");
+        }
+        Self {
+            registry,
+            decisions,
+            counters: BTreeMap::new(),
+            opening_ms,
+        }
+    }
+
+    /// Counts one packet under the outcome of its decision.
+    pub fn count(&mut self, code: ResultCode) {
+        self.counters
+            .entry(code)
+            .or_insert_with(|| self.decisions.with_label_values(&[&code.to_string()]))
+            .inc();
+    }
+
+    /// Returns the metrics as text.
+    pub fn render(&self) -> Vec<u8> {
+        let mut text = Vec::new();
+        if let Err(error) = TextEncoder::new().encode(&self.registry.gather(), &mut text) {
+            log::warn!(reason:% = error; "the metrics could not be written");
+        }
+        text
+    }
+}
