fix(flows): no reset by a balancer that does not know all agents; find each other faster at a start

Agents with the leaving balancer as their source heard of the new one only 1.4 s later, while the new one already reset flows after all agents that it knew had said no.

Ruled out: a wrong no by the holder; the log shows that it was never asked.

Now only the last beat says that a balancer stops; beats carry the count of agents, and neither readiness nor resets come before the own count reaches it. Agents that know no balancer ask the seeds every 50 ms instead of 250, and report at once to balancers that they learn of.

--- a/crates/basilstep-core/src/flows/agent/state.rs
+++ b/crates/basilstep-core/src/flows/agent/state.rs
@@ -197,13 +197,17 @@
         is_changed
     }
 
-    /// Takes a list of balancers and tells those that are new about the flows of their domain.
-    pub fn on_balancers(&mut self, entries: &[BalancerEntry], ctx: &Context) {
+    /// Takes a list of balancers and tells those that are new about the flows of their domain;
+    /// returns whether any is new.
+    pub fn on_balancers(&mut self, entries: &[BalancerEntry], ctx: &Context) -> bool {
+        let mut is_any_new = false;
         for entry in entries {
             if self.peers.learn(entry, ctx.now_ms) {
+                is_any_new = true;
                 self.tell_newcomer(entry);
             }
         }
+        is_any_new
     }
 
     /// Does what is due.
--- a/crates/basilstep-core/src/flows/balancer/roster.rs
+++ b/crates/basilstep-core/src/flows/balancer/roster.rs
@@ -77,6 +77,16 @@
         self.agents.get(&agent)
     }
 
+    /// Returns how many agents there are.
+    pub fn len(&self) -> usize {
+        self.agents.len()
+    }
+
+    /// Tells whether there is no agent.
+    pub fn is_empty(&self) -> bool {
+        self.agents.is_empty()
+    }
+
     /// Returns all agents.
     pub fn iter(&self) -> impl Iterator<Item = (&Ipv4Addr, &AgentState)> {
         self.agents.iter()
--- a/crates/basilstep-core/src/flows/balancer/state.rs
+++ b/crates/basilstep-core/src/flows/balancer/state.rs
@@ -89,6 +89,7 @@
     peers: Peers,
     hints: Hints,
     searches: Searches,
+    started_ms: u64,
     resets_from_ms: u64,
     store_answered_ms: u64,
     is_stopping: bool,
@@ -108,6 +109,7 @@
             peers,
             hints: Hints::new(settings.hint_limit),
             searches: Searches::default(),
+            started_ms: ctx.now_ms,
             resets_from_ms: ctx.now_ms + settings.settle_ms,
             store_answered_ms: 0,
             is_stopping: false,
@@ -210,11 +212,20 @@
             version: self.fleet.table.version,
             revision: self.fleet.revision,
             store_age_ms: ctx.now_ms.saturating_sub(self.store_answered_ms) as u32,
-            is_stopping: self.is_stopping,
+            is_stopping: false,
+            agents: u16::try_from(self.roster.len()).unwrap_or(u16::MAX),
             balancers_hash: self.peers.hash(),
         }
     }
 
+    /// Returns this balancer's last sign of life.
+    pub fn goodbye(&self, ctx: &Context) -> BalancerBeat {
+        BalancerBeat {
+            is_stopping: true,
+            ..self.beat(ctx)
+        }
+    }
+
     /// Takes settings from the store or a peer; returns whether anything changed.
     pub fn on_fleet_settings(&mut self, fleet: FleetSettings) -> bool {
         let before = self.fleet.table.clone();
@@ -243,7 +254,7 @@
         self.resets_from_ms = ctx.now_ms + self.settings.settle_ms;
     }
 
-    /// Announces from now on that this balancer stops.
+    /// Asks the routers to leave; packets that still come are carried as before.
     pub fn stop(&mut self) {
         self.is_stopping = true;
     }
@@ -264,8 +275,26 @@
     }
 
     /// Tells whether the balancer can place new flows.
-    pub fn is_ready(&self) -> bool {
-        self.fleet.is_known() && !self.is_stopping && self.roster.iter().next().is_some()
+    pub fn is_ready(&self, ctx: &Context) -> bool {
+        self.fleet.is_known() && !self.is_stopping && self.knows_agents(ctx)
+    }
+
+    /// Tells whether the roster is as long as those of the other balancers.
+    ///
+    /// After [`FlowSettings::roster_wait_ms`] any agent will do, since other balancers also count
+    /// agents that are gone.
+    fn knows_agents(&self, ctx: &Context) -> bool {
+        let known = self.roster.len();
+        if ctx.now_ms >= self.started_ms + self.settings.roster_wait_ms {
+            return known > 0;
+        }
+        let most = self.peers.beats(ctx.now_ms).map(|(_, beat, _)| beat.agents);
+        known > 0 && known >= usize::from(most.max().unwrap_or(0))
+    }
+
+    /// Tells whether an answer of all known agents is an answer of all agents.
+    fn may_reset(&self, ctx: &Context) -> bool {
+        ctx.now_ms >= self.resets_from_ms && self.knows_agents(ctx)
     }
 
     /// Returns the settings in force.
@@ -360,7 +389,7 @@
 
     fn refuse_unknown(&self, ctx: &Context) -> Verdict {
         let code = ResultCode::UnknownService;
-        if self.fleet.is_known() && ctx.now_ms >= self.resets_from_ms {
+        if self.fleet.is_known() && self.may_reset(ctx) {
             return Verdict::Reset { code };
         }
         Verdict::Drop { code }
@@ -389,7 +418,7 @@
             .map(|(agent, service)| self.leg(agent, service, true))
             .collect();
         if legs.is_empty() {
-            if now_ms < self.resets_from_ms {
+            if !self.may_reset(ctx) {
                 return Verdict::Drop {
                     code: ResultCode::FlowSearched,
                 };
--- a/crates/basilstep-core/src/flows/frame.rs
+++ b/crates/basilstep-core/src/flows/frame.rs
@@ -138,8 +138,10 @@
     pub revision: u64,
     /// How long ago the store last answered it, in milliseconds.
     pub store_age_ms: u32,
-    /// It is about to stop.
+    /// It stops now.
     pub is_stopping: bool,
+    /// How many agents it has heard.
+    pub agents: u16,
     /// A hash of the list of balancers.
     pub balancers_hash: u32,
 }
--- a/crates/basilstep-core/src/flows/settings.rs
+++ b/crates/basilstep-core/src/flows/settings.rs
@@ -20,6 +20,8 @@
     pub search_ms: u64,
     /// How long a balancer must have been up before it resets flows that nobody holds.
     pub settle_ms: u64,
+    /// How long a balancer that has just started waits for as many agents as others know.
+    pub roster_wait_ms: u64,
     /// What a flow to another domain costs in placement, in requests at work.
     pub other_domain_cost: f64,
     /// What an open flow counts in placement, in requests at work.
@@ -52,7 +54,8 @@
             confirm_within_ms: 150,
             doubt_ms: 500,
             search_ms: 1_000,
-            settle_ms: 1_500,
+            settle_ms: 700,
+            roster_wait_ms: 3_000,
             other_domain_cost: 3.0,
             open_flow_load: 0.1,
             cold_slowdown: 1.6,
--- a/crates/basilstep-packet/src/agent/frames.rs
+++ b/crates/basilstep-packet/src/agent/frames.rs
@@ -36,7 +36,11 @@
     fn on_frame(&mut self, peer: Ipv4Addr, frame: &Frame) {
         match frame {
             Frame::Reply(reply) => self.on_reply(peer, reply),
-            Frame::Balancers(entries) => self.flows.on_balancers(entries, &self.ctx),
+            Frame::Balancers(entries) => {
+                if self.flows.on_balancers(entries, &self.ctx) {
+                    self.send_reports();
+                }
+            }
             Frame::Beat(beat) => {
                 self.flows.peers_mut().hear(peer, beat, self.ctx.now_ms);
             }
--- a/crates/basilstep-packet/src/agent/serve.rs
+++ b/crates/basilstep-packet/src/agent/serve.rs
@@ -35,6 +35,10 @@
 /// How often what is due is done.
 const TICK: Duration = Duration::from_millis(50);
 
+/// How often the seeds are asked while no balancer is known: all machines may have lost power, and
+/// agents are often up before balancers.
+const GREETING_INTERVAL_MS: u64 = 50;
+
 /// How long no balancer may have answered before the store is asked for others.
 const LOST_AFTER_MS: u64 = 1_500;
 
@@ -189,7 +193,7 @@
             Event::Listed(balancers) => {
                 log::info!(balancers = balancers.len(); "the store named balancers");
                 for balancer in balancers {
-                    self.ask(balancer);
+                    self.greet(balancer);
                 }
             }
         }
@@ -214,7 +218,13 @@
     /// Reports to all balancers, or to the seeds while none is known.
     pub(super) fn send_reports(&mut self) {
         self.refresh_time();
-        self.next_report_ms = self.ctx.now_ms + FlowSettings::default().report_interval_ms;
+        let is_alone = self.flows.peers().is_empty();
+        let interval_ms = if is_alone {
+            GREETING_INTERVAL_MS
+        } else {
+            FlowSettings::default().report_interval_ms
+        };
+        self.next_report_ms = self.ctx.now_ms + interval_ms;
         let source = self.source.next(self.flows.peers(), self.machine.domain);
         let mut report = self.flows.report(&self.ctx);
         let balancers: Vec<Ipv4Addr> = self.flows.peers().addresses().collect();
@@ -222,15 +232,15 @@
             report.wants_reply = Some(balancer) == source;
             self.tell(balancer, &Frame::Report(report), &[]);
         }
-        if self.flows.peers().is_empty() {
+        if is_alone {
             for seed in self.machine.seeds.clone() {
-                self.ask(seed);
+                self.greet(seed);
             }
         }
     }
 
     /// Asks a balancer for settings and the list of balancers.
-    fn ask(&mut self, balancer: Ipv4Addr) {
+    pub(super) fn greet(&mut self, balancer: Ipv4Addr) {
         let mut report = self.flows.report(&self.ctx);
         report.wants_reply = true;
         self.tell(balancer, &Frame::Report(report), &[]);
--- a/crates/basilstep-packet/src/balancer/serve.rs
+++ b/crates/basilstep-packet/src/balancer/serve.rs
@@ -299,11 +299,11 @@
         if self.leave_at_ms.is_none_or(|at_ms| self.ctx.now_ms < at_ms) {
             return false;
         }
-        self.send_beats();
-        let beat = Frame::Beat(self.flows.beat(&self.ctx));
-        let agents: Vec<Ipv4Addr> = self.flows.roster().iter().map(|(ip, _)| *ip).collect();
-        for agent in agents {
-            self.tell(agent, &beat);
+        let goodbye = Frame::Beat(self.flows.goodbye(&self.ctx));
+        let mut told: Vec<Ipv4Addr> = self.flows.peers().addresses().collect();
+        told.extend(self.flows.roster().iter().map(|(ip, _)| *ip));
+        for ip in told {
+            self.tell(ip, &goodbye);
         }
         true
     }
@@ -320,7 +320,7 @@
             return Answer::json(StatusCode::OK, Bytes::from(self.dump()));
         }
         match calls::decode(&request.method, &request.path) {
-            Some(Call::Readiness) if self.flows.is_ready() => Answer::empty(StatusCode::OK),
+            Some(Call::Readiness) if self.flows.is_ready(&self.ctx) => Answer::empty(StatusCode::OK),
             Some(Call::Readiness) => Answer::empty(StatusCode::SERVICE_UNAVAILABLE),
             Some(Call::Ping { .. } | Call::Leave { .. }) | None => {
                 Answer::empty(StatusCode::NOT_FOUND)
