perf(flows): find balancers through the store at once, and introduce new ones to agents

Agents without a balancer ask the store after 150 ms; a balancer that hears a new one tells the agents that take settings from it; resets wait 400 ms and another balancer's count of agents.

--- a/crates/basilstep-core/src/flows/balancer/state.rs
+++ b/crates/basilstep-core/src/flows/balancer/state.rs
@@ -288,8 +288,9 @@
         if ctx.now_ms >= self.started_ms + self.settings.roster_wait_ms {
             return known > 0;
         }
-        let most = self.peers.beats(ctx.now_ms).map(|(_, beat, _)| beat.agents);
-        known > 0 && known >= usize::from(most.max().unwrap_or(0))
+        let counts = self.peers.beats(ctx.now_ms).map(|(_, beat, _)| beat.agents);
+        let most = counts.max();
+        known > 0 && most.is_some_and(|most| known >= usize::from(most))
     }
 
     /// Tells whether an answer of all known agents is an answer of all agents.
--- a/crates/basilstep-core/src/flows/settings.rs
+++ b/crates/basilstep-core/src/flows/settings.rs
@@ -20,7 +20,7 @@
     pub search_ms: u64,
     /// How long a balancer must have been up before it resets flows that nobody holds.
     pub settle_ms: u64,
-    /// How long a balancer that has just started waits for as many agents as others know.
+    /// How long a balancer that has just started waits for another one's count of agents.
     pub roster_wait_ms: u64,
     /// What a flow to another domain costs in placement, in requests at work.
     pub other_domain_cost: f64,
@@ -54,7 +54,7 @@
             confirm_within_ms: 150,
             doubt_ms: 500,
             search_ms: 1_000,
-            settle_ms: 700,
+            settle_ms: 400,
             roster_wait_ms: 3_000,
             other_domain_cost: 3.0,
             open_flow_load: 0.1,
--- a/crates/basilstep-packet/src/agent/serve.rs
+++ b/crates/basilstep-packet/src/agent/serve.rs
@@ -39,11 +39,18 @@
 /// agents are often up before balancers.
 const GREETING_INTERVAL_MS: u64 = 50;
 
-/// How long no balancer may have answered before the store is asked for others.
-const LOST_AFTER_MS: u64 = 1_500;
+/// How long after a start the store is asked for balancers, if no seed answers: three greetings.
+const LOST_AFTER_MS: u64 = 150;
 
-/// How often the store is asked while no balancer answers.
-const LIST_INTERVAL_MS: u64 = 2_000;
+/// How long known balancers may be silent before the store is asked for others: two sources, each
+/// given up after three reports.
+const SILENT_AFTER_MS: u64 = 1_500;
+
+/// How long after the first question the store is asked again; doubles up to the limit below.
+const LIST_INTERVAL_MS: u64 = 500;
+
+/// The longest time between two questions while no balancer answers.
+const LIST_INTERVAL_LIMIT_MS: u64 = 4_000;
 
 /// How many events may wait for the packet task.
 const INBOX: usize = 256;
@@ -79,6 +86,7 @@
     pause: PauseWatch,
     next_report_ms: u64,
     next_list_ms: u64,
+    list_interval_ms: u64,
 }
 
 /// Serves as an agent until it is told to stop.
@@ -170,7 +178,8 @@
             clock: start.clock,
             pause: PauseWatch::start(),
             next_report_ms: 0,
-            next_list_ms: LOST_AFTER_MS,
+            next_list_ms: 0,
+            list_interval_ms: LIST_INTERVAL_MS,
             machine,
         })
     }
@@ -208,11 +217,7 @@
         if self.ctx.now_ms >= self.next_report_ms {
             self.send_reports();
         }
-        let is_lost = self.ctx.now_ms >= self.source.answered_ms() + LOST_AFTER_MS;
-        if is_lost && self.ctx.now_ms >= self.next_list_ms {
-            self.next_list_ms = self.ctx.now_ms + LIST_INTERVAL_MS;
-            self.list_balancers();
-        }
+        self.look_for_balancers();
     }
 
     /// Reports to all balancers, or to the seeds while none is known.
@@ -247,6 +252,25 @@
         self.tell(balancer, &Frame::ListBalancers, &[]);
     }
 
+    /// Asks the store for balancers while none answers.
+    fn look_for_balancers(&mut self) {
+        let now_ms = self.ctx.now_ms;
+        let lost_after_ms = if self.flows.peers().is_empty() {
+            LOST_AFTER_MS
+        } else {
+            SILENT_AFTER_MS
+        };
+        if now_ms < self.source.answered_ms() + lost_after_ms {
+            self.list_interval_ms = LIST_INTERVAL_MS;
+            return;
+        }
+        if now_ms >= self.next_list_ms {
+            self.next_list_ms = now_ms + self.list_interval_ms;
+            self.list_interval_ms = (self.list_interval_ms * 2).min(LIST_INTERVAL_LIMIT_MS);
+            self.list_balancers();
+        }
+    }
+
     fn list_balancers(&self) {
         let Some(store) = self.machine.store else {
             return;
--- a/crates/basilstep-packet/src/balancer/frames.rs
+++ b/crates/basilstep-packet/src/balancer/frames.rs
@@ -92,12 +92,28 @@
         }
     }
 
+    /// Sends the list of balancers to the agents that take their settings from here.
+    fn introduce_to_agents(&mut self) {
+        let list = Frame::Balancers(self.flows.peers().entries(self.ctx.now_ms));
+        let agents: Vec<Ipv4Addr> = self
+            .flows
+            .roster()
+            .iter()
+            .filter(|(_, state)| state.report.wants_reply)
+            .map(|(agent, _)| *agent)
+            .collect();
+        for agent in agents {
+            self.tell(agent, &list);
+        }
+    }
+
     fn on_beat(&mut self, peer: Ipv4Addr, beat: &BalancerBeat) {
         let is_new = self.flows.peers_mut().hear(peer, beat, self.ctx.now_ms);
         if is_new {
             log::info!(balancer:% = peer, lifetime = beat.lifetime.0; "a balancer is there");
             let own = Frame::Beat(self.flows.beat(&self.ctx));
             self.tell(peer, &own);
+            self.introduce_to_agents();
         }
         if is_new || beat.balancers_hash != self.flows.peers().hash() {
             self.tell(peer, &Frame::ListBalancers);
--- a/crates/basilstep-packet/src/balancer/serve.rs
+++ b/crates/basilstep-packet/src/balancer/serve.rs
@@ -257,10 +257,10 @@
         for agent in self.flows.on_tick(&self.ctx) {
             log::info!(agent:% = agent; "an agent is forgotten");
         }
+        if self.flows.peers().len() == 1 {
+            self.greet();
+        }
         if self.ctx.now_ms >= self.next_beat_ms {
-            if self.flows.peers().len() == 1 {
-                self.greet();
-            }
             self.send_beats();
         }
     }
