fix(flows): ask all other agents at once when the hinted one does not hold a flow

Cause: a search that began with the no of the agent that a hint named was taken for one whose packet had already gone to all others; the flow stood still until the search expired after 1 s.

Tests of the slice: balancer, agent, gate of a cold target, frames, peers, routes, and a fleet in one thread that rolls balancers and agents, loses all balancers, a target, or all power.

--- a/crates/basilstep-core/src/flows/balancer/search.rs
+++ b/crates/basilstep-core/src/flows/balancer/search.rs
@@ -12,9 +12,27 @@
 pub struct Search {
     /// Agents that do not hold the flow, or that refused to open it.
     pub refused_by: BTreeSet<Ipv4Addr>,
+    /// When a packet last went to all agents that had not answered.
+    asked_ms: Option<u64>,
     started_ms: u64,
 }
 
+/// How long the answers of all agents may take; across a domain they need a few milliseconds.
+const ANSWER_WITHIN_MS: u64 = 100;
+
+impl Search {
+    /// Tells whether a packet may go to all agents that have not answered, and notes that it does.
+    pub fn may_ask(&mut self, now_ms: u64) -> bool {
+        let is_pending = self
+            .asked_ms
+            .is_some_and(|asked_ms| now_ms < asked_ms + ANSWER_WITHIN_MS);
+        if !is_pending {
+            self.asked_ms = Some(now_ms);
+        }
+        !is_pending
+    }
+}
+
 /// The flows whose holder is searched or that an agent has refused to open.
 #[derive(Clone, Debug, Default)]
 pub struct Searches {
@@ -30,8 +48,8 @@
         let search = self.searches.entry(flow).or_default();
         if now_ms >= search.started_ms + search_ms {
             *search = Search {
-                refused_by: BTreeSet::new(),
                 started_ms: now_ms,
+                ..Search::default()
             };
         }
         search
--- a/crates/basilstep-core/src/flows/balancer/state.rs
+++ b/crates/basilstep-core/src/flows/balancer/state.rs
@@ -166,7 +166,7 @@
             Some(hint) if hint.is_confirmed => Verdict::Drop {
                 code: ResultCode::FlowNotHeld,
             },
-            _ => self.resume_search(flow, ctx),
+            _ => self.search(flow, ctx),
         }
     }
 
@@ -396,14 +396,8 @@
         Verdict::Drop { code }
     }
 
-    fn search(&mut self, flow: FlowKey, ctx: &Context) -> Verdict {
-        let search_ms = self.settings.search_ms;
-        self.searches.entry(flow, ctx.now_ms, search_ms);
-        self.resume_search(flow, ctx)
-    }
-
     /// Asks the agents that have not answered yet, or resets the flow when all have said no.
-    fn resume_search(&mut self, flow: FlowKey, ctx: &Context) -> Verdict {
+    fn search(&mut self, flow: FlowKey, ctx: &Context) -> Verdict {
         let Some(route) = self.fleet.table.routes.get(&flow.entry) else {
             return self.refuse_unknown(ctx);
         };
@@ -428,8 +422,10 @@
                 code: ResultCode::FlowLost,
             };
         }
-        if !refused_by.is_empty() {
-            // The packet is already on its way to the agents that have not answered.
+        let search_ms = self.settings.search_ms;
+        let search = self.searches.entry(flow, now_ms, search_ms);
+        if !search.may_ask(now_ms) {
+            // A packet of the flow is already on its way to the agents that have not answered.
             return Verdict::Drop {
                 code: ResultCode::FlowSearched,
             };
--- /dev/null
+++ b/crates/basilstep-core/src/flows/tests/agent.rs
@@ -0,0 +1,340 @@
+use super::{
+    HEARTBEAT_MS, accepted, balancer_ip, bounced, carry, context, data, flow, from_target,
+    new_agent, opening, ping, serving_agent,
+};
+use crate::{
+    address::DomainId,
+    codes::ResultCode,
+    flows::{
+        AgentFlows, BalancerEntry, Carry, FlowKey, Lifetime, ReportReply, ServiceLimits,
+        ServiceTag, TargetPhase,
+        agent::{CallerVerdict, Ping, PingOutcome, PingState, SettingsSource, TargetVerdict},
+    },
+};
+use rstest::rstest;
+
+const ORIGIN: u8 = 1;
+
+fn open(agent: &mut AgentFlows, key: FlowKey, now_ms: u64) {
+    let ctx = context(now_ms);
+    agent.on_packet(&carry(balancer_ip(ORIGIN)), &opening(key, 0), &ctx);
+    agent.on_target_packet(&accepted(key), &ctx);
+}
+
+fn refusal(verdict: CallerVerdict) -> ResultCode {
+    match verdict {
+        CallerVerdict::Return { code } => code,
+        CallerVerdict::Deliver { .. } => panic!("expected a refusal"),
+    }
+}
+
+fn is_delivered(verdict: CallerVerdict) -> bool {
+    matches!(verdict, CallerVerdict::Deliver { .. })
+}
+
+fn try_opening(agent: &mut AgentFlows, now_ms: u64) -> CallerVerdict {
+    let packet = opening(flow(900), 0);
+    agent.on_packet(&carry(balancer_ip(ORIGIN)), &packet, &context(now_ms))
+}
+
+fn reply(limits: Option<ServiceLimits>) -> ReportReply {
+    ReportReply {
+        lifetime: Lifetime(1),
+        version: 1,
+        revision: 1,
+        is_domain_out: false,
+        limits,
+        balancers_hash: 0,
+    }
+}
+
+#[test]
+fn flow_that_the_target_takes_is_told_to_the_balancer_that_brought_it() {
+    let (mut agent, _) = serving_agent();
+    open(&mut agent, flow(1), 5_000);
+    let told = agent.take_untold();
+    assert_eq!(told[&balancer_ip(ORIGIN)], [flow(1)]);
+    assert_eq!(agent.table().live(), 1);
+}
+
+#[test]
+fn frame_for_another_service_never_reaches_the_target() {
+    let (mut agent, ctx) = serving_agent();
+    let foreign = Carry {
+        service: ServiceTag::of("another"),
+        ..carry(balancer_ip(ORIGIN))
+    };
+    for packet in [opening(flow(1), 0), data(flow(1), 10)] {
+        let verdict = agent.on_packet(&foreign, &packet, &ctx);
+        assert_eq!(refusal(verdict), ResultCode::ForeignService);
+    }
+}
+
+#[test]
+fn draining_target_keeps_its_flows_and_gets_no_new_ones() {
+    let (mut agent, _) = serving_agent();
+    open(&mut agent, flow(1), 5_000);
+    let draining = Ping {
+        state: PingState::Draining,
+        ..ping(2)
+    };
+    let (outcome, lost) = agent.on_ping(&draining, &context(5_100));
+    assert_eq!(outcome, PingOutcome::PhaseChanged);
+    assert!(lost.is_empty());
+    assert_eq!(
+        refusal(try_opening(&mut agent, 5_100)),
+        ResultCode::Draining
+    );
+    let packet = data(flow(1), 10);
+    let verdict = agent.on_packet(&carry(balancer_ip(2)), &packet, &context(5_100));
+    assert!(is_delivered(verdict));
+}
+
+#[test]
+fn domain_that_is_out_closes_the_gate_until_it_is_back() {
+    let (mut agent, ctx) = serving_agent();
+    let out = ReportReply {
+        is_domain_out: true,
+        revision: 5,
+        ..reply(None)
+    };
+    assert!(agent.on_reply(&out));
+    assert_eq!(
+        refusal(try_opening(&mut agent, ctx.now_ms)),
+        ResultCode::DomainOut
+    );
+    agent.on_reply(&reply(None));
+    let verdict = try_opening(&mut agent, ctx.now_ms);
+    assert_eq!(
+        refusal(verdict),
+        ResultCode::DomainOut,
+        "older word changes nothing"
+    );
+    let back = ReportReply {
+        revision: 6,
+        ..reply(None)
+    };
+    assert!(agent.on_reply(&back));
+    assert!(is_delivered(try_opening(&mut agent, ctx.now_ms)));
+}
+
+#[test]
+fn target_that_has_not_said_anything_gets_no_new_flow() {
+    let mut agent = new_agent();
+    assert_eq!(
+        refusal(try_opening(&mut agent, 10)),
+        ResultCode::TargetUnreachable
+    );
+}
+
+#[test]
+fn new_flows_are_refused_while_too_many_requests_wait() {
+    let (mut agent, ctx) = serving_agent();
+    for port in 1..=16 {
+        open(&mut agent, flow(port), 5_000);
+        agent.on_packet(&carry(balancer_ip(ORIGIN)), &data(flow(port), 10), &ctx);
+    }
+    assert_eq!(agent.table().at_work(), 16);
+    assert_eq!(
+        refusal(try_opening(&mut agent, 5_000)),
+        ResultCode::Overloaded
+    );
+    let answer = from_target(data(flow(1), 10));
+    agent.on_target_packet(&answer, &ctx);
+    assert_eq!(agent.table().at_work(), 15);
+    assert!(is_delivered(try_opening(&mut agent, 5_000)));
+}
+
+#[test]
+fn retransmitted_request_does_not_count_twice() {
+    let (mut agent, ctx) = serving_agent();
+    open(&mut agent, flow(1), 5_000);
+    let request = data(flow(1), 10);
+    agent.on_packet(&carry(balancer_ip(ORIGIN)), &request, &ctx);
+    agent.on_target_packet(&from_target(data(flow(1), 10)), &ctx);
+    agent.on_packet(&carry(balancer_ip(ORIGIN)), &request, &ctx);
+    assert_eq!(agent.table().at_work(), 0);
+}
+
+#[test]
+fn opening_packet_that_bounces_goes_on_to_another_target() {
+    let (mut agent, ctx) = serving_agent();
+    let packet = opening(flow(1), 0);
+    agent.on_packet(&carry(balancer_ip(ORIGIN)), &packet, &ctx);
+    let verdict = agent.on_target_packet(&bounced(packet, balancer_ip(ORIGIN)), &ctx);
+    let expected = TargetVerdict::Return {
+        origin: balancer_ip(ORIGIN),
+        code: ResultCode::TargetShed,
+    };
+    assert_eq!(verdict, expected);
+    assert_eq!(agent.table().live(), 0);
+}
+
+#[test]
+fn target_that_does_not_answer_an_opening_packet_is_given_up_with_the_next_copy() {
+    let (mut agent, _) = serving_agent();
+    let origin = carry(balancer_ip(ORIGIN));
+    agent.on_packet(&origin, &opening(flow(1), 0), &context(5_000));
+    let verdict = agent.on_packet(&origin, &opening(flow(1), 1), &context(5_200));
+    assert_eq!(refusal(verdict), ResultCode::TargetSilent);
+}
+
+#[test]
+fn new_lifetime_loses_the_flows_of_the_one_before() {
+    let (mut agent, _) = serving_agent();
+    open(&mut agent, flow(1), 5_000);
+    let packet = data(flow(1), 10);
+    agent.on_packet(&carry(balancer_ip(ORIGIN)), &packet, &context(5_010));
+    let reborn = Ping {
+        born_ms: 20_000,
+        ..ping(1)
+    };
+    let (outcome, lost) = agent.on_ping(&reborn, &context(6_000));
+    assert_eq!(outcome, PingOutcome::NewLifetime);
+    assert_eq!(lost.len(), 1);
+    assert_eq!(
+        lost[0].sequence, 501,
+        "a reset has to fit the caller's window"
+    );
+    let verdict = agent.on_packet(&carry(balancer_ip(ORIGIN)), &packet, &context(6_010));
+    assert_eq!(refusal(verdict), ResultCode::FlowLost);
+}
+
+#[rstest]
+#[case::of_an_earlier_lifetime(Ping { born_ms: 9_000, ..ping(9) })]
+#[case::sent_before_the_last(ping(1))]
+fn late_ping_changes_nothing(#[case] late: Ping) {
+    let (mut agent, _) = serving_agent();
+    agent.on_ping(&ping(2), &context(5_100));
+    let draining = Ping {
+        state: PingState::Draining,
+        ..late
+    };
+    let (outcome, _) = agent.on_ping(&draining, &context(5_200));
+    assert_eq!(outcome, PingOutcome::Outdated);
+    assert_eq!(agent.target().phase(), TargetPhase::Serving);
+}
+
+#[test]
+fn lifetime_whose_clock_was_set_back_is_taken_once_the_last_one_is_silent() {
+    let (mut agent, _) = serving_agent();
+    let reborn = Ping {
+        born_ms: 8_000,
+        ..ping(1)
+    };
+    let (outcome, _) = agent.on_ping(&reborn, &context(5_000 + 3 * HEARTBEAT_MS));
+    assert_eq!(outcome, PingOutcome::NewLifetime);
+}
+
+#[test]
+fn restarted_agent_asks_its_target_about_flows_that_it_does_not_know() {
+    let (mut agent, ctx) = serving_agent();
+    let origin = carry(balancer_ip(2));
+    let held = data(flow(1), 10);
+    assert!(is_delivered(agent.on_packet(&origin, &held, &ctx)));
+    agent.on_target_packet(&from_target(data(flow(1), 0)), &ctx);
+    assert_eq!(agent.take_untold()[&balancer_ip(2)], [flow(1)]);
+    let unknown = data(flow(2), 10);
+    assert!(is_delivered(agent.on_packet(&origin, &unknown, &ctx)));
+    let verdict = agent.on_target_packet(&bounced(unknown, balancer_ip(2)), &ctx);
+    let expected = TargetVerdict::Return {
+        origin: balancer_ip(2),
+        code: ResultCode::FlowNotHeld,
+    };
+    assert_eq!(verdict, expected);
+}
+
+#[test]
+fn agent_that_saw_its_target_start_answers_by_itself() {
+    let (mut agent, _) = serving_agent();
+    let reborn = Ping {
+        born_ms: 20_000,
+        ..ping(1)
+    };
+    agent.on_ping(&reborn, &context(6_000));
+    let packet = data(flow(7), 10);
+    let verdict = agent.on_packet(&carry(balancer_ip(ORIGIN)), &packet, &context(6_000));
+    assert_eq!(refusal(verdict), ResultCode::FlowNotHeld);
+}
+
+#[test]
+fn packet_that_acknowledges_another_target_is_not_taken() {
+    let (mut agent, ctx) = serving_agent();
+    open(&mut agent, flow(1), 5_000);
+    let mut foreign = data(flow(1), 0);
+    foreign.acknowledged = 500_u32.wrapping_sub(1 << 30);
+    let verdict = agent.on_packet(&carry(balancer_ip(ORIGIN)), &foreign, &ctx);
+    assert_eq!(refusal(verdict), ResultCode::FlowNotHeld);
+}
+
+#[test]
+fn open_flow_that_the_target_bounces_is_lost() {
+    let (mut agent, ctx) = serving_agent();
+    open(&mut agent, flow(1), 5_000);
+    let packet = data(flow(1), 10);
+    let verdict = agent.on_target_packet(&bounced(packet, balancer_ip(3)), &ctx);
+    let expected = TargetVerdict::Return {
+        origin: balancer_ip(3),
+        code: ResultCode::FlowLost,
+    };
+    assert_eq!(verdict, expected);
+}
+
+#[test]
+fn new_balancer_of_the_domain_is_told_about_open_flows() {
+    let (mut agent, ctx) = serving_agent();
+    open(&mut agent, flow(1), 5_000);
+    agent.take_untold();
+    let newcomer = |number, domain| BalancerEntry {
+        ip: balancer_ip(number),
+        domain: DomainId(domain),
+        lifetime: Lifetime(50),
+        age_ms: 0,
+    };
+    assert!(agent.on_balancers(&[newcomer(5, 0), newcomer(6, 1)], &ctx));
+    let told = agent.take_untold();
+    assert_eq!(told.keys().copied().collect::<Vec<_>>(), [balancer_ip(5)]);
+    assert!(!agent.on_balancers(&[newcomer(5, 0)], &ctx));
+}
+
+#[test]
+fn flows_that_ended_are_forgotten_before_idle_ones() {
+    let (mut agent, _) = serving_agent();
+    open(&mut agent, flow(1), 5_000);
+    open(&mut agent, flow(2), 5_000);
+    let mut fin = data(flow(1), 0);
+    fin.flags.fin = true;
+    agent.on_packet(&carry(balancer_ip(ORIGIN)), &fin, &context(5_100));
+    agent.on_target_packet(&from_target(fin), &context(5_100));
+    assert_eq!(agent.table().live(), 1);
+    agent.on_tick(&context(12_000));
+    assert!(agent.table().get(&flow(1)).is_none());
+    assert!(agent.table().get(&flow(2)).is_some());
+    agent.on_tick(&context(40_000));
+    assert!(agent.table().get(&flow(2)).is_none());
+}
+
+#[test]
+fn source_of_settings_is_changed_after_three_reports_without_an_answer() {
+    let (mut agent, ctx) = serving_agent();
+    for number in [1, 2] {
+        let entry = BalancerEntry {
+            ip: balancer_ip(number),
+            domain: DomainId(number % 2),
+            lifetime: Lifetime(1),
+            age_ms: 0,
+        };
+        agent.on_balancers(&[entry], &ctx);
+    }
+    let mut source = SettingsSource::default();
+    let asked: Vec<u8> = (0..4)
+        .filter_map(|_| source.next(agent.peers(), DomainId(0)))
+        .map(|ip| ip.octets()[3])
+        .collect();
+    assert_eq!(asked, [2, 2, 2, 1]);
+    source.on_reply(5_500);
+    assert_eq!(
+        source.next(agent.peers(), DomainId(0)),
+        Some(balancer_ip(1))
+    );
+}
--- /dev/null
+++ b/crates/basilstep-core/src/flows/tests/balancer.rs
@@ -0,0 +1,332 @@
+use super::{
+    agent_ip, balancer_ip, balancer_with, beat, context, data, fleet_settings, flow, opening,
+    report, service,
+};
+use crate::{
+    address::DomainId,
+    codes::ResultCode,
+    flows::{
+        AgentReport, BalancerFlows, RequestKind, Returned, Segment, TargetPhase,
+        balancer::{Leg, Verdict},
+    },
+};
+use rstest::rstest;
+
+fn returned(code: ResultCode) -> Returned {
+    Returned {
+        code,
+        service: service(),
+    }
+}
+
+fn chosen(verdict: &Verdict) -> u8 {
+    match verdict {
+        Verdict::Forward(leg) => leg.agent.octets()[3],
+        other => panic!("expected one agent, got {other:?}"),
+    }
+}
+
+fn searched(verdict: Verdict) -> Vec<u8> {
+    match verdict {
+        Verdict::Search(legs) => legs.iter().map(|leg| leg.agent.octets()[3]).collect(),
+        other => panic!("expected a search, got {other:?}"),
+    }
+}
+
+fn refuse(balancer: &mut BalancerFlows, agent: u8, segment: &Segment, now_ms: u64) -> Verdict {
+    let code = returned(ResultCode::FlowNotHeld);
+    balancer.on_returned(agent_ip(agent), code, segment, &context(now_ms))
+}
+
+#[test]
+fn new_flow_goes_to_the_agent_with_the_least_work() {
+    let (mut balancer, ctx) = balancer_with(3, RequestKind::Idempotent);
+    for (agent, at_work) in [(1, 3), (2, 1), (3, 2)] {
+        let report = AgentReport {
+            at_work,
+            ..report(TargetPhase::Serving)
+        };
+        balancer.on_report(agent_ip(agent), report, &ctx);
+    }
+    assert_eq!(chosen(&balancer.on_packet(&opening(flow(1), 0), &ctx)), 2);
+}
+
+#[test]
+fn flows_sent_since_the_last_report_count_as_work() {
+    let (mut balancer, ctx) = balancer_with(4, RequestKind::Idempotent);
+    let mut taken = [0; 5];
+    for port in 1..=40 {
+        let verdict = balancer.on_packet(&opening(flow(port), 0), &ctx);
+        taken[usize::from(chosen(&verdict))] += 1;
+    }
+    assert_eq!(taken[1..], [10, 10, 10, 10]);
+}
+
+#[test]
+fn agent_of_another_domain_gets_flows_once_it_is_clearly_less_busy() {
+    let (mut balancer, ctx) = balancer_with(1, RequestKind::Idempotent);
+    let other = AgentReport {
+        domain: DomainId(1),
+        ..report(TargetPhase::Serving)
+    };
+    balancer.on_report(agent_ip(2), other, &ctx);
+    let order: Vec<u8> = (1..=5)
+        .map(|port| chosen(&balancer.on_packet(&opening(flow(port), 0), &ctx)))
+        .collect();
+    assert_eq!(order, [1, 1, 1, 1, 2]);
+}
+
+#[rstest]
+#[case::draining(report(TargetPhase::Draining))]
+#[case::down(report(TargetPhase::Down))]
+#[case::not_heard_of_its_target(report(TargetPhase::Unknown))]
+#[case::stopping(AgentReport { is_stopping: true, ..report(TargetPhase::Serving) })]
+#[case::no_room(AgentReport { room: 0, ..report(TargetPhase::Serving) })]
+fn agent_that_takes_no_flows_is_passed_over(#[case] report: AgentReport) {
+    let (mut balancer, ctx) = balancer_with(2, RequestKind::Idempotent);
+    balancer.on_report(agent_ip(1), report, &ctx);
+    assert_eq!(chosen(&balancer.on_packet(&opening(flow(1), 0), &ctx)), 2);
+}
+
+#[test]
+fn agent_in_a_domain_that_is_out_gets_no_new_flow() {
+    let (mut balancer, ctx) = balancer_with(1, RequestKind::Idempotent);
+    let other = AgentReport {
+        domain: DomainId(1),
+        at_work: 9,
+        ..report(TargetPhase::Serving)
+    };
+    balancer.on_report(agent_ip(2), other, &ctx);
+    let mut settings = fleet_settings(RequestKind::Idempotent);
+    settings.revision = 2;
+    settings.domains_out.insert(DomainId(0));
+    balancer.on_fleet_settings(settings);
+    assert_eq!(chosen(&balancer.on_packet(&opening(flow(1), 0), &ctx)), 2);
+}
+
+#[test]
+fn silent_agent_gets_no_new_flow() {
+    let (mut balancer, _) = balancer_with(2, RequestKind::Idempotent);
+    let ctx = context(10_900);
+    balancer.on_report(agent_ip(2), report(TargetPhase::Serving), &ctx);
+    assert_eq!(chosen(&balancer.on_packet(&opening(flow(1), 0), &ctx)), 2);
+}
+
+#[test]
+fn balancer_that_stood_still_waits_for_reports_before_it_places_flows() {
+    let (mut balancer, ctx) = balancer_with(2, RequestKind::Idempotent);
+    balancer.on_pause(3_000, &ctx);
+    let verdict = balancer.on_packet(&opening(flow(1), 0), &ctx);
+    assert_eq!(
+        verdict,
+        Verdict::Drop {
+            code: ResultCode::NoTarget
+        }
+    );
+    balancer.on_report(agent_ip(2), report(TargetPhase::Serving), &ctx);
+    assert_eq!(chosen(&balancer.on_packet(&opening(flow(1), 1), &ctx)), 2);
+}
+
+#[test]
+fn copies_of_an_opening_packet_follow_the_first_while_its_agent_answers() {
+    let (mut balancer, ctx) = balancer_with(3, RequestKind::Idempotent);
+    let first = chosen(&balancer.on_packet(&opening(flow(1), 0), &ctx));
+    balancer.on_held(agent_ip(first), flow(1), &ctx);
+    let copy = balancer.on_packet(&opening(flow(1), 1), &context(10_200));
+    assert_eq!(chosen(&copy), first);
+}
+
+#[test]
+fn copy_goes_elsewhere_when_the_first_agent_confirms_nothing() {
+    let (mut balancer, ctx) = balancer_with(3, RequestKind::Idempotent);
+    let first = chosen(&balancer.on_packet(&opening(flow(1), 0), &ctx));
+    let copy = balancer.on_packet(&opening(flow(1), 1), &context(10_200));
+    assert_ne!(chosen(&copy), first);
+    for port in 2..20 {
+        let verdict = balancer.on_packet(&opening(flow(port), 0), &context(10_200));
+        assert_ne!(chosen(&verdict), first, "a doubted agent gets no new flows");
+    }
+}
+
+#[test]
+fn refused_flow_goes_to_the_next_agent_and_never_back() {
+    let (mut balancer, ctx) = balancer_with(3, RequestKind::Idempotent);
+    let packet = opening(flow(1), 0);
+    let mut seen = vec![chosen(&balancer.on_packet(&packet, &ctx))];
+    for _ in 0..2 {
+        let agent = agent_ip(seen[seen.len() - 1]);
+        let code = returned(ResultCode::TargetCold);
+        seen.push(chosen(&balancer.on_returned(agent, code, &packet, &ctx)));
+    }
+    let last = agent_ip(seen[2]);
+    seen.sort_unstable();
+    assert_eq!(seen, [1, 2, 3]);
+    let code = returned(ResultCode::TargetCold);
+    let verdict = balancer.on_returned(last, code, &packet, &ctx);
+    assert_eq!(
+        verdict,
+        Verdict::Drop {
+            code: ResultCode::TargetCold
+        }
+    );
+}
+
+#[test]
+fn caller_is_told_at_once_when_nobody_takes_its_last_copy() {
+    let (mut balancer, ctx) = balancer_with(1, RequestKind::NonIdempotent);
+    let packet = opening(flow(1), 2);
+    balancer.on_packet(&packet, &ctx);
+    let code = returned(ResultCode::Overloaded);
+    let verdict = balancer.on_returned(agent_ip(1), code, &packet, &ctx);
+    assert_eq!(
+        verdict,
+        Verdict::Reset {
+            code: ResultCode::Overloaded
+        }
+    );
+}
+
+#[test]
+fn flow_without_a_hint_is_searched_at_all_agents_of_its_service() {
+    let (mut balancer, ctx) = balancer_with(3, RequestKind::Idempotent);
+    let verdict = balancer.on_packet(&data(flow(1), 100), &ctx);
+    assert_eq!(searched(verdict), [1, 2, 3]);
+    balancer.on_held(agent_ip(2), flow(1), &ctx);
+    assert_eq!(chosen(&balancer.on_packet(&data(flow(1), 100), &ctx)), 2);
+}
+
+#[test]
+fn flow_that_nobody_holds_is_reset_after_the_last_answer() {
+    let (mut balancer, ctx) = balancer_with(2, RequestKind::Idempotent);
+    let packet = data(flow(1), 100);
+    balancer.on_packet(&packet, &ctx);
+    let first = refuse(&mut balancer, 1, &packet, ctx.now_ms);
+    assert_eq!(
+        first,
+        Verdict::Drop {
+            code: ResultCode::FlowSearched
+        }
+    );
+    let second = refuse(&mut balancer, 2, &packet, ctx.now_ms);
+    assert_eq!(
+        second,
+        Verdict::Reset {
+            code: ResultCode::FlowLost
+        }
+    );
+}
+
+#[test]
+fn late_no_of_another_agent_does_not_reset_a_flow_that_was_found() {
+    let (mut balancer, ctx) = balancer_with(2, RequestKind::Idempotent);
+    let packet = data(flow(1), 100);
+    balancer.on_packet(&packet, &ctx);
+    balancer.on_held(agent_ip(2), flow(1), &ctx);
+    let late = refuse(&mut balancer, 1, &packet, ctx.now_ms);
+    assert_eq!(
+        late,
+        Verdict::Drop {
+            code: ResultCode::FlowNotHeld
+        }
+    );
+    assert_eq!(chosen(&balancer.on_packet(&packet, &ctx)), 2);
+}
+
+/// Restart of balancers in turn: the one that starts must not take its own short list for all.
+#[test]
+fn balancer_that_knows_fewer_agents_than_another_does_not_reset() {
+    let (mut balancer, _) = balancer_with(0, RequestKind::Idempotent);
+    let ctx = context(2_000);
+    balancer.peers_mut().hear(balancer_ip(2), &beat(2), 2_000);
+    balancer.on_report(agent_ip(1), report(TargetPhase::Serving), &ctx);
+    let packet = data(flow(1), 100);
+    balancer.on_packet(&packet, &ctx);
+    let verdict = refuse(&mut balancer, 1, &packet, 2_000);
+    assert_eq!(
+        verdict,
+        Verdict::Drop {
+            code: ResultCode::FlowSearched
+        }
+    );
+    assert!(!balancer.is_ready(&ctx));
+    balancer.on_report(agent_ip(2), report(TargetPhase::Serving), &ctx);
+    assert!(balancer.is_ready(&ctx));
+}
+
+#[test]
+fn flow_of_an_ended_lifetime_is_reset_without_asking_others() {
+    let (mut balancer, ctx) = balancer_with(3, RequestKind::NonIdempotent);
+    balancer.on_held(agent_ip(1), flow(1), &ctx);
+    let packet = data(flow(1), 100);
+    let code = returned(ResultCode::FlowLost);
+    let verdict = balancer.on_returned(agent_ip(1), code, &packet, &ctx);
+    assert_eq!(
+        verdict,
+        Verdict::Reset {
+            code: ResultCode::FlowLost
+        }
+    );
+}
+
+#[rstest]
+#[case::idempotent(RequestKind::Idempotent, true)]
+#[case::not_idempotent(RequestKind::NonIdempotent, false)]
+fn flow_of_a_silent_agent_is_reset_only_if_its_caller_gains(
+    #[case] kind: RequestKind,
+    #[case] is_reset: bool,
+) {
+    let (mut balancer, ctx) = balancer_with(2, kind);
+    balancer.on_held(agent_ip(1), flow(1), &ctx);
+    let verdict = balancer.on_packet(&data(flow(1), 100), &context(11_600));
+    assert_eq!(matches!(verdict, Verdict::Reset { .. }), is_reset);
+}
+
+#[test]
+fn flow_of_an_agent_that_restarts_on_purpose_is_not_reset() {
+    let (mut balancer, ctx) = balancer_with(2, RequestKind::Idempotent);
+    balancer.on_held(agent_ip(1), flow(1), &ctx);
+    let stopping = AgentReport {
+        is_stopping: true,
+        ..report(TargetPhase::Serving)
+    };
+    balancer.on_report(agent_ip(1), stopping, &ctx);
+    let verdict = balancer.on_packet(&data(flow(1), 100), &context(12_500));
+    assert_eq!(chosen(&verdict), 1);
+}
+
+#[test]
+fn open_flow_is_found_after_its_route_went_to_another_service() {
+    let (mut balancer, ctx) = balancer_with(2, RequestKind::Idempotent);
+    let mut settings = fleet_settings(RequestKind::Idempotent);
+    settings.table.version = 2;
+    for route in settings.table.routes.values_mut() {
+        route.shares[0].service = crate::flows::ServiceTag::of("other");
+    }
+    balancer.on_fleet_settings(settings);
+    let verdict = balancer.on_packet(&data(flow(1), 100), &ctx);
+    assert_eq!(searched(verdict), [1, 2]);
+}
+
+#[test]
+fn packet_to_an_unknown_address_is_reset() {
+    let (mut balancer, ctx) = balancer_with(1, RequestKind::Idempotent);
+    let mut strange = flow(1);
+    strange.entry.set_port(9);
+    let verdict = balancer.on_packet(&opening(strange, 0), &ctx);
+    assert_eq!(
+        verdict,
+        Verdict::Reset {
+            code: ResultCode::UnknownService
+        }
+    );
+}
+
+#[test]
+fn frame_names_the_balancer_that_took_the_packet() {
+    let (mut balancer, ctx) = balancer_with(1, RequestKind::Idempotent);
+    let Verdict::Forward(Leg { carry, .. }) = balancer.on_packet(&opening(flow(1), 0), &ctx) else {
+        panic!("expected one agent");
+    };
+    assert_eq!(carry.origin, balancer_ip(1));
+    assert_eq!(carry.service, service());
+}
--- /dev/null
+++ b/crates/basilstep-core/src/flows/tests/fleet.rs
@@ -0,0 +1,417 @@
+//! Balancers, agents and targets wired together in one thread, and the patterns of change that a
+//! fleet has to bear.
+
+use super::{
+    HEARTBEAT_MS, accepted, agent_ip, balancer_ip, bounced, context, data, fleet_settings, flow,
+    from_target, opening, service,
+};
+use crate::{
+    address::DomainId,
+    context::Context,
+    flows::{
+        AgentFlows, BalancerFlows, Carry, FlowKey, FlowSettings, Lifetime, RequestKind, Returned,
+        Segment,
+        agent::{
+            AgentIdentity, CallerVerdict, ColdAllowance, Ping, PingState, SettingsSource,
+            TargetVerdict,
+        },
+        balancer::{BalancerIdentity, Verdict},
+    },
+};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::Ipv4Addr,
+};
+
+const STEP_MS: u64 = 50;
+const REPORT_MS: u64 = 250;
+
+struct Machine {
+    agent: AgentFlows,
+    source: SettingsSource,
+    held: BTreeSet<FlowKey>,
+    born_ms: u64,
+    pings: u64,
+}
+
+/// A fleet without a network: each packet is carried out at once.
+pub struct Fleet {
+    now_ms: u64,
+    runs: u32,
+    balancers: BTreeMap<Ipv4Addr, BalancerFlows>,
+    machines: BTreeMap<Ipv4Addr, Machine>,
+    resets: BTreeSet<FlowKey>,
+    misplaced: usize,
+}
+
+impl Fleet {
+    /// Starts a fleet and lets it meet.
+    pub fn start(balancers: u8, agents: u8) -> Self {
+        let mut fleet = Self {
+            now_ms: 0,
+            runs: 0,
+            balancers: BTreeMap::new(),
+            machines: BTreeMap::new(),
+            resets: BTreeSet::new(),
+            misplaced: 0,
+        };
+        for number in 1..=balancers {
+            fleet.start_balancer(balancer_ip(number));
+        }
+        for number in 1..=agents {
+            fleet.start_machine(agent_ip(number));
+        }
+        fleet.run(2_000);
+        fleet
+    }
+
+    pub const fn now_ms(&self) -> u64 {
+        self.now_ms
+    }
+
+    /// Opens that many flows, spread over the balancers.
+    pub fn open_flows(&mut self, count: u16) -> Vec<FlowKey> {
+        let first = (self.now_ms % 10_000) as u16;
+        let flows: Vec<FlowKey> = (0..count).map(|number| flow(first + number)).collect();
+        for flow in &flows {
+            self.from_caller(&opening(*flow, 0));
+        }
+        flows
+    }
+
+    /// Sends a request on an open flow.
+    pub fn send_request(&mut self, flow: FlowKey) {
+        self.from_caller(&data(flow, 100));
+    }
+
+    /// Restarts everything at once; nothing of before is known to anyone.
+    pub fn lose_power(&mut self) {
+        self.now_ms += 500;
+        let balancers: Vec<Ipv4Addr> = self.balancers.keys().copied().collect();
+        let machines: Vec<Ipv4Addr> = self.machines.keys().copied().collect();
+        for balancer in balancers {
+            self.start_balancer(balancer);
+        }
+        for machine in machines {
+            self.start_machine(machine);
+        }
+    }
+
+    pub fn count_reset(&self, flows: &[FlowKey]) -> usize {
+        flows
+            .iter()
+            .filter(|flow| self.resets.contains(flow))
+            .count()
+    }
+
+    pub fn count_held(&self, flows: &[FlowKey]) -> usize {
+        flows
+            .iter()
+            .filter(|flow| {
+                self.machines
+                    .values()
+                    .any(|machine| machine.held.contains(flow))
+            })
+            .count()
+    }
+
+    /// Lets time pass.
+    pub fn run(&mut self, duration_ms: u64) {
+        let until_ms = self.now_ms + duration_ms;
+        while self.now_ms < until_ms {
+            self.now_ms += STEP_MS;
+            if self.now_ms.is_multiple_of(REPORT_MS) {
+                self.exchange_beats();
+                self.exchange_reports();
+            }
+            if self.now_ms.is_multiple_of(HEARTBEAT_MS) {
+                self.send_pings();
+            }
+            let ctx = self.context();
+            for balancer in self.balancers.values_mut() {
+                balancer.on_tick(&ctx);
+            }
+            self.carry_out_telling();
+        }
+    }
+
+    fn context(&self) -> Context {
+        context(self.now_ms)
+    }
+
+    fn next_lifetime(&mut self) -> Lifetime {
+        self.runs += 1;
+        Lifetime(self.runs)
+    }
+
+    fn start_balancer(&mut self, ip: Ipv4Addr) {
+        let own = BalancerIdentity {
+            ip,
+            domain: DomainId(0),
+            lifetime: self.next_lifetime(),
+        };
+        let ctx = self.context();
+        let mut balancer = BalancerFlows::new(FlowSettings::default(), own, &ctx);
+        balancer.on_fleet_settings(fleet_settings(RequestKind::Idempotent));
+        self.balancers.insert(ip, balancer);
+    }
+
+    fn start_machine(&mut self, ip: Ipv4Addr) {
+        let lifetime = self.next_lifetime();
+        let machine = Machine {
+            agent: Self::new_agent(lifetime),
+            source: SettingsSource::default(),
+            held: BTreeSet::new(),
+            born_ms: self.now_ms,
+            pings: 0,
+        };
+        self.machines.insert(ip, machine);
+        self.ping(ip);
+    }
+
+    fn new_agent(lifetime: Lifetime) -> AgentFlows {
+        let own = AgentIdentity {
+            service: service(),
+            domain: DomainId(0),
+            lifetime,
+            heartbeat_ms: HEARTBEAT_MS,
+            allowance: ColdAllowance {
+                overage: 1.5,
+                slack: 5.0,
+            },
+        };
+        AgentFlows::new(FlowSettings::default(), own)
+    }
+
+    /// Restarts an agent whose target goes on.
+    fn restart_agent(&mut self, ip: Ipv4Addr) {
+        let lifetime = self.next_lifetime();
+        if let Some(machine) = self.machines.get_mut(&ip) {
+            machine.agent = Self::new_agent(lifetime);
+            machine.source = SettingsSource::default();
+        }
+    }
+
+    fn ping(&mut self, ip: Ipv4Addr) {
+        let ctx = self.context();
+        if let Some(machine) = self.machines.get_mut(&ip) {
+            machine.pings += 1;
+            let ping = Ping {
+                born_ms: machine.born_ms,
+                sequence: machine.pings,
+                state: PingState::Ready,
+                capacity: 9,
+                warmup_left_ms: 0,
+            };
+            machine.agent.on_ping(&ping, &ctx);
+        }
+    }
+
+    fn send_pings(&mut self) {
+        let ips: Vec<Ipv4Addr> = self.machines.keys().copied().collect();
+        for ip in ips {
+            self.ping(ip);
+        }
+    }
+
+    fn exchange_beats(&mut self) {
+        let ctx = self.context();
+        let beats: Vec<_> = self
+            .balancers
+            .iter()
+            .map(|(ip, balancer)| (*ip, balancer.beat(&ctx)))
+            .collect();
+        for (ip, balancer) in &mut self.balancers {
+            for (peer, beat) in beats.iter().filter(|(peer, _)| peer != ip) {
+                balancer.peers_mut().hear(*peer, beat, ctx.now_ms);
+            }
+        }
+    }
+
+    fn exchange_reports(&mut self) {
+        let ctx = self.context();
+        for (ip, machine) in &mut self.machines {
+            let mut report = machine.agent.report(&ctx);
+            let source = machine.source.next(machine.agent.peers(), DomainId(0));
+            for (peer, balancer) in &mut self.balancers {
+                report.wants_reply = source.is_none() || source == Some(*peer);
+                balancer.on_report(*ip, report, &ctx);
+                if report.wants_reply {
+                    machine.source.on_reply(ctx.now_ms);
+                    machine.agent.on_reply(&balancer.reply_to(&report));
+                    let entries = balancer.peers().entries(ctx.now_ms);
+                    machine.agent.on_balancers(&entries, &ctx);
+                }
+            }
+        }
+    }
+
+    fn carry_out_telling(&mut self) {
+        let ctx = self.context();
+        for (ip, machine) in &mut self.machines {
+            for (balancer, flows) in machine.agent.take_untold() {
+                let Some(balancer) = self.balancers.get_mut(&balancer) else {
+                    continue;
+                };
+                for flow in flows {
+                    balancer.on_held(*ip, flow, &ctx);
+                }
+            }
+        }
+    }
+
+    /// Routes a packet like the fabric: by a hash over the balancers that are there.
+    fn from_caller(&mut self, segment: &Segment) {
+        let flow = segment.flow_of_caller();
+        let place = flow.hash() as usize % self.balancers.len();
+        let ips: Vec<Ipv4Addr> = self.balancers.keys().copied().collect();
+        let ctx = self.context();
+        let Some(balancer) = self.balancers.get_mut(&ips[place]) else {
+            return;
+        };
+        let verdict = balancer.on_packet(segment, &ctx);
+        self.carry_out(ips[place], verdict, segment);
+        self.carry_out_telling();
+    }
+
+    fn carry_out(&mut self, balancer: Ipv4Addr, verdict: Verdict, segment: &Segment) {
+        match verdict {
+            Verdict::Forward(leg) => self.to_agent(balancer, leg.agent, &leg.carry, segment),
+            Verdict::Search(legs) => {
+                for leg in legs {
+                    self.to_agent(balancer, leg.agent, &leg.carry, segment);
+                }
+            }
+            Verdict::Reset { .. } => {
+                let flow = segment.flow_of_caller();
+                if self.count_held(&[flow]) > 0 {
+                    self.misplaced += 1;
+                }
+                self.resets.insert(flow);
+            }
+            Verdict::Drop { .. } => {}
+        }
+    }
+
+    fn to_agent(&mut self, balancer: Ipv4Addr, ip: Ipv4Addr, carry: &Carry, segment: &Segment) {
+        let ctx = self.context();
+        let Some(machine) = self.machines.get_mut(&ip) else {
+            return;
+        };
+        let returned = match machine.agent.on_packet(carry, segment, &ctx) {
+            CallerVerdict::Return { code } => Some((balancer, code)),
+            CallerVerdict::Deliver { cookie } => machine.deliver(segment, cookie, &ctx),
+        };
+        self.carry_out_telling();
+        if let Some((origin, code)) = returned {
+            let returned = Returned {
+                code,
+                service: carry.service,
+            };
+            let Some(state) = self.balancers.get_mut(&origin) else {
+                return;
+            };
+            let verdict = state.on_returned(ip, returned, segment, &ctx);
+            self.carry_out(origin, verdict, segment);
+        }
+    }
+}
+
+impl Machine {
+    /// Does what a target does with a packet.
+    fn deliver(
+        &mut self,
+        segment: &Segment,
+        cookie: u32,
+        ctx: &Context,
+    ) -> Option<(Ipv4Addr, crate::codes::ResultCode)> {
+        let flow = segment.flow_of_caller();
+        let answer = if segment.opens() {
+            self.held.insert(flow);
+            accepted(flow)
+        } else if self.held.contains(&flow) {
+            from_target(data(flow, 200))
+        } else {
+            bounced(*segment, Ipv4Addr::from_bits(cookie))
+        };
+        match self.agent.on_target_packet(&answer, ctx) {
+            TargetVerdict::Return { origin, code } => Some((origin, code)),
+            TargetVerdict::ToCaller { .. } => None,
+        }
+    }
+}
+
+/// Balancers are restarted in turn, and nearly all flows come through another one each time.
+#[test]
+fn rolling_restart_of_balancers_breaks_no_flow() {
+    let mut fleet = Fleet::start(4, 6);
+    let flows = fleet.open_flows(200);
+    assert_eq!(fleet.count_held(&flows), flows.len());
+    for number in 1..=4 {
+        fleet.balancers.remove(&balancer_ip(number));
+        for flow in &flows {
+            fleet.send_request(*flow);
+        }
+        fleet.run(500);
+        fleet.start_balancer(balancer_ip(number));
+        for _ in 0..20 {
+            for flow in &flows {
+                fleet.send_request(*flow);
+            }
+            fleet.run(100);
+        }
+    }
+    assert_eq!(fleet.count_reset(&flows), 0);
+    assert_eq!(fleet.misplaced, 0);
+}
+
+/// Agents are restarted in turn while their targets go on serving.
+#[test]
+fn rolling_restart_of_agents_breaks_no_flow() {
+    let mut fleet = Fleet::start(3, 4);
+    let flows = fleet.open_flows(100);
+    for number in 1..=4 {
+        fleet.restart_agent(agent_ip(number));
+        for _ in 0..10 {
+            for flow in &flows {
+                fleet.send_request(*flow);
+            }
+            fleet.run(100);
+        }
+    }
+    assert_eq!(fleet.count_reset(&flows), 0);
+}
+
+/// One target ends and starts again at the same address.
+#[test]
+fn flows_of_an_ended_target_are_reset_and_no_others() {
+    let mut fleet = Fleet::start(3, 4);
+    let flows = fleet.open_flows(100);
+    let lost: Vec<FlowKey> = fleet.machines[&agent_ip(1)].held.iter().copied().collect();
+    fleet.start_machine(agent_ip(1));
+    for _ in 0..10 {
+        for flow in &flows {
+            fleet.send_request(*flow);
+        }
+        fleet.run(100);
+    }
+    assert_eq!(fleet.count_reset(&flows), lost.len());
+    assert_eq!(fleet.count_reset(&lost), lost.len());
+}
+
+/// All balancers are lost at once; agents and targets go on.
+#[test]
+fn restart_of_all_balancers_breaks_no_flow() {
+    let mut fleet = Fleet::start(3, 6);
+    let flows = fleet.open_flows(150);
+    for number in 1..=3 {
+        fleet.start_balancer(balancer_ip(number));
+    }
+    for _ in 0..20 {
+        for flow in &flows {
+            fleet.send_request(*flow);
+        }
+        fleet.run(100);
+    }
+    assert_eq!(fleet.count_reset(&flows), 0);
+}
--- /dev/null
+++ b/crates/basilstep-core/src/flows/tests/frames.rs
@@ -0,0 +1,42 @@
+use super::{carry, flow, report};
+use crate::flows::{Frame, FrameError, Returned, TargetPhase, decode_frame, encode_frame};
+use crate::{codes::ResultCode, flows::ServiceTag};
+use proptest::prelude::*;
+use rstest::rstest;
+use std::net::Ipv4Addr;
+
+#[rstest]
+#[case::carry(Frame::Carry(carry(Ipv4Addr::new(10, 9, 0, 1))))]
+#[case::returned(Frame::Returned(Returned { code: ResultCode::FlowNotHeld, service: ServiceTag::of("a") }))]
+#[case::held(Frame::Held(vec![flow(1), flow(2)]))]
+#[case::report(Frame::Report(report(TargetPhase::Draining)))]
+#[case::list(Frame::ListBalancers)]
+fn frame_and_packet_survive_the_wire(#[case] frame: Frame) {
+    let mut bytes = vec![9; 3];
+    encode_frame(&frame, b"packet", &mut bytes);
+    assert_eq!(decode_frame(&bytes), Ok((frame, &b"packet"[..])));
+}
+
+#[rstest]
+#[case::empty(&[], FrameError::Version)]
+#[case::other_version(&[2, 6], FrameError::Version)]
+#[case::no_header(&[1], FrameError::Header)]
+#[case::unknown_kind(&[1, 99], FrameError::Header)]
+#[case::cut_short(&[1, 0, 1, 2], FrameError::Header)]
+fn datagram_that_is_no_frame_is_refused(#[case] bytes: &[u8], #[case] error: FrameError) {
+    assert_eq!(decode_frame(bytes), Err(error));
+}
+
+proptest! {
+    #[test]
+    fn no_datagram_makes_the_decoder_panic(bytes in proptest::collection::vec(any::<u8>(), 0..2_000)) {
+        let _ = decode_frame(&bytes);
+    }
+
+    #[test]
+    fn length_in_a_frame_does_not_reserve_memory(length in any::<u32>()) {
+        let mut bytes = vec![1, 2];
+        bytes.extend_from_slice(&length.to_le_bytes());
+        let _ = decode_frame(&bytes);
+    }
+}
--- /dev/null
+++ b/crates/basilstep-core/src/flows/tests/mod.rs
@@ -0,0 +1,230 @@
+//! Tests of steering without tokens, and what they share.
+
+mod agent;
+mod balancer;
+mod cold_start;
+mod fleet;
+mod frames;
+mod peers;
+mod restart;
+mod routes;
+
+use super::{
+    AgentFlows, AgentReport, BalancerBeat, BalancerFlows, Carry, Flags, FleetSettings, FlowKey,
+    FlowSettings, Lifetime, RequestKind, Route, RouteTable, Segment, ServiceLimits, ServiceShare,
+    ServiceTag, TargetPhase,
+    agent::{AgentIdentity, ColdAllowance, Ping, PingState},
+    balancer::BalancerIdentity,
+};
+use crate::{address::DomainId, context::Context};
+use std::net::{Ipv4Addr, SocketAddrV4};
+
+pub const HEARTBEAT_MS: u64 = 1_200;
+
+pub fn service() -> ServiceTag {
+    ServiceTag::of("quotes")
+}
+
+pub fn agent_ip(number: u8) -> Ipv4Addr {
+    Ipv4Addr::new(10, 1, 0, number)
+}
+
+pub fn balancer_ip(number: u8) -> Ipv4Addr {
+    Ipv4Addr::new(10, 9, 0, number)
+}
+
+pub fn entry() -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), 443)
+}
+
+pub fn flow(port: u16) -> FlowKey {
+    FlowKey {
+        caller: SocketAddrV4::new(Ipv4Addr::new(100, 64, 0, 7), port),
+        entry: entry(),
+    }
+}
+
+pub fn context(now_ms: u64) -> Context {
+    let mut ctx = Context::new(1);
+    ctx.now_ms = now_ms;
+    ctx
+}
+
+fn segment(flow: FlowKey, flags: Flags) -> Segment {
+    Segment {
+        source: flow.caller,
+        destination: flow.entry,
+        flags,
+        sequence: 1_000,
+        acknowledged: 0,
+        data_bytes: 0,
+        cookie: 0,
+    }
+}
+
+/// The opening packet of a flow, or its copy.
+pub fn opening(flow: FlowKey, copy: u32) -> Segment {
+    let flags = Flags {
+        syn: true,
+        ..Flags::default()
+    };
+    Segment {
+        acknowledged: copy,
+        ..segment(flow, flags)
+    }
+}
+
+/// A packet of a caller with data.
+pub fn data(flow: FlowKey, bytes: u16) -> Segment {
+    let flags = Flags {
+        ack: true,
+        ..Flags::default()
+    };
+    Segment {
+        data_bytes: bytes,
+        acknowledged: 501,
+        ..segment(flow, flags)
+    }
+}
+
+/// A packet of the target, turned round.
+pub fn from_target(segment: Segment) -> Segment {
+    Segment {
+        source: segment.destination,
+        destination: segment.source,
+        ..segment
+    }
+}
+
+/// The target's answer to an opening packet.
+pub fn accepted(flow: FlowKey) -> Segment {
+    let flags = Flags {
+        syn: true,
+        ack: true,
+        ..Flags::default()
+    };
+    Segment {
+        sequence: 500,
+        ..from_target(segment(flow, flags))
+    }
+}
+
+/// A packet as the target sends it back.
+pub fn bounced(segment: Segment, origin: Ipv4Addr) -> Segment {
+    Segment {
+        flags: Flags {
+            bounced: true,
+            ..segment.flags
+        },
+        cookie: origin.to_bits(),
+        ..segment
+    }
+}
+
+pub fn carry(origin: Ipv4Addr) -> Carry {
+    Carry {
+        service: service(),
+        origin,
+        origin_domain: DomainId(0),
+        is_search: false,
+    }
+}
+
+pub fn ping(sequence: u64) -> Ping {
+    Ping {
+        born_ms: 10_000,
+        sequence,
+        state: PingState::Ready,
+        capacity: 4,
+        warmup_left_ms: 0,
+    }
+}
+
+pub fn report(phase: TargetPhase) -> AgentReport {
+    AgentReport {
+        lifetime: Lifetime(1),
+        service: service(),
+        domain: DomainId(0),
+        phase,
+        is_cold: false,
+        is_stopping: false,
+        at_work: 0,
+        open_flows: 0,
+        capacity: 4,
+        room: u16::MAX,
+        wants_reply: false,
+    }
+}
+
+pub fn beat(agents: u16) -> BalancerBeat {
+    BalancerBeat {
+        lifetime: Lifetime(77),
+        domain: DomainId(0),
+        version: 1,
+        revision: 1,
+        store_age_ms: 0,
+        is_stopping: false,
+        agents,
+        balancers_hash: 0,
+    }
+}
+
+pub fn fleet_settings(kind: RequestKind) -> FleetSettings {
+    let route = Route {
+        kind,
+        shares: vec![ServiceShare {
+            service: service(),
+            weight: 1,
+        }],
+    };
+    let mut table = RouteTable {
+        version: 1,
+        ..RouteTable::default()
+    };
+    table.routes.insert(entry(), route);
+    table.services.insert(service(), ServiceLimits::default());
+    FleetSettings {
+        table,
+        revision: 1,
+        ..FleetSettings::default()
+    }
+}
+
+/// A balancer that has been up for a while and knows agents 1 to `agents`.
+pub fn balancer_with(agents: u8, kind: RequestKind) -> (BalancerFlows, Context) {
+    let own = BalancerIdentity {
+        ip: balancer_ip(1),
+        domain: DomainId(0),
+        lifetime: Lifetime(9),
+    };
+    let mut balancer = BalancerFlows::new(FlowSettings::default(), own, &context(0));
+    balancer.on_fleet_settings(fleet_settings(kind));
+    let ctx = context(10_000);
+    for number in 1..=agents {
+        balancer.on_report(agent_ip(number), report(TargetPhase::Serving), &ctx);
+    }
+    (balancer, ctx)
+}
+
+/// An agent that has heard nothing of its target.
+pub fn new_agent() -> AgentFlows {
+    let own = AgentIdentity {
+        service: service(),
+        domain: DomainId(0),
+        lifetime: Lifetime(1),
+        heartbeat_ms: HEARTBEAT_MS,
+        allowance: ColdAllowance {
+            overage: 1.5,
+            slack: 5.0,
+        },
+    };
+    AgentFlows::new(FlowSettings::default(), own)
+}
+
+/// An agent whose target is serving.
+pub fn serving_agent() -> (AgentFlows, Context) {
+    let mut agent = new_agent();
+    let ctx = context(5_000);
+    agent.on_ping(&ping(1), &ctx);
+    (agent, ctx)
+}
--- /dev/null
+++ b/crates/basilstep-core/src/flows/tests/routes.rs
@@ -0,0 +1,67 @@
+use super::{entry, fleet_settings, flow, service};
+use crate::{
+    address::DomainId,
+    flows::{FleetSettings, RequestKind, Route, ServiceShare, ServiceTag},
+};
+
+fn settings(version: u64, revision: u64) -> FleetSettings {
+    let mut settings = fleet_settings(RequestKind::Idempotent);
+    settings.table.version = version;
+    settings.revision = revision;
+    settings
+}
+
+#[test]
+fn older_version_is_never_adopted() {
+    let mut known = settings(7, 20);
+    let mut older = settings(6, 30);
+    older.table.routes.clear();
+    known.adopt(older);
+    assert_eq!(known.table.version, 7);
+    assert!(known.table.routes.contains_key(&entry()));
+}
+
+#[test]
+fn domain_that_came_back_replaces_the_older_word_that_it_is_out() {
+    let mut known = settings(1, 10);
+    known.domains_out.insert(DomainId(2));
+    assert!(known.adopt(settings(1, 11)));
+    assert!(known.domains_out.is_empty());
+}
+
+#[test]
+fn older_word_about_domains_is_passed_over() {
+    let mut known = settings(1, 10);
+    known.domains_out.insert(DomainId(2));
+    assert!(!known.adopt(settings(1, 9)));
+    assert!(known.domains_out.contains(&DomainId(2)));
+}
+
+#[test]
+fn copies_of_an_opening_packet_go_to_the_same_service() {
+    let share = |name: &str, weight| ServiceShare {
+        service: ServiceTag::of(name),
+        weight,
+    };
+    let route = Route {
+        kind: RequestKind::Idempotent,
+        shares: vec![share("a", 90), share("b", 10)],
+    };
+    let to_b = (1..=10_000)
+        .filter(|port| route.service_for(&flow(*port)) == Some(ServiceTag::of("b")))
+        .count();
+    assert_eq!(route.service_for(&flow(5)), route.service_for(&flow(5)));
+    assert!((900..1_100).contains(&to_b), "{to_b} of 10,000 flows");
+}
+
+#[test]
+fn route_without_weight_takes_no_flow() {
+    let route = Route {
+        kind: RequestKind::Idempotent,
+        shares: vec![ServiceShare {
+            service: service(),
+            weight: 0,
+        }],
+    };
+    assert_eq!(route.service_for(&flow(1)), None);
+}
--- a/crates/basilstep-packet/src/balancer/serve.rs
+++ b/crates/basilstep-packet/src/balancer/serve.rs
@@ -320,7 +320,9 @@
             return Answer::json(StatusCode::OK, Bytes::from(self.dump()));
         }
         match calls::decode(&request.method, &request.path) {
-            Some(Call::Readiness) if self.flows.is_ready(&self.ctx) => Answer::empty(StatusCode::OK),
+            Some(Call::Readiness) if self.flows.is_ready(&self.ctx) => {
+                Answer::empty(StatusCode::OK)
+            }
             Some(Call::Readiness) => Answer::empty(StatusCode::SERVICE_UNAVAILABLE),
             Some(Call::Ping { .. } | Call::Leave { .. }) | None => {
                 Answer::empty(StatusCode::NOT_FOUND)
