--- a/crates/basilstep-core/src/flows/tests/fleet.rs
+++ b/crates/basilstep-core/src/flows/tests/fleet.rs
@@ -74,14 +74,14 @@
         let first = (self.now_ms % 10_000) as u16;
         let flows: Vec<FlowKey> = (0..count).map(|number| flow(first + number)).collect();
         for flow in &flows {
-            self.from_caller(&opening(*flow, 0));
+            self.route_packet(&opening(*flow, 0));
         }
         flows
     }
 
     /// Sends a request on an open flow.
     pub fn send_request(&mut self, flow: FlowKey) {
-        self.from_caller(&data(flow, 100));
+        self.route_packet(&data(flow, 100));
     }
 
     /// Restarts everything at once; nothing of before is known to anyone.
@@ -261,7 +261,7 @@
     }
 
     /// Routes a packet like the fabric: by a hash over the balancers that are there.
-    fn from_caller(&mut self, segment: &Segment) {
+    fn route_packet(&mut self, segment: &Segment) {
         let flow = segment.flow_of_caller();
         let place = flow.hash() as usize % self.balancers.len();
         let ips: Vec<Ipv4Addr> = self.balancers.keys().copied().collect();
@@ -276,10 +276,10 @@
 
     fn carry_out(&mut self, balancer: Ipv4Addr, verdict: Verdict, segment: &Segment) {
         match verdict {
-            Verdict::Forward(leg) => self.to_agent(balancer, leg.agent, &leg.carry, segment),
+            Verdict::Forward(leg) => self.hand_to_agent(balancer, leg.agent, &leg.carry, segment),
             Verdict::Search(legs) => {
                 for leg in legs {
-                    self.to_agent(balancer, leg.agent, &leg.carry, segment);
+                    self.hand_to_agent(balancer, leg.agent, &leg.carry, segment);
                 }
             }
             Verdict::Reset { .. } => {
@@ -293,7 +293,13 @@
         }
     }
 
-    fn to_agent(&mut self, balancer: Ipv4Addr, ip: Ipv4Addr, carry: &Carry, segment: &Segment) {
+    fn hand_to_agent(
+        &mut self,
+        balancer: Ipv4Addr,
+        ip: Ipv4Addr,
+        carry: &Carry,
+        segment: &Segment,
+    ) {
         let ctx = self.context();
         let Some(machine) = self.machines.get_mut(&ip) else {
             return;
--- a/crates/basilstep-node/src/http/server.rs
+++ b/crates/basilstep-node/src/http/server.rs
@@ -26,6 +26,8 @@
     pub method: Method,
     /// The path without the query.
     pub path: String,
+    /// The query, empty if there is none.
+    pub query: String,
     /// The body.
     pub body: Bytes,
 }
@@ -128,6 +130,7 @@
             let incoming = Incoming {
                 method: head.method,
                 path: head.uri.path().to_owned(),
+                query: head.uri.query().unwrap_or_default().to_owned(),
                 body: body.to_bytes(),
             };
             handler.answer(incoming).await
--- /dev/null
+++ b/crates/basilstep-packet/tests/fleet.rs
@@ -0,0 +1,119 @@
+//! A flow through real processes over UDP, with stand-ins for callers, targets and the store.
+
+mod support;
+
+use std::{
+    net::{Ipv4Addr, SocketAddrV4},
+    sync::atomic::Ordering,
+    time::Duration,
+};
+use support::{
+    caller::Caller,
+    fleet::Fleet,
+    packet::{ACK, Packet, RST, SYN},
+};
+use tokio::time::sleep;
+
+const CALLER: u8 = 200;
+
+fn entry() -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), 443)
+}
+
+fn text(packet: &Packet) -> String {
+    String::from_utf8_lossy(&packet.data).into_owned()
+}
+
+async fn caller_of(fleet: &Fleet) -> Caller {
+    Caller::open(fleet.ip(CALLER), fleet.ports.packets).await
+}
+
+#[tokio::test]
+async fn flow_opens_survives_a_change_of_balancer_and_answers_whole() {
+    let mut fleet = Fleet::start("change").await;
+    fleet.configure(1, entry());
+    let first = fleet.start_balancer(1);
+    fleet.start_balancer(2);
+    let (_, one) = fleet.start_agent(11).await;
+    let (_, two) = fleet.start_agent(12).await;
+    fleet.await_ready(1).await;
+    fleet.await_ready(2).await;
+    let caller = caller_of(&fleet).await;
+    let through = |number| fleet.address(number, fleet.ports.packets);
+
+    let opened = caller.open_flow(through(1), 40_001, entry()).await.unwrap();
+    assert!(opened.is(SYN) && opened.is(ACK));
+    let before = caller.request(through(1), &opened, "one").await.unwrap();
+    assert!(text(&before).ends_with("answers one"));
+
+    let (first_address, second_address) = (through(1), through(2));
+    assert_ne!(first_address, second_address);
+    fleet.processes[first].kill();
+    let after = caller
+        .request(second_address, &opened, "two")
+        .await
+        .unwrap();
+    assert!(text(&after).ends_with("answers two"));
+    assert_eq!(
+        text(&before)[..9],
+        text(&after)[..9],
+        "the flow stays on its target"
+    );
+    let opened = one.log.opened.load(Ordering::SeqCst) + two.log.opened.load(Ordering::SeqCst);
+    assert_eq!(opened, 1, "one target has taken the flow");
+}
+
+#[tokio::test]
+async fn restarted_agent_learns_the_flows_of_its_target_again() {
+    let mut fleet = Fleet::start("relearn").await;
+    fleet.configure(1, entry());
+    fleet.start_balancer(1);
+    let (process, _target) = fleet.start_agent(11).await;
+    fleet.await_ready(1).await;
+    let caller = caller_of(&fleet).await;
+    let balancer = fleet.address(1, fleet.ports.packets);
+    let opened = caller.open_flow(balancer, 40_002, entry()).await.unwrap();
+    fleet.processes[process].kill();
+    fleet.restart_agent(11);
+    let answer = caller.request(balancer, &opened, "again").await.unwrap();
+    assert_eq!(text(&answer), "target-11 answers again");
+}
+
+#[tokio::test]
+async fn draining_target_gets_no_new_flow_and_keeps_the_old_one() {
+    let mut fleet = Fleet::start("drain").await;
+    fleet.configure(1, entry());
+    fleet.start_balancer(1);
+    let (_, target) = fleet.start_agent(11).await;
+    fleet.await_ready(1).await;
+    let caller = caller_of(&fleet).await;
+    let balancer = fleet.address(1, fleet.ports.packets);
+    let opened = caller.open_flow(balancer, 40_003, entry()).await.unwrap();
+    target.log.is_draining.store(true, Ordering::SeqCst);
+    sleep(Duration::from_secs(1)).await;
+    let refused = caller.open_flow(balancer, 40_004, entry()).await;
+    assert!(refused.is_none_or(|packet| packet.is(RST)));
+    assert_eq!(target.log.opened.load(Ordering::SeqCst), 1);
+    let answer = caller.request(balancer, &opened, "still").await.unwrap();
+    assert_eq!(text(&answer), "target-11 answers still");
+}
+
+#[tokio::test]
+async fn new_configuration_is_in_force_without_a_restart() {
+    let mut fleet = Fleet::start("config").await;
+    fleet.configure(1, entry());
+    fleet.start_balancer(1);
+    fleet.start_agent(11).await;
+    fleet.await_ready(1).await;
+    let caller = caller_of(&fleet).await;
+    let balancer = fleet.address(1, fleet.ports.packets);
+    let other = SocketAddrV4::new(*entry().ip(), 8_080);
+    let refused = caller.open_flow(balancer, 40_005, other).await;
+    assert!(refused.is_none_or(|packet| packet.is(RST)));
+    fleet.configure(2, other);
+    sleep(Duration::from_secs(1)).await;
+    let opened = caller.open_flow(balancer, 40_006, other).await.unwrap();
+    assert!(opened.is(SYN));
+    let dropped = caller.open_flow(balancer, 40_007, entry()).await;
+    assert!(dropped.is_none_or(|packet| packet.is(RST)));
+}
--- /dev/null
+++ b/crates/basilstep-packet/tests/support/fleet.rs
@@ -0,0 +1,226 @@
+//! Real processes with their settings files, on loopback addresses of their own.
+
+use super::{
+    store::Store,
+    target::{PING_INTERVAL_MS, Target, TargetPlace},
+};
+use basilstep_node::http::HttpClient;
+use http::{Method, StatusCode};
+use serde_json::{Value, json};
+use std::{
+    fs,
+    net::{Ipv4Addr, SocketAddrV4, UdpSocket},
+    path::PathBuf,
+    process::{Child, Command, Stdio},
+    time::Duration,
+};
+use tokio::time::{sleep, timeout};
+
+const BALANCER: &str = env!("CARGO_BIN_EXE_basilstep-packet-balancer");
+const AGENT: &str = env!("CARGO_BIN_EXE_basilstep-packet-agent");
+pub const SERVICE: &str = "quotes";
+const READY_WITHIN: Duration = Duration::from_secs(20);
+
+/// The ports of the day, the same on all machines.
+#[derive(Clone, Copy, Debug)]
+pub struct Ports {
+    pub packets: u16,
+    internal: u16,
+    ready: u16,
+    control: u16,
+    outbound: u16,
+    target: u16,
+    store: u16,
+}
+
+/// A fleet that ends with its test.
+#[derive(Debug)]
+pub struct Fleet {
+    folder: PathBuf,
+    network: [u8; 2],
+    pub ports: Ports,
+    pub store: Store,
+    pub processes: Vec<Process>,
+}
+
+/// A running process; it is killed when this is dropped.
+#[derive(Debug)]
+pub struct Process {
+    child: Child,
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+impl Process {
+    pub fn kill(&mut self) {
+        // It may have ended by itself.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+impl Fleet {
+    /// Starts the store; `name` keeps tests of one run apart.
+    pub async fn start(name: &str) -> Self {
+        let id = std::process::id();
+        let salt = name.bytes().fold(0_u8, u8::wrapping_add);
+        let network = [64 + (id % 128) as u8, salt];
+        let folder = std::env::temp_dir().join(format!("basilstep-packet-{id}-{name}"));
+        fs::create_dir_all(&folder).unwrap();
+        let ports = free_ports();
+        let store_ip = Ipv4Addr::new(127, network[0], network[1], 250);
+        let store = Store::spawn(SocketAddrV4::new(store_ip, ports.store)).await;
+        Self {
+            folder,
+            network,
+            ports,
+            store,
+            processes: Vec::new(),
+        }
+    }
+
+    pub fn ip(&self, number: u8) -> Ipv4Addr {
+        Ipv4Addr::new(127, self.network[0], self.network[1], number)
+    }
+
+    pub fn address(&self, number: u8, port: u16) -> SocketAddrV4 {
+        SocketAddrV4::new(self.ip(number), port)
+    }
+
+    /// Writes a configuration with one route.
+    pub fn configure(&self, version: u64, entry: SocketAddrV4) {
+        let config = json!({
+            "Version": version,
+            "Routes": [{"Name": "r1", "Hostname": entry.ip().to_string(),
+                        "Prefix": format!("/{}/", entry.port()), "Type": "safe",
+                        "TimeoutMs": 2_500, "Service": SERVICE}],
+            "Services": [{"Name": SERVICE, "MaxConnections": 2_000}],
+            "Limits": {"IdleTimeoutMs": 15_000},
+        });
+        self.store.put("op/config", Some(&config));
+    }
+
+    pub fn start_balancer(&mut self, number: u8) -> usize {
+        self.spawn(BALANCER, number, json!({}))
+    }
+
+    pub async fn start_agent(&mut self, number: u8) -> (usize, Target) {
+        let extra = json!({
+            "Service": SERVICE,
+            "app": self.address(number, self.ports.target).to_string(),
+        });
+        let process = self.spawn(AGENT, number, extra);
+        let target = Target::spawn(TargetPlace {
+            id: format!("target-{number}"),
+            service: SERVICE.to_owned(),
+            address: self.address(number, self.ports.target),
+            outbound: self.address(number, self.ports.outbound),
+            control: self.address(number, self.ports.control),
+        })
+        .await;
+        (process, target)
+    }
+
+    /// Starts an agent again whose target goes on.
+    pub fn restart_agent(&mut self, number: u8) -> usize {
+        let extra = json!({
+            "Service": SERVICE,
+            "app": self.address(number, self.ports.target).to_string(),
+        });
+        self.spawn(AGENT, number, extra)
+    }
+
+    /// Waits until a balancer tells the routers that it takes packets.
+    pub async fn await_ready(&self, number: u8) {
+        let mut client = HttpClient::open(self.address(number, self.ports.ready));
+        let ready = async {
+            loop {
+                let call = client.call(Method::GET, "/readiness", &[], Duration::from_secs(1));
+                if call.await.is_ok_and(|reply| reply.status == StatusCode::OK) {
+                    return;
+                }
+                sleep(Duration::from_millis(20)).await;
+            }
+        };
+        timeout(READY_WITHIN, ready)
+            .await
+            .expect("the balancer becomes ready");
+    }
+
+    fn spawn(&mut self, program: &str, number: u8, extra: Value) -> usize {
+        let path = self.folder.join(format!("settings-{number}.yaml"));
+        fs::write(&path, self.settings(number, extra).to_string()).unwrap();
+        let log = fs::File::create(self.folder.join(format!("log-{number}"))).unwrap();
+        let child = Command::new(program)
+            .env("BASILSTEP_CONFIG", path)
+            .stdout(Stdio::from(log))
+            .spawn()
+            .unwrap();
+        self.processes.push(Process { child });
+        self.processes.len() - 1
+    }
+
+    /// The settings of a machine; JSON is YAML too.
+    fn settings(&self, number: u8, extra: Value) -> Value {
+        let at = |port| self.address(number, port).to_string();
+        let mut settings = json!({
+            "Node": format!("machine-{number}"),
+            "Ip": self.ip(number).to_string(),
+            "Zone": "east",
+            "Zones": {"east": "r1"},
+            "Listen": {
+                "DatagramAddr": at(self.ports.packets),
+                "Ready": at(self.ports.ready),
+                "Control": at(self.ports.control),
+                "outbound": at(self.ports.outbound),
+            },
+            "InternalPorts": [self.ports.internal, self.ports.internal],
+            "Seeds": [self.address(1, self.ports.control).to_string(),
+                      self.address(2, self.ports.control).to_string()],
+            "HeartbeatMs": PING_INTERVAL_MS,
+            "Bounds": {"GraceS": 6, "WarmupOverage": 1.5, "WarmupSlack": 5},
+            "platform": {"Address": self.address(250, self.ports.store).to_string(),
+                         "TtlMinMs": 1_000},
+        });
+        for (key, value) in extra.as_object().unwrap() {
+            settings[key] = value.clone();
+        }
+        settings
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        self.processes.clear();
+        if std::thread::panicking() {
+            eprintln!("logs are kept in {}", self.folder.display());
+            return;
+        }
+        // Nothing depends on whether the folder is gone.
+        let _ = fs::remove_dir_all(&self.folder);
+    }
+}
+
+/// Asks the kernel for ports; all are held until the last one is known.
+fn free_ports() -> Ports {
+    let sockets: Vec<UdpSocket> = (0..7)
+        .map(|_| UdpSocket::bind("127.0.0.1:0").unwrap())
+        .collect();
+    let ports: Vec<u16> = sockets
+        .iter()
+        .map(|socket| socket.local_addr().unwrap().port())
+        .collect();
+    Ports {
+        packets: ports[0],
+        internal: ports[1],
+        ready: ports[2],
+        control: ports[3],
+        outbound: ports[4],
+        target: ports[5],
+        store: ports[6],
+    }
+}
--- /dev/null
+++ b/crates/basilstep-packet/tests/support/store.rs
@@ -0,0 +1,118 @@
+//! Stands in for the platform's store: items, watches and leases, without limits.
+
+use base64::{Engine, engine::general_purpose::STANDARD};
+use basilstep_node::http::{Answer, Handler, Incoming, spawn_server};
+use bytes::Bytes;
+use http::{Method, StatusCode};
+use serde_json::{Value, json};
+use std::{
+    collections::BTreeMap,
+    net::SocketAddrV4,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+use tokio::time::{Instant, sleep};
+
+const POLL: Duration = Duration::from_millis(20);
+
+#[derive(Debug, Default)]
+struct Items {
+    revision: u64,
+    values: BTreeMap<String, (u64, Option<Vec<u8>>)>,
+}
+
+/// A running store.
+#[derive(Clone, Debug, Default)]
+pub struct Store {
+    items: Arc<Mutex<Items>>,
+}
+
+impl Store {
+    pub async fn spawn(address: SocketAddrV4) -> Self {
+        let store = Self::default();
+        spawn_server(address, store.clone()).await.unwrap();
+        store
+    }
+
+    /// Writes an item, or removes it, as the operator does.
+    pub fn put(&self, key: &str, value: Option<&Value>) {
+        let mut items = self.items.lock().unwrap();
+        items.revision += 1;
+        let revision = items.revision;
+        let value = value.map(|value| value.to_string().into_bytes());
+        items.values.insert(key.to_owned(), (revision, value));
+    }
+
+    fn changes(&self, prefix: &str, after: u64, is_watch: bool) -> (u64, Vec<Value>) {
+        let items = self.items.lock().unwrap();
+        let changes = items
+            .values
+            .iter()
+            .filter(|(key, (revision, value))| {
+                key.starts_with(prefix) && *revision > after && (is_watch || value.is_some())
+            })
+            .map(|(key, (revision, value))| match value {
+                Some(value) => {
+                    json!({"Key": key, "Value": STANDARD.encode(value), "Revision": revision,
+                           "Created": revision, "Lease": 0})
+                }
+                None => json!({"Key": key, "Revision": revision, "Tombstone": true}),
+            })
+            .collect();
+        (items.revision, changes)
+    }
+
+    async fn watch(&self, prefix: &str, after: u64, wait: Duration) -> Answer {
+        let until = Instant::now() + wait;
+        loop {
+            let (revision, events) = self.changes(prefix, after, true);
+            if !events.is_empty() || Instant::now() >= until {
+                return json_answer(&json!({"events": events, "AsOf": revision}));
+            }
+            sleep(POLL).await;
+        }
+    }
+
+    fn transact(&self, body: &[u8]) -> Answer {
+        let body: Value = serde_json::from_slice(body).unwrap();
+        for write in body["Writes"].as_array().unwrap() {
+            let mut items = self.items.lock().unwrap();
+            items.revision += 1;
+            let revision = items.revision;
+            let value = STANDARD.decode(write["Value"].as_str().unwrap()).unwrap();
+            let key = write["Key"].as_str().unwrap().to_owned();
+            items.values.insert(key, (revision, Some(value)));
+        }
+        json_answer(&json!({"Revision": 1}))
+    }
+}
+
+impl Handler for Store {
+    async fn answer(&self, request: Incoming) -> Answer {
+        let query: BTreeMap<&str, &str> = request
+            .query
+            .split('&')
+            .filter_map(|pair| pair.split_once('='))
+            .collect();
+        let prefix = query.get("Prefix").copied().unwrap_or_default();
+        match (&request.method, request.path.as_str()) {
+            (&Method::GET, "/kv-range") => {
+                let (revision, items) = self.changes(prefix, 0, false);
+                json_answer(&json!({"items": items, "MorePages": false, "AsOf": revision}))
+            }
+            (&Method::GET, "/kv-watch") => {
+                let after = query["after"].parse().unwrap();
+                let wait = Duration::from_millis(query["WaitMs"].parse().unwrap());
+                self.watch(prefix, after, wait).await
+            }
+            (&Method::POST, "/kv-txn") => self.transact(&request.body),
+            (&Method::POST, "/kv-lease") => json_answer(&json!({"Lease": 7, "TtlMs": 15_000})),
+            (&Method::POST, "/kv-keep/7") => json_answer(&json!({"TtlMs": 15_000})),
+            _ => Answer::empty(StatusCode::NOT_FOUND),
+        }
+    }
+}
+
+fn json_answer(value: &Value) -> Answer {
+    Answer::json(StatusCode::OK, Bytes::from(value.to_string()))
+}
