--- a/crates/basilstep-packet/tests/support/fleet.rs
+++ b/crates/basilstep-packet/tests/support/fleet.rs
@@ -105,7 +105,7 @@
     }
 
     pub fn start_balancer(&mut self, number: u8) -> usize {
-        self.spawn(BALANCER, number, json!({}))
+        self.spawn(BALANCER, number, &json!({}))
     }
 
     pub async fn start_agent(&mut self, number: u8) -> (usize, Target) {
@@ -113,7 +113,7 @@
             "Service": SERVICE,
             "app": self.address(number, self.ports.target).to_string(),
         });
-        let process = self.spawn(AGENT, number, extra);
+        let process = self.spawn(AGENT, number, &extra);
         let target = Target::spawn(TargetPlace {
             id: format!("target-{number}"),
             service: SERVICE.to_owned(),
@@ -131,7 +131,7 @@
             "Service": SERVICE,
             "app": self.address(number, self.ports.target).to_string(),
         });
-        self.spawn(AGENT, number, extra)
+        self.spawn(AGENT, number, &extra)
     }
 
     /// Waits until a balancer tells the routers that it takes packets.
@@ -151,7 +151,7 @@
             .expect("the balancer becomes ready");
     }
 
-    fn spawn(&mut self, program: &str, number: u8, extra: Value) -> usize {
+    fn spawn(&mut self, program: &str, number: u8, extra: &Value) -> usize {
         let path = self.folder.join(format!("settings-{number}.yaml"));
         fs::write(&path, self.settings(number, extra).to_string()).unwrap();
         let log = fs::File::create(self.folder.join(format!("log-{number}"))).unwrap();
@@ -165,7 +165,7 @@
     }
 
     /// The settings of a machine; JSON is YAML too.
-    fn settings(&self, number: u8, extra: Value) -> Value {
+    fn settings(&self, number: u8, extra: &Value) -> Value {
         let at = |port| self.address(number, port).to_string();
         let mut settings = json!({
             "Node": format!("machine-{number}"),
--- a/crates/basilstep-packet/tests/support/target.rs
+++ b/crates/basilstep-packet/tests/support/target.rs
@@ -83,12 +83,11 @@
         let (bytes, _) = socket.recv_from(&mut buffer).await.unwrap();
         let received = &mut buffer[..bytes];
         let packet = Packet::decode(received);
-        let reply = match answer(&packet, &place, &log) {
-            Some(reply) => reply.encode(),
-            None => {
-                received[0] |= BOUNCED;
-                received.to_vec()
-            }
+        let reply = if let Some(reply) = answer(&packet, &place, &log) {
+            reply.encode()
+        } else {
+            received[0] |= BOUNCED;
+            received.to_vec()
         };
         socket.send_to(&reply, place.outbound).await.unwrap();
     }
