fix(flows): a late opening packet neither moves a flow nor loses it

Ruled out: the silent-agent reset (the code in the log is FlowLost, and both agents reported).

Now opening packets that were queued before a pause are dropped, a confirmed hint stays until its agent says no, and a flow counts as open only once its caller has acknowledged this target's answer; until then a bounce means that it is not held.

--- a/crates/basilstep-core/src/flows/agent/state.rs
+++ b/crates/basilstep-core/src/flows/agent/state.rs
@@ -281,7 +281,9 @@
 
     fn on_opening(&mut self, key: FlowKey, carry: &Carry, ctx: &Context) -> CallerVerdict {
         match self.table.get(&key).copied() {
-            Some(flow) if flow.stage == FlowStage::Open => return deliver(carry),
+            Some(flow) if matches!(flow.stage, FlowStage::Answered | FlowStage::Open) => {
+                return deliver(carry);
+            }
             Some(flow) if flow.stage == FlowStage::Offered => {
                 if ctx.now_ms < flow.opened_ms + self.settings.confirm_within_ms {
                     return deliver(carry);
@@ -363,7 +365,7 @@
                 code: ResultCode::FlowLost,
             };
         }
-        if stage == Some(FlowStage::Offered) {
+        if matches!(stage, Some(FlowStage::Offered | FlowStage::Answered)) {
             self.table.remove(&key);
         }
         TargetVerdict::Return {
--- a/crates/basilstep-core/src/flows/agent/table.rs
+++ b/crates/basilstep-core/src/flows/agent/table.rs
@@ -7,16 +7,22 @@
 };
 use std::{collections::BTreeMap, net::Ipv4Addr};
 
-/// How far an acknowledgement may lie behind the target's first sequence number and still belong
-/// to this flow, in bytes; the flows of callers carry less.
-const ACKNOWLEDGED_SPAN: u32 = 1 << 28;
+/// How far a caller's acknowledgement may lie behind the target's first sequence number, in bytes.
+///
+/// Flows carry less; that of a flow at another target fits by chance once in 256 times.
+const ACKNOWLEDGED_SPAN: u32 = 1 << 24;
+
+/// The same for the acknowledgement that opens the flow, which follows the target's first packets.
+const OPENING_SPAN: u32 = 1 << 16;
 
 /// Where a flow is in its life.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum FlowStage {
     /// The opening packet went to the target.
     Offered,
-    /// The target has answered the opening packet, or any later one.
+    /// The target has answered the opening packet; the caller may have taken another target's answer.
+    Answered,
+    /// The caller has acknowledged the answer, or the target has answered a later packet.
     Open,
     /// Both ends have closed it, or one has reset it.
     Closed,
@@ -75,7 +81,12 @@
         let Some(first) = self.target_first else {
             return true;
         };
-        !segment.flags.ack || segment.acknowledged.wrapping_sub(first) < ACKNOWLEDGED_SPAN
+        let span = if self.stage == FlowStage::Answered {
+            OPENING_SPAN
+        } else {
+            ACKNOWLEDGED_SPAN
+        };
+        !segment.flags.ack || segment.acknowledged.wrapping_sub(first) < span
     }
 
     /// Takes account of a packet on its way to the target.
@@ -83,6 +94,9 @@
         self.used_ms = now_ms;
         if segment.flags.ack {
             self.caller_acknowledged = segment.acknowledged;
+            if self.stage == FlowStage::Answered {
+                self.stage = FlowStage::Open;
+            }
         }
         if segment.data_bytes > 0 {
             let end = segment.end_sequence();
@@ -105,7 +119,12 @@
             self.target_first = Some(segment.sequence);
         }
         if self.stage == FlowStage::Offered {
-            self.stage = FlowStage::Open;
+            let is_answer = segment.flags.syn;
+            self.stage = if is_answer {
+                FlowStage::Answered
+            } else {
+                FlowStage::Open
+            };
         }
         if segment.data_bytes > 0 {
             self.is_busy = false;
@@ -131,11 +150,14 @@
     }
 
     const fn is_live(&self) -> bool {
-        matches!(self.stage, FlowStage::Offered | FlowStage::Open)
+        matches!(
+            self.stage,
+            FlowStage::Offered | FlowStage::Answered | FlowStage::Open
+        )
     }
 
     const fn is_at_work(&self) -> bool {
-        self.is_live() && (self.is_busy || matches!(self.stage, FlowStage::Offered))
+        self.is_live() && (self.is_busy || !matches!(self.stage, FlowStage::Open))
     }
 }
 
@@ -209,15 +231,15 @@
     }
 
     /// Drops flows by how long they have been unused.
-    pub fn expire(&mut self, live_before_ms: u64, ended_before_ms: u64) {
+    pub fn expire(&mut self, open_before_ms: u64, others_before_ms: u64) {
         let expired: Vec<FlowKey> = self
             .flows
             .iter()
             .filter(|(_, flow)| {
-                let limit_ms = if flow.is_live() {
-                    live_before_ms
+                let limit_ms = if flow.stage == FlowStage::Open {
+                    open_before_ms
                 } else {
-                    ended_before_ms
+                    others_before_ms
                 };
                 flow.used_ms < limit_ms
             })
--- a/crates/basilstep-core/src/flows/balancer/state.rs
+++ b/crates/basilstep-core/src/flows/balancer/state.rs
@@ -93,6 +93,7 @@
     resets_from_ms: u64,
     store_answered_ms: u64,
     is_stopping: bool,
+    is_backlog_old: bool,
 }
 
 impl BalancerFlows {
@@ -113,6 +114,7 @@
             resets_from_ms: ctx.now_ms + settings.settle_ms,
             store_answered_ms: 0,
             is_stopping: false,
+            is_backlog_old: false,
         }
     }
 
@@ -120,6 +122,12 @@
     pub fn on_packet(&mut self, segment: &Segment, ctx: &Context) -> Verdict {
         let flow = segment.flow_of_caller();
         if segment.opens() {
+            if self.is_backlog_old {
+                // Its caller may have opened the flow at another balancer meanwhile.
+                return Verdict::Drop {
+                    code: ResultCode::Recovering,
+                };
+            }
             return self.steer_opening(flow, segment, ctx);
         }
         let Some(hint) = self.hints.get_mut(&flow) else {
@@ -173,6 +181,14 @@
     /// Takes word from an agent that it holds a flow.
     pub fn on_held(&mut self, agent: Ipv4Addr, flow: FlowKey, ctx: &Context) {
         self.roster.trust(agent);
+        if let Some(hint) = self.hints.get_mut(&flow)
+            && hint.is_confirmed
+            && hint.agent != agent
+        {
+            // A late copy of the opening packet has reached a second target. The flow is at the
+            // first one, or the first one will say that it is not.
+            return;
+        }
         self.searches.end(&flow);
         let Some(service) = self.roster.get(agent).map(|state| state.report.service) else {
             return;
@@ -251,9 +267,15 @@
     /// Takes note that the process stood still for `pause_ms` that its clock did not count.
     pub fn on_pause(&mut self, pause_ms: u64, ctx: &Context) {
         self.roster.age(pause_ms);
+        self.is_backlog_old = true;
         self.resets_from_ms = ctx.now_ms + self.settings.settle_ms;
     }
 
+    /// Takes note that all packets that had arrived have been read.
+    pub const fn on_backlog_read(&mut self) {
+        self.is_backlog_old = false;
+    }
+
     /// Asks the routers to leave; packets that still come are carried as before.
     pub fn stop(&mut self) {
         self.is_stopping = true;
--- a/crates/basilstep-core/src/flows/settings.rs
+++ b/crates/basilstep-core/src/flows/settings.rs
@@ -38,7 +38,7 @@
     pub hint_limit: usize,
     /// How long an agent keeps a flow after its last packet.
     pub flow_idle_ms: u64,
-    /// How long an agent keeps a flow after both ends closed it.
+    /// How long an agent keeps a flow that both ends closed, or that its caller never opened.
     pub linger_ms: u64,
     /// The most balancers of a domain that are told where a flow is.
     pub told_balancers: usize,
--- a/crates/basilstep-core/src/flows/tests/agent.rs
+++ b/crates/basilstep-core/src/flows/tests/agent.rs
@@ -19,6 +19,7 @@
     let ctx = context(now_ms);
     agent.on_packet(&carry(balancer_ip(ORIGIN)), &opening(key, 0), &ctx);
     agent.on_target_packet(&accepted(key), &ctx);
+    agent.on_packet(&carry(balancer_ip(ORIGIN)), &data(key, 0), &ctx);
 }
 
 fn refusal(verdict: CallerVerdict) -> ResultCode {
@@ -280,6 +281,24 @@
     assert_eq!(verdict, expected);
 }
 
+/// A frozen balancer wakes and places an opening packet whose caller is served elsewhere.
+#[test]
+fn bounce_of_a_flow_that_its_caller_never_opened_here_does_not_call_it_lost() {
+    let (mut agent, ctx) = serving_agent();
+    agent.on_packet(&carry(balancer_ip(ORIGIN)), &opening(flow(1), 0), &ctx);
+    agent.on_target_packet(&accepted(flow(1)), &ctx);
+    let mut elsewhere = data(flow(1), 10);
+    elsewhere.acknowledged = 500 + (1 << 20);
+    let verdict = agent.on_packet(&carry(balancer_ip(ORIGIN)), &elsewhere, &ctx);
+    assert_eq!(refusal(verdict), ResultCode::FlowNotHeld);
+    let verdict = agent.on_target_packet(&bounced(elsewhere, balancer_ip(ORIGIN)), &ctx);
+    let expected = TargetVerdict::Return {
+        origin: balancer_ip(ORIGIN),
+        code: ResultCode::FlowNotHeld,
+    };
+    assert_eq!(verdict, expected);
+}
+
 #[test]
 fn new_balancer_of_the_domain_is_told_about_open_flows() {
     let (mut agent, ctx) = serving_agent();
--- a/crates/basilstep-core/src/flows/tests/balancer.rs
+++ b/crates/basilstep-core/src/flows/tests/balancer.rs
@@ -116,6 +116,7 @@
 fn balancer_that_stood_still_waits_for_reports_before_it_places_flows() {
     let (mut balancer, ctx) = balancer_with(2, RequestKind::Idempotent);
     balancer.on_pause(3_000, &ctx);
+    balancer.on_backlog_read();
     let verdict = balancer.on_packet(&opening(flow(1), 0), &ctx);
     assert_eq!(
         verdict,
@@ -232,6 +233,31 @@
     assert_eq!(chosen(&balancer.on_packet(&packet, &ctx)), 2);
 }
 
+/// A copy of the opening packet was held up in a balancer that stood still.
+#[test]
+fn late_word_of_a_second_target_does_not_move_a_flow() {
+    let (mut balancer, ctx) = balancer_with(2, RequestKind::Idempotent);
+    balancer.on_held(agent_ip(1), flow(1), &ctx);
+    balancer.on_held(agent_ip(2), flow(1), &ctx);
+    assert_eq!(chosen(&balancer.on_packet(&data(flow(1), 100), &ctx)), 1);
+}
+
+#[test]
+fn opening_packets_from_before_a_pause_are_dropped() {
+    let (mut balancer, ctx) = balancer_with(2, RequestKind::Idempotent);
+    balancer.on_pause(3_000, &ctx);
+    balancer.on_report(agent_ip(1), report(TargetPhase::Serving), &ctx);
+    let verdict = balancer.on_packet(&opening(flow(1), 0), &ctx);
+    assert_eq!(
+        verdict,
+        Verdict::Drop {
+            code: ResultCode::Recovering
+        }
+    );
+    balancer.on_backlog_read();
+    assert_eq!(chosen(&balancer.on_packet(&opening(flow(1), 1), &ctx)), 1);
+}
+
 /// Restart of balancers in turn: the one that starts must not take its own short list for all.
 #[test]
 fn balancer_that_knows_fewer_agents_than_another_does_not_reset() {
--- a/crates/basilstep-packet/src/balancer/packets.rs
+++ b/crates/basilstep-packet/src/balancer/packets.rs
@@ -14,6 +14,7 @@
         let mut buffer = [0; DATAGRAM_BYTES];
         for _ in 0..BATCH {
             let Some((bytes, _peer)) = self.packets.receive(&mut buffer) else {
+                self.flows.on_backlog_read();
                 return;
             };
             let packet = &buffer[..bytes];
--- a/crates/basilstep-packet/src/balancer/serve.rs
+++ b/crates/basilstep-packet/src/balancer/serve.rs
@@ -174,8 +174,13 @@
         })
     }
 
+    /// Brings the time up to date, and finds out whether the machine stood still since.
     pub(super) fn refresh_time(&mut self) {
         self.clock.refresh(&mut self.ctx);
+        if let Some(pause_ms) = self.pause.pause_ms() {
+            log::warn!(pause_ms; "the machine stood still");
+            self.flows.on_pause(pause_ms, &self.ctx);
+        }
     }
 
     /// Sends a frame without a packet.
@@ -250,10 +255,6 @@
 
     fn on_tick(&mut self) {
         self.refresh_time();
-        if let Some(pause_ms) = self.pause.pause_ms() {
-            log::warn!(pause_ms; "the machine stood still");
-            self.flows.on_pause(pause_ms, &self.ctx);
-        }
         for agent in self.flows.on_tick(&self.ctx) {
             log::info!(agent:% = agent; "an agent is forgotten");
         }
