feat(flows): let opening packets wait for an agent, and settle searches without another packet

Opening packets now wait up to 400 ms; a search that all agents have answered ends at the first tick at which the answers may be trusted; idempotent flows settle in 300 ms, others in 1.5 s, because only the callers of the first lose little by a wrong reset.

--- a/crates/basilstep-core/src/flows/agent/mod.rs
+++ b/crates/basilstep-core/src/flows/agent/mod.rs
@@ -8,6 +8,6 @@
 
 pub use gate::ColdAllowance;
 pub use source::SettingsSource;
-pub use state::{AgentFlows, AgentIdentity, CallerVerdict, LostFlow, TargetVerdict};
+pub use state::{AgentFlows, AgentIdentity, CallerVerdict, TargetVerdict};
 pub use table::{Flow, FlowStage};
 pub use target::{Ping, PingOutcome, PingState, TargetState};
--- a/crates/basilstep-core/src/flows/agent/state.rs
+++ b/crates/basilstep-core/src/flows/agent/state.rs
@@ -9,7 +9,7 @@
     context::Context,
     flows::{
         frame::{AgentReport, BalancerEntry, Carry, ReportReply, TargetPhase},
-        key::{FlowKey, Lifetime, ServiceTag},
+        key::{FlowKey, Lifetime, LostFlow, ServiceTag},
         limits::ServiceLimits,
         peers::Peers,
         segment::Segment,
@@ -65,15 +65,6 @@
     },
 }
 
-/// A flow whose target has ended, with what a reset of it needs.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct LostFlow {
-    /// The flow.
-    pub flow: FlowKey,
-    /// The caller's last acknowledgement.
-    pub sequence: u32,
-}
-
 /// The flow table and the gate of one agent.
 #[derive(Clone, Debug)]
 pub struct AgentFlows {
--- a/crates/basilstep-core/src/flows/balancer/mod.rs
+++ b/crates/basilstep-core/src/flows/balancer/mod.rs
@@ -1,9 +1,11 @@
 //! The balancer's side: which agent gets a packet.
 
 mod hints;
+mod parking;
 mod roster;
 mod search;
 mod state;
 
+pub use parking::Parked;
 pub use roster::{AgentState, Roster};
-pub use state::{BalancerFlows, BalancerIdentity, Leg, Verdict};
+pub use state::{BalancerFlows, BalancerIdentity, Due, Leg, Placed, Verdict};
--- a/crates/basilstep-core/src/flows/balancer/search.rs
+++ b/crates/basilstep-core/src/flows/balancer/search.rs
@@ -14,6 +14,8 @@
     pub refused_by: BTreeSet<Ipv4Addr>,
     /// When a packet last went to all agents that had not answered.
     asked_ms: Option<u64>,
+    /// The caller's acknowledgement in its last packet.
+    pub caller_acknowledged: u32,
     started_ms: u64,
 }
 
@@ -63,6 +65,13 @@
             .unwrap_or_default()
     }
 
+    /// Returns the flows that are searched, but not those that are being opened.
+    pub fn pending(&self) -> impl Iterator<Item = (&FlowKey, &Search)> {
+        self.searches
+            .iter()
+            .filter(|(_, search)| search.asked_ms.is_some())
+    }
+
     /// Ends the search for a flow.
     pub fn end(&mut self, flow: &FlowKey) {
         self.searches.remove(flow);
--- a/crates/basilstep-core/src/flows/balancer/state.rs
+++ b/crates/basilstep-core/src/flows/balancer/state.rs
@@ -1,5 +1,6 @@
 use super::{
     hints::{Hint, Hints},
+    parking::{Parked, Parking},
     roster::{Placing, Roster},
     search::Searches,
 };
@@ -9,7 +10,7 @@
     context::Context,
     flows::{
         frame::{AgentReport, BalancerBeat, BalancerEntry, Carry, ReportReply, Returned},
-        key::{FlowKey, Lifetime, ServiceTag},
+        key::{FlowKey, Lifetime, LostFlow, ServiceTag},
         peers::Peers,
         routes::{FleetSettings, RequestKind},
         segment::Segment,
@@ -77,6 +78,33 @@
     },
 }
 
+/// What is left of a search.
+#[derive(Clone, Debug)]
+struct Unanswered {
+    kind: RequestKind,
+    legs: Vec<Leg>,
+}
+
+/// An opening packet that waited and goes to an agent now.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Placed {
+    /// The packet.
+    pub parked: Parked,
+    /// Where it goes.
+    pub leg: Leg,
+}
+
+/// What a tick brings.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Due {
+    /// Agents that were forgotten.
+    pub forgotten: Vec<Ipv4Addr>,
+    /// Flows that are reset because all agents have said that they do not hold them.
+    pub lost: Vec<LostFlow>,
+    /// Opening packets that waited for an agent.
+    pub placed: Vec<Placed>,
+}
+
 /// The steering state of one balancer.
 #[derive(Clone, Debug)]
 pub struct BalancerFlows {
@@ -89,8 +117,9 @@
     peers: Peers,
     hints: Hints,
     searches: Searches,
+    parking: Parking,
     started_ms: u64,
-    resets_from_ms: u64,
+    settled_from_ms: u64,
     store_answered_ms: u64,
     is_stopping: bool,
     is_backlog_old: bool,
@@ -110,8 +139,9 @@
             peers,
             hints: Hints::new(settings.hint_limit),
             searches: Searches::default(),
+            parking: Parking::default(),
             started_ms: ctx.now_ms,
-            resets_from_ms: ctx.now_ms + settings.settle_ms,
+            settled_from_ms: ctx.now_ms,
             store_answered_ms: 0,
             is_stopping: false,
             is_backlog_old: false,
@@ -131,6 +161,9 @@
             return self.steer_opening(flow, segment, ctx);
         }
         let Some(hint) = self.hints.get_mut(&flow) else {
+            let search_ms = self.settings.search_ms;
+            let search = self.searches.entry(flow, ctx.now_ms, search_ms);
+            search.caller_acknowledged = segment.acknowledged;
             return self.search(flow, ctx);
         };
         hint.used_ms = ctx.now_ms;
@@ -268,7 +301,7 @@
     pub fn on_pause(&mut self, pause_ms: u64, ctx: &Context) {
         self.roster.age(pause_ms);
         self.is_backlog_old = true;
-        self.resets_from_ms = ctx.now_ms + self.settings.settle_ms;
+        self.settled_from_ms = ctx.now_ms;
     }
 
     /// Takes note that all packets that had arrived have been read.
@@ -281,19 +314,69 @@
         self.is_stopping = true;
     }
 
-    /// Does what is due; returns the agents that were forgotten.
-    pub fn on_tick(&mut self, ctx: &Context) -> Vec<Ipv4Addr> {
+    /// Lets an opening packet that was turned down wait for an agent until its next copy comes.
+    pub fn park(&mut self, segment: &Segment, packet: &[u8], ctx: &Context) {
+        self.parking.park(segment, packet, ctx.now_ms);
+    }
+
+    /// Does what is due.
+    pub fn on_tick(&mut self, ctx: &Context) -> Due {
         let settings = self.settings;
         self.hints.sweep(
             SWEEP_BUDGET,
             ctx.now_ms.saturating_sub(settings.hint_idle_ms),
         );
+        let lost = self.settle_searches(ctx);
         self.searches
             .forget(ctx.now_ms.saturating_sub(settings.search_ms));
         let before_ms = ctx.now_ms.saturating_sub(settings.forget_after_ms);
         self.peers.learn(&self.own.entry(), ctx.now_ms);
         self.peers.forget(before_ms);
-        self.roster.forget(before_ms)
+        Due {
+            forgotten: self.roster.forget(before_ms),
+            lost,
+            placed: self.place_parked(ctx),
+        }
+    }
+
+    /// Tries the opening packets that wait once more.
+    fn place_parked(&mut self, ctx: &Context) -> Vec<Placed> {
+        let mut placed = Vec::new();
+        for parked in self.parking.take(ctx.now_ms) {
+            // An agent that had no room a moment ago may have some now.
+            self.searches.end(&parked.segment.flow_of_caller());
+            match self.on_packet(&parked.segment, ctx) {
+                Verdict::Forward(leg) => placed.push(Placed { parked, leg }),
+                Verdict::Drop { .. } => self.parking.put_back(parked),
+                Verdict::Search(_) | Verdict::Reset { .. } => {}
+            }
+        }
+        placed
+    }
+
+    /// Ends the searches in which all agents have said no, now that this may be trusted.
+    fn settle_searches(&mut self, ctx: &Context) -> Vec<LostFlow> {
+        let pending: Vec<LostFlow> = self
+            .searches
+            .pending()
+            .map(|(flow, search)| LostFlow {
+                flow: *flow,
+                sequence: search.caller_acknowledged,
+            })
+            .collect();
+        let mut lost = Vec::new();
+        for candidate in pending {
+            let flow = candidate.flow;
+            let Some(open) = self.unanswered(&flow, ctx.now_ms) else {
+                continue;
+            };
+            let is_held = self.hints.get_mut(&flow).is_some();
+            if !is_held && open.legs.is_empty() && self.may_reset(open.kind, ctx) {
+                self.searches.end(&flow);
+                lost.push(candidate);
+            }
+        }
+        lost
     }
 
     /// Tells whether the balancer can place new flows.
@@ -316,8 +399,14 @@
     }
 
     /// Tells whether an answer of all known agents is an answer of all agents.
-    fn may_reset(&self, ctx: &Context) -> bool {
-        ctx.now_ms >= self.resets_from_ms && self.knows_agents(ctx)
+    ///
+    /// Callers of idempotent requests only lose a moment by a wrong reset, so it comes early there.
+    fn may_reset(&self, kind: RequestKind, ctx: &Context) -> bool {
+        let settle_ms = match kind {
+            RequestKind::Idempotent => self.settings.settle_ms,
+            RequestKind::NonIdempotent => self.settings.settle_non_idempotent_ms,
+        };
+        ctx.now_ms >= self.settled_from_ms + settle_ms && self.knows_agents(ctx)
     }
 
     /// Returns the settings in force.
@@ -388,6 +477,7 @@
             return Self::refuse(segment, code);
         };
         self.roster.count_offer(agent);
+        self.parking.remove(&flow);
         let hint = Hint {
             agent,
             service,
@@ -412,7 +502,7 @@
 
     fn refuse_unknown(&self, ctx: &Context) -> Verdict {
         let code = ResultCode::UnknownService;
-        if self.fleet.is_known() && self.may_reset(ctx) {
+        if self.fleet.is_known() && self.may_reset(RequestKind::NonIdempotent, ctx) {
             return Verdict::Reset { code };
         }
         Verdict::Drop { code }
@@ -420,39 +510,42 @@
 
     /// Asks the agents that have not answered yet, or resets the flow when all have said no.
     fn search(&mut self, flow: FlowKey, ctx: &Context) -> Verdict {
-        let Some(route) = self.fleet.table.routes.get(&flow.entry) else {
+        let Some(open) = self.unanswered(&flow, ctx.now_ms) else {
             return self.refuse_unknown(ctx);
         };
-        let refused_by = self.searches.refused_by(&flow);
-        let mut services: BTreeSet<ServiceTag> =
-            route.shares.iter().map(|share| share.service).collect();
-        services.extend(self.former_services.get(&flow.entry).into_iter().flatten());
-        let now_ms = ctx.now_ms;
-        let legs: Vec<Leg> = services
-            .iter()
-            .flat_map(|service| self.roster.of_service(*service).map(|a| (a, *service)))
-            .filter(|(agent, _)| !refused_by.contains(agent) && !self.is_silent(*agent, now_ms))
-            .map(|(agent, service)| self.leg(agent, service, true))
-            .collect();
-        if legs.is_empty() {
-            if !self.may_reset(ctx) {
-                return Verdict::Drop {
-                    code: ResultCode::FlowSearched,
-                };
-            }
+        if open.legs.is_empty() && self.may_reset(open.kind, ctx) {
             return Verdict::Reset {
                 code: ResultCode::FlowLost,
             };
         }
         let search_ms = self.settings.search_ms;
-        let search = self.searches.entry(flow, now_ms, search_ms);
-        if !search.may_ask(now_ms) {
+        let search = self.searches.entry(flow, ctx.now_ms, search_ms);
+        if open.legs.is_empty() || !search.may_ask(ctx.now_ms) {
             // A packet of the flow is already on its way to the agents that have not answered.
             return Verdict::Drop {
                 code: ResultCode::FlowSearched,
             };
         }
-        Verdict::Search(legs)
+        Verdict::Search(open.legs)
+    }
+
+    /// Returns the agents that may hold a flow and have not said no; `None` without a route.
+    fn unanswered(&self, flow: &FlowKey, now_ms: u64) -> Option<Unanswered> {
+        let route = self.fleet.table.routes.get(&flow.entry)?;
+        let refused_by = self.searches.refused_by(flow);
+        let mut services: BTreeSet<ServiceTag> =
+            route.shares.iter().map(|share| share.service).collect();
+        services.extend(self.former_services.get(&flow.entry).into_iter().flatten());
+        let legs = services
+            .iter()
+            .flat_map(|service| self.roster.of_service(*service).map(|a| (a, *service)))
+            .filter(|(agent, _)| !refused_by.contains(agent) && !self.is_silent(*agent, now_ms))
+            .map(|(agent, service)| self.leg(agent, service, true))
+            .collect();
+        Some(Unanswered {
+            kind: route.kind,
+            legs,
+        })
     }
 
     /// Tells whether a flow is lost to its caller because its agent has fallen silent.
@@ -464,7 +557,7 @@
     }
 
     fn is_silent(&self, agent: Ipv4Addr, now_ms: u64) -> bool {
-        if now_ms < self.resets_from_ms {
+        if now_ms < self.settled_from_ms + self.settings.settle_non_idempotent_ms {
             return false;
         }
         self.roster.get(agent).is_none_or(|state| {
--- a/crates/basilstep-core/src/flows/key.rs
+++ b/crates/basilstep-core/src/flows/key.rs
@@ -23,6 +23,15 @@
     }
 }
 
+/// A flow that nobody holds any more, with what a reset of it needs.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct LostFlow {
+    /// The flow.
+    pub flow: FlowKey,
+    /// The caller's last acknowledgement.
+    pub sequence: u32,
+}
+
 /// Names a service in frames between our processes: 48 bits of a hash of its name.
 ///
 /// Two of 2,200 services share a tag with a probability of about one in a hundred million.
--- a/crates/basilstep-core/src/flows/mod.rs
+++ b/crates/basilstep-core/src/flows/mod.rs
@@ -24,7 +24,7 @@
     AgentReport, BalancerBeat, BalancerEntry, Carry, Frame, FrameError, ReportReply, Returned,
     TargetPhase, decode_frame, encode_frame,
 };
-pub use key::{FlowKey, Lifetime, ServiceTag};
+pub use key::{FlowKey, Lifetime, LostFlow, ServiceTag};
 pub use limits::ServiceLimits;
 pub use peers::Peers;
 pub use routes::{FleetSettings, RequestKind, Route, RouteTable, ServiceShare};
--- a/crates/basilstep-core/src/flows/settings.rs
+++ b/crates/basilstep-core/src/flows/settings.rs
@@ -18,8 +18,10 @@
     pub doubt_ms: u64,
     /// How long a search for the holder of a flow counts each answer.
     pub search_ms: u64,
-    /// How long a balancer must have been up before it resets flows that nobody holds.
+    /// How long a balancer must have been up before it resets idempotent flows that nobody holds.
     pub settle_ms: u64,
+    /// The same for flows whose requests may not be repeated.
+    pub settle_non_idempotent_ms: u64,
     /// How long a balancer that has just started waits for another one's count of agents.
     pub roster_wait_ms: u64,
     /// What a flow to another domain costs in placement, in requests at work.
@@ -54,7 +56,8 @@
             confirm_within_ms: 150,
             doubt_ms: 500,
             search_ms: 1_000,
-            settle_ms: 400,
+            settle_ms: 300,
+            settle_non_idempotent_ms: 1_500,
             roster_wait_ms: 3_000,
             other_domain_cost: 3.0,
             open_flow_load: 0.1,
--- a/crates/basilstep-core/src/flows/tests/balancer.rs
+++ b/crates/basilstep-core/src/flows/tests/balancer.rs
@@ -233,6 +233,85 @@
     assert_eq!(chosen(&balancer.on_packet(&packet, &ctx)), 2);
 }
 
+/// Callers are back before any target is: the packets of the first moments are not lost.
+#[test]
+fn opening_packet_waits_for_an_agent_until_its_next_copy() {
+    let (mut balancer, ctx) = balancer_with(0, RequestKind::Idempotent);
+    let packet = opening(flow(1), 0);
+    let verdict = balancer.on_packet(&packet, &ctx);
+    assert!(matches!(verdict, Verdict::Drop { .. }));
+    balancer.park(&packet, b"packet", &ctx);
+    assert!(balancer.on_tick(&context(10_050)).placed.is_empty());
+    let ctx = context(10_100);
+    balancer.on_report(agent_ip(1), report(TargetPhase::Serving), &ctx);
+    let placed = balancer.on_tick(&ctx).placed;
+    assert_eq!(placed.len(), 1);
+    assert_eq!(placed[0].parked.packet, b"packet");
+    assert!(balancer.on_tick(&context(10_150)).placed.is_empty());
+}
+
+#[test]
+fn opening_packet_does_not_wait_longer_than_its_next_copy_takes() {
+    let (mut balancer, ctx) = balancer_with(0, RequestKind::Idempotent);
+    balancer.park(&opening(flow(1), 0), b"packet", &ctx);
+    let ctx = context(10_400);
+    balancer.on_report(agent_ip(1), report(TargetPhase::Serving), &ctx);
+    assert!(balancer.on_tick(&ctx).placed.is_empty());
+}
+
+#[test]
+fn agent_that_had_no_room_is_asked_again_once_it_reports_some() {
+    let (mut balancer, ctx) = balancer_with(1, RequestKind::Idempotent);
+    let packet = opening(flow(1), 0);
+    balancer.on_packet(&packet, &ctx);
+    let code = returned(ResultCode::Overloaded);
+    balancer.on_returned(agent_ip(1), code, &packet, &ctx);
+    let full = AgentReport {
+        at_work: 16,
+        ..report(TargetPhase::Serving)
+    };
+    balancer.on_report(agent_ip(1), full, &ctx);
+    balancer.park(&packet, b"packet", &ctx);
+    assert!(balancer.on_tick(&context(10_050)).placed.is_empty());
+    balancer.on_report(agent_ip(1), report(TargetPhase::Serving), &context(10_100));
+    assert_eq!(balancer.on_tick(&context(10_100)).placed.len(), 1);
+}
+
+/// Power was lost everywhere: a caller whose packet came early must not have to send it again.
+#[test]
+fn flow_that_nobody_holds_is_reset_as_soon_as_the_answers_may_be_trusted() {
+    let (mut balancer, _) = balancer_with(0, RequestKind::Idempotent);
+    balancer.on_pause(1_000, &context(10_000));
+    let ctx = context(10_100);
+    balancer.on_report(agent_ip(1), report(TargetPhase::Serving), &ctx);
+    let packet = data(flow(1), 100);
+    balancer.on_packet(&packet, &ctx);
+    refuse(&mut balancer, 1, &packet, 10_110);
+    assert!(balancer.on_tick(&context(10_150)).lost.is_empty());
+    let lost = balancer.on_tick(&context(10_300)).lost;
+    assert_eq!(lost.len(), 1);
+    assert_eq!((lost[0].flow, lost[0].sequence), (flow(1), 501));
+    assert!(balancer.on_tick(&context(10_350)).lost.is_empty());
+}
+
+#[test]
+fn flow_of_requests_that_may_not_be_repeated_is_reset_later() {
+    let (mut balancer, _) = balancer_with(0, RequestKind::NonIdempotent);
+    balancer.on_pause(1_000, &context(10_000));
+    let ctx = context(11_000);
+    balancer.on_report(agent_ip(1), report(TargetPhase::Serving), &ctx);
+    let packet = data(flow(1), 100);
+    balancer.on_packet(&packet, &ctx);
+    let verdict = refuse(&mut balancer, 1, &packet, 11_000);
+    assert_eq!(
+        verdict,
+        Verdict::Drop {
+            code: ResultCode::FlowSearched
+        }
+    );
+    assert_eq!(balancer.on_tick(&context(11_500)).lost.len(), 1);
+}
+
 /// A copy of the opening packet was held up in a balancer that stood still.
 #[test]
 fn late_word_of_a_second_target_does_not_move_a_flow() {
--- a/crates/basilstep-core/src/flows/tests/fleet.rs
+++ b/crates/basilstep-core/src/flows/tests/fleet.rs
@@ -129,7 +129,8 @@
             }
             let ctx = self.context();
             for balancer in self.balancers.values_mut() {
-                balancer.on_tick(&ctx);
+                let lost = balancer.on_tick(&ctx).lost;
+                self.resets.extend(lost.iter().map(|lost| lost.flow));
             }
             self.carry_out_telling();
         }
--- a/crates/basilstep-packet/src/agent/serve.rs
+++ b/crates/basilstep-packet/src/agent/serve.rs
@@ -11,8 +11,8 @@
     codes::ResultCode,
     context::Context,
     flows::{
-        AgentFlows, FlowKey, FlowSettings, Frame, ServiceTag,
-        agent::{AgentIdentity, ColdAllowance, LostFlow, SettingsSource},
+        AgentFlows, FlowKey, FlowSettings, Frame, LostFlow, ServiceTag,
+        agent::{AgentIdentity, ColdAllowance, SettingsSource},
         encode_frame,
     },
 };
--- a/crates/basilstep-packet/src/balancer/packets.rs
+++ b/crates/basilstep-packet/src/balancer/packets.rs
@@ -2,7 +2,11 @@
 use crate::datagrams::{BATCH, DATAGRAM_BYTES};
 use basilstep_core::{
     codes::ResultCode,
-    flows::{Frame, Segment, balancer::Leg, balancer::Verdict, encode_frame},
+    flows::{
+        Frame, LostFlow, Segment,
+        balancer::{Due, Leg, Verdict},
+        encode_frame,
+    },
 };
 use basilstep_platform::header;
 use std::net::SocketAddrV4;
@@ -52,25 +56,50 @@
             Verdict::Reset { code } => {
                 self.metrics.count(*code);
                 self.log_decision(*code, segment, None);
-                self.send_reset(segment);
+                self.send_reset(&LostFlow {
+                    flow: segment.flow_of_caller(),
+                    sequence: segment.acknowledged,
+                });
             }
             Verdict::Drop { code } => {
                 self.metrics.count(*code);
                 self.log_decision(*code, segment, None);
+                if segment.opens() && *code != ResultCode::Recovering {
+                    self.flows.park(segment, packet, &self.ctx);
+                }
             }
         }
     }
 
+    /// Does what a tick has brought.
+    pub(super) fn carry_out_due(&mut self, due: &Due) {
+        for placed in &due.placed {
+            self.log_decision(ResultCode::Done, &placed.parked.segment, Some(&placed.leg));
+            self.send_leg(&placed.leg, &placed.parked.packet);
+        }
+        if let Some(first) = due.lost.first() {
+            log::info!(
+                code:% = ResultCode::FlowLost,
+                flows = due.lost.len(),
+                first:% = first.flow.caller;
+                "flows that no agent holds are reset"
+            );
+        }
+        for lost in &due.lost {
+            self.metrics.count(ResultCode::FlowLost);
+            self.send_reset(lost);
+        }
+    }
+
     fn send_leg(&mut self, leg: &Leg, packet: &[u8]) {
         encode_frame(&Frame::Carry(leg.carry), packet, &mut self.frame);
         let address = SocketAddrV4::new(leg.agent, self.machine.internal_port);
         self.internal.send(&self.frame, address);
     }
 
-    fn send_reset(&mut self, segment: &Segment) {
-        let flow = segment.flow_of_caller();
-        let reset = header::reset(&flow, segment.acknowledged);
-        let address = SocketAddrV4::new(*flow.caller.ip(), self.machine.packets.port());
+    fn send_reset(&self, lost: &LostFlow) {
+        let reset = header::reset(&lost.flow, lost.sequence);
+        let address = SocketAddrV4::new(*lost.flow.caller.ip(), self.machine.packets.port());
         self.packets.send(&reset, address);
     }
 
--- a/crates/basilstep-packet/src/balancer/serve.rs
+++ b/crates/basilstep-packet/src/balancer/serve.rs
@@ -255,9 +255,11 @@
 
     fn on_tick(&mut self) {
         self.refresh_time();
-        for agent in self.flows.on_tick(&self.ctx) {
+        let due = self.flows.on_tick(&self.ctx);
+        for agent in &due.forgotten {
             log::info!(agent:% = agent; "an agent is forgotten");
         }
+        self.carry_out_due(&due);
         if self.flows.peers().len() == 1 {
             self.greet();
         }
