feat(flows): take no more requests than a target answers in time; waiting only for a first agent

Opening packets that had been refused for load also waited, reached targets when their callers had little time left, and stayed in the count of work: the gate closed for 15 s.

Ruled out: the settle time and the count at balancers (taken out again; it refused by stale figures).

Now only packets that found no agent or no route wait; what callers have given up no longer counts; the gate closes at the number of requests that a target answers within the route's latency goal, by the service time that the agent measures, between 1.5 and 4 rounds of its capacity.

--- a/crates/basilstep-core/src/flows/agent/gate.rs
+++ b/crates/basilstep-core/src/flows/agent/gate.rs
@@ -22,6 +22,8 @@
 pub struct GateInputs {
     /// Requests that the target works on or has queued.
     pub at_work: usize,
+    /// The most requests at work with which a new one is still answered in time.
+    pub work_limit: usize,
     /// Flows that the target holds.
     pub open_flows: usize,
     /// Operators have taken the agent's domain out.
@@ -70,7 +72,7 @@
         if limits.max_flows > 0 && inputs.open_flows >= limits.max_flows as usize {
             return Some(ResultCode::ConnectionsFull);
         }
-        if inputs.at_work >= target.overload_limit(settings) as usize {
+        if inputs.at_work >= inputs.work_limit {
             return Some(ResultCode::Overloaded);
         }
         if self.room(target, Some(&limits), settings, now_ms) == 0 {
--- a/crates/basilstep-core/src/flows/agent/mod.rs
+++ b/crates/basilstep-core/src/flows/agent/mod.rs
@@ -1,13 +1,15 @@
 //! The agent's side: which flows its target holds, and which new ones it takes.
 
 mod gate;
+mod service_time;
 mod source;
 mod state;
 mod table;
 mod target;
 
 pub use gate::ColdAllowance;
+pub use service_time::ServiceTime;
 pub use source::SettingsSource;
 pub use state::{AgentFlows, AgentIdentity, CallerVerdict, TargetVerdict};
-pub use table::{Flow, FlowStage};
+pub use table::{CallerWait, Flow, FlowStage};
 pub use target::{Ping, PingOutcome, PingState, TargetState};
--- a/crates/basilstep-core/src/flows/agent/state.rs
+++ b/crates/basilstep-core/src/flows/agent/state.rs
@@ -1,6 +1,7 @@
 use super::{
     gate::{ColdAllowance, Gate, GateInputs},
-    table::{Flow, FlowStage, FlowTable},
+    service_time::ServiceTime,
+    table::{Flow, FlowStage, FlowTable, WaitLimits},
     target::{Ping, PingOutcome, TargetState},
 };
 use crate::{
@@ -72,6 +73,7 @@
     own: AgentIdentity,
     target: TargetState,
     gate: Gate,
+    service_time: ServiceTime,
     table: FlowTable,
     limits: Option<ServiceLimits>,
     is_domain_out: bool,
@@ -90,6 +92,7 @@
             own,
             target: TargetState::default(),
             gate: Gate::new(own.allowance),
+            service_time: ServiceTime::default(),
             table: FlowTable::default(),
             limits: None,
             is_domain_out: false,
@@ -143,10 +146,14 @@
             return self.on_bounced(segment, ctx);
         }
         let key = segment.flow_of_target();
-        let is_first = self
-            .table
-            .get(&key)
-            .is_some_and(|flow| flow.stage == FlowStage::Offered);
+        let before = self.table.get(&key).copied();
+        let is_first = before.is_some_and(|flow| flow.stage == FlowStage::Offered);
+        if let Some(flow) = before.filter(|flow| flow.is_answered_by(segment)) {
+            let had_to_wait = self.table.at_work() > usize::from(self.target.capacity());
+            if !had_to_wait {
+                self.service_time.note(ctx.now_ms - flow.asked_ms);
+            }
+        }
         let flow = self
             .table
             .update(&key, |flow| flow.note_target(segment, ctx.now_ms));
@@ -162,6 +169,7 @@
     pub fn on_ping(&mut self, ping: &Ping, ctx: &Context) -> (PingOutcome, Vec<LostFlow>) {
         let outcome = self.target.on_ping(ping, self.own.heartbeat_ms, ctx.now_ms);
         if outcome == PingOutcome::NewLifetime {
+            self.service_time.forget();
             return (outcome, self.lose_flows(ctx));
         }
         (outcome, Vec::new())
@@ -206,6 +214,11 @@
         let now_ms = ctx.now_ms;
         self.peers
             .forget(now_ms.saturating_sub(self.settings.forget_after_ms));
+        let limits = WaitLimits {
+            opening_ms: self.settings.opening_wait_ms,
+            answer_ms: self.settings.answer_wait_ms,
+        };
+        self.table.give_up(&limits, now_ms);
         self.table.expire(
             now_ms.saturating_sub(self.settings.flow_idle_ms),
             now_ms.saturating_sub(self.settings.linger_ms),
@@ -288,6 +301,11 @@
         }
         let inputs = GateInputs {
             at_work: self.table.at_work(),
+            work_limit: self.service_time.work_limit(
+                &self.target,
+                carry.latency_goal_ms,
+                &self.settings,
+            ),
             open_flows: self.table.live(),
             is_domain_out: self.is_domain_out,
             is_stopping: self.is_stopping,
--- a/crates/basilstep-core/src/flows/agent/table.rs
+++ b/crates/basilstep-core/src/flows/agent/table.rs
@@ -30,6 +30,17 @@
     Lost,
 }
 
+/// What the caller of a flow waits for.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum CallerWait {
+    /// Nothing: it has its answer, or has not asked yet.
+    Nothing,
+    /// An answer.
+    Answer,
+    /// It has waited for so long that it has probably given up.
+    GivenUp,
+}
+
 /// A flow of the target.
 #[derive(Clone, Copy, Debug)]
 pub struct Flow {
@@ -43,10 +54,12 @@
     pub opened_ms: u64,
     /// When the last packet of either end passed.
     pub used_ms: u64,
-    /// The caller has sent data that the target has not answered.
-    pub is_busy: bool,
+    /// What its caller waits for.
+    pub wait: CallerWait,
     /// The caller's last acknowledgement.
     pub caller_acknowledged: u32,
+    /// When the caller last sent something new, or opened the flow.
+    pub asked_ms: u64,
     target_first: Option<u32>,
     caller_end: Option<u32>,
     is_caller_finished: bool,
@@ -67,8 +80,9 @@
             origin_domain,
             opened_ms: now_ms,
             used_ms: now_ms,
-            is_busy: false,
+            wait: CallerWait::Nothing,
             caller_acknowledged: 0,
+            asked_ms: now_ms,
             target_first: None,
             caller_end: None,
             is_caller_finished: false,
@@ -89,6 +103,11 @@
         !segment.flags.ack || segment.acknowledged.wrapping_sub(first) < span
     }
 
+    /// Tells whether a packet of the target begins the answer to what the caller has sent.
+    pub const fn is_answered_by(&self, segment: &Segment) -> bool {
+        matches!(self.wait, CallerWait::Answer) && segment.data_bytes > 0
+    }
+
     /// Takes account of a packet on its way to the target.
     pub fn note_caller(&mut self, segment: &Segment, now_ms: u64) {
         self.used_ms = now_ms;
@@ -102,7 +121,8 @@
             let end = segment.end_sequence();
             if self.caller_end.is_none_or(|known| is_ahead(end, known)) {
                 self.caller_end = Some(end);
-                self.is_busy = true;
+                self.wait = CallerWait::Answer;
+                self.asked_ms = now_ms;
             }
         }
         self.is_caller_finished |= segment.flags.fin;
@@ -127,7 +147,7 @@
             };
         }
         if segment.data_bytes > 0 {
-            self.is_busy = false;
+            self.wait = CallerWait::Nothing;
         }
         self.is_target_finished |= segment.flags.fin;
         if segment.flags.rst {
@@ -143,7 +163,7 @@
     }
 
     fn close(&mut self) {
-        self.is_busy = false;
+        self.wait = CallerWait::Nothing;
         if self.stage != FlowStage::Lost {
             self.stage = FlowStage::Closed;
         }
@@ -157,10 +177,32 @@
     }
 
     const fn is_at_work(&self) -> bool {
-        self.is_live() && (self.is_busy || !matches!(self.stage, FlowStage::Open))
+        match self.wait {
+            CallerWait::Answer => self.is_live(),
+            CallerWait::Nothing => matches!(self.stage, FlowStage::Offered | FlowStage::Answered),
+            CallerWait::GivenUp => false,
+        }
+    }
+
+    /// Tells whether the caller has waited longer than callers do.
+    const fn is_overdue(&self, limits: &WaitLimits, now_ms: u64) -> bool {
+        let limit_ms = match self.stage {
+            FlowStage::Open => limits.answer_ms,
+            _ => limits.opening_ms,
+        };
+        now_ms >= self.asked_ms + limit_ms
     }
 }
 
+/// How long callers wait before what they wait for no longer counts as work.
+#[derive(Clone, Copy, Debug)]
+pub struct WaitLimits {
+    /// For a flow that they do not go on to open.
+    pub opening_ms: u64,
+    /// For an answer.
+    pub answer_ms: u64,
+}
+
 /// The flows that a target holds, with running counts.
 #[derive(Clone, Debug, Default)]
 pub struct FlowTable {
@@ -230,6 +272,16 @@
         lost
     }
 
+    /// Stops counting as work what callers have probably given up.
+    pub fn give_up(&mut self, limits: &WaitLimits, now_ms: u64) {
+        for flow in self.flows.values_mut() {
+            if flow.is_at_work() && flow.is_overdue(limits, now_ms) {
+                flow.wait = CallerWait::GivenUp;
+                self.at_work -= 1;
+            }
+        }
+    }
+
     /// Drops flows by how long they have been unused.
     pub fn expire(&mut self, open_before_ms: u64, others_before_ms: u64) {
         let expired: Vec<FlowKey> = self
--- a/crates/basilstep-core/src/flows/agent/target.rs
+++ b/crates/basilstep-core/src/flows/agent/target.rs
@@ -1,4 +1,4 @@
-use crate::flows::{frame::TargetPhase, settings::FlowSettings};
+use crate::flows::frame::TargetPhase;
 use serde::{Deserialize, Serialize};
 
 /// How many ping intervals a target may stay silent before another lifetime may take its place.
@@ -113,9 +113,4 @@
     pub fn capacity(&self) -> u16 {
         self.last.map_or(1, |last| last.capacity.max(1))
     }
-
-    /// Returns the most requests at work before new flows are refused.
-    pub fn overload_limit(&self, settings: &FlowSettings) -> u32 {
-        u32::from(self.capacity()) * settings.overload_factor
-    }
 }
--- a/crates/basilstep-core/src/flows/balancer/roster.rs
+++ b/crates/basilstep-core/src/flows/balancer/roster.rs
@@ -173,8 +173,6 @@
     state.report.phase == TargetPhase::Serving
         && !state.report.is_stopping
         && state.offered_since < state.report.room
-        && u32::from(state.report.at_work) + u32::from(state.offered_since)
-            < u32::from(state.report.capacity) * settings.overload_factor
         && !placing.domains_out.contains(&state.report.domain)
         && placing.now_ms < state.heard_ms + settings.suspect_after_ms
         && placing.now_ms >= state.doubted_until_ms
--- a/crates/basilstep-core/src/flows/balancer/state.rs
+++ b/crates/basilstep-core/src/flows/balancer/state.rs
@@ -314,9 +314,12 @@
         self.is_stopping = true;
     }
 
-    /// Lets an opening packet that was turned down wait for an agent until its next copy comes.
-    pub fn park(&mut self, segment: &Segment, packet: &[u8], ctx: &Context) {
-        self.parking.park(segment, packet, ctx.now_ms);
+    /// Lets an opening packet wait until its next copy comes, if it was dropped with `code` because
+    /// no agent or no route is known yet.
+    pub fn park(&mut self, segment: &Segment, packet: &[u8], code: ResultCode, ctx: &Context) {
+        if matches!(code, ResultCode::NoTarget | ResultCode::UnknownService) {
+            self.parking.park(segment, packet, ctx.now_ms);
+        }
     }
 
     /// Does what is due.
@@ -343,8 +346,6 @@
     fn place_parked(&mut self, ctx: &Context) -> Vec<Placed> {
         let mut placed = Vec::new();
         for parked in self.parking.take(ctx.now_ms) {
-            // An agent that had no room a moment ago may have some now.
-            self.searches.end(&parked.segment.flow_of_caller());
             match self.on_packet(&parked.segment, ctx) {
                 Verdict::Forward(leg) => placed.push(Placed { parked, leg }),
                 Verdict::Drop { .. } => self.parking.put_back(parked),
@@ -441,7 +442,7 @@
             let (agent, service) = (hint.agent, hint.service);
             let is_overdue = ctx.now_ms >= hint.offered_ms + confirm_within_ms;
             if hint.is_confirmed || !is_overdue {
-                return self.forward(agent, service);
+                return self.offer(agent, service, &flow);
             }
             self.roster
                 .doubt(agent, ctx.now_ms + self.settings.doubt_ms);
@@ -474,7 +475,7 @@
             now_ms: ctx.now_ms,
         };
         let Some(agent) = self.roster.place(service, &placing, &self.settings) else {
-            return Self::refuse(segment, code);
+            return self.refuse(segment, code);
         };
         self.roster.count_offer(agent);
         self.parking.remove(&flow);
@@ -486,17 +487,18 @@
             used_ms: ctx.now_ms,
         };
         self.hints.insert(flow, hint);
-        self.forward(agent, service)
+        self.offer(agent, service, &flow)
     }
 
     /// Refuses an opening packet that no agent takes now.
     ///
     /// Earlier copies are dropped, because the caller sends another within 400 ms that may find
     /// room; after the last copy the caller is told at once.
-    fn refuse(segment: &Segment, code: ResultCode) -> Verdict {
+    fn refuse(&mut self, segment: &Segment, code: ResultCode) -> Verdict {
         if segment.acknowledged < LAST_COPY {
             return Verdict::Drop { code };
         }
+        self.parking.remove(&segment.flow_of_caller());
         Verdict::Reset { code }
     }
 
@@ -565,6 +567,14 @@
         })
     }
 
+    /// Sends an opening packet to an agent.
+    fn offer(&self, agent: Ipv4Addr, service: ServiceTag, flow: &FlowKey) -> Verdict {
+        let route = self.fleet.table.routes.get(&flow.entry);
+        let mut leg = self.leg(agent, service, false);
+        leg.carry.latency_goal_ms = route.map_or(0, |route| route.latency_goal_ms);
+        Verdict::Forward(leg)
+    }
+
     const fn forward(&self, agent: Ipv4Addr, service: ServiceTag) -> Verdict {
         Verdict::Forward(self.leg(agent, service, false))
     }
@@ -577,6 +587,7 @@
                 origin: self.own.ip,
                 origin_domain: self.own.domain,
                 is_search,
+                latency_goal_ms: 0,
             },
         }
     }
--- a/crates/basilstep-core/src/flows/frame.rs
+++ b/crates/basilstep-core/src/flows/frame.rs
@@ -55,6 +55,8 @@
     pub origin_domain: DomainId,
     /// The packet also goes to other agents: only the holder of the flow may answer.
     pub is_search: bool,
+    /// Within how long the requests of a new flow are to be answered; 0 in all other packets.
+    pub latency_goal_ms: u16,
 }
 
 /// Why a packet comes back from an agent.
--- a/crates/basilstep-core/src/flows/routes.rs
+++ b/crates/basilstep-core/src/flows/routes.rs
@@ -31,6 +31,8 @@
 pub struct Route {
     /// How its requests may be repeated.
     pub kind: RequestKind,
+    /// Within how long its requests are to be answered; 0 if operators have not said.
+    pub latency_goal_ms: u16,
     /// The services that share its new flows.
     pub shares: Vec<ServiceShare>,
 }
--- a/crates/basilstep-core/src/flows/settings.rs
+++ b/crates/basilstep-core/src/flows/settings.rs
@@ -30,14 +30,24 @@
     pub open_flow_load: f64,
     /// How much slower a cold target works.
     pub cold_slowdown: f64,
+    /// The share of a request's latency goal that waiting and work at the target may take.
+    pub goal_share: f64,
+    /// The fewest requests at work before new flows are refused, as a multiple of the capacity.
+    pub min_rounds: f64,
     /// The most requests at work before new flows are refused, as a multiple of the capacity.
-    pub overload_factor: u32,
+    pub max_rounds: f64,
+    /// The multiple while nothing is known about the target's speed.
+    pub default_rounds: f64,
     /// How much of the permitted rate of a cold target is used.
     pub cold_rate_share: f64,
     /// How long a balancer keeps a hint after the flow's last packet.
     pub hint_idle_ms: u64,
     /// The most hints that a balancer keeps.
     pub hint_limit: usize,
+    /// How long a flow that its caller does not go on to open counts as work.
+    pub opening_wait_ms: u64,
+    /// How long a request without an answer counts as work.
+    pub answer_wait_ms: u64,
     /// How long an agent keeps a flow after its last packet.
     pub flow_idle_ms: u64,
     /// How long an agent keeps a flow that both ends closed, or that its caller never opened.
@@ -62,10 +72,15 @@
             other_domain_cost: 3.0,
             open_flow_load: 0.1,
             cold_slowdown: 1.6,
-            overload_factor: 4,
+            goal_share: 0.7,
+            min_rounds: 1.5,
+            max_rounds: 4.0,
+            default_rounds: 2.0,
             cold_rate_share: 0.9,
             hint_idle_ms: 30_000,
             hint_limit: 32_768,
+            opening_wait_ms: 300,
+            answer_wait_ms: 3_000,
             flow_idle_ms: 30_000,
             linger_ms: 5_000,
             told_balancers: 8,
--- a/crates/basilstep-core/src/flows/tests/fleet.rs
+++ b/crates/basilstep-core/src/flows/tests/fleet.rs
@@ -75,6 +75,7 @@
         let flows: Vec<FlowKey> = (0..count).map(|number| flow(first + number)).collect();
         for flow in &flows {
             self.route_packet(&opening(*flow, 0));
+            self.route_packet(&data(*flow, 0));
         }
         flows
     }
--- a/crates/basilstep-core/src/flows/tests/mod.rs
+++ b/crates/basilstep-core/src/flows/tests/mod.rs
@@ -5,6 +5,7 @@
 mod cold_start;
 mod fleet;
 mod frames;
+mod overload;
 mod peers;
 mod restart;
 mod routes;
@@ -127,6 +128,7 @@
         origin,
         origin_domain: DomainId(0),
         is_search: false,
+        latency_goal_ms: 0,
     }
 }
 
@@ -172,6 +174,7 @@
 pub fn fleet_settings(kind: RequestKind) -> FleetSettings {
     let route = Route {
         kind,
+        latency_goal_ms: 100,
         shares: vec![ServiceShare {
             service: service(),
             weight: 1,
--- /dev/null
+++ b/crates/basilstep-core/src/flows/tests/overload.rs
@@ -0,0 +1,121 @@
+//! More callers than a target can serve, such as when all of them return after an outage.
+
+use super::{
+    accepted, balancer_ip, carry, context, data, flow, from_target, new_agent, opening, ping,
+};
+use crate::flows::{
+    AgentFlows, Carry, FlowKey,
+    agent::{CallerVerdict, Ping},
+};
+use rstest::rstest;
+use std::collections::{BTreeMap, VecDeque};
+
+/// A target that works on some requests at once and queues the others.
+struct Target {
+    slots: usize,
+    work_ms: u64,
+    running: Vec<(FlowKey, u64)>,
+    queued: VecDeque<FlowKey>,
+}
+
+impl Target {
+    fn take(&mut self, flow: FlowKey) {
+        self.queued.push_back(flow);
+    }
+
+    fn step(&mut self, now_ms: u64) -> Vec<FlowKey> {
+        let done: Vec<FlowKey> = self
+            .running
+            .iter()
+            .filter(|(_, until_ms)| *until_ms <= now_ms)
+            .map(|(flow, _)| *flow)
+            .collect();
+        self.running.retain(|(_, until_ms)| *until_ms > now_ms);
+        while self.running.len() < self.slots
+            && let Some(flow) = self.queued.pop_front()
+        {
+            self.running.push((flow, now_ms + self.work_ms));
+        }
+        done
+    }
+}
+
+/// What became of the requests of one second.
+#[derive(Debug, Default)]
+struct Outcome {
+    in_goal: usize,
+    late: usize,
+}
+
+/// Offers one flow each `gap_ms` for two seconds, each with one request, and serves what is taken.
+fn overload(slots: u16, work_ms: u64, goal_ms: u16, gap_ms: u64) -> Outcome {
+    let mut agent = new_agent();
+    let warm = Ping {
+        capacity: slots,
+        ..ping(1)
+    };
+    agent.on_ping(&warm, &context(1_000));
+    let mut target = Target {
+        slots: usize::from(slots),
+        work_ms,
+        running: Vec::new(),
+        queued: VecDeque::new(),
+    };
+    let mut asked: BTreeMap<FlowKey, u64> = BTreeMap::new();
+    let mut outcome = Outcome::default();
+    let mut port = 0;
+    for now_ms in 1_000..3_000 {
+        let ctx = context(now_ms);
+        for flow in target.step(now_ms) {
+            agent.on_target_packet(&from_target(data(flow, 50)), &ctx);
+            let took_ms = now_ms - asked[&flow];
+            if took_ms <= u64::from(goal_ms) {
+                outcome.in_goal += 1;
+            } else {
+                outcome.late += 1;
+            }
+        }
+        if now_ms % gap_ms == 0 {
+            port += 1;
+            if is_taken(&mut agent, flow(port), goal_ms, now_ms) {
+                asked.insert(flow(port), now_ms);
+                target.take(flow(port));
+            }
+        }
+        agent.on_tick(&ctx);
+    }
+    outcome
+}
+
+fn is_taken(agent: &mut AgentFlows, flow: FlowKey, goal_ms: u16, now_ms: u64) -> bool {
+    let ctx = context(now_ms);
+    let origin = Carry {
+        latency_goal_ms: goal_ms,
+        ..carry(balancer_ip(1))
+    };
+    let verdict = agent.on_packet(&origin, &opening(flow, 0), &ctx);
+    if !matches!(verdict, CallerVerdict::Deliver { .. }) {
+        return false;
+    }
+    agent.on_target_packet(&accepted(flow), &ctx);
+    agent.on_packet(&origin, &data(flow, 100), &ctx);
+    true
+}
+
+/// Three times what the target can serve: what it takes, it answers in time, and it is never idle.
+#[rstest]
+#[case::two_slots_fast_requests(2, 27, 100, 4)]
+#[case::nine_slots_slow_requests(9, 90, 250, 3)]
+#[case::four_slots_slow_requests(4, 90, 400, 7)]
+fn requests_that_are_taken_are_answered_in_time(
+    #[case] slots: u16,
+    #[case] work_ms: u64,
+    #[case] goal_ms: u16,
+    #[case] gap_ms: u64,
+) {
+    let outcome = overload(slots, work_ms, goal_ms, gap_ms);
+    let served = outcome.in_goal + outcome.late;
+    let bearable = 2_000 * usize::from(slots) / work_ms as usize;
+    assert!(outcome.in_goal * 100 >= served * 95, "{outcome:?}");
+    assert!(served * 100 >= bearable * 90, "{served} of {bearable}");
+}
--- a/crates/basilstep-core/src/flows/tests/routes.rs
+++ b/crates/basilstep-core/src/flows/tests/routes.rs
@@ -45,6 +45,7 @@
     };
     let route = Route {
         kind: RequestKind::Idempotent,
+        latency_goal_ms: 0,
         shares: vec![share("a", 90), share("b", 10)],
     };
     let to_b = (1..=10_000)
@@ -58,6 +59,7 @@
 fn route_without_weight_takes_no_flow() {
     let route = Route {
         kind: RequestKind::Idempotent,
+        latency_goal_ms: 0,
         shares: vec![ServiceShare {
             service: service(),
             weight: 0,
--- a/crates/basilstep-packet/src/balancer/packets.rs
+++ b/crates/basilstep-packet/src/balancer/packets.rs
@@ -64,8 +64,8 @@
             Verdict::Drop { code } => {
                 self.metrics.count(*code);
                 self.log_decision(*code, segment, None);
-                if segment.opens() && *code != ResultCode::Recovering {
-                    self.flows.park(segment, packet, &self.ctx);
+                if segment.opens() {
+                    self.flows.park(segment, packet, *code, &self.ctx);
                 }
             }
         }
