fix(flows): targets that a caller did not choose get no later packets; compare few of many agents

An agent whose target had not yet answered the opening packet let later packets pass, which a search brings when the flow was opened elsewhere, and forwarded the target's reset to the caller.

Of more than 8 agents only two of the own domain and two of others, drawn by the flow's hash, are compared now.

--- a/crates/basilstep-core/src/flows/agent/state.rs
+++ b/crates/basilstep-core/src/flows/agent/state.rs
@@ -57,6 +57,8 @@
         /// How long the target took to answer the opening packet, if this is the answer.
         opened_after_ms: Option<u64>,
     },
+    /// It is dropped.
+    Drop,
     /// The target has not taken it: it goes back to a balancer.
     Return {
         /// The balancer.
@@ -147,7 +149,14 @@
         }
         let key = segment.flow_of_target();
         let before = self.table.get(&key).copied();
-        let is_first = before.is_some_and(|flow| flow.stage == FlowStage::Offered);
+        let stage = before.map(|flow| flow.stage);
+        let is_opening = matches!(stage, Some(FlowStage::Offered | FlowStage::Answered));
+        if is_opening && segment.flags.rst {
+            // The caller may have opened the flow at another target; only that one may reset it.
+            self.table.remove(&key);
+            return TargetVerdict::Drop;
+        }
+        let is_first = matches!(stage, Some(FlowStage::Offered | FlowStage::Probed));
         if let Some(flow) = before.filter(|flow| flow.is_answered_by(segment)) {
             let had_to_wait = self.table.at_work() > usize::from(self.target.capacity());
             if !had_to_wait {
@@ -342,7 +351,7 @@
             };
         }
         let flow = Flow::new(
-            FlowStage::Offered,
+            FlowStage::Probed,
             carry.origin,
             carry.origin_domain,
             ctx.now_ms,
@@ -374,7 +383,10 @@
                 code: ResultCode::FlowLost,
             };
         }
-        if matches!(stage, Some(FlowStage::Offered | FlowStage::Answered)) {
+        if matches!(
+            stage,
+            Some(FlowStage::Offered | FlowStage::Probed | FlowStage::Answered)
+        ) {
             self.table.remove(&key);
         }
         TargetVerdict::Return {
--- a/crates/basilstep-core/src/flows/agent/table.rs
+++ b/crates/basilstep-core/src/flows/agent/table.rs
@@ -20,6 +20,8 @@
 pub enum FlowStage {
     /// The opening packet went to the target.
     Offered,
+    /// A later packet of a flow that the agent did not know went to the target.
+    Probed,
     /// The target has answered the opening packet; the caller may have taken another target's answer.
     Answered,
     /// The caller has acknowledged the answer, or the target has answered a later packet.
@@ -93,7 +95,8 @@
     /// Tells whether a packet of the caller continues what the target has sent.
     pub fn is_continued_by(&self, segment: &Segment) -> bool {
         let Some(first) = self.target_first else {
-            return true;
+            // The target has not answered the opening packet, so nothing can continue it.
+            return self.stage != FlowStage::Offered;
         };
         let span = if self.stage == FlowStage::Answered {
             OPENING_SPAN
@@ -138,13 +141,10 @@
         if segment.flags.syn && segment.flags.ack {
             self.target_first = Some(segment.sequence);
         }
-        if self.stage == FlowStage::Offered {
-            let is_answer = segment.flags.syn;
-            self.stage = if is_answer {
-                FlowStage::Answered
-            } else {
-                FlowStage::Open
-            };
+        match self.stage {
+            FlowStage::Offered if segment.flags.syn => self.stage = FlowStage::Answered,
+            FlowStage::Probed => self.stage = FlowStage::Open,
+            _ => {}
         }
         if segment.data_bytes > 0 {
             self.wait = CallerWait::Nothing;
@@ -172,14 +172,16 @@
     const fn is_live(&self) -> bool {
         matches!(
             self.stage,
-            FlowStage::Offered | FlowStage::Answered | FlowStage::Open
+            FlowStage::Offered | FlowStage::Probed | FlowStage::Answered | FlowStage::Open
         )
     }
 
     const fn is_at_work(&self) -> bool {
         match self.wait {
             CallerWait::Answer => self.is_live(),
-            CallerWait::Nothing => matches!(self.stage, FlowStage::Offered | FlowStage::Answered),
+            CallerWait::Nothing => {
+                matches!(self.stage, FlowStage::Offered | FlowStage::Answered)
+            }
             CallerWait::GivenUp => false,
         }
     }
--- a/crates/basilstep-core/src/flows/balancer/roster.rs
+++ b/crates/basilstep-core/src/flows/balancer/roster.rs
@@ -2,12 +2,13 @@
     address::DomainId,
     flows::{
         frame::{AgentReport, TargetPhase},
-        key::ServiceTag,
+        key::{FlowKey, ServiceTag, rendezvous},
         settings::FlowSettings,
     },
 };
 use serde::Serialize;
 use std::{
+    cmp::Reverse,
     collections::{BTreeMap, BTreeSet},
     net::Ipv4Addr,
 };
@@ -143,17 +144,24 @@
 
     /// Chooses the agent for a new flow: the one with the least work for its capacity.
     ///
-    /// An agent of another domain has to be ahead by [`FlowSettings::other_domain_cost`].
+    /// An agent of another domain has to be ahead by [`FlowSettings::other_domain_cost`]. Among many
+    /// agents only a few that the flow's hash draws are compared: all balancers hold the same
+    /// reports, and would otherwise all choose the same agent until the next ones.
     pub fn place(
         &self,
+        flow: &FlowKey,
         service: ServiceTag,
         placing: &Placing<'_>,
         settings: &FlowSettings,
     ) -> Option<Ipv4Addr> {
-        self.of_service(service)
+        let open: Vec<(Ipv4Addr, &AgentState)> = self
+            .of_service(service)
             .filter(|agent| !placing.refused_by.contains(agent))
             .filter_map(|agent| Some((agent, self.agents.get(&agent)?)))
             .filter(|(_, state)| takes_new_flows(state, placing, settings))
+            .collect();
+        drawn(flow, open, placing.domain, settings)
+            .into_iter()
             .map(|(agent, state)| (agent, expected_wait(state, placing, settings)))
             .min_by(|(_, left), (_, right)| left.total_cmp(right))
             .map(|(agent, _)| agent)
@@ -178,6 +186,28 @@
         && placing.now_ms >= state.doubted_until_ms
 }
 
+/// Draws the agents that are compared: all of a few, or else some of the own domain and of others.
+fn drawn<'a>(
+    flow: &FlowKey,
+    mut open: Vec<(Ipv4Addr, &'a AgentState)>,
+    domain: DomainId,
+    settings: &FlowSettings,
+) -> Vec<(Ipv4Addr, &'a AgentState)> {
+    if open.len() <= settings.compare_all {
+        return open;
+    }
+    let flow_hash = flow.hash();
+    open.sort_by_cached_key(|(agent, _)| Reverse(rendezvous(flow_hash, *agent)));
+    let (own, others): (Vec<_>, Vec<_>) = open
+        .into_iter()
+        .partition(|(_, state)| state.report.domain == domain);
+    let drawn = settings.compare_drawn;
+    own.into_iter()
+        .take(drawn)
+        .chain(others.into_iter().take(drawn))
+        .collect()
+}
+
 /// Returns the requests at work for each that the target works on at once.
 fn expected_wait(state: &AgentState, placing: &Placing<'_>, settings: &FlowSettings) -> f64 {
     let report = &state.report;
--- a/crates/basilstep-core/src/flows/balancer/state.rs
+++ b/crates/basilstep-core/src/flows/balancer/state.rs
@@ -474,7 +474,7 @@
             refused_by: &refused_by,
             now_ms: ctx.now_ms,
         };
-        let Some(agent) = self.roster.place(service, &placing, &self.settings) else {
+        let Some(agent) = self.roster.place(&flow, service, &placing, &self.settings) else {
             return self.refuse(segment, code);
         };
         self.roster.count_offer(agent);
--- a/crates/basilstep-core/src/flows/key.rs
+++ b/crates/basilstep-core/src/flows/key.rs
@@ -1,6 +1,9 @@
 use serde::{Deserialize, Serialize};
 use siphasher::sip::SipHasher13;
-use std::{hash::Hasher, net::SocketAddrV4};
+use std::{
+    hash::Hasher,
+    net::{Ipv4Addr, SocketAddrV4},
+};
 
 /// The two ends of a flow as its packets name them.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
@@ -53,3 +56,11 @@
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
 #[serde(transparent)]
 pub struct Lifetime(pub u32);
+
+/// Returns the rendezvous score of a process for a flow; the highest scores win.
+pub(super) fn rendezvous(flow_hash: u64, ip: Ipv4Addr) -> u64 {
+    let mut hasher = SipHasher13::new();
+    hasher.write_u64(flow_hash);
+    hasher.write_u32(ip.to_bits());
+    hasher.finish()
+}
--- a/crates/basilstep-core/src/flows/peers.rs
+++ b/crates/basilstep-core/src/flows/peers.rs
@@ -1,6 +1,6 @@
 use super::{
     frame::{BalancerBeat, BalancerEntry},
-    key::Lifetime,
+    key::{Lifetime, rendezvous},
 };
 use crate::address::DomainId;
 use siphasher::sip::SipHasher13;
@@ -129,7 +129,7 @@
             .peers
             .iter()
             .filter(|(_, peer)| peer.domain == domain)
-            .map(|(ip, _)| (score(flow_hash, *ip), *ip))
+            .map(|(ip, _)| (rendezvous(flow_hash, *ip), *ip))
             .collect();
         if told.len() > limit {
             told.sort_unstable_by(|left, right| right.cmp(left));
@@ -163,10 +163,3 @@
         hasher.finish() as u32
     }
 }
-
-fn score(flow_hash: u64, ip: Ipv4Addr) -> u64 {
-    let mut hasher = SipHasher13::new();
-    hasher.write_u64(flow_hash);
-    hasher.write_u32(ip.to_bits());
-    hasher.finish()
-}
--- a/crates/basilstep-core/src/flows/settings.rs
+++ b/crates/basilstep-core/src/flows/settings.rs
@@ -24,6 +24,10 @@
     pub settle_non_idempotent_ms: u64,
     /// How long a balancer that has just started waits for another one's count of agents.
     pub roster_wait_ms: u64,
+    /// Up to how many agents of a service are all compared for a new flow.
+    pub compare_all: usize,
+    /// How many agents of the own domain, and of others, are compared if there are more.
+    pub compare_drawn: usize,
     /// What a flow to another domain costs in placement, in requests at work.
     pub other_domain_cost: f64,
     /// What an open flow counts in placement, in requests at work.
@@ -69,6 +73,8 @@
             settle_ms: 300,
             settle_non_idempotent_ms: 1_500,
             roster_wait_ms: 3_000,
+            compare_all: 8,
+            compare_drawn: 2,
             other_domain_cost: 3.0,
             open_flow_load: 0.1,
             cold_slowdown: 1.6,
--- a/crates/basilstep-core/src/flows/tests/agent.rs
+++ b/crates/basilstep-core/src/flows/tests/agent.rs
@@ -326,6 +326,37 @@
     assert_eq!(verdict, expected);
 }
 
+/// The flow was opened at another target; a search brings its packets here as well.
+#[test]
+fn target_that_has_not_answered_an_opening_packet_gets_no_later_one() {
+    let (mut agent, ctx) = serving_agent();
+    let origin = carry(balancer_ip(ORIGIN));
+    agent.on_packet(&origin, &opening(flow(1), 0), &ctx);
+    let verdict = agent.on_packet(&origin, &data(flow(1), 10), &ctx);
+    assert_eq!(refusal(verdict), ResultCode::FlowNotHeld);
+}
+
+#[test]
+fn reset_of_a_target_that_the_caller_did_not_choose_does_not_reach_the_caller() {
+    let (mut agent, ctx) = serving_agent();
+    agent.on_packet(&carry(balancer_ip(ORIGIN)), &opening(flow(1), 0), &ctx);
+    agent.on_target_packet(&accepted(flow(1)), &ctx);
+    let mut reset = from_target(data(flow(1), 0));
+    reset.flags.rst = true;
+    assert_eq!(agent.on_target_packet(&reset, &ctx), TargetVerdict::Drop);
+    assert_eq!(agent.table().live(), 0);
+}
+
+#[test]
+fn reset_of_an_open_flow_reaches_its_caller() {
+    let (mut agent, ctx) = serving_agent();
+    open(&mut agent, flow(1), 5_000);
+    let mut reset = from_target(data(flow(1), 0));
+    reset.flags.rst = true;
+    let verdict = agent.on_target_packet(&reset, &ctx);
+    assert!(matches!(verdict, TargetVerdict::ToCaller { .. }));
+}
+
 #[test]
 fn new_balancer_of_the_domain_is_told_about_open_flows() {
     let (mut agent, ctx) = serving_agent();
--- a/crates/basilstep-core/src/flows/tests/balancer.rs
+++ b/crates/basilstep-core/src/flows/tests/balancer.rs
@@ -62,6 +62,31 @@
     assert_eq!(taken[1..], [10, 10, 10, 10]);
 }
 
+/// Many balancers see a new, idle agent in the same report: it must not get all their flows.
+#[test]
+fn new_agent_is_not_swamped_before_its_next_report() {
+    let mut taken = 0;
+    for round in 0..20 {
+        let (mut balancer, ctx) = balancer_with(40, RequestKind::Idempotent);
+        for number in 1..40 {
+            let busy = AgentReport {
+                at_work: 2,
+                ..report(TargetPhase::Serving)
+            };
+            balancer.on_report(agent_ip(number), busy, &ctx);
+        }
+        let first = round * 5 + 1;
+        for port in first..first + 5 {
+            let verdict = balancer.on_packet(&opening(flow(port), 0), &ctx);
+            taken += u16::from(chosen(&verdict) == 40);
+        }
+    }
+    assert!(
+        taken <= 20,
+        "{taken} of 100 flows, 2 of 40 agents are compared"
+    );
+}
+
 #[test]
 fn agent_of_another_domain_gets_flows_once_it_is_clearly_less_busy() {
     let (mut balancer, ctx) = balancer_with(1, RequestKind::Idempotent);
--- a/crates/basilstep-core/src/flows/tests/fleet.rs
+++ b/crates/basilstep-core/src/flows/tests/fleet.rs
@@ -344,7 +344,7 @@
         };
         match self.agent.on_target_packet(&answer, ctx) {
             TargetVerdict::Return { origin, code } => Some((origin, code)),
-            TargetVerdict::ToCaller { .. } => None,
+            TargetVerdict::ToCaller { .. } | TargetVerdict::Drop => None,
         }
     }
 }
--- a/crates/basilstep-packet/src/agent/packets.rs
+++ b/crates/basilstep-packet/src/agent/packets.rs
@@ -64,6 +64,7 @@
                 }
                 self.send_to_caller(packet, *segment.destination.ip());
             }
+            TargetVerdict::Drop => self.metrics.count(ResultCode::FlowNotHeld),
             TargetVerdict::Return { origin, code } => {
                 self.log_decision(code, &segment);
                 header::clear_bounce(packet);
