feat(flows): agents tell balancers all their flows, so that a lost flow needs no asking

Up to 32 balancers are now all told of each flow; each tells from a running count whether it has missed any and asks again. An agent that started with its target, or has watched it for 20 s, knows all its flows and says so. For idempotent requests such agents need no asking: no hint after 40 ms means lost.

Failed on the way, as trials: comparing the count of the last report with what came since (half of the agents seemed to have gaps), and no frame for an agent without flows (its gap never closed).

--- a/crates/basilstep-core/src/flows/agent/mod.rs
+++ b/crates/basilstep-core/src/flows/agent/mod.rs
@@ -6,6 +6,7 @@
 mod state;
 mod table;
 mod target;
+mod telling;
 
 pub use gate::ColdAllowance;
 pub use service_time::ServiceTime;
--- a/crates/basilstep-core/src/flows/agent/state.rs
+++ b/crates/basilstep-core/src/flows/agent/state.rs
@@ -3,13 +3,14 @@
     service_time::ServiceTime,
     table::{Flow, FlowStage, FlowTable, WaitLimits},
     target::{Ping, PingOutcome, TargetState},
+    telling::Telling,
 };
 use crate::{
     address::DomainId,
     codes::ResultCode,
     context::Context,
     flows::{
-        frame::{AgentReport, BalancerEntry, Carry, ReportReply, TargetPhase},
+        frame::{AgentReport, BalancerEntry, Carry, HeldFlows, ReportReply, TargetPhase},
         key::{FlowKey, Lifetime, LostFlow, ServiceTag},
         limits::ServiceLimits,
         peers::Peers,
@@ -17,7 +18,7 @@
         settings::FlowSettings,
     },
 };
-use std::{collections::BTreeMap, net::Ipv4Addr};
+use std::net::Ipv4Addr;
 
 /// Who an agent is.
 #[derive(Clone, Copy, Debug)]
@@ -28,6 +29,8 @@
     pub domain: DomainId,
     /// Its run.
     pub lifetime: Lifetime,
+    /// When it started, in milliseconds of the machine's time of day.
+    pub born_ms: u64,
     /// How often its target pings.
     pub heartbeat_ms: u64,
     /// What a cold target may get.
@@ -82,13 +85,14 @@
     settings_revision: u64,
     settings_version: u64,
     peers: Peers,
-    untold: BTreeMap<Ipv4Addr, Vec<FlowKey>>,
+    telling: Telling,
+    started_ms: u64,
     is_stopping: bool,
 }
 
 impl AgentFlows {
     /// Creates the state of an agent that knows nothing yet.
-    pub fn new(settings: FlowSettings, own: AgentIdentity) -> Self {
+    pub fn new(settings: FlowSettings, own: AgentIdentity, ctx: &Context) -> Self {
         Self {
             settings,
             own,
@@ -101,7 +105,8 @@
             settings_revision: 0,
             settings_version: 0,
             peers: Peers::default(),
-            untold: BTreeMap::new(),
+            telling: Telling::default(),
+            started_ms: ctx.now_ms,
             is_stopping: false,
         }
     }
@@ -137,7 +142,7 @@
             flow.note_caller(segment, ctx.now_ms);
         });
         if is_elsewhere {
-            self.untold.entry(carry.origin).or_default().push(key);
+            self.telling.add(carry.origin, key);
         }
         deliver(carry)
     }
@@ -169,7 +174,7 @@
         let mut opened_after_ms = None;
         if let Some(flow) = flow.filter(|_| is_first) {
             opened_after_ms = Some(ctx.now_ms - flow.opened_ms);
-            self.tell_domain(key, &flow);
+            self.tell(key, &flow);
         }
         TargetVerdict::ToCaller { opened_after_ms }
     }
@@ -177,6 +182,11 @@
     /// Takes a ping of the target; returns the flows that a new lifetime has lost.
     pub fn on_ping(&mut self, ping: &Ping, ctx: &Context) -> (PingOutcome, Vec<LostFlow>) {
         let outcome = self.target.on_ping(ping, self.own.heartbeat_ms, ctx.now_ms);
+        let is_first_run = ping.born_ms + self.settings.witness_ms >= self.own.born_ms;
+        if is_first_run && outcome != PingOutcome::Outdated {
+            // No earlier run of the agent can have brought this lifetime a flow.
+            self.target.set_witnessed();
+        }
         if outcome == PingOutcome::NewLifetime {
             self.service_time.forget();
             return (outcome, self.lose_flows(ctx));
@@ -212,7 +222,7 @@
         for entry in entries {
             if self.peers.learn(entry, ctx.now_ms) {
                 is_any_new = true;
-                self.tell_newcomer(entry);
+                self.tell_again(entry.ip);
             }
         }
         is_any_new
@@ -223,6 +233,9 @@
         let now_ms = ctx.now_ms;
         self.peers
             .forget(now_ms.saturating_sub(self.settings.forget_after_ms));
+        let peers = &self.peers;
+        self.telling
+            .retain(|balancer| peers.domain_of(balancer).is_some());
         let limits = WaitLimits {
             opening_ms: self.settings.opening_wait_ms,
             answer_ms: self.settings.answer_wait_ms,
@@ -234,8 +247,8 @@
         );
     }
 
-    /// Returns the agent's report.
-    pub fn report(&mut self, ctx: &Context) -> AgentReport {
+    /// Returns the agent's report to a balancer.
+    pub fn report(&mut self, balancer: Ipv4Addr, ctx: &Context) -> AgentReport {
         let room = self.gate.room(
             &self.target,
             self.limits.as_ref(),
@@ -254,12 +267,19 @@
             capacity: self.target.capacity(),
             room,
             wants_reply: false,
+            told: self.told(balancer, ctx),
         }
     }
 
-    /// Takes the flows that balancers have to be told about, by balancer.
-    pub fn take_untold(&mut self) -> BTreeMap<Ipv4Addr, Vec<FlowKey>> {
-        std::mem::take(&mut self.untold)
+    /// Takes the flows that balancers have to be told about now.
+    pub fn take_untold(&mut self) -> Vec<(Ipv4Addr, HeldFlows)> {
+        self.telling.take()
+    }
+
+    /// Tells a balancer about all flows once more.
+    pub fn tell_again(&mut self, balancer: Ipv4Addr) {
+        let flows = self.flows_for(balancer);
+        self.telling.begin(balancer, flows);
     }
 
     /// Announces from now on that this agent stops while its target goes on.
@@ -345,7 +365,7 @@
     /// An agent that has not watched its target from the start asks the target: a flow that the
     /// target does not hold bounces.
     fn on_unknown(&mut self, key: FlowKey, carry: &Carry, ctx: &Context) -> CallerVerdict {
-        if self.target.is_witnessed() || self.target.phase() == TargetPhase::Down {
+        if self.knows_all_flows(ctx) || self.target.phase() == TargetPhase::Down {
             return CallerVerdict::Return {
                 code: ResultCode::FlowNotHeld,
             };
@@ -407,34 +427,51 @@
             .collect()
     }
 
-    fn tell_domain(&mut self, key: FlowKey, flow: &Flow) {
-        let limit = self.settings.told_balancers;
-        let mut told = self.peers.told(flow.origin_domain, key.hash(), limit);
-        if !told.contains(&flow.origin) {
-            told.push(flow.origin);
+    fn tell(&mut self, key: FlowKey, flow: &Flow) {
+        let mut listeners = self.listeners_of(&key, flow);
+        if !listeners.contains(&flow.origin) {
+            listeners.push(flow.origin);
         }
-        for balancer in told {
-            self.untold.entry(balancer).or_default().push(key);
+        for balancer in listeners {
+            self.telling.add(balancer, key);
         }
     }
 
-    fn tell_newcomer(&mut self, entry: &BalancerEntry) {
-        let limit = self.settings.told_balancers;
-        let told: Vec<FlowKey> = self
-            .table
+    /// Returns the flows that a balancer is to know.
+    fn flows_for(&self, balancer: Ipv4Addr) -> Vec<FlowKey> {
+        self.table
             .iter()
-            .filter(|(_, flow)| flow.stage == FlowStage::Open)
-            .filter(|(_, flow)| flow.origin_domain == entry.domain)
+            .filter(|(_, flow)| matches!(flow.stage, FlowStage::Answered | FlowStage::Open))
+            .filter(|(key, flow)| self.listeners_of(key, flow).contains(&balancer))
             .map(|(key, _)| *key)
-            .filter(|key| {
-                self.peers
-                    .told(entry.domain, key.hash(), limit)
-                    .contains(&entry.ip)
-            })
-            .collect();
-        if !told.is_empty() {
-            self.untold.entry(entry.ip).or_default().extend(told);
+            .collect()
+    }
+
+    /// Returns the balancers that are to know a flow: all of a few, or some of its caller's domain.
+    fn listeners_of(&self, key: &FlowKey, flow: &Flow) -> Vec<Ipv4Addr> {
+        if self.tells_all() {
+            return self.peers.addresses().collect();
         }
+        let limit = self.settings.told_balancers;
+        self.peers.told(flow.origin_domain, key.hash(), limit)
+    }
+
+    fn tells_all(&self) -> bool {
+        self.peers.len() <= self.settings.tell_all
+    }
+
+    /// Returns how many flows a balancer was told, if it can tell from them what is not held here.
+    fn told(&self, balancer: Ipv4Addr, ctx: &Context) -> Option<u32> {
+        let knows_all = self.knows_all_flows(ctx);
+        let is_listener = self.peers.domain_of(balancer).is_some();
+        (knows_all && is_listener && self.tells_all()).then(|| self.telling.told(balancer))
+    }
+
+    /// Tells whether the table holds every flow of the target.
+    fn knows_all_flows(&self, ctx: &Context) -> bool {
+        self.target.is_witnessed()
+            || (self.target.phase() != TargetPhase::Unknown
+                && ctx.now_ms >= self.started_ms + self.settings.relearn_ms)
     }
 }
 
--- a/crates/basilstep-core/src/flows/agent/target.rs
+++ b/crates/basilstep-core/src/flows/agent/target.rs
@@ -104,6 +104,11 @@
         self.last.is_none() || now_ms < self.cold_until_ms
     }
 
+    /// Notes that no run of the agent before this one can have reached this lifetime.
+    pub const fn set_witnessed(&mut self) {
+        self.is_witnessed = true;
+    }
+
     /// Tells whether the agent knows every flow of the target.
     pub const fn is_witnessed(&self) -> bool {
         self.is_witnessed
--- a/crates/basilstep-core/src/flows/balancer/roster.rs
+++ b/crates/basilstep-core/src/flows/balancer/roster.rs
@@ -1,7 +1,7 @@
 use crate::{
     address::DomainId,
     flows::{
-        frame::{AgentReport, TargetPhase},
+        frame::{AgentReport, HeldFlows, TargetPhase},
         key::{FlowKey, ServiceTag, rendezvous},
         settings::FlowSettings,
     },
@@ -22,6 +22,11 @@
     pub heard_ms: u64,
     /// New flows that this balancer has sent to it since.
     pub offered_since: u16,
+    /// How many flows it has told this balancer, without a gap.
+    pub received: u32,
+    /// With its last report this balancer knew all flows that its target held, and no word was lost
+    /// since.
+    pub is_told_all: bool,
     /// Until when it gets no new flows, because it did not confirm one.
     pub doubted_until_ms: u64,
 }
@@ -33,6 +38,13 @@
     by_service: BTreeMap<ServiceTag, BTreeSet<Ipv4Addr>>,
 }
 
+impl AgentState {
+    /// Tells whether the last report spoke of flows that this balancer has not heard of.
+    pub const fn has_gap(&self) -> bool {
+        self.report.told.is_some() && !self.is_told_all
+    }
+}
+
 /// What placement needs to know about the balancer that asks.
 #[derive(Clone, Copy, Debug)]
 pub struct Placing<'a> {
@@ -63,10 +75,15 @@
         let doubted_until_ms = before
             .filter(|_| is_same_run)
             .map_or(0, |state| state.doubted_until_ms);
+        let received = before
+            .filter(|_| is_same_run)
+            .map_or(0, |state| state.received);
         let state = AgentState {
             report,
             heard_ms: now_ms,
             offered_since: 0,
+            received,
+            is_told_all: report.told == Some(received),
             doubted_until_ms,
         };
         self.agents.insert(agent, state);
@@ -98,6 +115,17 @@
         self.by_service.get(&service).into_iter().flatten().copied()
     }
 
+    /// Counts flows that an agent has told of; a gap is noticed with its next report.
+    pub fn count_held(&mut self, agent: Ipv4Addr, held: &HeldFlows) {
+        if let Some(state) = self.agents.get_mut(&agent) {
+            let is_next = held.told_before == state.received;
+            state.is_told_all &= is_next;
+            if is_next || held.told_before == 0 {
+                state.received = held.told_before + held.flows.len() as u32;
+            }
+        }
+    }
+
     /// Passes an agent over for new flows until `until_ms`.
     pub fn doubt(&mut self, agent: Ipv4Addr, until_ms: u64) {
         if let Some(state) = self.agents.get_mut(&agent) {
--- a/crates/basilstep-core/src/flows/balancer/search.rs
+++ b/crates/basilstep-core/src/flows/balancer/search.rs
@@ -23,6 +23,11 @@
 const ANSWER_WITHIN_MS: u64 = 100;
 
 impl Search {
+    /// Tells whether the search began at least `span_ms` ago.
+    pub const fn has_lasted(&self, span_ms: u64, now_ms: u64) -> bool {
+        now_ms >= self.started_ms + span_ms
+    }
+
     /// Tells whether a packet may go to all agents that have not answered, and notes that it does.
     pub fn may_ask(&mut self, now_ms: u64) -> bool {
         let is_pending = self
--- a/crates/basilstep-core/src/flows/balancer/state.rs
+++ b/crates/basilstep-core/src/flows/balancer/state.rs
@@ -1,7 +1,7 @@
 use super::{
     hints::{Hint, Hints},
     parking::{Parked, Parking},
-    roster::{Placing, Roster},
+    roster::{AgentState, Placing, Roster},
     search::Searches,
 };
 use crate::{
@@ -9,7 +9,9 @@
     codes::ResultCode,
     context::Context,
     flows::{
-        frame::{AgentReport, BalancerBeat, BalancerEntry, Carry, ReportReply, Returned},
+        frame::{
+            AgentReport, BalancerBeat, BalancerEntry, Carry, HeldFlows, ReportReply, Returned,
+        },
         key::{FlowKey, Lifetime, LostFlow, ServiceTag},
         peers::Peers,
         routes::{FleetSettings, RequestKind},
@@ -25,6 +27,9 @@
 /// How many hints are looked at in one tick.
 const SWEEP_BUDGET: usize = 256;
 
+/// How long word of a new flow may be under way from its agent; across a domain it needs 2 ms.
+const TELL_MS: u64 = 40;
+
 /// The number of the last copy of an opening packet that a caller sends.
 const LAST_COPY: u32 = 2;
 
@@ -211,9 +216,21 @@
         }
     }
 
-    /// Takes word from an agent that it holds a flow.
-    pub fn on_held(&mut self, agent: Ipv4Addr, flow: FlowKey, ctx: &Context) {
+    /// Takes word from an agent that it holds flows.
+    pub fn on_held(&mut self, agent: Ipv4Addr, held: &HeldFlows, ctx: &Context) {
         self.roster.trust(agent);
+        self.roster.count_held(agent, held);
+        for flow in &held.flows {
+            self.note_holder(agent, *flow, ctx);
+        }
+    }
+
+    /// Tells whether an agent is to tell its flows once more; asked after its report.
+    pub fn has_gap(&self, agent: Ipv4Addr) -> bool {
+        self.roster.get(agent).is_some_and(AgentState::has_gap)
+    }
+
+    fn note_holder(&mut self, agent: Ipv4Addr, flow: FlowKey, ctx: &Context) {
         if let Some(hint) = self.hints.get_mut(&flow)
             && hint.is_confirmed
             && hint.agent != agent
@@ -360,6 +377,9 @@
         let pending: Vec<LostFlow> = self
             .searches
             .pending()
+            .filter(|(_, search)| {
+                !search.refused_by.is_empty() || search.has_lasted(TELL_MS, ctx.now_ms)
+            })
             .map(|(flow, search)| LostFlow {
                 flow: *flow,
                 sequence: search.caller_acknowledged,
@@ -515,14 +535,16 @@
         let Some(open) = self.unanswered(&flow, ctx.now_ms) else {
             return self.refuse_unknown(ctx);
         };
-        if open.legs.is_empty() && self.may_reset(open.kind, ctx) {
+        let search_ms = self.settings.search_ms;
+        let search = self.searches.entry(flow, ctx.now_ms, search_ms);
+        let is_settled = !search.refused_by.is_empty() || search.has_lasted(TELL_MS, ctx.now_ms);
+        let may_ask = search.may_ask(ctx.now_ms);
+        if open.legs.is_empty() && is_settled && self.may_reset(open.kind, ctx) {
             return Verdict::Reset {
                 code: ResultCode::FlowLost,
             };
         }
-        let search_ms = self.settings.search_ms;
-        let search = self.searches.entry(flow, ctx.now_ms, search_ms);
-        if open.legs.is_empty() || !search.may_ask(ctx.now_ms) {
+        if open.legs.is_empty() || !may_ask {
             // A packet of the flow is already on its way to the agents that have not answered.
             return Verdict::Drop {
                 code: ResultCode::FlowSearched,
@@ -542,6 +564,7 @@
             .iter()
             .flat_map(|service| self.roster.of_service(*service).map(|a| (a, *service)))
             .filter(|(agent, _)| !refused_by.contains(agent) && !self.is_silent(*agent, now_ms))
+            .filter(|(agent, _)| !self.would_have_told(route.kind, *agent))
             .map(|(agent, service)| self.leg(agent, service, true))
             .collect();
         Some(Unanswered {
@@ -550,6 +573,15 @@
         })
     }
 
+    /// Tells whether an agent needs no asking, because it has told this balancer all its flows.
+    ///
+    /// Word of a new flow may still be under way; only callers of idempotent requests lose little
+    /// when that is mistaken for a lost one.
+    fn would_have_told(&self, kind: RequestKind, agent: Ipv4Addr) -> bool {
+        let state = self.roster.get(agent);
+        kind == RequestKind::Idempotent && state.is_some_and(|state| state.is_told_all)
+    }
+
     /// Tells whether a flow is lost to its caller because its agent has fallen silent.
     ///
     /// Only callers of idempotent requests gain by a reset: they repeat the request elsewhere.
--- a/crates/basilstep-core/src/flows/frame.rs
+++ b/crates/basilstep-core/src/flows/frame.rs
@@ -31,7 +31,7 @@
     /// Agent to balancer: the packet that follows was not taken.
     Returned(Returned),
     /// Agent to balancer: the sender holds these flows.
-    Held(Vec<FlowKey>),
+    Held(HeldFlows),
     /// Agent to balancer.
     Report(AgentReport),
     /// Balancer to an agent that asked for it in its report.
@@ -42,6 +42,8 @@
     ListBalancers,
     /// The balancers that the sender knows.
     Balancers(Vec<BalancerEntry>),
+    /// Balancer to agent: asks for all flows once more, since some were lost on the way.
+    TellAgain,
 }
 
 /// How a packet of a caller reaches an agent.
@@ -59,6 +61,15 @@
     pub latency_goal_ms: u16,
 }
 
+/// Flows that an agent holds.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct HeldFlows {
+    /// How many flows this agent has told this balancer before; 0 begins anew.
+    pub told_before: u32,
+    /// The flows.
+    pub flows: Vec<FlowKey>,
+}
+
 /// Why a packet comes back from an agent.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Returned {
@@ -108,6 +119,8 @@
     pub room: u16,
     /// The receiver is asked for a [`ReportReply`].
     pub wants_reply: bool,
+    /// How many flows the agent has told the receiver, if these are all that its target holds.
+    pub told: Option<u32>,
 }
 
 /// What a balancer tells the agents that chose it as their source of settings.
--- a/crates/basilstep-core/src/flows/mod.rs
+++ b/crates/basilstep-core/src/flows/mod.rs
@@ -21,8 +21,8 @@
 pub use agent::AgentFlows;
 pub use balancer::BalancerFlows;
 pub use frame::{
-    AgentReport, BalancerBeat, BalancerEntry, Carry, Frame, FrameError, ReportReply, Returned,
-    TargetPhase, decode_frame, encode_frame,
+    AgentReport, BalancerBeat, BalancerEntry, Carry, Frame, FrameError, HeldFlows, ReportReply,
+    Returned, TargetPhase, decode_frame, encode_frame,
 };
 pub use key::{FlowKey, Lifetime, LostFlow, ServiceTag};
 pub use limits::ServiceLimits;
--- a/crates/basilstep-core/src/flows/peers.rs
+++ b/crates/basilstep-core/src/flows/peers.rs
@@ -95,6 +95,13 @@
         }
     }
 
+    /// Notes that another process has the same list, and hears all that are on it.
+    pub fn confirm(&mut self, now_ms: u64) {
+        for peer in self.peers.values_mut() {
+            peer.heard_ms = now_ms.cast_signed();
+        }
+    }
+
     /// Returns the list to hand on.
     pub fn entries(&self, now_ms: u64) -> Vec<BalancerEntry> {
         self.peers
--- a/crates/basilstep-core/src/flows/settings.rs
+++ b/crates/basilstep-core/src/flows/settings.rs
@@ -44,7 +44,8 @@
     pub default_rounds: f64,
     /// How much of the permitted rate of a cold target is used.
     pub cold_rate_share: f64,
-    /// How long a balancer keeps a hint after the flow's last packet.
+    /// How long a balancer keeps a hint after the flow's last packet here; flows that last longer may
+    /// be discarded.
     pub hint_idle_ms: u64,
     /// The most hints that a balancer keeps.
     pub hint_limit: usize,
@@ -56,8 +57,15 @@
     pub flow_idle_ms: u64,
     /// How long an agent keeps a flow that both ends closed, or that its caller never opened.
     pub linger_ms: u64,
-    /// The most balancers of a domain that are told where a flow is.
+    /// Up to how many balancers are all told where each flow is.
+    pub tell_all: usize,
+    /// How many balancers of the caller's domain are told if there are more.
     pub told_balancers: usize,
+    /// How long after its start a target may have been reached by an earlier run of its agent only
+    /// if that run also lasted less.
+    pub witness_ms: u64,
+    /// How long an agent that was restarted may not know some flows: until idle ones are discarded.
+    pub relearn_ms: u64,
 }
 
 impl Default for FlowSettings {
@@ -83,13 +91,16 @@
             max_rounds: 4.0,
             default_rounds: 2.0,
             cold_rate_share: 0.9,
-            hint_idle_ms: 30_000,
-            hint_limit: 32_768,
+            hint_idle_ms: 90_000,
+            hint_limit: 131_072,
             opening_wait_ms: 300,
             answer_wait_ms: 3_000,
             flow_idle_ms: 30_000,
             linger_ms: 5_000,
+            tell_all: 32,
             told_balancers: 8,
+            witness_ms: 250,
+            relearn_ms: 20_000,
         }
     }
 }
--- a/crates/basilstep-core/src/flows/tests/agent.rs
+++ b/crates/basilstep-core/src/flows/tests/agent.rs
@@ -1,6 +1,6 @@
 use super::{
-    HEARTBEAT_MS, accepted, balancer_ip, bounced, carry, context, data, flow, from_target,
-    new_agent, opening, ping, serving_agent,
+    AGENT_BORN_MS, HEARTBEAT_MS, accepted, balancer_ip, bounced, carry, context, data, flow,
+    from_target, new_agent, opening, ping, serving_agent,
 };
 use crate::{
     address::DomainId,
@@ -22,6 +22,15 @@
     agent.on_packet(&carry(balancer_ip(ORIGIN)), &data(key, 0), &ctx);
 }
 
+fn told_flows(agent: &mut AgentFlows, balancer: u8) -> Vec<FlowKey> {
+    agent
+        .take_untold()
+        .into_iter()
+        .filter(|(ip, _)| *ip == balancer_ip(balancer))
+        .flat_map(|(_, held)| held.flows)
+        .collect()
+}
+
 fn refusal(verdict: CallerVerdict) -> ResultCode {
     match verdict {
         CallerVerdict::Return { code } => code,
@@ -53,8 +62,7 @@
 fn flow_that_the_target_takes_is_told_to_the_balancer_that_brought_it() {
     let (mut agent, _) = serving_agent();
     open(&mut agent, flow(1), 5_000);
-    let told = agent.take_untold();
-    assert_eq!(told[&balancer_ip(ORIGIN)], [flow(1)]);
+    assert_eq!(told_flows(&mut agent, ORIGIN), [flow(1)]);
     assert_eq!(agent.table().live(), 1);
 }
 
@@ -234,7 +242,7 @@
     let held = data(flow(1), 10);
     assert!(is_delivered(agent.on_packet(&origin, &held, &ctx)));
     agent.on_target_packet(&from_target(data(flow(1), 0)), &ctx);
-    assert_eq!(agent.take_untold()[&balancer_ip(2)], [flow(1)]);
+    assert_eq!(told_flows(&mut agent, 2), [flow(1)]);
     let unknown = data(flow(2), 10);
     assert!(is_delivered(agent.on_packet(&origin, &unknown, &ctx)));
     let verdict = agent.on_target_packet(&bounced(unknown, balancer_ip(2)), &ctx);
@@ -357,21 +365,72 @@
     assert!(matches!(verdict, TargetVerdict::ToCaller { .. }));
 }
 
+fn newcomer(number: u8, lifetime: u32) -> BalancerEntry {
+    BalancerEntry {
+        ip: balancer_ip(number),
+        domain: DomainId(number % 2),
+        lifetime: Lifetime(lifetime),
+        age_ms: 0,
+    }
+}
+
 #[test]
-fn new_balancer_of_the_domain_is_told_about_open_flows() {
+fn new_balancer_is_told_about_all_open_flows() {
     let (mut agent, ctx) = serving_agent();
     open(&mut agent, flow(1), 5_000);
     agent.take_untold();
-    let newcomer = |number, domain| BalancerEntry {
-        ip: balancer_ip(number),
-        domain: DomainId(domain),
-        lifetime: Lifetime(50),
-        age_ms: 0,
-    };
-    assert!(agent.on_balancers(&[newcomer(5, 0), newcomer(6, 1)], &ctx));
+    assert!(agent.on_balancers(&[newcomer(5, 50)], &ctx));
+    assert_eq!(told_flows(&mut agent, 5), [flow(1)]);
+    assert!(!agent.on_balancers(&[newcomer(5, 50)], &ctx));
+    assert!(agent.on_balancers(&[newcomer(5, 51)], &context(5_100)));
+    assert_eq!(
+        told_flows(&mut agent, 5),
+        [flow(1)],
+        "a later run knows nothing"
+    );
+}
+
+#[test]
+fn among_many_balancers_only_some_of_the_callers_domain_are_told() {
+    let (mut agent, ctx) = serving_agent();
+    let entries: Vec<BalancerEntry> = (2..100).map(|number| newcomer(number, 50)).collect();
+    agent.on_balancers(&entries, &ctx);
+    agent.take_untold();
+    open(&mut agent, flow(1), 5_000);
     let told = agent.take_untold();
-    assert_eq!(told.keys().copied().collect::<Vec<_>>(), [balancer_ip(5)]);
-    assert!(!agent.on_balancers(&[newcomer(5, 0)], &ctx));
+    assert_eq!(told.len(), 9, "eight and the one that brought the flow");
+    assert_eq!(agent.report(balancer_ip(2), &ctx).told, None);
+}
+
+#[test]
+fn agent_says_what_it_told_only_while_it_knows_all_flows() {
+    let (mut agent, ctx) = serving_agent();
+    agent.on_balancers(&[newcomer(ORIGIN, 50)], &ctx);
+    assert_eq!(agent.report(balancer_ip(ORIGIN), &ctx).told, None);
+    let reborn = Ping {
+        born_ms: 20_000,
+        ..ping(1)
+    };
+    agent.on_ping(&reborn, &context(6_000));
+    open(&mut agent, flow(1), 6_100);
+    agent.take_untold();
+    let report = agent.report(balancer_ip(ORIGIN), &context(6_100));
+    assert_eq!(report.told, Some(1));
+    assert_eq!(agent.report(balancer_ip(9), &context(6_100)).told, None);
+}
+
+/// Power was lost on a machine: agent and target start together.
+#[test]
+fn agent_that_started_with_its_target_knows_all_flows() {
+    let mut agent = new_agent();
+    let together = Ping {
+        born_ms: AGENT_BORN_MS - 50,
+        ..ping(1)
+    };
+    agent.on_ping(&together, &context(100));
+    let packet = data(flow(7), 10);
+    let verdict = agent.on_packet(&carry(balancer_ip(ORIGIN)), &packet, &context(110));
+    assert_eq!(refusal(verdict), ResultCode::FlowNotHeld);
 }
 
 #[test]
--- a/crates/basilstep-core/src/flows/tests/balancer.rs
+++ b/crates/basilstep-core/src/flows/tests/balancer.rs
@@ -1,5 +1,5 @@
 use super::{
-    agent_ip, balancer_ip, balancer_with, beat, context, data, fleet_settings, flow, opening,
+    agent_ip, balancer_ip, balancer_with, beat, context, data, fleet_settings, flow, held, opening,
     report, service,
 };
 use crate::{
@@ -157,7 +157,7 @@
 fn copies_of_an_opening_packet_follow_the_first_while_its_agent_answers() {
     let (mut balancer, ctx) = balancer_with(3, RequestKind::Idempotent);
     let first = chosen(&balancer.on_packet(&opening(flow(1), 0), &ctx));
-    balancer.on_held(agent_ip(first), flow(1), &ctx);
+    balancer.on_held(agent_ip(first), &held(0, flow(1)), &ctx);
     let copy = balancer.on_packet(&opening(flow(1), 1), &context(10_200));
     assert_eq!(chosen(&copy), first);
 }
@@ -217,7 +217,7 @@
     let (mut balancer, ctx) = balancer_with(3, RequestKind::Idempotent);
     let verdict = balancer.on_packet(&data(flow(1), 100), &ctx);
     assert_eq!(searched(verdict), [1, 2, 3]);
-    balancer.on_held(agent_ip(2), flow(1), &ctx);
+    balancer.on_held(agent_ip(2), &held(0, flow(1)), &ctx);
     assert_eq!(chosen(&balancer.on_packet(&data(flow(1), 100), &ctx)), 2);
 }
 
@@ -247,7 +247,7 @@
     let (mut balancer, ctx) = balancer_with(2, RequestKind::Idempotent);
     let packet = data(flow(1), 100);
     balancer.on_packet(&packet, &ctx);
-    balancer.on_held(agent_ip(2), flow(1), &ctx);
+    balancer.on_held(agent_ip(2), &held(0, flow(1)), &ctx);
     let late = refuse(&mut balancer, 1, &packet, ctx.now_ms);
     assert_eq!(
         late,
@@ -332,12 +332,90 @@
     assert_eq!(balancer.on_tick(&context(11_500)).lost.len(), 1);
 }
 
+fn told_all(balancer: &mut BalancerFlows, agent: u8, told: u32, now_ms: u64) {
+    let report = AgentReport {
+        told: Some(told),
+        ..report(TargetPhase::Serving)
+    };
+    balancer.on_report(agent_ip(agent), report, &context(now_ms));
+}
+
+/// Power was lost everywhere: asking 48 agents about each of 1,500 flows would choke the links.
+#[test]
+fn flow_is_lost_without_asking_agents_that_have_told_all_their_flows() {
+    let (mut balancer, _) = balancer_with(0, RequestKind::Idempotent);
+    told_all(&mut balancer, 1, 0, 10_000);
+    told_all(&mut balancer, 2, 0, 10_000);
+    let verdict = balancer.on_packet(&data(flow(1), 100), &context(10_000));
+    assert!(
+        matches!(verdict, Verdict::Drop { .. }),
+        "word may be under way"
+    );
+    assert!(balancer.on_tick(&context(10_020)).lost.is_empty());
+    assert_eq!(balancer.on_tick(&context(10_050)).lost.len(), 1);
+}
+
+#[test]
+fn word_that_was_under_way_keeps_a_flow() {
+    let (mut balancer, _) = balancer_with(0, RequestKind::Idempotent);
+    told_all(&mut balancer, 1, 0, 10_000);
+    balancer.on_packet(&data(flow(1), 100), &context(10_000));
+    balancer.on_held(agent_ip(1), &held(0, flow(1)), &context(10_010));
+    assert!(balancer.on_tick(&context(10_050)).lost.is_empty());
+    let verdict = balancer.on_packet(&data(flow(1), 100), &context(10_060));
+    assert_eq!(chosen(&verdict), 1);
+}
+
+#[test]
+fn agent_whose_word_was_lost_is_asked_and_tells_again() {
+    let (mut balancer, _) = balancer_with(0, RequestKind::Idempotent);
+    told_all(&mut balancer, 1, 0, 10_000);
+    told_all(&mut balancer, 1, 2, 10_250);
+    assert!(balancer.has_gap(agent_ip(1)));
+    let verdict = balancer.on_packet(&data(flow(9), 100), &context(10_250));
+    assert_eq!(searched(verdict), [1]);
+    balancer.on_held(agent_ip(1), &held(0, flow(1)), &context(10_260));
+    balancer.on_held(agent_ip(1), &held(1, flow(2)), &context(10_260));
+    told_all(&mut balancer, 1, 2, 10_500);
+    assert!(!balancer.has_gap(agent_ip(1)));
+}
+
+#[test]
+fn gap_in_what_an_agent_tells_is_noticed_before_its_next_report() {
+    let (mut balancer, _) = balancer_with(0, RequestKind::Idempotent);
+    told_all(&mut balancer, 1, 0, 10_000);
+    balancer.on_held(agent_ip(1), &held(1, flow(2)), &context(10_010));
+    let verdict = balancer.on_packet(&data(flow(1), 100), &context(10_020));
+    assert_eq!(searched(verdict), [1]);
+}
+
+#[test]
+fn flow_of_requests_that_may_not_be_repeated_is_searched_at_all_agents() {
+    let (mut balancer, _) = balancer_with(0, RequestKind::NonIdempotent);
+    told_all(&mut balancer, 1, 0, 10_000);
+    let verdict = balancer.on_packet(&data(flow(1), 100), &context(10_000));
+    assert_eq!(searched(verdict), [1]);
+}
+
+/// A flow that this balancer never carried, and that moves here late in its life.
+#[test]
+fn hint_outlives_a_flow_that_others_carry() {
+    let (mut balancer, ctx) = balancer_with(1, RequestKind::Idempotent);
+    balancer.on_held(agent_ip(1), &held(0, flow(1)), &ctx);
+    balancer.on_tick(&context(70_000));
+    balancer.on_report(agent_ip(1), report(TargetPhase::Serving), &context(70_000));
+    assert_eq!(
+        chosen(&balancer.on_packet(&data(flow(1), 9), &context(70_000))),
+        1
+    );
+}
+
 /// A copy of the opening packet was held up in a balancer that stood still.
 #[test]
 fn late_word_of_a_second_target_does_not_move_a_flow() {
     let (mut balancer, ctx) = balancer_with(2, RequestKind::Idempotent);
-    balancer.on_held(agent_ip(1), flow(1), &ctx);
-    balancer.on_held(agent_ip(2), flow(1), &ctx);
+    balancer.on_held(agent_ip(1), &held(0, flow(1)), &ctx);
+    balancer.on_held(agent_ip(2), &held(0, flow(1)), &ctx);
     assert_eq!(chosen(&balancer.on_packet(&data(flow(1), 100), &ctx)), 1);
 }
 
@@ -381,7 +459,7 @@
 #[test]
 fn flow_of_an_ended_lifetime_is_reset_without_asking_others() {
     let (mut balancer, ctx) = balancer_with(3, RequestKind::NonIdempotent);
-    balancer.on_held(agent_ip(1), flow(1), &ctx);
+    balancer.on_held(agent_ip(1), &held(0, flow(1)), &ctx);
     let packet = data(flow(1), 100);
     let code = returned(ResultCode::FlowLost);
     let verdict = balancer.on_returned(agent_ip(1), code, &packet, &ctx);
@@ -401,7 +479,7 @@
     #[case] is_reset: bool,
 ) {
     let (mut balancer, ctx) = balancer_with(2, kind);
-    balancer.on_held(agent_ip(1), flow(1), &ctx);
+    balancer.on_held(agent_ip(1), &held(0, flow(1)), &ctx);
     let verdict = balancer.on_packet(&data(flow(1), 100), &context(11_600));
     assert_eq!(matches!(verdict, Verdict::Reset { .. }), is_reset);
 }
@@ -409,7 +487,7 @@
 #[test]
 fn flow_of_an_agent_that_restarts_on_purpose_is_not_reset() {
     let (mut balancer, ctx) = balancer_with(2, RequestKind::Idempotent);
-    balancer.on_held(agent_ip(1), flow(1), &ctx);
+    balancer.on_held(agent_ip(1), &held(0, flow(1)), &ctx);
     let stopping = AgentReport {
         is_stopping: true,
         ..report(TargetPhase::Serving)
--- a/crates/basilstep-core/src/flows/tests/cold_start.rs
+++ b/crates/basilstep-core/src/flows/tests/cold_start.rs
@@ -71,8 +71,11 @@
 #[test]
 fn report_tells_how_many_flows_there_is_room_for() {
     let mut agent = cold_agent();
-    let before = agent.report(&context(1_000)).room;
+    let before = agent.report(balancer_ip(1), &context(1_000)).room;
     admitted_at(&mut agent, 1_000..1_003);
-    assert_eq!(agent.report(&context(1_003)).room, before - 3);
-    assert_eq!(agent.report(&context(3_500)).room, u16::MAX);
+    assert_eq!(
+        agent.report(balancer_ip(1), &context(1_003)).room,
+        before - 3
+    );
+    assert_eq!(agent.report(balancer_ip(1), &context(3_500)).room, u16::MAX);
 }
--- a/crates/basilstep-core/src/flows/tests/fleet.rs
+++ b/crates/basilstep-core/src/flows/tests/fleet.rs
@@ -161,7 +161,7 @@
     fn start_machine(&mut self, ip: Ipv4Addr) {
         let lifetime = self.next_lifetime();
         let machine = Machine {
-            agent: Self::new_agent(lifetime),
+            agent: self.new_agent(lifetime),
             source: SettingsSource::default(),
             held: BTreeSet::new(),
             born_ms: self.now_ms,
@@ -171,25 +171,27 @@
         self.ping(ip);
     }
 
-    fn new_agent(lifetime: Lifetime) -> AgentFlows {
+    fn new_agent(&self, lifetime: Lifetime) -> AgentFlows {
         let own = AgentIdentity {
             service: service(),
             domain: DomainId(0),
             lifetime,
+            born_ms: self.now_ms,
             heartbeat_ms: HEARTBEAT_MS,
             allowance: ColdAllowance {
                 overage: 1.5,
                 slack: 5.0,
             },
         };
-        AgentFlows::new(FlowSettings::default(), own)
+        AgentFlows::new(FlowSettings::default(), own, &self.context())
     }
 
     /// Restarts an agent whose target goes on.
     fn restart_agent(&mut self, ip: Ipv4Addr) {
         let lifetime = self.next_lifetime();
+        let agent = self.new_agent(lifetime);
         if let Some(machine) = self.machines.get_mut(&ip) {
-            machine.agent = Self::new_agent(lifetime);
+            machine.agent = agent;
             machine.source = SettingsSource::default();
         }
     }
@@ -233,9 +235,9 @@
     fn exchange_reports(&mut self) {
         let ctx = self.context();
         for (ip, machine) in &mut self.machines {
-            let mut report = machine.agent.report(&ctx);
             let source = machine.source.next(machine.agent.peers(), DomainId(0));
             for (peer, balancer) in &mut self.balancers {
+                let mut report = machine.agent.report(*peer, &ctx);
                 report.wants_reply = source.is_none() || source == Some(*peer);
                 balancer.on_report(*ip, report, &ctx);
                 if report.wants_reply {
@@ -251,12 +253,9 @@
     fn carry_out_telling(&mut self) {
         let ctx = self.context();
         for (ip, machine) in &mut self.machines {
-            for (balancer, flows) in machine.agent.take_untold() {
-                let Some(balancer) = self.balancers.get_mut(&balancer) else {
-                    continue;
-                };
-                for flow in flows {
-                    balancer.on_held(*ip, flow, &ctx);
+            for (balancer, held) in machine.agent.take_untold() {
+                if let Some(balancer) = self.balancers.get_mut(&balancer) {
+                    balancer.on_held(*ip, &held, &ctx);
                 }
             }
         }
--- a/crates/basilstep-core/src/flows/tests/frames.rs
+++ b/crates/basilstep-core/src/flows/tests/frames.rs
@@ -1,5 +1,7 @@
 use super::{carry, flow, report};
-use crate::flows::{Frame, FrameError, Returned, TargetPhase, decode_frame, encode_frame};
+use crate::flows::{
+    Frame, FrameError, HeldFlows, Returned, TargetPhase, decode_frame, encode_frame,
+};
 use crate::{codes::ResultCode, flows::ServiceTag};
 use proptest::prelude::*;
 use rstest::rstest;
@@ -8,7 +10,7 @@
 #[rstest]
 #[case::carry(Frame::Carry(carry(Ipv4Addr::new(10, 9, 0, 1))))]
 #[case::returned(Frame::Returned(Returned { code: ResultCode::FlowNotHeld, service: ServiceTag::of("a") }))]
-#[case::held(Frame::Held(vec![flow(1), flow(2)]))]
+#[case::held(Frame::Held(HeldFlows { told_before: 7, flows: vec![flow(1), flow(2)] }))]
 #[case::report(Frame::Report(report(TargetPhase::Draining)))]
 #[case::list(Frame::ListBalancers)]
 fn frame_and_packet_survive_the_wire(#[case] frame: Frame) {
--- a/crates/basilstep-core/src/flows/tests/mod.rs
+++ b/crates/basilstep-core/src/flows/tests/mod.rs
@@ -12,8 +12,8 @@
 
 use super::{
     AgentFlows, AgentReport, BalancerBeat, BalancerFlows, Carry, Flags, FleetSettings, FlowKey,
-    FlowSettings, Lifetime, RequestKind, Route, RouteTable, Segment, ServiceLimits, ServiceShare,
-    ServiceTag, TargetPhase,
+    FlowSettings, HeldFlows, Lifetime, RequestKind, Route, RouteTable, Segment, ServiceLimits,
+    ServiceShare, ServiceTag, TargetPhase,
     agent::{AgentIdentity, ColdAllowance, Ping, PingState},
     balancer::BalancerIdentity,
 };
@@ -22,6 +22,9 @@
 
 pub const HEARTBEAT_MS: u64 = 1_200;
 
+/// Later than the targets of most tests, so that their agents have to learn their flows.
+pub const AGENT_BORN_MS: u64 = 15_000;
+
 pub fn service() -> ServiceTag {
     ServiceTag::of("quotes")
 }
@@ -63,6 +66,14 @@
     }
 }
 
+/// Word of one flow.
+pub fn held(told_before: u32, flow: FlowKey) -> HeldFlows {
+    HeldFlows {
+        told_before,
+        flows: vec![flow],
+    }
+}
+
 /// The opening packet of a flow, or its copy.
 pub fn opening(flow: FlowKey, copy: u32) -> Segment {
     let flags = Flags {
@@ -155,6 +166,7 @@
         capacity: 4,
         room: u16::MAX,
         wants_reply: false,
+        told: None,
     }
 }
 
@@ -215,13 +227,14 @@
         service: service(),
         domain: DomainId(0),
         lifetime: Lifetime(1),
+        born_ms: AGENT_BORN_MS,
         heartbeat_ms: HEARTBEAT_MS,
         allowance: ColdAllowance {
             overage: 1.5,
             slack: 5.0,
         },
     };
-    AgentFlows::new(FlowSettings::default(), own)
+    AgentFlows::new(FlowSettings::default(), own, &context(0))
 }
 
 /// An agent whose target is serving.
--- a/crates/basilstep-node/src/clock.rs
+++ b/crates/basilstep-node/src/clock.rs
@@ -49,6 +49,13 @@
         .map_or(0, |since| since.as_secs())
 }
 
+/// Returns the milliseconds since the Unix epoch.
+pub fn unix_time_ms() -> u64 {
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .map_or(0, |since| since.as_millis() as u64)
+}
+
 /// Returns the incarnation of a process that starts now.
 pub fn new_incarnation() -> Incarnation {
     Incarnation(unix_time_s() as u32)
--- a/crates/basilstep-packet/src/agent/frames.rs
+++ b/crates/basilstep-packet/src/agent/frames.rs
@@ -41,6 +41,7 @@
                     self.send_reports();
                 }
             }
+            Frame::TellAgain => self.flows.tell_again(peer),
             Frame::Beat(beat) => {
                 self.flows.peers_mut().hear(peer, beat, self.ctx.now_ms);
             }
@@ -59,7 +60,9 @@
             );
             self.send_reports();
         }
-        if reply.balancers_hash != self.flows.peers().hash() {
+        if reply.balancers_hash == self.flows.peers().hash() {
+            self.flows.peers_mut().confirm(self.ctx.now_ms);
+        } else {
             self.tell(peer, &Frame::ListBalancers, &[]);
         }
     }
--- a/crates/basilstep-packet/src/agent/serve.rs
+++ b/crates/basilstep-packet/src/agent/serve.rs
@@ -11,12 +11,16 @@
     codes::ResultCode,
     context::Context,
     flows::{
-        AgentFlows, FlowKey, FlowSettings, Frame, LostFlow, ServiceTag,
+        AgentFlows, FlowSettings, Frame, LostFlow, ServiceTag,
         agent::{AgentIdentity, ColdAllowance, SettingsSource},
         encode_frame,
     },
 };
-use basilstep_node::{clock::Clock, http::spawn_server, stop};
+use basilstep_node::{
+    clock::{Clock, unix_time_ms},
+    http::spawn_server,
+    stop,
+};
 use basilstep_platform::{
     header,
     settings::{self, MachineSettings},
@@ -55,9 +59,6 @@
 /// How many events may wait for the packet task.
 const INBOX: usize = 256;
 
-/// The most flows that one datagram tells of; each takes at most 14 bytes.
-const FLOWS_PER_FRAME: usize = 80;
-
 /// What reaches the packet task from other tasks.
 #[derive(Debug)]
 pub enum Event {
@@ -156,6 +157,7 @@
             service: ServiceTag::of(&service),
             domain: machine.domain,
             lifetime: start.lifetime,
+            born_ms: unix_time_ms(),
             heartbeat_ms: machine.heartbeat_ms,
             allowance: ColdAllowance {
                 overage: machine.warmup_overage,
@@ -163,11 +165,12 @@
             },
         };
         let internal = SocketAddrV4::new(machine.ip, machine.internal_port);
+        let ctx = start.clock.context();
         Ok(Self {
             service,
-            flows: AgentFlows::new(FlowSettings::default(), own),
+            flows: AgentFlows::new(FlowSettings::default(), own, &ctx),
             source: SettingsSource::default(),
-            ctx: start.clock.context(),
+            ctx,
             internal: Datagrams::bind("the internal port", internal).await?,
             outbound: Datagrams::bind("the outbound address", outbound).await?,
             target: ConnectedDatagrams::open(machine.ip, target).await?,
@@ -231,9 +234,9 @@
         };
         self.next_report_ms = self.ctx.now_ms + interval_ms;
         let source = self.source.next(self.flows.peers(), self.machine.domain);
-        let mut report = self.flows.report(&self.ctx);
         let balancers: Vec<Ipv4Addr> = self.flows.peers().addresses().collect();
         for balancer in balancers {
+            let mut report = self.flows.report(balancer, &self.ctx);
             report.wants_reply = Some(balancer) == source;
             self.tell(balancer, &Frame::Report(report), &[]);
         }
@@ -246,7 +249,7 @@
 
     /// Asks a balancer for settings and the list of balancers.
     pub(super) fn greet(&mut self, balancer: Ipv4Addr) {
-        let mut report = self.flows.report(&self.ctx);
+        let mut report = self.flows.report(balancer, &self.ctx);
         report.wants_reply = true;
         self.tell(balancer, &Frame::Report(report), &[]);
         self.tell(balancer, &Frame::ListBalancers, &[]);
@@ -291,11 +294,8 @@
 
     /// Tells balancers which flows are here.
     fn tell_untold(&mut self) {
-        for (balancer, flows) in self.flows.take_untold() {
-            for some in flows.chunks(FLOWS_PER_FRAME) {
-                let held: Vec<FlowKey> = some.to_vec();
-                self.tell(balancer, &Frame::Held(held), &[]);
-            }
+        for (balancer, held) in self.flows.take_untold() {
+            self.tell(balancer, &Frame::Held(held), &[]);
         }
     }
 
--- a/crates/basilstep-packet/src/balancer/frames.rs
+++ b/crates/basilstep-packet/src/balancer/frames.rs
@@ -31,11 +31,7 @@
     fn on_frame(&mut self, peer: Ipv4Addr, frame: Frame, packet: &[u8]) {
         match frame {
             Frame::Returned(returned) => self.on_returned(peer, returned, packet),
-            Frame::Held(flows) => {
-                for flow in flows {
-                    self.flows.on_held(peer, flow, &self.ctx);
-                }
-            }
+            Frame::Held(held) => self.flows.on_held(peer, &held, &self.ctx),
             Frame::Report(report) => self.on_report(peer, report),
             Frame::Beat(beat) => self.on_beat(peer, &beat),
             Frame::ListBalancers => {
@@ -49,7 +45,9 @@
                     }
                 }
             }
-            Frame::Carry(_) | Frame::Reply(_) => self.metrics.count(ResultCode::Malformed),
+            Frame::Carry(_) | Frame::Reply(_) | Frame::TellAgain => {
+                self.metrics.count(ResultCode::Malformed);
+            }
         }
     }
 
@@ -86,6 +84,9 @@
                 "an agent changed"
             );
         }
+        if self.flows.has_gap(agent) {
+            self.tell(agent, &Frame::TellAgain);
+        }
         if report.wants_reply {
             let reply = self.flows.reply_to(&report);
             self.tell(agent, &Frame::Reply(reply));
