--- a/crates/basilstep-packet/src/balancer/serve.rs
+++ b/crates/basilstep-packet/src/balancer/serve.rs
@@ -256,14 +256,6 @@
     fn on_tick(&mut self) {
         self.refresh_time();
         let due = self.flows.on_tick(&self.ctx);
-            let a: Vec<_> = self
-                .flows
-                .roster()
-                .iter()
-                .map(|(_, s)| s.is_told_all)
-                .collect();
-            log::info!(gap = a.iter().filter(|t| !**t).count(), all = a.len(); "DBG");
-        }
         for agent in &due.forgotten {
             log::info!(agent:% = agent; "an agent is forgotten");
         }
