--- a/crates/basilstep-core/src/flows/tests/fleet.rs
+++ b/crates/basilstep-core/src/flows/tests/fleet.rs
@@ -85,6 +85,16 @@
         self.route_packet(&data(flow, 100));
     }
 
+    /// Sends a request on each flow that many times, 100 ms apart.
+    pub fn send_requests(&mut self, flows: &[FlowKey], times: usize) {
+        for _ in 0..times {
+            for flow in flows {
+                self.send_request(*flow);
+            }
+            self.run(100);
+        }
+    }
+
     /// Restarts everything at once; nothing of before is known to anyone.
     pub fn lose_power(&mut self) {
         self.now_ms += 500;
@@ -361,12 +371,7 @@
         }
         fleet.run(500);
         fleet.start_balancer(balancer_ip(number));
-        for _ in 0..20 {
-            for flow in &flows {
-                fleet.send_request(*flow);
-            }
-            fleet.run(100);
-        }
+        fleet.send_requests(&flows, 20);
     }
     assert_eq!(fleet.count_reset(&flows), 0);
     assert_eq!(fleet.misplaced, 0);
@@ -379,12 +384,7 @@
     let flows = fleet.open_flows(100);
     for number in 1..=4 {
         fleet.restart_agent(agent_ip(number));
-        for _ in 0..10 {
-            for flow in &flows {
-                fleet.send_request(*flow);
-            }
-            fleet.run(100);
-        }
+        fleet.send_requests(&flows, 10);
     }
     assert_eq!(fleet.count_reset(&flows), 0);
 }
@@ -396,12 +396,7 @@
     let flows = fleet.open_flows(100);
     let lost: Vec<FlowKey> = fleet.machines[&agent_ip(1)].held.iter().copied().collect();
     fleet.start_machine(agent_ip(1));
-    for _ in 0..10 {
-        for flow in &flows {
-            fleet.send_request(*flow);
-        }
-        fleet.run(100);
-    }
+    fleet.send_requests(&flows, 10);
     assert_eq!(fleet.count_reset(&flows), lost.len());
     assert_eq!(fleet.count_reset(&lost), lost.len());
 }
@@ -414,11 +409,6 @@
     for number in 1..=3 {
         fleet.start_balancer(balancer_ip(number));
     }
-    for _ in 0..20 {
-        for flow in &flows {
-            fleet.send_request(*flow);
-        }
-        fleet.run(100);
-    }
+    fleet.send_requests(&flows, 20);
     assert_eq!(fleet.count_reset(&flows), 0);
 }
--- a/crates/basilstep-core/tests/docs.rs
+++ b/crates/basilstep-core/tests/docs.rs
@@ -3,6 +3,7 @@
 use basilstep_core::{
     codes::ResultCode,
     domains::{DomainSettings, OverflowSettings},
+    flows::FlowSettings,
     membership::MembershipSettings,
     placement::PlacementSettings,
     returns::ReturnSettings,
@@ -74,6 +75,7 @@
 #[case("SteeringSettings", SteeringSettings::default())]
 #[case("PlacementSettings", PlacementSettings::default())]
 #[case("ReturnSettings", ReturnSettings::default())]
+#[case("FlowSettings", FlowSettings::default())]
 #[case("MembershipSettings", MembershipSettings::default())]
 fn table_of_built_in_settings_is_the_code(#[case] name: &str, #[case] defaults: impl Serialize) {
     let page = page("SETTINGS.md");
--- a/crates/basilstep-node/src/http/server.rs
+++ b/crates/basilstep-node/src/http/server.rs
@@ -3,9 +3,10 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::{body::Incoming as IncomingBody, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use std::{convert::Infallible, io, net::SocketAddrV4, time::Duration};
+use std::{convert::Infallible, io, net::SocketAddrV4, sync::Arc, time::Duration};
 use tokio::{
     net::{TcpListener, TcpStream},
+    sync::Semaphore,
     task::JoinHandle,
     time::sleep,
 };
@@ -16,6 +17,9 @@
 /// How long a client may take for the head of a request.
 const HEAD_TIMEOUT: Duration = Duration::from_mins(1);
 
+/// The most connections of one address; a target and its platform need a few.
+const MAX_CONNECTIONS: usize = 128;
+
 /// How long to wait after a connection could not be accepted, such as for want of descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
 
@@ -93,11 +97,16 @@
     handler: impl Handler,
 ) -> io::Result<JoinHandle<()>> {
     let listener = TcpListener::bind(address).await?;
+    let slots = Arc::new(Semaphore::new(MAX_CONNECTIONS));
     Ok(tokio::spawn(async move {
-        loop {
+        while let Ok(slot) = Arc::clone(&slots).acquire_owned().await {
             match listener.accept().await {
                 Ok((stream, _peer)) => {
-                    tokio::spawn(serve(stream, handler.clone()));
+                    let served = serve(stream, handler.clone());
+                    tokio::spawn(async move {
+                        served.await;
+                        drop(slot);
+                    });
                 }
                 Err(error) => {
                     log::warn!(reason:% = error; "a connection could not be accepted");
--- a/crates/basilstep-packet/src/agent/serve.rs
+++ b/crates/basilstep-packet/src/agent/serve.rs
@@ -1,7 +1,7 @@
 use crate::{
     datagrams::{ConnectedDatagrams, Datagrams},
     decisions::DecisionLimit,
-    metrics::{METRICS_PORT, Metrics},
+    metrics::Metrics,
     node_port::{Asked, NodePort},
     pause::PauseWatch,
     process::{ProcessError, Start},
@@ -18,7 +18,6 @@
 };
 use basilstep_node::{
     clock::{Clock, unix_time_ms},
-    http::spawn_server,
     stop,
 };
 use basilstep_platform::{
@@ -72,6 +71,7 @@
 #[derive(Debug)]
 pub struct Agent {
     pub(super) machine: MachineSettings,
+    settings: FlowSettings,
     pub(super) service: String,
     pub(super) flows: AgentFlows,
     pub(super) source: SettingsSource,
@@ -99,7 +99,9 @@
     let machine = start.machine.clone();
     let (inbox, mut events) = mpsc::channel(INBOX);
     let mut agent = Agent::bind(start, inbox.clone()).await?;
-    spawn_servers(&machine, &inbox).await?;
+    NodePort::open(inbox, Event::Asked)
+        .spawn_servers(&machine)
+        .await?;
     let mut ticks = interval(TICK);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut hangups = signal(SignalKind::hangup()).map_err(|source| ProcessError::System {
@@ -125,27 +127,6 @@
     Ok(())
 }
 
-async fn spawn_servers(
-    machine: &MachineSettings,
-    inbox: &mpsc::Sender<Event>,
-) -> Result<(), ProcessError> {
-    let port = NodePort::open(inbox.clone(), Event::Asked);
-    let metrics = SocketAddrV4::new(machine.ip, METRICS_PORT);
-    let addresses = [
-        ("the readiness address", machine.ready),
-        ("the control address", machine.control),
-        ("the metrics address", Some(metrics)),
-    ];
-    for (what, address) in addresses {
-        if let Some(address) = address {
-            spawn_server(address, port.clone())
-                .await
-                .map_err(|source| ProcessError::Bind { what, source })?;
-        }
-    }
-    Ok(())
-}
-
 impl Agent {
     async fn bind(start: Start, inbox: mpsc::Sender<Event>) -> Result<Self, ProcessError> {
         let machine = start.machine;
@@ -165,10 +146,12 @@
             },
         };
         let internal = SocketAddrV4::new(machine.ip, machine.internal_port);
+        let settings = FlowSettings::default();
         let ctx = start.clock.context();
         Ok(Self {
             service,
-            flows: AgentFlows::new(FlowSettings::default(), own, &ctx),
+            flows: AgentFlows::new(settings, own, &ctx),
+            settings,
             source: SettingsSource::default(),
             ctx,
             internal: Datagrams::bind("the internal port", internal).await?,
@@ -230,7 +213,7 @@
         let interval_ms = if is_alone {
             GREETING_INTERVAL_MS
         } else {
-            FlowSettings::default().report_interval_ms
+            self.settings.report_interval_ms
         };
         self.next_report_ms = self.ctx.now_ms + interval_ms;
         let source = self.source.next(self.flows.peers(), self.machine.domain);
--- a/crates/basilstep-packet/src/balancer/packets.rs
+++ b/crates/basilstep-packet/src/balancer/packets.rs
@@ -120,7 +120,7 @@
             opens = segment.opens(),
             copy_or_ack = segment.acknowledged,
             version = self.flows.fleet().table.version,
-            agent:? = agent,
+            agent = agent.map(|agent| agent.to_string()).as_deref(),
             at_work = state.map(|state| state.report.at_work),
             report_age_ms = state.map(|state| self.ctx.now_ms.saturating_sub(state.heard_ms)),
             left_out;
--- a/crates/basilstep-packet/src/balancer/serve.rs
+++ b/crates/basilstep-packet/src/balancer/serve.rs
@@ -2,7 +2,7 @@
 use crate::{
     datagrams::Datagrams,
     decisions::DecisionLimit,
-    metrics::{METRICS_PORT, Metrics},
+    metrics::Metrics,
     node_port::{Asked, NodePort},
     pause::PauseWatch,
     process::{ProcessError, Start},
@@ -14,11 +14,7 @@
         BalancerFlows, FleetSettings, FlowSettings, Frame, balancer::BalancerIdentity, encode_frame,
     },
 };
-use basilstep_node::{
-    clock::Clock,
-    http::{Answer, spawn_server},
-    stop,
-};
+use basilstep_node::{clock::Clock, http::Answer, stop};
 use basilstep_platform::{
     calls::{self, Call},
     settings::{self, MachineSettings},
@@ -62,6 +58,7 @@
 #[derive(Debug)]
 pub struct Balancer {
     pub(super) machine: MachineSettings,
+    settings: FlowSettings,
     pub(super) flows: BalancerFlows,
     pub(super) ctx: Context,
     pub(super) packets: Datagrams,
@@ -87,7 +84,11 @@
     let (inbox, mut events) = mpsc::channel(INBOX);
     let (news, mut store_news) = mpsc::channel(INBOX);
     let mut balancer = Balancer::bind(start, inbox.clone()).await?;
-    spawn_servers(&machine, &inbox).await?;
+    let port = NodePort::open(inbox, Event::Asked);
+    port.spawn_servers(&machine).await?;
+    let internal = SocketAddrV4::new(machine.ip, machine.internal_port);
+    port.spawn_server("the internal port", Some(internal))
+        .await?;
     if let Some(store) = machine.store {
         let names = machine.domain_names.clone();
         tokio::spawn(store_tasks::watch_operators(store, names, news.clone()));
@@ -123,29 +124,6 @@
     Ok(())
 }
 
-async fn spawn_servers(
-    machine: &MachineSettings,
-    inbox: &mpsc::Sender<Event>,
-) -> Result<(), ProcessError> {
-    let port = NodePort::open(inbox.clone(), Event::Asked);
-    let internal = SocketAddrV4::new(machine.ip, machine.internal_port);
-    let metrics = SocketAddrV4::new(machine.ip, METRICS_PORT);
-    let addresses = [
-        ("the readiness address", machine.ready),
-        ("the control address", machine.control),
-        ("the internal port", Some(internal)),
-        ("the metrics address", Some(metrics)),
-    ];
-    for (what, address) in addresses {
-        if let Some(address) = address {
-            spawn_server(address, port.clone())
-                .await
-                .map_err(|source| ProcessError::Bind { what, source })?;
-        }
-    }
-    Ok(())
-}
-
 impl Balancer {
     async fn bind(start: Start, inbox: mpsc::Sender<Event>) -> Result<Self, ProcessError> {
         let machine = start.machine;
@@ -155,9 +133,11 @@
             domain: machine.domain,
             lifetime: start.lifetime,
         };
+        let settings = FlowSettings::default();
         let internal = SocketAddrV4::new(machine.ip, machine.internal_port);
         Ok(Self {
-            flows: BalancerFlows::new(FlowSettings::default(), own, &ctx),
+            flows: BalancerFlows::new(settings, own, &ctx),
+            settings,
             ctx,
             packets: Datagrams::bind("the address for packets", machine.packets).await?,
             internal: Datagrams::bind("the internal port", internal).await?,
@@ -269,7 +249,7 @@
     }
 
     pub(super) fn send_beats(&mut self) {
-        self.next_beat_ms = self.ctx.now_ms + FlowSettings::default().report_interval_ms;
+        self.next_beat_ms = self.ctx.now_ms + self.settings.report_interval_ms;
         let beat = Frame::Beat(self.flows.beat(&self.ctx));
         let peers: Vec<Ipv4Addr> = self.flows.peers().addresses().collect();
         for peer in peers {
