--- a/crates/basilstep-ctl/src/commands/explain.rs
+++ b/crates/basilstep-ctl/src/commands/explain.rs
@@ -1,4 +1,5 @@
 use super::{
+    explain_flow::FlowArgs,
     fleet::{AgentDump, Answers, BalancerDump, Fleet},
     service::path_of,
 };
@@ -21,7 +22,7 @@
 use serde_json::json;
 use std::net::SocketAddrV4;
 
-/// Explain a code, a target, a service or which settings are in force where.
+/// Explain a code, a target, a service, a flow or which settings are in force where.
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "explain")]
 pub struct ExplainArgs {
@@ -36,6 +37,7 @@
     Target(TargetArgs),
     Service(ServiceArgs),
     Versions(VersionsArgs),
+    Flow(FlowArgs),
 }
 
 /// Say what a result code means: why was this request refused?
@@ -86,6 +88,7 @@
                 let path = path_of(ctl, &args.name)?;
                 explain_service(&ctl.open_editor()?, &path).await
             }
+            ExplainCommand::Flow(args) => args.run(),
             ExplainCommand::Versions(args) => explain_versions(ctl, args.at).await,
         }
     }
--- a/crates/basilstep-ctl/src/commands/mod.rs
+++ b/crates/basilstep-ctl/src/commands/mod.rs
@@ -4,6 +4,7 @@
 mod domain;
 mod domain_status;
 mod explain;
+mod explain_flow;
 mod fleet;
 mod keys;
 mod process;
