fix(flows): a report counts the flows that are still to be told

A balancer that had lost those frames, on a small link at a start, took no hint for a lost flow until the next report 250 ms later.

Ruled out: the reset of a silent agent (code 413, and the agents reported).

The report now counts what is still to be told, and the frames go out before it.

--- a/crates/basilstep-core/src/flows/agent/state.rs
+++ b/crates/basilstep-core/src/flows/agent/state.rs
@@ -460,11 +460,11 @@
         self.peers.len() <= self.settings.tell_all
     }
 
-    /// Returns how many flows a balancer was told, if it can tell from them what is not held here.
+    /// Returns how many flows a balancer is to know, if it can tell from them what is not held here.
     fn told(&self, balancer: Ipv4Addr, ctx: &Context) -> Option<u32> {
         let knows_all = self.knows_all_flows(ctx);
         let is_listener = self.peers.domain_of(balancer).is_some();
-        (knows_all && is_listener && self.tells_all()).then(|| self.telling.told(balancer))
+        (knows_all && is_listener && self.tells_all()).then(|| self.telling.total(balancer))
     }
 
     /// Tells whether the table holds every flow of the target.
--- a/crates/basilstep-core/src/flows/agent/telling.rs
+++ b/crates/basilstep-core/src/flows/agent/telling.rs
@@ -39,11 +39,11 @@
             .push(flow);
     }
 
-    /// Returns how many flows a balancer has been told.
-    pub fn told(&self, balancer: Ipv4Addr) -> u32 {
+    /// Returns how many flows a balancer is to know, those included that it is still to be told.
+    pub fn total(&self, balancer: Ipv4Addr) -> u32 {
         self.listeners
             .get(&balancer)
-            .map_or(0, |listener| listener.told)
+            .map_or(0, |listener| listener.told + listener.untold.len() as u32)
     }
 
     /// Forgets balancers that are gone.
--- a/crates/basilstep-core/src/flows/frame.rs
+++ b/crates/basilstep-core/src/flows/frame.rs
@@ -119,7 +119,8 @@
     pub room: u16,
     /// The receiver is asked for a [`ReportReply`].
     pub wants_reply: bool,
-    /// How many flows the agent has told the receiver, if these are all that its target holds.
+    /// How many flows the agent has told the receiver, or is about to, if these are all that its
+    /// target holds.
     pub told: Option<u32>,
 }
 
--- a/crates/basilstep-core/src/flows/tests/agent.rs
+++ b/crates/basilstep-core/src/flows/tests/agent.rs
@@ -419,6 +419,21 @@
     assert_eq!(agent.report(balancer_ip(9), &context(6_100)).told, None);
 }
 
+/// A balancer has just started; the frames with its flows may be lost after the report.
+#[test]
+fn report_counts_flows_that_are_still_to_be_told() {
+    let (mut agent, _) = serving_agent();
+    let reborn = Ping {
+        born_ms: 20_000,
+        ..ping(1)
+    };
+    agent.on_ping(&reborn, &context(6_000));
+    open(&mut agent, flow(1), 6_100);
+    let ctx = context(6_200);
+    agent.on_balancers(&[newcomer(5, 50)], &ctx);
+    assert_eq!(agent.report(balancer_ip(5), &ctx).told, Some(1));
+}
+
 /// Power was lost on a machine: agent and target start together.
 #[test]
 fn agent_that_started_with_its_target_knows_all_flows() {
--- a/crates/basilstep-packet/src/agent/serve.rs
+++ b/crates/basilstep-packet/src/agent/serve.rs
@@ -209,6 +209,8 @@
     /// Reports to all balancers, or to the seeds while none is known.
     pub(super) fn send_reports(&mut self) {
         self.refresh_time();
+        // Before the reports, which count these flows.
+        self.tell_untold();
         let is_alone = self.flows.peers().is_empty();
         let interval_ms = if is_alone {
             GREETING_INTERVAL_MS
