fix(flows): a late refusal neither moves nor loses a flow that another target holds

The balancer took the refusal for that of the present holder, placed the old packet again and so replaced the confirmed hint; when nobody took it, no hint was left, and the next packet was reset, since all agents had told all their flows and the holder's word had been used up.

Now only a refusal of the agent that the hint names counts, and only while the caller still waits for the try; an agent sends opening packets from before a pause back.

--- a/crates/basilstep-core/src/flows/agent/state.rs
+++ b/crates/basilstep-core/src/flows/agent/state.rs
@@ -88,6 +88,7 @@
     telling: Telling,
     started_ms: u64,
     is_stopping: bool,
+    is_backlog_old: bool,
 }
 
 impl AgentFlows {
@@ -108,6 +109,7 @@
             telling: Telling::default(),
             started_ms: ctx.now_ms,
             is_stopping: false,
+            is_backlog_old: false,
         }
     }
 
@@ -120,6 +122,12 @@
         }
         let key = segment.flow_of_caller();
         if segment.opens() {
+            if self.is_backlog_old {
+                // Its caller may have opened the flow at another target meanwhile.
+                return CallerVerdict::Return {
+                    code: ResultCode::Recovering,
+                };
+            }
             return self.on_opening(key, carry, ctx);
         }
         let Some(flow) = self.table.get(&key).copied() else {
@@ -282,6 +290,16 @@
         self.telling.begin(balancer, flows);
     }
 
+    /// Takes note that the process stood still: packets that have arrived may be old.
+    pub const fn on_pause(&mut self) {
+        self.is_backlog_old = true;
+    }
+
+    /// Takes note that all packets that had arrived have been read.
+    pub const fn on_backlog_read(&mut self) {
+        self.is_backlog_old = false;
+    }
+
     /// Announces from now on that this agent stops while its target goes on.
     pub fn stop(&mut self) {
         self.is_stopping = true;
--- a/crates/basilstep-core/src/flows/balancer/state.rs
+++ b/crates/basilstep-core/src/flows/balancer/state.rs
@@ -30,6 +30,9 @@
 /// How long word of a new flow may be under way from its agent; across a domain it needs 2 ms.
 const TELL_MS: u64 = 40;
 
+/// How long callers wait for an answer to their opening packets.
+const OPENING_TRY_MS: u64 = 1_400;
+
 /// The number of the last copy of an opening packet that a caller sends.
 const LAST_COPY: u32 = 2;
 
@@ -192,9 +195,16 @@
     ) -> Verdict {
         let flow = segment.flow_of_caller();
         self.roster.trust(agent);
-        if let Some(hint) = self.hints.get_mut(&flow)
-            && hint.agent == agent
-        {
+        let hint = self.hints.get_mut(&flow).copied();
+        let is_from_holder = hint.is_some_and(|hint| hint.agent == agent);
+        let is_waited_for = hint.is_some_and(|hint| ctx.now_ms < hint.offered_ms + OPENING_TRY_MS);
+        if segment.opens() && !(is_from_holder && is_waited_for) {
+            // A copy has been placed since, nobody took one, or the caller has given the try up.
+            return Verdict::Drop {
+                code: returned.code,
+            };
+        }
+        if is_from_holder {
             self.hints.remove(&flow);
         }
         let search_ms = self.settings.search_ms;
--- a/crates/basilstep-core/src/flows/tests/agent.rs
+++ b/crates/basilstep-core/src/flows/tests/agent.rs
@@ -334,6 +334,18 @@
     assert_eq!(verdict, expected);
 }
 
+#[test]
+fn opening_packets_from_before_a_pause_go_back() {
+    let (mut agent, ctx) = serving_agent();
+    agent.on_pause();
+    assert_eq!(
+        refusal(try_opening(&mut agent, ctx.now_ms)),
+        ResultCode::Recovering
+    );
+    agent.on_backlog_read();
+    assert!(is_delivered(try_opening(&mut agent, ctx.now_ms)));
+}
+
 /// The flow was opened at another target; a search brings its packets here as well.
 #[test]
 fn target_that_has_not_answered_an_opening_packet_gets_no_later_one() {
--- a/crates/basilstep-core/src/flows/tests/balancer.rs
+++ b/crates/basilstep-core/src/flows/tests/balancer.rs
@@ -419,6 +419,42 @@
     assert_eq!(chosen(&balancer.on_packet(&data(flow(1), 100), &ctx)), 1);
 }
 
+/// An agent stood still with the first opening packet; a copy was placed elsewhere meanwhile.
+#[test]
+fn late_refusal_of_the_first_agent_leaves_the_flow_where_it_is() {
+    let (mut balancer, ctx) = balancer_with(3, RequestKind::Idempotent);
+    let packet = opening(flow(1), 0);
+    let first = chosen(&balancer.on_packet(&packet, &ctx));
+    let copy = balancer.on_packet(&opening(flow(1), 1), &context(10_200));
+    let second = chosen(&copy);
+    balancer.on_held(agent_ip(second), &held(0, flow(1)), &context(10_210));
+    let code = returned(ResultCode::Overloaded);
+    let verdict = balancer.on_returned(agent_ip(first), code, &packet, &context(13_000));
+    assert_eq!(
+        verdict,
+        Verdict::Drop {
+            code: ResultCode::Overloaded
+        }
+    );
+    let verdict = balancer.on_packet(&data(flow(1), 100), &context(10_700));
+    assert_eq!(chosen(&verdict), second);
+}
+
+#[test]
+fn opening_packet_whose_caller_has_given_up_is_not_placed_again() {
+    let (mut balancer, ctx) = balancer_with(3, RequestKind::Idempotent);
+    let packet = opening(flow(1), 0);
+    let first = chosen(&balancer.on_packet(&packet, &ctx));
+    let code = returned(ResultCode::Recovering);
+    let verdict = balancer.on_returned(agent_ip(first), code, &packet, &context(11_400));
+    assert_eq!(
+        verdict,
+        Verdict::Drop {
+            code: ResultCode::Recovering
+        }
+    );
+}
+
 #[test]
 fn opening_packets_from_before_a_pause_are_dropped() {
     let (mut balancer, ctx) = balancer_with(2, RequestKind::Idempotent);
--- a/crates/basilstep-packet/src/agent/frames.rs
+++ b/crates/basilstep-packet/src/agent/frames.rs
@@ -13,6 +13,7 @@
         let mut buffer = [0; DATAGRAM_BYTES];
         for _ in 0..BATCH {
             let Some((bytes, peer)) = self.internal.receive(&mut buffer) else {
+                self.flows.on_backlog_read();
                 return;
             };
             let datagram = &mut buffer[..bytes];
--- a/crates/basilstep-packet/src/agent/serve.rs
+++ b/crates/basilstep-packet/src/agent/serve.rs
@@ -170,8 +170,13 @@
         })
     }
 
+    /// Brings the time up to date, and finds out whether the machine stood still since.
     pub(super) fn refresh_time(&mut self) {
         self.clock.refresh(&mut self.ctx);
+        if let Some(pause_ms) = self.pause.pause_ms() {
+            log::warn!(pause_ms; "the machine stood still");
+            self.flows.on_pause();
+        }
     }
 
     /// Sends a frame with the packet that belongs to it, if any.
@@ -196,9 +201,6 @@
 
     fn on_tick(&mut self) {
         self.refresh_time();
-        if let Some(pause_ms) = self.pause.pause_ms() {
-            log::warn!(pause_ms; "the machine stood still");
-        }
         self.flows.on_tick(&self.ctx);
         if self.ctx.now_ms >= self.next_report_ms {
             self.send_reports();
