fix(flows): ask all agents after the one hinted at has said no

Cause (read, not seen in a run): when two targets have answered copies of an opening packet, both agents tell of the flow; a balancer that has just started may hear first of the one that the caller did not choose. When that one says no, the holder counted as having told all its flows, so it was not asked, and the flow would have been reset. The new test fails without the change.

--- a/crates/basilstep-core/src/flows/balancer/state.rs
+++ b/crates/basilstep-core/src/flows/balancer/state.rs
@@ -567,6 +567,9 @@
     fn unanswered(&self, flow: &FlowKey, now_ms: u64) -> Option<Unanswered> {
         let route = self.fleet.table.routes.get(&flow.entry)?;
         let refused_by = self.searches.refused_by(flow);
+        // An agent that was hinted at and said no shows that what was told is not the whole truth:
+        // two targets may have answered copies of the opening packet.
+        let may_infer = refused_by.is_empty();
         let mut services: BTreeSet<ServiceTag> =
             route.shares.iter().map(|share| share.service).collect();
         services.extend(self.former_services.get(&flow.entry).into_iter().flatten());
@@ -574,7 +577,7 @@
             .iter()
             .flat_map(|service| self.roster.of_service(*service).map(|a| (a, *service)))
             .filter(|(agent, _)| !refused_by.contains(agent) && !self.is_silent(*agent, now_ms))
-            .filter(|(agent, _)| !self.would_have_told(route.kind, *agent))
+            .filter(|(agent, _)| !(may_infer && self.would_have_told(route.kind, *agent)))
             .map(|(agent, service)| self.leg(agent, service, true))
             .collect();
         Some(Unanswered {
--- a/crates/basilstep-core/src/flows/tests/balancer.rs
+++ b/crates/basilstep-core/src/flows/tests/balancer.rs
@@ -389,6 +389,22 @@
     assert_eq!(searched(verdict), [1]);
 }
 
+/// Two targets have answered copies of the opening packet, and a balancer that has just started hears
+/// first of the one that the caller did not choose.
+#[test]
+fn agents_are_asked_after_the_one_hinted_at_has_said_no() {
+    let (mut balancer, ctx) = balancer_with(0, RequestKind::Idempotent);
+    told_all(&mut balancer, 1, 0, 10_000);
+    told_all(&mut balancer, 2, 0, 10_000);
+    balancer.on_held(agent_ip(1), &held(0, flow(1)), &ctx);
+    balancer.on_held(agent_ip(2), &held(0, flow(1)), &ctx);
+    let packet = data(flow(1), 100);
+    assert_eq!(chosen(&balancer.on_packet(&packet, &ctx)), 1);
+    let verdict = refuse(&mut balancer, 1, &packet, 10_000);
+    assert_eq!(searched(verdict), [2]);
+    assert!(balancer.on_tick(&context(10_050)).lost.is_empty());
+}
+
 #[test]
 fn flow_of_requests_that_may_not_be_repeated_is_searched_at_all_agents() {
     let (mut balancer, _) = balancer_with(0, RequestKind::NonIdempotent);
