--- a/crates/basilstep-core/src/flows/balancer/mod.rs
+++ b/crates/basilstep-core/src/flows/balancer/mod.rs
@@ -5,7 +5,9 @@
 mod roster;
 mod search;
 mod state;
+mod verdict;
 
 pub use parking::Parked;
 pub use roster::{AgentState, Roster};
-pub use state::{BalancerFlows, BalancerIdentity, Due, Leg, Placed, Verdict};
+pub use state::BalancerFlows;
+pub use verdict::{BalancerIdentity, Due, Leg, Placed, Verdict};
--- a/crates/basilstep-core/src/flows/balancer/state.rs
+++ b/crates/basilstep-core/src/flows/balancer/state.rs
@@ -1,18 +1,19 @@
+mod opening;
+mod searching;
+
 use super::{
     hints::{Hint, Hints},
-    parking::{Parked, Parking},
-    roster::{AgentState, Placing, Roster},
+    parking::Parking,
+    roster::{AgentState, Roster},
     search::Searches,
+    verdict::{BalancerIdentity, Due, Leg, Verdict},
 };
 use crate::{
-    address::DomainId,
     codes::ResultCode,
     context::Context,
     flows::{
-        frame::{
-            AgentReport, BalancerBeat, BalancerEntry, Carry, HeldFlows, ReportReply, Returned,
-        },
-        key::{FlowKey, Lifetime, LostFlow, ServiceTag},
+        frame::{AgentReport, BalancerBeat, Carry, HeldFlows, ReportReply, Returned},
+        key::{FlowKey, ServiceTag},
         peers::Peers,
         routes::{FleetSettings, RequestKind},
         segment::Segment,
@@ -27,92 +28,9 @@
 /// How many hints are looked at in one tick.
 const SWEEP_BUDGET: usize = 256;
 
-/// How long word of a new flow may be under way from its agent; across a domain it needs 2 ms.
-const TELL_MS: u64 = 40;
-
 /// How long callers wait for an answer to their opening packets.
 const OPENING_TRY_MS: u64 = 1_400;
 
-/// The number of the last copy of an opening packet that a caller sends.
-const LAST_COPY: u32 = 2;
-
-/// Who a balancer is.
-#[derive(Clone, Copy, Debug)]
-pub struct BalancerIdentity {
-    /// Its address.
-    pub ip: Ipv4Addr,
-    /// Its failure domain.
-    pub domain: DomainId,
-    /// Its run.
-    pub lifetime: Lifetime,
-}
-
-impl BalancerIdentity {
-    fn entry(&self) -> BalancerEntry {
-        BalancerEntry {
-            ip: self.ip,
-            domain: self.domain,
-            lifetime: self.lifetime,
-            age_ms: 0,
-        }
-    }
-}
-
-/// One way of a packet to an agent.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct Leg {
-    /// The agent.
-    pub agent: Ipv4Addr,
-    /// What goes before the packet.
-    pub carry: Carry,
-}
-
-/// What happens to a packet.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub enum Verdict {
-    /// It goes to one agent.
-    Forward(Leg),
-    /// It goes to all agents that may hold its flow.
-    Search(Vec<Leg>),
-    /// The caller's end of the flow is reset.
-    Reset {
-        /// Why.
-        code: ResultCode,
-    },
-    /// It is dropped; the caller sends it again if it still matters.
-    Drop {
-        /// Why.
-        code: ResultCode,
-    },
-}
-
-/// What is left of a search.
-#[derive(Clone, Debug)]
-struct Unanswered {
-    kind: RequestKind,
-    legs: Vec<Leg>,
-}
-
-/// An opening packet that waited and goes to an agent now.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct Placed {
-    /// The packet.
-    pub parked: Parked,
-    /// Where it goes.
-    pub leg: Leg,
-}
-
-/// What a tick brings.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
-pub struct Due {
-    /// Agents that were forgotten.
-    pub forgotten: Vec<Ipv4Addr>,
-    /// Flows that are reset because all agents have said that they do not hold them.
-    pub lost: Vec<LostFlow>,
-    /// Opening packets that waited for an agent.
-    pub placed: Vec<Placed>,
-}
-
 /// The steering state of one balancer.
 #[derive(Clone, Debug)]
 pub struct BalancerFlows {
@@ -341,14 +259,6 @@
         self.is_stopping = true;
     }
 
-    /// Lets an opening packet wait until its next copy comes, if it was dropped with `code` because
-    /// no agent or no route is known yet.
-    pub fn park(&mut self, segment: &Segment, packet: &[u8], code: ResultCode, ctx: &Context) {
-        if matches!(code, ResultCode::NoTarget | ResultCode::UnknownService) {
-            self.parking.park(segment, packet, ctx.now_ms);
-        }
-    }
-
     /// Does what is due.
     pub fn on_tick(&mut self, ctx: &Context) -> Due {
         let settings = self.settings;
@@ -369,47 +279,6 @@
         }
     }
 
-    /// Tries the opening packets that wait once more.
-    fn place_parked(&mut self, ctx: &Context) -> Vec<Placed> {
-        let mut placed = Vec::new();
-        for parked in self.parking.take(ctx.now_ms) {
-            match self.on_packet(&parked.segment, ctx) {
-                Verdict::Forward(leg) => placed.push(Placed { parked, leg }),
-                Verdict::Drop { .. } => self.parking.put_back(parked),
-                Verdict::Search(_) | Verdict::Reset { .. } => {}
-            }
-        }
-        placed
-    }
-
-    /// Ends the searches in which all agents have said no, now that this may be trusted.
-    fn settle_searches(&mut self, ctx: &Context) -> Vec<LostFlow> {
-        let pending: Vec<LostFlow> = self
-            .searches
-            .pending()
-            .filter(|(_, search)| {
-                !search.refused_by.is_empty() || search.has_lasted(TELL_MS, ctx.now_ms)
-            })
-            .map(|(flow, search)| LostFlow {
-                flow: *flow,
-                sequence: search.caller_acknowledged,
-            })
-            .collect();
-        let mut lost = Vec::new();
-        for candidate in pending {
-            let flow = candidate.flow;
-            let Some(open) = self.unanswered(&flow, ctx.now_ms) else {
-                continue;
-            };
-            let is_held = self.hints.get_mut(&flow).is_some();
-            if !is_held && open.legs.is_empty() && self.may_reset(open.kind, ctx) {
-                self.searches.end(&flow);
-                lost.push(candidate);
-            }
-        }
-        lost
-    }
-
     /// Tells whether the balancer can place new flows.
     pub fn is_ready(&self, ctx: &Context) -> bool {
         self.fleet.is_known() && !self.is_stopping && self.knows_agents(ctx)
@@ -429,17 +298,6 @@
         known > 0 && most.is_some_and(|most| known >= usize::from(most))
     }
 
-    /// Tells whether an answer of all known agents is an answer of all agents.
-    ///
-    /// Callers of idempotent requests only lose a moment by a wrong reset, so it comes early there.
-    fn may_reset(&self, kind: RequestKind, ctx: &Context) -> bool {
-        let settle_ms = match kind {
-            RequestKind::Idempotent => self.settings.settle_ms,
-            RequestKind::NonIdempotent => self.settings.settle_non_idempotent_ms,
-        };
-        ctx.now_ms >= self.settled_from_ms + settle_ms && self.knows_agents(ctx)
-    }
-
     /// Returns the settings in force.
     pub const fn fleet(&self) -> &FleetSettings {
         &self.fleet
@@ -465,73 +323,6 @@
         self.hints.len()
     }
 
-    fn steer_opening(&mut self, flow: FlowKey, segment: &Segment, ctx: &Context) -> Verdict {
-        let confirm_within_ms = self.settings.confirm_within_ms;
-        if let Some(hint) = self.hints.get_mut(&flow) {
-            hint.used_ms = ctx.now_ms;
-            let (agent, service) = (hint.agent, hint.service);
-            let is_overdue = ctx.now_ms >= hint.offered_ms + confirm_within_ms;
-            if hint.is_confirmed || !is_overdue {
-                return self.offer(agent, service, &flow);
-            }
-            self.roster
-                .doubt(agent, ctx.now_ms + self.settings.doubt_ms);
-            self.hints.remove(&flow);
-            return self.place(flow, Some(service), segment, ResultCode::NoTarget, ctx);
-        }
-        self.place(flow, None, segment, ResultCode::NoTarget, ctx)
-    }
-
-    /// Sends an opening packet to the best agent left; `code` says why the last one refused it.
-    fn place(
-        &mut self,
-        flow: FlowKey,
-        service: Option<ServiceTag>,
-        segment: &Segment,
-        code: ResultCode,
-        ctx: &Context,
-    ) -> Verdict {
-        let Some(route) = self.fleet.table.routes.get(&flow.entry) else {
-            return self.refuse_unknown(ctx);
-        };
-        let Some(service) = service.or_else(|| route.service_for(&flow)) else {
-            return self.refuse_unknown(ctx);
-        };
-        let refused_by = self.searches.refused_by(&flow);
-        let placing = Placing {
-            domain: self.own.domain,
-            domains_out: &self.fleet.domains_out,
-            refused_by: &refused_by,
-            now_ms: ctx.now_ms,
-        };
-        let Some(agent) = self.roster.place(&flow, service, &placing, &self.settings) else {
-            return self.refuse(segment, code);
-        };
-        self.roster.count_offer(agent);
-        self.parking.remove(&flow);
-        let hint = Hint {
-            agent,
-            service,
-            is_confirmed: false,
-            offered_ms: ctx.now_ms,
-            used_ms: ctx.now_ms,
-        };
-        self.hints.insert(flow, hint);
-        self.offer(agent, service, &flow)
-    }
-
-    /// Refuses an opening packet that no agent takes now.
-    ///
-    /// Earlier copies are dropped, because the caller sends another within 400 ms that may find
-    /// room; after the last copy the caller is told at once.
-    fn refuse(&mut self, segment: &Segment, code: ResultCode) -> Verdict {
-        if segment.acknowledged < LAST_COPY {
-            return Verdict::Drop { code };
-        }
-        self.parking.remove(&segment.flow_of_caller());
-        Verdict::Reset { code }
-    }
-
     fn refuse_unknown(&self, ctx: &Context) -> Verdict {
         let code = ResultCode::UnknownService;
         if self.fleet.is_known() && self.may_reset(RequestKind::NonIdempotent, ctx) {
@@ -540,86 +331,6 @@
         Verdict::Drop { code }
     }
 
-    /// Asks the agents that have not answered yet, or resets the flow when all have said no.
-    fn search(&mut self, flow: FlowKey, ctx: &Context) -> Verdict {
-        let Some(open) = self.unanswered(&flow, ctx.now_ms) else {
-            return self.refuse_unknown(ctx);
-        };
-        let search_ms = self.settings.search_ms;
-        let search = self.searches.entry(flow, ctx.now_ms, search_ms);
-        let is_settled = !search.refused_by.is_empty() || search.has_lasted(TELL_MS, ctx.now_ms);
-        let may_ask = search.may_ask(ctx.now_ms);
-        if open.legs.is_empty() && is_settled && self.may_reset(open.kind, ctx) {
-            return Verdict::Reset {
-                code: ResultCode::FlowLost,
-            };
-        }
-        if open.legs.is_empty() || !may_ask {
-            // A packet of the flow is already on its way to the agents that have not answered.
-            return Verdict::Drop {
-                code: ResultCode::FlowSearched,
-            };
-        }
-        Verdict::Search(open.legs)
-    }
-
-    /// Returns the agents that may hold a flow and have not said no; `None` without a route.
-    fn unanswered(&self, flow: &FlowKey, now_ms: u64) -> Option<Unanswered> {
-        let route = self.fleet.table.routes.get(&flow.entry)?;
-        let refused_by = self.searches.refused_by(flow);
-        // An agent that was hinted at and said no shows that what was told is not the whole truth:
-        // two targets may have answered copies of the opening packet.
-        let may_infer = refused_by.is_empty();
-        let mut services: BTreeSet<ServiceTag> =
-            route.shares.iter().map(|share| share.service).collect();
-        services.extend(self.former_services.get(&flow.entry).into_iter().flatten());
-        let legs = services
-            .iter()
-            .flat_map(|service| self.roster.of_service(*service).map(|a| (a, *service)))
-            .filter(|(agent, _)| !refused_by.contains(agent) && !self.is_silent(*agent, now_ms))
-            .filter(|(agent, _)| !(may_infer && self.would_have_told(route.kind, *agent)))
-            .map(|(agent, service)| self.leg(agent, service, true))
-            .collect();
-        Some(Unanswered {
-            kind: route.kind,
-            legs,
-        })
-    }
-
-    /// Tells whether an agent needs no asking, because it has told this balancer all its flows.
-    ///
-    /// Word of a new flow may still be under way; only callers of idempotent requests lose little
-    /// when that is mistaken for a lost one.
-    fn would_have_told(&self, kind: RequestKind, agent: Ipv4Addr) -> bool {
-        let state = self.roster.get(agent);
-        kind == RequestKind::Idempotent && state.is_some_and(|state| state.is_told_all)
-    }
-
-    /// Tells whether a flow is lost to its caller because its agent has fallen silent.
-    ///
-    /// Only callers of idempotent requests gain by a reset: they repeat the request elsewhere.
-    fn is_beyond_reach(&self, agent: Ipv4Addr, flow: &FlowKey, now_ms: u64) -> bool {
-        let kind = self.fleet.table.routes.get(&flow.entry).map(|r| r.kind);
-        kind == Some(RequestKind::Idempotent) && self.is_silent(agent, now_ms)
-    }
-
-    fn is_silent(&self, agent: Ipv4Addr, now_ms: u64) -> bool {
-        if now_ms < self.settled_from_ms + self.settings.settle_non_idempotent_ms {
-            return false;
-        }
-        self.roster.get(agent).is_none_or(|state| {
-            !state.report.is_stopping && now_ms >= state.heard_ms + self.settings.reset_after_ms
-        })
-    }
-
-    /// Sends an opening packet to an agent.
-    fn offer(&self, agent: Ipv4Addr, service: ServiceTag, flow: &FlowKey) -> Verdict {
-        let route = self.fleet.table.routes.get(&flow.entry);
-        let mut leg = self.leg(agent, service, false);
-        leg.carry.latency_goal_ms = route.map_or(0, |route| route.latency_goal_ms);
-        Verdict::Forward(leg)
-    }
-
     const fn forward(&self, agent: Ipv4Addr, service: ServiceTag) -> Verdict {
         Verdict::Forward(self.leg(agent, service, false))
     }
--- /dev/null
+++ b/crates/basilstep-core/src/flows/balancer/state/opening.rs
@@ -0,0 +1,119 @@
+//! Opening packets: which agent gets a new flow, and which packets wait for one.
+
+use super::BalancerFlows;
+use crate::{
+    codes::ResultCode,
+    context::Context,
+    flows::{
+        balancer::{Placed, Verdict, hints::Hint, roster::Placing},
+        key::{FlowKey, ServiceTag},
+        segment::Segment,
+    },
+};
+use std::net::Ipv4Addr;
+
+/// The number of the last copy of an opening packet that a caller sends.
+const LAST_COPY: u32 = 2;
+
+impl BalancerFlows {
+    pub(super) fn steer_opening(
+        &mut self,
+        flow: FlowKey,
+        segment: &Segment,
+        ctx: &Context,
+    ) -> Verdict {
+        let confirm_within_ms = self.settings.confirm_within_ms;
+        if let Some(hint) = self.hints.get_mut(&flow) {
+            hint.used_ms = ctx.now_ms;
+            let (agent, service) = (hint.agent, hint.service);
+            let is_overdue = ctx.now_ms >= hint.offered_ms + confirm_within_ms;
+            if hint.is_confirmed || !is_overdue {
+                return self.offer(agent, service, &flow);
+            }
+            self.roster
+                .doubt(agent, ctx.now_ms + self.settings.doubt_ms);
+            self.hints.remove(&flow);
+            return self.place(flow, Some(service), segment, ResultCode::NoTarget, ctx);
+        }
+        self.place(flow, None, segment, ResultCode::NoTarget, ctx)
+    }
+
+    /// Sends an opening packet to the best agent left; `code` says why the last one refused it.
+    pub(super) fn place(
+        &mut self,
+        flow: FlowKey,
+        service: Option<ServiceTag>,
+        segment: &Segment,
+        code: ResultCode,
+        ctx: &Context,
+    ) -> Verdict {
+        let Some(route) = self.fleet.table.routes.get(&flow.entry) else {
+            return self.refuse_unknown(ctx);
+        };
+        let Some(service) = service.or_else(|| route.service_for(&flow)) else {
+            return self.refuse_unknown(ctx);
+        };
+        let refused_by = self.searches.refused_by(&flow);
+        let placing = Placing {
+            domain: self.own.domain,
+            domains_out: &self.fleet.domains_out,
+            refused_by: &refused_by,
+            now_ms: ctx.now_ms,
+        };
+        let Some(agent) = self.roster.place(&flow, service, &placing, &self.settings) else {
+            return self.refuse(segment, code);
+        };
+        self.roster.count_offer(agent);
+        self.parking.remove(&flow);
+        let hint = Hint {
+            agent,
+            service,
+            is_confirmed: false,
+            offered_ms: ctx.now_ms,
+            used_ms: ctx.now_ms,
+        };
+        self.hints.insert(flow, hint);
+        self.offer(agent, service, &flow)
+    }
+
+    /// Refuses an opening packet that no agent takes now.
+    ///
+    /// Earlier copies are dropped, because the caller sends another within 400 ms that may find
+    /// room; after the last copy the caller is told at once.
+    pub(super) fn refuse(&mut self, segment: &Segment, code: ResultCode) -> Verdict {
+        if segment.acknowledged < LAST_COPY {
+            return Verdict::Drop { code };
+        }
+        self.parking.remove(&segment.flow_of_caller());
+        Verdict::Reset { code }
+    }
+
+    /// Sends an opening packet to an agent.
+    pub(super) fn offer(&self, agent: Ipv4Addr, service: ServiceTag, flow: &FlowKey) -> Verdict {
+        let route = self.fleet.table.routes.get(&flow.entry);
+        let mut leg = self.leg(agent, service, false);
+        leg.carry.latency_goal_ms = route.map_or(0, |route| route.latency_goal_ms);
+        Verdict::Forward(leg)
+    }
+
+    /// Lets an opening packet wait until its next copy comes, if it was dropped with `code` because
+    /// no agent or no route is known yet.
+    pub fn park(&mut self, segment: &Segment, packet: &[u8], code: ResultCode, ctx: &Context) {
+        if matches!(code, ResultCode::NoTarget | ResultCode::UnknownService) {
+            self.parking.park(segment, packet, ctx.now_ms);
+        }
+    }
+
+    /// Tries the opening packets that wait once more.
+    pub(super) fn place_parked(&mut self, ctx: &Context) -> Vec<Placed> {
+        let mut placed = Vec::new();
+        for parked in self.parking.take(ctx.now_ms) {
+            match self.on_packet(&parked.segment, ctx) {
+                Verdict::Forward(leg) => placed.push(Placed { parked, leg }),
+                Verdict::Drop { .. } => self.parking.put_back(parked),
+                Verdict::Search(_) | Verdict::Reset { .. } => {}
+            }
+        }
+        placed
+    }
+}
--- /dev/null
+++ b/crates/basilstep-core/src/flows/balancer/state/searching.rs
@@ -0,0 +1,136 @@
+//! Packets without a hint: who is asked for the flow, and when it counts as lost.
+
+use super::BalancerFlows;
+use crate::{
+    codes::ResultCode,
+    context::Context,
+    flows::{
+        balancer::{Leg, Verdict},
+        key::{FlowKey, LostFlow, ServiceTag},
+        routes::RequestKind,
+    },
+};
+use std::{collections::BTreeSet, net::Ipv4Addr};
+
+/// How long word of a new flow may be under way from its agent; across a domain it needs 2 ms.
+const TELL_MS: u64 = 40;
+
+/// What is left of a search.
+#[derive(Clone, Debug)]
+struct Unanswered {
+    kind: RequestKind,
+    legs: Vec<Leg>,
+}
+
+impl BalancerFlows {
+    /// Asks the agents that have not answered yet, or resets the flow when all have said no.
+    pub(super) fn search(&mut self, flow: FlowKey, ctx: &Context) -> Verdict {
+        let Some(open) = self.unanswered(&flow, ctx.now_ms) else {
+            return self.refuse_unknown(ctx);
+        };
+        let search_ms = self.settings.search_ms;
+        let search = self.searches.entry(flow, ctx.now_ms, search_ms);
+        let is_settled = !search.refused_by.is_empty() || search.has_lasted(TELL_MS, ctx.now_ms);
+        let may_ask = search.may_ask(ctx.now_ms);
+        if open.legs.is_empty() && is_settled && self.may_reset(open.kind, ctx) {
+            return Verdict::Reset {
+                code: ResultCode::FlowLost,
+            };
+        }
+        if open.legs.is_empty() || !may_ask {
+            // A packet of the flow is already on its way to the agents that have not answered.
+            return Verdict::Drop {
+                code: ResultCode::FlowSearched,
+            };
+        }
+        Verdict::Search(open.legs)
+    }
+
+    /// Returns the agents that may hold a flow and have not said no; `None` without a route.
+    fn unanswered(&self, flow: &FlowKey, now_ms: u64) -> Option<Unanswered> {
+        let route = self.fleet.table.routes.get(&flow.entry)?;
+        let refused_by = self.searches.refused_by(flow);
+        // An agent that was hinted at and said no shows that what was told is not the whole truth:
+        // two targets may have answered copies of the opening packet.
+        let may_infer = refused_by.is_empty();
+        let mut services: BTreeSet<ServiceTag> =
+            route.shares.iter().map(|share| share.service).collect();
+        services.extend(self.former_services.get(&flow.entry).into_iter().flatten());
+        let legs = services
+            .iter()
+            .flat_map(|service| self.roster.of_service(*service).map(|a| (a, *service)))
+            .filter(|(agent, _)| !refused_by.contains(agent) && !self.is_silent(*agent, now_ms))
+            .filter(|(agent, _)| !(may_infer && self.would_have_told(route.kind, *agent)))
+            .map(|(agent, service)| self.leg(agent, service, true))
+            .collect();
+        Some(Unanswered {
+            kind: route.kind,
+            legs,
+        })
+    }
+
+    /// Tells whether an agent needs no asking, because it has told this balancer all its flows.
+    ///
+    /// Word of a new flow may still be under way; only callers of idempotent requests lose little
+    /// when that is mistaken for a lost one.
+    fn would_have_told(&self, kind: RequestKind, agent: Ipv4Addr) -> bool {
+        let state = self.roster.get(agent);
+        kind == RequestKind::Idempotent && state.is_some_and(|state| state.is_told_all)
+    }
+
+    /// Ends the searches in which all agents have said no, now that this may be trusted.
+    pub(super) fn settle_searches(&mut self, ctx: &Context) -> Vec<LostFlow> {
+        let pending: Vec<LostFlow> = self
+            .searches
+            .pending()
+            .filter(|(_, search)| {
+                !search.refused_by.is_empty() || search.has_lasted(TELL_MS, ctx.now_ms)
+            })
+            .map(|(flow, search)| LostFlow {
+                flow: *flow,
+                sequence: search.caller_acknowledged,
+            })
+            .collect();
+        let mut lost = Vec::new();
+        for candidate in pending {
+            let flow = candidate.flow;
+            let Some(open) = self.unanswered(&flow, ctx.now_ms) else {
+                continue;
+            };
+            let is_held = self.hints.get_mut(&flow).is_some();
+            if !is_held && open.legs.is_empty() && self.may_reset(open.kind, ctx) {
+                self.searches.end(&flow);
+                lost.push(candidate);
+            }
+        }
+        lost
+    }
+
+    /// Tells whether a flow is lost to its caller because its agent has fallen silent.
+    ///
+    /// Only callers of idempotent requests gain by a reset: they repeat the request elsewhere.
+    pub(super) fn is_beyond_reach(&self, agent: Ipv4Addr, flow: &FlowKey, now_ms: u64) -> bool {
+        let kind = self.fleet.table.routes.get(&flow.entry).map(|r| r.kind);
+        kind == Some(RequestKind::Idempotent) && self.is_silent(agent, now_ms)
+    }
+
+    pub(super) fn is_silent(&self, agent: Ipv4Addr, now_ms: u64) -> bool {
+        if now_ms < self.settled_from_ms + self.settings.settle_non_idempotent_ms {
+            return false;
+        }
+        self.roster.get(agent).is_none_or(|state| {
+            !state.report.is_stopping && now_ms >= state.heard_ms + self.settings.reset_after_ms
+        })
+    }
+
+    /// Tells whether an answer of all known agents is an answer of all agents.
+    ///
+    /// Callers of idempotent requests only lose a moment by a wrong reset, so it comes early there.
+    pub(super) fn may_reset(&self, kind: RequestKind, ctx: &Context) -> bool {
+        let settle_ms = match kind {
+            RequestKind::Idempotent => self.settings.settle_ms,
+            RequestKind::NonIdempotent => self.settings.settle_non_idempotent_ms,
+        };
+        ctx.now_ms >= self.settled_from_ms + settle_ms && self.knows_agents(ctx)
+    }
+}
--- a/crates/basilstep-core/src/flows/settings.rs
+++ b/crates/basilstep-core/src/flows/settings.rs
@@ -61,8 +61,7 @@
     pub tell_all: usize,
     /// How many balancers of the caller's domain are told if there are more.
     pub told_balancers: usize,
-    /// How long after its start a target may have been reached by an earlier run of its agent only
-    /// if that run also lasted less.
+    /// How long before its agent a target may have started and still count as started with it.
     pub witness_ms: u64,
     /// How long an agent that was restarted may not know some flows: until idle ones are discarded.
     pub relearn_ms: u64,
