refactor(flows): drop results that nobody uses, keep one copy of when a search is settled

Peers::beats gave addresses and ages of which only the highest count of agents was used; set_down returned a flag that no caller read; the condition under which a search may end stood twice.

--- a/crates/basilstep-core/src/flows/agent/target.rs
+++ b/crates/basilstep-core/src/flows/agent/target.rs
@@ -87,11 +87,9 @@
         PingOutcome::Unchanged
     }
 
-    /// Notes that the target has ended or does not answer; returns whether that is new.
-    pub fn set_down(&mut self) -> bool {
-        let is_new = self.phase != TargetPhase::Down;
+    /// Notes that the target has ended or does not answer.
+    pub const fn set_down(&mut self) {
         self.phase = TargetPhase::Down;
-        is_new
     }
 
     /// Returns whether the target takes new flows.
--- a/crates/basilstep-core/src/flows/balancer/search.rs
+++ b/crates/basilstep-core/src/flows/balancer/search.rs
@@ -19,13 +19,16 @@
     started_ms: u64,
 }
 
+/// How long word of a new flow may be under way from its agent; across a domain it needs 2 ms.
+const TELL_MS: u64 = 40;
+
 /// How long the answers of all agents may take; across a domain they need a few milliseconds.
 const ANSWER_WITHIN_MS: u64 = 100;
 
 impl Search {
-    /// Tells whether the search began at least `span_ms` ago.
-    pub const fn has_lasted(&self, span_ms: u64, now_ms: u64) -> bool {
-        now_ms >= self.started_ms + span_ms
+    /// Tells whether an agent has said no, or word of a new flow would have arrived by now.
+    pub fn is_settled(&self, now_ms: u64) -> bool {
+        !self.refused_by.is_empty() || now_ms >= self.started_ms + TELL_MS
     }
 
     /// Tells whether a packet may go to all agents that have not answered, and notes that it does.
--- a/crates/basilstep-core/src/flows/balancer/state.rs
+++ b/crates/basilstep-core/src/flows/balancer/state.rs
@@ -293,8 +293,7 @@
         if ctx.now_ms >= self.started_ms + self.settings.roster_wait_ms {
             return known > 0;
         }
-        let counts = self.peers.beats(ctx.now_ms).map(|(_, beat, _)| beat.agents);
-        let most = counts.max();
+        let most = self.peers.most_agents();
         known > 0 && most.is_some_and(|most| known >= usize::from(most))
     }
 
--- a/crates/basilstep-core/src/flows/balancer/state/searching.rs
+++ b/crates/basilstep-core/src/flows/balancer/state/searching.rs
@@ -12,9 +12,6 @@
 };
 use std::{collections::BTreeSet, net::Ipv4Addr};
 
-/// How long word of a new flow may be under way from its agent; across a domain it needs 2 ms.
-const TELL_MS: u64 = 40;
-
 /// What is left of a search.
 #[derive(Clone, Debug)]
 struct Unanswered {
@@ -30,7 +27,7 @@
         };
         let search_ms = self.settings.search_ms;
         let search = self.searches.entry(flow, ctx.now_ms, search_ms);
-        let is_settled = !search.refused_by.is_empty() || search.has_lasted(TELL_MS, ctx.now_ms);
+        let is_settled = search.is_settled(ctx.now_ms);
         let may_ask = search.may_ask(ctx.now_ms);
         if open.legs.is_empty() && is_settled && self.may_reset(open.kind, ctx) {
             return Verdict::Reset {
@@ -83,9 +80,7 @@
         let pending: Vec<LostFlow> = self
             .searches
             .pending()
-            .filter(|(_, search)| {
-                !search.refused_by.is_empty() || search.has_lasted(TELL_MS, ctx.now_ms)
-            })
+            .filter(|(_, search)| search.is_settled(ctx.now_ms))
             .map(|(flow, search)| LostFlow {
                 flow: *flow,
                 sequence: search.caller_acknowledged,
--- a/crates/basilstep-core/src/flows/peers.rs
+++ b/crates/basilstep-core/src/flows/peers.rs
@@ -120,14 +120,10 @@
         self.peers.keys().copied()
     }
 
-    /// Returns the last signs of life by address, with how long ago they came.
-    pub fn beats(&self, now_ms: u64) -> impl Iterator<Item = (Ipv4Addr, &BalancerBeat, u64)> + '_ {
-        self.peers.iter().filter_map(move |(ip, peer)| {
-            let age_ms = (now_ms.cast_signed() - peer.heard_ms)
-                .max(0)
-                .cast_unsigned();
-            peer.beat.as_ref().map(|beat| (*ip, beat, age_ms))
-        })
+    /// Returns the highest count of agents in the last signs of life, if there is any.
+    pub fn most_agents(&self) -> Option<u16> {
+        let beats = self.peers.values().filter_map(|peer| peer.beat.as_ref());
+        beats.map(|beat| beat.agents).max()
     }
 
     /// Returns the balancers of a domain that are told about the flow with this hash.
