fix(flows): infer that a flow is lost only while word of each flow can be trusted

Cause, found by reading: 33 is one more than tell_all. An agent then tells eight balancers of a flow and its reports no longer promise word of all. Two moments were wrong. When a 33rd balancer came, flows were told to a few at once, while the others trusted the last report's promise; when one left, the promise was given again at once with a count that the flows told to a few were no part of, so the receivers' counts agreed. Of the same kind and mended with it: a hint that had to make room for another one was known as told, and a promise was trusted however old its report was.

--- a/crates/basilstep-core/src/flows/agent/mod.rs
+++ b/crates/basilstep-core/src/flows/agent/mod.rs
@@ -1,5 +1,6 @@
 //! The agent's side: which flows its target holds, and which new ones it takes.
 
+mod audience;
 mod gate;
 mod service_time;
 mod source;
--- a/crates/basilstep-core/src/flows/agent/state.rs
+++ b/crates/basilstep-core/src/flows/agent/state.rs
@@ -1,4 +1,5 @@
 use super::{
+    audience::Audience,
     gate::{ColdAllowance, Gate, GateInputs},
     service_time::ServiceTime,
     table::{Flow, FlowStage, FlowTable, WaitLimits},
@@ -86,6 +87,7 @@
     settings_version: u64,
     peers: Peers,
     telling: Telling,
+    audience: Audience,
     started_ms: u64,
     is_stopping: bool,
     is_backlog_old: bool,
@@ -107,6 +109,7 @@
             settings_version: 0,
             peers: Peers::default(),
             telling: Telling::default(),
+            audience: Audience::default(),
             started_ms: ctx.now_ms,
             is_stopping: false,
             is_backlog_old: false,
@@ -182,7 +185,7 @@
         let mut opened_after_ms = None;
         if let Some(flow) = flow.filter(|_| is_first) {
             opened_after_ms = Some(ctx.now_ms - flow.opened_ms);
-            self.tell(key, &flow);
+            self.tell(key, &flow, ctx.now_ms);
         }
         TargetVerdict::ToCaller { opened_after_ms }
     }
@@ -226,14 +229,26 @@
     /// Takes a list of balancers and tells those that are new about the flows of their domain;
     /// returns whether any is new.
     pub fn on_balancers(&mut self, entries: &[BalancerEntry], ctx: &Context) -> bool {
-        let mut is_any_new = false;
-        for entry in entries {
-            if self.peers.learn(entry, ctx.now_ms) {
-                is_any_new = true;
-                self.tell_again(entry.ip);
+        let new: Vec<Ipv4Addr> = entries
+            .iter()
+            .filter(|entry| self.peers.learn(entry, ctx.now_ms))
+            .map(|entry| entry.ip)
+            .collect();
+        self.review_audience(ctx);
+        for balancer in &new {
+            self.tell_again(*balancer, ctx);
+        }
+        !new.is_empty()
+    }
+
+    fn review_audience(&mut self, ctx: &Context) {
+        let balancers = self.peers.len();
+        if self.audience.review(balancers, &self.settings, ctx.now_ms) {
+            let all: Vec<Ipv4Addr> = self.peers.addresses().collect();
+            for balancer in all {
+                self.tell_again(balancer, ctx);
             }
         }
-        is_any_new
     }
 
     /// Does what is due.
@@ -241,6 +256,7 @@
         let now_ms = ctx.now_ms;
         self.peers
             .forget(now_ms.saturating_sub(self.settings.forget_after_ms));
+        self.review_audience(ctx);
         let peers = &self.peers;
         self.telling
             .retain(|balancer| peers.domain_of(balancer).is_some());
@@ -285,8 +301,8 @@
     }
 
     /// Tells a balancer about all flows once more.
-    pub fn tell_again(&mut self, balancer: Ipv4Addr) {
-        let flows = self.flows_for(balancer);
+    pub fn tell_again(&mut self, balancer: Ipv4Addr, ctx: &Context) {
+        let flows = self.flows_for(balancer, ctx.now_ms);
         self.telling.begin(balancer, flows);
     }
 
@@ -445,8 +461,8 @@
             .collect()
     }
 
-    fn tell(&mut self, key: FlowKey, flow: &Flow) {
-        let mut listeners = self.listeners_of(&key, flow);
+    fn tell(&mut self, key: FlowKey, flow: &Flow, now_ms: u64) {
+        let mut listeners = self.listeners_of(&key, flow, now_ms);
         if !listeners.contains(&flow.origin) {
             listeners.push(flow.origin);
         }
@@ -456,33 +472,30 @@
     }
 
     /// Returns the flows that a balancer is to know.
-    fn flows_for(&self, balancer: Ipv4Addr) -> Vec<FlowKey> {
+    fn flows_for(&self, balancer: Ipv4Addr, now_ms: u64) -> Vec<FlowKey> {
         self.table
             .iter()
             .filter(|(_, flow)| matches!(flow.stage, FlowStage::Answered | FlowStage::Open))
-            .filter(|(key, flow)| self.listeners_of(key, flow).contains(&balancer))
+            .filter(|(key, flow)| self.listeners_of(key, flow, now_ms).contains(&balancer))
             .map(|(key, _)| *key)
             .collect()
     }
 
     /// Returns the balancers that are to know a flow: all of a few, or some of its caller's domain.
-    fn listeners_of(&self, key: &FlowKey, flow: &Flow) -> Vec<Ipv4Addr> {
-        if self.tells_all() {
+    fn listeners_of(&self, key: &FlowKey, flow: &Flow, now_ms: u64) -> Vec<Ipv4Addr> {
+        if self.audience.is_everyone(&self.settings, now_ms) {
             return self.peers.addresses().collect();
         }
         let limit = self.settings.told_balancers;
         self.peers.told(flow.origin_domain, key.hash(), limit)
     }
 
-    fn tells_all(&self) -> bool {
-        self.peers.len() <= self.settings.tell_all
-    }
-
     /// Returns how many flows a balancer is to know, if it can tell from them what is not held here.
     fn told(&self, balancer: Ipv4Addr, ctx: &Context) -> Option<u32> {
         let knows_all = self.knows_all_flows(ctx);
         let is_listener = self.peers.domain_of(balancer).is_some();
-        (knows_all && is_listener && self.tells_all()).then(|| self.telling.total(balancer))
+        (knows_all && is_listener && self.audience.is_promised())
+            .then(|| self.telling.total(balancer))
     }
 
     /// Tells whether the table holds every flow of the target.
--- a/crates/basilstep-core/src/flows/balancer/hints.rs
+++ b/crates/basilstep-core/src/flows/balancer/hints.rs
@@ -22,6 +22,8 @@
     by_flow: BTreeMap<FlowKey, Hint>,
     limit: usize,
     swept_to: Option<FlowKey>,
+    /// When a hint last had to make room for another one.
+    made_room_ms: Option<u64>,
 }
 
 impl Hints {
@@ -31,6 +33,7 @@
             by_flow: BTreeMap::new(),
             limit,
             swept_to: None,
+            made_room_ms: None,
         }
     }
 
@@ -43,10 +46,16 @@
     pub fn insert(&mut self, flow: FlowKey, hint: Hint) {
         if self.by_flow.len() >= self.limit && !self.by_flow.contains_key(&flow) {
             self.by_flow.pop_first();
+            self.made_room_ms = Some(hint.used_ms);
         }
         self.by_flow.insert(flow, hint);
     }
 
+    /// Tells whether each flow that was told of and used since `since_ms` still has its hint.
+    pub fn is_complete_since(&self, since_ms: u64) -> bool {
+        self.made_room_ms.is_none_or(|at_ms| at_ms < since_ms)
+    }
+
     /// Forgets a flow.
     pub fn remove(&mut self, flow: &FlowKey) {
         self.by_flow.remove(flow);
--- a/crates/basilstep-core/src/flows/balancer/state/searching.rs
+++ b/crates/basilstep-core/src/flows/balancer/state/searching.rs
@@ -48,8 +48,10 @@
         let route = self.fleet.table.routes.get(&flow.entry)?;
         let refused_by = self.searches.refused_by(flow);
         // An agent that was hinted at and said no shows that what was told is not the whole truth:
-        // two targets may have answered copies of the opening packet.
-        let may_infer = refused_by.is_empty();
+        // two targets may have answered copies of the opening packet. A hint that made room for
+        // another one was told and is unknown now.
+        let since_ms = now_ms.saturating_sub(self.settings.hint_idle_ms);
+        let may_infer = refused_by.is_empty() && self.hints.is_complete_since(since_ms);
         let mut services: BTreeSet<ServiceTag> =
             route.shares.iter().map(|share| share.service).collect();
         services.extend(self.former_services.get(&flow.entry).into_iter().flatten());
@@ -57,7 +59,7 @@
             .iter()
             .flat_map(|service| self.roster.of_service(*service).map(|a| (a, *service)))
             .filter(|(agent, _)| !refused_by.contains(agent) && !self.is_silent(*agent, now_ms))
-            .filter(|(agent, _)| !(may_infer && self.would_have_told(route.kind, *agent)))
+            .filter(|(agent, _)| !(may_infer && self.would_have_told(route.kind, *agent, now_ms)))
             .map(|(agent, service)| self.leg(agent, service, true))
             .collect();
         Some(Unanswered {
@@ -70,9 +72,11 @@
     ///
     /// Word of a new flow may still be under way; only callers of idempotent requests lose little
     /// when that is mistaken for a lost one.
-    fn would_have_told(&self, kind: RequestKind, agent: Ipv4Addr) -> bool {
-        let state = self.roster.get(agent);
-        kind == RequestKind::Idempotent && state.is_some_and(|state| state.is_told_all)
+    fn would_have_told(&self, kind: RequestKind, agent: Ipv4Addr, now_ms: u64) -> bool {
+        let is_told_all = self.roster.get(agent).is_some_and(|state| {
+            state.is_told_all && now_ms < state.heard_ms + self.settings.suspect_after_ms
+        });
+        kind == RequestKind::Idempotent && is_told_all
     }
 
     /// Ends the searches in which all agents have said no, now that this may be trusted.
--- a/crates/basilstep-packet/src/agent/frames.rs
+++ b/crates/basilstep-packet/src/agent/frames.rs
@@ -42,7 +42,7 @@
                     self.send_reports();
                 }
             }
-            Frame::TellAgain => self.flows.tell_again(peer),
+            Frame::TellAgain => self.flows.tell_again(peer, &self.ctx),
             Frame::Beat(beat) => {
                 self.flows.peers_mut().hear(peer, beat, self.ctx.now_ms);
             }
