--- a/crates/basilstep-bench/src/load/membership/costs.rs
+++ b/crates/basilstep-bench/src/load/membership/costs.rs
@@ -93,7 +93,7 @@
 }
 
 /// Returns the resident memory of this process, or zero where the platform does not tell it.
-fn resident_bytes() -> usize {
+pub fn resident_bytes() -> usize {
     const PAGE_BYTES: usize = 4_096;
     let statm = fs::read_to_string("/proc/self/statm").unwrap_or_default();
     let pages = statm
--- a/crates/basilstep-bench/src/load/membership/mod.rs
+++ b/crates/basilstep-bench/src/load/membership/mod.rs
@@ -6,6 +6,8 @@
 mod scenarios;
 pub(super) mod traffic;
 
+pub(super) use costs::resident_bytes;
+
 use super::{
     LoadArgs, Report,
     plot::{Line, Plot},
--- a/crates/basilstep-bench/src/load/mod.rs
+++ b/crates/basilstep-bench/src/load/mod.rs
@@ -5,6 +5,7 @@
 mod flows;
 mod membership;
 mod overload;
+mod packet_path;
 mod packets;
 mod placement;
 mod plot;
--- /dev/null
+++ b/crates/basilstep-bench/src/load/packet_path.rs
@@ -0,0 +1,270 @@
+//! What the processes for flows without a token do of their own with each packet of an open flow:
+//! decode, decide, encode. Sockets are left out; the bench of the users' platform charges those.
+
+use super::{membership::resident_bytes, packets::median};
+use basilstep_core::{
+    address::DomainId,
+    context::Context,
+    flows::{
+        AgentFlows, AgentReport, BalancerFlows, Carry, Flags, FleetSettings, FlowKey, FlowSettings,
+        Frame, HeldFlows, Lifetime, Route, Segment, ServiceShare, ServiceTag, TargetPhase,
+        agent::{AgentIdentity, CallerVerdict, ColdAllowance, Ping, PingState},
+        balancer::{BalancerIdentity, Verdict},
+        decode_frame, encode_frame,
+    },
+};
+use basilstep_platform::header;
+use serde_json::{Value, json};
+use std::{
+    error::Error,
+    hint::black_box,
+    net::{Ipv4Addr, SocketAddrV4},
+    time::Instant,
+};
+
+const BALANCER: Ipv4Addr = Ipv4Addr::new(10, 9, 0, 1);
+const AGENT: Ipv4Addr = Ipv4Addr::new(10, 1, 0, 1);
+const DATA_BYTES: u16 = 1_200;
+const ROUNDS: usize = 9;
+
+/// Flows that a target holds: ten times the most that the sites of the users show.
+const AGENT_FLOWS: u32 = 5_000;
+
+const GOAL_NS_PER_PACKET: f64 = 10_000.0;
+const GOAL_BALANCER_BYTES: usize = 40_000_000;
+const GOAL_AGENT_BYTES: usize = 20_000_000;
+
+/// Measures both processes.
+///
+/// # Errors
+///
+/// Returns an error when a packet does not go the way that it should.
+pub fn measure() -> Result<Value, Box<dyn Error>> {
+    let limit = FlowSettings::default().hint_limit as u32;
+    let before_bytes = resident_bytes();
+    let mut agent = agent_with_flows(AGENT_FLOWS);
+    let agent_bytes = resident_bytes().saturating_sub(before_bytes);
+    let before_bytes = resident_bytes();
+    let mut balancer = balancer_with_hints(limit);
+    let balancer_bytes = resident_bytes().saturating_sub(before_bytes);
+    let balancer_ns = balancer_ns_per_packet(&mut balancer, limit)?;
+    let agent_ns = agent_ns_per_packet(&mut agent, AGENT_FLOWS)?;
+    Ok(json!({
+        "hints": limit,
+        "balancer_ns_per_packet": balancer_ns.round(),
+        "balancer_state_bytes": balancer_bytes,
+        "agent_flows": AGENT_FLOWS,
+        "agent_ns_per_packet": agent_ns.round(),
+        "agent_state_bytes": agent_bytes,
+        "goal_ns_per_packet": GOAL_NS_PER_PACKET,
+        "goal_met": balancer_ns <= GOAL_NS_PER_PACKET
+            && balancer_bytes <= GOAL_BALANCER_BYTES
+            && agent_bytes <= GOAL_AGENT_BYTES,
+    }))
+}
+
+fn balancer_ns_per_packet(balancer: &mut BalancerFlows, flows: u32) -> Result<f64, Box<dyn Error>> {
+    let ctx = context();
+    let packets: Vec<Vec<u8>> = (0..flows).map(|flow| packet(flow, data())).collect();
+    let mut frame = Vec::new();
+    timed(flows, || {
+        for packet in &packets {
+            let segment = header::decode(packet)?;
+            let Verdict::Forward(leg) = balancer.on_packet(&segment, &ctx) else {
+                return Err("a balancer did not know an open flow".into());
+            };
+            encode_frame(&Frame::Carry(leg.carry), packet, &mut frame);
+            black_box(&frame);
+        }
+        Ok(())
+    })
+}
+
+fn agent_ns_per_packet(agent: &mut AgentFlows, flows: u32) -> Result<f64, Box<dyn Error>> {
+    let ctx = context();
+    let frames: Vec<Vec<u8>> = (0..flows)
+        .map(|flow| {
+            let mut frame = Vec::new();
+            encode_frame(&Frame::Carry(carry()), &packet(flow, data()), &mut frame);
+            frame
+        })
+        .collect();
+    timed(flows, || {
+        for frame in &frames {
+            let (Frame::Carry(carry), packet) = decode_frame(frame)? else {
+                return Err("a frame was read as another one".into());
+            };
+            let segment = header::decode(packet)?;
+            match black_box(agent.on_packet(&carry, &segment, &ctx)) {
+                CallerVerdict::Deliver { .. } => {}
+                CallerVerdict::Return { code } => {
+                    return Err(format!("an agent did not take a packet: {code}").into());
+                }
+            }
+        }
+        Ok(())
+    })
+}
+
+/// Returns the median of several rounds.
+fn timed(
+    packets: u32,
+    mut round: impl FnMut() -> Result<(), Box<dyn Error>>,
+) -> Result<f64, Box<dyn Error>> {
+    let mut ns_per_packet = Vec::new();
+    for _ in 0..ROUNDS {
+        let began = Instant::now();
+        round()?;
+        ns_per_packet.push(began.elapsed().as_nanos() as f64 / f64::from(packets));
+    }
+    Ok(median(&ns_per_packet))
+}
+
+fn balancer_with_hints(hints: u32) -> BalancerFlows {
+    let own = BalancerIdentity {
+        ip: BALANCER,
+        domain: DomainId(0),
+        lifetime: Lifetime(1),
+    };
+    let mut balancer = BalancerFlows::new(FlowSettings::default(), own, &Context::new(1));
+    let mut fleet = FleetSettings::default();
+    let shares = vec![ServiceShare {
+        service: service(),
+        weight: 1,
+    }];
+    let route = Route {
+        shares,
+        ..Route::default()
+    };
+    fleet.table.version = 1;
+    fleet.table.routes.insert(entry(), route);
+    balancer.on_fleet_settings(fleet);
+    balancer.on_report(AGENT, report(), &context());
+    let held = HeldFlows {
+        told_before: 0,
+        flows: (0..hints).map(key).collect(),
+    };
+    balancer.on_held(AGENT, &held, &context());
+    balancer
+}
+
+fn agent_with_flows(flows: u32) -> AgentFlows {
+    let own = AgentIdentity {
+        service: service(),
+        domain: DomainId(0),
+        lifetime: Lifetime(1),
+        born_ms: 0,
+        heartbeat_ms: 1_000,
+        allowance: ColdAllowance {
+            overage: 1.5,
+            slack: 5.0,
+        },
+    };
+    let ctx = context();
+    let mut agent = AgentFlows::new(FlowSettings::default(), own, &ctx);
+    let ping = Ping {
+        born_ms: 1,
+        sequence: 1,
+        state: PingState::Ready,
+        capacity: u16::MAX,
+        warmup_left_ms: 0,
+    };
+    agent.on_ping(&ping, &ctx);
+    for flow in 0..flows {
+        agent.on_packet(&carry(), &segment(flow, opening()), &ctx);
+        let answer = Segment {
+            source: entry(),
+            destination: key(flow).caller,
+            flags: Flags {
+                syn: true,
+                ack: true,
+                ..Flags::default()
+            },
+            ..segment(flow, opening())
+        };
+        agent.on_target_packet(&answer, &ctx);
+    }
+    agent
+}
+
+fn service() -> ServiceTag {
+    ServiceTag::of("quotes")
+}
+
+fn entry() -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), 443)
+}
+
+fn key(flow: u32) -> FlowKey {
+    const FIRST_CALLER: u32 = Ipv4Addr::new(100, 64, 0, 0).to_bits();
+    FlowKey {
+        caller: SocketAddrV4::new(Ipv4Addr::from_bits(FIRST_CALLER + flow), 40_001),
+        entry: entry(),
+    }
+}
+
+fn opening() -> Flags {
+    Flags {
+        syn: true,
+        ..Flags::default()
+    }
+}
+
+fn data() -> Flags {
+    Flags {
+        ack: true,
+        ..Flags::default()
+    }
+}
+
+fn segment(flow: u32, flags: Flags) -> Segment {
+    Segment {
+        source: key(flow).caller,
+        destination: entry(),
+        flags,
+        sequence: 0,
+        acknowledged: 0,
+        data_bytes: if flags.syn { 0 } else { DATA_BYTES },
+        cookie: 0,
+    }
+}
+
+fn packet(flow: u32, flags: Flags) -> Vec<u8> {
+    let segment = segment(flow, flags);
+    let mut packet = header::encode(&segment).to_vec();
+    packet.resize(header::HEADER_BYTES + usize::from(segment.data_bytes), 0);
+    packet
+}
+
+fn carry() -> Carry {
+    Carry {
+        service: service(),
+        origin: BALANCER,
+        origin_domain: DomainId(0),
+        is_search: false,
+        latency_goal_ms: 0,
+    }
+}
+
+fn report() -> AgentReport {
+    AgentReport {
+        lifetime: Lifetime(1),
+        service: service(),
+        domain: DomainId(0),
+        phase: TargetPhase::Serving,
+        is_cold: false,
+        is_stopping: false,
+        at_work: 0,
+        open_flows: 0,
+        capacity: 4,
+        room: u16::MAX,
+        wants_reply: false,
+        told: None,
+    }
+}
+
+fn context() -> Context {
+    let mut ctx = Context::new(1);
+    ctx.now_ms = 10_000;
+    ctx
+}
--- a/crates/basilstep-bench/src/load/packets.rs
+++ b/crates/basilstep-bench/src/load/packets.rs
@@ -1,7 +1,8 @@
 //! The `packets` experiment: what a balancer carries, against a bare loop of receive and send.
 //!
 //! Both get the same datagrams of established flows from the same senders, in turns, on one
-//! thread; a sink counts what comes out.
+//! thread; a sink counts what comes out. Beside it, what the two processes for flows without a
+//! token spend on a packet.
 
 use super::{LoadArgs, Report, processes::Processes};
 use basilstep_core::{
@@ -41,6 +42,8 @@
 }
 
 fn measure(args: &LoadArgs) -> Result<Value, Box<dyn Error>> {
+    // First, while the allocator holds no freed memory that would hide what the state takes.
+    let without_token = super::packet_path::measure()?;
     let runtime = tokio::runtime::Runtime::new()?;
     let processes = runtime.block_on(Processes::start("packets", Some(1), 0))?;
     let plan = &processes.plan;
@@ -81,6 +84,7 @@
         "balancer_resident_kb_after": memory_after_kb,
         "balancer_bytes_per_flow": (memory_after_kb as f64 - memory_before_kb as f64)
             * 1_024.0 / flows as f64,
+        "without_token": without_token,
     }))
 }
 
@@ -224,7 +228,7 @@
     }
 }
 
-fn median(values: &[f64]) -> f64 {
+pub fn median(values: &[f64]) -> f64 {
     let mut sorted = values.to_vec();
     sorted.sort_by(f64::total_cmp);
     sorted.get(sorted.len() / 2).copied().unwrap_or_default()
