feat(flows): report to balancers of other domains in turns when there are many

Beyond 32 balancers, those of other domains now get every second, third or fourth report and beat, in turns that the address draws, so that the load of each round is even. The own domain and the source of settings get all; a change of phase, a stop and new settings go to all at once. A report says how often its receiver gets one, and the balancer's limits for suspicion, resets and trust in word of flows grow with it.

Ruled out: sending to fewer balancers (each may get packets of any flow), forwarding by balancers (the same bytes and a hop more), slower reports for all (placement lives on the own domain's).

Left out of beats: the age of the store's last answer, which nobody read.

Tests: flows/tests/pace.rs.

--- a/crates/basilstep-bench/src/load/packet_path.rs
+++ b/crates/basilstep-bench/src/load/packet_path.rs
@@ -260,6 +260,7 @@
         room: u16::MAX,
         wants_reply: false,
         told: None,
+        slowness: 1,
     }
 }
 
--- a/crates/basilstep-core/src/flows/agent/state.rs
+++ b/crates/basilstep-core/src/flows/agent/state.rs
@@ -1,3 +1,5 @@
+mod news;
+
 use super::{
     audience::Audience,
     gate::{ColdAllowance, Gate, GateInputs},
@@ -11,9 +13,10 @@
     codes::ResultCode,
     context::Context,
     flows::{
-        frame::{AgentReport, BalancerEntry, Carry, HeldFlows, ReportReply, TargetPhase},
+        frame::{Carry, ReportReply, TargetPhase},
         key::{FlowKey, Lifetime, LostFlow, ServiceTag},
         limits::ServiceLimits,
+        pace::Pace,
         peers::Peers,
         segment::Segment,
         settings::FlowSettings,
@@ -88,6 +91,7 @@
     peers: Peers,
     telling: Telling,
     audience: Audience,
+    pace: Pace,
     started_ms: u64,
     is_stopping: bool,
     is_backlog_old: bool,
@@ -110,6 +114,7 @@
             peers: Peers::default(),
             telling: Telling::default(),
             audience: Audience::default(),
+            pace: Pace::default(),
             started_ms: ctx.now_ms,
             is_stopping: false,
             is_backlog_old: false,
@@ -226,31 +231,6 @@
         is_changed
     }
 
-    /// Takes a list of balancers and tells those that are new about the flows of their domain;
-    /// returns whether any is new.
-    pub fn on_balancers(&mut self, entries: &[BalancerEntry], ctx: &Context) -> bool {
-        let new: Vec<Ipv4Addr> = entries
-            .iter()
-            .filter(|entry| self.peers.learn(entry, ctx.now_ms))
-            .map(|entry| entry.ip)
-            .collect();
-        self.review_audience(ctx);
-        for balancer in &new {
-            self.tell_again(*balancer, ctx);
-        }
-        !new.is_empty()
-    }
-
-    fn review_audience(&mut self, ctx: &Context) {
-        let balancers = self.peers.len();
-        if self.audience.review(balancers, &self.settings, ctx.now_ms) {
-            let all: Vec<Ipv4Addr> = self.peers.addresses().collect();
-            for balancer in all {
-                self.tell_again(balancer, ctx);
-            }
-        }
-    }
-
     /// Does what is due.
     pub fn on_tick(&mut self, ctx: &Context) {
         let now_ms = ctx.now_ms;
@@ -271,41 +251,6 @@
         );
     }
 
-    /// Returns the agent's report to a balancer.
-    pub fn report(&mut self, balancer: Ipv4Addr, ctx: &Context) -> AgentReport {
-        let room = self.gate.room(
-            &self.target,
-            self.limits.as_ref(),
-            &self.settings,
-            ctx.now_ms,
-        );
-        AgentReport {
-            lifetime: self.own.lifetime,
-            service: self.own.service,
-            domain: self.own.domain,
-            phase: self.target.phase(),
-            is_cold: self.target.is_cold(ctx.now_ms),
-            is_stopping: self.is_stopping,
-            at_work: saturate(self.table.at_work()),
-            open_flows: saturate(self.table.live()),
-            capacity: self.target.capacity(),
-            room,
-            wants_reply: false,
-            told: self.told(balancer, ctx),
-        }
-    }
-
-    /// Takes the flows that balancers have to be told about now.
-    pub fn take_untold(&mut self) -> Vec<(Ipv4Addr, HeldFlows)> {
-        self.telling.take()
-    }
-
-    /// Tells a balancer about all flows once more.
-    pub fn tell_again(&mut self, balancer: Ipv4Addr, ctx: &Context) {
-        let flows = self.flows_for(balancer, ctx.now_ms);
-        self.telling.begin(balancer, flows);
-    }
-
     /// Takes note that the process stood still: packets that have arrived may be old.
     pub const fn on_pause(&mut self) {
         self.is_backlog_old = true;
@@ -461,43 +406,6 @@
             .collect()
     }
 
-    fn tell(&mut self, key: FlowKey, flow: &Flow, now_ms: u64) {
-        let mut listeners = self.listeners_of(&key, flow, now_ms);
-        if !listeners.contains(&flow.origin) {
-            listeners.push(flow.origin);
-        }
-        for balancer in listeners {
-            self.telling.add(balancer, key);
-        }
-    }
-
-    /// Returns the flows that a balancer is to know.
-    fn flows_for(&self, balancer: Ipv4Addr, now_ms: u64) -> Vec<FlowKey> {
-        self.table
-            .iter()
-            .filter(|(_, flow)| matches!(flow.stage, FlowStage::Answered | FlowStage::Open))
-            .filter(|(key, flow)| self.listeners_of(key, flow, now_ms).contains(&balancer))
-            .map(|(key, _)| *key)
-            .collect()
-    }
-
-    /// Returns the balancers that are to know a flow: all of a few, or some of its caller's domain.
-    fn listeners_of(&self, key: &FlowKey, flow: &Flow, now_ms: u64) -> Vec<Ipv4Addr> {
-        if self.audience.is_everyone(&self.settings, now_ms) {
-            return self.peers.addresses().collect();
-        }
-        let limit = self.settings.told_balancers;
-        self.peers.told(flow.origin_domain, key.hash(), limit)
-    }
-
-    /// Returns how many flows a balancer is to know, if it can tell from them what is not held here.
-    fn told(&self, balancer: Ipv4Addr, ctx: &Context) -> Option<u32> {
-        let knows_all = self.knows_all_flows(ctx);
-        let is_listener = self.peers.domain_of(balancer).is_some();
-        (knows_all && is_listener && self.audience.is_promised())
-            .then(|| self.telling.total(balancer))
-    }
-
     /// Tells whether the table holds every flow of the target.
     fn knows_all_flows(&self, ctx: &Context) -> bool {
         self.target.is_witnessed()
@@ -511,7 +419,3 @@
         cookie: carry.origin.to_bits(),
     }
 }
-
-fn saturate(count: usize) -> u16 {
-    u16::try_from(count).unwrap_or(u16::MAX)
-}
--- /dev/null
+++ b/crates/basilstep-core/src/flows/agent/state/news.rs
@@ -0,0 +1,157 @@
+//! What balancers are told: reports, and the flows that the target holds.
+
+use super::AgentFlows;
+use crate::{
+    context::Context,
+    flows::{
+        agent::table::{Flow, FlowStage},
+        frame::{AgentReport, BalancerEntry, HeldFlows},
+        key::FlowKey,
+        pace::{self, Round},
+    },
+};
+use std::net::Ipv4Addr;
+
+impl AgentFlows {
+    /// Takes a list of balancers and tells those that are new about the flows of their domain;
+    /// returns whether any is new.
+    pub fn on_balancers(&mut self, entries: &[BalancerEntry], ctx: &Context) -> bool {
+        let new: Vec<Ipv4Addr> = entries
+            .iter()
+            .filter(|entry| self.peers.learn(entry, ctx.now_ms))
+            .map(|entry| entry.ip)
+            .collect();
+        self.review_audience(ctx);
+        for balancer in &new {
+            self.tell_again(*balancer, ctx);
+        }
+        !new.is_empty()
+    }
+
+    pub(super) fn review_audience(&mut self, ctx: &Context) {
+        let balancers = self.peers.len();
+        if self.audience.review(balancers, &self.settings, ctx.now_ms) {
+            let all: Vec<Ipv4Addr> = self.peers.addresses().collect();
+            for balancer in all {
+                self.tell_again(balancer, ctx);
+            }
+        }
+    }
+
+    /// Returns the agent's report to a balancer.
+    pub fn report(&mut self, balancer: Ipv4Addr, ctx: &Context) -> AgentReport {
+        let room = self.gate.room(
+            &self.target,
+            self.limits.as_ref(),
+            &self.settings,
+            ctx.now_ms,
+        );
+        AgentReport {
+            lifetime: self.own.lifetime,
+            service: self.own.service,
+            domain: self.own.domain,
+            phase: self.target.phase(),
+            is_cold: self.target.is_cold(ctx.now_ms),
+            is_stopping: self.is_stopping,
+            at_work: saturate(self.table.at_work()),
+            open_flows: saturate(self.table.live()),
+            capacity: self.target.capacity(),
+            room,
+            wants_reply: false,
+            told: self.told(balancer, ctx),
+            slowness: self.slowness_for(balancer),
+        }
+    }
+
+    /// Returns the reports of this round; `source` is always among the receivers, and replies.
+    pub fn due_reports(
+        &mut self,
+        round: Round,
+        source: Option<Ipv4Addr>,
+        ctx: &Context,
+    ) -> Vec<(Ipv4Addr, AgentReport)> {
+        self.pace.advance();
+        let slowness = self.slowness();
+        let receivers: Vec<Ipv4Addr> = self
+            .peers
+            .addresses()
+            .filter(|balancer| {
+                round == Round::Everyone
+                    || Some(*balancer) == source
+                    || self.peers.domain_of(*balancer) == Some(self.own.domain)
+                    || self.pace.is_turn_of(*balancer, slowness)
+            })
+            .collect();
+        receivers
+            .into_iter()
+            .map(|balancer| {
+                let mut report = self.report(balancer, ctx);
+                report.wants_reply = Some(balancer) == source;
+                (balancer, report)
+            })
+            .collect()
+    }
+
+    fn slowness(&self) -> u16 {
+        pace::slowness(self.peers.len(), &self.settings)
+    }
+
+    fn slowness_for(&self, balancer: Ipv4Addr) -> u16 {
+        if self.peers.domain_of(balancer) == Some(self.own.domain) {
+            return 1;
+        }
+        self.slowness()
+    }
+
+    /// Takes the flows that balancers have to be told about now.
+    pub fn take_untold(&mut self) -> Vec<(Ipv4Addr, HeldFlows)> {
+        self.telling.take()
+    }
+
+    /// Tells a balancer about all flows once more.
+    pub fn tell_again(&mut self, balancer: Ipv4Addr, ctx: &Context) {
+        let flows = self.flows_for(balancer, ctx.now_ms);
+        self.telling.begin(balancer, flows);
+    }
+
+    pub(super) fn tell(&mut self, key: FlowKey, flow: &Flow, now_ms: u64) {
+        let mut listeners = self.listeners_of(&key, flow, now_ms);
+        if !listeners.contains(&flow.origin) {
+            listeners.push(flow.origin);
+        }
+        for balancer in listeners {
+            self.telling.add(balancer, key);
+        }
+    }
+
+    /// Returns the flows that a balancer is to know.
+    fn flows_for(&self, balancer: Ipv4Addr, now_ms: u64) -> Vec<FlowKey> {
+        self.table
+            .iter()
+            .filter(|(_, flow)| matches!(flow.stage, FlowStage::Answered | FlowStage::Open))
+            .filter(|(key, flow)| self.listeners_of(key, flow, now_ms).contains(&balancer))
+            .map(|(key, _)| *key)
+            .collect()
+    }
+
+    /// Returns the balancers that are to know a flow: all of a few, or some of its caller's domain.
+    fn listeners_of(&self, key: &FlowKey, flow: &Flow, now_ms: u64) -> Vec<Ipv4Addr> {
+        if self.audience.is_everyone(&self.settings, now_ms) {
+            return self.peers.addresses().collect();
+        }
+        let limit = self.settings.told_balancers;
+        self.peers.told(flow.origin_domain, key.hash(), limit)
+    }
+
+    /// Returns how many flows a balancer is to know, if it can tell from them what is not held here.
+    fn told(&self, balancer: Ipv4Addr, ctx: &Context) -> Option<u32> {
+        let knows_all = self.knows_all_flows(ctx);
+        let is_listener = self.peers.domain_of(balancer).is_some();
+        (knows_all && is_listener && self.audience.is_promised())
+            .then(|| self.telling.total(balancer))
+    }
+}
+
+fn saturate(count: usize) -> u16 {
+    u16::try_from(count).unwrap_or(u16::MAX)
+}
--- a/crates/basilstep-core/src/flows/balancer/roster.rs
+++ b/crates/basilstep-core/src/flows/balancer/roster.rs
@@ -43,6 +43,12 @@
     pub const fn has_gap(&self) -> bool {
         self.report.told.is_some() && !self.is_told_all
     }
+
+    /// Tells whether the last report is younger than `limit_ms`, a limit for an agent whose reports
+    /// all come here.
+    pub fn is_heard_within(&self, limit_ms: u64, now_ms: u64) -> bool {
+        now_ms < self.heard_ms + limit_ms * u64::from(self.report.slowness.max(1))
+    }
 }
 
 /// What placement needs to know about the balancer that asks.
@@ -210,7 +216,7 @@
         && !state.report.is_stopping
         && state.offered_since < state.report.room
         && !placing.domains_out.contains(&state.report.domain)
-        && placing.now_ms < state.heard_ms + settings.suspect_after_ms
+        && state.is_heard_within(settings.suspect_after_ms, placing.now_ms)
         && placing.now_ms >= state.doubted_until_ms
 }
 
--- a/crates/basilstep-core/src/flows/balancer/state.rs
+++ b/crates/basilstep-core/src/flows/balancer/state.rs
@@ -14,6 +14,7 @@
     flows::{
         frame::{AgentReport, BalancerBeat, Carry, HeldFlows, ReportReply, Returned},
         key::{FlowKey, ServiceTag},
+        pace::{self, Pace, Round},
         peers::Peers,
         routes::{FleetSettings, RequestKind},
         segment::Segment,
@@ -46,9 +47,9 @@
     parking: Parking,
     started_ms: u64,
     settled_from_ms: u64,
-    store_answered_ms: u64,
     is_stopping: bool,
     is_backlog_old: bool,
+    pace: Pace,
 }
 
 impl BalancerFlows {
@@ -68,9 +69,9 @@
             parking: Parking::default(),
             started_ms: ctx.now_ms,
             settled_from_ms: ctx.now_ms,
-            store_answered_ms: 0,
             is_stopping: false,
             is_backlog_old: false,
+            pace: Pace::default(),
         }
     }
 
@@ -199,24 +200,38 @@
     }
 
     /// Returns this balancer's sign of life.
-    pub fn beat(&self, ctx: &Context) -> BalancerBeat {
+    pub fn beat(&self) -> BalancerBeat {
         BalancerBeat {
             lifetime: self.own.lifetime,
             domain: self.own.domain,
             version: self.fleet.table.version,
             revision: self.fleet.revision,
-            store_age_ms: ctx.now_ms.saturating_sub(self.store_answered_ms) as u32,
             is_stopping: false,
             agents: u16::try_from(self.roster.len()).unwrap_or(u16::MAX),
             balancers_hash: self.peers.hash(),
         }
     }
 
+    /// Returns the balancers that get the sign of life of this round.
+    pub fn due_beats(&mut self, round: Round) -> Vec<Ipv4Addr> {
+        self.pace.advance();
+        let slowness = pace::slowness(self.peers.len(), &self.settings);
+        self.peers
+            .addresses()
+            .filter(|peer| *peer != self.own.ip)
+            .filter(|peer| {
+                round == Round::Everyone
+                    || self.peers.domain_of(*peer) == Some(self.own.domain)
+                    || self.pace.is_turn_of(*peer, slowness)
+            })
+            .collect()
+    }
+
     /// Returns this balancer's last sign of life.
-    pub fn goodbye(&self, ctx: &Context) -> BalancerBeat {
+    pub fn goodbye(&self) -> BalancerBeat {
         BalancerBeat {
             is_stopping: true,
-            ..self.beat(ctx)
+            ..self.beat()
         }
     }
 
@@ -237,11 +252,6 @@
         is_changed
     }
 
-    /// Notes that the store has answered.
-    pub fn on_store_answer(&mut self, ctx: &Context) {
-        self.store_answered_ms = ctx.now_ms;
-    }
-
     /// Takes note that the process stood still for `pause_ms` that its clock did not count.
     pub fn on_pause(&mut self, pause_ms: u64, ctx: &Context) {
         self.roster.age(pause_ms);
--- a/crates/basilstep-core/src/flows/balancer/state/searching.rs
+++ b/crates/basilstep-core/src/flows/balancer/state/searching.rs
@@ -74,7 +74,7 @@
     /// when that is mistaken for a lost one.
     fn would_have_told(&self, kind: RequestKind, agent: Ipv4Addr, now_ms: u64) -> bool {
         let is_told_all = self.roster.get(agent).is_some_and(|state| {
-            state.is_told_all && now_ms < state.heard_ms + self.settings.suspect_after_ms
+            state.is_told_all && state.is_heard_within(self.settings.suspect_after_ms, now_ms)
         });
         kind == RequestKind::Idempotent && is_told_all
     }
@@ -118,7 +118,8 @@
             return false;
         }
         self.roster.get(agent).is_none_or(|state| {
-            !state.report.is_stopping && now_ms >= state.heard_ms + self.settings.reset_after_ms
+            !state.report.is_stopping
+                && !state.is_heard_within(self.settings.reset_after_ms, now_ms)
         })
     }
 
--- a/crates/basilstep-core/src/flows/frame.rs
+++ b/crates/basilstep-core/src/flows/frame.rs
@@ -122,6 +122,8 @@
     /// How many flows the agent has told the receiver, or is about to, if these are all that its
     /// target holds.
     pub told: Option<u32>,
+    /// How many report intervals later the receiver gets the next report.
+    pub slowness: u16,
 }
 
 /// What a balancer tells the agents that chose it as their source of settings.
@@ -152,8 +154,6 @@
     pub version: u64,
     /// The store's revision of its domains that are out.
     pub revision: u64,
-    /// How long ago the store last answered it, in milliseconds.
-    pub store_age_ms: u32,
     /// It stops now.
     pub is_stopping: bool,
     /// How many agents it has heard.
--- a/crates/basilstep-core/src/flows/mod.rs
+++ b/crates/basilstep-core/src/flows/mod.rs
@@ -10,6 +10,7 @@
 mod frame;
 mod key;
 mod limits;
+mod pace;
 mod peers;
 mod routes;
 mod segment;
@@ -26,6 +27,7 @@
 };
 pub use key::{FlowKey, Lifetime, LostFlow, ServiceTag};
 pub use limits::ServiceLimits;
+pub use pace::Round;
 pub use peers::Peers;
 pub use routes::{FleetSettings, RequestKind, Route, RouteTable, ServiceShare};
 pub use segment::{Flags, Segment};
--- a/crates/basilstep-core/src/flows/settings.rs
+++ b/crates/basilstep-core/src/flows/settings.rs
@@ -6,9 +6,9 @@
 pub struct FlowSettings {
     /// How often an agent reports to balancers, and balancers to each other.
     pub report_interval_ms: u64,
-    /// How long after its last report an agent gets no new flows.
+    /// How long after its last report an agent gets no new flows, if each report comes here.
     pub suspect_after_ms: u64,
-    /// How long after its last report an agent's idempotent flows are reset.
+    /// How long after its last report an agent's idempotent flows are reset, if each comes here.
     pub reset_after_ms: u64,
     /// How long after its last report an agent is forgotten.
     pub forget_after_ms: u64,
@@ -61,6 +61,10 @@
     pub tell_all: usize,
     /// How many balancers of the caller's domain are told if there are more.
     pub told_balancers: usize,
+    /// Up to how many balancers each get every report and beat.
+    pub pace_all: usize,
+    /// The most report intervals between two reports or beats to a balancer of another domain.
+    pub slowest_pace: u16,
     /// How long before its agent a target may have started and still count as started with it.
     pub witness_ms: u64,
     /// How long an agent that was restarted may not know some flows: until idle ones are discarded.
@@ -98,6 +102,8 @@
             linger_ms: 5_000,
             tell_all: 32,
             told_balancers: 8,
+            pace_all: 32,
+            slowest_pace: 4,
             witness_ms: 250,
             relearn_ms: 20_000,
         }
--- a/crates/basilstep-core/src/flows/tests/mod.rs
+++ b/crates/basilstep-core/src/flows/tests/mod.rs
@@ -6,6 +6,7 @@
 mod fleet;
 mod frames;
 mod overload;
+mod pace;
 mod peers;
 mod restart;
 mod routes;
@@ -167,6 +168,7 @@
         room: u16::MAX,
         wants_reply: false,
         told: None,
+        slowness: 1,
     }
 }
 
@@ -176,7 +178,6 @@
         domain: DomainId(0),
         version: 1,
         revision: 1,
-        store_age_ms: 0,
         is_stopping: false,
         agents,
         balancers_hash: 0,
--- a/crates/basilstep-packet/src/agent/frames.rs
+++ b/crates/basilstep-packet/src/agent/frames.rs
@@ -2,7 +2,7 @@
 use crate::datagrams::{BATCH, DATAGRAM_BYTES};
 use basilstep_core::{
     codes::ResultCode,
-    flows::{Frame, ReportReply, decode_frame},
+    flows::{Frame, ReportReply, Round, decode_frame},
 };
 use std::net::Ipv4Addr;
 
@@ -39,7 +39,7 @@
             Frame::Reply(reply) => self.on_reply(peer, reply),
             Frame::Balancers(entries) => {
                 if self.flows.on_balancers(entries, &self.ctx) {
-                    self.send_reports();
+                    self.send_reports(Round::Everyone);
                 }
             }
             Frame::TellAgain => self.flows.tell_again(peer, &self.ctx),
@@ -59,7 +59,7 @@
                 source:% = peer;
                 "the failure domain left or came back"
             );
-            self.send_reports();
+            self.send_reports(Round::Everyone);
         }
         if reply.balancers_hash == self.flows.peers().hash() {
             self.flows.peers_mut().confirm(self.ctx.now_ms);
--- a/crates/basilstep-packet/src/agent/pings.rs
+++ b/crates/basilstep-packet/src/agent/pings.rs
@@ -1,6 +1,6 @@
 use super::serve::Agent;
 use crate::node_port::Asked;
-use basilstep_core::flows::{TargetPhase, agent::PingOutcome};
+use basilstep_core::flows::{Round, TargetPhase, agent::PingOutcome};
 use basilstep_node::http::Answer;
 use basilstep_platform::{
     calls::{self, Call},
@@ -57,7 +57,7 @@
                 warmup_left_ms = ping.ping.warmup_left_ms;
                 "the target changed"
             );
-            self.send_reports();
+            self.send_reports(Round::Everyone);
         }
         Answer::empty(StatusCode::OK)
     }
@@ -66,7 +66,7 @@
         let lost = self.flows.on_target_ended(&self.ctx);
         log::info!(id, flows = lost.len(); "the target has left");
         self.reset_lost(&lost);
-        self.send_reports();
+        self.send_reports(Round::Everyone);
         Answer::empty(StatusCode::OK)
     }
 
@@ -78,7 +78,7 @@
         let lost = self.flows.on_target_ended(&self.ctx);
         log::warn!(flows = lost.len(); "the target does not listen: its lifetime has ended");
         self.reset_lost(&lost);
-        self.send_reports();
+        self.send_reports(Round::Everyone);
     }
 
     fn dump(&self) -> String {
--- a/crates/basilstep-packet/src/agent/serve.rs
+++ b/crates/basilstep-packet/src/agent/serve.rs
@@ -11,7 +11,7 @@
     codes::ResultCode,
     context::Context,
     flows::{
-        AgentFlows, FlowSettings, Frame, LostFlow, ServiceTag,
+        AgentFlows, FlowSettings, Frame, LostFlow, Round, ServiceTag,
         agent::{AgentIdentity, ColdAllowance, SettingsSource},
         encode_frame,
     },
@@ -110,7 +110,7 @@
     })?;
     let stopped = stop::requested();
     tokio::pin!(stopped);
-    agent.send_reports();
+    agent.send_reports(Round::Everyone);
     loop {
         tokio::select! {
             () = agent.internal.readable() => agent.read_frames(),
@@ -123,7 +123,7 @@
         agent.tell_untold();
     }
     agent.flows.stop();
-    agent.send_reports();
+    agent.send_reports(Round::Everyone);
     Ok(())
 }
 
@@ -203,13 +203,13 @@
         self.refresh_time();
         self.flows.on_tick(&self.ctx);
         if self.ctx.now_ms >= self.next_report_ms {
-            self.send_reports();
+            self.send_reports(Round::Regular);
         }
         self.look_for_balancers();
     }
 
-    /// Reports to all balancers, or to the seeds while none is known.
-    pub(super) fn send_reports(&mut self) {
+    /// Reports to balancers, or to the seeds while none is known.
+    pub(super) fn send_reports(&mut self, round: Round) {
         self.refresh_time();
         // Before the reports, which count these flows.
         self.tell_untold();
@@ -221,10 +221,7 @@
         };
         self.next_report_ms = self.ctx.now_ms + interval_ms;
         let source = self.source.next(self.flows.peers(), self.machine.domain);
-        let balancers: Vec<Ipv4Addr> = self.flows.peers().addresses().collect();
-        for balancer in balancers {
-            let mut report = self.flows.report(balancer, &self.ctx);
-            report.wants_reply = Some(balancer) == source;
+        for (balancer, report) in self.flows.due_reports(round, source, &self.ctx) {
             self.tell(balancer, &Frame::Report(report), &[]);
         }
         if is_alone {
--- a/crates/basilstep-packet/src/balancer/frames.rs
+++ b/crates/basilstep-packet/src/balancer/frames.rs
@@ -112,7 +112,7 @@
         let is_new = self.flows.peers_mut().hear(peer, beat, self.ctx.now_ms);
         if is_new {
             log::info!(balancer:% = peer, lifetime = beat.lifetime.0; "a balancer is there");
-            let own = Frame::Beat(self.flows.beat(&self.ctx));
+            let own = Frame::Beat(self.flows.beat());
             self.tell(peer, &own);
             self.introduce_to_agents();
         }
--- a/crates/basilstep-packet/src/balancer/serve.rs
+++ b/crates/basilstep-packet/src/balancer/serve.rs
@@ -11,7 +11,8 @@
 use basilstep_core::{
     context::Context,
     flows::{
-        BalancerFlows, FleetSettings, FlowSettings, Frame, balancer::BalancerIdentity, encode_frame,
+        BalancerFlows, FleetSettings, FlowSettings, Frame, Round, balancer::BalancerIdentity,
+        encode_frame,
     },
 };
 use basilstep_node::{clock::Clock, http::Answer, stop};
@@ -172,7 +173,7 @@
 
     /// Makes this balancer known to the seeds.
     fn greet(&mut self) {
-        let beat = Frame::Beat(self.flows.beat(&self.ctx));
+        let beat = Frame::Beat(self.flows.beat());
         for seed in self.machine.seeds.clone() {
             if seed != self.machine.ip {
                 self.tell(seed, &beat);
@@ -201,12 +202,10 @@
 
     fn on_store_news(&mut self, news: StoreNews) {
         self.refresh_time();
-        self.flows.on_store_answer(&self.ctx);
         match news {
             StoreNews::Settings(settings) => self.adopt(settings, "store"),
-            StoreNews::Answered => {}
             StoreNews::Balancers(ips) => {
-                let beat = Frame::Beat(self.flows.beat(&self.ctx));
+                let beat = Frame::Beat(self.flows.beat());
                 let known: Vec<Ipv4Addr> = self.flows.peers().addresses().collect();
                 for ip in ips {
                     if ip != self.machine.ip && !known.contains(&ip) {
@@ -230,7 +229,7 @@
             revision = fleet.revision;
             "settings are in force"
         );
-        self.send_beats();
+        self.send_beats(Round::Everyone);
     }
 
     fn on_tick(&mut self) {
@@ -244,18 +243,15 @@
             self.greet();
         }
         if self.ctx.now_ms >= self.next_beat_ms {
-            self.send_beats();
+            self.send_beats(Round::Regular);
         }
     }
 
-    pub(super) fn send_beats(&mut self) {
+    pub(super) fn send_beats(&mut self, round: Round) {
         self.next_beat_ms = self.ctx.now_ms + self.settings.report_interval_ms;
-        let beat = Frame::Beat(self.flows.beat(&self.ctx));
-        let peers: Vec<Ipv4Addr> = self.flows.peers().addresses().collect();
-        for peer in peers {
-            if peer != self.machine.ip {
-                self.tell(peer, &beat);
-            }
+        let beat = Frame::Beat(self.flows.beat());
+        for peer in self.flows.due_beats(round) {
+            self.tell(peer, &beat);
         }
     }
 
@@ -282,7 +278,7 @@
         if self.leave_at_ms.is_none_or(|at_ms| self.ctx.now_ms < at_ms) {
             return false;
         }
-        let goodbye = Frame::Beat(self.flows.goodbye(&self.ctx));
+        let goodbye = Frame::Beat(self.flows.goodbye());
         let mut told: Vec<Ipv4Addr> = self.flows.peers().addresses().collect();
         told.extend(self.flows.roster().iter().map(|(ip, _)| *ip));
         for ip in told {
--- a/crates/basilstep-packet/src/store_tasks.rs
+++ b/crates/basilstep-packet/src/store_tasks.rs
@@ -30,8 +30,6 @@
 pub enum StoreNews {
     /// The operators' settings as of now.
     Settings(FleetSettings),
-    /// The store has answered, without news.
-    Answered,
     /// The balancers that have an entry.
     Balancers(Vec<Ipv4Addr>),
 }
@@ -80,13 +78,12 @@
     loop {
         let changes = client.watch(keys::OPERATORS, revision, WATCH_WAIT).await?;
         revision = revision.max(changes.revision);
-        let item = if changes.items.is_empty() {
-            StoreNews::Answered
-        } else {
-            view.change(&changes);
-            StoreNews::Settings(view.settings.clone())
-        };
-        if news.send(item).await.is_err() {
+        if changes.items.is_empty() {
+            continue;
+        }
+        view.change(&changes);
+        let settings = StoreNews::Settings(view.settings.clone());
+        if news.send(settings).await.is_err() {
             return Ok(());
         }
     }
