--- a/crates/basilstep-bench/src/load/cold_start/mod.rs
+++ b/crates/basilstep-bench/src/load/cold_start/mod.rs
@@ -6,9 +6,9 @@
 
 use super::{
     LoadArgs, Report,
-    plot::{Line, Plot},
     target_model::{Aimd, FifoQueue, NoLimit, ServiceTimes, TargetSettings},
 };
+use crate::plot::{Line, Plot};
 use basilstep_core::admission::{Admission, AdmissionSettings};
 use figures::Figures;
 use scenario::{Event, Scenario, run_scenario};
--- a/crates/basilstep-bench/src/load/domain/mod.rs
+++ b/crates/basilstep-bench/src/load/domain/mod.rs
@@ -10,10 +10,8 @@
 mod requests;
 mod run;
 
-use super::{
-    LoadArgs, Report,
-    plot::{Line, Plot},
-};
+use super::{LoadArgs, Report};
+use crate::plot::{Line, Plot};
 use cases::{LOADS, Policy, SERVICES, ServiceCase};
 use figures::Figures;
 use run::run_policy;
--- a/crates/basilstep-bench/src/load/membership/mod.rs
+++ b/crates/basilstep-bench/src/load/membership/mod.rs
@@ -8,10 +8,8 @@
 
 pub(super) use costs::resident_bytes;
 
-use super::{
-    LoadArgs, Report,
-    plot::{Line, Plot},
-};
+use super::{LoadArgs, Report};
+use crate::plot::{Line, Plot};
 use serde_json::{Value, json};
 
 /// Runs the experiment.
--- a/crates/basilstep-bench/src/load/mod.rs
+++ b/crates/basilstep-bench/src/load/mod.rs
@@ -8,11 +8,11 @@
 mod packet_path;
 mod packets;
 mod placement;
-mod plot;
 mod processes;
 mod settings;
 mod target_model;
 
+use crate::plot::Plot;
 use argh::FromArgs;
 use serde_json::Value;
 use std::{path::PathBuf, process::ExitCode};
@@ -41,7 +41,7 @@
     /// The figures, one object.
     pub figures: Value,
     /// The plot, if the experiment draws one.
-    pub plot: Option<plot::Plot>,
+    pub plot: Option<Plot>,
 }
 
 /// Runs the experiment that the arguments name.
--- a/crates/basilstep-bench/src/load/overload/mod.rs
+++ b/crates/basilstep-bench/src/load/overload/mod.rs
@@ -5,9 +5,9 @@
 
 use super::{
     LoadArgs, Report,
-    plot::{Line, Plot},
     target_model::{FifoQueue, FixedRetry, NoLimit, SERVICE_MS, ServiceTimes},
 };
+use crate::plot::{Line, Plot};
 use basilstep_core::admission::{Admission, AdmissionSettings};
 use callers::Counts;
 use run::{Case, SLOTS, Shape, WATCH_MS, run_gate};
--- a/crates/basilstep-bench/src/load/placement/mod.rs
+++ b/crates/basilstep-bench/src/load/placement/mod.rs
@@ -9,10 +9,8 @@
 mod setup;
 mod simulation;
 
-use super::{
-    LoadArgs, Report,
-    plot::{Line, Plot},
-};
+use super::{LoadArgs, Report};
+use crate::plot::{Line, Plot};
 use policy::Policy;
 use rows::Row;
 use serde_json::json;
--- a/crates/basilstep-bench/src/load/settings.rs
+++ b/crates/basilstep-bench/src/load/settings.rs
@@ -6,8 +6,8 @@
         fleet::{Fleet, Node, TARGET_SHAPE},
         traffic::summary,
     },
-    plot::{Line, Plot},
 };
+use crate::plot::{Line, Plot};
 use basilstep_core::membership::MembershipSettings;
 use serde_json::{Value, json};
 use std::collections::BTreeMap;
--- a/crates/basilstep-bench/src/main.rs
+++ b/crates/basilstep-bench/src/main.rs
@@ -2,7 +2,9 @@
 //!
 //! This tool starts processes; the product's own processes never do.
 
+mod journal;
 mod load;
+mod plot;
 
 use argh::FromArgs;
 use basilstep_bench::{demo, scenario, standins};
@@ -21,6 +23,7 @@
     Demo(demo::DemoArgs),
     Scenario(scenario::ScenarioArgs),
     Load(load::LoadArgs),
+    Journal(journal::JournalArgs),
     Store(standins::store::StoreArgs),
     Target(standins::target::TargetArgs),
     Fabric(standins::fabric::FabricArgs),
@@ -32,6 +35,7 @@
         Command::Demo(args) => demo::run(&args),
         Command::Scenario(args) => scenario::run(&args),
         Command::Load(args) => load::run(&args),
+        Command::Journal(args) => journal::run(&args),
         Command::Store(args) => standins::store::run(&args),
         Command::Target(args) => standins::target::run(&args),
         Command::Fabric(args) => standins::fabric::run(&args),
