--- a/crates/basilstep-core/src/flows/agent/state.rs
+++ b/crates/basilstep-core/src/flows/agent/state.rs
@@ -398,7 +398,6 @@
         self.table
             .lose_all(ctx.now_ms)
             .into_iter()
-            .filter(|(_, flow)| flow.stage == FlowStage::Open)
             .map(|(key, flow)| LostFlow {
                 flow: key,
                 sequence: flow.caller_acknowledged,
--- a/crates/basilstep-core/src/flows/agent/table.rs
+++ b/crates/basilstep-core/src/flows/agent/table.rs
@@ -259,9 +259,13 @@
         self.at_work
     }
 
-    /// Marks all live flows as lost and returns them as they were.
+    /// Marks all open flows as lost and returns them as they were.
+    ///
+    /// Those that the caller has not opened here are forgotten: it may have opened them elsewhere.
     pub fn lose_all(&mut self, now_ms: u64) -> Vec<(FlowKey, Flow)> {
         let mut lost = Vec::new();
+        self.flows
+            .retain(|_, flow| !flow.is_live() || flow.stage == FlowStage::Open);
         for (key, flow) in &mut self.flows {
             if flow.is_live() {
                 lost.push((*key, *flow));
--- a/crates/basilstep-core/src/flows/balancer/state/searching.rs
+++ b/crates/basilstep-core/src/flows/balancer/state/searching.rs
@@ -58,7 +58,8 @@
         let legs = services
             .iter()
             .flat_map(|service| self.roster.of_service(*service).map(|a| (a, *service)))
-            .filter(|(agent, _)| !refused_by.contains(agent) && !self.is_silent(*agent, now_ms))
+            .filter(|(agent, _)| !refused_by.contains(agent))
+            .filter(|(agent, _)| !self.is_given_up(*agent, route.kind, now_ms))
             .filter(|(agent, _)| !(may_infer && self.would_have_told(route.kind, *agent, now_ms)))
             .map(|(agent, service)| self.leg(agent, service, true))
             .collect();
@@ -109,11 +110,15 @@
     ///
     /// Only callers of idempotent requests gain by a reset: they repeat the request elsewhere.
     pub(super) fn is_beyond_reach(&self, agent: Ipv4Addr, flow: &FlowKey, now_ms: u64) -> bool {
-        let kind = self.fleet.table.routes.get(&flow.entry).map(|r| r.kind);
-        kind == Some(RequestKind::Idempotent) && self.is_silent(agent, now_ms)
+        let route = self.fleet.table.routes.get(&flow.entry);
+        route.is_some_and(|route| self.is_given_up(agent, route.kind, now_ms))
     }
 
-    pub(super) fn is_silent(&self, agent: Ipv4Addr, now_ms: u64) -> bool {
+    fn is_given_up(&self, agent: Ipv4Addr, kind: RequestKind, now_ms: u64) -> bool {
+        kind == RequestKind::Idempotent && self.is_silent(agent, now_ms)
+    }
+
+    fn is_silent(&self, agent: Ipv4Addr, now_ms: u64) -> bool {
         if now_ms < self.settled_from_ms + self.settings.settle_non_idempotent_ms {
             return false;
         }
--- a/crates/basilstep-core/src/flows/tests/agent.rs
+++ b/crates/basilstep-core/src/flows/tests/agent.rs
@@ -508,6 +508,22 @@
     assert_eq!(refusal(verdict), ResultCode::FlowNotHeld);
 }
 
+/// Two targets answered copies of an opening packet, and the one that the caller did not take ends.
+#[test]
+fn flow_that_its_caller_opened_elsewhere_is_not_lost_with_the_target() {
+    let (mut agent, ctx) = serving_agent();
+    let origin = carry(balancer_ip(ORIGIN));
+    agent.on_packet(&origin, &opening(flow(1), 0), &ctx);
+    agent.on_target_packet(&accepted(flow(1)), &ctx);
+    assert!(agent.on_target_ended(&ctx).is_empty());
+    let search = Carry {
+        is_search: true,
+        ..origin
+    };
+    let verdict = agent.on_packet(&search, &data(flow(1), 10), &context(5_100));
+    assert_eq!(refusal(verdict), ResultCode::FlowNotHeld);
+}
+
 #[test]
 fn flows_that_ended_are_forgotten_before_idle_ones() {
     let (mut agent, _) = serving_agent();
--- a/crates/basilstep-core/src/flows/tests/balancer.rs
+++ b/crates/basilstep-core/src/flows/tests/balancer.rs
@@ -568,6 +568,22 @@
     assert_eq!(matches!(verdict, Verdict::Reset { .. }), is_reset);
 }
 
+/// An agent's process stands still; a balancer without a hint has asked all others.
+#[rstest]
+#[case::idempotent(RequestKind::Idempotent, 1)]
+#[case::not_idempotent(RequestKind::NonIdempotent, 0)]
+fn flow_that_only_a_silent_agent_can_hold_is_lost_only_if_its_caller_gains(
+    #[case] kind: RequestKind,
+    #[case] lost: usize,
+) {
+    let (mut balancer, _) = balancer_with(2, kind);
+    balancer.on_report(agent_ip(2), report(TargetPhase::Serving), &context(12_000));
+    let packet = data(flow(1), 100);
+    balancer.on_packet(&packet, &context(12_000));
+    refuse(&mut balancer, 2, &packet, 12_010);
+    assert_eq!(balancer.on_tick(&context(12_050)).lost.len(), lost);
+}
+
 #[test]
 fn flow_of_an_agent_that_restarts_on_purpose_is_not_reset() {
     let (mut balancer, ctx) = balancer_with(2, RequestKind::Idempotent);
--- a/crates/basilstep-packet/src/agent/serve.rs
+++ b/crates/basilstep-packet/src/agent/serve.rs
@@ -30,7 +30,7 @@
     time::Duration,
 };
 use tokio::{
-    signal::unix::{SignalKind, signal},
+    signal::unix::Signal,
     sync::mpsc,
     time::{MissedTickBehavior, interval},
 };
@@ -95,7 +95,7 @@
 /// # Errors
 ///
 /// Returns [`ProcessError`] when an address cannot be bound or the settings lack one.
-pub async fn serve(start: Start) -> Result<(), ProcessError> {
+pub async fn serve(start: Start, mut hangups: Signal) -> Result<(), ProcessError> {
     let machine = start.machine.clone();
     let (inbox, mut events) = mpsc::channel(INBOX);
     let mut agent = Agent::bind(start, inbox.clone()).await?;
@@ -104,10 +104,6 @@
         .await?;
     let mut ticks = interval(TICK);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    let mut hangups = signal(SignalKind::hangup()).map_err(|source| ProcessError::System {
-        what: "handling SIGHUP",
-        source,
-    })?;
     let stopped = stop::requested();
     tokio::pin!(stopped);
     agent.send_reports(Round::Everyone);
--- a/crates/basilstep-packet/src/balancer/serve.rs
+++ b/crates/basilstep-packet/src/balancer/serve.rs
@@ -28,7 +28,7 @@
     time::Duration,
 };
 use tokio::{
-    signal::unix::{SignalKind, signal},
+    signal::unix::Signal,
     sync::mpsc,
     time::{MissedTickBehavior, interval, sleep},
 };
@@ -80,7 +80,7 @@
 /// # Errors
 ///
 /// Returns [`ProcessError`] when an address cannot be bound or the settings lack one.
-pub async fn serve(start: Start) -> Result<(), ProcessError> {
+pub async fn serve(start: Start, mut hangups: Signal) -> Result<(), ProcessError> {
     let machine = start.machine.clone();
     let (inbox, mut events) = mpsc::channel(INBOX);
     let (news, mut store_news) = mpsc::channel(INBOX);
@@ -97,10 +97,6 @@
     }
     let mut ticks = interval(TICK);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    let mut hangups = signal(SignalKind::hangup()).map_err(|source| ProcessError::System {
-        what: "handling SIGHUP",
-        source,
-    })?;
     let stopped = stop::requested();
     tokio::pin!(stopped);
     let mut is_stopping = false;
--- a/crates/basilstep-packet/src/process.rs
+++ b/crates/basilstep-packet/src/process.rs
@@ -5,7 +5,10 @@
 use log::LevelFilter;
 use rand::{TryRng, rngs::SysRng};
 use std::{io, process::ExitCode};
-use tokio::runtime::Builder;
+use tokio::{
+    runtime::Builder,
+    signal::unix::{Signal, SignalKind, signal},
+};
 
 /// The command line of balancer and agent; everything else is in the settings file.
 #[derive(Clone, Debug, FromArgs)]
@@ -74,8 +77,13 @@
     }
 }
 
-/// Runs a role until it is stopped, and returns its exit status.
-pub fn run<Served>(role: &'static str, flags: &Flags, serve: impl Fn(Start) -> Served) -> ExitCode
+/// Runs a role until it is stopped, and returns its exit status; the role also gets the requests to
+/// read the settings file again.
+pub fn run<Served>(
+    role: &'static str,
+    flags: &Flags,
+    serve: impl Fn(Start, Signal) -> Served,
+) -> ExitCode
 where
     Served: Future<Output = Result<(), ProcessError>>,
 {
@@ -98,16 +106,11 @@
 fn start<Served>(
     role: &'static str,
     flags: &Flags,
-    serve: impl Fn(Start) -> Served,
+    serve: impl Fn(Start, Signal) -> Served,
 ) -> Result<(), ProcessError>
 where
     Served: Future<Output = Result<(), ProcessError>>,
 {
-    let machine = settings::read()?;
-    if flags.check {
-        println!("the settings file is usable");
-        return Ok(());
-    }
     let runtime = Builder::new_current_thread()
         .enable_all()
         .build()
@@ -115,6 +118,19 @@
             what: "starting the runtime",
             source,
         })?;
+    // Before anything else: without a handler SIGHUP ends the process.
+    let hangups = {
+        let _entered = runtime.enter();
+        signal(SignalKind::hangup()).map_err(|source| ProcessError::System {
+            what: "handling SIGHUP",
+            source,
+        })?
+    };
+    let machine = settings::read()?;
+    if flags.check {
+        println!("the settings file is usable");
+        return Ok(());
+    }
     let lifetime = SysRng
         .try_next_u32()
         .map(Lifetime)
@@ -126,11 +142,12 @@
         role, node = machine.node.as_str(), lifetime = lifetime.0, domain = machine.domain.0;
         "started"
     );
-    let served = runtime.block_on(serve(Start {
+    let start = Start {
         machine,
         clock: Clock::start(),
         lifetime,
-    }));
+    };
+    let served = runtime.block_on(serve(start, hangups));
     log::info!(role; "stopped");
     logs::flush();
     served
--- a/crates/basilstep-packet/tests/fleet.rs
+++ b/crates/basilstep-packet/tests/processes/fleet.rs
@@ -1,17 +1,16 @@
-//! A flow through real processes over UDP, with stand-ins for callers, targets and the store.
-
-mod support;
+//! A flow through real processes.
 
+use super::support::{
+    caller::Caller,
+    fleet::Fleet,
+    packet::{ACK, Packet, RST, SYN},
+};
+use rustix::process::Signal;
 use std::{
     net::{Ipv4Addr, SocketAddrV4},
     sync::atomic::Ordering,
     time::Duration,
 };
-use support::{
-    caller::Caller,
-    fleet::Fleet,
-    packet::{ACK, Packet, RST, SYN},
-};
 use tokio::time::sleep;
 
 const CALLER: u8 = 200;
@@ -79,6 +78,18 @@
     assert_eq!(text(&answer), "target-11 answers again");
 }
 
+/// The settings file changes, and the platform says so, while the process still starts.
+#[tokio::test]
+async fn hang_up_during_the_start_does_not_end_the_process() {
+    let mut fleet = Fleet::start("hang-up").await;
+    fleet.configure(1, entry());
+    let process = fleet.start_balancer(1);
+    fleet.await_log(1, "started").await;
+    fleet.processes[process].signal(Signal::HUP);
+    fleet.await_log(1, "the settings file was read again").await;
+    assert_eq!(fleet.processes[process].has_ended(), None);
+}
+
 #[tokio::test]
 async fn draining_target_gets_no_new_flow_and_keeps_the_old_one() {
     let mut fleet = Fleet::start("drain").await;
--- /dev/null
+++ b/crates/basilstep-packet/tests/processes/soak/callers.rs
@@ -0,0 +1,227 @@
+//! Callers that open flows, send requests and hold what they see against the promises.
+
+use super::{
+    promises::{Promises, Reset},
+    routers::Routers,
+};
+use crate::support::{
+    packet::{ACK, Packet, RST, SYN},
+    target::TargetPlace,
+};
+use rand_chacha::{ChaCha8Rng, rand_core::Rng};
+use std::{
+    net::SocketAddrV4,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+};
+use tokio::{
+    net::UdpSocket,
+    time::{Duration, Instant, sleep, timeout},
+};
+
+/// The times at which callers of the platform send a packet again.
+const COPIES: [Duration; 3] = [
+    Duration::from_millis(200),
+    Duration::from_millis(400),
+    Duration::from_millis(800),
+];
+
+/// How long a caller waits for an answer before it gives the flow up.
+const PATIENCE: Duration = Duration::from_secs(4);
+const RESEND_AFTER: Duration = Duration::from_millis(200);
+const REQUESTS_PER_FLOW: u32 = 40;
+const PAUSE_MS: u32 = 120;
+const FIRST_PORT: u16 = 20_000;
+
+/// What a caller of one route needs.
+#[derive(Clone, Debug)]
+pub struct CallerPlace {
+    pub address: SocketAddrV4,
+    pub entry: SocketAddrV4,
+    pub is_idempotent: bool,
+}
+
+/// An answer that a caller has got.
+enum Answer {
+    Whole(Packet),
+    Reset,
+    None,
+}
+
+struct Caller {
+    place: CallerPlace,
+    socket: UdpSocket,
+    routers: Routers,
+    promises: Arc<Promises>,
+}
+
+/// Opens one flow after the other until it is told to stop.
+pub async fn call(
+    place: CallerPlace,
+    routers: Routers,
+    promises: Arc<Promises>,
+    mut random: ChaCha8Rng,
+    is_over: Arc<AtomicBool>,
+) {
+    let socket = UdpSocket::bind(place.address).await.unwrap();
+    let caller = Caller {
+        place,
+        socket,
+        routers,
+        promises,
+    };
+    let mut port = FIRST_PORT;
+    while !is_over.load(Ordering::SeqCst) {
+        port += 1;
+        caller.use_flow(port, &mut random, &is_over).await;
+        sleep(pause(&mut random)).await;
+    }
+}
+
+fn pause(random: &mut ChaCha8Rng) -> Duration {
+    Duration::from_millis(u64::from(random.next_u32() % PAUSE_MS))
+}
+
+impl Caller {
+    async fn use_flow(&self, port: u16, random: &mut ChaCha8Rng, is_over: &AtomicBool) {
+        let source = SocketAddrV4::new(*self.place.address.ip(), port);
+        let Some(opened) = self.open_flow(source).await else {
+            self.promises.note_unopened();
+            return;
+        };
+        self.promises.note_opened();
+        let run = TargetPlace::run_of(opened.sequence);
+        let mut holder: Option<String> = None;
+        for number in 0..REQUESTS_PER_FLOW {
+            if is_over.load(Ordering::SeqCst) {
+                return;
+            }
+            let text = format!("{port}.{number}");
+            match self.request(source, &opened, &text).await {
+                Answer::Whole(answer) => {
+                    let target = self.target_of(&answer, &text);
+                    self.promises.note_answer();
+                    let before = holder.get_or_insert_with(|| target.clone());
+                    if *before != target || TargetPlace::run_of(answer.sequence) != run {
+                        self.promises
+                            .break_one(format!("flow {source} moved from {before} to {target}"));
+                    }
+                }
+                Answer::Reset => {
+                    self.promises.note_reset(&Reset {
+                        flow: source,
+                        holder,
+                        run,
+                        is_idempotent: self.place.is_idempotent,
+                    });
+                    return;
+                }
+                Answer::None => {
+                    self.promises.note_unanswered();
+                    return;
+                }
+            }
+            sleep(pause(random)).await;
+        }
+    }
+
+    async fn open_flow(&self, source: SocketAddrV4) -> Option<Packet> {
+        for (copy, wait) in COPIES.into_iter().enumerate() {
+            let packet = Packet {
+                flags: SYN,
+                acknowledged: copy as u32,
+                ..self.packet(source)
+            };
+            self.send(&packet).await;
+            let is_ours = |answer: &Packet| answer.destination == source;
+            match self.receive(wait, is_ours).await {
+                Some(answer) if answer.is(RST) => return None,
+                Some(answer) => return Some(answer),
+                None => {}
+            }
+        }
+        None
+    }
+
+    async fn request(&self, source: SocketAddrV4, opened: &Packet, text: &str) -> Answer {
+        let packet = Packet {
+            flags: ACK,
+            sequence: 101,
+            acknowledged: opened.sequence + 1,
+            data: text.as_bytes().to_vec(),
+            ..self.packet(source)
+        };
+        let until = Instant::now() + PATIENCE;
+        while Instant::now() < until {
+            self.send(&packet).await;
+            let is_ours = |answer: &Packet| {
+                let is_answer = answer.is(RST) || is_answer_to(answer, text);
+                answer.destination == source && is_answer
+            };
+            match self.receive(RESEND_AFTER, is_ours).await {
+                Some(answer) if answer.is(RST) => return Answer::Reset,
+                Some(answer) => return Answer::Whole(answer),
+                None => {}
+            }
+        }
+        Answer::None
+    }
+
+    /// Returns the target that gave an answer.
+    fn target_of(&self, answer: &Packet, text: &str) -> String {
+        if answer.source != self.place.entry {
+            self.promises.break_one(format!(
+                "answer {text} came from {} and not from {}",
+                answer.source, self.place.entry
+            ));
+        }
+        let said = String::from_utf8_lossy(&answer.data).into_owned();
+        said.split_whitespace()
+            .next()
+            .unwrap_or_default()
+            .to_owned()
+    }
+
+    fn packet(&self, source: SocketAddrV4) -> Packet {
+        Packet {
+            flags: 0,
+            source,
+            destination: self.place.entry,
+            sequence: 100,
+            acknowledged: 0,
+            data: Vec::new(),
+        }
+    }
+
+    async fn send(&self, packet: &Packet) {
+        if let Some(balancer) = self.routers.balancer_for(packet) {
+            // A balancer that has just ended refuses it, which is a loss like any other.
+            let _ = self.socket.send_to(&packet.encode(), balancer).await;
+        }
+    }
+
+    async fn receive(&self, wait: Duration, is_ours: impl Fn(&Packet) -> bool) -> Option<Packet> {
+        let received = async {
+            let mut buffer = [0; 2_048];
+            loop {
+                let Ok((bytes, _)) = self.socket.recv_from(&mut buffer).await else {
+                    continue;
+                };
+                let answer = Packet::decode(&buffer[..bytes]);
+                if is_ours(&answer) {
+                    return answer;
+                }
+            }
+        };
+        timeout(wait, received).await.ok()
+    }
+}
+
+fn is_answer_to(answer: &Packet, text: &str) -> bool {
+    String::from_utf8_lossy(&answer.data)
+        .split_whitespace()
+        .next_back()
+        == Some(text)
+}
--- a/crates/basilstep-packet/tests/support/fleet.rs
+++ b/crates/basilstep-packet/tests/processes/support/fleet.rs
@@ -6,18 +6,20 @@
 };
 use basilstep_node::http::HttpClient;
 use http::{Method, StatusCode};
+use rustix::process::{Pid, Signal, kill_process};
 use serde_json::{Value, json};
 use std::{
     fs,
     net::{Ipv4Addr, SocketAddrV4, UdpSocket},
     path::PathBuf,
-    process::{Child, Command, Stdio},
+    process::{Child, Command, ExitStatus, Stdio},
+    sync::atomic::{AtomicBool, Ordering},
     time::Duration,
 };
 use tokio::time::{sleep, timeout};
 
-const BALANCER: &str = env!("CARGO_BIN_EXE_basilstep-packet-balancer");
-const AGENT: &str = env!("CARGO_BIN_EXE_basilstep-packet-agent");
+pub const BALANCER: &str = env!("CARGO_BIN_EXE_basilstep-packet-balancer");
+pub const AGENT: &str = env!("CARGO_BIN_EXE_basilstep-packet-agent");
 pub const SERVICE: &str = "quotes";
 const READY_WITHIN: Duration = Duration::from_secs(20);
 
@@ -25,12 +27,12 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Ports {
     pub packets: u16,
-    internal: u16,
-    ready: u16,
-    control: u16,
-    outbound: u16,
-    target: u16,
-    store: u16,
+    pub internal: u16,
+    pub ready: u16,
+    pub control: u16,
+    pub outbound: u16,
+    pub target: u16,
+    pub store: u16,
 }
 
 /// A fleet that ends with its test.
@@ -41,6 +43,7 @@
     pub ports: Ports,
     pub store: Store,
     pub processes: Vec<Process>,
+    keeps_logs: AtomicBool,
 }
 
 /// A running process; it is killed when this is dropped.
@@ -56,6 +59,17 @@
 }
 
 impl Process {
+    /// Sends a signal to the process, which this test has started.
+    pub fn signal(&self, signal: Signal) {
+        // It may have ended by itself.
+        let _ = kill_process(Pid::from_child(&self.child), signal);
+    }
+
+    /// Tells whether the process has ended, and how.
+    pub fn has_ended(&mut self) -> Option<ExitStatus> {
+        self.child.try_wait().unwrap()
+    }
+
     pub fn kill(&mut self) {
         // It may have ended by itself.
         let _ = self.child.kill();
@@ -80,9 +94,15 @@
             ports,
             store,
             processes: Vec::new(),
+            keeps_logs: AtomicBool::new(false),
         }
     }
 
+    /// Leaves the logs where they are, for whoever traces what went wrong.
+    pub fn keep_logs(&self) {
+        self.keeps_logs.store(true, Ordering::SeqCst);
+    }
+
     pub fn ip(&self, number: u8) -> Ipv4Addr {
         Ipv4Addr::new(127, self.network[0], self.network[1], number)
     }
@@ -120,6 +140,9 @@
             address: self.address(number, self.ports.target),
             outbound: self.address(number, self.ports.outbound),
             control: self.address(number, self.ports.control),
+            zone: "east".to_owned(),
+            run: 1,
+            born_ms: 1_700_000_000_000,
         })
         .await;
         (process, target)
@@ -134,6 +157,17 @@
         self.spawn(AGENT, number, &extra)
     }
 
+    /// Waits for a line in the log of a machine.
+    pub async fn await_log(&self, number: u8, text: &str) {
+        let log = self.folder.join(format!("log-{number}"));
+        let seen = async {
+            while !fs::read_to_string(&log).unwrap().contains(text) {
+                sleep(Duration::from_millis(1)).await;
+            }
+        };
+        timeout(READY_WITHIN, seen).await.expect("the line appears");
+    }
+
     /// Waits until a balancer tells the routers that it takes packets.
     pub async fn await_ready(&self, number: u8) {
         let mut client = HttpClient::open(self.address(number, self.ports.ready));
@@ -151,17 +185,28 @@
             .expect("the balancer becomes ready");
     }
 
-    fn spawn(&mut self, program: &str, number: u8, extra: &Value) -> usize {
+    /// Starts a process with settings of its own beside the usual ones; returns its place.
+    pub fn spawn(&mut self, program: &str, number: u8, extra: &Value) -> usize {
+        let process = self.launch(program, number, extra);
+        self.processes.push(process);
+        self.processes.len() - 1
+    }
+
+    /// Starts a process that the caller keeps.
+    pub fn launch(&self, program: &str, number: u8, extra: &Value) -> Process {
         let path = self.folder.join(format!("settings-{number}.yaml"));
         fs::write(&path, self.settings(number, extra).to_string()).unwrap();
-        let log = fs::File::create(self.folder.join(format!("log-{number}"))).unwrap();
+        let log = fs::File::options()
+            .create(true)
+            .append(true)
+            .open(self.folder.join(format!("log-{number}")))
+            .unwrap();
         let child = Command::new(program)
             .env("BASILSTEP_CONFIG", path)
             .stdout(Stdio::from(log))
             .spawn()
             .unwrap();
-        self.processes.push(Process { child });
-        self.processes.len() - 1
+        Process { child }
     }
 
     /// The settings of a machine; JSON is YAML too.
@@ -196,7 +241,7 @@
 impl Drop for Fleet {
     fn drop(&mut self) {
         self.processes.clear();
-        if std::thread::panicking() {
+        if std::thread::panicking() || self.keeps_logs.load(Ordering::SeqCst) {
             eprintln!("logs are kept in {}", self.folder.display());
             return;
         }
--- a/crates/basilstep-packet/tests/support/store.rs
+++ b/crates/basilstep-packet/tests/processes/support/store.rs
@@ -19,6 +19,10 @@
 struct Items {
     revision: u64,
     values: BTreeMap<String, (u64, Option<Vec<u8>>)>,
+    /// Changes up to this revision are no longer kept.
+    history_from: u64,
+    /// The lease that all writers get.
+    lease: u64,
 }
 
 /// A running store.
@@ -43,6 +47,34 @@
         items.values.insert(key.to_owned(), (revision, value));
     }
 
+    /// Ends all leases and removes what was written under them.
+    pub fn end_leases(&self) {
+        let mut items = self.items.lock().unwrap();
+        items.lease += 1;
+        items.revision += 1;
+        let revision = items.revision;
+        for (key, value) in &mut items.values {
+            if key.starts_with("balancers/") {
+                *value = (revision, None);
+            }
+        }
+    }
+
+    /// Forgets which changes led to the present items.
+    pub fn drop_history(&self) {
+        let mut items = self.items.lock().unwrap();
+        items.revision += 1;
+        items.history_from = items.revision;
+    }
+
+    fn has_history(&self, after: u64) -> bool {
+        after >= self.items.lock().unwrap().history_from
+    }
+
+    fn lease(&self) -> u64 {
+        self.items.lock().unwrap().lease
+    }
+
     fn changes(&self, prefix: &str, after: u64, is_watch: bool) -> (u64, Vec<Value>) {
         let items = self.items.lock().unwrap();
         let changes = items
@@ -65,6 +97,9 @@
     async fn watch(&self, prefix: &str, after: u64, wait: Duration) -> Answer {
         let until = Instant::now() + wait;
         loop {
+            if !self.has_history(after) {
+                return Answer::empty(StatusCode::GONE);
+            }
             let (revision, events) = self.changes(prefix, after, true);
             if !events.is_empty() || Instant::now() >= until {
                 return json_answer(&json!({"events": events, "AsOf": revision}));
@@ -106,8 +141,12 @@
                 self.watch(prefix, after, wait).await
             }
             (&Method::POST, "/kv-txn") => self.transact(&request.body),
-            (&Method::POST, "/kv-lease") => json_answer(&json!({"Lease": 7, "TtlMs": 15_000})),
-            (&Method::POST, "/kv-keep/7") => json_answer(&json!({"TtlMs": 15_000})),
+            (&Method::POST, "/kv-lease") => {
+                json_answer(&json!({"Lease": self.lease(), "TtlMs": 15_000}))
+            }
+            (&Method::POST, path) if path == format!("/kv-keep/{}", self.lease()) => {
+                json_answer(&json!({"TtlMs": 15_000}))
+            }
             _ => Answer::empty(StatusCode::NOT_FOUND),
         }
     }
--- a/crates/basilstep-packet/tests/support/target.rs
+++ b/crates/basilstep-packet/tests/processes/support/target.rs
@@ -13,13 +13,22 @@
     },
     time::Duration,
 };
-use tokio::{net::UdpSocket, time::sleep};
+use tokio::{
+    net::UdpSocket,
+    task::JoinHandle,
+    time::{Instant, sleep},
+};
 
 /// How often the stand-in pings; the settings file says the same.
 pub const PING_INTERVAL_MS: u64 = 200;
 
+const SEQUENCES_PER_RUN: u32 = 100_000;
+
 const FIRST_SEQUENCE: u32 = 7_000;
 
+/// How long a packet may have waited in the target's socket when the agent acknowledged.
+const QUEUED: Duration = Duration::from_millis(100);
+
 /// Where a target is and whom it talks to.
 #[derive(Clone, Debug)]
 pub struct TargetPlace {
@@ -28,6 +37,18 @@
     pub address: SocketAddrV4,
     pub outbound: SocketAddrV4,
     pub control: SocketAddrV4,
+    pub zone: String,
+    /// Counts the lifetimes; each numbers its bytes from another point.
+    pub run: u32,
+    /// When the lifetime began, by the time of day.
+    pub born_ms: u64,
+}
+
+impl TargetPlace {
+    /// The run of the target that sent a packet with this sequence number.
+    pub const fn run_of(sequence: u32) -> u32 {
+        sequence / SEQUENCES_PER_RUN
+    }
 }
 
 /// What a target has seen.
@@ -35,22 +56,60 @@
 pub struct TargetLog {
     pub opened: AtomicU32,
     pub is_draining: AtomicBool,
+    /// New flows that came after the agent had acknowledged that the target leaves.
+    pub opened_while_leaving: AtomicU32,
+    /// When new flows came.
+    pub opened_at: Mutex<Vec<Instant>>,
+    /// The service addresses that packets were for.
+    pub entries: Mutex<BTreeSet<SocketAddrV4>>,
+    leaving_since: Mutex<Option<Instant>>,
     held: Mutex<BTreeSet<SocketAddrV4>>,
 }
 
+impl TargetLog {
+    fn note_opened(&self) {
+        self.opened.fetch_add(1, Ordering::SeqCst);
+        self.opened_at.lock().unwrap().push(Instant::now());
+        let leaving_since = *self.leaving_since.lock().unwrap();
+        if leaving_since.is_some_and(|since| since.elapsed() > QUEUED) {
+            self.opened_while_leaving.fetch_add(1, Ordering::SeqCst);
+        }
+    }
+}
+
 /// A running target.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub struct Target {
     pub log: Arc<TargetLog>,
+    tasks: Vec<JoinHandle<()>>,
 }
 
 impl Target {
     pub async fn spawn(place: TargetPlace) -> Self {
         let log = Arc::new(TargetLog::default());
         let socket = UdpSocket::bind(place.address).await.unwrap();
-        tokio::spawn(ping(place.clone(), Arc::clone(&log)));
-        tokio::spawn(serve(socket, place, Arc::clone(&log)));
-        Self { log }
+        let tasks = vec![
+            tokio::spawn(ping(place.clone(), Arc::clone(&log))),
+            tokio::spawn(serve(socket, place, Arc::clone(&log))),
+        ];
+        Self { log, tasks }
+    }
+
+    /// Stands for a target between two lifetimes.
+    pub fn absent() -> Self {
+        Self {
+            log: Arc::default(),
+            tasks: Vec::new(),
+        }
+    }
+
+    /// Ends the lifetime of the target and frees its address.
+    pub async fn end(self) {
+        for task in self.tasks {
+            task.abort();
+            // It was cancelled.
+            let _ = task.await;
+        }
     }
 }
 
@@ -60,12 +119,12 @@
     for sequence in 1.. {
         let is_draining = log.is_draining.load(Ordering::SeqCst);
         let body = json!({
-            "Service": place.service, "Address": place.address.to_string(), "Zone": "east",
+            "Service": place.service, "Address": place.address.to_string(), "Zone": place.zone,
             "Version": "v1", "Capacity": 9, "State": if is_draining { "draining" } else { "ready" },
-            "WarmupLeftMs": 0, "Sequence": sequence, "born": 1_700_000_000_000_u64,
+            "WarmupLeftMs": 0, "Sequence": sequence, "born": place.born_ms,
         });
         // The agent may not be up yet; the next ping tells it the same.
-        let _ = client
+        let reply = client
             .call(
                 Method::PUT,
                 &path,
@@ -73,6 +132,10 @@
                 Duration::from_secs(1),
             )
             .await;
+        if is_draining && reply.is_ok_and(|reply| reply.status.is_success()) {
+            let mut leaving_since = log.leaving_since.lock().unwrap();
+            leaving_since.get_or_insert_with(Instant::now);
+        }
         sleep(Duration::from_millis(PING_INTERVAL_MS)).await;
     }
 }
@@ -100,13 +163,14 @@
         flags,
         source: packet.destination,
         destination: packet.source,
-        sequence: FIRST_SEQUENCE,
+        sequence: place.run * SEQUENCES_PER_RUN + FIRST_SEQUENCE,
         acknowledged: packet.sequence + packet.data.len() as u32,
         data,
     };
+    log.entries.lock().unwrap().insert(packet.destination);
     if packet.is(SYN) {
         if held.insert(packet.source) {
-            log.opened.fetch_add(1, Ordering::SeqCst);
+            log.note_opened();
         }
         return Some(reply(SYN | ACK, Vec::new()));
     }
