feat(flows): believe an agent that reports seldom silent by a probe or by its whole domain

Callers of the lost zone had the worst of it: limits that grow with the distance between two reports reset flows of lost agents after 3 and 6 s, when callers had given up after 2.5 s.

First try, kept: a balancer that has a packet for such an agent asks it for a report and believes it silent by the answers that stay away. Each of 100 balancers learns of each of 70 agents by itself, and the first flow of each pair pays. It stays for machines that are lost alone.

Tests: flows/tests/pace.rs, from silent_agent_that_reports_seldom_is_noticed_by_who_needs_it on.

--- a/crates/basilstep-core/src/flows/balancer/mod.rs
+++ b/crates/basilstep-core/src/flows/balancer/mod.rs
@@ -1,6 +1,7 @@
 //! The balancer's side: which agent gets a packet.
 
 mod hints;
+mod liveness;
 mod parking;
 mod roster;
 mod search;
--- a/crates/basilstep-core/src/flows/balancer/roster.rs
+++ b/crates/basilstep-core/src/flows/balancer/roster.rs
@@ -1,3 +1,4 @@
+use super::liveness::Liveness;
 use crate::{
     address::DomainId,
     flows::{
@@ -60,6 +61,8 @@
     pub domains_out: &'a BTreeSet<DomainId>,
     /// The agents that have refused the flow.
     pub refused_by: &'a BTreeSet<Ipv4Addr>,
+    /// Which agents are silent.
+    pub liveness: &'a Liveness,
     /// The time.
     pub now_ms: u64,
 }
@@ -192,7 +195,7 @@
             .of_service(service)
             .filter(|agent| !placing.refused_by.contains(agent))
             .filter_map(|agent| Some((agent, self.agents.get(&agent)?)))
-            .filter(|(_, state)| takes_new_flows(state, placing, settings))
+            .filter(|(agent, state)| takes_new_flows(*agent, state, placing, settings))
             .collect();
         drawn(flow, open, placing.domain, settings)
             .into_iter()
@@ -211,12 +214,20 @@
     }
 }
 
-fn takes_new_flows(state: &AgentState, placing: &Placing<'_>, settings: &FlowSettings) -> bool {
+fn takes_new_flows(
+    agent: Ipv4Addr,
+    state: &AgentState,
+    placing: &Placing<'_>,
+    settings: &FlowSettings,
+) -> bool {
+    let limit_ms = settings.suspect_after_ms;
     state.report.phase == TargetPhase::Serving
         && !state.report.is_stopping
         && state.offered_since < state.report.room
         && !placing.domains_out.contains(&state.report.domain)
-        && state.is_heard_within(settings.suspect_after_ms, placing.now_ms)
+        && !placing
+            .liveness
+            .is_silent(agent, state, limit_ms, settings, placing.now_ms)
         && placing.now_ms >= state.doubted_until_ms
 }
 
--- a/crates/basilstep-core/src/flows/balancer/state.rs
+++ b/crates/basilstep-core/src/flows/balancer/state.rs
@@ -3,6 +3,7 @@
 
 use super::{
     hints::{Hint, Hints},
+    liveness::Liveness,
     parking::Parking,
     roster::{AgentState, Roster},
     search::Searches,
@@ -45,6 +46,7 @@
     hints: Hints,
     searches: Searches,
     parking: Parking,
+    liveness: Liveness,
     started_ms: u64,
     settled_from_ms: u64,
     is_stopping: bool,
@@ -67,6 +69,7 @@
             hints: Hints::new(settings.hint_limit),
             searches: Searches::default(),
             parking: Parking::default(),
+            liveness: Liveness::default(),
             started_ms: ctx.now_ms,
             settled_from_ms: ctx.now_ms,
             is_stopping: false,
@@ -95,6 +98,7 @@
         };
         hint.used_ms = ctx.now_ms;
         let (agent, service) = (hint.agent, hint.service);
+        self.note_use(agent, ctx.now_ms);
         if self.is_beyond_reach(agent, &flow, ctx.now_ms) {
             self.hints.remove(&flow);
             return Verdict::Reset {
@@ -113,7 +117,7 @@
         ctx: &Context,
     ) -> Verdict {
         let flow = segment.flow_of_caller();
-        self.roster.trust(agent);
+        self.trust(agent);
         let hint = self.hints.get_mut(&flow).copied();
         let is_from_holder = hint.is_some_and(|hint| hint.agent == agent);
         let is_waited_for = hint.is_some_and(|hint| ctx.now_ms < hint.offered_ms + OPENING_TRY_MS);
@@ -145,9 +149,27 @@
         }
     }
 
+    /// Takes the agents that are to be asked for a report now.
+    pub fn take_probes(&mut self, ctx: &Context) -> Vec<Ipv4Addr> {
+        self.liveness.take_probes(&self.settings, ctx.now_ms)
+    }
+
+    /// Takes note of a packet for an agent.
+    fn note_use(&mut self, agent: Ipv4Addr, now_ms: u64) {
+        if let Some(state) = self.roster.get(agent) {
+            self.liveness.note_use(agent, state, &self.settings, now_ms);
+        }
+    }
+
+    /// Notes that an agent has just answered something other than a report.
+    fn trust(&mut self, agent: Ipv4Addr) {
+        self.roster.trust(agent);
+        self.liveness.end_probe(agent);
+    }
+
     /// Takes word from an agent that it holds flows.
     pub fn on_held(&mut self, agent: Ipv4Addr, held: &HeldFlows, ctx: &Context) {
-        self.roster.trust(agent);
+        self.trust(agent);
         self.roster.count_held(agent, held);
         for flow in &held.flows {
             self.note_holder(agent, *flow, ctx);
@@ -184,9 +206,18 @@
 
     /// Takes a report; returns whether the agent's phase or run changed.
     pub fn on_report(&mut self, agent: Ipv4Addr, report: AgentReport, ctx: &Context) -> bool {
+        self.liveness.hear(agent, report.domain, ctx.now_ms);
         self.roster.hear(agent, report, ctx.now_ms)
     }
 
+    /// Takes a sign of life of another balancer; returns whether it, or its run, was not known.
+    pub fn on_beat(&mut self, peer: Ipv4Addr, beat: &BalancerBeat, ctx: &Context) -> bool {
+        if !beat.is_stopping {
+            self.liveness.hear(peer, beat.domain, ctx.now_ms);
+        }
+        self.peers.hear(peer, beat, ctx.now_ms)
+    }
+
     /// Answers the report of an agent.
     pub fn reply_to(&self, report: &AgentReport) -> ReportReply {
         ReportReply {
@@ -255,6 +286,7 @@
     /// Takes note that the process stood still for `pause_ms` that its clock did not count.
     pub fn on_pause(&mut self, pause_ms: u64, ctx: &Context) {
         self.roster.age(pause_ms);
+        self.liveness.begin_anew(ctx.now_ms);
         self.is_backlog_old = true;
         self.settled_from_ms = ctx.now_ms;
     }
@@ -282,8 +314,13 @@
         let before_ms = ctx.now_ms.saturating_sub(settings.forget_after_ms);
         self.peers.learn(&self.own.entry(), ctx.now_ms);
         self.peers.forget(before_ms);
+        self.liveness.forget(before_ms);
+        let forgotten = self.roster.forget(before_ms);
+        for agent in &forgotten {
+            self.liveness.end_probe(*agent);
+        }
         Due {
-            forgotten: self.roster.forget(before_ms),
+            forgotten,
             lost,
             placed: self.place_parked(ctx),
         }
--- a/crates/basilstep-core/src/flows/balancer/state/opening.rs
+++ b/crates/basilstep-core/src/flows/balancer/state/opening.rs
@@ -58,12 +58,14 @@
             domain: self.own.domain,
             domains_out: &self.fleet.domains_out,
             refused_by: &refused_by,
+            liveness: &self.liveness,
             now_ms: ctx.now_ms,
         };
         let Some(agent) = self.roster.place(&flow, service, &placing, &self.settings) else {
             return self.refuse(segment, code);
         };
         self.roster.count_offer(agent);
+        self.note_use(agent, ctx.now_ms);
         self.parking.remove(&flow);
         let hint = Hint {
             agent,
--- a/crates/basilstep-core/src/flows/balancer/state/searching.rs
+++ b/crates/basilstep-core/src/flows/balancer/state/searching.rs
@@ -123,8 +123,11 @@
             return false;
         }
         self.roster.get(agent).is_none_or(|state| {
-            !state.report.is_stopping
-                && !state.is_heard_within(self.settings.reset_after_ms, now_ms)
+            let limit_ms = self.settings.reset_after_ms;
+            let is_silent = self
+                .liveness
+                .is_silent(agent, state, limit_ms, &self.settings, now_ms);
+            !state.report.is_stopping && is_silent
         })
     }
 
--- a/crates/basilstep-core/src/flows/frame.rs
+++ b/crates/basilstep-core/src/flows/frame.rs
@@ -44,6 +44,8 @@
     Balancers(Vec<BalancerEntry>),
     /// Balancer to agent: asks for all flows once more, since some were lost on the way.
     TellAgain,
+    /// Balancer to agent: asks for a report at once.
+    Probe,
 }
 
 /// How a packet of a caller reaches an agent.
--- a/crates/basilstep-core/src/flows/tests/balancer.rs
+++ b/crates/basilstep-core/src/flows/tests/balancer.rs
@@ -524,7 +524,7 @@
 fn balancer_that_knows_fewer_agents_than_another_does_not_reset() {
     let (mut balancer, _) = balancer_with(0, RequestKind::Idempotent);
     let ctx = context(2_000);
-    balancer.peers_mut().hear(balancer_ip(2), &beat(2), 2_000);
+    balancer.on_beat(balancer_ip(2), &beat(2), &context(2_000));
     balancer.on_report(agent_ip(1), report(TargetPhase::Serving), &ctx);
     let packet = data(flow(1), 100);
     balancer.on_packet(&packet, &ctx);
--- a/crates/basilstep-core/src/flows/tests/fleet.rs
+++ b/crates/basilstep-core/src/flows/tests/fleet.rs
@@ -237,7 +237,7 @@
             .collect();
         for (ip, balancer) in &mut self.balancers {
             for (peer, beat) in beats.iter().filter(|(peer, _)| peer != ip) {
-                balancer.peers_mut().hear(*peer, beat, ctx.now_ms);
+                balancer.on_beat(*peer, beat, &ctx);
             }
         }
     }
--- a/crates/basilstep-core/src/flows/tests/pace.rs
+++ b/crates/basilstep-core/src/flows/tests/pace.rs
@@ -1,13 +1,14 @@
 //! A fleet of so many balancers that not each can get every report.
 
 use super::{
-    agent_ip, balancer_ip, balancer_with, context, data, flow, opening, report, serving_agent,
+    agent_ip, balancer_ip, balancer_with, beat, context, data, flow, held, opening, report,
+    serving_agent,
 };
 use crate::{
     address::DomainId,
     flows::{
-        AgentFlows, AgentReport, BalancerEntry, Lifetime, RequestKind, Round, TargetPhase,
-        balancer::Verdict,
+        AgentFlows, AgentReport, BalancerBeat, BalancerEntry, BalancerFlows, Lifetime, RequestKind,
+        Round, TargetPhase, balancer::Verdict,
     },
 };
 use std::{collections::BTreeMap, net::Ipv4Addr};
@@ -90,18 +91,126 @@
     }
 }
 
-#[test]
-fn agent_that_reports_each_second_is_not_suspected_between_two_reports() {
+fn balancer_that_hears_an_agent_seldom() -> BalancerFlows {
     let (mut balancer, _) = balancer_with(0, RequestKind::Idempotent);
-    let slow = AgentReport {
+    let seldom = AgentReport {
         slowness: 4,
         ..report(TargetPhase::Serving)
     };
-    balancer.on_report(agent_ip(1), slow, &context(10_000));
-    let placed = balancer.on_packet(&opening(flow(1), 0), &context(11_900));
+    balancer.on_report(agent_ip(1), seldom, &context(10_000));
+    balancer.on_held(agent_ip(1), &held(0, flow(1)), &context(10_000));
+    balancer
+}
+
+#[test]
+fn agent_that_reports_each_second_is_not_suspected_between_two_reports() {
+    let mut balancer = balancer_that_hears_an_agent_seldom();
+    let placed = balancer.on_packet(&opening(flow(2), 0), &context(12_900));
     assert!(matches!(placed, Verdict::Forward(_)));
+    let mut balancer = balancer_that_hears_an_agent_seldom();
     let refused = balancer.on_packet(&opening(flow(2), 0), &context(13_300));
     assert!(matches!(refused, Verdict::Drop { .. }));
-    let open = balancer.on_packet(&data(flow(3), 10), &context(15_900));
-    assert!(matches!(open, Verdict::Search(_)), "reset after 6 s only");
+}
+
+/// A domain is lost whose agents report to the others each second only.
+#[test]
+fn silent_agent_that_reports_seldom_is_noticed_by_who_needs_it() {
+    let mut balancer = balancer_that_hears_an_agent_seldom();
+    let request = data(flow(1), 10);
+    balancer.on_packet(&request, &context(10_400));
+    assert_eq!(balancer.take_probes(&context(10_400)), [agent_ip(1)]);
+    assert!(balancer.take_probes(&context(10_500)).is_empty());
+    assert_eq!(balancer.take_probes(&context(10_650)), [agent_ip(1)]);
+    let refused = balancer.on_packet(&opening(flow(2), 0), &context(10_960));
+    assert!(matches!(refused, Verdict::Drop { .. }));
+    let passed = balancer.on_packet(&request, &context(11_600));
+    assert!(matches!(passed, Verdict::Forward(_)));
+    let reset = balancer.on_packet(&request, &context(11_700));
+    assert!(matches!(reset, Verdict::Reset { .. }));
+}
+
+#[test]
+fn agent_that_answers_a_probe_is_trusted_again() {
+    let mut balancer = balancer_that_hears_an_agent_seldom();
+    balancer.on_packet(&data(flow(1), 10), &context(10_400));
+    balancer.take_probes(&context(10_400));
+    let seldom = AgentReport {
+        slowness: 4,
+        ..report(TargetPhase::Serving)
+    };
+    balancer.on_report(agent_ip(1), seldom, &context(10_900));
+    assert!(balancer.take_probes(&context(11_000)).is_empty());
+    let passed = balancer.on_packet(&data(flow(1), 10), &context(12_000));
+    assert!(matches!(passed, Verdict::Forward(_)));
+}
+
+#[test]
+fn agent_whose_reports_all_come_is_not_probed() {
+    let (mut balancer, _) = balancer_with(1, RequestKind::Idempotent);
+    balancer.on_packet(&opening(flow(1), 0), &context(10_700));
+    assert!(balancer.take_probes(&context(10_700)).is_empty());
+}
+
+/// The balancer stood still, and could not hear an answer meanwhile.
+#[test]
+fn answer_to_a_probe_is_waited_for_anew_after_a_pause() {
+    let mut balancer = balancer_that_hears_an_agent_seldom();
+    balancer.on_packet(&data(flow(1), 10), &context(10_400));
+    balancer.on_pause(5_000, &context(10_500));
+    let passed = balancer.on_packet(&data(flow(1), 10), &context(11_700));
+    assert!(matches!(passed, Verdict::Forward(_)));
+}
+
+/// A domain of ten agents and this balancer's own of one, all of which report each second.
+fn balancer_that_hears_two_domains(now_ms: u64) -> BalancerFlows {
+    let (mut balancer, _) = balancer_with(0, RequestKind::Idempotent);
+    for number in 1..=10 {
+        let seldom = AgentReport {
+            slowness: 4,
+            domain: OTHER,
+            ..report(TargetPhase::Serving)
+        };
+        balancer.on_report(agent_ip(number), seldom, &context(now_ms));
+    }
+    balancer.on_held(agent_ip(1), &held(0, flow(1)), &context(now_ms));
+    balancer
+}
+
+/// Power is lost in a domain whose agents report to the others each second only.
+#[test]
+fn flows_of_a_domain_that_nobody_hears_are_reset_without_a_probe_of_each_agent() {
+    let mut balancer = balancer_that_hears_two_domains(10_000);
+    let refused = balancer.on_packet(&opening(flow(2), 0), &context(10_800));
+    assert!(matches!(refused, Verdict::Drop { .. }));
+    let reset = balancer.on_packet(&data(flow(1), 10), &context(11_500));
+    assert!(matches!(reset, Verdict::Reset { .. }));
+}
+
+#[test]
+fn domain_of_which_one_process_is_heard_is_not_silent() {
+    let mut balancer = balancer_that_hears_two_domains(10_000);
+    let from_there = BalancerBeat {
+        domain: OTHER,
+        ..beat(10)
+    };
+    balancer.on_beat(balancer_ip(9), &from_there, &context(10_700));
+    let passed = balancer.on_packet(&data(flow(1), 10), &context(11_500));
+    assert!(matches!(passed, Verdict::Forward(_)));
+}
+
+/// A domain of one agent says too little by its silence.
+#[test]
+fn agent_of_a_small_domain_is_probed() {
+    let mut balancer = balancer_that_hears_an_agent_seldom();
+    let passed = balancer.on_packet(&data(flow(1), 10), &context(11_500));
+    assert!(matches!(passed, Verdict::Forward(_)));
+}
+
+/// The balancer itself stood still.
+#[test]
+fn silence_of_a_domain_begins_anew_after_a_pause() {
+    let mut balancer = balancer_that_hears_two_domains(10_000);
+    balancer.on_pause(1_200, &context(11_200));
+    let passed = balancer.on_packet(&data(flow(1), 10), &context(12_600));
+    assert!(matches!(passed, Verdict::Forward(_)));
 }
--- a/crates/basilstep-packet/src/agent/frames.rs
+++ b/crates/basilstep-packet/src/agent/frames.rs
@@ -42,6 +42,10 @@
                     self.send_reports(Round::Everyone);
                 }
             }
+            Frame::Probe => {
+                let report = self.flows.report(peer, &self.ctx);
+                self.tell(peer, &Frame::Report(report), &[]);
+            }
             Frame::TellAgain => self.flows.tell_again(peer, &self.ctx),
             Frame::Beat(beat) => {
                 self.flows.peers_mut().hear(peer, beat, self.ctx.now_ms);
--- a/crates/basilstep-packet/src/balancer/frames.rs
+++ b/crates/basilstep-packet/src/balancer/frames.rs
@@ -45,7 +45,7 @@
                     }
                 }
             }
-            Frame::Carry(_) | Frame::Reply(_) | Frame::TellAgain => {
+            Frame::Carry(_) | Frame::Reply(_) | Frame::TellAgain | Frame::Probe => {
                 self.metrics.count(ResultCode::Malformed);
             }
         }
@@ -109,7 +109,7 @@
     }
 
     fn on_beat(&mut self, peer: Ipv4Addr, beat: &BalancerBeat) {
-        let is_new = self.flows.peers_mut().hear(peer, beat, self.ctx.now_ms);
+        let is_new = self.flows.on_beat(peer, beat, &self.ctx);
         if is_new {
             log::info!(balancer:% = peer, lifetime = beat.lifetime.0; "a balancer is there");
             let own = Frame::Beat(self.flows.beat());
--- a/crates/basilstep-packet/src/balancer/serve.rs
+++ b/crates/basilstep-packet/src/balancer/serve.rs
@@ -103,7 +103,10 @@
     balancer.greet();
     loop {
         tokio::select! {
-            () = balancer.packets.readable() => balancer.read_packets(),
+            () = balancer.packets.readable() => {
+                balancer.read_packets();
+                balancer.send_probes();
+            }
             () = balancer.internal.readable() => balancer.read_frames(),
             Some(event) = events.recv() => balancer.on_event(event),
             Some(item) = store_news.recv() => balancer.on_store_news(item),
@@ -235,6 +238,7 @@
             log::info!(agent:% = agent; "an agent is forgotten");
         }
         self.carry_out_due(&due);
+        self.send_probes();
         if self.flows.peers().len() == 1 {
             self.greet();
         }
@@ -243,6 +247,13 @@
         }
     }
 
+    /// Asks agents that report seldom for a report, if packets are on their way to them.
+    fn send_probes(&mut self) {
+        for agent in self.flows.take_probes(&self.ctx) {
+            self.tell(agent, &Frame::Probe);
+        }
+    }
+
     pub(super) fn send_beats(&mut self, round: Round) {
         self.next_beat_ms = self.ctx.now_ms + self.settings.report_interval_ms;
         let beat = Frame::Beat(self.flows.beat());
