--- a/crates/basilstep-packet/src/store_tasks.rs
+++ b/crates/basilstep-packet/src/store_tasks.rs
@@ -2,9 +2,10 @@
 
 use basilstep_core::{address::DomainId, flows::FleetSettings};
 use basilstep_platform::{
+    answers::Items,
     config, keys,
     settings::domain_number,
-    store::{Items, StoreClient, StoreError},
+    store::{StoreClient, StoreError},
 };
 use std::{
     collections::BTreeSet,
