--- a/crates/basilstep-packet/tests/processes/fleet.rs
+++ b/crates/basilstep-packet/tests/processes/fleet.rs
@@ -84,9 +84,10 @@
     let mut fleet = Fleet::start("hang-up").await;
     fleet.configure(1, entry());
     let process = fleet.start_balancer(1);
-    fleet.await_log(1, "started").await;
+    fleet.await_log(1, "started", 1).await;
     fleet.processes[process].signal(Signal::HUP);
-    fleet.await_log(1, "the settings file was read again").await;
+    let reloaded = "the settings file was read again";
+    fleet.await_log(1, reloaded, 1).await;
     assert_eq!(fleet.processes[process].has_ended(), None);
 }
 
--- a/crates/basilstep-packet/tests/processes/soak/faults.rs
+++ b/crates/basilstep-packet/tests/processes/soak/faults.rs
@@ -134,7 +134,7 @@
     world.promises.note_disturbance();
     process.kill();
     sleep(lasting).await;
-    *process = world.launch(machine);
+    *process = world.launch(machine).await;
     world.promises.note_disturbance();
 }
 
@@ -150,7 +150,7 @@
             .break_one(format!("machine {} did not stop in time", machine.number));
         process.kill();
     }
-    *process = world.launch(machine);
+    *process = world.launch(machine).await;
     world.promises.note_disturbance();
 }
 
--- a/crates/basilstep-packet/tests/processes/soak/world.rs
+++ b/crates/basilstep-packet/tests/processes/soak/world.rs
@@ -18,6 +18,9 @@
 pub const SERVICES: [&str; 2] = ["quotes", "offers"];
 pub const ZONES: [&str; 2] = ["east", "west"];
 
+/// What a process logs once it handles signals.
+const STARTED: &str = "started";
+
 /// Proxies have the addresses of their machines, and other last numbers.
 const STORE_PROXY: u8 = 100;
 const PING_PROXY: u8 = 130;
@@ -97,10 +100,13 @@
             .collect()
     }
 
-    /// Starts the process of a machine again.
-    pub fn launch(&self, machine: &Machine) -> Process {
-        self.fleet
-            .launch(machine.program, machine.number, &machine.extra)
+    /// Starts the process of a machine again, and waits until it handles signals.
+    pub async fn launch(&self, machine: &Machine) -> Process {
+        let number = machine.number;
+        let starts = self.fleet.count_in_log(number, STARTED);
+        let process = self.fleet.launch(machine.program, number, &machine.extra);
+        self.fleet.await_log(number, STARTED, starts + 1).await;
+        process
     }
 
     /// Starts the next lifetime of a target.
--- a/crates/basilstep-packet/tests/processes/support/fleet.rs
+++ b/crates/basilstep-packet/tests/processes/support/fleet.rs
@@ -157,11 +157,17 @@
         self.spawn(AGENT, number, &extra)
     }
 
-    /// Waits for a line in the log of a machine.
-    pub async fn await_log(&self, number: u8, text: &str) {
+    /// Counts the lines in the log of a machine that have this message.
+    pub fn count_in_log(&self, number: u8, message: &str) -> usize {
         let log = self.folder.join(format!("log-{number}"));
+        let text = fs::read_to_string(log).unwrap();
+        text.matches(&format!("\"message\":\"{message}\"")).count()
+    }
+
+    /// Waits until the log of a machine has that many lines with this message.
+    pub async fn await_log(&self, number: u8, message: &str, count: usize) {
         let seen = async {
-            while !fs::read_to_string(&log).unwrap().contains(text) {
+            while self.count_in_log(number, message) < count {
                 sleep(Duration::from_millis(1)).await;
             }
         };
--- a/crates/basilstep-packet/tests/processes/support/target.rs
+++ b/crates/basilstep-packet/tests/processes/support/target.rs
@@ -22,9 +22,10 @@
 /// How often the stand-in pings; the settings file says the same.
 pub const PING_INTERVAL_MS: u64 = 200;
 
-const SEQUENCES_PER_RUN: u32 = 100_000;
+const SEQUENCES_PER_RUN: u32 = 1_000_000;
 
-const FIRST_SEQUENCE: u32 = 7_000;
+/// Targets too number their bytes from different points.
+const SEQUENCES_PER_TARGET: u32 = 1_000;
 
 /// How long a packet may have waited in the target's socket when the agent acknowledged.
 const QUEUED: Duration = Duration::from_millis(100);
@@ -49,6 +50,11 @@
     pub const fn run_of(sequence: u32) -> u32 {
         sequence / SEQUENCES_PER_RUN
     }
+
+    fn first_sequence(&self) -> u32 {
+        let [_, _, _, number] = self.address.ip().octets();
+        self.run * SEQUENCES_PER_RUN + u32::from(number) * SEQUENCES_PER_TARGET
+    }
 }
 
 /// What a target has seen.
@@ -163,7 +169,7 @@
         flags,
         source: packet.destination,
         destination: packet.source,
-        sequence: place.run * SEQUENCES_PER_RUN + FIRST_SEQUENCE,
+        sequence: place.first_sequence(),
         acknowledged: packet.sequence + packet.data.len() as u32,
         data,
     };
@@ -174,7 +180,9 @@
         }
         return Some(reply(SYN | ACK, Vec::new()));
     }
-    if !held.contains(&packet.source) {
+    // A flow opens at the target whose sequence the caller acknowledges; others don't hold it.
+    let is_acknowledged = packet.acknowledged == place.first_sequence() + 1;
+    if !held.contains(&packet.source) || !is_acknowledged {
         return None;
     }
     let text = format!(
