test(packet): targets of the soak number their bytes far apart

The platform's targets draw 32-bit numbers. Runs are now a million apart and targets a hundred million.

--- a/crates/basilstep-packet/tests/processes/support/target.rs
+++ b/crates/basilstep-packet/tests/processes/support/target.rs
@@ -22,10 +22,9 @@
 /// How often the stand-in pings; the settings file says the same.
 pub const PING_INTERVAL_MS: u64 = 200;
 
+/// Runs and targets number their bytes from points that are further apart than any packets in flight.
 const SEQUENCES_PER_RUN: u32 = 1_000_000;
-
-/// Targets too number their bytes from different points.
-const SEQUENCES_PER_TARGET: u32 = 1_000;
+const SEQUENCES_PER_TARGET: u32 = 100_000_000;
 
 /// How long a packet may have waited in the target's socket when the agent acknowledged.
 const QUEUED: Duration = Duration::from_millis(100);
@@ -48,12 +47,12 @@
 impl TargetPlace {
     /// The run of the target that sent a packet with this sequence number.
     pub const fn run_of(sequence: u32) -> u32 {
-        sequence / SEQUENCES_PER_RUN
+        sequence % SEQUENCES_PER_TARGET / SEQUENCES_PER_RUN
     }
 
     fn first_sequence(&self) -> u32 {
         let [_, _, _, number] = self.address.ip().octets();
-        self.run * SEQUENCES_PER_RUN + u32::from(number) * SEQUENCES_PER_TARGET
+        u32::from(number) * SEQUENCES_PER_TARGET + self.run * SEQUENCES_PER_RUN
     }
 }
 
