fix(flows): after a power loss wait only for agents that somebody hears, and search less

And one agent's no made a search ask all agents, also those that had told all their flows; only the no of an agent that was hinted at shows that what was told is not the whole truth.

Beats now carry the count of agents that are heard beside that of agents that are remembered. Readiness and resets of idempotent flows need the first, resets of others still the second.

Tests: agents_that_nobody_hears_are_waited_for_only_if_the_request_may_have_run, no_of_an_agent_does_not_make_all_that_have_told_all_be_asked.

--- a/crates/basilstep-core/src/flows/balancer/search.rs
+++ b/crates/basilstep-core/src/flows/balancer/search.rs
@@ -12,6 +12,8 @@
 pub struct Search {
     /// Agents that do not hold the flow, or that refused to open it.
     pub refused_by: BTreeSet<Ipv4Addr>,
+    /// An agent that was hinted at does not hold the flow.
+    pub is_misled: bool,
     /// When a packet last went to all agents that had not answered.
     asked_ms: Option<u64>,
     /// The caller's acknowledgement in its last packet.
@@ -73,6 +75,13 @@
             .unwrap_or_default()
     }
 
+    /// Tells whether an agent that was hinted at does not hold a flow.
+    pub fn is_misled(&self, flow: &FlowKey) -> bool {
+        self.searches
+            .get(flow)
+            .is_some_and(|search| search.is_misled)
+    }
+
     /// Returns the flows that are searched, but not those that are being opened.
     pub fn pending(&self) -> impl Iterator<Item = (&FlowKey, &Search)> {
         self.searches
--- a/crates/basilstep-core/src/flows/balancer/state.rs
+++ b/crates/basilstep-core/src/flows/balancer/state.rs
@@ -133,6 +133,7 @@
         let search_ms = self.settings.search_ms;
         let search = self.searches.entry(flow, ctx.now_ms, search_ms);
         search.refused_by.insert(agent);
+        search.is_misled |= is_from_holder;
         if segment.opens() {
             return self.place(flow, Some(returned.service), segment, returned.code, ctx);
         }
@@ -231,14 +232,15 @@
     }
 
     /// Returns this balancer's sign of life.
-    pub fn beat(&self) -> BalancerBeat {
+    pub fn beat(&self, ctx: &Context) -> BalancerBeat {
         BalancerBeat {
             lifetime: self.own.lifetime,
             domain: self.own.domain,
             version: self.fleet.table.version,
             revision: self.fleet.revision,
             is_stopping: false,
-            agents: u16::try_from(self.roster.len()).unwrap_or(u16::MAX),
+            agents: count(self.roster.len()),
+            live_agents: count(self.live_agents(ctx.now_ms)),
             balancers_hash: self.peers.hash(),
         }
     }
@@ -259,10 +261,10 @@
     }
 
     /// Returns this balancer's last sign of life.
-    pub fn goodbye(&self) -> BalancerBeat {
+    pub fn goodbye(&self, ctx: &Context) -> BalancerBeat {
         BalancerBeat {
             is_stopping: true,
-            ..self.beat()
+            ..self.beat(ctx)
         }
     }
 
@@ -328,22 +330,40 @@
 
     /// Tells whether the balancer can place new flows.
     pub fn is_ready(&self, ctx: &Context) -> bool {
-        self.fleet.is_known() && !self.is_stopping && self.knows_agents(ctx)
+        self.fleet.is_known() && !self.is_stopping && self.hears_agents(ctx)
     }
 
-    /// Tells whether the roster is as long as those of the other balancers.
+    /// Tells whether this balancer hears as many agents as any other one.
     ///
-    /// After [`FlowSettings::roster_wait_ms`] any agent will do, since other balancers also count
-    /// agents that are gone.
+    /// After [`FlowSettings::roster_wait_ms`] any agent will do: a cut may keep others away.
+    fn hears_agents(&self, ctx: &Context) -> bool {
+        let most = self.peers.most(|beat| beat.live_agents);
+        self.is_enough(self.live_agents(ctx.now_ms), most, ctx)
+    }
+
+    /// Tells whether this balancer has heard as many agents as any other one, those included that
+    /// others have not heard for a while.
     fn knows_agents(&self, ctx: &Context) -> bool {
-        let known = self.roster.len();
+        let most = self.peers.most(|beat| beat.agents);
+        self.is_enough(self.roster.len(), most, ctx)
+    }
+
+    fn is_enough(&self, known: usize, most: Option<u16>, ctx: &Context) -> bool {
         if ctx.now_ms >= self.started_ms + self.settings.roster_wait_ms {
             return known > 0;
         }
-        let most = self.peers.most_agents();
         known > 0 && most.is_some_and(|most| known >= usize::from(most))
     }
 
+    fn live_agents(&self, now_ms: u64) -> usize {
+        let limit_ms = self.settings.suspect_after_ms;
+        let live = self.roster.iter().filter(|(agent, state)| {
+            let liveness = &self.liveness;
+            !liveness.is_silent(**agent, state, limit_ms, &self.settings, now_ms)
+        });
+        live.count()
+    }
+
     /// Returns the settings in force.
     pub const fn fleet(&self) -> &FleetSettings {
         &self.fleet
@@ -394,3 +414,7 @@
         }
     }
 }
+
+fn count(agents: usize) -> u16 {
+    u16::try_from(agents).unwrap_or(u16::MAX)
+}
--- a/crates/basilstep-core/src/flows/balancer/state/searching.rs
+++ b/crates/basilstep-core/src/flows/balancer/state/searching.rs
@@ -51,7 +51,7 @@
         // two targets may have answered copies of the opening packet. A hint that made room for
         // another one was told and is unknown now.
         let since_ms = now_ms.saturating_sub(self.settings.hint_idle_ms);
-        let may_infer = refused_by.is_empty() && self.hints.is_complete_since(since_ms);
+        let may_infer = !self.searches.is_misled(flow) && self.hints.is_complete_since(since_ms);
         let mut services: BTreeSet<ServiceTag> =
             route.shares.iter().map(|share| share.service).collect();
         services.extend(self.former_services.get(&flow.entry).into_iter().flatten());
@@ -133,12 +133,16 @@
 
     /// Tells whether an answer of all known agents is an answer of all agents.
     ///
-    /// Callers of idempotent requests only lose a moment by a wrong reset, so it comes early there.
+    /// Callers of idempotent requests only lose a moment by a wrong reset, so it comes early there,
+    /// and agents that nobody hears any more are not waited for.
     pub(super) fn may_reset(&self, kind: RequestKind, ctx: &Context) -> bool {
-        let settle_ms = match kind {
-            RequestKind::Idempotent => self.settings.settle_ms,
-            RequestKind::NonIdempotent => self.settings.settle_non_idempotent_ms,
+        let (settle_ms, is_heard) = match kind {
+            RequestKind::Idempotent => (self.settings.settle_ms, self.hears_agents(ctx)),
+            RequestKind::NonIdempotent => (
+                self.settings.settle_non_idempotent_ms,
+                self.knows_agents(ctx),
+            ),
         };
-        ctx.now_ms >= self.settled_from_ms + settle_ms && self.knows_agents(ctx)
+        ctx.now_ms >= self.settled_from_ms + settle_ms && is_heard
     }
 }
--- a/crates/basilstep-core/src/flows/frame.rs
+++ b/crates/basilstep-core/src/flows/frame.rs
@@ -158,8 +158,10 @@
     pub revision: u64,
     /// It stops now.
     pub is_stopping: bool,
-    /// How many agents it has heard.
+    /// How many agents it has heard, and has not forgotten.
     pub agents: u16,
+    /// How many of them it hears.
+    pub live_agents: u16,
     /// A hash of the list of balancers.
     pub balancers_hash: u32,
 }
--- a/crates/basilstep-core/src/flows/tests/balancer.rs
+++ b/crates/basilstep-core/src/flows/tests/balancer.rs
@@ -6,7 +6,8 @@
     address::DomainId,
     codes::ResultCode,
     flows::{
-        AgentReport, BalancerFlows, FlowSettings, RequestKind, Returned, Segment, TargetPhase,
+        AgentReport, BalancerBeat, BalancerFlows, FlowSettings, RequestKind, Returned, Segment,
+        TargetPhase,
         balancer::{Leg, Verdict},
     },
 };
@@ -389,6 +390,41 @@
     assert_eq!(chosen(&verdict), 1);
 }
 
+/// Power was lost everywhere: the first agents that are back are asked, the others come one by one.
+#[test]
+fn no_of_an_agent_does_not_make_all_that_have_told_all_be_asked() {
+    let (mut balancer, _) = balancer_with(1, RequestKind::Idempotent);
+    let packet = data(flow(1), 100);
+    assert_eq!(searched(balancer.on_packet(&packet, &context(10_000))), [1]);
+    refuse(&mut balancer, 1, &packet, 10_005);
+    told_all(&mut balancer, 2, 0, 10_010);
+    told_all(&mut balancer, 3, 0, 10_010);
+    assert_eq!(balancer.on_tick(&context(10_050)).lost.len(), 1);
+}
+
+/// Power was lost in most places; balancers that kept it still remember agents that are gone.
+#[rstest]
+#[case::idempotent(RequestKind::Idempotent, 1)]
+#[case::not_idempotent(RequestKind::NonIdempotent, 0)]
+fn agents_that_nobody_hears_are_waited_for_only_if_the_request_may_have_run(
+    #[case] kind: RequestKind,
+    #[case] lost: usize,
+) {
+    let (mut balancer, _) = balancer_with_settings(FlowSettings::default(), 0, kind);
+    balancer.on_report(agent_ip(1), report(TargetPhase::Serving), &context(2_400));
+    let others = BalancerBeat {
+        agents: 5,
+        live_agents: 1,
+        ..beat(0)
+    };
+    balancer.on_beat(balancer_ip(2), &others, &context(2_400));
+    assert!(balancer.is_ready(&context(2_400)));
+    let packet = data(flow(1), 100);
+    balancer.on_packet(&packet, &context(2_400));
+    refuse(&mut balancer, 1, &packet, 2_410);
+    assert_eq!(balancer.on_tick(&context(2_450)).lost.len(), lost);
+}
+
 /// The agent may have taken back since that it tells all flows; the report that said so is lost.
 #[test]
 fn agent_whose_last_report_is_old_is_asked_although_it_told_all() {
--- a/crates/basilstep-core/src/flows/tests/fleet.rs
+++ b/crates/basilstep-core/src/flows/tests/fleet.rs
@@ -233,7 +233,7 @@
         let beats: Vec<_> = self
             .balancers
             .iter()
-            .map(|(ip, balancer)| (*ip, balancer.beat()))
+            .map(|(ip, balancer)| (*ip, balancer.beat(&ctx)))
             .collect();
         for (ip, balancer) in &mut self.balancers {
             for (peer, beat) in beats.iter().filter(|(peer, _)| peer != ip) {
--- a/crates/basilstep-core/src/flows/tests/mod.rs
+++ b/crates/basilstep-core/src/flows/tests/mod.rs
@@ -180,6 +180,7 @@
         revision: 1,
         is_stopping: false,
         agents,
+        live_agents: agents,
         balancers_hash: 0,
     }
 }
--- a/crates/basilstep-packet/src/balancer/frames.rs
+++ b/crates/basilstep-packet/src/balancer/frames.rs
@@ -112,7 +112,7 @@
         let is_new = self.flows.on_beat(peer, beat, &self.ctx);
         if is_new {
             log::info!(balancer:% = peer, lifetime = beat.lifetime.0; "a balancer is there");
-            let own = Frame::Beat(self.flows.beat());
+            let own = Frame::Beat(self.flows.beat(&self.ctx));
             self.tell(peer, &own);
             self.introduce_to_agents();
         }
--- a/crates/basilstep-packet/src/balancer/serve.rs
+++ b/crates/basilstep-packet/src/balancer/serve.rs
@@ -172,7 +172,7 @@
 
     /// Makes this balancer known to the seeds.
     fn greet(&mut self) {
-        let beat = Frame::Beat(self.flows.beat());
+        let beat = Frame::Beat(self.flows.beat(&self.ctx));
         for seed in self.machine.seeds.clone() {
             if seed != self.machine.ip {
                 self.tell(seed, &beat);
@@ -204,7 +204,7 @@
         match news {
             StoreNews::Settings(settings) => self.adopt(settings, "store"),
             StoreNews::Balancers(ips) => {
-                let beat = Frame::Beat(self.flows.beat());
+                let beat = Frame::Beat(self.flows.beat(&self.ctx));
                 let known: Vec<Ipv4Addr> = self.flows.peers().addresses().collect();
                 for ip in ips {
                     if ip != self.machine.ip && !known.contains(&ip) {
@@ -256,7 +256,7 @@
 
     pub(super) fn send_beats(&mut self, round: Round) {
         self.next_beat_ms = self.ctx.now_ms + self.settings.report_interval_ms;
-        let beat = Frame::Beat(self.flows.beat());
+        let beat = Frame::Beat(self.flows.beat(&self.ctx));
         for peer in self.flows.due_beats(round) {
             self.tell(peer, &beat);
         }
@@ -285,7 +285,7 @@
         if self.leave_at_ms.is_none_or(|at_ms| self.ctx.now_ms < at_ms) {
             return false;
         }
-        let goodbye = Frame::Beat(self.flows.goodbye());
+        let goodbye = Frame::Beat(self.flows.goodbye(&self.ctx));
         let mut told: Vec<Ipv4Addr> = self.flows.peers().addresses().collect();
         told.extend(self.flows.roster().iter().map(|(ip, _)| *ip));
         for ip in told {
