fix(bench): the demo's counts of requests add up, each attempt with one end

Requests sent differed from answers, refusals, unknown outcomes and losses by -5 to +1. Cause: boards that were refused counted as refused requests, though their opening was never counted as sent, and a damaged or foreign line of a board counted as an answer. Boards have counts of their own now, and the demo breaks a promise when an attempt has no end or two.

--- a/crates/basilstep-bench/src/demo/counts.rs
+++ b/crates/basilstep-bench/src/demo/counts.rs
@@ -168,7 +168,14 @@
             ("an established flow survives", callers.flows_broken),
             ("a board loses no line", callers.board_gaps),
             ("no planned stop cuts a request", callers.boards_cut),
-            ("a caller gets its own whole answer", callers.answers_wrong),
+            (
+                "a caller gets its own whole answer",
+                callers.answers_wrong + callers.board_lines_wrong,
+            ),
+            (
+                "each attempt has one end (difference)",
+                callers.requests_sent.abs_diff(callers.attempts_ended()),
+            ),
             ("no packet reaches another service", self.misrouted_packets),
             ("an offer runs at most once", self.ran_twice),
             (
--- a/crates/basilstep-bench/src/demo/run.rs
+++ b/crates/basilstep-bench/src/demo/run.rs
@@ -267,7 +267,8 @@
         self.result.compare_offers(&endings, &runs);
         let readings = self.observer.targets(&self.plan.targets).await?;
         let result = &mut self.result;
-        result.misrouted_packets = result.callers.answers_foreign;
+        result.misrouted_packets =
+            result.callers.answers_foreign + result.callers.board_lines_foreign;
         for reading in &readings {
             result.misrouted_packets += reading.counts.misrouted;
             result.targets_fell_over += reading.counts.fell_over;
--- a/crates/basilstep-bench/src/demo/tests.rs
+++ b/crates/basilstep-bench/src/demo/tests.rs
@@ -6,6 +6,7 @@
 fn kept() -> DemoResult {
     let mut result = DemoResult::default();
     result.callers.answers_whole = 1;
+    result.callers.requests_sent = 1;
     result.requests_to_returned_domain = Some(1);
     result.imbalance_max_over_mean = 1.0;
     result
@@ -22,7 +23,13 @@
 #[case::flow(|result: &mut DemoResult| result.callers.flows_broken = 1)]
 #[case::line(|result: &mut DemoResult| result.callers.board_gaps = 1)]
 #[case::cut(|result: &mut DemoResult| result.callers.boards_cut = 1)]
-#[case::wrong(|result: &mut DemoResult| result.callers.answers_wrong = 1)]
+#[case::wrong(|result: &mut DemoResult| {
+    result.callers.answers_wrong = 1;
+    result.callers.requests_sent = 2;
+})]
+#[case::wrong_line(|result: &mut DemoResult| result.callers.board_lines_wrong = 1)]
+#[case::attempt_without_an_end(|result: &mut DemoResult| result.callers.requests_sent = 2)]
+#[case::attempt_with_two_ends(|result: &mut DemoResult| result.callers.refused_not_run = 1)]
 #[case::misrouted(|result: &mut DemoResult| result.misrouted_packets = 1)]
 #[case::twice(|result: &mut DemoResult| result.ran_twice = 1)]
 #[case::ran(|result: &mut DemoResult| result.not_run_but_ran = 1)]
@@ -50,7 +57,10 @@
     |result: &mut DemoResult| result.requests_to_agent_without_store = Some(1)
 )]
 #[case::imbalance(|result: &mut DemoResult| result.imbalance_max_over_mean = 1.6)]
-#[case::silence(|result: &mut DemoResult| result.callers.answers_whole = 0)]
+#[case::silence(|result: &mut DemoResult| {
+    result.callers.answers_whole = 0;
+    result.callers.answers_lost = 1;
+})]
 #[case::no_return(|result: &mut DemoResult| result.requests_to_returned_domain = Some(0))]
 fn each_broken_promise_is_named(#[case] break_it: fn(&mut DemoResult)) {
     let mut result = kept();
--- a/crates/basilstep-bench/src/standins/caller/counts.rs
+++ b/crates/basilstep-bench/src/standins/caller/counts.rs
@@ -34,7 +34,7 @@
     pub answers_whole: u64,
     /// Answers that came damaged or belong to another request.
     pub answers_wrong: u64,
-    /// Answers of a target of another service.
+    /// Whole answers of a target of another service.
     pub answers_foreign: u64,
     /// Attempts that were refused as not run.
     pub refused_not_run: u64,
@@ -48,8 +48,14 @@
     pub target_errors: u64,
     /// Boards that were opened.
     pub boards_opened: u64,
+    /// Boards that were not opened: refused, of unknown outcome, or failed at the target.
+    pub boards_not_opened: u64,
     /// Lines of boards.
     pub board_lines: u64,
+    /// Lines of boards that were damaged or belong to another caller's board.
+    pub board_lines_wrong: u64,
+    /// Lines of boards of a target of another service.
+    pub board_lines_foreign: u64,
     /// Lines of boards that were missing or repeated.
     pub board_gaps: u64,
     /// Boards that ended while their flow was alive.
@@ -62,7 +68,7 @@
     pub longest_board_gap_ms: u64,
     /// The slowest answer, in ms.
     pub slowest_answer_ms: u64,
-    /// Refusals and unknown outcomes by result code.
+    /// Refusals and unknown outcomes of requests and boards by result code.
     pub codes: BTreeMap<u16, u64>,
     /// What was seen at failures, the first few of each kind.
     pub remarks: BTreeMap<Remark, Vec<String>>,
@@ -160,6 +166,17 @@
 }
 
 impl CallerCounts {
+    /// Returns the ends of attempts; each attempt has exactly one.
+    pub const fn attempts_ended(&self) -> u64 {
+        self.answers_whole
+            + self.answers_wrong
+            + self.answers_foreign
+            + self.refused_not_run
+            + self.outcome_unknown
+            + self.answers_lost
+            + self.target_errors
+    }
+
     /// Keeps a remark with the time in ms since the epoch, as in the logs of the processes.
     pub fn remark(&mut self, kind: Remark, text: &str) {
         let own = self.remarks.entry(kind).or_default();
--- a/crates/basilstep-bench/src/standins/caller/operation.rs
+++ b/crates/basilstep-bench/src/standins/caller/operation.rs
@@ -205,7 +205,7 @@
         tally.count(|counts| {
             counts.answers_whole += u64::from(whole && !foreign);
             counts.answers_wrong += u64::from(!whole);
-            counts.answers_foreign += u64::from(foreign);
+            counts.answers_foreign += u64::from(whole && foreign);
             if !whole {
                 let length = answer.body.len();
                 counts.remark(
--- a/crates/basilstep-bench/src/standins/caller/session.rs
+++ b/crates/basilstep-bench/src/standins/caller/session.rs
@@ -317,15 +317,14 @@
         let board = opened.ok()?.ok()?;
         if let Some(code) = board.head.code {
             self.tally.count(|counts| {
-                counts.refused_not_run += u64::from(code.is_not_run());
-                counts.outcome_unknown += u64::from(code.is_outcome_unknown());
+                counts.boards_not_opened += 1;
                 counts.code(code.number());
             });
             time::sleep(board.head.retry_after.unwrap_or(BOARD_PAUSE)).await;
             return None;
         }
         if board.head.status != 200 {
-            self.tally.count(|counts| counts.target_errors += 1);
+            self.tally.count(|counts| counts.boards_not_opened += 1);
             return None;
         }
         self.tally.count(|counts| counts.boards_opened += 1);
@@ -360,12 +359,12 @@
         self.tally.count(|counts| {
             counts.longest_board_gap_ms = counts.longest_board_gap_ms.max(gap_ms);
             let Some(line) = own else {
-                counts.answers_wrong += 1;
+                counts.board_lines_wrong += 1;
                 return;
             };
             counts.board_lines += 1;
             counts.board_gaps += u64::from(line.sequence != *expected);
-            counts.answers_foreign += u64::from(line.service != self.settings.service);
+            counts.board_lines_foreign += u64::from(line.service != self.settings.service);
             *expected = line.sequence + 1;
             drop(self.target.set(line.target));
         });
