fix(flows): do not wait for a target that nobody has heard, if the caller gains

A balancer waits 200 ms for such agents, and then takes their silence for a no, for idempotent requests only.

Test: target_that_nobody_has_heard_is_not_waited_for_if_the_caller_gains.

--- a/crates/basilstep-core/src/flows/balancer/search.rs
+++ b/crates/basilstep-core/src/flows/balancer/search.rs
@@ -24,6 +24,10 @@
 /// How long word of a new flow may be under way from its agent; across a domain it needs 2 ms.
 const TELL_MS: u64 = 40;
 
+/// How long a target that its agent has not heard may take to say that it does not hold a flow; one
+/// that is there does so in milliseconds.
+const UNHEARD_TARGET_MS: u64 = 200;
+
 /// How long the answers of all agents may take; across a domain they need a few milliseconds.
 const ANSWER_WITHIN_MS: u64 = 100;
 
@@ -33,6 +37,11 @@
         !self.refused_by.is_empty() || now_ms >= self.started_ms + TELL_MS
     }
 
+    /// Tells whether targets that their agents have not heard would have answered by now.
+    pub const fn is_answered_by_unheard_targets(&self, now_ms: u64) -> bool {
+        now_ms >= self.started_ms + UNHEARD_TARGET_MS
+    }
+
     /// Tells whether a packet may go to all agents that have not answered, and notes that it does.
     pub fn may_ask(&mut self, now_ms: u64) -> bool {
         let is_pending = self
@@ -75,11 +84,9 @@
             .unwrap_or_default()
     }
 
-    /// Tells whether an agent that was hinted at does not hold a flow.
-    pub fn is_misled(&self, flow: &FlowKey) -> bool {
-        self.searches
-            .get(flow)
-            .is_some_and(|search| search.is_misled)
+    /// Returns the search for a flow, if there is one.
+    pub fn get(&self, flow: &FlowKey) -> Option<&Search> {
+        self.searches.get(flow)
     }
 
     /// Returns the flows that are searched, but not those that are being opened.
--- a/crates/basilstep-core/src/flows/balancer/state/searching.rs
+++ b/crates/basilstep-core/src/flows/balancer/state/searching.rs
@@ -6,6 +6,7 @@
     context::Context,
     flows::{
         balancer::{Leg, Verdict},
+        frame::TargetPhase,
         key::{FlowKey, LostFlow, ServiceTag},
         routes::RequestKind,
     },
@@ -51,7 +52,10 @@
         // two targets may have answered copies of the opening packet. A hint that made room for
         // another one was told and is unknown now.
         let since_ms = now_ms.saturating_sub(self.settings.hint_idle_ms);
-        let may_infer = !self.searches.is_misled(flow) && self.hints.is_complete_since(since_ms);
+        let search = self.searches.get(flow);
+        let is_misled = search.is_some_and(|search| search.is_misled);
+        let may_infer = !is_misled && self.hints.is_complete_since(since_ms);
+        let is_overdue = search.is_some_and(|search| search.is_answered_by_unheard_targets(now_ms));
         let mut services: BTreeSet<ServiceTag> =
             route.shares.iter().map(|share| share.service).collect();
         services.extend(self.former_services.get(&flow.entry).into_iter().flatten());
@@ -60,6 +64,7 @@
             .flat_map(|service| self.roster.of_service(*service).map(|a| (a, *service)))
             .filter(|(agent, _)| !refused_by.contains(agent))
             .filter(|(agent, _)| !self.is_given_up(*agent, route.kind, now_ms))
+            .filter(|(agent, _)| !(is_overdue && self.has_no_target(*agent, route.kind)))
             .filter(|(agent, _)| !(may_infer && self.would_have_told(route.kind, *agent, now_ms)))
             .map(|(agent, service)| self.leg(agent, service, true))
             .collect();
@@ -80,6 +85,13 @@
         kind == RequestKind::Idempotent && is_told_all
     }
 
+    /// Tells whether an agent has not heard its target, which has probably not come back with it.
+    fn has_no_target(&self, agent: Ipv4Addr, kind: RequestKind) -> bool {
+        let state = self.roster.get(agent);
+        kind == RequestKind::Idempotent
+            && state.is_some_and(|state| state.report.phase == TargetPhase::Unknown)
+    }
+
     /// Ends the searches in which all agents have said no, now that this may be trusted.
     pub(super) fn settle_searches(&mut self, ctx: &Context) -> Vec<LostFlow> {
         let pending: Vec<LostFlow> = self
--- a/crates/basilstep-core/src/flows/tests/balancer.rs
+++ b/crates/basilstep-core/src/flows/tests/balancer.rs
@@ -402,6 +402,24 @@
     assert_eq!(balancer.on_tick(&context(10_050)).lost.len(), 1);
 }
 
+/// Power was lost everywhere, and one machine has come back without its target.
+#[rstest]
+#[case::idempotent(RequestKind::Idempotent, 1)]
+#[case::not_idempotent(RequestKind::NonIdempotent, 0)]
+fn target_that_nobody_has_heard_is_not_waited_for_if_the_caller_gains(
+    #[case] kind: RequestKind,
+    #[case] lost: usize,
+) {
+    let (mut balancer, _) = balancer_with(1, kind);
+    let unheard = report(TargetPhase::Unknown);
+    balancer.on_report(agent_ip(2), unheard, &context(10_000));
+    let packet = data(flow(1), 100);
+    balancer.on_packet(&packet, &context(10_000));
+    refuse(&mut balancer, 1, &packet, 10_005);
+    assert!(balancer.on_tick(&context(10_150)).lost.is_empty());
+    assert_eq!(balancer.on_tick(&context(10_200)).lost.len(), lost);
+}
+
 /// Power was lost in most places; balancers that kept it still remember agents that are gone.
 #[rstest]
 #[case::idempotent(RequestKind::Idempotent, 1)]
