fix(flows): remember how many agents others knew, also when those balancers start anew

Balancer 1 waited with its resets because balancer 2 knew six agents; that one's next run knew five, and the flows were reset at 100.73 s.

Ruled out: a longer wait before the first reset (any wait is shorter than some outage); resets never (flows of machines that are gone would wait for their callers' time limits).

Test: count_of_agents_outlives_the_balancer_that_told_it.

--- a/crates/basilstep-core/src/flows/balancer/state.rs
+++ b/crates/basilstep-core/src/flows/balancer/state.rs
@@ -47,6 +47,9 @@
     searches: Searches,
     parking: Parking,
     liveness: Liveness,
+    /// The most agents that another balancer has known since this one started; that one may have
+    /// started anew meanwhile.
+    most_agents: Option<u16>,
     started_ms: u64,
     settled_from_ms: u64,
     is_stopping: bool,
@@ -70,6 +73,7 @@
             searches: Searches::default(),
             parking: Parking::default(),
             liveness: Liveness::default(),
+            most_agents: None,
             started_ms: ctx.now_ms,
             settled_from_ms: ctx.now_ms,
             is_stopping: false,
@@ -214,6 +218,7 @@
     /// Takes a sign of life of another balancer; returns whether it, or its run, was not known.
     pub fn on_beat(&mut self, peer: Ipv4Addr, beat: &BalancerBeat, ctx: &Context) -> bool {
         if !beat.is_stopping {
+            self.most_agents = self.most_agents.max(Some(beat.agents));
             self.liveness.hear(peer, beat.domain, ctx.now_ms);
         }
         self.peers.hear(peer, beat, ctx.now_ms)
@@ -337,15 +342,14 @@
     ///
     /// After [`FlowSettings::roster_wait_ms`] any agent will do: a cut may keep others away.
     fn hears_agents(&self, ctx: &Context) -> bool {
-        let most = self.peers.most(|beat| beat.live_agents);
+        let most = self.peers.most_live_agents();
         self.is_enough(self.live_agents(ctx.now_ms), most, ctx)
     }
 
     /// Tells whether this balancer has heard as many agents as any other one, those included that
     /// others have not heard for a while.
     fn knows_agents(&self, ctx: &Context) -> bool {
-        let most = self.peers.most(|beat| beat.agents);
-        self.is_enough(self.roster.len(), most, ctx)
+        self.is_enough(self.roster.len(), self.most_agents, ctx)
     }
 
     fn is_enough(&self, known: usize, most: Option<u16>, ctx: &Context) -> bool {
--- a/crates/basilstep-core/src/flows/peers.rs
+++ b/crates/basilstep-core/src/flows/peers.rs
@@ -120,10 +120,10 @@
         self.peers.keys().copied()
     }
 
-    /// Returns the highest count in the last signs of life, if there is any.
-    pub fn most(&self, count: impl Fn(&BalancerBeat) -> u16) -> Option<u16> {
+    /// Returns the highest count of agents that are heard in the last signs of life, if there is any.
+    pub fn most_live_agents(&self) -> Option<u16> {
         let beats = self.peers.values().filter_map(|peer| peer.beat.as_ref());
-        beats.map(count).max()
+        beats.map(|beat| beat.live_agents).max()
     }
 
     /// Returns the balancers of a domain that are told about the flow with this hash.
--- a/crates/basilstep-core/src/flows/tests/balancer.rs
+++ b/crates/basilstep-core/src/flows/tests/balancer.rs
@@ -6,8 +6,8 @@
     address::DomainId,
     codes::ResultCode,
     flows::{
-        AgentReport, BalancerBeat, BalancerFlows, FlowSettings, RequestKind, Returned, Segment,
-        TargetPhase,
+        AgentReport, BalancerBeat, BalancerFlows, FlowSettings, Lifetime, RequestKind, Returned,
+        Segment, TargetPhase,
         balancer::{Leg, Verdict},
     },
 };
@@ -402,6 +402,24 @@
     assert_eq!(balancer.on_tick(&context(10_050)).lost.len(), 1);
 }
 
+/// All balancers start anew one after the other while an agent is down.
+#[test]
+fn count_of_agents_outlives_the_balancer_that_told_it() {
+    let settings = FlowSettings::default();
+    let (mut balancer, _) = balancer_with_settings(settings, 0, RequestKind::NonIdempotent);
+    balancer.on_report(agent_ip(1), report(TargetPhase::Serving), &context(1_600));
+    balancer.on_beat(balancer_ip(2), &beat(2), &context(1_600));
+    let restarted = BalancerBeat {
+        lifetime: Lifetime(78),
+        ..beat(1)
+    };
+    balancer.on_beat(balancer_ip(2), &restarted, &context(1_700));
+    let packet = data(flow(1), 100);
+    balancer.on_packet(&packet, &context(1_700));
+    refuse(&mut balancer, 1, &packet, 1_705);
+    assert!(balancer.on_tick(&context(1_750)).lost.is_empty());
+}
+
 /// Power was lost everywhere, and one machine has come back without its target.
 #[rstest]
 #[case::idempotent(RequestKind::Idempotent, 1)]
--- a/crates/basilstep-packet/tests/processes/soak/mod.rs
+++ b/crates/basilstep-packet/tests/processes/soak/mod.rs
@@ -135,6 +135,7 @@
 #[rstest]
 #[case::second_target_ended_and_silent_agent_was_left_out(4)]
 #[case::hang_up_ended_a_process_that_started(10)]
+#[case::all_balancers_forgot_an_agent_that_was_down(111)]
 #[case::stand_in_took_flows_of_other_targets(2)]
 #[case::stand_in_took_flows_of_other_targets_for_long(21)]
 #[case::stand_ins_numbered_their_bytes_alike(49)]
