--- a/crates/basilstep-bench/src/load/steering/world.rs
+++ b/crates/basilstep-bench/src/load/steering/world.rs
@@ -1,20 +1,20 @@
+mod agents;
+mod balancers;
+
 use super::{
     callers::{Caller, entry},
     cases::{Case, Fault, FaultKind, Policy},
     figures::Figures,
-    target::{CAPACITY, Target},
+    target::Target,
 };
 use basilstep_core::{
     address::DomainId,
     context::Context,
     flows::{
-        AgentFlows, BalancerFlows, FleetSettings, FlowKey, FlowSettings, Frame, Lifetime, LostFlow,
-        Returned, Round, Route, Segment, ServiceLimits, ServiceShare, ServiceTag,
-        agent::{
-            AgentIdentity, CallerVerdict, ColdAllowance, Ping, PingState, SettingsSource,
-            TargetVerdict,
-        },
-        balancer::{BalancerIdentity, Leg, Verdict},
+        AgentFlows, BalancerFlows, FleetSettings, FlowSettings, Frame, Lifetime, Route, Segment,
+        ServiceLimits, ServiceShare, ServiceTag,
+        agent::{AgentIdentity, ColdAllowance, SettingsSource},
+        balancer::BalancerIdentity,
         encode_frame,
     },
 };
@@ -353,233 +353,6 @@
         }
     }
 
-    fn tick_agent(&mut self, number: usize, ctx: &Context) {
-        let machine = &mut self.machines[number];
-        if self.now_ms >= machine.born_ms + machine.pings * HEARTBEAT_MS {
-            machine.pings += 1;
-            let ping = Ping {
-                born_ms: machine.born_ms,
-                sequence: machine.pings,
-                state: PingState::Ready,
-                capacity: CAPACITY as u16,
-                warmup_left_ms: 0,
-            };
-            machine.agent.on_ping(&ping, ctx);
-        }
-        machine.agent.on_tick(ctx);
-        if self.now_ms.is_multiple_of(self.settings.report_interval_ms) {
-            let source = machine
-                .source
-                .next(machine.agent.peers(), domain_of(number));
-            let mut reports = machine.agent.due_reports(Round::Regular, source, ctx);
-            if reports.is_empty() {
-                let mut report = machine.agent.report(balancer_ip(number % BALANCERS), ctx);
-                report.wants_reply = true;
-                reports.push((balancer_ip(number % BALANCERS), report));
-            }
-            for (balancer, report) in reports {
-                self.tell_balancer(number, balancer, Frame::Report(report), None);
-            }
-        }
-        self.send_word(number);
-    }
-
-    fn send_word(&mut self, number: usize) {
-        for (balancer, held) in self.machines[number].agent.take_untold() {
-            self.tell_balancer(number, balancer, Frame::Held(held), None);
-        }
-    }
-
-    fn send_beats(&mut self) {
-        let ctx = self.context();
-        for number in 0..BALANCERS {
-            let beat = self.balancers[number].beat(&ctx);
-            for peer in 0..BALANCERS {
-                if peer != number {
-                    self.count_control(&Frame::Beat(beat));
-                    self.balancers[peer].on_beat(balancer_ip(number), &beat, &ctx);
-                }
-            }
-        }
-    }
-
-    fn on_balancer_frame(
-        &mut self,
-        number: usize,
-        agent: usize,
-        frame: Frame,
-        segment: Option<Segment>,
-    ) {
-        let ctx = self.context();
-        let balancer = &mut self.balancers[number];
-        match (frame, segment) {
-            (Frame::Report(report), _) => {
-                balancer.on_report(agent_ip(agent), report, &ctx);
-                if balancer.has_gap(agent_ip(agent)) {
-                    self.tell_agent(number, agent, Frame::TellAgain, None);
-                }
-                if report.wants_reply {
-                    let reply = self.balancers[number].reply_to(&report);
-                    let list = self.balancers[number].peers().entries(self.now_ms);
-                    self.tell_agent(number, agent, Frame::Reply(reply), None);
-                    self.tell_agent(number, agent, Frame::Balancers(list), None);
-                }
-            }
-            (Frame::Held(held), _) => balancer.on_held(agent_ip(agent), &held, &ctx),
-            (Frame::Returned(returned), Some(segment)) => {
-                let verdict = balancer.on_returned(agent_ip(agent), returned, &segment, &ctx);
-                self.carry_out(number, verdict, &segment);
-            }
-            _ => {}
-        }
-    }
-
-    fn carry_out(&mut self, balancer: usize, verdict: Verdict, segment: &Segment) {
-        match verdict {
-            Verdict::Forward(leg) => self.send_leg(balancer, &leg, segment),
-            Verdict::Search(legs) => {
-                for leg in legs {
-                    self.send_leg(balancer, &leg, segment);
-                }
-            }
-            Verdict::Reset { .. } => self.send_reset(&LostFlow {
-                flow: segment.flow_of_caller(),
-                sequence: segment.acknowledged,
-            }),
-            Verdict::Drop { code } => {
-                if segment.opens() {
-                    let ctx = self.context();
-                    self.balancers[balancer].park(segment, &[], code, &ctx);
-                }
-            }
-        }
-    }
-
-    fn send_leg(&mut self, balancer: usize, leg: &Leg, segment: &Segment) {
-        self.figures.carries += 1;
-        let agent = number_of(leg.agent);
-        if domain_of(agent) != domain_of(balancer) {
-            self.figures.cross_domain_bytes += PACKET_BYTES + u64::from(segment.data_bytes);
-        }
-        self.tell_agent(balancer, agent, Frame::Carry(leg.carry), Some(*segment));
-    }
-
-    fn send_reset(&mut self, lost: &LostFlow) {
-        let FlowKey { caller, entry } = lost.flow;
-        let reset = Segment {
-            source: entry,
-            destination: caller,
-            flags: basilstep_core::flows::Flags {
-                rst: true,
-                ..Default::default()
-            },
-            sequence: lost.sequence,
-            acknowledged: 0,
-            data_bytes: 0,
-            cookie: 0,
-        };
-        self.at(self.now_ms + NEAR_MS, Event::ToCaller(reset));
-    }
-
-    fn on_agent_frame(
-        &mut self,
-        number: usize,
-        balancer: usize,
-        frame: &Frame,
-        segment: Option<Segment>,
-    ) {
-        if !self.machines[number].is_on {
-            return;
-        }
-        let ctx = self.context();
-        let machine = &mut self.machines[number];
-        match (frame, segment) {
-            (Frame::Carry(carry), Some(segment)) => {
-                match machine.agent.on_packet(carry, &segment, &ctx) {
-                    CallerVerdict::Deliver { cookie } => {
-                        self.deliver(number, &Segment { cookie, ..segment });
-                    }
-                    CallerVerdict::Return { code } => {
-                        let returned = Frame::Returned(Returned {
-                            code,
-                            service: carry.service,
-                        });
-                        let to = balancer_ip(balancer);
-                        self.tell_balancer(number, to, returned, Some(segment));
-                    }
-                }
-            }
-            (Frame::Reply(reply), _) => {
-                machine.source.on_reply(self.now_ms);
-                machine.agent.on_reply(reply);
-            }
-            (Frame::Balancers(list), _) => {
-                machine.agent.on_balancers(list, &ctx);
-                machine.agent.peers_mut().confirm(self.now_ms);
-            }
-            (Frame::TellAgain, _) => machine.agent.tell_again(balancer_ip(balancer), &ctx),
-            _ => {}
-        }
-        self.send_word(number);
-    }
-
-    /// Does what a target does with a packet.
-    fn deliver(&mut self, number: usize, segment: &Segment) {
-        let machine = &mut self.machines[number];
-        let lifetime = machine.lifetime;
-        let mut reply = Segment {
-            source: segment.destination,
-            destination: segment.source,
-            flags: segment.flags,
-            sequence: lifetime.0 << 20,
-            acknowledged: segment.end_sequence(),
-            data_bytes: 0,
-            cookie: 0,
-        };
-        let mut ready_ms = self.now_ms;
-        if segment.opens() {
-            machine.target.held.insert(segment.flow_of_caller());
-            reply.flags.ack = true;
-        } else if machine.target.holds(segment) {
-            reply.sequence += 1;
-            reply.data_bytes = 200;
-            ready_ms = machine.target.work(self.now_ms);
-        } else {
-            reply = *segment;
-            reply.flags.bounced = true;
-        }
-        self.at(ready_ms, Event::FromTarget(number, lifetime, reply));
-    }
-
-    fn on_target_packet(&mut self, number: usize, lifetime: Lifetime, segment: &Segment) {
-        let machine = &mut self.machines[number];
-        if !machine.is_on || machine.lifetime != lifetime {
-            return;
-        }
-        if let Some(backlog) = &mut machine.backlog {
-            backlog.push(Event::FromTarget(number, lifetime, *segment));
-            return;
-        }
-        let mut ctx = Context::new(1);
-        ctx.now_ms = self.now_ms;
-        match machine.agent.on_target_packet(segment, &ctx) {
-            TargetVerdict::ToCaller { .. } => {
-                self.at(self.now_ms + NEAR_MS, Event::ToCaller(*segment));
-            }
-            TargetVerdict::Drop => {}
-            TargetVerdict::Return { origin, code } => {
-                let returned = Frame::Returned(Returned {
-                    code,
-                    service: service(),
-                });
-                let mut segment = *segment;
-                segment.flags.bounced = false;
-                self.tell_balancer(number, origin, returned, Some(segment));
-            }
-        }
-        self.send_word(number);
-    }
-
     fn tell_balancer(
         &mut self,
         agent: usize,
--- /dev/null
+++ b/crates/basilstep-bench/src/load/steering/world/agents.rs
@@ -0,0 +1,154 @@
+//! What agents and their targets do.
+
+use super::{BALANCERS, Event, HEARTBEAT_MS, NEAR_MS, World, balancer_ip, domain_of, service};
+use crate::load::steering::target::CAPACITY;
+use basilstep_core::{
+    context::Context,
+    flows::{
+        Frame, Lifetime, Returned, Round, Segment,
+        agent::{CallerVerdict, Ping, PingState, TargetVerdict},
+    },
+};
+
+impl World {
+    pub(super) fn tick_agent(&mut self, number: usize, ctx: &Context) {
+        let machine = &mut self.machines[number];
+        if self.now_ms >= machine.born_ms + machine.pings * HEARTBEAT_MS {
+            machine.pings += 1;
+            let ping = Ping {
+                born_ms: machine.born_ms,
+                sequence: machine.pings,
+                state: PingState::Ready,
+                capacity: CAPACITY as u16,
+                warmup_left_ms: 0,
+            };
+            machine.agent.on_ping(&ping, ctx);
+        }
+        machine.agent.on_tick(ctx);
+        if self.now_ms.is_multiple_of(self.settings.report_interval_ms) {
+            let source = machine
+                .source
+                .next(machine.agent.peers(), domain_of(number));
+            let mut reports = machine.agent.due_reports(Round::Regular, source, ctx);
+            if reports.is_empty() {
+                let mut report = machine.agent.report(balancer_ip(number % BALANCERS), ctx);
+                report.wants_reply = true;
+                reports.push((balancer_ip(number % BALANCERS), report));
+            }
+            for (balancer, report) in reports {
+                self.tell_balancer(number, balancer, Frame::Report(report), None);
+            }
+        }
+        self.send_word(number);
+    }
+
+    pub(super) fn send_word(&mut self, number: usize) {
+        for (balancer, held) in self.machines[number].agent.take_untold() {
+            self.tell_balancer(number, balancer, Frame::Held(held), None);
+        }
+    }
+
+    pub(super) fn on_agent_frame(
+        &mut self,
+        number: usize,
+        balancer: usize,
+        frame: &Frame,
+        segment: Option<Segment>,
+    ) {
+        if !self.machines[number].is_on {
+            return;
+        }
+        let ctx = self.context();
+        let machine = &mut self.machines[number];
+        match (frame, segment) {
+            (Frame::Carry(carry), Some(segment)) => {
+                match machine.agent.on_packet(carry, &segment, &ctx) {
+                    CallerVerdict::Deliver { cookie } => {
+                        self.deliver(number, &Segment { cookie, ..segment });
+                    }
+                    CallerVerdict::Return { code } => {
+                        let returned = Frame::Returned(Returned {
+                            code,
+                            service: carry.service,
+                        });
+                        let to = balancer_ip(balancer);
+                        self.tell_balancer(number, to, returned, Some(segment));
+                    }
+                }
+            }
+            (Frame::Reply(reply), _) => {
+                machine.source.on_reply(self.now_ms);
+                machine.agent.on_reply(reply);
+            }
+            (Frame::Balancers(list), _) => {
+                machine.agent.on_balancers(list, &ctx);
+                machine.agent.peers_mut().confirm(self.now_ms);
+            }
+            (Frame::TellAgain, _) => machine.agent.tell_again(balancer_ip(balancer), &ctx),
+            _ => {}
+        }
+        self.send_word(number);
+    }
+
+    /// Does what a target does with a packet.
+    pub(super) fn deliver(&mut self, number: usize, segment: &Segment) {
+        let machine = &mut self.machines[number];
+        let lifetime = machine.lifetime;
+        let mut reply = Segment {
+            source: segment.destination,
+            destination: segment.source,
+            flags: segment.flags,
+            sequence: lifetime.0 << 20,
+            acknowledged: segment.end_sequence(),
+            data_bytes: 0,
+            cookie: 0,
+        };
+        let mut ready_ms = self.now_ms;
+        if segment.opens() {
+            machine.target.held.insert(segment.flow_of_caller());
+            reply.flags.ack = true;
+        } else if machine.target.holds(segment) {
+            reply.sequence += 1;
+            reply.data_bytes = 200;
+            ready_ms = machine.target.work(self.now_ms);
+        } else {
+            reply = *segment;
+            reply.flags.bounced = true;
+        }
+        self.at(ready_ms, Event::FromTarget(number, lifetime, reply));
+    }
+
+    pub(super) fn on_target_packet(
+        &mut self,
+        number: usize,
+        lifetime: Lifetime,
+        segment: &Segment,
+    ) {
+        let machine = &mut self.machines[number];
+        if !machine.is_on || machine.lifetime != lifetime {
+            return;
+        }
+        if let Some(backlog) = &mut machine.backlog {
+            backlog.push(Event::FromTarget(number, lifetime, *segment));
+            return;
+        }
+        let mut ctx = Context::new(1);
+        ctx.now_ms = self.now_ms;
+        match machine.agent.on_target_packet(segment, &ctx) {
+            TargetVerdict::ToCaller { .. } => {
+                self.at(self.now_ms + NEAR_MS, Event::ToCaller(*segment));
+            }
+            TargetVerdict::Drop => {}
+            TargetVerdict::Return { origin, code } => {
+                let returned = Frame::Returned(Returned {
+                    code,
+                    service: service(),
+                });
+                let mut segment = *segment;
+                segment.flags.bounced = false;
+                self.tell_balancer(number, origin, returned, Some(segment));
+            }
+        }
+        self.send_word(number);
+    }
+}
--- /dev/null
+++ b/crates/basilstep-bench/src/load/steering/world/balancers.rs
@@ -0,0 +1,102 @@
+//! What balancers do.
+
+use super::{
+    BALANCERS, Event, NEAR_MS, PACKET_BYTES, World, agent_ip, balancer_ip, domain_of, number_of,
+};
+use basilstep_core::flows::{
+    Flags, FlowKey, Frame, LostFlow, Segment,
+    balancer::{Leg, Verdict},
+};
+
+impl World {
+    pub(super) fn send_beats(&mut self) {
+        let ctx = self.context();
+        for number in 0..BALANCERS {
+            let beat = self.balancers[number].beat(&ctx);
+            for peer in 0..BALANCERS {
+                if peer != number {
+                    self.count_control(&Frame::Beat(beat));
+                    self.balancers[peer].on_beat(balancer_ip(number), &beat, &ctx);
+                }
+            }
+        }
+    }
+
+    pub(super) fn on_balancer_frame(
+        &mut self,
+        number: usize,
+        agent: usize,
+        frame: Frame,
+        segment: Option<Segment>,
+    ) {
+        let ctx = self.context();
+        let balancer = &mut self.balancers[number];
+        match (frame, segment) {
+            (Frame::Report(report), _) => {
+                balancer.on_report(agent_ip(agent), report, &ctx);
+                if balancer.has_gap(agent_ip(agent)) {
+                    self.tell_agent(number, agent, Frame::TellAgain, None);
+                }
+                if report.wants_reply {
+                    let reply = self.balancers[number].reply_to(&report);
+                    let list = self.balancers[number].peers().entries(self.now_ms);
+                    self.tell_agent(number, agent, Frame::Reply(reply), None);
+                    self.tell_agent(number, agent, Frame::Balancers(list), None);
+                }
+            }
+            (Frame::Held(held), _) => balancer.on_held(agent_ip(agent), &held, &ctx),
+            (Frame::Returned(returned), Some(segment)) => {
+                let verdict = balancer.on_returned(agent_ip(agent), returned, &segment, &ctx);
+                self.carry_out(number, verdict, &segment);
+            }
+            _ => {}
+        }
+    }
+
+    pub(super) fn carry_out(&mut self, balancer: usize, verdict: Verdict, segment: &Segment) {
+        match verdict {
+            Verdict::Forward(leg) => self.send_leg(balancer, &leg, segment),
+            Verdict::Search(legs) => {
+                for leg in legs {
+                    self.send_leg(balancer, &leg, segment);
+                }
+            }
+            Verdict::Reset { .. } => self.send_reset(&LostFlow {
+                flow: segment.flow_of_caller(),
+                sequence: segment.acknowledged,
+            }),
+            Verdict::Drop { code } => {
+                if segment.opens() {
+                    let ctx = self.context();
+                    self.balancers[balancer].park(segment, &[], code, &ctx);
+                }
+            }
+        }
+    }
+
+    pub(super) fn send_leg(&mut self, balancer: usize, leg: &Leg, segment: &Segment) {
+        self.figures.carries += 1;
+        let agent = number_of(leg.agent);
+        if domain_of(agent) != domain_of(balancer) {
+            self.figures.cross_domain_bytes += PACKET_BYTES + u64::from(segment.data_bytes);
+        }
+        self.tell_agent(balancer, agent, Frame::Carry(leg.carry), Some(*segment));
+    }
+
+    pub(super) fn send_reset(&mut self, lost: &LostFlow) {
+        let FlowKey { caller, entry } = lost.flow;
+        let reset = Segment {
+            source: entry,
+            destination: caller,
+            flags: Flags {
+                rst: true,
+                ..Default::default()
+            },
+            sequence: lost.sequence,
+            acknowledged: 0,
+            data_bytes: 0,
+            cookie: 0,
+        };
+        self.at(self.now_ms + NEAR_MS, Event::ToCaller(reset));
+    }
+}
--- a/crates/basilstep-core/src/flows/balancer/state/searching.rs
+++ b/crates/basilstep-core/src/flows/balancer/state/searching.rs
@@ -5,7 +5,7 @@
     codes::ResultCode,
     context::Context,
     flows::{
-        balancer::{Leg, Verdict},
+        balancer::{AgentState, Leg, Verdict},
         frame::TargetPhase,
         key::{FlowKey, LostFlow, ServiceTag},
         routes::RequestKind,
@@ -48,14 +48,6 @@
     fn unanswered(&self, flow: &FlowKey, now_ms: u64) -> Option<Unanswered> {
         let route = self.fleet.table.routes.get(&flow.entry)?;
         let refused_by = self.searches.refused_by(flow);
-        // An agent that was hinted at and said no shows that what was told is not the whole truth:
-        // two targets may have answered copies of the opening packet. A hint that made room for
-        // another one was told and is unknown now.
-        let since_ms = now_ms.saturating_sub(self.settings.hint_idle_ms);
-        let search = self.searches.get(flow);
-        let is_misled = search.is_some_and(|search| search.is_misled);
-        let may_infer = !is_misled && self.hints.is_complete_since(since_ms);
-        let is_overdue = search.is_some_and(|search| search.is_answered_by_unheard_targets(now_ms));
         let mut services: BTreeSet<ServiceTag> =
             route.shares.iter().map(|share| share.service).collect();
         services.extend(self.former_services.get(&flow.entry).into_iter().flatten());
@@ -63,9 +55,10 @@
             .iter()
             .flat_map(|service| self.roster.of_service(*service).map(|a| (a, *service)))
             .filter(|(agent, _)| !refused_by.contains(agent))
-            .filter(|(agent, _)| !self.is_given_up(*agent, route.kind, now_ms))
-            .filter(|(agent, _)| !(is_overdue && self.has_no_target(*agent, route.kind)))
-            .filter(|(agent, _)| !(may_infer && self.would_have_told(route.kind, *agent, now_ms)))
+            .filter(|(agent, _)| {
+                let gains_by_reset = route.kind == RequestKind::Idempotent;
+                !(gains_by_reset && self.needs_no_asking(*agent, flow, now_ms))
+            })
             .map(|(agent, service)| self.leg(agent, service, true))
             .collect();
         Some(Unanswered {
@@ -74,22 +67,36 @@
         })
     }
 
-    /// Tells whether an agent needs no asking, because it has told this balancer all its flows.
+    /// Tells whether an agent probably does not hold a flow: it is silent, has told all its flows, or
+    /// its target has not been heard and does not answer.
+    ///
+    /// Callers of idempotent requests lose little when that is wrong, as when word of a new flow is
+    /// still under way.
+    fn needs_no_asking(&self, agent: Ipv4Addr, flow: &FlowKey, now_ms: u64) -> bool {
+        let Some(state) = self.roster.get(agent) else {
+            return true;
+        };
+        let search = self.searches.get(flow);
+        let is_overdue = search.is_some_and(|search| search.is_answered_by_unheard_targets(now_ms));
+        let is_without_target = is_overdue && state.report.phase == TargetPhase::Unknown;
+        is_without_target
+            || self.is_silent(agent, now_ms)
+            || (self.may_infer(flow, now_ms) && self.has_told_all(state, now_ms))
+    }
+
+    /// Tells whether a flow without a hint is at none of the agents that have told all.
     ///
-    /// Word of a new flow may still be under way; only callers of idempotent requests lose little
-    /// when that is mistaken for a lost one.
-    fn would_have_told(&self, kind: RequestKind, agent: Ipv4Addr, now_ms: u64) -> bool {
-        let is_told_all = self.roster.get(agent).is_some_and(|state| {
-            state.is_told_all && state.is_heard_within(self.settings.suspect_after_ms, now_ms)
-        });
-        kind == RequestKind::Idempotent && is_told_all
+    /// An agent that was hinted at and said no shows that what was told is not the whole truth: two
+    /// targets may have answered copies of the opening packet. A hint that made room for another one
+    /// was told and is unknown now.
+    fn may_infer(&self, flow: &FlowKey, now_ms: u64) -> bool {
+        let search = self.searches.get(flow);
+        let since_ms = now_ms.saturating_sub(self.settings.hint_idle_ms);
+        !search.is_some_and(|search| search.is_misled) && self.hints.is_complete_since(since_ms)
     }
 
-    /// Tells whether an agent has not heard its target, which has probably not come back with it.
-    fn has_no_target(&self, agent: Ipv4Addr, kind: RequestKind) -> bool {
-        let state = self.roster.get(agent);
-        kind == RequestKind::Idempotent
-            && state.is_some_and(|state| state.report.phase == TargetPhase::Unknown)
+    fn has_told_all(&self, state: &AgentState, now_ms: u64) -> bool {
+        state.is_told_all && state.is_heard_within(self.settings.suspect_after_ms, now_ms)
     }
 
     /// Ends the searches in which all agents have said no, now that this may be trusted.
@@ -123,11 +130,8 @@
     /// Only callers of idempotent requests gain by a reset: they repeat the request elsewhere.
     pub(super) fn is_beyond_reach(&self, agent: Ipv4Addr, flow: &FlowKey, now_ms: u64) -> bool {
         let route = self.fleet.table.routes.get(&flow.entry);
-        route.is_some_and(|route| self.is_given_up(agent, route.kind, now_ms))
-    }
-
-    fn is_given_up(&self, agent: Ipv4Addr, kind: RequestKind, now_ms: u64) -> bool {
-        kind == RequestKind::Idempotent && self.is_silent(agent, now_ms)
+        let gains_by_reset = route.is_some_and(|route| route.kind == RequestKind::Idempotent);
+        gains_by_reset && self.is_silent(agent, now_ms)
     }
 
     fn is_silent(&self, agent: Ipv4Addr, now_ms: u64) -> bool {
