--- a/crates/basilstep-packet/tests/processes/soak/mod.rs
+++ b/crates/basilstep-packet/tests/processes/soak/mod.rs
@@ -139,6 +139,7 @@
 #[case::flow_was_opened_before_the_first_ping_of_its_target(122)]
 #[case::flow_was_opened_before_the_first_ping_that_came(125)]
 #[case::two_fleets_shared_their_addresses(124)]
+#[case::agent_started_again_right_after_its_target(23)]
 #[case::stand_in_took_flows_of_other_targets(2)]
 #[case::stand_in_took_flows_of_other_targets_for_long(21)]
 #[case::stand_ins_numbered_their_bytes_alike(49)]
