refactor(flows): rounds, lost flows and live agents each by one mechanism

Reports and beats drew their receivers by the same filter, written twice; Pace does it now, and asks one slowness for each balancer. Flows of an ended lifetime were taken out in two passes with a recount of the whole table; they go through update and remove, which keep the counts. What a search says about all agents was looked up again for each agent, and the agents that a balancer hears were all counted also when one was enough; both are done once, or as far as needed. Who refused a flow is borrowed, no longer copied for each opening packet.

--- a/crates/basilstep-core/src/flows/agent/state/news.rs
+++ b/crates/basilstep-core/src/flows/agent/state/news.rs
@@ -59,7 +59,7 @@
             room,
             wants_reply: false,
             told: self.told(balancer, ctx),
-            slowness: self.slowness_for(balancer),
+            slowness: pace::slowness(balancer, &self.peers, self.own.domain, &self.settings),
         }
     }
 
@@ -70,18 +70,9 @@
         source: Option<Ipv4Addr>,
         ctx: &Context,
     ) -> Vec<(Ipv4Addr, AgentReport)> {
-        self.pace.advance();
-        let slowness = self.slowness();
-        let receivers: Vec<Ipv4Addr> = self
-            .peers
-            .addresses()
-            .filter(|balancer| {
-                round == Round::Everyone
-                    || Some(*balancer) == source
-                    || self.peers.domain_of(*balancer) == Some(self.own.domain)
-                    || self.pace.is_turn_of(*balancer, slowness)
-            })
-            .collect();
+        let receivers =
+            self.pace
+                .next_round(round, source, &self.peers, self.own.domain, &self.settings);
         receivers
             .into_iter()
             .map(|balancer| {
@@ -92,17 +83,6 @@
             .collect()
     }
 
-    fn slowness(&self) -> u16 {
-        pace::slowness(self.peers.len(), &self.settings)
-    }
-
-    fn slowness_for(&self, balancer: Ipv4Addr) -> u16 {
-        if self.peers.domain_of(balancer) == Some(self.own.domain) {
-            return 1;
-        }
-        self.slowness()
-    }
-
     /// Takes the flows that balancers have to be told about now.
     pub fn take_untold(&mut self) -> Vec<(Ipv4Addr, HeldFlows)> {
         self.telling.take()
--- a/crates/basilstep-core/src/flows/agent/table.rs
+++ b/crates/basilstep-core/src/flows/agent/table.rs
@@ -263,20 +263,24 @@
     ///
     /// Those that the caller has not opened here are forgotten: it may have opened them elsewhere.
     pub fn lose(&mut self, opened_until_ms: u64, now_ms: u64) -> Vec<(FlowKey, Flow)> {
-        let is_gone = |flow: &Flow| flow.is_live() && flow.opened_ms <= opened_until_ms;
-        self.flows
-            .retain(|_, flow| !is_gone(flow) || flow.stage == FlowStage::Open);
-        let mut lost = Vec::new();
-        for (key, flow) in &mut self.flows {
-            if is_gone(flow) {
-                lost.push((*key, *flow));
-                flow.stage = FlowStage::Lost;
-                flow.used_ms = now_ms;
+        let mut gone: Vec<(FlowKey, Flow)> = self
+            .flows
+            .iter()
+            .filter(|(_, flow)| flow.is_live() && flow.opened_ms <= opened_until_ms)
+            .map(|(key, flow)| (*key, *flow))
+            .collect();
+        for (key, flow) in &gone {
+            if flow.stage == FlowStage::Open {
+                self.update(key, |flow| {
+                    flow.stage = FlowStage::Lost;
+                    flow.used_ms = now_ms;
+                });
+            } else {
+                self.remove(key);
             }
         }
-        self.live = self.flows.values().filter(|flow| flow.is_live()).count();
-        self.at_work = self.flows.values().filter(|flow| flow.is_at_work()).count();
-        lost
+        gone.retain(|(_, flow)| flow.stage == FlowStage::Open);
+        gone
     }
 
     /// Stops counting as work what callers have probably given up.
--- a/crates/basilstep-core/src/flows/balancer/search.rs
+++ b/crates/basilstep-core/src/flows/balancer/search.rs
@@ -7,6 +7,8 @@
 /// The most searches that a balancer keeps; the oldest by key make room.
 const SEARCH_LIMIT: usize = 8_192;
 
+static NOBODY: BTreeSet<Ipv4Addr> = BTreeSet::new();
+
 /// The agents that have said no to one flow.
 #[derive(Clone, Debug, Default)]
 pub struct Search {
@@ -77,11 +79,8 @@
     }
 
     /// Returns who has refused a flow so far.
-    pub fn refused_by(&self, flow: &FlowKey) -> BTreeSet<Ipv4Addr> {
-        self.searches
-            .get(flow)
-            .map(|search| search.refused_by.clone())
-            .unwrap_or_default()
+    pub fn refused_by(&self, flow: &FlowKey) -> &BTreeSet<Ipv4Addr> {
+        self.get(flow).map_or(&NOBODY, |search| &search.refused_by)
     }
 
     /// Returns the search for a flow, if there is one.
--- a/crates/basilstep-core/src/flows/balancer/state.rs
+++ b/crates/basilstep-core/src/flows/balancer/state.rs
@@ -15,7 +15,7 @@
     flows::{
         frame::{AgentReport, BalancerBeat, Carry, HeldFlows, ReportReply, Returned},
         key::{FlowKey, ServiceTag},
-        pace::{self, Pace, Round},
+        pace::{Pace, Round},
         peers::Peers,
         routes::{FleetSettings, RequestKind},
         segment::Segment,
@@ -245,24 +245,18 @@
             revision: self.fleet.revision,
             is_stopping: false,
             agents: count(self.roster.len()),
-            live_agents: count(self.live_agents(ctx.now_ms)),
+            live_agents: count(self.live_agents(ctx.now_ms).count()),
             balancers_hash: self.peers.hash(),
         }
     }
 
     /// Returns the balancers that get the sign of life of this round.
     pub fn due_beats(&mut self, round: Round) -> Vec<Ipv4Addr> {
-        self.pace.advance();
-        let slowness = pace::slowness(self.peers.len(), &self.settings);
-        self.peers
-            .addresses()
-            .filter(|peer| *peer != self.own.ip)
-            .filter(|peer| {
-                round == Round::Everyone
-                    || self.peers.domain_of(*peer) == Some(self.own.domain)
-                    || self.pace.is_turn_of(*peer, slowness)
-            })
-            .collect()
+        let mut receivers =
+            self.pace
+                .next_round(round, None, &self.peers, self.own.domain, &self.settings);
+        receivers.retain(|peer| *peer != self.own.ip);
+        receivers
     }
 
     /// Returns this balancer's last sign of life.
@@ -342,30 +336,35 @@
     ///
     /// After [`FlowSettings::roster_wait_ms`] any agent will do: a cut may keep others away.
     fn hears_agents(&self, ctx: &Context) -> bool {
-        let most = self.peers.most_live_agents();
-        self.is_enough(self.live_agents(ctx.now_ms), most, ctx)
+        let needed = self.needed_agents(self.peers.most_live_agents(), ctx);
+        needed.is_some_and(|needed| self.live_agents(ctx.now_ms).take(needed).count() == needed)
     }
 
     /// Tells whether this balancer has heard as many agents as any other one, those included that
     /// others have not heard for a while.
     fn knows_agents(&self, ctx: &Context) -> bool {
-        self.is_enough(self.roster.len(), self.most_agents, ctx)
+        let needed = self.needed_agents(self.most_agents, ctx);
+        needed.is_some_and(|needed| self.roster.len() >= needed)
     }
 
-    fn is_enough(&self, known: usize, most: Option<u16>, ctx: &Context) -> bool {
+    /// Returns how many agents are enough, of which another balancer has `most`; `None` while no
+    /// other one has been heard.
+    fn needed_agents(&self, most: Option<u16>, ctx: &Context) -> Option<usize> {
         if ctx.now_ms >= self.started_ms + self.settings.roster_wait_ms {
-            return known > 0;
+            return Some(1);
         }
-        known > 0 && most.is_some_and(|most| known >= usize::from(most))
+        most.map(|most| usize::from(most).max(1))
     }
 
-    fn live_agents(&self, now_ms: u64) -> usize {
+    fn live_agents(&self, now_ms: u64) -> impl Iterator<Item = Ipv4Addr> {
         let limit_ms = self.settings.suspect_after_ms;
-        let live = self.roster.iter().filter(|(agent, state)| {
-            let liveness = &self.liveness;
-            !liveness.is_silent(**agent, state, limit_ms, &self.settings, now_ms)
-        });
-        live.count()
+        self.roster
+            .iter()
+            .filter(move |(agent, state)| {
+                let liveness = &self.liveness;
+                !liveness.is_silent(**agent, state, limit_ms, &self.settings, now_ms)
+            })
+            .map(|(agent, _)| *agent)
     }
 
     /// Returns the settings in force.
--- a/crates/basilstep-core/src/flows/balancer/state/opening.rs
+++ b/crates/basilstep-core/src/flows/balancer/state/opening.rs
@@ -53,11 +53,10 @@
         let Some(service) = service.or_else(|| route.service_for(&flow)) else {
             return self.refuse_unknown(ctx);
         };
-        let refused_by = self.searches.refused_by(&flow);
         let placing = Placing {
             domain: self.own.domain,
             domains_out: &self.fleet.domains_out,
-            refused_by: &refused_by,
+            refused_by: self.searches.refused_by(&flow),
             liveness: &self.liveness,
             now_ms: ctx.now_ms,
         };
--- a/crates/basilstep-core/src/flows/balancer/state/searching.rs
+++ b/crates/basilstep-core/src/flows/balancer/state/searching.rs
@@ -20,6 +20,19 @@
     legs: Vec<Leg>,
 }
 
+/// What the search for a flow says about all agents that have not answered.
+#[derive(Clone, Copy, Debug)]
+struct Clues {
+    /// The flow is at none of the agents that have told all.
+    ///
+    /// An agent that was hinted at and said no shows that what was told is not the whole truth: two
+    /// targets may have answered copies of the opening packet. A hint that made room for another one
+    /// was told and is unknown now.
+    may_infer: bool,
+    /// Targets that their agents have not heard would have answered by now.
+    is_overdue: bool,
+}
+
 impl BalancerFlows {
     /// Asks the agents that have not answered yet, or resets the flow when all have said no.
     pub(super) fn search(&mut self, flow: FlowKey, ctx: &Context) -> Verdict {
@@ -48,6 +61,8 @@
     fn unanswered(&self, flow: &FlowKey, now_ms: u64) -> Option<Unanswered> {
         let route = self.fleet.table.routes.get(&flow.entry)?;
         let refused_by = self.searches.refused_by(flow);
+        let clues = self.clues(flow, now_ms);
+        let gains_by_reset = route.kind == RequestKind::Idempotent;
         let mut services: BTreeSet<ServiceTag> =
             route.shares.iter().map(|share| share.service).collect();
         services.extend(self.former_services.get(&flow.entry).into_iter().flatten());
@@ -55,10 +70,7 @@
             .iter()
             .flat_map(|service| self.roster.of_service(*service).map(|a| (a, *service)))
             .filter(|(agent, _)| !refused_by.contains(agent))
-            .filter(|(agent, _)| {
-                let gains_by_reset = route.kind == RequestKind::Idempotent;
-                !(gains_by_reset && self.needs_no_asking(*agent, flow, now_ms))
-            })
+            .filter(|(agent, _)| !(gains_by_reset && self.needs_no_asking(*agent, clues, now_ms)))
             .map(|(agent, service)| self.leg(agent, service, true))
             .collect();
         Some(Unanswered {
@@ -72,27 +84,24 @@
     ///
     /// Callers of idempotent requests lose little when that is wrong, as when word of a new flow is
     /// still under way.
-    fn needs_no_asking(&self, agent: Ipv4Addr, flow: &FlowKey, now_ms: u64) -> bool {
+    fn needs_no_asking(&self, agent: Ipv4Addr, clues: Clues, now_ms: u64) -> bool {
         let Some(state) = self.roster.get(agent) else {
             return true;
         };
-        let search = self.searches.get(flow);
-        let is_overdue = search.is_some_and(|search| search.is_answered_by_unheard_targets(now_ms));
-        let is_without_target = is_overdue && state.report.phase == TargetPhase::Unknown;
+        let is_without_target = clues.is_overdue && state.report.phase == TargetPhase::Unknown;
         is_without_target
             || self.is_silent(agent, now_ms)
-            || (self.may_infer(flow, now_ms) && self.has_told_all(state, now_ms))
+            || (clues.may_infer && self.has_told_all(state, now_ms))
     }
 
-    /// Tells whether a flow without a hint is at none of the agents that have told all.
-    ///
-    /// An agent that was hinted at and said no shows that what was told is not the whole truth: two
-    /// targets may have answered copies of the opening packet. A hint that made room for another one
-    /// was told and is unknown now.
-    fn may_infer(&self, flow: &FlowKey, now_ms: u64) -> bool {
+    fn clues(&self, flow: &FlowKey, now_ms: u64) -> Clues {
         let search = self.searches.get(flow);
+        let is_misled = search.is_some_and(|search| search.is_misled);
         let since_ms = now_ms.saturating_sub(self.settings.hint_idle_ms);
-        !search.is_some_and(|search| search.is_misled) && self.hints.is_complete_since(since_ms)
+        Clues {
+            may_infer: !is_misled && self.hints.is_complete_since(since_ms),
+            is_overdue: search.is_some_and(|search| search.is_answered_by_unheard_targets(now_ms)),
+        }
     }
 
     fn has_told_all(&self, state: &AgentState, now_ms: u64) -> bool {
--- a/crates/basilstep-core/src/flows/pace.rs
+++ b/crates/basilstep-core/src/flows/pace.rs
@@ -1,4 +1,5 @@
-use super::{key::rendezvous, settings::FlowSettings};
+use super::{key::rendezvous, peers::Peers, settings::FlowSettings};
+use crate::address::DomainId;
 use std::net::Ipv4Addr;
 
 /// Who is to get a sign of life.
@@ -20,21 +21,45 @@
 }
 
 impl Pace {
-    /// Begins the next round.
-    pub const fn advance(&mut self) {
+    /// Begins the next round of a process in `domain` and returns the balancers that it is for;
+    /// `always` is among them whether it is its turn or not.
+    pub fn next_round(
+        &mut self,
+        round: Round,
+        always: Option<Ipv4Addr>,
+        peers: &Peers,
+        domain: DomainId,
+        settings: &FlowSettings,
+    ) -> Vec<Ipv4Addr> {
         self.beat += 1;
+        peers
+            .addresses()
+            .filter(|balancer| {
+                let slowness = slowness(*balancer, peers, domain, settings);
+                round == Round::Everyone
+                    || Some(*balancer) == always
+                    || self.is_turn_of(*balancer, slowness)
+            })
+            .collect()
     }
 
-    /// Tells whether a balancer of another domain has its turn in this round.
-    pub fn is_turn_of(self, balancer: Ipv4Addr, slowness: u16) -> bool {
+    fn is_turn_of(self, balancer: Ipv4Addr, slowness: u16) -> bool {
         let place = rendezvous(0, balancer).wrapping_add(self.beat);
         place.is_multiple_of(u64::from(slowness))
     }
 }
 
-/// Returns after how many rounds each of `balancers` in other domains has its turn.
-pub fn slowness(balancers: usize, settings: &FlowSettings) -> u16 {
-    let rounds = balancers.div_ceil(settings.pace_all.max(1));
+/// Returns after how many rounds of a process in `domain` a balancer has its turn.
+pub fn slowness(
+    balancer: Ipv4Addr,
+    peers: &Peers,
+    domain: DomainId,
+    settings: &FlowSettings,
+) -> u16 {
+    if peers.domain_of(balancer) == Some(domain) {
+        return 1;
+    }
+    let rounds = peers.len().div_ceil(settings.pace_all.max(1));
     u16::try_from(rounds)
         .unwrap_or(u16::MAX)
         .clamp(1, settings.slowest_pace.max(1))
