refactor(packet): one reload and one watched clock for both processes

Balancer and agent each read the settings file again, and each brought the time up to date and looked for a pause, with the same lines. process::reload takes the seeds and says whether the file could be read; PauseWatch keeps the clock, brings a context up to date and logs a pause. What each does with a pause, and that only a balancer greets the seeds again, stays its own.

--- a/crates/basilstep-packet/src/agent/serve.rs
+++ b/crates/basilstep-packet/src/agent/serve.rs
@@ -4,7 +4,7 @@
     metrics::Metrics,
     node_port::{Asked, NodePort},
     pause::PauseWatch,
-    process::{ProcessError, Start},
+    process::{self, ProcessError, Start},
     store_tasks,
 };
 use basilstep_core::{
@@ -16,15 +16,8 @@
         encode_frame,
     },
 };
-use basilstep_node::{
-    clock::{Clock, unix_time_ms},
-    stop,
-};
-use basilstep_platform::{
-    header,
-    settings::{self, MachineSettings},
-    store::StoreClient,
-};
+use basilstep_node::{clock::unix_time_ms, stop};
+use basilstep_platform::{header, settings::MachineSettings, store::StoreClient};
 use std::{
     net::{Ipv4Addr, SocketAddrV4},
     time::Duration,
@@ -83,7 +76,6 @@
     pub(super) metrics: Metrics,
     pub(super) frame: Vec<u8>,
     inbox: mpsc::Sender<Event>,
-    clock: Clock,
     pause: PauseWatch,
     next_report_ms: u64,
     next_list_ms: u64,
@@ -112,7 +104,9 @@
             () = agent.internal.readable() => agent.read_frames(),
             () = agent.outbound.readable() => agent.read_target(),
             Some(event) = events.recv() => agent.on_event(event),
-            _ = hangups.recv() => agent.reload(),
+            _ = hangups.recv() => {
+                process::reload(&mut agent.machine);
+            }
             _ = ticks.tick() => agent.on_tick(),
             _ = &mut stopped => break,
         }
@@ -157,8 +151,7 @@
             metrics: Metrics::open(),
             frame: Vec::new(),
             inbox,
-            clock: start.clock,
-            pause: PauseWatch::start(),
+            pause: PauseWatch::start(start.clock),
             next_report_ms: 0,
             next_list_ms: 0,
             list_interval_ms: LIST_INTERVAL_MS,
@@ -168,9 +161,7 @@
 
     /// Brings the time up to date, and finds out whether the machine stood still since.
     pub(super) fn refresh_time(&mut self) {
-        self.clock.refresh(&mut self.ctx);
-        if let Some(pause_ms) = self.pause.pause_ms() {
-            log::warn!(pause_ms; "the machine stood still");
+        if self.pause.refresh(&mut self.ctx).is_some() {
             self.flows.on_pause();
         }
     }
@@ -301,14 +292,4 @@
         let address = SocketAddrV4::new(caller, self.machine.packets.port());
         self.internal.send(packet, address);
     }
-
-    fn reload(&mut self) {
-        match settings::read() {
-            Ok(machine) => {
-                self.machine.seeds = machine.seeds;
-                log::info!(seeds = self.machine.seeds.len(); "the settings file was read again");
-            }
-            Err(error) => log::error!(reason:% = error; "the settings in force stay"),
-        }
-    }
 }
--- a/crates/basilstep-packet/src/balancer/serve.rs
+++ b/crates/basilstep-packet/src/balancer/serve.rs
@@ -5,7 +5,7 @@
     metrics::Metrics,
     node_port::{Asked, NodePort},
     pause::PauseWatch,
-    process::{ProcessError, Start},
+    process::{self, ProcessError, Start},
     store_tasks::{self, StoreNews},
 };
 use basilstep_core::{
@@ -15,10 +15,10 @@
         encode_frame,
     },
 };
-use basilstep_node::{clock::Clock, http::Answer, stop};
+use basilstep_node::{http::Answer, stop};
 use basilstep_platform::{
     calls::{self, Call},
-    settings::{self, MachineSettings},
+    settings::MachineSettings,
 };
 use bytes::Bytes;
 use http::StatusCode;
@@ -69,7 +69,6 @@
     pub(super) frame: Vec<u8>,
     pub(super) is_pulling: bool,
     pub(super) inbox: mpsc::Sender<Event>,
-    clock: Clock,
     pause: PauseWatch,
     next_beat_ms: u64,
     leave_at_ms: Option<u64>,
@@ -146,8 +145,7 @@
             frame: Vec::new(),
             is_pulling: false,
             inbox,
-            clock: start.clock,
-            pause: PauseWatch::start(),
+            pause: PauseWatch::start(start.clock),
             next_beat_ms: 0,
             leave_at_ms: None,
             machine,
@@ -156,9 +154,7 @@
 
     /// Brings the time up to date, and finds out whether the machine stood still since.
     pub(super) fn refresh_time(&mut self) {
-        self.clock.refresh(&mut self.ctx);
-        if let Some(pause_ms) = self.pause.pause_ms() {
-            log::warn!(pause_ms; "the machine stood still");
+        if let Some(pause_ms) = self.pause.refresh(&mut self.ctx) {
             self.flows.on_pause(pause_ms, &self.ctx);
         }
     }
@@ -263,13 +259,8 @@
     }
 
     fn reload(&mut self) {
-        match settings::read() {
-            Ok(machine) => {
-                self.machine.seeds = machine.seeds;
-                log::info!(seeds = self.machine.seeds.len(); "the settings file was read again");
-                self.greet();
-            }
-            Err(error) => log::error!(reason:% = error; "the settings in force stay"),
+        if process::reload(&mut self.machine) {
+            self.greet();
         }
     }
 
--- a/crates/basilstep-packet/src/pause.rs
+++ b/crates/basilstep-packet/src/pause.rs
@@ -1,5 +1,7 @@
-//! Detects that the machine stood still.
+//! The clock of a process that notices when its machine stood still.
 
+use basilstep_core::context::Context;
+use basilstep_node::clock::Clock;
 use rustix::time::{ClockId, clock_gettime};
 use std::time::Duration;
 
@@ -9,17 +11,29 @@
 /// Compares the clock that goes on during a suspension with the one that does not.
 #[derive(Clone, Copy, Debug)]
 pub struct PauseWatch {
+    clock: Clock,
     ahead: Duration,
 }
 
 impl PauseWatch {
     /// Starts watching.
-    pub fn start() -> Self {
-        Self { ahead: ahead() }
+    pub fn start(clock: Clock) -> Self {
+        Self {
+            clock,
+            ahead: ahead(),
+        }
     }
 
-    /// Returns how long the machine has stood still since the last call, in milliseconds.
-    pub fn pause_ms(&mut self) -> Option<u64> {
+    /// Brings a context up to date; returns for how many milliseconds the machine stood still since
+    /// the last call, if it did.
+    pub fn refresh(&mut self, ctx: &mut Context) -> Option<u64> {
+        self.clock.refresh(ctx);
+        let pause_ms = self.pause_ms()?;
+        log::warn!(pause_ms; "the machine stood still");
+        Some(pause_ms)
+    }
+
+    fn pause_ms(&mut self) -> Option<u64> {
         let now = ahead();
         let pause = now.saturating_sub(self.ahead);
         self.ahead = now;
--- a/crates/basilstep-packet/src/process.rs
+++ b/crates/basilstep-packet/src/process.rs
@@ -77,6 +77,21 @@
     }
 }
 
+/// Reads the settings file again and takes its seeds; returns whether it could be read.
+pub fn reload(machine: &mut MachineSettings) -> bool {
+    match settings::read() {
+        Ok(read) => {
+            machine.seeds = read.seeds;
+            log::info!(seeds = machine.seeds.len(); "the settings file was read again");
+            true
+        }
+        Err(error) => {
+            log::error!(reason:% = error; "the settings in force stay");
+            false
+        }
+    }
+}
+
 /// Runs a role until it is stopped, and returns its exit status; the role also gets the requests to
 /// read the settings file again.
 pub fn run<Served>(
