test: one copy of the checks that the processes share

They are modules in the test folders of node and core now, included by path; each process keeps its cases and its own assertions on status and standard error. The soak worked out a target's zone in two ways; it is passed on. No case, expectation or literal changed.

--- a/crates/basilstep-agent/tests/invalid_settings.rs
+++ b/crates/basilstep-agent/tests/invalid_settings.rs
@@ -1,5 +1,9 @@
 //! A setting that is not allowed ends the process at once.
 
+#[path = "../../basilstep-node/tests/support/bad_setting.rs"]
+mod bad_setting;
+
+use bad_setting::BadSetting;
 use rstest::rstest;
 use std::process::Command;
 
@@ -35,30 +39,20 @@
     #[case] allowed: &str,
     #[values(false, true)] is_flag: bool,
 ) {
-    let flag = variable.replace('_', "-").to_lowercase();
+    let bad = BadSetting {
+        variable,
+        value,
+        allowed,
+        is_flag,
+    };
     let mut command = Command::new(env!("CARGO_BIN_EXE_basilstep-agent"));
     command.env_clear();
     for (name, good) in GOOD {
         command.env(format!("BASILSTEP_{name}"), good);
     }
-    if is_flag {
-        command.arg(format!("--{flag}")).arg(value);
-    } else {
-        command.env(format!("BASILSTEP_{variable}"), value);
-    }
+    bad.apply(&mut command);
     let output = command.output().unwrap();
-    let shown = shown(variable, value);
-    let expected = format!(
-        "501 InvalidSetting: --{flag} (BASILSTEP_{variable}) is {shown}; allowed: {allowed}\n"
-    );
+    let expected = format!("501 InvalidSetting: {}", bad.named());
     assert_eq!(String::from_utf8(output.stderr).unwrap(), expected);
     assert_eq!(output.status.code(), Some(5));
 }
-
-/// Returns the value as the error names it: a key is never shown.
-fn shown(variable: &str, value: &str) -> String {
-    if variable == "CLUSTER_KEY" {
-        return format!("a text of {} characters (not shown)", value.len());
-    }
-    format!("\"{value}\"")
-}
--- a/crates/basilstep-core/tests/docs.rs
+++ b/crates/basilstep-core/tests/docs.rs
@@ -1,5 +1,8 @@
 //! The pages for operators say what the code does.
 
+#[path = "support/settings_table.rs"]
+mod settings_table;
+
 use basilstep_core::{
     codes::ResultCode,
     domains::{DomainSettings, OverflowSettings},
@@ -12,7 +15,8 @@
 };
 use rstest::rstest;
 use serde::Serialize;
-use std::{collections::BTreeMap, fs, path::Path};
+use settings_table::{assert_lists_defaults, rows};
+use std::{fs, path::Path};
 
 const NEW_RECORD: &str = r#"{"id":1,"address":"127.0.0.1:443"}"#;
 
@@ -21,15 +25,6 @@
     fs::read_to_string(docs.join(name)).unwrap()
 }
 
-/// The cells of all table rows whose first cell passes the filter.
-fn rows(page: &str, filter: fn(&str) -> bool) -> Vec<Vec<&str>> {
-    page.lines()
-        .filter_map(|line| line.strip_prefix("| ")?.strip_suffix(" |"))
-        .map(|line| line.split(" | ").collect::<Vec<&str>>())
-        .filter(|cells| filter(cells[0]))
-        .collect()
-}
-
 #[test]
 fn table_of_result_codes_is_the_code() {
     let page = page("RESULT-CODES.md");
@@ -78,19 +73,5 @@
 #[case("FlowSettings", FlowSettings::default())]
 #[case("MembershipSettings", MembershipSettings::default())]
 fn table_of_built_in_settings_is_the_code(#[case] name: &str, #[case] defaults: impl Serialize) {
-    let page = page("SETTINGS.md");
-    let after = page.split(&format!("### `{name}`\n")).nth(1).unwrap();
-    let section = after.split("\n##").next().unwrap();
-    let written: BTreeMap<String, String> = rows(section, |cell| cell.starts_with('`'))
-        .iter()
-        .map(|cells| (cells[0].replace('`', ""), cells[2].to_owned()))
-        .collect();
-    let defaults = serde_json::to_value(defaults).unwrap();
-    let expected: BTreeMap<String, String> = defaults
-        .as_object()
-        .unwrap()
-        .iter()
-        .map(|(setting, value)| (setting.clone(), value.to_string()))
-        .collect();
-    assert_eq!(written, expected);
+    assert_lists_defaults(&page("SETTINGS.md"), name, defaults);
 }
--- /dev/null
+++ b/crates/basilstep-core/tests/support/settings_table.rs
@@ -0,0 +1,31 @@
+//! Tables of settings on the operators' pages, and the defaults that they have to show.
+
+use serde::Serialize;
+use std::collections::BTreeMap;
+
+/// The cells of all table rows whose first cell passes the filter.
+pub fn rows(page: &str, filter: fn(&str) -> bool) -> Vec<Vec<&str>> {
+    page.lines()
+        .filter_map(|line| line.strip_prefix("| ")?.strip_suffix(" |"))
+        .map(|line| line.split(" | ").collect::<Vec<&str>>())
+        .filter(|cells| filter(cells[0]))
+        .collect()
+}
+
+/// Checks that the section `name` lists each setting with its default.
+pub fn assert_lists_defaults(page: &str, name: &str, defaults: impl Serialize) {
+    let after = page.split(&format!("### `{name}`\n")).nth(1).unwrap();
+    let section = after.split("\n##").next().unwrap();
+    let written: BTreeMap<String, String> = rows(section, |cell| cell.starts_with('`'))
+        .iter()
+        .map(|cells| (cells[0].replace('`', ""), cells[2].to_owned()))
+        .collect();
+    let defaults = serde_json::to_value(defaults).unwrap();
+    let expected: BTreeMap<String, String> = defaults
+        .as_object()
+        .unwrap()
+        .iter()
+        .map(|(setting, value)| (setting.clone(), value.to_string()))
+        .collect();
+    assert_eq!(written, expected);
+}
--- a/crates/basilstep-ctl/tests/invalid_settings.rs
+++ b/crates/basilstep-ctl/tests/invalid_settings.rs
@@ -1,5 +1,9 @@
 //! A setting that is not allowed ends the command at once.
 
+#[path = "../../basilstep-node/tests/support/bad_setting.rs"]
+mod bad_setting;
+
+use bad_setting::BadSetting;
 use rstest::rstest;
 use std::process::Command;
 
@@ -13,29 +17,20 @@
     #[case] allowed: &str,
     #[values(false, true)] is_flag: bool,
 ) {
-    let flag = variable.replace('_', "-").to_lowercase();
+    let bad = BadSetting {
+        variable,
+        value,
+        allowed,
+        is_flag,
+    };
     let mut command = Command::new(env!("CARGO_BIN_EXE_basilstep-ctl"));
     command
         .env_clear()
         .args(["service", "list", "--store", "http://127.0.0.1:1"]);
-    if is_flag {
-        command.arg(format!("--{flag}")).arg(value);
-    } else {
-        command.env(format!("BASILSTEP_{variable}"), value);
-    }
+    bad.apply(&mut command);
     let output = command.output().unwrap();
-    let shown = shown(variable, value);
-    let named = format!("--{flag} (BASILSTEP_{variable}) is {shown}; allowed: {allowed}\n");
     let stderr = String::from_utf8(output.stderr).unwrap();
     assert_eq!(stderr.lines().count(), 1, "{stderr}");
-    assert!(stderr.ends_with(&named), "{stderr}");
+    assert!(stderr.ends_with(&bad.named()), "{stderr}");
     assert_eq!(output.status.code(), Some(5));
 }
-
-/// Returns the value as the error names it: a key is never shown.
-fn shown(variable: &str, value: &str) -> String {
-    if variable == "CLUSTER_KEY" {
-        return format!("a text of {} characters (not shown)", value.len());
-    }
-    format!("\"{value}\"")
-}
--- a/crates/basilstep-packet/tests/processes/soak/world.rs
+++ b/crates/basilstep-packet/tests/processes/soak/world.rs
@@ -21,6 +21,8 @@
 /// What a process logs once it handles signals.
 const STARTED: &str = "started";
 
+const FIRST_AGENT: u8 = 11;
+
 /// Proxies have the addresses of their machines, and other last numbers.
 const STORE_PROXY: u8 = 100;
 const PING_PROXY: u8 = 130;
@@ -45,6 +47,14 @@
     pub running: Mutex<Running>,
 }
 
+/// Where a target is.
+#[derive(Clone, Copy, Debug)]
+struct Spot {
+    number: u8,
+    service: usize,
+    zone: &'static str,
+}
+
 /// A lifetime of a target.
 #[derive(Debug)]
 pub struct Running {
@@ -112,16 +122,12 @@
     /// Starts the next lifetime of a target.
     pub async fn start_target(&self, machine: &Machine, run: u32) -> Option<Running> {
         let app = machine.app.as_ref()?;
-        Some(
-            start_target(
-                &self.fleet,
-                machine.number,
-                app.service,
-                run,
-                &self.promises,
-            )
-            .await,
-        )
+        let spot = Spot {
+            number: machine.number,
+            service: app.service,
+            zone: machine.zone,
+        };
+        Some(start_target(&self.fleet, spot, run, &self.promises).await)
     }
 }
 
@@ -155,9 +161,16 @@
 }
 
 async fn start_agent(fleet: &Fleet, index: u8, promises: &Arc<Promises>) -> Machine {
-    let number = 11 + index;
-    let service = usize::from(index) % SERVICES.len();
-    let zone = ZONES[usize::from(index / 2) % ZONES.len()];
+    let spot = Spot {
+        number: FIRST_AGENT + index,
+        service: usize::from(index) % SERVICES.len(),
+        zone: ZONES[usize::from(index / 2) % ZONES.len()],
+    };
+    let Spot {
+        number,
+        service,
+        zone,
+    } = spot;
     let extra = json!({
         "Service": SERVICES[service],
         "app": fleet.address(number, fleet.ports.target).to_string(),
@@ -168,7 +181,7 @@
     )
     .await;
     let mut machine = start_machine(fleet, number, zone, AGENT, extra).await;
-    let running = start_target(fleet, number, service, 1, promises).await;
+    let running = start_target(fleet, spot, 1, promises).await;
     machine.app = Some(App {
         service,
         pings,
@@ -200,13 +213,12 @@
     }
 }
 
-async fn start_target(
-    fleet: &Fleet,
-    number: u8,
-    service: usize,
-    run: u32,
-    promises: &Promises,
-) -> Running {
+async fn start_target(fleet: &Fleet, spot: Spot, run: u32, promises: &Promises) -> Running {
+    let Spot {
+        number,
+        service,
+        zone,
+    } = spot;
     let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap();
     let id = format!("target-{number}");
     promises.note_run(&id, run);
@@ -216,7 +228,7 @@
         address: fleet.address(number, fleet.ports.target),
         outbound: fleet.address(number, fleet.ports.outbound),
         control: fleet.address(number + PING_PROXY, fleet.ports.control),
-        zone: ZONES[usize::from((number - 11) / 2) % ZONES.len()].to_owned(),
+        zone: zone.to_owned(),
         run,
         born_ms: since_epoch.as_millis() as u64,
     };
