refactor(bench): one set-up of a service and one reader of resident memory for the experiments

packet_path and steering each built the same route, service and allowance; two modules read the resident memory of the own process from two files of /proc.

--- a/crates/basilstep-bench/src/load/membership/costs.rs
+++ b/crates/basilstep-bench/src/load/membership/costs.rs
@@ -1,6 +1,7 @@
 //! Processor time a message and memory a member, for the slopes of the capacity page.
 
 use super::fleet::{Fleet, Node, TARGET_SHAPE};
+use crate::load::processes::own_resident_bytes;
 use basilstep_core::{
     address::BalancerAddress,
     membership::{
@@ -9,7 +10,7 @@
     },
 };
 use serde_json::{Value, json};
-use std::{fs, time::Instant};
+use std::time::Instant;
 
 const VIEWS: usize = 100;
 const MESSAGES: u32 = 100_000;
@@ -21,9 +22,9 @@
     let Node::Balancer(view) = fleet.nodes[0].clone() else {
         return Value::Null;
     };
-    let before = resident_bytes();
+    let before = own_resident_bytes();
     let copies = vec![view.clone(); VIEWS];
-    let bytes_a_view = resident_bytes().saturating_sub(before) / VIEWS;
+    let bytes_a_view = own_resident_bytes().saturating_sub(before) / VIEWS;
     drop(copies);
     fleet.run_until(fleet.now_ms() + 5_000);
     let agent = fleet.record(TARGET_SHAPE.balancers);
@@ -91,14 +92,3 @@
     }
     started.elapsed().as_secs_f64() * 1e6 / f64::from(MESSAGES)
 }
-
-/// Returns the resident memory of this process, or zero where the platform does not tell it.
-pub fn resident_bytes() -> usize {
-    const PAGE_BYTES: usize = 4_096;
-    let statm = fs::read_to_string("/proc/self/statm").unwrap_or_default();
-    let pages = statm
-        .split_whitespace()
-        .nth(1)
-        .and_then(|pages| pages.parse::<usize>().ok());
-    pages.unwrap_or_default() * PAGE_BYTES
-}
--- a/crates/basilstep-bench/src/load/membership/mod.rs
+++ b/crates/basilstep-bench/src/load/membership/mod.rs
@@ -6,8 +6,6 @@
 mod scenarios;
 pub(super) mod traffic;
 
-pub(super) use costs::resident_bytes;
-
 use super::{LoadArgs, Report};
 use crate::plot::{Line, Plot};
 use serde_json::{Value, json};
--- a/crates/basilstep-bench/src/load/mod.rs
+++ b/crates/basilstep-bench/src/load/mod.rs
@@ -4,6 +4,7 @@
 mod domain;
 mod flows;
 mod membership;
+mod one_service;
 mod overload;
 mod packet_path;
 mod packets;
--- a/crates/basilstep-bench/src/load/packet_path.rs
+++ b/crates/basilstep-bench/src/load/packet_path.rs
@@ -1,14 +1,18 @@
 //! What the processes for flows without a token do of their own with each packet of an open flow:
 //! decode, decide, encode. Sockets are left out; the bench of the users' platform charges those.
 
-use super::{membership::resident_bytes, packets::median};
+use super::{
+    one_service::{ALLOWANCE, entry, fleet_settings, service},
+    packets::median,
+    processes::own_resident_bytes,
+};
 use basilstep_core::{
     address::DomainId,
     context::Context,
     flows::{
-        AgentFlows, AgentReport, BalancerFlows, Carry, Flags, FleetSettings, FlowKey, FlowSettings,
-        Frame, HeldFlows, Lifetime, Route, Segment, ServiceShare, ServiceTag, TargetPhase,
-        agent::{AgentIdentity, CallerVerdict, ColdAllowance, Ping, PingState},
+        AgentFlows, AgentReport, BalancerFlows, Carry, Flags, FlowKey, FlowSettings, Frame,
+        HeldFlows, Lifetime, RequestKind, Segment, TargetPhase,
+        agent::{AgentIdentity, CallerVerdict, Ping, PingState},
         balancer::{BalancerIdentity, Verdict},
         decode_frame, encode_frame,
     },
@@ -41,12 +45,12 @@
 /// Returns an error when a packet does not go the way that it should.
 pub fn measure() -> Result<Value, Box<dyn Error>> {
     let limit = FlowSettings::default().hint_limit as u32;
-    let before_bytes = resident_bytes();
+    let before_bytes = own_resident_bytes();
     let mut agent = agent_with_flows(AGENT_FLOWS);
-    let agent_bytes = resident_bytes().saturating_sub(before_bytes);
-    let before_bytes = resident_bytes();
+    let agent_bytes = own_resident_bytes().saturating_sub(before_bytes);
+    let before_bytes = own_resident_bytes();
     let mut balancer = balancer_with_hints(limit);
-    let balancer_bytes = resident_bytes().saturating_sub(before_bytes);
+    let balancer_bytes = own_resident_bytes().saturating_sub(before_bytes);
     let balancer_ns = balancer_ns_per_packet(&mut balancer, limit)?;
     let agent_ns = agent_ns_per_packet(&mut agent, AGENT_FLOWS)?;
     Ok(json!({
@@ -127,18 +131,7 @@
         lifetime: Lifetime(1),
     };
     let mut balancer = BalancerFlows::new(FlowSettings::default(), own, &Context::new(1));
-    let mut fleet = FleetSettings::default();
-    let shares = vec![ServiceShare {
-        service: service(),
-        weight: 1,
-    }];
-    let route = Route {
-        shares,
-        ..Route::default()
-    };
-    fleet.table.version = 1;
-    fleet.table.routes.insert(entry(), route);
-    balancer.on_fleet_settings(fleet);
+    balancer.on_fleet_settings(fleet_settings(RequestKind::NonIdempotent, 0));
     balancer.on_report(AGENT, report(), &context());
     let held = HeldFlows {
         told_before: 0,
@@ -155,10 +148,7 @@
         lifetime: Lifetime(1),
         born_ms: 0,
         heartbeat_ms: 1_000,
-        allowance: ColdAllowance {
-            overage: 1.5,
-            slack: 5.0,
-        },
+        allowance: ALLOWANCE,
     };
     let ctx = context();
     let mut agent = AgentFlows::new(FlowSettings::default(), own, &ctx);
@@ -187,14 +177,6 @@
     agent
 }
 
-fn service() -> ServiceTag {
-    ServiceTag::of("quotes")
-}
-
-fn entry() -> SocketAddrV4 {
-    SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), 443)
-}
-
 fn key(flow: u32) -> FlowKey {
     const FIRST_CALLER: u32 = Ipv4Addr::new(100, 64, 0, 0).to_bits();
     FlowKey {
--- a/crates/basilstep-bench/src/load/processes.rs
+++ b/crates/basilstep-bench/src/load/processes.rs
@@ -119,6 +119,11 @@
     Ok(())
 }
 
+/// Reads the resident memory of this process.
+pub fn own_resident_bytes() -> usize {
+    resident_kb(std::process::id()) as usize * 1_024
+}
+
 fn resident_kb(process: u32) -> u64 {
     let status = fs::read_to_string(format!("/proc/{process}/status")).unwrap_or_default();
     status
--- a/crates/basilstep-bench/src/load/steering/callers.rs
+++ b/crates/basilstep-bench/src/load/steering/callers.rs
@@ -1,4 +1,5 @@
 use super::figures::Figures;
+use crate::load::one_service::entry;
 use basilstep_core::flows::{Flags, FlowKey, Segment};
 use rand::RngExt;
 use rand_chacha::ChaCha8Rng;
@@ -165,8 +166,3 @@
         }
     }
 }
-
-/// The service address.
-pub const fn entry() -> SocketAddrV4 {
-    SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), 443)
-}
--- a/crates/basilstep-bench/src/load/steering/world.rs
+++ b/crates/basilstep-bench/src/load/steering/world.rs
@@ -2,18 +2,18 @@
 mod balancers;
 
 use super::{
-    callers::{Caller, entry},
+    callers::Caller,
     cases::{Case, Fault, FaultKind, Policy},
     figures::Figures,
     target::Target,
 };
+use crate::load::one_service::{ALLOWANCE, fleet_settings, service};
 use basilstep_core::{
     address::DomainId,
     context::Context,
     flows::{
-        AgentFlows, BalancerFlows, FleetSettings, FlowSettings, Frame, Lifetime, Route, Segment,
-        ServiceLimits, ServiceShare, ServiceTag,
-        agent::{AgentIdentity, ColdAllowance, SettingsSource},
+        AgentFlows, BalancerFlows, FleetSettings, FlowSettings, Frame, Lifetime, Segment,
+        agent::{AgentIdentity, SettingsSource},
         balancer::BalancerIdentity,
         encode_frame,
     },
@@ -46,6 +46,8 @@
 const PACKET_BYTES: u64 = 28 + 32;
 const DATAGRAM_BYTES: u64 = 28;
 
+const LATENCY_GOAL_MS: u16 = 500;
+
 /// When callers start, so that the fleet has met.
 const CALLERS_FROM_MS: u64 = 1_500;
 
@@ -111,36 +113,13 @@
     DomainId((number % DOMAINS) as u8)
 }
 
-fn service() -> ServiceTag {
-    ServiceTag::of("quotes")
-}
-
 impl World {
     /// Starts a fleet under the settings of a policy.
     pub fn start(case: &Case, policy: &Policy, seed: u64) -> Self {
-        let mut fleet = FleetSettings {
-            revision: 1,
-            ..FleetSettings::default()
-        };
-        let shares = vec![ServiceShare {
-            service: service(),
-            weight: 1,
-        }];
-        let route = Route {
-            kind: case.kind,
-            latency_goal_ms: 500,
-            shares,
-        };
-        fleet.table.version = 1;
-        fleet.table.routes.insert(entry(), route);
-        fleet
-            .table
-            .services
-            .insert(service(), ServiceLimits::default());
         let mut world = Self {
             now_ms: 0,
             settings: (policy.settings)(FlowSettings::default()),
-            fleet,
+            fleet: fleet_settings(case.kind, LATENCY_GOAL_MS),
             balancers: Vec::new(),
             machines: Vec::new(),
             callers: Vec::new(),
@@ -221,10 +200,7 @@
             lifetime,
             born_ms: self.now_ms,
             heartbeat_ms: HEARTBEAT_MS,
-            allowance: ColdAllowance {
-                overage: 1.5,
-                slack: 5.0,
-            },
+            allowance: ALLOWANCE,
         };
         Machine {
             agent: AgentFlows::new(self.settings, own, &self.context()),
--- a/crates/basilstep-bench/src/load/steering/world/agents.rs
+++ b/crates/basilstep-bench/src/load/steering/world/agents.rs
@@ -1,7 +1,7 @@
 //! What agents and their targets do.
 
-use super::{BALANCERS, Event, HEARTBEAT_MS, NEAR_MS, World, balancer_ip, domain_of, service};
-use crate::load::steering::target::CAPACITY;
+use super::{BALANCERS, Event, HEARTBEAT_MS, NEAR_MS, World, balancer_ip, domain_of};
+use crate::load::{one_service::service, steering::target::CAPACITY};
 use basilstep_core::{
     context::Context,
     flows::{
