feat(flows): requests that are late get only free slots

Hypothesis: after a power loss retransmitted SYNs, already later than their goal, fill the queues of targets, and new requests wait behind them and become late too. Change: the forward header holds what is left of the goal, counted from the first SYN by the number of the retransmission; an agent admits a request whose goal has expired only into a free slot. Refusals are forgotten between the SYNs of a flow, because an agent that was full may have room again.

--- a/crates/basilstep-core/src/flows/agent/service_time.rs
+++ b/crates/basilstep-core/src/flows/agent/service_time.rs
@@ -4,6 +4,9 @@
 /// The weight of a new sample in the moving average; about the last eight requests count.
 const SAMPLE_WEIGHT: f64 = 0.125;
 
+/// The time in which no target answers a request.
+const MIN_SERVICE_TIME_MS: f64 = 1.0;
+
 /// The moving average of the time that a target takes for a request that was not queued.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct ServiceTime {
@@ -25,16 +28,23 @@
     }
 
     /// Returns how many requests may be at work, a new one included, for it to meet its latency
-    /// goal.
+    /// goal, of which `goal_ms` is left.
     ///
-    /// A longer queue would delay every answer without raising the target's throughput.
+    /// A longer queue would delay every answer without raising the target's throughput. A request
+    /// that is late in any case is only worth a slot that is free: in a queue it would make others
+    /// late.
     pub fn work_limit(&self, target: &TargetState, goal_ms: u16, settings: &FlowSettings) -> usize {
         let capacity = f64::from(target.capacity());
+        let time_at_target_ms = f64::from(goal_ms) * settings.goal_share;
         let capacity_multiple = match self.mean_ms {
-            Some(mean_ms) if goal_ms > 0 => f64::from(goal_ms) * settings.goal_share / mean_ms,
-            _ => settings.default_rounds,
+            _ if goal_ms > 0 && time_at_target_ms < MIN_SERVICE_TIME_MS => 1.0,
+            Some(mean_ms) if goal_ms > 0 => {
+                (time_at_target_ms / mean_ms).clamp(settings.min_rounds, settings.max_rounds)
+            }
+            _ => settings
+                .default_rounds
+                .clamp(settings.min_rounds, settings.max_rounds),
         };
-        let capacity_multiple = capacity_multiple.clamp(settings.min_rounds, settings.max_rounds);
         (capacity * capacity_multiple).ceil() as usize
     }
 }
--- a/crates/basilstep-core/src/flows/balancer/state.rs
+++ b/crates/basilstep-core/src/flows/balancer/state.rs
@@ -15,6 +15,7 @@
     flows::{
         balancer_list::BalancerList,
         frame::{AgentReport, BalancerHeartbeat, ForwardHeader, HeldFlows, ReportReply, Returned},
+        handshake::HANDSHAKE_TIMEOUT_MS,
         key::{FlowKey, ServiceTag},
         routes::{FleetSettings, RequestKind},
         segment::Segment,
@@ -30,9 +31,6 @@
 /// How many hints are checked in one tick.
 const HINTS_SWEPT_PER_TICK: usize = 256;
 
-/// How long callers wait for an answer to their SYNs.
-const HANDSHAKE_TIMEOUT_MS: u64 = 1_400;
-
 /// The steering state of one balancer.
 #[derive(Clone, Debug)]
 pub struct BalancerFlows {
--- a/crates/basilstep-core/src/flows/balancer/state/syn.rs
+++ b/crates/basilstep-core/src/flows/balancer/state/syn.rs
@@ -12,8 +12,8 @@
 };
 use std::net::Ipv4Addr;
 
-/// The number of the last SYN retransmission that a caller sends.
-const LAST_RETRANSMISSION_NUMBER: u32 = 2;
+/// The latency goal of a request that can no longer meet it; 0 means that there is no goal.
+const EXPIRED_GOAL_MS: u64 = 1;
 
 impl BalancerFlows {
     pub(super) fn on_syn(&mut self, flow: FlowKey, segment: &Segment, ctx: &Context) -> Verdict {
@@ -23,13 +23,15 @@
             let (agent, service) = (hint.agent, hint.service);
             let is_overdue = ctx.now_ms >= hint.offered_ms + confirm_within_ms;
             if hint.is_confirmed || !is_overdue {
-                return self.forward_syn(agent, service, &flow);
+                return self.forward_syn(agent, service, segment);
             }
             self.agents
                 .doubt_until(agent, ctx.now_ms + self.settings.doubt_ms);
             self.hints.remove(&flow);
             return self.place_syn(flow, Some(service), segment, ResultCode::NoTarget, ctx);
         }
+        // Agents that were full when they refused the previous SYN may accept this one.
+        self.searches.end(&flow);
         self.place_syn(flow, None, segment, ResultCode::NoTarget, ctx)
     }
 
@@ -72,7 +74,7 @@
             used_ms: ctx.now_ms,
         };
         self.hints.insert(flow, hint);
-        self.forward_syn(agent, service, &flow)
+        self.forward_syn(agent, service, segment)
     }
 
     /// Refuses a SYN that no agent accepts at the moment.
@@ -80,23 +82,28 @@
     /// All but the last are dropped, because the caller sends a retransmission within 400 ms, which
     /// may find a free agent; after the last retransmission the caller gets a reset at once.
     pub(super) fn refuse(&mut self, segment: &Segment, code: ResultCode) -> Verdict {
-        if segment.acknowledged < LAST_RETRANSMISSION_NUMBER {
+        if !segment.is_last_syn() {
             return Verdict::Drop { code };
         }
         self.pending_syns.remove(&segment.flow_of_caller());
         Verdict::Reset { code }
     }
 
-    /// Forwards a SYN to an agent.
+    /// Forwards a SYN to an agent, with what is left of the latency goal of its request.
     pub(super) fn forward_syn(
         &self,
         agent: Ipv4Addr,
         service: ServiceTag,
-        flow: &FlowKey,
+        segment: &Segment,
     ) -> Verdict {
+        let flow = segment.flow_of_caller();
         let route = self.fleet.table.routes.get(&flow.service_address);
+        let goal_ms = route.map_or(0, |route| u64::from(route.latency_goal_ms));
         let mut next_hop = self.next_hop(agent, service, false);
-        next_hop.header.latency_goal_ms = route.map_or(0, |route| route.latency_goal_ms);
+        if goal_ms > 0 {
+            let left_ms = goal_ms.saturating_sub(segment.syn_age_ms());
+            next_hop.header.latency_goal_ms = left_ms.max(EXPIRED_GOAL_MS) as u16;
+        }
         Verdict::Forward(next_hop)
     }
 
--- a/crates/basilstep-core/src/flows/frame.rs
+++ b/crates/basilstep-core/src/flows/frame.rs
@@ -59,7 +59,8 @@
     pub origin_domain: DomainId,
     /// The packet also goes to other agents: only the holder of the flow may answer.
     pub is_search: bool,
-    /// The latency goal of the requests of a new flow; 0 in all other packets.
+    /// What is left of the latency goal of the request of a new flow, at least 1; 0 if there is no
+    /// goal, and in all other packets.
     pub latency_goal_ms: u16,
 }
 
--- a/crates/basilstep-core/src/flows/mod.rs
+++ b/crates/basilstep-core/src/flows/mod.rs
@@ -10,6 +10,7 @@
 pub mod balancer;
 mod balancer_list;
 mod frame;
+mod handshake;
 mod key;
 mod limits;
 mod routes;
--- a/crates/basilstep-core/src/flows/tests/balancer.rs
+++ b/crates/basilstep-core/src/flows/tests/balancer.rs
@@ -262,6 +262,44 @@
     assert_eq!(chosen(&balancer.on_packet(&packet, &ctx)), 2);
 }
 
+/// A retransmission arrives 200 or 600 ms after the first SYN, which counts against the goal.
+#[rstest]
+#[case::first(100, 0, 100)]
+#[case::retransmission_with_time_left(500, 1, 300)]
+#[case::retransmission_that_is_late(100, 1, 1)]
+#[case::last_retransmission(500, 2, 1)]
+#[case::no_goal(0, 2, 0)]
+fn agent_learns_what_is_left_of_the_latency_goal(
+    #[case] goal_ms: u16,
+    #[case] retransmission: u32,
+    #[case] left_ms: u16,
+) {
+    let (mut balancer, ctx) = balancer_with(1, RequestKind::Idempotent);
+    let mut fleet = fleet_settings(RequestKind::Idempotent);
+    fleet.table.version += 1;
+    for route in fleet.table.routes.values_mut() {
+        route.latency_goal_ms = goal_ms;
+    }
+    balancer.on_fleet_settings(fleet);
+    let Verdict::Forward(next_hop) = balancer.on_packet(&syn(flow(1), retransmission), &ctx) else {
+        panic!("expected one agent");
+    };
+    assert_eq!(next_hop.header.latency_goal_ms, left_ms);
+}
+
+#[test]
+fn agent_that_was_full_is_offered_the_retransmission() {
+    let (mut balancer, ctx) = balancer_with(1, RequestKind::Idempotent);
+    balancer.on_packet(&syn(flow(1), 0), &ctx);
+    let full = returned(ResultCode::Overloaded);
+    let verdict = balancer.on_returned(agent_ip(1), full, &syn(flow(1), 0), &ctx);
+    assert!(matches!(verdict, Verdict::Drop { .. }));
+    assert_eq!(
+        chosen(&balancer.on_packet(&syn(flow(1), 1), &context(10_200))),
+        1
+    );
+}
+
 /// Callers return before any target: their SYNs must not be lost.
 #[test]
 fn syn_waits_for_an_agent_until_its_next_retransmission() {
