feat(flows): agents ask seeds and the store for balancers at once

Hypothesis: after a power loss agents run for 130 ms and more before the first balancer learns of them, because they wait 150 ms for an answer of a seed before they list the balancers in the store, and contact each listed one once. Change: the store is listed at the start; seeds and listed balancers are contacted each 20 ms until one answers, then the listed ones that have not answered, for 3 s at most. Pending SYNs are placed when an agent's state changes, not only with the next tick. The decisions move to flows/agent/discovery.

--- a/crates/basilstep-core/src/flows/agent/mod.rs
+++ b/crates/basilstep-core/src/flows/agent/mod.rs
@@ -2,6 +2,7 @@
 
 mod admission;
 mod advertisement_scope;
+mod discovery;
 mod flow_advertiser;
 mod service_time;
 mod source;
@@ -10,6 +11,7 @@
 mod target;
 
 pub use admission::ColdAllowance;
+pub use discovery::Discovery;
 pub use service_time::ServiceTime;
 pub use source::SettingsSource;
 pub use state::{AgentFlows, AgentIdentity, CallerVerdict, TargetVerdict};
--- a/crates/basilstep-core/src/flows/balancer/state/syn.rs
+++ b/crates/basilstep-core/src/flows/balancer/state/syn.rs
@@ -116,7 +116,7 @@
     }
 
     /// Tries to place the pending SYNs.
-    pub(super) fn place_pending_syns(&mut self, ctx: &Context) -> Vec<PlacedSyn> {
+    pub fn place_pending_syns(&mut self, ctx: &Context) -> Vec<PlacedSyn> {
         let mut placed = Vec::new();
         for syn in self.pending_syns.take(ctx.now_ms) {
             match self.on_packet(&syn.segment, ctx) {
--- a/crates/basilstep-packet/src/agent/serve.rs
+++ b/crates/basilstep-packet/src/agent/serve.rs
@@ -12,7 +12,7 @@
     context::Context,
     flows::{
         AgentFlows, FlowSettings, Frame, LostFlow, Recipients, ServiceTag,
-        agent::{AgentIdentity, ColdAllowance, SettingsSource},
+        agent::{AgentIdentity, ColdAllowance, Discovery, SettingsSource},
         encode_frame,
     },
 };
@@ -31,26 +31,8 @@
 /// The interval of timer checks.
 const TICK: Duration = Duration::from_millis(50);
 
-/// The interval at which the seeds are contacted while no balancer is known.
-///
-/// After a power failure of all machines, agents are often up before balancers.
-const SEED_CONTACT_INTERVAL_MS: u64 = 50;
-
-/// The time after the start without an answer from a seed before the store is asked for balancers:
-/// three seed contacts.
-const SEED_TIMEOUT_MS: u64 = 150;
-
-/// The time without an answer from known balancers before the store is asked for others.
-///
-/// Two settings sources can be tried in this time, each of which is given up after three reports.
-const BALANCER_TIMEOUT_MS: u64 = 1_500;
-
-/// The initial delay between two listings of balancers from the store; doubles up to
-/// [`MAX_LIST_INTERVAL_MS`].
-const MIN_LIST_INTERVAL_MS: u64 = 500;
-
-/// The maximum delay between two listings while no balancer answers.
-const MAX_LIST_INTERVAL_MS: u64 = 4_000;
+/// The interval of timer checks while no balancer is known.
+const DISCOVERY_TICK: Duration = Duration::from_millis(20);
 
 /// The capacity of the event channel of the packet task.
 const EVENT_QUEUE_CAPACITY: usize = 256;
@@ -81,9 +63,8 @@
     pub(super) frame_buffer: Vec<u8>,
     event_sender: mpsc::Sender<Event>,
     pause_detector: PauseDetector,
+    discovery: Discovery,
     next_report_ms: u64,
-    next_list_ms: u64,
-    list_interval_ms: u64,
 }
 
 /// Runs an agent until a signal stops it.
@@ -100,6 +81,8 @@
         .await?;
     let mut ticks = interval(TICK);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut discovery_ticks = interval(DISCOVERY_TICK);
+    discovery_ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let stopped = shutdown::wait_for_signal();
     tokio::pin!(stopped);
     agent.send_reports(Recipients::All);
@@ -112,6 +95,10 @@
                 process::reload_seeds(&mut agent.machine);
             }
             _ = ticks.tick() => agent.on_tick(),
+            _ = discovery_ticks.tick(), if agent.flows.balancers().is_empty() => {
+                agent.refresh_time();
+                agent.discover_balancers();
+            }
             _ = &mut stopped => break,
         }
         agent.send_advertisements();
@@ -161,9 +148,8 @@
             frame_buffer: Vec::new(),
             event_sender,
             pause_detector: PauseDetector::start(start.clock),
+            discovery: Discovery::default(),
             next_report_ms: 0,
-            next_list_ms: 0,
-            list_interval_ms: MIN_LIST_INTERVAL_MS,
             machine,
         })
     }
@@ -188,9 +174,8 @@
             Event::HttpRequest(pending) => self.answer_request(pending),
             Event::BalancersListed(balancers) => {
                 log::info!(balancers = balancers.len(); "received balancers from the store");
-                for balancer in balancers {
-                    self.contact_balancer(balancer);
-                }
+                self.discovery.on_listed(balancers, self.ctx.now_ms);
+                self.discover_balancers();
             }
         }
     }
@@ -204,29 +189,18 @@
         self.discover_balancers();
     }
 
-    /// Sends reports to balancers, or to the seeds while no balancer is known.
+    /// Sends reports to balancers.
     pub(super) fn send_reports(&mut self, recipients: Recipients) {
         self.refresh_time();
         // Sent before the reports, because the reports count these flows.
         self.send_advertisements();
-        let knows_no_balancer = self.flows.balancers().is_empty();
-        let interval_ms = if knows_no_balancer {
-            SEED_CONTACT_INTERVAL_MS
-        } else {
-            self.settings.report_interval_ms
-        };
-        self.next_report_ms = self.ctx.now_ms + interval_ms;
+        self.next_report_ms = self.ctx.now_ms + self.settings.report_interval_ms;
         let source = self
             .settings_source
             .next(self.flows.balancers(), self.machine.domain);
         for (balancer, report) in self.flows.due_reports(recipients, source, &self.ctx) {
             self.send_frame(balancer, &Frame::Report(report), &[]);
         }
-        if knows_no_balancer {
-            for seed in self.machine.seeds.clone() {
-                self.contact_balancer(seed);
-            }
-        }
     }
 
     /// Sends a report to a balancer and requests its settings and its list of balancers.
@@ -237,21 +211,22 @@
         self.send_frame(balancer, &Frame::ListBalancers, &[]);
     }
 
-    /// Lists balancers from the store while no known balancer answers.
+    /// Contacts balancers that are not known yet, and lists those in the store if no known one
+    /// answers.
     fn discover_balancers(&mut self) {
         let now_ms = self.ctx.now_ms;
-        let timeout_ms = if self.flows.balancers().is_empty() {
-            SEED_TIMEOUT_MS
-        } else {
-            BALANCER_TIMEOUT_MS
-        };
-        if now_ms < self.settings_source.answered_ms() + timeout_ms {
-            self.list_interval_ms = MIN_LIST_INTERVAL_MS;
-            return;
+        let seeds = &self.machine.seeds;
+        let contacts = self
+            .discovery
+            .take_contacts(self.flows.balancers(), seeds, now_ms);
+        for balancer in contacts {
+            self.contact_balancer(balancer);
         }
-        if now_ms >= self.next_list_ms {
-            self.next_list_ms = now_ms + self.list_interval_ms;
-            self.list_interval_ms = (self.list_interval_ms * 2).min(MAX_LIST_INTERVAL_MS);
+        let answered_ms = self.settings_source.answered_ms();
+        if self
+            .discovery
+            .try_list(self.flows.balancers(), answered_ms, now_ms)
+        {
             self.list_store_balancers();
         }
     }
--- a/crates/basilstep-packet/src/balancer/frames.rs
+++ b/crates/basilstep-packet/src/balancer/frames.rs
@@ -85,6 +85,8 @@
                 lifetime = report.incarnation.0;
                 "agent state changed"
             );
+            let placed = self.flows.place_pending_syns(&self.ctx);
+            self.forward_placed(&placed);
         }
         if self.flows.has_advertisement_gap(agent) {
             self.send_frame(agent, &Frame::Readvertise);
--- a/crates/basilstep-packet/src/balancer/packets.rs
+++ b/crates/basilstep-packet/src/balancer/packets.rs
@@ -4,7 +4,7 @@
     codes::ResultCode,
     flows::{
         Frame, LostFlow, Segment,
-        balancer::{NextHop, TickOutcome, Verdict},
+        balancer::{NextHop, PlacedSyn, TickOutcome, Verdict},
         encode_frame,
     },
 };
@@ -73,14 +73,7 @@
 
     /// Forwards queued SYNs that can now be placed, and resets lost flows.
     pub(super) fn apply_tick_outcome(&mut self, outcome: &TickOutcome) {
-        for placed in &outcome.placed {
-            self.log_decision(
-                ResultCode::Done,
-                &placed.syn.segment,
-                Some(&placed.next_hop),
-            );
-            self.send_next_hop(&placed.next_hop, &placed.syn.packet);
-        }
+        self.forward_placed(&outcome.placed);
         if let Some(first) = outcome.lost.first() {
             log::info!(
                 code:% = ResultCode::FlowLost,
@@ -95,6 +88,17 @@
         }
     }
 
+    pub(super) fn forward_placed(&mut self, placed: &[PlacedSyn]) {
+        for placed in placed {
+            self.log_decision(
+                ResultCode::Done,
+                &placed.syn.segment,
+                Some(&placed.next_hop),
+            );
+            self.send_next_hop(&placed.next_hop, &placed.syn.packet);
+        }
+    }
+
     fn send_next_hop(&mut self, next_hop: &NextHop, packet: &[u8]) {
         encode_frame(
             &Frame::Forward(next_hop.header),
