fix(flows): a pending SYN keeps its age

Cause: a SYN that waited at a balancer for the first agent was forwarded as if it had just arrived, and was kept for 400 ms, longer than until the next SYN of a caller that is still there. Change: the time since a SYN arrived counts against the latency goal, also when an agent returns it; it is kept until the caller's next SYN or its end.

--- a/crates/basilstep-core/src/flows/balancer/pending_syns.rs
+++ b/crates/basilstep-core/src/flows/balancer/pending_syns.rs
@@ -1,9 +1,6 @@
 use crate::flows::{key::FlowKey, segment::Segment};
 use std::collections::BTreeMap;
 
-/// How long a SYN is kept; the caller retransmits it within 400 ms.
-const PENDING_MS: u64 = 400;
-
 /// The maximum number of pending SYNs: those that arrive in a tenth of a second at the rate of new
 /// flows that a balancer has to handle.
 const PENDING_LIMIT: usize = 1_024;
@@ -15,8 +12,8 @@
     pub segment: Segment,
     /// The packet as it was received.
     pub packet: Vec<u8>,
-    /// When the packet was first refused.
-    since_ms: u64,
+    /// When the packet arrived.
+    pub since_ms: u64,
 }
 
 /// SYNs that wait for an agent, for example while the fleet restarts.
@@ -40,11 +37,11 @@
         self.by_flow.insert(flow, syn);
     }
 
-    /// Takes all SYNs whose next retransmission has not been sent yet.
+    /// Takes all SYNs whose callers have neither sent the next one nor given up.
     pub fn take(&mut self, now_ms: u64) -> Vec<PendingSyn> {
         std::mem::take(&mut self.by_flow)
             .into_values()
-            .filter(|syn| now_ms < syn.since_ms + PENDING_MS)
+            .filter(|syn| now_ms < syn.since_ms + syn.segment.next_syn_after_ms())
             .collect()
     }
 
--- a/crates/basilstep-core/src/flows/balancer/state.rs
+++ b/crates/basilstep-core/src/flows/balancer/state.rs
@@ -27,6 +27,7 @@
     collections::{BTreeMap, BTreeSet},
     net::{Ipv4Addr, SocketAddrV4},
 };
+use syn::NewFlow;
 
 /// How many hints are checked in one tick.
 const HINTS_SWEPT_PER_TICK: usize = 256;
@@ -90,7 +91,11 @@
                     code: ResultCode::Recovering,
                 };
             }
-            return self.on_syn(flow, segment, ctx);
+            let new = NewFlow {
+                segment,
+                arrived_ms: ctx.now_ms,
+            };
+            return self.on_syn(new, ctx);
         }
         let Some(hint) = self.hints.get_mut(&flow) else {
             let search_ms = self.settings.search_ms;
@@ -123,7 +128,7 @@
         let hint = self.hints.get_mut(&flow).copied();
         let is_from_holder = hint.is_some_and(|hint| hint.agent == agent);
         let is_caller_waiting =
-            hint.is_some_and(|hint| ctx.now_ms < hint.offered_ms + HANDSHAKE_TIMEOUT_MS);
+            hint.is_some_and(|hint| ctx.now_ms < hint.syn_arrived_ms + HANDSHAKE_TIMEOUT_MS);
         if segment.is_syn() && !(is_from_holder && is_caller_waiting) {
             // A retransmission has been placed since, no agent accepted one, or the caller has
             // given up.
@@ -139,7 +144,11 @@
         search.refused_by.insert(agent);
         search.is_hint_wrong |= is_from_holder;
         if segment.is_syn() {
-            return self.place_syn(flow, Some(returned.service), segment, returned.code, ctx);
+            let new = NewFlow {
+                segment,
+                arrived_ms: hint.map_or(ctx.now_ms, |hint| hint.syn_arrived_ms),
+            };
+            return self.place_syn(new, Some(returned.service), returned.code, ctx);
         }
         if returned.code == ResultCode::FlowLost {
             return Verdict::Reset {
@@ -190,10 +199,8 @@
     }
 
     fn record_holder(&mut self, agent: Ipv4Addr, flow: FlowKey, ctx: &Context) {
-        if let Some(hint) = self.hints.get_mut(&flow)
-            && hint.is_confirmed
-            && hint.agent != agent
-        {
+        let known = self.hints.get_mut(&flow).copied();
+        if known.is_some_and(|hint| hint.is_confirmed && hint.agent != agent) {
             // A late SYN retransmission has reached a second target. The first one holds the flow,
             // or will return its next packet.
             return;
@@ -206,6 +213,7 @@
             agent,
             service,
             is_confirmed: true,
+            syn_arrived_ms: known.map_or(ctx.now_ms, |hint| hint.syn_arrived_ms),
             offered_ms: ctx.now_ms,
             used_ms: ctx.now_ms,
         };
--- a/crates/basilstep-core/src/flows/balancer/state/syn.rs
+++ b/crates/basilstep-core/src/flows/balancer/state/syn.rs
@@ -15,35 +15,56 @@
 /// The latency goal of a request that can no longer meet it; 0 means that there is no goal.
 const EXPIRED_GOAL_MS: u64 = 1;
 
+/// The SYN of a flow that is not open yet.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct NewFlow<'a> {
+    pub segment: &'a Segment,
+    /// When this SYN arrived; it may have been pending since.
+    pub arrived_ms: u64,
+}
+
+impl NewFlow<'_> {
+    const fn key(&self) -> FlowKey {
+        self.segment.flow_of_caller()
+    }
+
+    /// Returns how long ago the caller sent the first SYN of the flow.
+    fn age_ms(&self, now_ms: u64) -> u64 {
+        now_ms.saturating_sub(self.arrived_ms) + self.segment.syn_age_ms()
+    }
+}
+
 impl BalancerFlows {
-    pub(super) fn on_syn(&mut self, flow: FlowKey, segment: &Segment, ctx: &Context) -> Verdict {
+    pub(super) fn on_syn(&mut self, new: NewFlow<'_>, ctx: &Context) -> Verdict {
+        let flow = new.key();
         let confirm_within_ms = self.settings.confirm_within_ms;
         if let Some(hint) = self.hints.get_mut(&flow) {
             hint.used_ms = ctx.now_ms;
+            hint.syn_arrived_ms = new.arrived_ms;
             let (agent, service) = (hint.agent, hint.service);
             let is_overdue = ctx.now_ms >= hint.offered_ms + confirm_within_ms;
             if hint.is_confirmed || !is_overdue {
-                return self.forward_syn(agent, service, segment);
+                return self.forward_syn(agent, service, new, ctx);
             }
             self.agents
                 .doubt_until(agent, ctx.now_ms + self.settings.doubt_ms);
             self.hints.remove(&flow);
-            return self.place_syn(flow, Some(service), segment, ResultCode::NoTarget, ctx);
+            return self.place_syn(new, Some(service), ResultCode::NoTarget, ctx);
         }
         // Agents that were full when they refused the previous SYN may accept this one.
         self.searches.end(&flow);
-        self.place_syn(flow, None, segment, ResultCode::NoTarget, ctx)
+        self.place_syn(new, None, ResultCode::NoTarget, ctx)
     }
 
     /// Sends a SYN to the best remaining agent; `code` is the reason of the last refusal.
     pub(super) fn place_syn(
         &mut self,
-        flow: FlowKey,
+        new: NewFlow<'_>,
         service: Option<ServiceTag>,
-        segment: &Segment,
         code: ResultCode,
         ctx: &Context,
     ) -> Verdict {
+        let flow = new.key();
         let Some(route) = self.fleet.table.routes.get(&flow.service_address) else {
             return self.reject_unknown_service(ctx);
         };
@@ -61,7 +82,7 @@
             .agents
             .choose_agent(&flow, service, &placement, &self.settings)
         else {
-            return self.refuse(segment, code);
+            return self.refuse(new.segment, code);
         };
         self.agents.record_offer(agent);
         self.record_packet_for(agent, ctx.now_ms);
@@ -70,11 +91,12 @@
             agent,
             service,
             is_confirmed: false,
+            syn_arrived_ms: new.arrived_ms,
             offered_ms: ctx.now_ms,
             used_ms: ctx.now_ms,
         };
         self.hints.insert(flow, hint);
-        self.forward_syn(agent, service, segment)
+        self.forward_syn(agent, service, new, ctx)
     }
 
     /// Refuses a SYN that no agent accepts at the moment.
@@ -90,18 +112,18 @@
     }
 
     /// Forwards a SYN to an agent, with what is left of the latency goal of its request.
-    pub(super) fn forward_syn(
+    fn forward_syn(
         &self,
         agent: Ipv4Addr,
         service: ServiceTag,
-        segment: &Segment,
+        new: NewFlow<'_>,
+        ctx: &Context,
     ) -> Verdict {
-        let flow = segment.flow_of_caller();
-        let route = self.fleet.table.routes.get(&flow.service_address);
+        let route = self.fleet.table.routes.get(&new.key().service_address);
         let goal_ms = route.map_or(0, |route| u64::from(route.latency_goal_ms));
         let mut next_hop = self.next_hop(agent, service, false);
         if goal_ms > 0 {
-            let left_ms = goal_ms.saturating_sub(segment.syn_age_ms());
+            let left_ms = goal_ms.saturating_sub(new.age_ms(ctx.now_ms));
             next_hop.header.latency_goal_ms = left_ms.max(EXPIRED_GOAL_MS) as u16;
         }
         Verdict::Forward(next_hop)
@@ -119,7 +141,11 @@
     pub fn place_pending_syns(&mut self, ctx: &Context) -> Vec<PlacedSyn> {
         let mut placed = Vec::new();
         for syn in self.pending_syns.take(ctx.now_ms) {
-            match self.on_packet(&syn.segment, ctx) {
+            let new = NewFlow {
+                segment: &syn.segment,
+                arrived_ms: syn.since_ms,
+            };
+            match self.on_syn(new, ctx) {
                 Verdict::Forward(next_hop) => placed.push(PlacedSyn { syn, next_hop }),
                 Verdict::Drop { .. } => self.pending_syns.put_back(syn),
                 Verdict::Search(_) | Verdict::Reset { .. } => {}
