feat(flows): nothing goes back when the store is restored from a copy

Cause: the store may come back from a copy some seconds old. Its revisions are given out again and its leases are gone, but a watch kept the highest revision it had seen, balancers preferred the higher revision of the former era, a renewal could meet a lease of another process, and a listing of the older copy took a domain back in. Change: the adapter decodes Store-Era; a revision is (era, number) wherever freshness is compared, in settings, heartbeats and replies. A later era in any response or heartbeat ends watch and lease: both tasks list or register anew at once. A domain that was out stays out until the new era has a record of it, for 10 s at most. Routes were ordered by version before and stay so. Frames get version 2. The stand-in store restores from a copy, with revisions and lease ids given out again; the soak restores it on request, from a seed of its own, so that the other faults of a seed stay as they are.

--- a/crates/basilstep-bench/src/load/one_service.rs
+++ b/crates/basilstep-bench/src/load/one_service.rs
@@ -1,7 +1,7 @@
 //! The service that the experiments on flows without a token use: one service at one address.
 
 use basilstep_core::flows::{
-    FleetSettings, RequestKind, Route, ServiceLimits, ServiceShare, ServiceTag,
+    FleetSettings, RequestKind, Route, ServiceLimits, ServiceShare, ServiceTag, StoreRevision,
     agent::ColdAllowance,
 };
 use std::net::{Ipv4Addr, SocketAddrV4};
@@ -25,7 +25,7 @@
 /// Returns fleet settings with a route to the service.
 pub fn fleet_settings(kind: RequestKind, latency_goal_ms: u16) -> FleetSettings {
     let mut fleet = FleetSettings {
-        revision: 1,
+        revision: StoreRevision { era: 0, number: 1 },
         ..FleetSettings::default()
     };
     let shares = vec![ServiceShare {
--- a/crates/basilstep-bench/src/load/packet_path.rs
+++ b/crates/basilstep-bench/src/load/packet_path.rs
@@ -135,8 +135,9 @@
         domain: DomainId(0),
         incarnation: ProcessIncarnation(1),
     };
-    let mut balancer = BalancerFlows::new(FlowSettings::default(), own, &Context::new(1));
-    balancer.on_fleet_settings(fleet_settings(RequestKind::NonIdempotent, 0));
+    let started = Context::new(1);
+    let mut balancer = BalancerFlows::new(FlowSettings::default(), own, &started);
+    balancer.on_fleet_settings(fleet_settings(RequestKind::NonIdempotent, 0), &started);
     balancer.on_report(AGENT, report(), &context());
     let held = HeldFlows {
         advertised_before: 0,
--- a/crates/basilstep-bench/src/load/steering/simulation.rs
+++ b/crates/basilstep-bench/src/load/steering/simulation.rs
@@ -187,8 +187,9 @@
             domain: domain_of(number),
             incarnation: self.next_incarnation(),
         };
-        let mut balancer = BalancerFlows::new(self.settings, own, &self.context());
-        balancer.on_fleet_settings(self.fleet.clone());
+        let ctx = self.context();
+        let mut balancer = BalancerFlows::new(self.settings, own, &ctx);
+        balancer.on_fleet_settings(self.fleet.clone(), &ctx);
         balancer
     }
 
--- a/crates/basilstep-core/src/flows/agent/state.rs
+++ b/crates/basilstep-core/src/flows/agent/state.rs
@@ -20,6 +20,7 @@
         segment::Segment,
         send_schedule::SendSchedule,
         settings::FlowSettings,
+        store_revision::StoreRevision,
     },
 };
 use std::net::Ipv4Addr;
@@ -86,7 +87,7 @@
     table: FlowTable,
     limits: Option<ServiceLimits>,
     is_domain_out: bool,
-    settings_revision: u64,
+    settings_revision: StoreRevision,
     settings_version: u64,
     balancers: BalancerList,
     advertiser: FlowAdvertiser,
@@ -109,7 +110,7 @@
             table: FlowTable::default(),
             limits: None,
             is_domain_out: false,
-            settings_revision: 0,
+            settings_revision: StoreRevision::default(),
             settings_version: 0,
             balancers: BalancerList::default(),
             advertiser: FlowAdvertiser::default(),
--- a/crates/basilstep-core/src/flows/balancer/agent_table.rs
+++ b/crates/basilstep-core/src/flows/balancer/agent_table.rs
@@ -62,6 +62,8 @@
     pub domain: DomainId,
     /// The domains that operators have taken out.
     pub domains_out: &'a BTreeSet<DomainId>,
+    /// The domains that are out by the record of an earlier era of the store.
+    pub held_domains: &'a BTreeSet<DomainId>,
     /// The agents that have refused the flow.
     pub refused_by: &'a BTreeSet<Ipv4Addr>,
     /// Detects silent agents.
@@ -232,6 +234,7 @@
         && !state.report.is_stopping
         && state.offered_since < state.report.room
         && !placement.domains_out.contains(&state.report.domain)
+        && !placement.held_domains.contains(&state.report.domain)
         && !placement
             .liveness
             .is_silent(agent, state, limit_ms, settings, placement.now_ms)
--- a/crates/basilstep-core/src/flows/balancer/mod.rs
+++ b/crates/basilstep-core/src/flows/balancer/mod.rs
@@ -1,6 +1,7 @@
 //! The balancer's side of steering: which agent gets a packet.
 
 mod agent_table;
+mod held_domains;
 mod hints;
 mod liveness;
 mod pending_syns;
--- a/crates/basilstep-core/src/flows/balancer/state.rs
+++ b/crates/basilstep-core/src/flows/balancer/state.rs
@@ -3,6 +3,7 @@
 
 use super::{
     agent_table::{AgentState, AgentTable},
+    held_domains::HeldDomains,
     hints::{Hint, Hints},
     liveness::Liveness,
     pending_syns::PendingSyns,
@@ -10,6 +11,7 @@
     verdict::{BalancerIdentity, NextHop, TickOutcome, Verdict},
 };
 use crate::{
+    address::DomainId,
     codes::ResultCode,
     context::Context,
     flows::{
@@ -38,6 +40,7 @@
     settings: FlowSettings,
     identity: BalancerIdentity,
     fleet: FleetSettings,
+    held_domains: HeldDomains,
     /// Services that earlier versions of a route named and that may still hold its open flows.
     former_services: BTreeMap<SocketAddrV4, BTreeSet<ServiceTag>>,
     agents: AgentTable,
@@ -65,6 +68,7 @@
             settings,
             identity,
             fleet: FleetSettings::default(),
+            held_domains: HeldDomains::default(),
             former_services: BTreeMap::new(),
             agents: AgentTable::default(),
             balancers,
@@ -249,7 +253,7 @@
             incarnation: self.identity.incarnation,
             version: self.fleet.table.version,
             revision: self.fleet.revision,
-            is_domain_out: self.fleet.domains_out.contains(&report.domain),
+            is_domain_out: self.is_domain_out(report.domain),
             limits: self.fleet.table.services.get(&report.service).copied(),
             balancers_hash: self.balancers.hash(),
         }
@@ -291,10 +295,12 @@
     }
 
     /// Applies settings from the store or another balancer; returns whether anything changed.
-    pub fn on_fleet_settings(&mut self, fleet: FleetSettings) -> bool {
-        let before = self.fleet.table.clone();
+    pub fn on_fleet_settings(&mut self, fleet: FleetSettings, ctx: &Context) -> bool {
+        let before = self.fleet.clone();
         let is_changed = self.fleet.merge_newer(fleet);
-        for (entry, route) in before.routes {
+        self.held_domains
+            .on_settings(&before, &self.fleet, ctx.now_ms);
+        for (entry, route) in before.table.routes {
             let now = self.fleet.table.routes.get(&entry);
             if now.is_some_and(|now| now.shares != route.shares) {
                 let services = route.shares.iter().map(|share| share.service);
@@ -348,6 +354,7 @@
         TickOutcome {
             forgotten,
             lost,
+            released_domains: self.held_domains.release(ctx.now_ms),
             placed: self.place_pending_syns(ctx),
         }
     }
@@ -394,6 +401,17 @@
             .map(|(agent, _)| *agent)
     }
 
+    /// Returns whether a domain gets no new flows, by the store's record or by that of an earlier
+    /// era.
+    fn is_domain_out(&self, domain: DomainId) -> bool {
+        self.fleet.domains_out.contains(&domain) || self.held_domains.domains().contains(&domain)
+    }
+
+    /// Returns the domains that are out by the record of an earlier era of the store.
+    pub const fn held_domains(&self) -> &BTreeSet<DomainId> {
+        self.held_domains.domains()
+    }
+
     /// Returns the settings in force.
     pub const fn fleet(&self) -> &FleetSettings {
         &self.fleet
--- a/crates/basilstep-core/src/flows/balancer/verdict.rs
+++ b/crates/basilstep-core/src/flows/balancer/verdict.rs
@@ -7,7 +7,7 @@
         key::{LostFlow, ProcessIncarnation},
     },
 };
-use std::net::Ipv4Addr;
+use std::{collections::BTreeSet, net::Ipv4Addr};
 
 /// The identity of a balancer.
 #[derive(Clone, Copy, Debug)]
@@ -76,6 +76,8 @@
     pub forgotten: Vec<Ipv4Addr>,
     /// Flows that are reset because all agents have answered that they do not hold them.
     pub lost: Vec<LostFlow>,
+    /// Domains that are back because the restored store has no record of them.
+    pub released_domains: BTreeSet<DomainId>,
     /// Pending SYNs for which an agent was found.
     pub placed: Vec<PlacedSyn>,
 }
--- a/crates/basilstep-core/src/flows/frame.rs
+++ b/crates/basilstep-core/src/flows/frame.rs
@@ -1,14 +1,17 @@
 //! Datagrams between balancers and agents: a version byte, a `postcard` header, then at most one
 //! packet as it was received.
 
-use super::key::{FlowKey, ProcessIncarnation, ServiceTag};
-use super::limits::ServiceLimits;
+use super::{
+    key::{FlowKey, ProcessIncarnation, ServiceTag},
+    limits::ServiceLimits,
+    store_revision::StoreRevision,
+};
 use crate::{address::DomainId, codes::ResultCode};
 use serde::{Deserialize, Serialize};
 use std::net::Ipv4Addr;
 
 /// The version, which is the first byte of each frame.
-const FRAME_VERSION: u8 = 1;
+const FRAME_VERSION: u8 = 2;
 
 /// The error for a datagram that is not a valid frame.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
@@ -139,7 +142,7 @@
     /// The version of the routes.
     pub version: u64,
     /// The store's revision of the domains that are out.
-    pub revision: u64,
+    pub revision: StoreRevision,
     /// The agent's domain is out.
     pub is_domain_out: bool,
     /// The limits of the agent's service, if the routes name it.
@@ -158,7 +161,7 @@
     /// The version of its routes.
     pub version: u64,
     /// The store's revision of its domains that are out.
-    pub revision: u64,
+    pub revision: StoreRevision,
     /// The balancer is shutting down.
     pub is_stopping: bool,
     /// How many agents have reported to it and are not forgotten.
--- a/crates/basilstep-core/src/flows/routes.rs
+++ b/crates/basilstep-core/src/flows/routes.rs
@@ -1,4 +1,8 @@
-use super::{key::FlowKey, key::ServiceTag, limits::ServiceLimits};
+use super::{
+    key::{FlowKey, ServiceTag},
+    limits::ServiceLimits,
+    store_revision::StoreRevision,
+};
 use crate::address::DomainId;
 use serde::{Deserialize, Serialize};
 use std::{
@@ -83,14 +87,14 @@
     /// The domains that operators have taken out.
     pub domains_out: BTreeSet<DomainId>,
     /// The store's revision at which these settings were read.
-    pub revision: u64,
+    pub revision: StoreRevision,
 }
 
 impl FleetSettings {
     /// Takes over the newer parts of `other`; returns whether anything changed.
     ///
-    /// Routes are ordered by the operators' version and never go back; domains are ordered by the
-    /// store's revision.
+    /// Routes are ordered by the operators' version and never go back, not even if the store does;
+    /// domains are ordered by the store's era and revision.
     pub fn merge_newer(&mut self, other: Self) -> bool {
         let mut is_changed = false;
         if other.table.version > self.table.version {
--- a/crates/basilstep-core/src/flows/tests/agent.rs
+++ b/crates/basilstep-core/src/flows/tests/agent.rs
@@ -1,6 +1,7 @@
 use super::{
     AGENT_BORN_MS, HEARTBEAT_MS, accepted, balancer_ip, bounced, context, data, flow,
-    forward_header, from_target, heartbeat, new_agent, serving_agent, syn, target_heartbeat,
+    forward_header, from_target, heartbeat, new_agent, revision, serving_agent, syn,
+    target_heartbeat,
 };
 use crate::{
     address::DomainId,
@@ -58,7 +59,7 @@
     ReportReply {
         incarnation: ProcessIncarnation(1),
         version: 1,
-        revision: 1,
+        revision: revision(1),
         is_domain_out: false,
         limits,
         balancers_hash: 0,
@@ -108,7 +109,7 @@
     let (mut agent, ctx) = serving_agent();
     let out = ReportReply {
         is_domain_out: true,
-        revision: 5,
+        revision: revision(5),
         ..reply(None)
     };
     assert!(agent.on_reply(&out));
@@ -124,7 +125,7 @@
         "an older revision changes nothing"
     );
     let back = ReportReply {
-        revision: 6,
+        revision: revision(6),
         ..reply(None)
     };
     assert!(agent.on_reply(&back));
--- a/crates/basilstep-core/src/flows/tests/balancer.rs
+++ b/crates/basilstep-core/src/flows/tests/balancer.rs
@@ -1,6 +1,6 @@
 use super::{
     agent_ip, balancer_ip, balancer_with, balancer_with_settings, context, data, fleet_settings,
-    flow, heartbeat, held, report, service, syn,
+    flow, heartbeat, held, report, revision, service, syn,
 };
 use crate::{
     address::DomainId,
@@ -127,9 +127,9 @@
     };
     balancer.on_report(agent_ip(2), other, &ctx);
     let mut settings = fleet_settings(RequestKind::Idempotent);
-    settings.revision = 2;
+    settings.revision = revision(2);
     settings.domains_out.insert(DomainId(0));
-    balancer.on_fleet_settings(settings);
+    balancer.on_fleet_settings(settings, &ctx);
     assert_eq!(chosen(&balancer.on_packet(&syn(flow(1), 0), &ctx)), 2);
 }
 
@@ -280,7 +280,7 @@
     for route in fleet.table.routes.values_mut() {
         route.latency_goal_ms = goal_ms;
     }
-    balancer.on_fleet_settings(fleet);
+    balancer.on_fleet_settings(fleet, &ctx);
     let Verdict::Forward(next_hop) = balancer.on_packet(&syn(flow(1), retransmission), &ctx) else {
         panic!("expected one agent");
     };
@@ -744,7 +744,7 @@
     for route in settings.table.routes.values_mut() {
         route.shares[0].service = crate::flows::ServiceTag::of("other");
     }
-    balancer.on_fleet_settings(settings);
+    balancer.on_fleet_settings(settings, &ctx);
     let verdict = balancer.on_packet(&data(flow(1), 100), &ctx);
     assert_eq!(searched(verdict), [1, 2]);
 }
--- a/crates/basilstep-core/src/flows/tests/cold_start.rs
+++ b/crates/basilstep-core/src/flows/tests/cold_start.rs
@@ -1,6 +1,8 @@
 //! Admission of new flows to a target that has just started.
 
-use super::{balancer_ip, context, flow, forward_header, new_agent, syn, target_heartbeat};
+use super::{
+    balancer_ip, context, flow, forward_header, new_agent, revision, syn, target_heartbeat,
+};
 use crate::flows::{
     AgentFlows, ProcessIncarnation, ReportReply, ServiceLimits,
     agent::{CallerVerdict, TargetHeartbeat},
@@ -19,7 +21,7 @@
     agent.on_reply(&ReportReply {
         incarnation: ProcessIncarnation(1),
         version: 1,
-        revision: 1,
+        revision: revision(1),
         is_domain_out: false,
         limits: Some(limits),
         balancers_hash: 0,
--- a/crates/basilstep-core/src/flows/tests/fleet.rs
+++ b/crates/basilstep-core/src/flows/tests/fleet.rs
@@ -164,7 +164,7 @@
         };
         let ctx = self.context();
         let mut balancer = BalancerFlows::new(FlowSettings::default(), own, &ctx);
-        balancer.on_fleet_settings(fleet_settings(RequestKind::Idempotent));
+        balancer.on_fleet_settings(fleet_settings(RequestKind::Idempotent), &ctx);
         self.balancers.insert(ip, balancer);
     }
 
--- a/crates/basilstep-core/src/flows/tests/frames.rs
+++ b/crates/basilstep-core/src/flows/tests/frames.rs
@@ -21,10 +21,10 @@
 
 #[rstest]
 #[case::empty(&[], FrameError::Version)]
-#[case::other_version(&[2, 6], FrameError::Version)]
-#[case::no_header(&[1], FrameError::Header)]
-#[case::unknown_kind(&[1, 99], FrameError::Header)]
-#[case::cut_short(&[1, 0, 1, 2], FrameError::Header)]
+#[case::other_version(&[1, 6], FrameError::Version)]
+#[case::no_header(&[2], FrameError::Header)]
+#[case::unknown_kind(&[2, 99], FrameError::Header)]
+#[case::cut_short(&[2, 0, 1, 2], FrameError::Header)]
 fn datagram_that_is_no_frame_is_refused(#[case] bytes: &[u8], #[case] error: FrameError) {
     assert_eq!(decode_frame(bytes), Err(error));
 }
@@ -37,7 +37,7 @@
 
     #[test]
     fn length_in_a_frame_does_not_reserve_memory(length in any::<u32>()) {
-        let mut bytes = vec![1, 2];
+        let mut bytes = vec![2, 2];
         bytes.extend_from_slice(&length.to_le_bytes());
         let _ = decode_frame(&bytes);
     }
--- a/crates/basilstep-core/src/flows/tests/mod.rs
+++ b/crates/basilstep-core/src/flows/tests/mod.rs
@@ -11,11 +11,12 @@
 mod restart;
 mod routes;
 mod send_schedule;
+mod store_era;
 
 use super::{
     AgentFlows, AgentReport, BalancerFlows, BalancerHeartbeat, Flags, FleetSettings, FlowKey,
     FlowSettings, ForwardHeader, HeldFlows, ProcessIncarnation, RequestKind, Route, RouteTable,
-    Segment, ServiceLimits, ServiceShare, ServiceTag, TargetPhase,
+    Segment, ServiceLimits, ServiceShare, ServiceTag, StoreRevision, TargetPhase,
     agent::{AgentIdentity, ColdAllowance, HeartbeatState, TargetHeartbeat},
     balancer::BalancerIdentity,
 };
@@ -31,6 +32,11 @@
     ServiceTag::of("quotes")
 }
 
+/// A revision of the store's first era.
+pub const fn revision(number: u64) -> StoreRevision {
+    StoreRevision { era: 0, number }
+}
+
 pub fn agent_ip(number: u8) -> Ipv4Addr {
     Ipv4Addr::new(10, 1, 0, number)
 }
@@ -178,7 +184,7 @@
         incarnation: ProcessIncarnation(77),
         domain: DomainId(0),
         version: 1,
-        revision: 1,
+        revision: revision(1),
         is_stopping: false,
         agents,
         live_agents: agents,
@@ -203,7 +209,7 @@
     table.services.insert(service(), ServiceLimits::default());
     FleetSettings {
         table,
-        revision: 1,
+        revision: revision(1),
         ..FleetSettings::default()
     }
 }
@@ -226,7 +232,7 @@
         incarnation: ProcessIncarnation(9),
     };
     let mut balancer = BalancerFlows::new(settings, own, &context(0));
-    balancer.on_fleet_settings(fleet_settings(kind));
+    balancer.on_fleet_settings(fleet_settings(kind), &context(0));
     let ctx = context(10_000);
     for number in 1..=agents {
         balancer.on_report(agent_ip(number), report(TargetPhase::Serving), &ctx);
--- a/crates/basilstep-core/src/flows/tests/routes.rs
+++ b/crates/basilstep-core/src/flows/tests/routes.rs
@@ -7,7 +7,7 @@
 fn settings(version: u64, revision: u64) -> FleetSettings {
     let mut settings = fleet_settings(RequestKind::Idempotent);
     settings.table.version = version;
-    settings.revision = revision;
+    settings.revision = super::revision(revision);
     settings
 }
 
--- a/crates/basilstep-node/src/http/client.rs
+++ b/crates/basilstep-node/src/http/client.rs
@@ -1,5 +1,5 @@
 use bytes::Bytes;
-use http::{Method, Request, StatusCode, header};
+use http::{HeaderMap, Method, Request, StatusCode, header};
 use http_body_util::{BodyExt, Full};
 use hyper::client::conn::http1::{SendRequest, handshake};
 use hyper_util::rt::TokioIo;
@@ -36,6 +36,8 @@
 pub struct ClientResponse {
     /// The status code.
     pub status: StatusCode,
+    /// The header fields.
+    pub headers: HeaderMap,
     /// The complete body.
     pub body: Bytes,
 }
@@ -103,9 +105,13 @@
     }
     let request = request.body(Full::new(Bytes::copy_from_slice(body)))?;
     let response = connection.send_request(request).await?;
-    let status = response.status();
-    let body = response.into_body().collect().await?.to_bytes();
-    Ok((connection, ClientResponse { status, body }))
+    let (head, body) = response.into_parts();
+    let response = ClientResponse {
+        status: head.status,
+        headers: head.headers,
+        body: body.collect().await?.to_bytes(),
+    };
+    Ok((connection, response))
 }
 
 /// Returns the connection if it still accepts requests.
--- a/crates/basilstep-node/src/http/server.rs
+++ b/crates/basilstep-node/src/http/server.rs
@@ -1,5 +1,5 @@
 use bytes::Bytes;
-use http::{Method, Request, Response, StatusCode};
+use http::{HeaderMap, Method, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::{body::Incoming as IncomingBody, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
@@ -44,39 +44,44 @@
     pub status: StatusCode,
     /// The value of the `Content-Type` header.
     pub content_type: &'static str,
+    /// Further header fields.
+    pub headers: HeaderMap,
     /// The body.
     pub body: Bytes,
 }
 
 impl ServerResponse {
     /// Creates a response with an empty JSON object as its body.
-    pub const fn empty(status: StatusCode) -> Self {
+    pub fn empty(status: StatusCode) -> Self {
         Self::json(status, Bytes::from_static(b"{}"))
     }
 
     /// Creates a response with a JSON body.
-    pub const fn json(status: StatusCode, body: Bytes) -> Self {
+    pub fn json(status: StatusCode, body: Bytes) -> Self {
         Self {
             status,
             content_type: "application/json",
+            headers: HeaderMap::new(),
             body,
         }
     }
 
     /// Creates a response with a text body.
-    pub const fn text(body: Bytes) -> Self {
+    pub fn text(body: Bytes) -> Self {
         Self {
             status: StatusCode::OK,
             content_type: "text/plain; version=0.0.4",
+            headers: HeaderMap::new(),
             body,
         }
     }
 
     /// Creates a response with a binary body.
-    pub const fn bytes(body: Bytes) -> Self {
+    pub fn bytes(body: Bytes) -> Self {
         Self {
             status: StatusCode::OK,
             content_type: "application/octet-stream",
+            headers: HeaderMap::new(),
             body,
         }
     }
@@ -155,6 +160,7 @@
     };
     let mut http_response = Response::new(Full::new(response.body));
     *http_response.status_mut() = response.status;
+    *http_response.headers_mut() = response.headers;
     http_response.headers_mut().insert(
         http::header::CONTENT_TYPE,
         http::HeaderValue::from_static(response.content_type),
--- a/crates/basilstep-packet/src/agent/frames.rs
+++ b/crates/basilstep-packet/src/agent/frames.rs
@@ -63,7 +63,7 @@
         if self.flows.on_reply(reply) {
             log::info!(
                 is_domain_out = self.flows.is_domain_out(),
-                revision = reply.revision,
+                revision:% = reply.revision,
                 source:% = peer;
                 "the failure domain left or came back"
             );
--- a/crates/basilstep-packet/src/balancer/frames.rs
+++ b/crates/basilstep-packet/src/balancer/frames.rs
@@ -123,6 +123,7 @@
         if is_new || heartbeat.balancers_hash != self.flows.balancers().hash() {
             self.send_frame(peer, &Frame::ListBalancers);
         }
+        self.era_signal.record(heartbeat.revision.era);
         let fleet = self.flows.fleet();
         let is_ahead =
             heartbeat.version > fleet.table.version || heartbeat.revision > fleet.revision;
--- a/crates/basilstep-packet/src/balancer/serve.rs
+++ b/crates/basilstep-packet/src/balancer/serve.rs
@@ -6,7 +6,7 @@
     pause_detector::PauseDetector,
     process::{self, ProcessError, StartContext},
     request_forwarder::{PendingRequest, RequestForwarder},
-    store_tasks::{self, StoreEvent},
+    store_tasks::{self, EraSignal, StoreEvent},
 };
 use basilstep_core::{
     context::Context,
@@ -70,6 +70,7 @@
     pub(super) metrics: Metrics,
     pub(super) frame_buffer: Vec<u8>,
     pub(super) is_pulling_settings: bool,
+    pub(super) era_signal: EraSignal,
     pub(super) event_sender: mpsc::Sender<Event>,
     pause_detector: PauseDetector,
     next_heartbeat_ms: u64,
@@ -98,11 +99,13 @@
             store,
             names,
             store_sender.clone(),
+            balancer.era_signal.clone(),
         ));
         tokio::spawn(store_tasks::maintain_registration(
             store,
             machine.ip,
             store_sender.clone(),
+            balancer.era_signal.clone(),
         ));
     }
     let mut ticks = interval(TICK);
@@ -159,6 +162,7 @@
             metrics: Metrics::new(),
             frame_buffer: Vec::new(),
             is_pulling_settings: false,
+            era_signal: EraSignal::new(),
             event_sender,
             pause_detector: PauseDetector::start(start.clock),
             next_heartbeat_ms: 0,
@@ -227,7 +231,7 @@
     }
 
     fn apply_settings(&mut self, settings: FleetSettings, source: &str) {
-        if !self.flows.on_fleet_settings(settings) {
+        if !self.flows.on_fleet_settings(settings, &self.ctx) {
             return;
         }
         let fleet = self.flows.fleet();
@@ -236,7 +240,8 @@
             version = fleet.table.version,
             routes = fleet.table.routes.len(),
             domains_out:? = fleet.domains_out,
-            revision = fleet.revision;
+            held_domains:? = self.flows.held_domains(),
+            revision:% = fleet.revision;
             "settings are in force"
         );
         self.send_heartbeats(Recipients::All);
@@ -248,6 +253,12 @@
         for agent in &outcome.forgotten {
             log::info!(agent:% = agent; "removed an agent that stopped reporting");
         }
+        if !outcome.released_domains.is_empty() {
+            log::warn!(
+                domains:? = outcome.released_domains;
+                "domains are back: the restored store has no record of them"
+            );
+        }
         self.apply_tick_outcome(&outcome);
         self.send_probes();
         if self.flows.balancers().len() == 1 {
@@ -329,6 +340,7 @@
             "now_ms": self.ctx.now_ms,
             "version": self.flows.fleet().table.version,
             "domains_out": self.flows.fleet().domains_out,
+            "held_domains": self.flows.held_domains(),
             "revision": self.flows.fleet().revision,
             "hints": self.flows.hint_count(),
             "balancers": self.flows.balancers().entries(self.ctx.now_ms),
--- a/crates/basilstep-packet/src/store_tasks.rs
+++ b/crates/basilstep-packet/src/store_tasks.rs
@@ -13,7 +13,10 @@
     net::{Ipv4Addr, SocketAddrV4},
     time::Duration,
 };
-use tokio::{sync::mpsc, time::sleep};
+use tokio::{
+    sync::{mpsc, watch},
+    time::sleep,
+};
 
 /// The wait time of a watch call; the store allows up to 30 s.
 const WATCH_WAIT: Duration = Duration::from_secs(25);
@@ -46,23 +49,75 @@
     Balancers(Vec<Ipv4Addr>),
 }
 
+/// The highest era of the store that any task of this process has seen.
+///
+/// A task that waits starts over as soon as another one sees a new era.
+#[derive(Clone, Debug)]
+pub struct EraSignal {
+    sender: watch::Sender<u64>,
+}
+
+impl EraSignal {
+    /// Creates a signal without an era.
+    pub fn new() -> Self {
+        let (sender, _) = watch::channel(0);
+        Self { sender }
+    }
+
+    /// Records an era that was seen in a response of the store or in a peer's heartbeat.
+    pub fn record(&self, era: u64) {
+        self.sender.send_if_modified(|known| {
+            let is_new = era > *known;
+            *known = era.max(*known);
+            is_new
+        });
+    }
+
+    /// Runs a call to the store in era `era`; fails when a later era is recorded meanwhile.
+    async fn interrupt<T>(
+        &self,
+        era: u64,
+        call: impl Future<Output = Result<T, StoreError>>,
+    ) -> Result<T, StoreError> {
+        let mut receiver = self.sender.subscribe();
+        let restored = receiver.wait_for(|known| *known > era);
+        tokio::select! {
+            result = call => result,
+            restored = restored => Err(StoreError::Restored {
+                era: restored.map_or(era, |known| *known),
+            }),
+        }
+    }
+}
+
 /// Watches the operators' keys and reports their settings until the channel is closed.
 pub async fn watch_operator_settings(
     address: SocketAddrV4,
     domain_names: Vec<String>,
     event_sender: mpsc::Sender<StoreEvent>,
+    era_signal: EraSignal,
 ) {
     let mut client = StoreClient::new(address);
     let mut operators = OperatorSettings::new(domain_names);
     let mut connection = ConnectionLog::new("operators' settings");
     loop {
-        let ended =
-            list_and_watch(&mut client, &mut operators, &event_sender, &mut connection).await;
+        let ended = list_and_watch(
+            &mut client,
+            &mut operators,
+            &event_sender,
+            &mut connection,
+            &era_signal,
+        )
+        .await;
         match ended {
             Ok(()) => return,
             Err(StoreError::HistoryGone) => {
                 log::info!("the store compacted its history; listing again");
             }
+            Err(StoreError::Restored { era }) => {
+                era_signal.record(era);
+                log::warn!(era; "the store was restored from a copy; listing again");
+            }
             Err(error) => {
                 connection.log_lost(&error);
                 sleep(RETRY_INTERVAL).await;
@@ -76,9 +131,11 @@
     operators: &mut OperatorSettings,
     event_sender: &mpsc::Sender<StoreEvent>,
     connection: &mut ConnectionLog,
+    era_signal: &EraSignal,
 ) -> Result<(), StoreError> {
     let listed = client.range(store_keys::OPERATOR_PREFIX, false).await?;
     connection.log_restored();
+    era_signal.record(listed.revision.era);
     let mut revision = listed.revision;
     operators.replace_all(&listed);
     if event_sender
@@ -89,9 +146,8 @@
         return Ok(());
     }
     loop {
-        let changes = client
-            .watch(store_keys::OPERATOR_PREFIX, revision, WATCH_WAIT)
-            .await?;
+        let call = client.watch(store_keys::OPERATOR_PREFIX, revision.number, WATCH_WAIT);
+        let changes = era_signal.interrupt(revision.era, call).await?;
         revision = revision.max(changes.revision);
         if changes.items.is_empty() {
             continue;
@@ -110,12 +166,20 @@
     address: SocketAddrV4,
     ip: Ipv4Addr,
     event_sender: mpsc::Sender<StoreEvent>,
+    era_signal: EraSignal,
 ) {
     let mut client = StoreClient::new(address);
     let mut connection = ConnectionLog::new("balancers' entries");
     loop {
-        match register_and_renew(&mut client, ip, &event_sender, &mut connection).await {
+        let ended =
+            register_and_renew(&mut client, ip, &event_sender, &mut connection, &era_signal).await;
+        match ended {
             Ok(()) => return,
+            Err(StoreError::Restored { era }) => {
+                era_signal.record(era);
+                log::warn!(era; "the store was restored from a copy; registering again");
+                continue;
+            }
             Err(error) => connection.log_lost(&error),
         }
         sleep(REGISTRATION_RETRY_INTERVAL).await;
@@ -127,7 +191,9 @@
     ip: Ipv4Addr,
     event_sender: &mpsc::Sender<StoreEvent>,
     connection: &mut ConnectionLog,
+    era_signal: &EraSignal,
 ) -> Result<(), StoreError> {
+    // A lease of a former era is not renewed: its id may have been given to another process.
     let lease = client.grant_lease(REGISTRATION_TTL).await?;
     client
         .put(&store_keys::balancer_key(ip), &[], &lease)
@@ -149,8 +215,12 @@
             return Ok(());
         }
         for _ in 0..RENEWALS_PER_LISTING {
-            sleep(RENEWAL_INTERVAL).await;
-            client.renew_lease(&lease).await?;
+            let era = client.era();
+            let renewed = async {
+                sleep(RENEWAL_INTERVAL).await;
+                client.renew_lease(&lease).await
+            };
+            era_signal.interrupt(era, renewed).await?;
         }
     }
 }
--- a/crates/basilstep-packet/tests/processes/fleet.rs
+++ b/crates/basilstep-packet/tests/processes/fleet.rs
@@ -129,3 +129,35 @@
     let dropped = caller.open_flow(balancer, 40_007, entry()).await;
     assert!(dropped.is_none_or(|packet| packet.is(RST)));
 }
+
+/// The copy is older than the configuration in force and than the balancers' registrations, and its
+/// revisions are given out again for other changes.
+#[tokio::test]
+async fn restored_store_takes_nothing_back_and_gets_the_registration_again() {
+    let mut fleet = Fleet::start("restore").await;
+    fleet.configure(1, entry());
+    fleet.store.copy();
+    let other = SocketAddrV4::new(*entry().ip(), 8_080);
+    fleet.configure(2, other);
+    fleet.start_balancer(1);
+    fleet.start_agent(11).await;
+    fleet.await_ready(1).await;
+    let registration = format!("balancers/{}", fleet.ip(1));
+    assert!(fleet.store.contains(&registration));
+
+    fleet.store.restore();
+    assert!(!fleet.store.contains(&registration));
+    let restored = "the store was restored from a copy; registering again";
+    fleet.await_log(1, restored, 1).await;
+    sleep(Duration::from_millis(200)).await;
+    assert!(fleet.store.contains(&registration));
+    let caller = open_caller(&fleet).await;
+    let balancer = fleet.address(1, fleet.ports.packets);
+    let opened = caller.open_flow(balancer, 40_008, other).await.unwrap();
+    assert!(opened.is(SYN), "version 2 stays in force");
+
+    fleet.configure(3, entry());
+    sleep(Duration::from_secs(1)).await;
+    let opened = caller.open_flow(balancer, 40_009, entry()).await.unwrap();
+    assert!(opened.is(SYN), "version 3 is put in force in the new era");
+}
--- a/crates/basilstep-packet/tests/processes/soak/faults.rs
+++ b/crates/basilstep-packet/tests/processes/soak/faults.rs
@@ -20,6 +20,9 @@
 };
 
 const MAX_FAULT_INTERVAL_MS: u32 = 500;
+const MAX_RESTORE_INTERVAL_MS: u32 = 4_000;
+const MAX_COPY_AGE_MS: u32 = 3_000;
+const MAX_REWRITE_DELAY_MS: u32 = 1_000;
 
 /// The time limit for a process to stop after SIGTERM; a balancer takes 1.8 s.
 const STOP_TIMEOUT: Duration = Duration::from_secs(5);
@@ -79,9 +82,39 @@
     FaultKind::TakeDomainOut,
 ];
 
+/// Restores the store from a copy a few times within `duration`, each time from one that is some
+/// seconds old; the operators then write again what holds.
+pub async fn restore_store(
+    cluster: &Cluster,
+    versions: &AtomicU64,
+    mut random: ChaCha8Rng,
+    duration: Duration,
+) {
+    let mut draw_ms = |range_ms| Duration::from_millis(u64::from(random.next_u32() % range_ms));
+    let until = Instant::now() + duration;
+    while Instant::now() < until {
+        sleep(draw_ms(MAX_RESTORE_INTERVAL_MS)).await;
+        cluster.fleet.store.copy();
+        sleep(draw_ms(MAX_COPY_AGE_MS)).await;
+        cluster.fleet.store.restore();
+        sleep(draw_ms(MAX_REWRITE_DELAY_MS)).await;
+        configure(&cluster.fleet, versions.load(Ordering::SeqCst));
+        for (zone, operator) in ZONES.iter().zip(&cluster.operators) {
+            let is_out = operator.try_lock().is_err();
+            let record = is_out.then(|| serde_json::json!({}));
+            let key = format!("op/evacuate/{zone}");
+            cluster.fleet.store.put(&key, record.as_ref());
+        }
+    }
+}
+
 /// Injects faults for `duration` and waits until the last one has ended.
-pub async fn inject(cluster: &Arc<Cluster>, mut random: ChaCha8Rng, duration: Duration) {
-    let versions = Arc::new(AtomicU64::new(1));
+pub async fn inject(
+    cluster: &Arc<Cluster>,
+    versions: &Arc<AtomicU64>,
+    mut random: ChaCha8Rng,
+    duration: Duration,
+) {
     let until = Instant::now() + duration;
     let mut running = JoinSet::new();
     while Instant::now() < until {
@@ -93,7 +126,7 @@
         running.spawn(apply_fault(
             Arc::clone(cluster),
             fault,
-            Arc::clone(&versions),
+            Arc::clone(versions),
         ));
         sleep(Duration::from_millis(u64::from(
             random.next_u32() % MAX_FAULT_INTERVAL_MS,
--- a/crates/basilstep-packet/tests/processes/soak/mod.rs
+++ b/crates/basilstep-packet/tests/processes/soak/mod.rs
@@ -25,7 +25,7 @@
     ops::Range,
     sync::{
         Arc,
-        atomic::{AtomicBool, Ordering},
+        atomic::{AtomicBool, AtomicU64, Ordering},
     },
     time::Duration,
 };
@@ -36,14 +36,25 @@
 
 /// The caller that checks all services through all balancers at the end.
 const LAST_CALLER: u8 = 240;
+
+/// Keeps the restores of a seed apart from its other faults, which are drawn from the seed itself.
+const RESTORE_SEED_OFFSET: u64 = 1 << 32;
 const SHORT_DURATION: Duration = Duration::from_secs(6);
 const LONG_DURATION: Duration = Duration::from_secs(12);
 
 /// The time after the last fault within which the fleet must have recovered.
 const RECOVERY_TIME: Duration = Duration::from_secs(5);
 
+/// Whether the store keeps what it has acknowledged.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum StoreKind {
+    Durable,
+    /// It is restored from copies that are some seconds old.
+    Restored,
+}
+
 /// Runs one seed and returns the violated invariants.
-async fn run_seed(seed: u64, duration: Duration) -> Vec<String> {
+async fn run_seed(seed: u64, duration: Duration, store: StoreKind) -> Vec<String> {
     let cluster = Arc::new(Cluster::start(&format!("soak-{seed}")).await);
     for balancer in &cluster.balancers {
         cluster.fleet.await_ready(balancer.number).await;
@@ -68,7 +79,18 @@
             Arc::clone(&is_stopped),
         ));
     }
-    faults::inject(&cluster, ChaCha8Rng::seed_from_u64(seed), duration).await;
+    let versions = Arc::new(AtomicU64::new(1));
+    let restores = async {
+        if store == StoreKind::Restored {
+            let random = ChaCha8Rng::seed_from_u64(RESTORE_SEED_OFFSET + seed);
+            faults::restore_store(&cluster, &versions, random, duration).await;
+        }
+    };
+    let random = ChaCha8Rng::seed_from_u64(seed);
+    tokio::join!(
+        restores,
+        faults::inject(&cluster, &versions, random, duration)
+    );
     sleep(RECOVERY_TIME).await;
     is_stopped.store(true, Ordering::SeqCst);
     while let Some(ended) = callers.join_next().await {
@@ -138,7 +160,15 @@
 #[case::second(2)]
 #[tokio::test(flavor = "multi_thread")]
 async fn invariants_hold_under_faults(#[case] seed: u64) {
-    let violations = run_seed(seed, SHORT_DURATION).await;
+    let violations = run_seed(seed, SHORT_DURATION, StoreKind::Durable).await;
+    assert!(violations.is_empty(), "seed {seed}: {violations:#?}");
+}
+
+#[rstest]
+#[case::first(1)]
+#[tokio::test(flavor = "multi_thread")]
+async fn invariants_hold_when_the_store_is_restored(#[case] seed: u64) {
+    let violations = run_seed(seed, SHORT_DURATION, StoreKind::Restored).await;
     assert!(violations.is_empty(), "seed {seed}: {violations:#?}");
 }
 
@@ -157,7 +187,7 @@
 #[tokio::test(flavor = "multi_thread")]
 #[ignore = "takes 20 s for each seed"]
 async fn regressions(#[case] seed: u64) {
-    let violations = run_seed(seed, LONG_DURATION).await;
+    let violations = run_seed(seed, LONG_DURATION, StoreKind::Durable).await;
     assert!(violations.is_empty(), "seed {seed}: {violations:#?}");
 }
 
@@ -168,13 +198,17 @@
         Duration::from_secs(text.parse().expect("the duration is a number of seconds"))
     });
     let jobs: usize = env::var("BASILSTEP_SOAK_JOBS").map_or(1, |text| text.parse().unwrap());
+    let store = match env::var("BASILSTEP_SOAK_STORE").as_deref() {
+        Ok("restored") => StoreKind::Restored,
+        _ => StoreKind::Durable,
+    };
     let free = Arc::new(Semaphore::new(jobs));
     let mut runs = JoinSet::new();
     for seed in seeds() {
         let free = Arc::clone(&free);
         runs.spawn(async move {
             let _permit = free.acquire().await.unwrap();
-            (seed, run_seed(seed, duration).await)
+            (seed, run_seed(seed, duration, store).await)
         });
     }
     let mut failed = Vec::new();
--- a/crates/basilstep-packet/tests/processes/support/store.rs
+++ b/crates/basilstep-packet/tests/processes/support/store.rs
@@ -15,8 +15,10 @@
 
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 struct StoreState {
+    /// How often the store has been restored from a copy.
+    era: u64,
     revision: u64,
     values: BTreeMap<String, (u64, Option<Vec<u8>>)>,
     /// The oldest revision from which a watch can start.
@@ -29,6 +31,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Store {
     state: Arc<Mutex<StoreState>>,
+    copy: Arc<Mutex<StoreState>>,
 }
 
 impl Store {
@@ -67,8 +70,37 @@
         state.history_from = state.revision;
     }
 
+    /// Takes the copy from which [`Store::restore`] restores.
+    pub fn copy(&self) {
+        *self.copy.lock().unwrap() = self.state.lock().unwrap().clone();
+    }
+
+    /// Restores the copy: later writes and all items with leases are gone, and revisions and lease
+    /// ids are given out again.
+    pub fn restore(&self) {
+        let mut state = self.state.lock().unwrap();
+        let era = state.era + 1;
+        *state = self.copy.lock().unwrap().clone();
+        state.era = era;
+        state.values.retain(|key, _| !key.starts_with("balancers/"));
+    }
+
+    /// Returns whether an item exists.
+    pub fn contains(&self, key: &str) -> bool {
+        let state = self.state.lock().unwrap();
+        state
+            .values
+            .get(key)
+            .is_some_and(|(_, value)| value.is_some())
+    }
+
     fn has_history(&self, after: u64) -> bool {
-        after >= self.state.lock().unwrap().history_from
+        let state = self.state.lock().unwrap();
+        (state.history_from..=state.revision).contains(&after)
+    }
+
+    fn era(&self) -> u64 {
+        self.state.lock().unwrap().era
     }
 
     fn lease(&self) -> u64 {
@@ -124,6 +156,14 @@
 
 impl RequestHandler for Store {
     async fn handle(&self, request: ServerRequest) -> ServerResponse {
+        let mut response = self.respond(request).await;
+        response.headers.insert("store-era", self.era().into());
+        response
+    }
+}
+
+impl Store {
+    async fn respond(&self, request: ServerRequest) -> ServerResponse {
         let query: BTreeMap<&str, &str> = request
             .query
             .split('&')
