feat(flows): callers are refused at once in a long overload

Hypothesis: at several times the load that the targets can serve, a caller that gets no answer comes back after 200 ms or as a new try after 400 ms. It is then late, looks new, and takes the place of a request that could be in time. Change: when all agents have refused new flows because of their load for longer than a caller takes to send its SYN again, the SYN is answered by a reset at once. The caller's next try follows within milliseconds, in time for its goal, or it knows that it is not served. Shorter overloads are treated as before.

--- a/crates/basilstep-core/src/flows/balancer/mod.rs
+++ b/crates/basilstep-core/src/flows/balancer/mod.rs
@@ -4,6 +4,7 @@
 mod held_domains;
 mod hints;
 mod liveness;
+mod overload;
 mod pending_syns;
 mod search;
 mod state;
--- /dev/null
+++ b/crates/basilstep-core/src/flows/balancer/overload.rs
@@ -0,0 +1,37 @@
+use crate::flows::{handshake::FIRST_SYN_INTERVAL_MS, key::ServiceTag};
+use std::collections::BTreeMap;
+
+/// The time without a refusal after which an overload has ended.
+const MAX_GAP_MS: u64 = 100;
+
+#[derive(Clone, Copy, Debug)]
+struct Refusals {
+    since_ms: u64,
+    last_ms: u64,
+}
+
+/// Since when the targets of each service have had no room for new flows.
+#[derive(Clone, Debug, Default)]
+pub struct Overloads {
+    refusals: BTreeMap<ServiceTag, Refusals>,
+}
+
+impl Overloads {
+    /// Records that all targets of a service have refused a new flow because of their load; returns
+    /// whether its caller is to be refused at once.
+    ///
+    /// A caller that gets no answer sends its SYN again, and that is of use if there is room by
+    /// then. In an overload that has lasted for longer than this takes, it would come back too late
+    /// to be answered in time, and take the place of a request that could be.
+    pub fn record_refusal(&mut self, service: ServiceTag, now_ms: u64) -> bool {
+        let refusals = self.refusals.entry(service).or_insert(Refusals {
+            since_ms: now_ms,
+            last_ms: now_ms,
+        });
+        if now_ms >= refusals.last_ms + MAX_GAP_MS {
+            refusals.since_ms = now_ms;
+        }
+        refusals.last_ms = now_ms;
+        now_ms >= refusals.since_ms + FIRST_SYN_INTERVAL_MS
+    }
+}
--- a/crates/basilstep-core/src/flows/balancer/state.rs
+++ b/crates/basilstep-core/src/flows/balancer/state.rs
@@ -6,6 +6,7 @@
     held_domains::HeldDomains,
     hints::{Hint, Hints},
     liveness::Liveness,
+    overload::Overloads,
     pending_syns::PendingSyns,
     search::Searches,
     verdict::{BalancerIdentity, NextHop, TickOutcome, Verdict},
@@ -49,6 +50,7 @@
     searches: Searches,
     pending_syns: PendingSyns,
     liveness: Liveness,
+    overloads: Overloads,
     /// The highest number of agents that another balancer has reported since this one started; that
     /// balancer may have restarted since.
     max_agents: Option<u16>,
@@ -76,6 +78,7 @@
             searches: Searches::default(),
             pending_syns: PendingSyns::default(),
             liveness: Liveness::default(),
+            overloads: Overloads::default(),
             max_agents: None,
             started_ms: ctx.now_ms,
             settling_since_ms: ctx.now_ms,
--- a/crates/basilstep-core/src/flows/balancer/state/syn.rs
+++ b/crates/basilstep-core/src/flows/balancer/state/syn.rs
@@ -83,7 +83,7 @@
             .agents
             .choose_agent(&flow, service, &placement, &self.settings)
         else {
-            return self.refuse(new.segment, code);
+            return self.refuse(new.segment, service, code, ctx);
         };
         self.agents.record_offer(agent);
         self.record_packet_for(agent, ctx.now_ms);
@@ -102,10 +102,18 @@
 
     /// Refuses a SYN that no agent accepts at the moment.
     ///
-    /// All but the last are dropped, because the caller sends a retransmission within 400 ms, which
-    /// may find a free agent; after the last retransmission the caller gets a reset at once.
-    pub(super) fn refuse(&mut self, segment: &Segment, code: ResultCode) -> Verdict {
-        if !segment.is_last_syn() {
+    /// It is dropped if the caller's next SYN, within 400 ms, may find a free agent; otherwise the
+    /// caller gets a reset at once.
+    fn refuse(
+        &mut self,
+        segment: &Segment,
+        service: ServiceTag,
+        code: ResultCode,
+        ctx: &Context,
+    ) -> Verdict {
+        let is_overload = code == ResultCode::Overloaded;
+        let is_hopeless = is_overload && self.overloads.record_refusal(service, ctx.now_ms);
+        if !is_hopeless && !segment.is_last_syn() {
             return Verdict::Drop { code };
         }
         self.pending_syns.remove(&segment.flow_of_caller());
--- a/crates/basilstep-core/src/flows/handshake.rs
+++ b/crates/basilstep-core/src/flows/handshake.rs
@@ -4,7 +4,10 @@
 
 /// The time after the first SYN at which the caller sends it again, by the number of the
 /// retransmission.
-const SYN_TIMES_MS: [u64; 3] = [0, 200, 600];
+const SYN_TIMES_MS: [u64; 3] = [0, FIRST_SYN_INTERVAL_MS, 600];
+
+/// The time between the first two SYNs.
+pub const FIRST_SYN_INTERVAL_MS: u64 = 200;
 
 /// The time after the first SYN at which the caller gives up.
 pub const HANDSHAKE_TIMEOUT_MS: u64 = 1_400;
--- a/crates/basilstep-core/src/flows/tests/mod.rs
+++ b/crates/basilstep-core/src/flows/tests/mod.rs
@@ -8,6 +8,7 @@
 mod fleet;
 mod frames;
 mod overload;
+mod refusals;
 mod restart;
 mod routes;
 mod send_schedule;
--- /dev/null
+++ b/crates/basilstep-core/src/flows/tests/refusals.rs
@@ -0,0 +1,81 @@
+//! Several times the load that all targets can serve, for seconds: which callers come back.
+
+use super::{agent_ip, balancer_with, context, flow, report, service, syn};
+use crate::{
+    codes::ResultCode,
+    flows::{BalancerFlows, RequestKind, Returned, TargetPhase, balancer::Verdict},
+};
+use rstest::rstest;
+
+/// Sends a SYN that the only agent refuses, and returns what the caller gets.
+fn refused(balancer: &mut BalancerFlows, port: u16, code: ResultCode, now_ms: u64) -> Verdict {
+    let ctx = context(now_ms);
+    let packet = syn(flow(port), 0);
+    balancer.on_report(agent_ip(1), report(TargetPhase::Serving), &ctx);
+    balancer.on_packet(&packet, &ctx);
+    let returned = Returned {
+        code,
+        service: service(),
+    };
+    balancer.on_returned(agent_ip(1), returned, &packet, &ctx)
+}
+
+const fn is_reset(verdict: &Verdict) -> bool {
+    matches!(verdict, Verdict::Reset { .. })
+}
+
+/// A short peak: the caller's next SYN finds room.
+#[test]
+fn caller_may_send_again_in_a_short_overload() {
+    let (mut balancer, _) = balancer_with(1, RequestKind::Idempotent);
+    for now_ms in 10_000..10_150 {
+        let port = (now_ms - 9_000) as u16;
+        let verdict = refused(&mut balancer, port, ResultCode::Overloaded, now_ms);
+        assert!(!is_reset(&verdict), "at {now_ms} ms");
+    }
+}
+
+/// Callers that come back late would take the places of those that can still be answered in time.
+#[test]
+fn caller_is_refused_at_once_in_a_long_overload() {
+    let (mut balancer, _) = balancer_with(1, RequestKind::Idempotent);
+    let mut first_reset_ms = None;
+    for now_ms in (10_000..12_000).step_by(10) {
+        let port = (now_ms - 9_000) as u16;
+        let verdict = refused(&mut balancer, port, ResultCode::Overloaded, now_ms);
+        if is_reset(&verdict) {
+            first_reset_ms.get_or_insert(now_ms);
+        } else {
+            assert_eq!(
+                first_reset_ms, None,
+                "refused at once, then not, at {now_ms} ms"
+            );
+        }
+    }
+    assert!(first_reset_ms.is_some_and(|at_ms| at_ms <= 10_500));
+}
+
+/// Peaks with pauses between them are no long overload.
+#[test]
+fn overload_ends_with_the_refusals() {
+    let (mut balancer, _) = balancer_with(1, RequestKind::Idempotent);
+    for now_ms in (10_000..20_000).step_by(150) {
+        let port = (now_ms - 9_000) as u16;
+        let verdict = refused(&mut balancer, port, ResultCode::Overloaded, now_ms);
+        assert!(!is_reset(&verdict), "at {now_ms} ms");
+    }
+}
+
+/// Only load is a reason to expect no room at the next SYN.
+#[rstest]
+#[case::cold(ResultCode::TargetCold)]
+#[case::shed_by_the_target(ResultCode::TargetShed)]
+#[case::draining(ResultCode::Draining)]
+fn other_refusals_let_the_caller_send_again(#[case] code: ResultCode) {
+    let (mut balancer, _) = balancer_with(1, RequestKind::Idempotent);
+    for now_ms in (10_000..12_000).step_by(10) {
+        let port = (now_ms - 9_000) as u16;
+        let verdict = refused(&mut balancer, port, code, now_ms);
+        assert!(!is_reset(&verdict), "at {now_ms} ms");
+    }
+}
