feat(flows): shorter queues before targets

Hypothesis: a queue that fills 0.7 of the latency goal on average makes 3 of 10 admitted requests late, because single requests take several times the average; a shorter queue serves as many and makes fewer late. Change: goal_share 0.4 instead of 0.7.

--- a/crates/basilstep-core/src/flows/settings.rs
+++ b/crates/basilstep-core/src/flows/settings.rs
@@ -38,7 +38,8 @@
     pub open_flow_load: f64,
     /// The factor by which a cold target is slower.
     pub cold_slowdown: f64,
-    /// The share of a request's latency goal that queueing and processing at the target may take.
+    /// The share of a request's latency goal that queueing and processing at the target may take on
+    /// average; single requests take several times as long.
     pub goal_share: f64,
     /// The lower bound of the requests at work at which new flows are refused, as a multiple of the
     /// capacity.
@@ -99,7 +100,7 @@
             other_domain_cost: 3.0,
             open_flow_load: 0.1,
             cold_slowdown: 1.6,
-            goal_share: 0.7,
+            goal_share: 0.4,
             min_rounds: 1.5,
             max_rounds: 4.0,
             default_rounds: 2.0,
