refactor(flows): readiness, settings and heartbeats of a balancer in their own files

Cause: balancer/state.rs had grown to 471 lines with four duties. Change: state/readiness.rs, state/settings.rs and state/heartbeats.rs hold one each; the mark of an expired goal stands at the header. Behaviour is the same: only moved code.

--- a/crates/basilstep-core/src/flows/balancer/state.rs
+++ b/crates/basilstep-core/src/flows/balancer/state.rs
@@ -1,4 +1,7 @@
+mod heartbeats;
+mod readiness;
 mod searching;
+mod settings;
 mod syn;
 
 use super::{
@@ -12,17 +15,16 @@
     verdict::{BalancerIdentity, NextHop, TickOutcome, Verdict},
 };
 use crate::{
-    address::DomainId,
     codes::ResultCode,
     context::Context,
     flows::{
         balancer_list::BalancerList,
-        frame::{AgentReport, BalancerHeartbeat, ForwardHeader, HeldFlows, ReportReply, Returned},
+        frame::{AgentReport, BalancerHeartbeat, ForwardHeader, HeldFlows, Returned},
         handshake::HANDSHAKE_TIMEOUT_MS,
         key::{FlowKey, ServiceTag},
         routes::{FleetSettings, RequestKind},
         segment::Segment,
-        send_schedule::{Recipients, SendSchedule},
+        send_schedule::SendSchedule,
         settings::FlowSettings,
     },
 };
@@ -250,72 +252,6 @@
         self.balancers.record_heartbeat(peer, heartbeat, ctx.now_ms)
     }
 
-    /// Returns the reply to the report of an agent.
-    pub fn reply_to(&self, report: &AgentReport) -> ReportReply {
-        ReportReply {
-            incarnation: self.identity.incarnation,
-            version: self.fleet.table.version,
-            revision: self.fleet.revision,
-            is_domain_out: self.is_domain_out(report.domain),
-            limits: self.fleet.table.services.get(&report.service).copied(),
-            balancers_hash: self.balancers.hash(),
-        }
-    }
-
-    /// Returns this balancer's heartbeat.
-    pub fn heartbeat(&self, ctx: &Context) -> BalancerHeartbeat {
-        BalancerHeartbeat {
-            incarnation: self.identity.incarnation,
-            domain: self.identity.domain,
-            version: self.fleet.table.version,
-            revision: self.fleet.revision,
-            is_stopping: false,
-            agents: saturate(self.agents.len()),
-            live_agents: saturate(self.live_agents(ctx.now_ms).count()),
-            balancers_hash: self.balancers.hash(),
-        }
-    }
-
-    /// Returns the balancers that get a heartbeat in this interval.
-    pub fn due_heartbeats(&mut self, recipients: Recipients) -> Vec<Ipv4Addr> {
-        let mut receivers = self.send_schedule.next_interval(
-            recipients,
-            None,
-            &self.balancers,
-            self.identity.domain,
-            &self.settings,
-        );
-        receivers.retain(|peer| *peer != self.identity.ip);
-        receivers
-    }
-
-    /// Returns this balancer's last heartbeat, which says that it is shutting down.
-    pub fn final_heartbeat(&self, ctx: &Context) -> BalancerHeartbeat {
-        BalancerHeartbeat {
-            is_stopping: true,
-            ..self.heartbeat(ctx)
-        }
-    }
-
-    /// Applies settings from the store or another balancer; returns whether anything changed.
-    pub fn on_fleet_settings(&mut self, fleet: FleetSettings, ctx: &Context) -> bool {
-        let before = self.fleet.clone();
-        let is_changed = self.fleet.merge_newer(fleet);
-        self.held_domains
-            .on_settings(&before, &self.fleet, ctx.now_ms);
-        for (entry, route) in before.table.routes {
-            let now = self.fleet.table.routes.get(&entry);
-            if now.is_some_and(|now| now.shares != route.shares) {
-                let services = route.shares.iter().map(|share| share.service);
-                self.former_services
-                    .entry(entry)
-                    .or_default()
-                    .extend(services);
-            }
-        }
-        is_changed
-    }
-
     /// Records that the process was paused for `pause_ms`, which its clock did not count.
     pub fn on_pause(&mut self, pause_ms: u64, ctx: &Context) {
         self.agents.age_reports(pause_ms);
@@ -362,59 +298,6 @@
         }
     }
 
-    /// Returns whether the balancer can place new flows.
-    pub fn is_ready(&self, ctx: &Context) -> bool {
-        self.fleet.is_known() && !self.is_stopping && self.has_enough_live_agents(ctx)
-    }
-
-    /// Returns whether at least as many agents are live here as at any other balancer.
-    ///
-    /// After [`FlowSettings::roster_wait_ms`] one agent is enough: a network partition may hide the
-    /// others.
-    fn has_enough_live_agents(&self, ctx: &Context) -> bool {
-        let required = self.required_agents(self.balancers.max_live_agents(), ctx);
-        required
-            .is_some_and(|required| self.live_agents(ctx.now_ms).take(required).count() == required)
-    }
-
-    /// Returns whether this balancer knows at least as many agents as any other one, including
-    /// agents that have not reported to the others for a while.
-    fn knows_enough_agents(&self, ctx: &Context) -> bool {
-        let required = self.required_agents(self.max_agents, ctx);
-        required.is_some_and(|required| self.agents.len() >= required)
-    }
-
-    /// Returns how many agents are enough if another balancer has `most`; `None` if no other
-    /// balancer has sent a heartbeat yet.
-    fn required_agents(&self, most: Option<u16>, ctx: &Context) -> Option<usize> {
-        if ctx.now_ms >= self.started_ms + self.settings.roster_wait_ms {
-            return Some(1);
-        }
-        most.map(|most| usize::from(most).max(1))
-    }
-
-    fn live_agents(&self, now_ms: u64) -> impl Iterator<Item = Ipv4Addr> {
-        let limit_ms = self.settings.suspect_after_ms;
-        self.agents
-            .iter()
-            .filter(move |(agent, state)| {
-                let liveness = &self.liveness;
-                !liveness.is_silent(**agent, state, limit_ms, &self.settings, now_ms)
-            })
-            .map(|(agent, _)| *agent)
-    }
-
-    /// Returns whether a domain gets no new flows, by the store's record or by that of an earlier
-    /// era.
-    fn is_domain_out(&self, domain: DomainId) -> bool {
-        self.fleet.domains_out.contains(&domain) || self.held_domains.domains().contains(&domain)
-    }
-
-    /// Returns the domains that are out by the record of an earlier era of the store.
-    pub const fn held_domains(&self) -> &BTreeSet<DomainId> {
-        self.held_domains.domains()
-    }
-
     /// Returns the settings in force.
     pub const fn fleet(&self) -> &FleetSettings {
         &self.fleet
@@ -465,7 +348,3 @@
         }
     }
 }
-
-fn saturate(agents: usize) -> u16 {
-    u16::try_from(agents).unwrap_or(u16::MAX)
-}
--- /dev/null
+++ b/crates/basilstep-core/src/flows/balancer/state/readiness.rs
@@ -0,0 +1,64 @@
+//! Whether this balancer knows enough agents to place new flows and to reset lost ones.
+
+use super::BalancerFlows;
+use crate::{context::Context, flows::routes::RequestKind};
+use std::net::Ipv4Addr;
+
+impl BalancerFlows {
+    /// Returns whether the balancer can place new flows.
+    pub fn is_ready(&self, ctx: &Context) -> bool {
+        self.fleet.is_known() && !self.is_stopping && self.has_enough_live_agents(ctx)
+    }
+
+    /// Returns whether at least as many agents are live here as at any other balancer.
+    ///
+    /// After `roster_wait_ms` one agent is enough: a network partition may hide the
+    /// others.
+    fn has_enough_live_agents(&self, ctx: &Context) -> bool {
+        let required = self.required_agents(self.balancers.max_live_agents(), ctx);
+        required
+            .is_some_and(|required| self.live_agents(ctx.now_ms).take(required).count() == required)
+    }
+
+    /// Returns whether this balancer knows at least as many agents as any other one, including
+    /// agents that have not reported to the others for a while.
+    fn knows_enough_agents(&self, ctx: &Context) -> bool {
+        let required = self.required_agents(self.max_agents, ctx);
+        required.is_some_and(|required| self.agents.len() >= required)
+    }
+
+    /// Returns whether the answers of all known agents are the answers of all agents.
+    ///
+    /// A wrong reset costs callers of idempotent requests only a short delay, so it is allowed
+    /// early for them, without waiting for agents that no longer report to any balancer.
+    pub(super) fn may_reset(&self, kind: RequestKind, ctx: &Context) -> bool {
+        let (settle_ms, has_enough_agents) = match kind {
+            RequestKind::Idempotent => (self.settings.settle_ms, self.has_enough_live_agents(ctx)),
+            RequestKind::NonIdempotent => (
+                self.settings.settle_non_idempotent_ms,
+                self.knows_enough_agents(ctx),
+            ),
+        };
+        ctx.now_ms >= self.settling_since_ms + settle_ms && has_enough_agents
+    }
+
+    /// Returns how many agents are enough if another balancer has `most`; `None` if no other
+    /// balancer has sent a heartbeat yet.
+    fn required_agents(&self, most: Option<u16>, ctx: &Context) -> Option<usize> {
+        if ctx.now_ms >= self.started_ms + self.settings.roster_wait_ms {
+            return Some(1);
+        }
+        most.map(|most| usize::from(most).max(1))
+    }
+
+    pub(super) fn live_agents(&self, now_ms: u64) -> impl Iterator<Item = Ipv4Addr> {
+        let limit_ms = self.settings.suspect_after_ms;
+        self.agents
+            .iter()
+            .filter(move |(agent, state)| {
+                let liveness = &self.liveness;
+                !liveness.is_silent(**agent, state, limit_ms, &self.settings, now_ms)
+            })
+            .map(|(agent, _)| *agent)
+    }
+}
--- a/crates/basilstep-core/src/flows/balancer/state/searching.rs
+++ b/crates/basilstep-core/src/flows/balancer/state/searching.rs
@@ -164,19 +164,4 @@
             !state.report.is_stopping && is_silent
         })
     }
-
-    /// Returns whether the answers of all known agents are the answers of all agents.
-    ///
-    /// A wrong reset costs callers of idempotent requests only a short delay, so it is allowed
-    /// early for them, without waiting for agents that no longer report to any balancer.
-    pub(super) fn may_reset(&self, kind: RequestKind, ctx: &Context) -> bool {
-        let (settle_ms, has_enough_agents) = match kind {
-            RequestKind::Idempotent => (self.settings.settle_ms, self.has_enough_live_agents(ctx)),
-            RequestKind::NonIdempotent => (
-                self.settings.settle_non_idempotent_ms,
-                self.knows_enough_agents(ctx),
-            ),
-        };
-        ctx.now_ms >= self.settling_since_ms + settle_ms && has_enough_agents
-    }
 }
--- /dev/null
+++ b/crates/basilstep-core/src/flows/balancer/state/settings.rs
@@ -0,0 +1,56 @@
+//! The operators' settings in force.
+
+use super::BalancerFlows;
+use crate::{
+    address::DomainId,
+    context::Context,
+    flows::{
+        frame::{AgentReport, ReportReply},
+        routes::FleetSettings,
+    },
+};
+use std::collections::BTreeSet;
+
+impl BalancerFlows {
+    /// Applies settings from the store or another balancer; returns whether anything changed.
+    pub fn on_fleet_settings(&mut self, fleet: FleetSettings, ctx: &Context) -> bool {
+        let before = self.fleet.clone();
+        let is_changed = self.fleet.merge_newer(fleet);
+        self.held_domains
+            .on_settings(&before, &self.fleet, ctx.now_ms);
+        for (entry, route) in before.table.routes {
+            let now = self.fleet.table.routes.get(&entry);
+            if now.is_some_and(|now| now.shares != route.shares) {
+                let services = route.shares.iter().map(|share| share.service);
+                self.former_services
+                    .entry(entry)
+                    .or_default()
+                    .extend(services);
+            }
+        }
+        is_changed
+    }
+
+    /// Returns the reply to the report of an agent.
+    pub fn reply_to(&self, report: &AgentReport) -> ReportReply {
+        ReportReply {
+            incarnation: self.identity.incarnation,
+            version: self.fleet.table.version,
+            revision: self.fleet.revision,
+            is_domain_out: self.is_domain_out(report.domain),
+            limits: self.fleet.table.services.get(&report.service).copied(),
+            balancers_hash: self.balancers.hash(),
+        }
+    }
+
+    /// Returns whether a domain gets no new flows, by the store's record or by that of an earlier
+    /// era.
+    fn is_domain_out(&self, domain: DomainId) -> bool {
+        self.fleet.domains_out.contains(&domain) || self.held_domains.domains().contains(&domain)
+    }
+
+    /// Returns the domains that are out by the record of an earlier era of the store.
+    pub const fn held_domains(&self) -> &BTreeSet<DomainId> {
+        self.held_domains.domains()
+    }
+}
--- a/crates/basilstep-core/src/flows/balancer/state/syn.rs
+++ b/crates/basilstep-core/src/flows/balancer/state/syn.rs
@@ -6,15 +6,13 @@
     context::Context,
     flows::{
         balancer::{PlacedSyn, Verdict, agent_table::PlacementContext, hints::Hint},
+        frame::ForwardHeader,
         key::{FlowKey, ServiceTag},
         segment::Segment,
     },
 };
 use std::net::Ipv4Addr;
 
-/// The latency goal of a request that can no longer meet it; 0 means that there is no goal.
-const EXPIRED_GOAL_MS: u64 = 1;
-
 /// The SYN of a flow that is not open yet.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct NewFlow<'a> {
@@ -133,7 +131,8 @@
         let mut next_hop = self.next_hop(agent, service, false);
         if goal_ms > 0 {
             let left_ms = goal_ms.saturating_sub(new.age_ms(ctx.now_ms));
-            next_hop.header.latency_goal_ms = left_ms.max(EXPIRED_GOAL_MS) as u16;
+            next_hop.header.latency_goal_ms =
+                left_ms.max(u64::from(ForwardHeader::EXPIRED_GOAL_MS)) as u16;
         }
         Verdict::Forward(next_hop)
     }
--- a/crates/basilstep-core/src/flows/frame.rs
+++ b/crates/basilstep-core/src/flows/frame.rs
@@ -67,6 +67,11 @@
     pub latency_goal_ms: u16,
 }
 
+impl ForwardHeader {
+    /// The latency goal of a request that can no longer meet it.
+    pub const EXPIRED_GOAL_MS: u16 = 1;
+}
+
 /// An advertisement of flows that an agent holds.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct HeldFlows {
