--- a/crates/basilstep-core/src/flows/balancer/state/readiness.rs
+++ b/crates/basilstep-core/src/flows/balancer/state/readiness.rs
@@ -12,8 +12,7 @@
 
     /// Returns whether at least as many agents are live here as at any other balancer.
     ///
-    /// After `roster_wait_ms` one agent is enough: a network partition may hide the
-    /// others.
+    /// After `roster_wait_ms` one agent is enough: a network partition may hide the others.
     fn has_enough_live_agents(&self, ctx: &Context) -> bool {
         let required = self.required_agents(self.balancers.max_live_agents(), ctx);
         required
