fix(packet): an era that only peers name does not flood the store

Cause: a task that starts over for a later era did so without a pause as long as the store answered from the earlier one, as from a stale copy or after a wrong heartbeat. Change: the first attempt is made at once, later ones for the same era wait 1 s.

--- a/crates/basilstep-packet/src/store_tasks.rs
+++ b/crates/basilstep-packet/src/store_tasks.rs
@@ -33,8 +33,8 @@
 /// each other again within 20 s.
 const RENEWALS_PER_LISTING: u32 = 2;
 
-/// The delay before a lost registration is written again; starting processes depend on it to find
-/// balancers.
+/// The delay before a lost registration is written again, and before the store is asked again for an
+/// era that only others have seen; starting processes depend on registrations to find balancers.
 const REGISTRATION_RETRY_INTERVAL: Duration = Duration::from_secs(1);
 
 /// The delay after a failed call.
@@ -73,6 +73,18 @@
         });
     }
 
+    /// Handles that a task starts over in `era`, which its client may not have seen yet.
+    ///
+    /// The first attempt is made at once; later ones wait, because the store may go on answering
+    /// from an earlier era, or a peer may be wrong.
+    async fn start_over(&self, era: u64, client: &StoreClient, attempted_era: &mut u64) {
+        self.record(era);
+        if client.era() < era && *attempted_era == era {
+            sleep(REGISTRATION_RETRY_INTERVAL).await;
+        }
+        *attempted_era = era;
+    }
+
     /// Runs a call to the store in era `era`; fails when a later era is recorded meanwhile.
     async fn interrupt<T>(
         &self,
@@ -100,6 +112,7 @@
     let mut client = StoreClient::new(address);
     let mut operators = OperatorSettings::new(domain_names);
     let mut connection = ConnectionLog::new("operators' settings");
+    let mut attempted_era = 0;
     loop {
         let ended = list_and_watch(
             &mut client,
@@ -115,8 +128,10 @@
                 log::info!("the store compacted its history; listing again");
             }
             Err(StoreError::Restored { era }) => {
-                era_signal.record(era);
                 log::warn!(era; "the store was restored from a copy; listing again");
+                era_signal
+                    .start_over(era, &client, &mut attempted_era)
+                    .await;
             }
             Err(error) => {
                 connection.log_lost(&error);
@@ -170,14 +185,17 @@
 ) {
     let mut client = StoreClient::new(address);
     let mut connection = ConnectionLog::new("balancers' entries");
+    let mut attempted_era = 0;
     loop {
         let ended =
             register_and_renew(&mut client, ip, &event_sender, &mut connection, &era_signal).await;
         match ended {
             Ok(()) => return,
             Err(StoreError::Restored { era }) => {
-                era_signal.record(era);
                 log::warn!(era; "the store was restored from a copy; registering again");
+                era_signal
+                    .start_over(era, &client, &mut attempted_era)
+                    .await;
                 continue;
             }
             Err(error) => connection.log_lost(&error),
--- a/crates/basilstep-packet/tests/processes/fleet.rs
+++ b/crates/basilstep-packet/tests/processes/fleet.rs
@@ -5,13 +5,17 @@
     fleet::Fleet,
     packet::{ACK, Packet, RST, SYN},
 };
+use basilstep_core::{
+    address::DomainId,
+    flows::{BalancerHeartbeat, Frame, ProcessIncarnation, StoreRevision, encode_frame},
+};
 use rustix::process::Signal;
 use std::{
     net::{Ipv4Addr, SocketAddrV4},
     sync::atomic::Ordering,
     time::Duration,
 };
-use tokio::time::sleep;
+use tokio::{net::UdpSocket, time::sleep};
 
 const CALLER: u8 = 200;
 
@@ -161,3 +165,32 @@
     let opened = caller.open_flow(balancer, 40_009, entry()).await.unwrap();
     assert!(opened.is(SYN), "version 3 is put in force in the new era");
 }
+
+/// A heartbeat names an era that the store does not answer from, as when a peer reads another copy.
+#[tokio::test]
+async fn peer_in_an_unknown_era_does_not_make_a_balancer_flood_the_store() {
+    let mut fleet = Fleet::start("other-era").await;
+    fleet.configure(1, entry());
+    fleet.start_balancer(1);
+    fleet.start_agent(11).await;
+    fleet.await_ready(1).await;
+    let heartbeat = BalancerHeartbeat {
+        incarnation: ProcessIncarnation(7),
+        domain: DomainId(0),
+        version: 1,
+        revision: StoreRevision { era: 9, number: 1 },
+        is_stopping: false,
+        agents: 0,
+        live_agents: 0,
+        balancers_hash: 0,
+    };
+    let mut frame = Vec::new();
+    encode_frame(&Frame::Heartbeat(heartbeat), &[], &mut frame);
+    let peer = UdpSocket::bind((fleet.ip(2), 0)).await.unwrap();
+    let balancer = fleet.address(1, fleet.ports.internal);
+    let calls_before = fleet.store.calls();
+    peer.send_to(&frame, balancer).await.unwrap();
+    sleep(Duration::from_secs(2)).await;
+    let calls = fleet.store.calls() - calls_before;
+    assert!((1..=24).contains(&calls), "{calls} calls in 2 s");
+}
--- a/crates/basilstep-packet/tests/processes/support/store.rs
+++ b/crates/basilstep-packet/tests/processes/support/store.rs
@@ -8,7 +8,10 @@
 use std::{
     collections::BTreeMap,
     net::SocketAddrV4,
-    sync::{Arc, Mutex},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicUsize, Ordering},
+    },
     time::Duration,
 };
 use tokio::time::{Instant, sleep};
@@ -32,6 +35,7 @@
 pub struct Store {
     state: Arc<Mutex<StoreState>>,
     copy: Arc<Mutex<StoreState>>,
+    calls: Arc<AtomicUsize>,
 }
 
 impl Store {
@@ -94,6 +98,11 @@
             .is_some_and(|(_, value)| value.is_some())
     }
 
+    /// Returns how many calls the store has received.
+    pub fn calls(&self) -> usize {
+        self.calls.load(Ordering::SeqCst)
+    }
+
     fn has_history(&self, after: u64) -> bool {
         let state = self.state.lock().unwrap();
         (state.history_from..=state.revision).contains(&after)
@@ -156,6 +165,7 @@
 
 impl RequestHandler for Store {
     async fn handle(&self, request: ServerRequest) -> ServerResponse {
+        self.calls.fetch_add(1, Ordering::SeqCst);
         let mut response = self.respond(request).await;
         response.headers.insert("store-era", self.era().into());
         response
