--- a/crates/basilstep-core/src/flows/key.rs
+++ b/crates/basilstep-core/src/flows/key.rs
@@ -1,6 +1,7 @@
 use serde::{Deserialize, Serialize};
 use siphasher::sip::SipHasher13;
 use std::{
+    fmt,
     hash::Hasher,
     net::{Ipv4Addr, SocketAddrV4},
 };
@@ -52,6 +53,14 @@
     }
 }
 
+impl fmt::Display for ServiceTag {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0
+            .iter()
+            .try_for_each(|byte| write!(formatter, "{byte:02x}"))
+    }
+}
+
 /// Distinguishes the incarnations of a process at the same address; drawn at random at each start.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
 #[serde(transparent)]
--- a/crates/basilstep-packet/src/balancer/packets.rs
+++ b/crates/basilstep-packet/src/balancer/packets.rs
@@ -132,6 +132,9 @@
             opens = segment.is_syn(),
             copy_or_ack = segment.acknowledged,
             version = self.flows.fleet().table.version,
+            service = next_hop
+                .map(|next_hop| next_hop.header.service.to_string())
+                .as_deref(),
             agent = agent.map(|agent| agent.to_string()).as_deref(),
             at_work = state.map(|state| state.report.at_work),
             report_age_ms = state.map(|state| self.ctx.now_ms.saturating_sub(state.reported_ms)),
--- a/crates/basilstep-packet/src/balancer/serve.rs
+++ b/crates/basilstep-packet/src/balancer/serve.rs
@@ -70,6 +70,8 @@
     pub(super) metrics: Metrics,
     pub(super) frame_buffer: Vec<u8>,
     pub(super) is_pulling_settings: bool,
+    /// When the store last answered what the operators' settings are.
+    confirmed_ms: Option<u64>,
     pub(super) era_signal: EraSignal,
     pub(super) event_sender: mpsc::Sender<Event>,
     pause_detector: PauseDetector,
@@ -162,6 +164,7 @@
             metrics: Metrics::new(),
             frame_buffer: Vec::new(),
             is_pulling_settings: false,
+            confirmed_ms: None,
             era_signal: EraSignal::new(),
             event_sender,
             pause_detector: PauseDetector::start(start.clock),
@@ -217,7 +220,11 @@
     fn on_store_event(&mut self, event: StoreEvent) {
         self.refresh_time();
         match event {
-            StoreEvent::Settings(settings) => self.apply_settings(settings, "store"),
+            StoreEvent::Settings(settings) => {
+                self.confirmed_ms = Some(self.ctx.now_ms);
+                self.apply_settings(settings, "store");
+            }
+            StoreEvent::Unchanged => self.confirmed_ms = Some(self.ctx.now_ms),
             StoreEvent::Balancers(ips) => {
                 let heartbeat = Frame::Heartbeat(self.flows.heartbeat(&self.ctx));
                 let known: Vec<Ipv4Addr> = self.flows.balancers().addresses().collect();
@@ -311,12 +318,13 @@
         true
     }
 
-    fn answer_request(&self, pending: &PendingRequest) -> ServerResponse {
+    fn answer_request(&mut self, pending: &PendingRequest) -> ServerResponse {
         let request = &pending.request;
         if request.path == SETTINGS_PATH {
             return ServerResponse::bytes(Bytes::from(settings_pull::encode(self.flows.fleet())));
         }
         if request.path == "/metrics" {
+            self.metrics.set_settings_age(self.settings_age_ms());
             return ServerResponse::text(Bytes::from(self.metrics.render()));
         }
         if request.path == "/state" {
@@ -333,6 +341,12 @@
         }
     }
 
+    /// Returns how long ago the store last answered this balancer what the operators' settings are.
+    fn settings_age_ms(&self) -> Option<u64> {
+        self.confirmed_ms
+            .map(|at_ms| self.ctx.now_ms.saturating_sub(at_ms))
+    }
+
     fn state_json(&self) -> String {
         let agents: Vec<_> = self.flows.agents().iter().collect();
         json!({
@@ -342,6 +356,7 @@
             "domains_out": self.flows.fleet().domains_out,
             "held_domains": self.flows.held_domains(),
             "revision": self.flows.fleet().revision,
+            "settings_age_ms": self.settings_age_ms(),
             "hints": self.flows.hint_count(),
             "balancers": self.flows.balancers().entries(self.ctx.now_ms),
             "agents": agents,
--- a/crates/basilstep-packet/src/metrics.rs
+++ b/crates/basilstep-packet/src/metrics.rs
@@ -1,7 +1,9 @@
 //! Counters and latency histograms in the Prometheus text format.
 
 use basilstep_core::codes::ResultCode;
-use prometheus::{Encoder, Histogram, HistogramOpts, IntCounterVec, Opts, Registry, TextEncoder};
+use prometheus::{
+    Encoder, Histogram, HistogramOpts, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
+};
 use std::collections::BTreeMap;
 
 /// The port on which each process serves its metrics and its state.
@@ -18,6 +20,7 @@
     registry: Registry,
     decisions: IntCounterVec,
     counters: BTreeMap<ResultCode, prometheus::IntCounter>,
+    settings_age_ms: Option<IntGauge>,
     /// The time from the arrival of a SYN at the agent to the target's answer.
     pub handshake_ms: Histogram,
 }
@@ -55,6 +58,7 @@
             registry,
             decisions,
             counters: BTreeMap::new(),
+            settings_age_ms: None,
             handshake_ms,
         }
     }
@@ -67,6 +71,32 @@
             .inc();
     }
 
+    /// Sets how long ago the store last confirmed the settings; the gauge appears with the first
+    /// known age.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the name of the gauge is malformed, which is never the case.
+    pub fn set_settings_age(&mut self, age_ms: Option<u64>) {
+        let Some(age_ms) = age_ms else {
+            return;
+        };
+        let registry = &self.registry;
+        self.settings_age_ms
+            .get_or_insert_with(|| {
+                let gauge = IntGauge::new(
+                    "basilstep_settings_age_ms",
+                    "Time since the store last confirmed the operators' settings in milliseconds",
+                )
+                .expect("the name of the gauge is well formed");
+                registry
+                    .register(Box::new(gauge.clone()))
+                    .expect("the gauge is registered once");
+                gauge
+            })
+            .set(i64::try_from(age_ms).unwrap_or(i64::MAX));
+    }
+
     /// Returns the metrics in the Prometheus text format.
     pub fn render(&self) -> Vec<u8> {
         let mut text = Vec::new();
--- a/crates/basilstep-packet/src/store_tasks.rs
+++ b/crates/basilstep-packet/src/store_tasks.rs
@@ -45,6 +45,8 @@
 pub enum StoreEvent {
     /// The current settings of the operators.
     Settings(FleetSettings),
+    /// The store has answered that the settings have not changed.
+    Unchanged,
     /// The registered balancers.
     Balancers(Vec<Ipv4Addr>),
 }
@@ -164,12 +166,13 @@
         let call = client.watch(store_keys::OPERATOR_PREFIX, revision.number, WATCH_WAIT);
         let changes = era_signal.interrupt(revision.era, call).await?;
         revision = revision.max(changes.revision);
-        if changes.items.is_empty() {
-            continue;
-        }
-        operators.apply_changes(&changes);
-        let settings = StoreEvent::Settings(operators.settings.clone());
-        if event_sender.send(settings).await.is_err() {
+        let event = if changes.items.is_empty() {
+            StoreEvent::Unchanged
+        } else {
+            operators.apply_changes(&changes);
+            StoreEvent::Settings(operators.settings.clone())
+        };
+        if event_sender.send(event).await.is_err() {
             return Ok(());
         }
     }
