fix(flows): a SYN's copy goes to a service that the version in force allows

What callers saw: a request sent after a change could be taken by the former service of its route, or on a route that had been dropped, up to 1.4 s after a balancer had the new version.

Cause: the hint of an unconfirmed SYN keeps the service that was chosen for its first copy. A later copy (200 and 600 ms), or one that an agent returned, was placed by that service without a look at the routes in force.

Change: the service of an earlier copy is kept only while the route still gives it weight; otherwise the copy is placed like a new SYN. A flow that an agent has confirmed stays where it is.

--- a/crates/basilstep-core/src/flows/balancer/state/syn.rs
+++ b/crates/basilstep-core/src/flows/balancer/state/syn.rs
@@ -40,12 +40,15 @@
             hint.used_ms = ctx.now_ms;
             hint.syn_arrived_ms = new.arrived_ms;
             let (agent, service) = (hint.agent, hint.service);
+            let is_confirmed = hint.is_confirmed;
             let is_overdue = ctx.now_ms >= hint.offered_ms + confirm_within_ms;
-            if hint.is_confirmed || !is_overdue {
+            if is_confirmed || (!is_overdue && self.allows(&flow, service)) {
                 return self.forward_syn(agent, service, new, ctx);
             }
-            self.agents
-                .doubt_until(agent, ctx.now_ms + self.settings.doubt_ms);
+            if is_overdue {
+                self.agents
+                    .doubt_until(agent, ctx.now_ms + self.settings.doubt_ms);
+            }
             self.hints.remove(&flow);
             return self.place_syn(new, Some(service), ResultCode::NoTarget, ctx);
         }
@@ -54,7 +57,16 @@
         self.place_syn(new, None, ResultCode::NoTarget, ctx)
     }
 
+    /// Returns whether the configuration in force lets a new flow go to `service`.
+    fn allows(&self, flow: &FlowKey, service: ServiceTag) -> bool {
+        let route = self.fleet.table.routes.get(&flow.service_address);
+        route.is_some_and(|route| route.allows(service))
+    }
+
     /// Sends a SYN to the best remaining agent; `code` is the reason of the last refusal.
+    ///
+    /// The flow stays with `service`, to which an earlier copy was sent, unless the configuration in
+    /// force no longer allows it.
     pub(super) fn place_syn(
         &mut self,
         new: NewFlow<'_>,
@@ -66,7 +78,10 @@
         let Some(route) = self.fleet.table.routes.get(&flow.service_address) else {
             return self.reject_unknown_service(ctx);
         };
-        let Some(service) = service.or_else(|| route.service_for(&flow)) else {
+        let service = service
+            .filter(|service| route.allows(*service))
+            .or_else(|| route.service_for(&flow));
+        let Some(service) = service else {
             return self.reject_unknown_service(ctx);
         };
         let placement = PlacementContext {
--- a/crates/basilstep-core/src/flows/routes.rs
+++ b/crates/basilstep-core/src/flows/routes.rs
@@ -42,6 +42,13 @@
 }
 
 impl Route {
+    /// Returns whether new flows may go to `service`.
+    pub fn allows(&self, service: ServiceTag) -> bool {
+        self.shares
+            .iter()
+            .any(|share| share.service == service && share.weight > 0)
+    }
+
     /// Returns the service of a new flow, which is the same for a SYN and all its retransmissions.
     pub fn service_for(&self, flow: &FlowKey) -> Option<ServiceTag> {
         let total: u64 = self
--- a/crates/basilstep-core/src/flows/tests/mod.rs
+++ b/crates/basilstep-core/src/flows/tests/mod.rs
@@ -4,6 +4,7 @@
 mod balancer;
 mod balancer_list;
 mod cold_start;
+mod configuration;
 mod discovery;
 mod fleet;
 mod frames;
