test(soak): changes of the configuration are in force in time, also around restores

The soak wrote versions and never looked whether they came into force, so it could not see the incident. Now each balancer that is in touch (it and the store undisturbed for 4 s) has to have in force what was acknowledged more than 3 s before. With BASILSTEP_SOAK_STORE=restored the store is restored with and without its waiting watches, all connections to it go silent, and changes come in series in between.

--- a/crates/basilstep-packet/tests/processes/configuration.rs
+++ b/crates/basilstep-packet/tests/processes/configuration.rs
@@ -37,7 +37,7 @@
 #[tokio::test]
 async fn change_after_a_restore_is_in_force_although_waiting_watches_are_not_answered() {
     let fleet = fleet_ahead_of_its_copy("restore-waiting").await;
-    fleet.store.keep_waiting_watches();
+    fleet.store.set_keeps_waiting_watches(true);
     fleet.store.restore();
     fleet.configure(3, entry());
     for balancer in 1..=2 {
--- a/crates/basilstep-packet/tests/processes/soak/cluster.rs
+++ b/crates/basilstep-packet/tests/processes/soak/cluster.rs
@@ -1,6 +1,6 @@
 //! The machines of a soak test: their processes, their targets and the proxies in front of them.
 
-use super::{invariants::Invariants, routers::BalancerEndpoint};
+use super::{configuration::Configuration, invariants::Invariants, routers::BalancerEndpoint};
 use crate::support::{
     fleet::{AGENT, BALANCER, Fleet, Process, STORE, STORE_PROXY},
     proxy::Proxy,
@@ -12,7 +12,7 @@
     sync::Arc,
     time::{SystemTime, UNIX_EPOCH},
 };
-use tokio::sync::Mutex;
+use tokio::{sync::Mutex, time::Instant};
 
 pub const BALANCERS: u8 = 3;
 pub const AGENTS: u8 = 6;
@@ -39,6 +39,19 @@
     pub process: Mutex<Process>,
     pub store: Proxy,
     pub agent_target: Option<AgentTarget>,
+    /// When the process or its connection to the store was last disturbed.
+    disturbed: std::sync::Mutex<Instant>,
+}
+
+impl Machine {
+    pub fn record_disturbance(&self) {
+        *self.disturbed.lock().unwrap() = Instant::now();
+    }
+
+    /// Returns whether the machine has not been disturbed since `since`.
+    pub fn is_calm_since(&self, since: Instant) -> bool {
+        *self.disturbed.lock().unwrap() < since
+    }
 }
 
 /// The target on the same VM as an agent.
@@ -71,6 +84,7 @@
     pub invariants: Arc<Invariants>,
     pub balancers: Vec<Machine>,
     pub agents: Vec<Machine>,
+    pub configuration: Configuration,
     /// One lock per zone, held while a fault keeps the zone out.
     pub operators: [Mutex<()>; ZONES.len()],
 }
@@ -83,7 +97,7 @@
 impl Cluster {
     pub async fn start(name: &str) -> Self {
         let fleet = Fleet::start(name).await;
-        configure(&fleet, 1);
+        let configuration = Configuration::write_first(&fleet);
         let invariants = Arc::new(Invariants::default());
         let mut balancers = Vec::new();
         for number in 1..=BALANCERS {
@@ -98,6 +112,7 @@
             invariants,
             balancers,
             agents,
+            configuration,
             operators: Default::default(),
         }
     }
@@ -112,6 +127,12 @@
             .collect()
     }
 
+    /// Records that a process is stopped or paused, or that it continues.
+    pub fn disturb(&self, machine: &Machine) {
+        machine.record_disturbance();
+        self.invariants.record_disturbance();
+    }
+
     /// Restarts the process of a machine and waits until it handles signals.
     pub async fn launch(&self, machine: &Machine) -> Process {
         let number = machine.number;
@@ -135,30 +156,6 @@
     }
 }
 
-/// Writes a configuration with one route per service; only requests to the first are idempotent.
-pub fn configure(fleet: &Fleet, version: u64) {
-    let routes: Vec<Value> = SERVICES
-        .iter()
-        .enumerate()
-        .map(|(service, name)| {
-            let entry = entry(service);
-            json!({"Name": format!("r{service}"), "Hostname": entry.ip().to_string(),
-                   "Prefix": format!("/{}/", entry.port()),
-                   "Type": if service == 0 { "safe" } else { "unsafe" },
-                   "TimeoutMs": 2_500, "Service": name})
-        })
-        .collect();
-    let services: Vec<Value> = SERVICES
-        .iter()
-        .map(|name| json!({"Name": name, "MaxConnections": 2_000}))
-        .collect();
-    let config = json!({
-        "Version": version, "Routes": routes, "Services": services,
-        "Limits": {"IdleTimeoutMs": 15_000},
-    });
-    fleet.store.put("op/config", Some(&config));
-}
-
 async fn start_balancer(fleet: &Fleet, number: u8) -> Machine {
     let zone = ZONES[usize::from(number) % ZONES.len()];
     start_machine(fleet, number, zone, BALANCER, json!({})).await
@@ -214,6 +211,7 @@
         extra_settings,
         store,
         agent_target: None,
+        disturbed: std::sync::Mutex::new(Instant::now()),
     }
 }
 
--- /dev/null
+++ b/crates/basilstep-packet/tests/processes/soak/configuration.rs
@@ -0,0 +1,134 @@
+//! The operators' configuration in a soak test, and the check that balancers apply it in time.
+
+use super::cluster::{Cluster, Machine, SERVICES, entry};
+use crate::support::fleet::Fleet;
+use serde_json::{Value, json};
+use std::{
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
+use tokio::time::{Instant, sleep};
+
+/// The time after the store's acknowledgement of a version after which it has to be in force.
+const APPLY_LIMIT: Duration = Duration::from_secs(3);
+
+/// The time after a disturbance of a balancer or of the store before the limit holds again.
+const CONTACT_TIME: Duration = Duration::from_secs(4);
+
+const CHECK_INTERVAL: Duration = Duration::from_millis(100);
+
+/// A version that the store has acknowledged.
+#[derive(Clone, Copy, Debug)]
+struct AckedVersion {
+    version: u64,
+    acked: Instant,
+}
+
+/// The versions that the operators have written.
+#[derive(Debug)]
+pub struct Configuration {
+    acked: Mutex<Vec<AckedVersion>>,
+    store_disturbed: Mutex<Instant>,
+}
+
+impl Configuration {
+    /// Writes the first version.
+    pub fn write_first(fleet: &Fleet) -> Self {
+        let configuration = Self {
+            acked: Mutex::new(Vec::new()),
+            store_disturbed: Mutex::new(Instant::now()),
+        };
+        configuration.change(fleet);
+        configuration
+    }
+
+    /// Writes the next version.
+    pub fn change(&self, fleet: &Fleet) {
+        let mut acked = self.acked.lock().unwrap();
+        let version = acked.last().map_or(1, |last| last.version + 1);
+        write(fleet, version);
+        acked.push(AckedVersion {
+            version,
+            acked: Instant::now(),
+        });
+    }
+
+    /// Writes the last version again, which the store may have lost.
+    pub fn write_again(&self, fleet: &Fleet) {
+        let acked = self.acked.lock().unwrap();
+        write(fleet, acked.last().unwrap().version);
+    }
+
+    /// Records that the store was restored, lost its history or went silent.
+    pub fn record_store_disturbance(&self) {
+        *self.store_disturbed.lock().unwrap() = Instant::now();
+    }
+
+    /// Returns the version that has to be in force at `now`.
+    fn due_version(&self, now: Instant) -> Option<u64> {
+        let acked = self.acked.lock().unwrap();
+        let due = acked
+            .iter()
+            .filter(|known| known.acked + APPLY_LIMIT <= now);
+        due.map(|known| known.version).max()
+    }
+
+    fn is_store_calm_since(&self, since: Instant) -> bool {
+        *self.store_disturbed.lock().unwrap() < since
+    }
+}
+
+/// Checks until `is_stopped` that each balancer that was in touch applies each version in time and
+/// never goes back.
+pub async fn check_until(cluster: Arc<Cluster>, is_stopped: Arc<AtomicBool>) {
+    while !is_stopped.load(Ordering::SeqCst) {
+        for machine in &cluster.balancers {
+            check_balancer(&cluster, machine).await;
+        }
+        sleep(CHECK_INTERVAL).await;
+    }
+}
+
+async fn check_balancer(cluster: &Cluster, machine: &Machine) {
+    let asked = Instant::now();
+    let due = cluster.configuration.due_version(asked);
+    let seen = cluster.fleet.version_in_force(machine.number).await;
+    let Some(calm_since) = asked.checked_sub(CONTACT_TIME) else {
+        return;
+    };
+    let is_in_touch =
+        machine.is_calm_since(calm_since) && cluster.configuration.is_store_calm_since(calm_since);
+    if is_in_touch && seen.is_some() && seen < due {
+        cluster.invariants.record_violation(format!(
+            "balancer {} has version {seen:?} in force, {due:?} is due",
+            machine.number
+        ));
+    }
+}
+
+/// Writes a configuration with one route per service; only requests to the first are idempotent.
+fn write(fleet: &Fleet, version: u64) {
+    let routes: Vec<Value> = SERVICES
+        .iter()
+        .enumerate()
+        .map(|(service, name)| {
+            let entry = entry(service);
+            json!({"Name": format!("r{service}"), "Hostname": entry.ip().to_string(),
+                   "Prefix": format!("/{}/", entry.port()),
+                   "Type": if service == 0 { "safe" } else { "unsafe" },
+                   "TimeoutMs": 2_500, "Service": name})
+        })
+        .collect();
+    let services: Vec<Value> = SERVICES
+        .iter()
+        .map(|name| json!({"Name": name, "MaxConnections": 2_000}))
+        .collect();
+    let config = json!({
+        "Version": version, "Routes": routes, "Services": services,
+        "Limits": {"IdleTimeoutMs": 15_000},
+    });
+    fleet.store.put("op/config", Some(&config));
+}
--- a/crates/basilstep-packet/tests/processes/soak/faults.rs
+++ b/crates/basilstep-packet/tests/processes/soak/faults.rs
@@ -1,14 +1,11 @@
 //! The faults of a soak test, drawn from its seed; they may overlap.
 
-use super::cluster::{AgentTarget, Cluster, Machine, RunningTarget, ZONES, configure};
+use super::cluster::{AgentTarget, Cluster, Machine, RunningTarget, ZONES};
 use crate::support::{fleet::Process, proxy::ProxyMode, target::Target};
 use rand_chacha::{ChaCha8Rng, rand_core::Rng};
 use rustix::process::Signal;
 use std::{
-    sync::{
-        Arc,
-        atomic::{AtomicU64, Ordering},
-    },
+    sync::{Arc, atomic::Ordering},
     time::Duration,
 };
 use tokio::{
@@ -17,9 +14,6 @@
 };
 
 const MAX_FAULT_INTERVAL_MS: u32 = 500;
-const MAX_RESTORE_INTERVAL_MS: u32 = 4_000;
-const MAX_COPY_AGE_MS: u32 = 3_000;
-const MAX_REWRITE_DELAY_MS: u32 = 1_000;
 
 /// The time limit for a process to stop after SIGTERM; a balancer takes 1.8 s.
 const STOP_TIMEOUT: Duration = Duration::from_secs(5);
@@ -79,39 +73,8 @@
     FaultKind::TakeDomainOut,
 ];
 
-/// Restores the store from a copy a few times within `duration`, each time from one that is some
-/// seconds old; the operators then write again what holds.
-pub async fn restore_store(
-    cluster: &Cluster,
-    versions: &AtomicU64,
-    mut random: ChaCha8Rng,
-    duration: Duration,
-) {
-    let mut draw_ms = |range_ms| Duration::from_millis(u64::from(random.next_u32() % range_ms));
-    let until = Instant::now() + duration;
-    while Instant::now() < until {
-        sleep(draw_ms(MAX_RESTORE_INTERVAL_MS)).await;
-        cluster.fleet.store.copy();
-        sleep(draw_ms(MAX_COPY_AGE_MS)).await;
-        cluster.fleet.store.restore();
-        sleep(draw_ms(MAX_REWRITE_DELAY_MS)).await;
-        configure(&cluster.fleet, versions.load(Ordering::SeqCst));
-        for (zone, operator) in ZONES.iter().zip(&cluster.operators) {
-            let is_out = operator.try_lock().is_err();
-            let record = is_out.then(|| serde_json::json!({}));
-            let key = format!("op/evacuate/{zone}");
-            cluster.fleet.store.put(&key, record.as_ref());
-        }
-    }
-}
-
 /// Injects faults for `duration` and waits until the last one has ended.
-pub async fn inject(
-    cluster: &Arc<Cluster>,
-    versions: &Arc<AtomicU64>,
-    mut random: ChaCha8Rng,
-    duration: Duration,
-) {
+pub async fn inject(cluster: &Arc<Cluster>, mut random: ChaCha8Rng, duration: Duration) {
     let until = Instant::now() + duration;
     let mut running = JoinSet::new();
     while Instant::now() < until {
@@ -120,11 +83,7 @@
             random_index: random.next_u32() as usize,
             duration: Duration::from_millis(u64::from(200 + random.next_u32() % 2_300)),
         };
-        running.spawn(apply_fault(
-            Arc::clone(cluster),
-            fault,
-            Arc::clone(versions),
-        ));
+        running.spawn(apply_fault(Arc::clone(cluster), fault));
         sleep(Duration::from_millis(u64::from(
             random.next_u32() % MAX_FAULT_INTERVAL_MS,
         )))
@@ -135,7 +94,7 @@
     }
 }
 
-async fn apply_fault(cluster: Arc<Cluster>, fault: Fault, versions: Arc<AtomicU64>) {
+async fn apply_fault(cluster: Arc<Cluster>, fault: Fault) {
     let machines = cluster.balancers.len() + cluster.agents.len();
     let index = fault.random_index % machines;
     let machine = cluster
@@ -152,16 +111,19 @@
         FaultKind::EndTarget => end_target(&cluster, agent, fault.duration).await,
         FaultKind::DrainTarget => drain_target(&cluster, agent, fault.duration).await,
         FaultKind::CutStore => {
+            machine.record_disturbance();
             machine.store.set(mode);
             sleep(fault.duration).await;
             machine.store.set(ProxyMode::Pass);
+            machine.record_disturbance();
         }
         FaultKind::CutHeartbeats => cut_heartbeats(&cluster, agent, mode, fault.duration).await,
         FaultKind::EndLeases => cluster.fleet.store.end_leases(),
-        FaultKind::DropHistory => cluster.fleet.store.drop_history(),
-        FaultKind::Configure => {
-            configure(&cluster.fleet, versions.fetch_add(1, Ordering::SeqCst) + 1);
+        FaultKind::DropHistory => {
+            cluster.configuration.record_store_disturbance();
+            cluster.fleet.store.drop_history();
         }
+        FaultKind::Configure => cluster.configuration.change(&cluster.fleet),
         FaultKind::TakeDomainOut => {
             take_domain_out(&cluster, fault.random_index % ZONES.len()).await;
         }
@@ -172,18 +134,18 @@
     let Ok(mut process) = machine.process.try_lock() else {
         return;
     };
-    cluster.invariants.record_disturbance();
+    cluster.disturb(machine);
     process.kill();
     sleep(duration).await;
     *process = cluster.launch(machine).await;
-    cluster.invariants.record_disturbance();
+    cluster.disturb(machine);
 }
 
 async fn terminate(cluster: &Cluster, machine: &Machine) {
     let Ok(mut process) = machine.process.try_lock() else {
         return;
     };
-    cluster.invariants.record_disturbance();
+    cluster.disturb(machine);
     process.signal(Signal::TERM);
     if !has_ended_within(&mut process, STOP_TIMEOUT).await {
         cluster
@@ -192,7 +154,7 @@
         process.kill();
     }
     *process = cluster.launch(machine).await;
-    cluster.invariants.record_disturbance();
+    cluster.disturb(machine);
 }
 
 async fn has_ended_within(process: &mut Process, limit: Duration) -> bool {
@@ -210,11 +172,11 @@
     let Ok(process) = machine.process.try_lock() else {
         return;
     };
-    cluster.invariants.record_disturbance();
+    cluster.disturb(machine);
     process.signal(Signal::STOP);
     sleep(duration).await;
     process.signal(Signal::CONT);
-    cluster.invariants.record_disturbance();
+    cluster.disturb(machine);
 }
 
 async fn end_target(cluster: &Cluster, machine: &Machine, duration: Duration) {
--- a/crates/basilstep-packet/tests/processes/soak/mod.rs
+++ b/crates/basilstep-packet/tests/processes/soak/mod.rs
@@ -9,9 +9,11 @@
 
 mod callers;
 mod cluster;
+mod configuration;
 mod faults;
 mod invariants;
 mod routers;
+mod store_faults;
 
 use super::support::{self, caller::Caller};
 use callers::CallerConfig;
@@ -24,7 +26,7 @@
     ops::Range,
     sync::{
         Arc,
-        atomic::{AtomicBool, AtomicU64, Ordering},
+        atomic::{AtomicBool, Ordering},
     },
     time::Duration,
 };
@@ -36,8 +38,8 @@
 /// The caller that checks all services through all balancers at the end.
 const LAST_CALLER: u8 = 240;
 
-/// Keeps the restores of a seed apart from its other faults, which are drawn from the seed itself.
-const RESTORE_SEED_OFFSET: u64 = 1 << 32;
+/// Keeps the store faults of a seed apart from its other faults, which are drawn from the seed itself.
+const STORE_FAULTS_SEED_OFFSET: u64 = 1 << 32;
 const SHORT_DURATION: Duration = Duration::from_secs(6);
 const LONG_DURATION: Duration = Duration::from_secs(12);
 
@@ -48,7 +50,7 @@
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum StoreKind {
     Durable,
-    /// It is restored from copies that are some seconds old.
+    /// It is restored from copies that are some seconds old, and connections to it go silent.
     Restored,
 }
 
@@ -78,20 +80,19 @@
             Arc::clone(&is_stopped),
         ));
     }
-    let versions = Arc::new(AtomicU64::new(1));
-    let restores = async {
+    let checks = configuration::check_until(Arc::clone(&cluster), Arc::clone(&is_stopped));
+    let checks = tokio::spawn(checks);
+    let store_faults = async {
         if store == StoreKind::Restored {
-            let random = ChaCha8Rng::seed_from_u64(RESTORE_SEED_OFFSET + seed);
-            faults::restore_store(&cluster, &versions, random, duration).await;
+            let random = ChaCha8Rng::seed_from_u64(STORE_FAULTS_SEED_OFFSET + seed);
+            store_faults::inject(&cluster, random, duration).await;
         }
     };
     let random = ChaCha8Rng::seed_from_u64(seed);
-    tokio::join!(
-        restores,
-        faults::inject(&cluster, &versions, random, duration)
-    );
+    tokio::join!(store_faults, faults::inject(&cluster, random, duration));
     sleep(RECOVERY_TIME).await;
     is_stopped.store(true, Ordering::SeqCst);
+    checks.await.unwrap();
     while let Some(ended) = callers.join_next().await {
         ended.unwrap();
     }
--- a/crates/basilstep-packet/tests/processes/support/store.rs
+++ b/crates/basilstep-packet/tests/processes/support/store.rs
@@ -91,9 +91,10 @@
         state.values.retain(|key, _| !key.starts_with("balancers/"));
     }
 
-    /// Makes watches that wait during a restore go on waiting instead of ending with an error.
-    pub fn keep_waiting_watches(&self) {
-        self.keeps_waiting_watches.store(true, Ordering::SeqCst);
+    /// Sets whether watches that wait during a restore go on waiting or end with an error.
+    pub fn set_keeps_waiting_watches(&self, keeps_waiting_watches: bool) {
+        self.keeps_waiting_watches
+            .store(keeps_waiting_watches, Ordering::SeqCst);
     }
 
     /// Returns whether an item exists.
