--- /dev/null
+++ b/crates/basilstep-packet/src/store_tasks/mod.rs
@@ -0,0 +1,54 @@
+//! Tasks that read from and write to the platform's metadata store.
+
+mod era_signal;
+mod operator_settings;
+mod registration;
+
+use basilstep_core::flows::FleetSettings;
+use basilstep_platform::store::StoreError;
+use std::net::Ipv4Addr;
+
+pub use era_signal::EraSignal;
+pub use operator_settings::watch_operator_settings;
+pub use registration::{list_balancers, maintain_registration};
+
+/// An event from the store.
+#[derive(Debug)]
+pub enum StoreEvent {
+    /// The current settings of the operators.
+    Settings(FleetSettings),
+    /// The store has answered that the settings have not changed.
+    Unchanged,
+    /// The registered balancers.
+    Balancers(Vec<Ipv4Addr>),
+}
+
+/// Logs once when the connection to the store is lost and once when it is restored.
+#[derive(Debug)]
+struct ConnectionLog {
+    what: &'static str,
+    is_lost: bool,
+}
+
+impl ConnectionLog {
+    const fn new(what: &'static str) -> Self {
+        Self {
+            what,
+            is_lost: false,
+        }
+    }
+
+    fn log_lost(&mut self, error: &StoreError) {
+        if !self.is_lost {
+            log::warn!(what = self.what, reason:% = error; "the store is lost");
+        }
+        self.is_lost = true;
+    }
+
+    fn log_restored(&mut self) {
+        if self.is_lost {
+            log::info!(what = self.what; "the store is back");
+        }
+        self.is_lost = false;
+    }
+}
