fix(packet): a balancer that starts learns from the store how many agents there were

Cause: how many agents there are was known only to running balancers.

Change: a balancer's entry in the store, which outlives it by its lease of 30 s, says how many agents it knows; it is written at the start, after a second and at a renewal when the number has changed. A balancer that starts lists the entries before it writes its own, and resets no such flow before it knows as many agents, for roster_wait_ms at most.

--- a/crates/basilstep-core/src/flows/balancer/state.rs
+++ b/crates/basilstep-core/src/flows/balancer/state.rs
@@ -53,8 +53,8 @@
     pending_syns: PendingSyns,
     liveness: Liveness,
     overloads: Overloads,
-    /// The highest number of agents that another balancer has reported since this one started; that
-    /// balancer may have restarted since.
+    /// The highest number of agents that a balancer has reported or registered since this one started;
+    /// that balancer may have restarted since.
     max_agents: Option<u16>,
     started_ms: u64,
     settling_since_ms: u64,
@@ -252,6 +252,11 @@
         self.balancers.record_heartbeat(peer, heartbeat, ctx.now_ms)
     }
 
+    /// Records how many agents a balancer knew when it last updated its registration.
+    pub fn on_registered_agents(&mut self, agents: u16) {
+        self.max_agents = self.max_agents.max(Some(agents));
+    }
+
     /// Records that the process was paused for `pause_ms`, which its clock did not count.
     pub fn on_pause(&mut self, pause_ms: u64, ctx: &Context) {
         self.agents.age_reports(pause_ms);
--- a/crates/basilstep-core/src/flows/balancer/state/heartbeats.rs
+++ b/crates/basilstep-core/src/flows/balancer/state/heartbeats.rs
@@ -16,12 +16,17 @@
             version: self.fleet.table.version,
             revision: self.fleet.revision,
             is_stopping: false,
-            agents: saturate(self.agents.len()),
+            agents: self.known_agents(),
             live_agents: saturate(self.live_agents(ctx.now_ms).count()),
             balancers_hash: self.balancers.hash(),
         }
     }
 
+    /// Returns how many agents have reported and are not forgotten.
+    pub fn known_agents(&self) -> u16 {
+        saturate(self.agents.len())
+    }
+
     /// Returns the balancers that get a heartbeat in this interval.
     pub fn due_heartbeats(&mut self, recipients: Recipients) -> Vec<Ipv4Addr> {
         let mut receivers = self.send_schedule.next_interval(
--- a/crates/basilstep-core/src/flows/tests/balancer.rs
+++ b/crates/basilstep-core/src/flows/tests/balancer.rs
@@ -484,6 +484,23 @@
     assert!(balancer.on_tick(&context(1_750)).lost.is_empty());
 }
 
+/// Guards against a reset of a flow whose agent is down while all balancers that knew it are gone.
+#[test]
+fn registered_count_of_agents_outlives_the_balancers_that_wrote_it() {
+    let settings = FlowSettings::default();
+    let (mut balancer, _) = balancer_with_settings(settings, 0, RequestKind::NonIdempotent);
+    balancer.on_report(agent_ip(1), report(TargetPhase::Serving), &context(1_600));
+    balancer.on_heartbeat(balancer_ip(2), &heartbeat(1), &context(1_600));
+    balancer.on_registered_agents(2);
+    let packet = data(flow(1), 100);
+    balancer.on_packet(&packet, &context(1_700));
+    refuse(&mut balancer, 1, &packet, 1_705);
+    assert!(balancer.on_tick(&context(1_750)).lost.is_empty());
+    balancer.on_report(agent_ip(2), report(TargetPhase::Serving), &context(1_800));
+    refuse(&mut balancer, 2, &packet, 1_805);
+    assert_eq!(balancer.on_tick(&context(1_850)).lost.len(), 1);
+}
+
 /// Power loss everywhere, and one machine is back without its target.
 #[rstest]
 #[case::idempotent(RequestKind::Idempotent, 1)]
--- a/crates/basilstep-packet/src/agent/serve.rs
+++ b/crates/basilstep-packet/src/agent/serve.rs
@@ -239,7 +239,8 @@
         tokio::spawn(async move {
             let listed = store_tasks::list_balancers(&mut StoreClient::new(store)).await;
             match listed {
-                Ok(balancers) => {
+                Ok(registered) => {
+                    let balancers = registered.iter().map(|balancer| balancer.ip).collect();
                     if event_sender
                         .send(Event::BalancersListed(balancers))
                         .await
--- a/crates/basilstep-packet/src/balancer/serve.rs
+++ b/crates/basilstep-packet/src/balancer/serve.rs
@@ -6,7 +6,7 @@
     pause_detector::PauseDetector,
     process::{self, ProcessError, StartContext},
     request_forwarder::{PendingRequest, RequestForwarder},
-    store_tasks::{self, EraSignal, StoreEvent},
+    store_tasks::{self, EraSignal, RegisteredBalancer, Registration, StoreEvent},
 };
 use basilstep_core::{
     context::Context,
@@ -29,7 +29,7 @@
 };
 use tokio::{
     signal::unix::Signal,
-    sync::mpsc,
+    sync::{mpsc, watch},
     time::{MissedTickBehavior, interval, sleep},
 };
 
@@ -73,6 +73,8 @@
     /// When the store last answered what the operators' settings are.
     confirmed_ms: Option<u64>,
     pub(super) era_signal: EraSignal,
+    /// How many agents this balancer knows, for its entry in the store.
+    known_agents: watch::Sender<u16>,
     pub(super) event_sender: mpsc::Sender<Event>,
     pause_detector: PauseDetector,
     next_heartbeat_ms: u64,
@@ -105,7 +107,10 @@
         ));
         tokio::spawn(store_tasks::maintain_registration(
             store,
-            machine.ip,
+            RegisteredBalancer {
+                ip: machine.ip,
+                agents: balancer.known_agents.subscribe(),
+            },
             store_sender.clone(),
             balancer.era_signal.clone(),
         ));
@@ -166,6 +171,7 @@
             is_pulling_settings: false,
             confirmed_ms: None,
             era_signal: EraSignal::new(),
+            known_agents: watch::channel(0).0,
             event_sender,
             pause_detector: PauseDetector::start(start.clock),
             next_heartbeat_ms: 0,
@@ -225,14 +231,17 @@
                 self.apply_settings(settings, "store");
             }
             StoreEvent::Unchanged => self.confirmed_ms = Some(self.ctx.now_ms),
-            StoreEvent::Balancers(ips) => {
-                let heartbeat = Frame::Heartbeat(self.flows.heartbeat(&self.ctx));
-                let known: Vec<Ipv4Addr> = self.flows.balancers().addresses().collect();
-                for ip in ips {
-                    if ip != self.machine.ip && !known.contains(&ip) {
-                        self.send_frame(ip, &heartbeat);
-                    }
-                }
+            StoreEvent::Balancers(registered) => self.on_registered(&registered),
+        }
+    }
+
+    fn on_registered(&mut self, registered: &[Registration]) {
+        let heartbeat = Frame::Heartbeat(self.flows.heartbeat(&self.ctx));
+        let known: Vec<Ipv4Addr> = self.flows.balancers().addresses().collect();
+        for balancer in registered {
+            self.flows.on_registered_agents(balancer.agents);
+            if balancer.ip != self.machine.ip && !known.contains(&balancer.ip) {
+                self.send_frame(balancer.ip, &heartbeat);
             }
         }
     }
@@ -267,6 +276,7 @@
             );
         }
         self.apply_tick_outcome(&outcome);
+        self.known_agents.send_replace(self.flows.known_agents());
         self.send_probes();
         if self.flows.balancers().len() == 1 {
             self.announce_to_seeds();
--- a/crates/basilstep-packet/src/store_tasks/mod.rs
+++ b/crates/basilstep-packet/src/store_tasks/mod.rs
@@ -6,11 +6,10 @@
 
 use basilstep_core::flows::FleetSettings;
 use basilstep_platform::store::StoreError;
-use std::net::Ipv4Addr;
 
 pub use era_signal::EraSignal;
 pub use operator_settings::watch_operator_settings;
-pub use registration::{list_balancers, maintain_registration};
+pub use registration::{RegisteredBalancer, Registration, list_balancers, maintain_registration};
 
 /// An event from the store.
 #[derive(Debug)]
@@ -20,7 +19,7 @@
     /// The store has answered that the settings have not changed.
     Unchanged,
     /// The registered balancers.
-    Balancers(Vec<Ipv4Addr>),
+    Balancers(Vec<Registration>),
 }
 
 /// Logs once when the connection to the store is lost and once when it is restored.
--- a/crates/basilstep-packet/src/store_tasks/registration.rs
+++ b/crates/basilstep-packet/src/store_tasks/registration.rs
@@ -1,13 +1,18 @@
 use super::{ConnectionLog, EraSignal, StoreEvent};
 use basilstep_platform::{
-    store::{StoreClient, StoreError},
+    responses::StoreItem,
+    store::{Lease, StoreClient, StoreError},
     store_keys,
 };
+use serde::{Deserialize, Serialize};
 use std::{
     net::{Ipv4Addr, SocketAddrV4},
     time::Duration,
 };
-use tokio::{sync::mpsc, time::sleep};
+use tokio::{
+    sync::{mpsc, watch},
+    time::sleep,
+};
 
 /// The time to live of a registration without renewal.
 const REGISTRATION_TTL: Duration = Duration::from_secs(30);
@@ -25,26 +30,58 @@
 /// to find balancers.
 const RETRY_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Keeps this balancer registered and reports the registered balancers until the channel is
-/// closed.
+/// The delay before the first renewal, with which the number of agents that a balancer has found
+/// since its start is registered.
+const FIRST_RENEWAL_DELAY: Duration = Duration::from_secs(1);
+
+/// A balancer's entry in the store.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Registration {
+    /// The balancer's address.
+    pub ip: Ipv4Addr,
+    /// How many agents it knew when it last wrote the entry.
+    pub agents: u16,
+}
+
+#[derive(Debug, Default, Deserialize, Serialize)]
+#[serde(default)]
+struct RegistrationValue {
+    agents: u16,
+}
+
+/// The balancer that a task keeps registered.
+#[derive(Clone, Debug)]
+pub struct RegisteredBalancer {
+    /// The balancer's address.
+    pub ip: Ipv4Addr,
+    /// How many agents it knows.
+    pub agents: watch::Receiver<u16>,
+}
+
+/// Keeps a balancer registered and reports the registered balancers until the channel is closed.
 pub async fn maintain_registration(
     address: SocketAddrV4,
-    ip: Ipv4Addr,
+    balancer: RegisteredBalancer,
     event_sender: mpsc::Sender<StoreEvent>,
     era_signal: EraSignal,
 ) {
-    let mut client = StoreClient::new(address);
+    let mut registrar = Registrar {
+        client: StoreClient::new(address),
+        balancer,
+        event_sender,
+    };
     let mut connection = ConnectionLog::new("balancers' entries");
     let mut attempted_era = 0;
     loop {
-        let ended =
-            register_and_renew(&mut client, ip, &event_sender, &mut connection, &era_signal).await;
+        let ended = registrar
+            .register_and_renew(&mut connection, &era_signal)
+            .await;
         match ended {
             Ok(()) => return,
             Err(StoreError::Restored { era }) => {
                 log::warn!(era; "the store was restored from a copy; registering again");
                 era_signal
-                    .start_over(era, &client, &mut attempted_era)
+                    .start_over(era, &registrar.client, &mut attempted_era)
                     .await;
                 continue;
             }
@@ -54,43 +91,86 @@
     }
 }
 
-async fn register_and_renew(
-    client: &mut StoreClient,
-    ip: Ipv4Addr,
-    event_sender: &mpsc::Sender<StoreEvent>,
-    connection: &mut ConnectionLog,
-    era_signal: &EraSignal,
-) -> Result<(), StoreError> {
-    // A lease of a former era is not renewed: its id may have been given to another process.
-    let lease = client.grant_lease(REGISTRATION_TTL).await?;
-    client
-        .put(&store_keys::balancer_key(ip), &[], &lease)
-        .await?;
-    connection.log_restored();
-    loop {
-        let listed = list_balancers(client).await?;
-        // The store may delete an entry while its lease is still valid.
-        if !listed.contains(&ip) {
-            client
-                .put(&store_keys::balancer_key(ip), &[], &lease)
-                .await?;
-        }
-        if event_sender
-            .send(StoreEvent::Balancers(listed))
-            .await
-            .is_err()
-        {
-            return Ok(());
-        }
-        for _ in 0..RENEWALS_PER_LISTING {
-            let era = client.era();
-            let renewed = async {
-                sleep(RENEWAL_INTERVAL).await;
-                client.renew_lease(&lease).await
-            };
-            era_signal.interrupt(era, renewed).await?;
+#[derive(Debug)]
+struct Registrar {
+    client: StoreClient,
+    balancer: RegisteredBalancer,
+    event_sender: mpsc::Sender<StoreEvent>,
+}
+
+impl Registrar {
+    async fn register_and_renew(
+        &mut self,
+        connection: &mut ConnectionLog,
+        era_signal: &EraSignal,
+    ) -> Result<(), StoreError> {
+        // A lease of a former era is not renewed: its id may have been given to another process.
+        let lease = self.client.grant_lease(REGISTRATION_TTL).await?;
+        // Listed before the write, so that the entry of an earlier run of this balancer is seen.
+        let mut reported = self.report_registrations().await?;
+        let mut written_agents = self.write(&lease).await?;
+        connection.log_restored();
+        let mut delay = FIRST_RENEWAL_DELAY;
+        while reported != Reported::ChannelClosed {
+            for _ in 0..RENEWALS_PER_LISTING {
+                self.renew_after(delay, &lease, era_signal).await?;
+                delay = RENEWAL_INTERVAL;
+                if *self.balancer.agents.borrow() != written_agents {
+                    written_agents = self.write(&lease).await?;
+                }
+            }
+            reported = self.report_registrations().await?;
+            // The store may delete an entry while its lease is still valid.
+            if reported == Reported::WithoutOwnEntry {
+                written_agents = self.write(&lease).await?;
+            }
         }
+        Ok(())
+    }
+
+    async fn renew_after(
+        &mut self,
+        delay: Duration,
+        lease: &Lease,
+        era_signal: &EraSignal,
+    ) -> Result<(), StoreError> {
+        let era = self.client.era();
+        let renewed = async {
+            sleep(delay).await;
+            self.client.renew_lease(lease).await
+        };
+        era_signal.interrupt(era, renewed).await
+    }
+
+    /// Writes the balancer's entry and returns the number of agents in it.
+    async fn write(&mut self, lease: &Lease) -> Result<u16, StoreError> {
+        let agents = *self.balancer.agents.borrow();
+        let value = serde_json::to_vec(&RegistrationValue { agents })
+            .expect("a registration contains only a number");
+        let key = store_keys::balancer_key(self.balancer.ip);
+        self.client.put(&key, &value, lease).await?;
+        Ok(agents)
     }
+
+    async fn report_registrations(&mut self) -> Result<Reported, StoreError> {
+        let listed = list_balancers(&mut self.client).await?;
+        let own_ip = self.balancer.ip;
+        let is_registered = listed.iter().any(|registered| registered.ip == own_ip);
+        let sent = self.event_sender.send(StoreEvent::Balancers(listed)).await;
+        Ok(match (sent, is_registered) {
+            (Err(_closed), _) => Reported::ChannelClosed,
+            (Ok(()), true) => Reported::WithOwnEntry,
+            (Ok(()), false) => Reported::WithoutOwnEntry,
+        })
+    }
+}
+
+/// What came of reporting the registered balancers.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Reported {
+    WithOwnEntry,
+    WithoutOwnEntry,
+    ChannelClosed,
 }
 
 /// Lists the registered balancers.
@@ -98,11 +178,21 @@
 /// # Errors
 ///
 /// Returns [`StoreError`] when the call fails or the response cannot be decoded.
-pub async fn list_balancers(client: &mut StoreClient) -> Result<Vec<Ipv4Addr>, StoreError> {
+pub async fn list_balancers(client: &mut StoreClient) -> Result<Vec<Registration>, StoreError> {
     let listed = client.range(store_keys::BALANCER_PREFIX, true).await?;
-    Ok(listed
-        .items
-        .iter()
-        .filter_map(|item| store_keys::balancer_ip(&item.key))
-        .collect())
+    Ok(listed.items.iter().filter_map(decode).collect())
+}
+
+/// Decodes an entry; an entry whose value cannot be decoded still names its balancer.
+fn decode(item: &StoreItem) -> Option<Registration> {
+    let ip = store_keys::balancer_ip(&item.key)?;
+    let value = item.value.as_deref().unwrap_or_default();
+    let decoded: RegistrationValue = serde_json::from_slice(value).unwrap_or_else(|error| {
+        log::warn!(balancer:% = ip, reason:% = error; "cannot read the number of agents in a balancer's entry");
+        RegistrationValue::default()
+    });
+    Some(Registration {
+        ip,
+        agents: decoded.agents,
+    })
 }
--- a/crates/basilstep-packet/tests/processes/fleet.rs
+++ b/crates/basilstep-packet/tests/processes/fleet.rs
@@ -166,6 +166,19 @@
     assert!(opened.is(SYN), "version 3 is put in force in the new era");
 }
 
+/// Guards against a restarted balancer that does not know how many agents there were.
+#[tokio::test]
+async fn balancer_registers_how_many_agents_it_knows() {
+    let mut fleet = Fleet::start("registration").await;
+    fleet.configure(1, entry());
+    fleet.start_balancer(1);
+    fleet.start_agent(11).await;
+    fleet.await_ready(1).await;
+    sleep(Duration::from_secs(2)).await;
+    let value = fleet.store.value(&format!("balancers/{}", fleet.ip(1)));
+    assert_eq!(value.unwrap(), br#"{"agents":1}"#);
+}
+
 /// A heartbeat names an era that the store does not answer from, as when a peer reads another copy.
 #[tokio::test]
 async fn peer_in_an_unknown_era_does_not_make_a_balancer_flood_the_store() {
--- a/crates/basilstep-packet/tests/processes/support/store.rs
+++ b/crates/basilstep-packet/tests/processes/support/store.rs
@@ -99,11 +99,13 @@
 
     /// Returns whether an item exists.
     pub fn contains(&self, key: &str) -> bool {
+        self.value(key).is_some()
+    }
+
+    /// Returns the value of an item.
+    pub fn value(&self, key: &str) -> Option<Vec<u8>> {
         let state = self.state.lock().unwrap();
-        state
-            .values
-            .get(key)
-            .is_some_and(|(_, value)| value.is_some())
+        state.values.get(key).and_then(|(_, value)| value.clone())
     }
 
     /// Returns how many calls the store has received.
