fix(flows): an agent that had a predecessor beside its target does not deny its flows

The agent was stopped 87 ms after its target had started and was back 25 ms later. An agent that starts within witness_ms of its target took itself for the first one there, so it denied the flow that its earlier run had brought, and reported that it had advertised all flows.

Cause: the two start times cannot tell a first agent from a second one; balancers can.

Change: the reply to an agent's report says how long ago a former incarnation of it was last heard. Of a target that started before it, the agent knows all flows only after a balancer has replied and while none remembers a former incarnation that ran until shortly before; until then it asks the target. Frames have version 3. The tests of frames take the version from the code, so that they cannot pass for that reason.

The former test agent_that_started_with_its_target_knows_all_flows had no reply of a balancer; it is now seven cases, with a reply where it expects that all flows are known.

--- a/crates/basilstep-bench/src/load/steering/simulation/agents.rs
+++ b/crates/basilstep-bench/src/load/steering/simulation/agents.rs
@@ -80,7 +80,7 @@
             }
             (Frame::Reply(reply), _) => {
                 machine.source.on_reply(self.now_ms);
-                machine.agent.on_reply(reply);
+                machine.agent.on_reply(reply, &ctx);
             }
             (Frame::Balancers(list), _) => {
                 machine.agent.on_balancers(list, &ctx);
--- a/crates/basilstep-bench/src/load/steering/simulation/balancers.rs
+++ b/crates/basilstep-bench/src/load/steering/simulation/balancers.rs
@@ -39,7 +39,7 @@
                     self.send_to_agent(number, agent, Frame::Readvertise, None);
                 }
                 if report.wants_reply {
-                    let reply = self.balancers[number].reply_to(&report);
+                    let reply = self.balancers[number].reply_to(agent_ip(agent), &report, &ctx);
                     let list = self.balancers[number].balancers().entries(self.now_ms);
                     self.send_to_agent(number, agent, Frame::Reply(reply), None);
                     self.send_to_agent(number, agent, Frame::Balancers(list), None);
--- /dev/null
+++ b/crates/basilstep-core/src/flows/agent/former_incarnation.rs
@@ -0,0 +1,34 @@
+use crate::flows::settings::FlowSettings;
+
+/// What balancers have told this agent about its former incarnation.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum FormerIncarnation {
+    /// No balancer has replied yet.
+    #[default]
+    Unknown,
+    /// It ended long before this incarnation started, or never ran.
+    Gone,
+    /// It ran until shortly before this incarnation started.
+    Recent,
+}
+
+impl FormerIncarnation {
+    /// Records a balancer's reply, `uptime_ms` after the start of this incarnation.
+    ///
+    /// The balancer that remembers the former incarnation is right; others may have restarted since.
+    pub fn on_reply(
+        &mut self,
+        former_report_age_ms: Option<u32>,
+        uptime_ms: u64,
+        settings: &FlowSettings,
+    ) {
+        // It may have run for one report interval after its last report.
+        let max_interval_ms = settings.report_interval_ms * u64::from(settings.slowest_pace);
+        let recent_ms = uptime_ms + max_interval_ms + settings.witness_ms;
+        if former_report_age_ms.is_some_and(|age_ms| u64::from(age_ms) < recent_ms) {
+            *self = Self::Recent;
+        } else if *self == Self::Unknown {
+            *self = Self::Gone;
+        }
+    }
+}
--- a/crates/basilstep-core/src/flows/agent/mod.rs
+++ b/crates/basilstep-core/src/flows/agent/mod.rs
@@ -4,6 +4,7 @@
 mod advertisement_scope;
 mod discovery;
 mod flow_advertiser;
+mod former_incarnation;
 mod service_time;
 mod source;
 mod state;
--- a/crates/basilstep-core/src/flows/agent/state.rs
+++ b/crates/basilstep-core/src/flows/agent/state.rs
@@ -4,6 +4,7 @@
     admission::{AdmissionControl, AdmissionInputs, ColdAllowance},
     advertisement_scope::AdvertisementScope,
     flow_advertiser::FlowAdvertiser,
+    former_incarnation::FormerIncarnation,
     service_time::ServiceTime,
     table::{Flow, FlowStage, FlowTable, WaitLimits},
     target::{HeartbeatOutcome, TargetHeartbeat, TargetState},
@@ -93,6 +94,7 @@
     advertiser: FlowAdvertiser,
     advertisement_scope: AdvertisementScope,
     send_schedule: SendSchedule,
+    former_incarnation: FormerIncarnation,
     started_ms: u64,
     is_stopping: bool,
     is_backlog_stale: bool,
@@ -116,6 +118,7 @@
             advertiser: FlowAdvertiser::default(),
             advertisement_scope: AdvertisementScope::default(),
             send_schedule: SendSchedule::default(),
+            former_incarnation: FormerIncarnation::default(),
             started_ms: ctx.now_ms,
             is_stopping: false,
             is_backlog_stale: false,
@@ -215,8 +218,6 @@
         let is_first_incarnation =
             heartbeat.born_ms + self.settings.witness_ms >= self.identity.born_ms;
         if is_first_incarnation && outcome != HeartbeatOutcome::Outdated {
-            // No earlier incarnation of the agent can have forwarded a flow to this incarnation of
-            // the target.
             self.target.set_witnessed();
         }
         if outcome == HeartbeatOutcome::NewLifetime {
@@ -236,7 +237,10 @@
 
     /// Applies the settings in a balancer's reply; returns whether the agent's domain was taken out
     /// or brought back.
-    pub fn on_reply(&mut self, reply: &ReportReply) -> bool {
+    pub fn on_reply(&mut self, reply: &ReportReply, ctx: &Context) -> bool {
+        let uptime_ms = ctx.now_ms.saturating_sub(self.started_ms);
+        self.former_incarnation
+            .on_reply(reply.former_report_age_ms, uptime_ms, &self.settings);
         if reply.version >= self.settings_version {
             self.settings_version = reply.version;
             self.limits = reply.limits.or(self.limits);
@@ -431,9 +435,20 @@
             .collect()
     }
 
+    /// Returns whether no earlier incarnation of the agent can have forwarded a flow to this
+    /// incarnation of the target.
+    ///
+    /// They start together in any order, so a target that started slightly earlier may have had
+    /// another agent before.
+    fn has_witnessed_target(&self) -> bool {
+        let has_started_later = self.target.has_started_since(self.identity.born_ms);
+        let is_first_agent = self.former_incarnation == FormerIncarnation::Gone;
+        self.target.is_witnessed() && (has_started_later || is_first_agent)
+    }
+
     /// Returns whether the table holds every flow of the target.
     fn knows_all_flows(&self, ctx: &Context) -> bool {
-        self.target.is_witnessed()
+        self.has_witnessed_target()
             || (self.target.phase() != TargetPhase::Unknown
                 && ctx.now_ms >= self.started_ms + self.settings.relearn_ms)
     }
--- a/crates/basilstep-core/src/flows/agent/target.rs
+++ b/crates/basilstep-core/src/flows/agent/target.rs
@@ -56,7 +56,7 @@
     #[serde(rename = "heard_ms")]
     last_heartbeat_ms: u64,
     cold_until_ms: u64,
-    /// The agent has observed this incarnation of the target from its start.
+    /// This incarnation of the target started together with the agent or later.
     is_witnessed: bool,
 }
 
@@ -124,13 +124,18 @@
         self.last.is_none() || now_ms < self.cold_until_ms
     }
 
-    /// Records that no earlier incarnation of the agent can have forwarded flows to this
-    /// incarnation of the target.
+    /// Returns whether this incarnation of the target started at `at_ms` of the machine's wall clock
+    /// or later.
+    pub fn has_started_since(&self, at_ms: u64) -> bool {
+        self.last.is_some_and(|last| last.born_ms >= at_ms)
+    }
+
+    /// Records that this incarnation of the target started together with the agent or later.
     pub const fn set_witnessed(&mut self) {
         self.is_witnessed = true;
     }
 
-    /// Returns whether the agent knows every flow of the target.
+    /// Returns whether this incarnation of the target started together with the agent or later.
     pub const fn is_witnessed(&self) -> bool {
         self.is_witnessed
     }
--- a/crates/basilstep-core/src/flows/balancer/agent_table.rs
+++ b/crates/basilstep-core/src/flows/balancer/agent_table.rs
@@ -22,6 +22,8 @@
     /// When the report arrived.
     #[serde(rename = "heard_ms")]
     pub reported_ms: u64,
+    /// When the last report of the agent's former incarnation arrived, if there was one.
+    pub former_reported_ms: Option<u64>,
     /// New flows that this balancer has sent to the agent since that report.
     pub offered_since: u16,
     /// How many flows the agent has advertised to this balancer without a gap.
@@ -93,9 +95,17 @@
         let received = before
             .filter(|_| is_same_incarnation)
             .map_or(0, |state| state.received);
+        let former_reported_ms = before.and_then(|state| {
+            if is_same_incarnation {
+                state.former_reported_ms
+            } else {
+                Some(state.reported_ms)
+            }
+        });
         let state = AgentState {
             report,
             reported_ms: now_ms,
+            former_reported_ms,
             offered_since: 0,
             received,
             has_all_advertisements: report.advertised_total == Some(received),
--- a/crates/basilstep-core/src/flows/balancer/state/settings.rs
+++ b/crates/basilstep-core/src/flows/balancer/state/settings.rs
@@ -9,7 +9,7 @@
         routes::FleetSettings,
     },
 };
-use std::collections::BTreeSet;
+use std::{collections::BTreeSet, net::Ipv4Addr};
 
 impl BalancerFlows {
     /// Applies settings from the store or another balancer; returns whether anything changed.
@@ -32,7 +32,9 @@
     }
 
     /// Returns the reply to the report of an agent.
-    pub fn reply_to(&self, report: &AgentReport) -> ReportReply {
+    pub fn reply_to(&self, agent: Ipv4Addr, report: &AgentReport, ctx: &Context) -> ReportReply {
+        let state = self.agents.get(agent);
+        let former_reported_ms = state.and_then(|state| state.former_reported_ms);
         ReportReply {
             incarnation: self.identity.incarnation,
             version: self.fleet.table.version,
@@ -40,6 +42,8 @@
             is_domain_out: self.is_domain_out(report.domain),
             limits: self.fleet.table.services.get(&report.service).copied(),
             balancers_hash: self.balancers.hash(),
+            former_report_age_ms: former_reported_ms
+                .map(|at_ms| u32::try_from(ctx.now_ms.saturating_sub(at_ms)).unwrap_or(u32::MAX)),
         }
     }
 
--- a/crates/basilstep-core/src/flows/frame.rs
+++ b/crates/basilstep-core/src/flows/frame.rs
@@ -11,7 +11,7 @@
 use std::net::Ipv4Addr;
 
 /// The version, which is the first byte of each frame.
-const FRAME_VERSION: u8 = 2;
+pub(super) const FRAME_VERSION: u8 = 3;
 
 /// The error for a datagram that is not a valid frame.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
@@ -154,6 +154,9 @@
     pub limits: Option<ServiceLimits>,
     /// A hash of the list of balancers.
     pub balancers_hash: u32,
+    /// How long ago the last report of the agent's former incarnation arrived, if the balancer
+    /// knows one.
+    pub former_report_age_ms: Option<u32>,
 }
 
 /// A heartbeat between balancers.
--- a/crates/basilstep-core/src/flows/tests/agent.rs
+++ b/crates/basilstep-core/src/flows/tests/agent.rs
@@ -1,14 +1,14 @@
 use super::{
-    AGENT_BORN_MS, HEARTBEAT_MS, accepted, balancer_ip, bounced, context, data, flow,
-    forward_header, from_target, heartbeat, new_agent, revision, serving_agent, syn,
-    target_heartbeat,
+    AGENT_BORN_MS, HEARTBEAT_MS, accepted, agent_ip, balancer_ip, balancer_with, bounced, context,
+    data, flow, forward_header, from_target, heartbeat, new_agent, report, revision, serving_agent,
+    syn, target_heartbeat,
 };
 use crate::{
     address::DomainId,
     codes::ResultCode,
     flows::{
-        AgentFlows, BalancerEntry, BalancerHeartbeat, FlowKey, ForwardHeader, ProcessIncarnation,
-        ReportReply, ServiceLimits, ServiceTag, TargetPhase,
+        AgentFlows, AgentReport, BalancerEntry, BalancerHeartbeat, FlowKey, ForwardHeader,
+        ProcessIncarnation, ReportReply, RequestKind, ServiceLimits, ServiceTag, TargetPhase,
         agent::{
             CallerVerdict, HeartbeatOutcome, HeartbeatState, SettingsSource, TargetHeartbeat,
             TargetVerdict,
@@ -63,6 +63,7 @@
         is_domain_out: false,
         limits,
         balancers_hash: 0,
+        former_report_age_ms: None,
     }
 }
 
@@ -112,12 +113,12 @@
         revision: revision(5),
         ..reply(None)
     };
-    assert!(agent.on_reply(&out));
+    assert!(agent.on_reply(&out, &ctx));
     assert_eq!(
         refusal(try_syn(&mut agent, ctx.now_ms)),
         ResultCode::DomainOut
     );
-    agent.on_reply(&reply(None));
+    agent.on_reply(&reply(None), &ctx);
     let verdict = try_syn(&mut agent, ctx.now_ms);
     assert_eq!(
         refusal(verdict),
@@ -128,7 +129,7 @@
         revision: revision(6),
         ..reply(None)
     };
-    assert!(agent.on_reply(&back));
+    assert!(agent.on_reply(&back, &ctx));
     assert!(is_delivered(try_syn(&mut agent, ctx.now_ms)));
 }
 
@@ -526,18 +527,58 @@
     assert_eq!(agent.report(balancer_ip(5), &ctx).advertised_total, Some(1));
 }
 
-/// A machine lost power: agent and target start together.
-#[test]
-fn agent_that_started_with_its_target_knows_all_flows() {
+/// Guards against an agent that started shortly after its target and denies flows that an agent
+/// before it has brought there; and against needless searches after a machine lost power.
+#[rstest]
+#[case::no_balancer_has_replied(AGENT_BORN_MS - 50, &[], false)]
+#[case::machine_lost_power(AGENT_BORN_MS - 50, &[None], true)]
+#[case::machine_lost_power_for_long(AGENT_BORN_MS - 50, &[Some(2_000)], true)]
+#[case::another_agent_ran_before(AGENT_BORN_MS - 50, &[Some(200)], false)]
+#[case::only_one_balancer_remembers(AGENT_BORN_MS - 50, &[None, Some(200), None], false)]
+#[case::target_started_later(AGENT_BORN_MS + 50, &[Some(200)], true)]
+#[case::target_started_long_before(AGENT_BORN_MS - 500, &[None], false)]
+fn agent_knows_all_flows_of_a_target_that_had_no_other_agent(
+    #[case] target_born_ms: u64,
+    #[case] former_report_ages_ms: &[Option<u32>],
+    #[case] knows_all_flows: bool,
+) {
     let mut agent = new_agent();
-    let together = TargetHeartbeat {
-        born_ms: AGENT_BORN_MS - 50,
+    let first_heartbeat = TargetHeartbeat {
+        born_ms: target_born_ms,
         ..target_heartbeat(1)
     };
-    agent.on_target_heartbeat(&together, &context(100));
+    agent.on_target_heartbeat(&first_heartbeat, &context(100));
+    for former_report_age_ms in former_report_ages_ms {
+        let reply = ReportReply {
+            former_report_age_ms: *former_report_age_ms,
+            ..reply(None)
+        };
+        agent.on_reply(&reply, &context(100));
+    }
     let packet = data(flow(7), 10);
     let verdict = agent.on_packet(&forward_header(balancer_ip(ORIGIN)), &packet, &context(110));
-    assert_eq!(refusal(verdict), ResultCode::FlowNotHeld);
+    assert_eq!(is_delivered(verdict), !knows_all_flows);
+    let report = agent.report(balancer_ip(ORIGIN), &context(110));
+    assert!(knows_all_flows || report.advertised_total.is_none());
+}
+
+/// Guards against a balancer that forgets an agent's former incarnation with its next report.
+#[test]
+fn balancer_remembers_the_former_incarnation_of_an_agent() {
+    let (mut balancer, _) = balancer_with(1, RequestKind::Idempotent);
+    let former = report(TargetPhase::Serving);
+    let restarted = AgentReport {
+        incarnation: ProcessIncarnation(2),
+        ..former
+    };
+    let agent = agent_ip(1);
+    let reply = balancer.reply_to(agent, &former, &context(10_000));
+    assert_eq!(reply.former_report_age_ms, None);
+    for now_ms in [10_300, 10_550] {
+        balancer.on_report(agent, restarted, &context(now_ms));
+    }
+    let reply = balancer.reply_to(agent, &restarted, &context(10_600));
+    assert_eq!(reply.former_report_age_ms, Some(600));
 }
 
 /// The first heartbeat of an incarnation was late, and a flow was opened at that incarnation before
--- a/crates/basilstep-core/src/flows/tests/cold_start.rs
+++ b/crates/basilstep-core/src/flows/tests/cold_start.rs
@@ -18,14 +18,16 @@
         warmup_ms: WARMUP_MS,
         warmup_per_s: WARMUP_PER_S,
     };
-    agent.on_reply(&ReportReply {
+    let reply = ReportReply {
         incarnation: ProcessIncarnation(1),
         version: 1,
         revision: revision(1),
         is_domain_out: false,
         limits: Some(limits),
         balancers_hash: 0,
-    });
+        former_report_age_ms: None,
+    };
+    agent.on_reply(&reply, &context(0));
     let cold = TargetHeartbeat {
         warmup_left_ms: WARMUP_MS,
         capacity: 10_000,
--- a/crates/basilstep-core/src/flows/tests/fleet.rs
+++ b/crates/basilstep-core/src/flows/tests/fleet.rs
@@ -252,7 +252,8 @@
                 balancer.on_report(*ip, report, &ctx);
                 if report.wants_reply {
                     machine.source.on_reply(ctx.now_ms);
-                    machine.agent.on_reply(&balancer.reply_to(&report));
+                    let reply = balancer.reply_to(*ip, &report, &ctx);
+                    machine.agent.on_reply(&reply, &ctx);
                     let entries = balancer.balancers().entries(ctx.now_ms);
                     machine.agent.on_balancers(&entries, &ctx);
                 }
--- a/crates/basilstep-core/src/flows/tests/frames.rs
+++ b/crates/basilstep-core/src/flows/tests/frames.rs
@@ -1,8 +1,11 @@
 use super::{flow, forward_header, report};
-use crate::flows::{
-    Frame, FrameError, HeldFlows, Returned, TargetPhase, decode_frame, encode_frame,
+use crate::{
+    codes::ResultCode,
+    flows::{
+        Frame, FrameError, HeldFlows, Returned, ServiceTag, TargetPhase, decode_frame,
+        encode_frame, frame::FRAME_VERSION,
+    },
 };
-use crate::{codes::ResultCode, flows::ServiceTag};
 use proptest::prelude::*;
 use rstest::rstest;
 use std::net::Ipv4Addr;
@@ -21,10 +24,10 @@
 
 #[rstest]
 #[case::empty(&[], FrameError::Version)]
-#[case::other_version(&[1, 6], FrameError::Version)]
-#[case::no_header(&[2], FrameError::Header)]
-#[case::unknown_kind(&[2, 99], FrameError::Header)]
-#[case::cut_short(&[2, 0, 1, 2], FrameError::Header)]
+#[case::other_version(&[FRAME_VERSION - 1, 6], FrameError::Version)]
+#[case::no_header(&[FRAME_VERSION], FrameError::Header)]
+#[case::unknown_kind(&[FRAME_VERSION, 99], FrameError::Header)]
+#[case::cut_short(&[FRAME_VERSION, 0, 1, 2], FrameError::Header)]
 fn datagram_that_is_no_frame_is_refused(#[case] bytes: &[u8], #[case] error: FrameError) {
     assert_eq!(decode_frame(bytes), Err(error));
 }
@@ -37,7 +40,7 @@
 
     #[test]
     fn length_in_a_frame_does_not_reserve_memory(length in any::<u32>()) {
-        let mut bytes = vec![2, 2];
+        let mut bytes = vec![FRAME_VERSION, 2];
         bytes.extend_from_slice(&length.to_le_bytes());
         let _ = decode_frame(&bytes);
     }
--- a/crates/basilstep-core/src/flows/tests/store_era.rs
+++ b/crates/basilstep-core/src/flows/tests/store_era.rs
@@ -47,7 +47,12 @@
     let port = 1_000 + (now_ms % 50_000) as u16;
     let verdict = balancer.on_packet(&syn(super::flow(port), 0), &ctx);
     let is_forwarded = matches!(verdict, Verdict::Forward(_));
-    assert_eq!(is_forwarded, !balancer.reply_to(&from_domain).is_domain_out);
+    assert_eq!(
+        is_forwarded,
+        !balancer
+            .reply_to(agent_ip(1), &from_domain, &ctx)
+            .is_domain_out
+    );
     is_forwarded
 }
 
@@ -73,10 +78,11 @@
         is_domain_out,
         limits: None,
         balancers_hash: 0,
+        former_report_age_ms: None,
     };
     let mut agent = new_agent();
-    agent.on_reply(&reply(known, false));
-    agent.on_reply(&reply(offered, true));
+    agent.on_reply(&reply(known, false), &context(0));
+    agent.on_reply(&reply(offered, true), &context(0));
     assert_eq!(agent.is_domain_out(), is_newer);
 }
 
--- a/crates/basilstep-packet/src/agent/frames.rs
+++ b/crates/basilstep-packet/src/agent/frames.rs
@@ -60,7 +60,7 @@
 
     fn on_reply(&mut self, peer: Ipv4Addr, reply: &ReportReply) {
         self.settings_source.on_reply(self.ctx.now_ms);
-        if self.flows.on_reply(reply) {
+        if self.flows.on_reply(reply, &self.ctx) {
             log::info!(
                 is_domain_out = self.flows.is_domain_out(),
                 revision:% = reply.revision,
--- a/crates/basilstep-packet/src/balancer/frames.rs
+++ b/crates/basilstep-packet/src/balancer/frames.rs
@@ -92,7 +92,7 @@
             self.send_frame(agent, &Frame::Readvertise);
         }
         if report.wants_reply {
-            let reply = self.flows.reply_to(&report);
+            let reply = self.flows.reply_to(agent, &report, &self.ctx);
             self.send_frame(agent, &Frame::Reply(reply));
         }
     }
