refactor(flows): settings by duty

FlowSettings had 32 numbers in one struct. Four names lose the word that is now the group's. No value changes.

--- a/crates/basilstep-bench/src/load/packet_path.rs
+++ b/crates/basilstep-bench/src/load/packet_path.rs
@@ -45,7 +45,7 @@
 ///
 /// Returns an error when a packet is not forwarded as expected.
 pub fn measure() -> Result<Value, Box<dyn Error>> {
-    let limit = FlowSettings::default().hint_limit as u32;
+    let limit = FlowSettings::default().hints.limit as u32;
     let before_bytes = own_resident_bytes();
     let mut agent = agent_with_flows(AGENT_FLOWS);
     let agent_bytes = own_resident_bytes().saturating_sub(before_bytes);
--- a/crates/basilstep-bench/src/load/steering/cases.rs
+++ b/crates/basilstep-bench/src/load/steering/cases.rs
@@ -115,17 +115,17 @@
             },
             Policy {
                 name: "the balancers of the caller's domain",
-                settings: |settings| FlowSettings {
-                    tell_all: 0,
-                    ..settings
+                settings: |mut settings| {
+                    settings.advertisements.tell_all = 0;
+                    settings
                 },
             },
             Policy {
                 name: "the balancer that asked",
-                settings: |settings| FlowSettings {
-                    tell_all: 0,
-                    told_balancers: 0,
-                    ..settings
+                settings: |mut settings| {
+                    settings.advertisements.tell_all = 0;
+                    settings.advertisements.told_balancers = 0;
+                    settings
                 },
             },
         ],
@@ -141,16 +141,16 @@
             },
             Policy {
                 name: "the least work anywhere",
-                settings: |settings| FlowSettings {
-                    other_domain_cost: 0.0,
-                    ..settings
+                settings: |mut settings| {
+                    settings.placement.other_domain_cost = 0.0;
+                    settings
                 },
             },
             Policy {
                 name: "the own domain only",
-                settings: |settings| FlowSettings {
-                    other_domain_cost: 1e9,
-                    ..settings
+                settings: |mut settings| {
+                    settings.placement.other_domain_cost = 1e9;
+                    settings
                 },
             },
         ],
@@ -166,18 +166,18 @@
             },
             Policy {
                 name: "after 0.4 s and 0.5 s",
-                settings: |settings| FlowSettings {
-                    suspect_after_ms: 400,
-                    reset_after_ms: 500,
-                    ..settings
+                settings: |mut settings| {
+                    settings.liveness.suspect_after_ms = 400;
+                    settings.liveness.reset_after_ms = 500;
+                    settings
                 },
             },
             Policy {
                 name: "after 3 s and 6 s",
-                settings: |settings| FlowSettings {
-                    suspect_after_ms: 3_000,
-                    reset_after_ms: 6_000,
-                    ..settings
+                settings: |mut settings| {
+                    settings.liveness.suspect_after_ms = 3_000;
+                    settings.liveness.reset_after_ms = 6_000;
+                    settings
                 },
             },
         ],
@@ -203,17 +203,17 @@
             },
             Policy {
                 name: "at once, by any roster",
-                settings: |settings| FlowSettings {
-                    settle_ms: 0,
-                    roster_wait_ms: 0,
-                    ..settings
+                settings: |mut settings| {
+                    settings.searches.settle_ms = 0;
+                    settings.searches.roster_wait_ms = 0;
+                    settings
                 },
             },
             Policy {
                 name: "after 3 s",
-                settings: |settings| FlowSettings {
-                    settle_ms: 3_000,
-                    ..settings
+                settings: |mut settings| {
+                    settings.searches.settle_ms = 3_000;
+                    settings
                 },
             },
         ],
--- a/crates/basilstep-bench/src/load/steering/simulation.rs
+++ b/crates/basilstep-bench/src/load/steering/simulation.rs
@@ -323,7 +323,10 @@
                 self.forward_packet(number, &placed.next_hop, &placed.syn.segment);
             }
         }
-        if self.now_ms.is_multiple_of(self.settings.report_interval_ms) {
+        if self
+            .now_ms
+            .is_multiple_of(self.settings.liveness.report_interval_ms)
+        {
             self.send_heartbeats();
         }
         for number in 0..AGENTS {
--- a/crates/basilstep-bench/src/load/steering/simulation/agents.rs
+++ b/crates/basilstep-bench/src/load/steering/simulation/agents.rs
@@ -25,7 +25,10 @@
             machine.agent.on_target_heartbeat(&heartbeat, ctx);
         }
         machine.agent.on_tick(ctx);
-        if self.now_ms.is_multiple_of(self.settings.report_interval_ms) {
+        if self
+            .now_ms
+            .is_multiple_of(self.settings.liveness.report_interval_ms)
+        {
             let source = machine
                 .source
                 .next(machine.agent.balancers(), domain_of(number));
--- a/crates/basilstep-core/src/flows/agent/admission.rs
+++ b/crates/basilstep-core/src/flows/agent/admission.rs
@@ -108,7 +108,7 @@
             return u16::MAX;
         }
         let allowed = limits.warmup_per_s * self.allowance.overage + self.allowance.slack;
-        let used = (allowed * settings.cold_rate_share).floor();
+        let used = (allowed * settings.work_limit.cold_rate_share).floor();
         (used as usize)
             .saturating_sub(self.admitted_ms.len())
             .min(usize::from(u16::MAX)) as u16
--- a/crates/basilstep-core/src/flows/agent/advertisement_scope.rs
+++ b/crates/basilstep-core/src/flows/agent/advertisement_scope.rs
@@ -14,7 +14,7 @@
     /// Updates the scope for the number of known balancers; returns whether all flows have to be
     /// readvertised.
     pub fn update(&mut self, balancers: usize, settings: &FlowSettings, now_ms: u64) -> bool {
-        if balancers > settings.tell_all {
+        if balancers > settings.advertisements.tell_all {
             self.limited_since_ms.get_or_insert(now_ms);
             return false;
         }
@@ -32,6 +32,6 @@
     /// because balancers rely on the last report for that long.
     pub fn includes_all_balancers(&self, settings: &FlowSettings, now_ms: u64) -> bool {
         self.limited_since_ms
-            .is_none_or(|at_ms| now_ms < at_ms + settings.suspect_after_ms)
+            .is_none_or(|at_ms| now_ms < at_ms + settings.liveness.suspect_after_ms)
     }
 }
--- a/crates/basilstep-core/src/flows/agent/former_incarnation.rs
+++ b/crates/basilstep-core/src/flows/agent/former_incarnation.rs
@@ -23,8 +23,9 @@
         settings: &FlowSettings,
     ) {
         // It may have run for one report interval after its last report.
-        let max_interval_ms = settings.report_interval_ms * u64::from(settings.slowest_pace);
-        let recent_ms = uptime_ms + max_interval_ms + settings.witness_ms;
+        let max_interval_ms =
+            settings.liveness.report_interval_ms * u64::from(settings.liveness.slowest_pace);
+        let recent_ms = uptime_ms + max_interval_ms + settings.table.witness_ms;
         if former_report_age_ms.is_some_and(|age_ms| u64::from(age_ms) < recent_ms) {
             *self = Self::Recent;
         } else if *self == Self::Unknown {
--- a/crates/basilstep-core/src/flows/agent/service_time.rs
+++ b/crates/basilstep-core/src/flows/agent/service_time.rs
@@ -35,15 +35,17 @@
     /// late.
     pub fn work_limit(&self, target: &TargetState, goal_ms: u16, settings: &FlowSettings) -> usize {
         let capacity = f64::from(target.capacity());
-        let time_at_target_ms = f64::from(goal_ms) * settings.goal_share;
+        let time_at_target_ms = f64::from(goal_ms) * settings.work_limit.goal_share;
         let capacity_multiple = match self.mean_ms {
             _ if goal_ms > 0 && time_at_target_ms < MIN_SERVICE_TIME_MS => 1.0,
-            Some(mean_ms) if goal_ms > 0 => {
-                (time_at_target_ms / mean_ms).clamp(settings.min_rounds, settings.max_rounds)
-            }
-            _ => settings
-                .default_rounds
-                .clamp(settings.min_rounds, settings.max_rounds),
+            Some(mean_ms) if goal_ms > 0 => (time_at_target_ms / mean_ms).clamp(
+                settings.work_limit.min_rounds,
+                settings.work_limit.max_rounds,
+            ),
+            _ => settings.work_limit.default_rounds.clamp(
+                settings.work_limit.min_rounds,
+                settings.work_limit.max_rounds,
+            ),
         };
         (capacity * capacity_multiple).ceil() as usize
     }
--- a/crates/basilstep-core/src/flows/agent/state.rs
+++ b/crates/basilstep-core/src/flows/agent/state.rs
@@ -216,7 +216,7 @@
             .target
             .on_heartbeat(heartbeat, self.identity.heartbeat_ms, ctx.now_ms);
         let is_first_incarnation =
-            heartbeat.born_ms + self.settings.witness_ms >= self.identity.born_ms;
+            heartbeat.born_ms + self.settings.table.witness_ms >= self.identity.born_ms;
         if is_first_incarnation && outcome != HeartbeatOutcome::Outdated {
             self.target.set_witnessed();
         }
@@ -259,19 +259,19 @@
     pub fn on_tick(&mut self, ctx: &Context) {
         let now_ms = ctx.now_ms;
         self.balancers
-            .forget(now_ms.saturating_sub(self.settings.forget_after_ms));
+            .forget(now_ms.saturating_sub(self.settings.liveness.forget_after_ms));
         self.update_advertisement_scope(ctx);
         let balancers = &self.balancers;
         self.advertiser
             .retain(|balancer| balancers.domain_of(balancer).is_some());
         let limits = WaitLimits {
-            handshake_ms: self.settings.opening_wait_ms,
-            answer_ms: self.settings.answer_wait_ms,
+            handshake_ms: self.settings.work_limit.opening_wait_ms,
+            answer_ms: self.settings.work_limit.answer_wait_ms,
         };
         self.table.expire_waits(&limits, now_ms);
         self.table.expire(
-            now_ms.saturating_sub(self.settings.flow_idle_ms),
-            now_ms.saturating_sub(self.settings.linger_ms),
+            now_ms.saturating_sub(self.settings.table.idle_ms),
+            now_ms.saturating_sub(self.settings.table.linger_ms),
         );
     }
 
@@ -322,7 +322,7 @@
                 return deliver(header);
             }
             Some(flow) if flow.stage == FlowStage::Offered => {
-                if ctx.now_ms < flow.opened_ms + self.settings.confirm_within_ms {
+                if ctx.now_ms < flow.opened_ms + self.settings.syns.confirm_within_ms {
                     return deliver(header);
                 }
                 self.table.remove(&key);
@@ -450,7 +450,7 @@
     fn knows_all_flows(&self, ctx: &Context) -> bool {
         self.has_witnessed_target()
             || (self.target.phase() != TargetPhase::Unknown
-                && ctx.now_ms >= self.started_ms + self.settings.relearn_ms)
+                && ctx.now_ms >= self.started_ms + self.settings.table.relearn_ms)
     }
 }
 
--- a/crates/basilstep-core/src/flows/agent/state/reporting.rs
+++ b/crates/basilstep-core/src/flows/agent/state/reporting.rs
@@ -137,7 +137,7 @@
         {
             return self.balancers.addresses().collect();
         }
-        let limit = self.settings.told_balancers;
+        let limit = self.settings.advertisements.told_balancers;
         self.balancers
             .select_recipients(flow.origin_domain, key.hash(), limit)
     }
--- a/crates/basilstep-core/src/flows/balancer/agent_table.rs
+++ b/crates/basilstep-core/src/flows/balancer/agent_table.rs
@@ -239,7 +239,7 @@
     placement: &PlacementContext<'_>,
     settings: &FlowSettings,
 ) -> bool {
-    let limit_ms = settings.suspect_after_ms;
+    let limit_ms = settings.liveness.suspect_after_ms;
     state.report.phase == TargetPhase::Serving
         && !state.report.is_stopping
         && state.offered_since < state.report.room
@@ -259,7 +259,7 @@
     domain: DomainId,
     settings: &FlowSettings,
 ) -> Vec<(Ipv4Addr, &'a AgentState)> {
-    if open.len() <= settings.compare_all {
+    if open.len() <= settings.placement.compare_all {
         return open;
     }
     let flow_hash = flow.hash();
@@ -267,7 +267,7 @@
     let (own, others): (Vec<_>, Vec<_>) = open
         .into_iter()
         .partition(|(_, state)| state.report.domain == domain);
-    let limit = settings.compare_drawn;
+    let limit = settings.placement.compare_drawn;
     own.into_iter()
         .take(limit)
         .chain(others.into_iter().take(limit))
@@ -282,12 +282,12 @@
 ) -> f64 {
     let report = &state.report;
     let mut work = f64::from(report.at_work) + f64::from(state.offered_since);
-    work += f64::from(report.open_flows) * settings.open_flow_load;
+    work += f64::from(report.open_flows) * settings.placement.open_flow_load;
     if report.is_cold {
-        work = (work + 1.0) * settings.cold_slowdown;
+        work = (work + 1.0) * settings.placement.cold_slowdown;
     }
     if report.domain != placement.domain {
-        work += settings.other_domain_cost;
+        work += settings.placement.other_domain_cost;
     }
     work / f64::from(report.capacity.max(1))
 }
--- a/crates/basilstep-core/src/flows/balancer/liveness.rs
+++ b/crates/basilstep-core/src/flows/balancer/liveness.rs
@@ -51,7 +51,8 @@
         now_ms: u64,
     ) {
         let is_rarely_reporting = state.report.slowness > 1;
-        if is_rarely_reporting && now_ms >= state.reported_ms + settings.report_interval_ms {
+        if is_rarely_reporting && now_ms >= state.reported_ms + settings.liveness.report_interval_ms
+        {
             self.probes.entry(agent).or_insert(Probe {
                 since_ms: now_ms,
                 sent_ms: None,
@@ -66,7 +67,7 @@
 
     /// Takes the agents that are to be probed now, each at most once per report interval.
     pub fn take_probes(&mut self, settings: &FlowSettings, now_ms: u64) -> Vec<Ipv4Addr> {
-        let interval_ms = settings.report_interval_ms;
+        let interval_ms = settings.liveness.report_interval_ms;
         let mut due = Vec::new();
         for (agent, probe) in &mut self.probes {
             if probe
@@ -114,7 +115,7 @@
             return !state.has_reported_within(limit_ms, now_ms);
         }
         // A probe starts at the time of the first missing report.
-        let answer_within_ms = limit_ms.saturating_sub(settings.report_interval_ms);
+        let answer_within_ms = limit_ms.saturating_sub(settings.liveness.report_interval_ms);
         let is_unanswered = self
             .probes
             .get(&agent)
--- a/crates/basilstep-core/src/flows/balancer/state.rs
+++ b/crates/basilstep-core/src/flows/balancer/state.rs
@@ -76,7 +76,7 @@
             former_services: BTreeMap::new(),
             agents: AgentTable::default(),
             balancers,
-            hints: Hints::new(settings.hint_limit),
+            hints: Hints::new(settings.hints.limit),
             searches: Searches::default(),
             pending_syns: PendingSyns::default(),
             liveness: Liveness::default(),
@@ -107,7 +107,7 @@
             return self.on_syn(new, ctx);
         }
         let Some(hint) = self.hints.get_mut(&flow) else {
-            let search_ms = self.settings.search_ms;
+            let search_ms = self.settings.searches.keep_ms;
             let search = self.searches.entry(flow, ctx.now_ms, search_ms);
             search.caller_acknowledged = segment.acknowledged;
             return self.search(flow, ctx);
@@ -148,7 +148,7 @@
         if is_from_holder {
             self.hints.remove(&flow);
         }
-        let search_ms = self.settings.search_ms;
+        let search_ms = self.settings.searches.keep_ms;
         let search = self.searches.entry(flow, ctx.now_ms, search_ms);
         search.refused_by.insert(agent);
         search.is_hint_wrong |= is_from_holder;
@@ -281,12 +281,12 @@
         let settings = self.settings;
         self.hints.sweep(
             HINTS_SWEPT_PER_TICK,
-            ctx.now_ms.saturating_sub(settings.hint_idle_ms),
+            ctx.now_ms.saturating_sub(settings.hints.idle_ms),
         );
         let lost = self.finish_searches(ctx);
         self.searches
-            .forget(ctx.now_ms.saturating_sub(settings.search_ms));
-        let before_ms = ctx.now_ms.saturating_sub(settings.forget_after_ms);
+            .forget(ctx.now_ms.saturating_sub(settings.searches.keep_ms));
+        let before_ms = ctx.now_ms.saturating_sub(settings.liveness.forget_after_ms);
         self.balancers
             .merge_entry(&self.identity.entry(), ctx.now_ms);
         self.balancers.forget(before_ms);
--- a/crates/basilstep-core/src/flows/balancer/state/readiness.rs
+++ b/crates/basilstep-core/src/flows/balancer/state/readiness.rs
@@ -32,9 +32,12 @@
     /// early for them, without waiting for agents that no longer report to any balancer.
     pub(super) fn may_reset(&self, kind: RequestKind, ctx: &Context) -> bool {
         let (settle_ms, has_enough_agents) = match kind {
-            RequestKind::Idempotent => (self.settings.settle_ms, self.has_enough_live_agents(ctx)),
+            RequestKind::Idempotent => (
+                self.settings.searches.settle_ms,
+                self.has_enough_live_agents(ctx),
+            ),
             RequestKind::NonIdempotent => (
-                self.settings.settle_non_idempotent_ms,
+                self.settings.searches.settle_non_idempotent_ms,
                 self.knows_enough_agents(ctx),
             ),
         };
@@ -44,14 +47,14 @@
     /// Returns how many agents are enough if another balancer has `most`; `None` if no other
     /// balancer has sent a heartbeat yet.
     fn required_agents(&self, most: Option<u16>, ctx: &Context) -> Option<usize> {
-        if ctx.now_ms >= self.started_ms + self.settings.roster_wait_ms {
+        if ctx.now_ms >= self.started_ms + self.settings.searches.roster_wait_ms {
             return Some(1);
         }
         most.map(|most| usize::from(most).max(1))
     }
 
     pub(super) fn live_agents(&self, now_ms: u64) -> impl Iterator<Item = Ipv4Addr> {
-        let limit_ms = self.settings.suspect_after_ms;
+        let limit_ms = self.settings.liveness.suspect_after_ms;
         self.agents
             .iter()
             .filter(move |(agent, state)| {
--- a/crates/basilstep-core/src/flows/balancer/state/searching.rs
+++ b/crates/basilstep-core/src/flows/balancer/state/searching.rs
@@ -40,7 +40,7 @@
         let Some(unanswered) = self.unanswered(&flow, ctx.now_ms) else {
             return self.reject_unknown_service(ctx);
         };
-        let search_ms = self.settings.search_ms;
+        let search_ms = self.settings.searches.keep_ms;
         let search = self.searches.entry(flow, ctx.now_ms, search_ms);
         let is_settled = search.is_settled(ctx.now_ms);
         let may_send = search.try_send(ctx.now_ms);
@@ -104,7 +104,7 @@
     fn evidence(&self, flow: &FlowKey, now_ms: u64) -> SearchEvidence {
         let search = self.searches.get(flow);
         let is_hint_wrong = search.is_some_and(|search| search.is_hint_wrong);
-        let since_ms = now_ms.saturating_sub(self.settings.hint_idle_ms);
+        let since_ms = now_ms.saturating_sub(self.settings.hints.idle_ms);
         SearchEvidence {
             trusts_advertisements: !is_hint_wrong && self.hints.is_complete_since(since_ms),
             unknown_targets_timed_out: search
@@ -114,7 +114,7 @@
 
     fn has_advertised_all(&self, state: &AgentState, now_ms: u64) -> bool {
         state.has_all_advertisements
-            && state.has_reported_within(self.settings.suspect_after_ms, now_ms)
+            && state.has_reported_within(self.settings.liveness.suspect_after_ms, now_ms)
     }
 
     /// Ends the searches in which all agents have refused, once these answers are conclusive.
@@ -153,11 +153,11 @@
     }
 
     fn is_silent(&self, agent: Ipv4Addr, now_ms: u64) -> bool {
-        if now_ms < self.settling_since_ms + self.settings.settle_non_idempotent_ms {
+        if now_ms < self.settling_since_ms + self.settings.searches.settle_non_idempotent_ms {
             return false;
         }
         self.agents.get(agent).is_none_or(|state| {
-            let limit_ms = self.settings.reset_after_ms;
+            let limit_ms = self.settings.liveness.reset_after_ms;
             let is_silent = self
                 .liveness
                 .is_silent(agent, state, limit_ms, &self.settings, now_ms);
--- a/crates/basilstep-core/src/flows/balancer/state/syn.rs
+++ b/crates/basilstep-core/src/flows/balancer/state/syn.rs
@@ -35,7 +35,7 @@
 impl BalancerFlows {
     pub(super) fn on_syn(&mut self, new: NewFlow<'_>, ctx: &Context) -> Verdict {
         let flow = new.key();
-        let confirm_within_ms = self.settings.confirm_within_ms;
+        let confirm_within_ms = self.settings.syns.confirm_within_ms;
         if let Some(hint) = self.hints.get_mut(&flow) {
             hint.used_ms = ctx.now_ms;
             hint.syn_arrived_ms = new.arrived_ms;
@@ -47,7 +47,7 @@
             }
             if is_overdue {
                 self.agents
-                    .doubt_until(agent, ctx.now_ms + self.settings.doubt_ms);
+                    .doubt_until(agent, ctx.now_ms + self.settings.syns.doubt_ms);
             }
             self.hints.remove(&flow);
             return self.place_syn(new, Some(service), ResultCode::NoTarget, ctx);
--- a/crates/basilstep-core/src/flows/send_schedule.rs
+++ b/crates/basilstep-core/src/flows/send_schedule.rs
@@ -61,8 +61,8 @@
     if balancers.domain_of(balancer) == Some(domain) {
         return 1;
     }
-    let intervals = balancers.len().div_ceil(settings.pace_all.max(1));
+    let intervals = balancers.len().div_ceil(settings.liveness.pace_all.max(1));
     u16::try_from(intervals)
         .unwrap_or(u16::MAX)
-        .clamp(1, settings.slowest_pace.max(1))
+        .clamp(1, settings.liveness.slowest_pace.max(1))
 }
--- a/crates/basilstep-core/src/flows/settings.rs
+++ b/crates/basilstep-core/src/flows/settings.rs
@@ -1,9 +1,31 @@
 use serde::{Deserialize, Serialize};
 
-/// The settings of steering without tokens.
-#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
+/// The settings of steering without tokens, by duty.
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct FlowSettings {
+    /// How agents and balancers show that they are running, and when one counts as silent.
+    pub liveness: LivenessSettings,
+    /// SYNs that their agent does not confirm.
+    pub syns: SynSettings,
+    /// Searches for the holder of a flow, and when their result may be trusted.
+    pub searches: SearchSettings,
+    /// Which agent a new flow is sent to.
+    pub placement: FlowPlacementSettings,
+    /// Which new flows an agent accepts.
+    pub work_limit: WorkLimitSettings,
+    /// What a balancer remembers of the holders of flows.
+    pub hints: HintSettings,
+    /// What an agent knows of the flows of its target.
+    pub table: FlowTableSettings,
+    /// Which balancers are told the holder of a flow.
+    pub advertisements: AdvertisementSettings,
+}
+
+/// How agents and balancers show that they are running, and when one counts as silent.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct LivenessSettings {
     /// The interval between two reports of an agent, and between two heartbeats of a balancer.
     pub report_interval_ms: u64,
     /// The time since its last report after which an agent gets no new flows, if it sends every
@@ -14,12 +36,52 @@
     pub reset_after_ms: u64,
     /// The time since its last report after which an agent is forgotten.
     pub forget_after_ms: u64,
+    /// The number of balancers up to which each gets every report and heartbeat.
+    pub pace_all: usize,
+    /// The maximum number of report intervals between two reports or heartbeats to a balancer of
+    /// another domain.
+    pub slowest_pace: u16,
+}
+
+impl Default for LivenessSettings {
+    fn default() -> Self {
+        Self {
+            report_interval_ms: 250,
+            suspect_after_ms: 800,
+            reset_after_ms: 1_500,
+            forget_after_ms: 20_000,
+            pace_all: 32,
+            slowest_pace: 4,
+        }
+    }
+}
+
+/// SYNs that their agent does not confirm.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct SynSettings {
     /// How long a SYN may stay unconfirmed before its next retransmission goes to another agent.
     pub confirm_within_ms: u64,
     /// How long an agent that did not confirm a SYN gets no new flows.
     pub doubt_ms: u64,
+}
+
+impl Default for SynSettings {
+    fn default() -> Self {
+        Self {
+            confirm_within_ms: 150,
+            doubt_ms: 500,
+        }
+    }
+}
+
+/// Searches for the holder of a flow, and when their result may be trusted.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(default, deny_unknown_fields)]
+#[expect(clippy::struct_field_names, reason = "each is a time with its unit")]
+pub struct SearchSettings {
     /// How long a search for the holder of a flow keeps the answers of agents.
-    pub search_ms: u64,
+    pub keep_ms: u64,
     /// How long a balancer must have been running before it resets idempotent flows that nobody
     /// holds.
     pub settle_ms: u64,
@@ -28,6 +90,23 @@
     pub settle_non_idempotent_ms: u64,
     /// How long a balancer that has just started waits for another one's count of agents.
     pub roster_wait_ms: u64,
+}
+
+impl Default for SearchSettings {
+    fn default() -> Self {
+        Self {
+            keep_ms: 1_000,
+            settle_ms: 300,
+            settle_non_idempotent_ms: 1_500,
+            roster_wait_ms: 3_000,
+        }
+    }
+}
+
+/// Which agent a new flow is sent to.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct FlowPlacementSettings {
     /// The number of agents of a service up to which all are compared for a new flow.
     pub compare_all: usize,
     /// How many agents of the own domain, and of the others, are compared if there are more.
@@ -38,6 +117,24 @@
     pub open_flow_load: f64,
     /// The factor by which a cold target is slower.
     pub cold_slowdown: f64,
+}
+
+impl Default for FlowPlacementSettings {
+    fn default() -> Self {
+        Self {
+            compare_all: 8,
+            compare_drawn: 2,
+            other_domain_cost: 3.0,
+            open_flow_load: 0.1,
+            cold_slowdown: 1.6,
+        }
+    }
+}
+
+/// Which new flows an agent accepts.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct WorkLimitSettings {
     /// The share of a request's latency goal that queueing and processing at the target may take on
     /// average; single requests take several times as long.
     pub goal_share: f64,
@@ -51,29 +148,56 @@
     pub default_rounds: f64,
     /// The share of the permitted rate of a cold target that is used.
     pub cold_rate_share: f64,
-    /// How long a balancer keeps a hint after the flow's last packet here; hints of flows that are
-    /// idle for longer may be discarded.
-    pub hint_idle_ms: u64,
-    /// The maximum number of hints that a balancer keeps.
-    pub hint_limit: usize,
     /// How long a flow counts as work if its caller does not complete the handshake.
     pub opening_wait_ms: u64,
     /// How long an unanswered request counts as work.
     pub answer_wait_ms: u64,
+}
+
+impl Default for WorkLimitSettings {
+    fn default() -> Self {
+        Self {
+            goal_share: 0.4,
+            min_rounds: 1.5,
+            max_rounds: 4.0,
+            default_rounds: 2.0,
+            cold_rate_share: 0.9,
+            opening_wait_ms: 300,
+            answer_wait_ms: 3_000,
+        }
+    }
+}
+
+/// What a balancer remembers of the holders of flows.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct HintSettings {
+    /// How long a balancer keeps a hint after the flow's last packet here; hints of flows that are
+    /// idle for longer may be discarded.
+    pub idle_ms: u64,
+    /// The maximum number of hints that a balancer keeps.
+    pub limit: usize,
+}
+
+impl Default for HintSettings {
+    fn default() -> Self {
+        Self {
+            idle_ms: 90_000,
+            limit: 131_072,
+        }
+    }
+}
+
+/// What an agent knows of the flows of its target.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(default, deny_unknown_fields)]
+#[expect(clippy::struct_field_names, reason = "each is a time with its unit")]
+pub struct FlowTableSettings {
     /// How long an agent keeps an open flow after its last packet.
-    pub flow_idle_ms: u64,
+    pub idle_ms: u64,
     /// How long an agent keeps a flow that both ends closed, or whose caller never completed the
     /// handshake.
     pub linger_ms: u64,
-    /// The number of balancers up to which each flow is advertised to all of them.
-    pub tell_all: usize,
-    /// How many balancers of the caller's domain get the advertisement if there are more.
-    pub told_balancers: usize,
-    /// The number of balancers up to which each gets every report and heartbeat.
-    pub pace_all: usize,
-    /// The maximum number of report intervals between two reports or heartbeats to a balancer of
-    /// another domain.
-    pub slowest_pace: u16,
     /// How long before its agent a target may have started and still count as started together with
     /// it.
     pub witness_ms: u64,
@@ -82,41 +206,32 @@
     pub relearn_ms: u64,
 }
 
-impl Default for FlowSettings {
+impl Default for FlowTableSettings {
     fn default() -> Self {
         Self {
-            report_interval_ms: 250,
-            suspect_after_ms: 800,
-            reset_after_ms: 1_500,
-            forget_after_ms: 20_000,
-            confirm_within_ms: 150,
-            doubt_ms: 500,
-            search_ms: 1_000,
-            settle_ms: 300,
-            settle_non_idempotent_ms: 1_500,
-            roster_wait_ms: 3_000,
-            compare_all: 8,
-            compare_drawn: 2,
-            other_domain_cost: 3.0,
-            open_flow_load: 0.1,
-            cold_slowdown: 1.6,
-            goal_share: 0.4,
-            min_rounds: 1.5,
-            max_rounds: 4.0,
-            default_rounds: 2.0,
-            cold_rate_share: 0.9,
-            hint_idle_ms: 90_000,
-            hint_limit: 131_072,
-            opening_wait_ms: 300,
-            answer_wait_ms: 3_000,
-            flow_idle_ms: 30_000,
+            idle_ms: 30_000,
             linger_ms: 5_000,
-            tell_all: 32,
-            told_balancers: 8,
-            pace_all: 32,
-            slowest_pace: 4,
             witness_ms: 250,
             relearn_ms: 20_000,
         }
     }
 }
+
+/// Which balancers are told the holder of a flow.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct AdvertisementSettings {
+    /// The number of balancers up to which each flow is advertised to all of them.
+    pub tell_all: usize,
+    /// How many balancers of the caller's domain get the advertisement if there are more.
+    pub told_balancers: usize,
+}
+
+impl Default for AdvertisementSettings {
+    fn default() -> Self {
+        Self {
+            tell_all: 32,
+            told_balancers: 8,
+        }
+    }
+}
--- a/crates/basilstep-core/src/flows/tests/balancer.rs
+++ b/crates/basilstep-core/src/flows/tests/balancer.rs
@@ -424,10 +424,8 @@
 /// was evicted.
 #[test]
 fn flow_whose_hint_was_evicted_is_searched_although_its_agent_advertised_all() {
-    let settings = FlowSettings {
-        hint_limit: 1,
-        ..FlowSettings::default()
-    };
+    let mut settings = FlowSettings::default();
+    settings.hints.limit = 1;
     let (mut balancer, _) = balancer_with_settings(settings, 0, RequestKind::Idempotent);
     report_all_advertised(&mut balancer, 1, 0, 10_000);
     balancer.on_held_flows(agent_ip(1), &held(0, flow(1)), &context(10_000));
@@ -437,7 +435,7 @@
     assert_eq!(searched(verdict), [1]);
     assert!(balancer.on_tick(&context(10_350)).lost.is_empty());
     balancer.on_tick(&context(12_000));
-    let later_ms = 10_300 + settings.hint_idle_ms;
+    let later_ms = 10_300 + settings.hints.idle_ms;
     report_all_advertised(&mut balancer, 1, 2, later_ms);
     balancer.on_packet(&data(flow(3), 100), &context(later_ms));
     assert_eq!(balancer.on_tick(&context(later_ms + 50)).lost.len(), 1);
--- a/crates/basilstep-core/tests/support/settings_table.rs
+++ b/crates/basilstep-core/tests/support/settings_table.rs
@@ -1,6 +1,7 @@
 //! Reads the tables of settings on the operators' pages and compares them with the defaults.
 
 use serde::Serialize;
+use serde_json::Value;
 use std::collections::BTreeMap;
 
 /// Returns the cells of all table rows whose first cell passes the filter.
@@ -21,11 +22,18 @@
         .map(|cells| (cells[0].replace('`', ""), cells[2].to_owned()))
         .collect();
     let defaults = serde_json::to_value(defaults).unwrap();
-    let expected: BTreeMap<String, String> = defaults
-        .as_object()
-        .unwrap()
-        .iter()
-        .map(|(setting, value)| (setting.clone(), value.to_string()))
-        .collect();
+    let mut expected = BTreeMap::new();
+    flatten("", &defaults, &mut expected);
     assert_eq!(written, expected);
 }
+
+/// Collects settings with their values; those of a group have its name before their own.
+fn flatten(group: &str, settings: &Value, collected: &mut BTreeMap<String, String>) {
+    for (name, value) in settings.as_object().unwrap() {
+        if value.is_object() {
+            flatten(&format!("{group}{name}."), value, collected);
+        } else {
+            collected.insert(format!("{group}{name}"), value.to_string());
+        }
+    }
+}
--- a/crates/basilstep-packet/src/agent/serve.rs
+++ b/crates/basilstep-packet/src/agent/serve.rs
@@ -194,7 +194,7 @@
         self.refresh_time();
         // Sent before the reports, because the reports count these flows.
         self.send_advertisements();
-        self.next_report_ms = self.ctx.now_ms + self.settings.report_interval_ms;
+        self.next_report_ms = self.ctx.now_ms + self.settings.liveness.report_interval_ms;
         let source = self
             .settings_source
             .next(self.flows.balancers(), self.machine.domain);
