fix(flows): an agent whose balancers have ended contacts the seeds again

The agents knew one balancer that had been killed and one that was shutting down; the entries in the store were gone with their leases.

Cause: seeds were contacted only while an agent knew no balancer at all, and a dead one is known for 20 s.

Change: when no known balancer has answered for 1.5 s, seeds and listed balancers are contacted every 100 ms.

Evidence: seeds_are_contacted_again_when_no_known_balancer_answers, failed without the change.

--- a/crates/basilstep-core/src/flows/agent/discovery.rs
+++ b/crates/basilstep-core/src/flows/agent/discovery.rs
@@ -16,7 +16,7 @@
 /// in the store until their leases expire.
 const CONTACT_MS: u64 = 3_000;
 
-/// The time without an answer from known balancers before the store is asked for others.
+/// The time without an answer from known balancers before seeds and store are asked for others.
 ///
 /// Two settings sources can be tried in this time, each of which is given up after three reports.
 const BALANCER_TIMEOUT_MS: u64 = 1_500;
@@ -46,11 +46,13 @@
         self.next_contact_ms = now_ms;
     }
 
-    /// Takes the addresses that are to be contacted now: seeds and listed balancers until the first
-    /// one answers, then the listed ones that have not answered.
+    /// Takes the addresses that are to be contacted now: seeds and listed balancers while none
+    /// answers, then the listed ones that have not answered; `answered_ms` is when a balancer last
+    /// answered.
     pub fn take_contacts(
         &mut self,
         known: &BalancerList,
+        answered_ms: u64,
         seeds: &[Ipv4Addr],
         now_ms: u64,
     ) -> BTreeSet<Ipv4Addr> {
@@ -62,6 +64,9 @@
             return self.listed.iter().chain(seeds).copied().collect();
         }
         self.next_contact_ms = now_ms + CONTACT_INTERVAL_MS;
+        if now_ms >= answered_ms + BALANCER_TIMEOUT_MS {
+            return self.listed.iter().chain(seeds).copied().collect();
+        }
         if now_ms >= self.listed_ms + CONTACT_MS {
             self.listed.clear();
         }
--- a/crates/basilstep-core/src/flows/tests/discovery.rs
+++ b/crates/basilstep-core/src/flows/tests/discovery.rs
@@ -34,7 +34,7 @@
     discovery.on_listed(ips(&[1, 2]), 10);
     let mut contacted_ms = Vec::new();
     for now_ms in 10..210 {
-        let contacts = discovery.take_contacts(&nobody, &seeds, now_ms);
+        let contacts = discovery.take_contacts(&nobody, 0, &seeds, now_ms);
         if !contacts.is_empty() {
             assert_eq!(contacts, ips(&[1, 2, 9]));
             contacted_ms.push(now_ms);
@@ -49,9 +49,9 @@
     let mut discovery = Discovery::default();
     discovery.on_listed(ips(&[1, 2, 3]), 10);
     let known = list_with(&[2], 20);
-    assert_eq!(discovery.take_contacts(&known, &[], 20), ips(&[1, 3]));
-    assert!(discovery.take_contacts(&known, &[], 50).is_empty());
-    assert_eq!(discovery.take_contacts(&known, &[], 120), ips(&[1, 3]));
+    assert_eq!(discovery.take_contacts(&known, 20, &[], 20), ips(&[1, 3]));
+    assert!(discovery.take_contacts(&known, 20, &[], 50).is_empty());
+    assert_eq!(discovery.take_contacts(&known, 20, &[], 120), ips(&[1, 3]));
 }
 
 /// The entry of a balancer that has ended stays in the store until its lease expires.
@@ -60,7 +60,29 @@
     let mut discovery = Discovery::default();
     discovery.on_listed(ips(&[1, 2]), 10);
     let known = list_with(&[2], 20);
-    assert!(discovery.take_contacts(&known, &[], 4_000).is_empty());
+    assert!(
+        discovery
+            .take_contacts(&known, 4_000, &[], 4_000)
+            .is_empty()
+    );
+}
+
+/// Guards against an agent that knows only balancers that have ended, while others run behind the
+/// seeds: their entries in the store may be gone.
+#[test]
+fn seeds_are_contacted_again_when_no_known_balancer_answers() {
+    let mut discovery = Discovery::default();
+    let known = list_with(&[2], 1_000);
+    let seeds = [balancer_ip(9)];
+    let early = discovery.take_contacts(&known, 1_000, &seeds, 2_400);
+    assert!(early.is_empty());
+    let late = discovery.take_contacts(&known, 1_000, &seeds, 2_500);
+    assert_eq!(late, ips(&[9]));
+    discovery.on_listed(ips(&[3]), 2_510);
+    let listed = discovery.take_contacts(&known, 1_000, &seeds, 2_510);
+    assert_eq!(listed, ips(&[3, 9]));
+    let answered = discovery.take_contacts(&list_with(&[2, 9], 2_700), 2_700, &seeds, 2_700);
+    assert_eq!(answered, ips(&[3]));
 }
 
 #[test]
--- a/crates/basilstep-packet/src/agent/serve.rs
+++ b/crates/basilstep-packet/src/agent/serve.rs
@@ -215,14 +215,16 @@
     /// answers.
     fn discover_balancers(&mut self) {
         let now_ms = self.ctx.now_ms;
-        let seeds = &self.machine.seeds;
-        let contacts = self
-            .discovery
-            .take_contacts(self.flows.balancers(), seeds, now_ms);
+        let answered_ms = self.settings_source.answered_ms();
+        let contacts = self.discovery.take_contacts(
+            self.flows.balancers(),
+            answered_ms,
+            &self.machine.seeds,
+            now_ms,
+        );
         for balancer in contacts {
             self.contact_balancer(balancer);
         }
-        let answered_ms = self.settings_source.answered_ms();
         if self
             .discovery
             .try_list(self.flows.balancers(), answered_ms, now_ms)
