fix(flows): a balancer settles from the first agent on that it hears

The balancer had been running for 2.2 s without hearing any agent; 130 ms after the first one reported it reset flows of one that reported 20 ms later.

Cause: the 1.5 s for which a balancer trusts no refusals of such requests ran from its start, also while it heard nobody.

Change: for requests that may not be repeated they run from the first agent. Requests that may be repeated keep the start, because a wrong reset costs their callers a short delay and a late one more.

Evidence: balancer_settles_from_the_first_agent_on_if_the_request_may_have_run failed before (reset at once instead of after 1.5 s).

--- a/crates/basilstep-core/src/flows/balancer/state.rs
+++ b/crates/basilstep-core/src/flows/balancer/state.rs
@@ -57,7 +57,10 @@
     /// that balancer may have restarted since.
     max_agents: Option<u16>,
     started_ms: u64,
+    /// When the balancer started, or when its last pause ended.
     settling_since_ms: u64,
+    /// When the first agent reported that is not forgotten.
+    first_agent_ms: u64,
     is_stopping: bool,
     is_backlog_stale: bool,
     send_schedule: SendSchedule,
@@ -84,6 +87,7 @@
             max_agents: None,
             started_ms: ctx.now_ms,
             settling_since_ms: ctx.now_ms,
+            first_agent_ms: ctx.now_ms,
             is_stopping: false,
             is_backlog_stale: false,
             send_schedule: SendSchedule::default(),
@@ -231,6 +235,9 @@
 
     /// Handles a report; returns whether the agent's phase or incarnation changed.
     pub fn on_report(&mut self, agent: Ipv4Addr, report: AgentReport, ctx: &Context) -> bool {
+        if self.agents.is_empty() {
+            self.first_agent_ms = ctx.now_ms;
+        }
         self.liveness
             .record_activity(agent, report.domain, ctx.now_ms);
         self.agents.record_report(agent, report, ctx.now_ms)
--- a/crates/basilstep-core/src/flows/balancer/state/readiness.rs
+++ b/crates/basilstep-core/src/flows/balancer/state/readiness.rs
@@ -31,17 +31,18 @@
     /// A wrong reset costs callers of idempotent requests only a short delay, so it is allowed
     /// early for them, without waiting for agents that no longer report to any balancer.
     pub(super) fn may_reset(&self, kind: RequestKind, ctx: &Context) -> bool {
-        let (settle_ms, has_enough_agents) = match kind {
-            RequestKind::Idempotent => (
-                self.settings.searches.settle_ms,
-                self.has_enough_live_agents(ctx),
-            ),
-            RequestKind::NonIdempotent => (
-                self.settings.searches.settle_non_idempotent_ms,
-                self.knows_enough_agents(ctx),
-            ),
-        };
-        ctx.now_ms >= self.settling_since_ms + settle_ms && has_enough_agents
+        let searches = &self.settings.searches;
+        match kind {
+            RequestKind::Idempotent => {
+                let settled_ms = self.settling_since_ms + searches.settle_ms;
+                ctx.now_ms >= settled_ms && self.has_enough_live_agents(ctx)
+            }
+            RequestKind::NonIdempotent => {
+                let since_ms = self.settling_since_ms.max(self.first_agent_ms);
+                let settled_ms = since_ms + searches.settle_non_idempotent_ms;
+                ctx.now_ms >= settled_ms && self.knows_enough_agents(ctx)
+            }
+        }
     }
 
     /// Returns how many agents are enough if another balancer has `most`; `None` if no other
--- a/crates/basilstep-core/src/flows/settings.rs
+++ b/crates/basilstep-core/src/flows/settings.rs
@@ -85,7 +85,7 @@
     /// How long a balancer must have been running before it resets idempotent flows that nobody
     /// holds.
     pub settle_ms: u64,
-    /// How long a balancer must have been running before it resets flows that nobody holds and
+    /// How long a balancer must have heard from agents before it resets flows that nobody holds and
     /// whose requests may not be repeated.
     pub settle_non_idempotent_ms: u64,
     /// How long a balancer that has just started waits for another one's count of agents.
--- a/crates/basilstep-core/src/flows/tests/balancer.rs
+++ b/crates/basilstep-core/src/flows/tests/balancer.rs
@@ -378,8 +378,10 @@
 fn flow_of_requests_that_may_not_be_repeated_is_reset_later() {
     let (mut balancer, _) = balancer_with(0, RequestKind::NonIdempotent);
     balancer.on_pause(1_000, &context(10_000));
+    let serving = report(TargetPhase::Serving);
+    balancer.on_report(agent_ip(1), serving, &context(10_000));
     let ctx = context(11_000);
-    balancer.on_report(agent_ip(1), report(TargetPhase::Serving), &ctx);
+    balancer.on_report(agent_ip(1), serving, &ctx);
     let packet = data(flow(1), 100);
     balancer.on_packet(&packet, &ctx);
     let verdict = refuse(&mut balancer, 1, &packet, 11_000);
@@ -482,11 +484,38 @@
     assert!(balancer.on_tick(&context(1_750)).lost.is_empty());
 }
 
+/// Guards against a balancer that has been running for long, but has just begun to hear from agents,
+/// and takes the refusals of the first ones for all answers.
+#[rstest]
+#[case::idempotent(RequestKind::Idempotent, 0)]
+#[case::not_idempotent(RequestKind::NonIdempotent, 1_500)]
+fn balancer_settles_from_the_first_agent_on_if_the_request_may_have_run(
+    #[case] kind: RequestKind,
+    #[case] settle_ms: u64,
+) {
+    const FIRST_AGENT_MS: u64 = 10_000;
+    let (mut balancer, _) = balancer_with(0, kind);
+    let serving = report(TargetPhase::Serving);
+    balancer.on_report(agent_ip(1), serving, &context(FIRST_AGENT_MS));
+    let packet = data(flow(1), 100);
+    let mut resets = Vec::new();
+    for now_ms in (FIRST_AGENT_MS..FIRST_AGENT_MS + 2_000).step_by(50) {
+        balancer.on_report(agent_ip(1), serving, &context(now_ms));
+        balancer.on_packet(&packet, &context(now_ms));
+        refuse(&mut balancer, 1, &packet, now_ms + 1);
+        if !balancer.on_tick(&context(now_ms + 10)).lost.is_empty() {
+            resets.push(now_ms);
+        }
+    }
+    assert_eq!(resets.first(), Some(&(FIRST_AGENT_MS + settle_ms)));
+}
+
 /// Guards against a reset of a flow whose agent is down while all balancers that knew it are gone.
 #[test]
 fn registered_count_of_agents_outlives_the_balancers_that_wrote_it() {
     let settings = FlowSettings::default();
     let (mut balancer, _) = balancer_with_settings(settings, 0, RequestKind::NonIdempotent);
+    balancer.on_report(agent_ip(1), report(TargetPhase::Serving), &context(0));
     balancer.on_report(agent_ip(1), report(TargetPhase::Serving), &context(1_600));
     balancer.on_heartbeat(balancer_ip(2), &heartbeat(1), &context(1_600));
     balancer.on_registered_agents(2);
--- a/crates/basilstep-core/src/flows/tests/mod.rs
+++ b/crates/basilstep-core/src/flows/tests/mod.rs
@@ -216,13 +216,13 @@
     }
 }
 
-/// A balancer that has been running for a while and knows agents 1 to `agents`.
+/// A balancer that has been running for a while and has known agents 1 to `agents` from the start.
 pub fn balancer_with(agents: u8, kind: RequestKind) -> (BalancerFlows, Context) {
     balancer_with_settings(FlowSettings::default(), agents, kind)
 }
 
-/// A balancer with the given settings that has been running for a while and knows agents 1 to
-/// `agents`.
+/// A balancer with the given settings that has been running for a while and has known agents 1 to
+/// `agents` from the start.
 pub fn balancer_with_settings(
     settings: FlowSettings,
     agents: u8,
@@ -236,8 +236,11 @@
     let mut balancer = BalancerFlows::new(settings, own, &context(0));
     balancer.on_fleet_settings(fleet_settings(kind), &context(0));
     let ctx = context(10_000);
-    for number in 1..=agents {
-        balancer.on_report(agent_ip(number), report(TargetPhase::Serving), &ctx);
+    for now_ms in [0, ctx.now_ms] {
+        for number in 1..=agents {
+            let serving = report(TargetPhase::Serving);
+            balancer.on_report(agent_ip(number), serving, &context(now_ms));
+        }
     }
     (balancer, ctx)
 }
