feat(packet): built-in settings can be overridden for experiments

--set group.field=value, refused with 501 and a reason when it has no such form, name or value; a warning at the start names the overrides. The limit of waiting SYNs and the time after which callers are refused at once are settings now, so that each mechanism of the ablation can be switched off without a build. No default changes.

--- a/crates/basilstep-core/src/flows/balancer/overload.rs
+++ b/crates/basilstep-core/src/flows/balancer/overload.rs
@@ -1,4 +1,4 @@
-use crate::flows::{handshake::FIRST_SYN_INTERVAL_MS, key::ServiceTag};
+use crate::flows::key::ServiceTag;
 use std::collections::BTreeMap;
 
 /// The time without a refusal after which an overload has ended.
@@ -23,7 +23,12 @@
     /// A caller that gets no answer sends its SYN again, and that is of use if there is room by
     /// then. In an overload that has lasted for longer than this takes, it would come back too late
     /// to be answered in time, and take the place of a request that could be.
-    pub fn record_refusal(&mut self, service: ServiceTag, now_ms: u64) -> bool {
+    pub fn record_refusal(
+        &mut self,
+        service: ServiceTag,
+        refuse_after_ms: u64,
+        now_ms: u64,
+    ) -> bool {
         let refusals = self.refusals.entry(service).or_insert(Refusals {
             since_ms: now_ms,
             last_ms: now_ms,
@@ -32,6 +37,6 @@
             refusals.since_ms = now_ms;
         }
         refusals.last_ms = now_ms;
-        now_ms >= refusals.since_ms + FIRST_SYN_INTERVAL_MS
+        now_ms >= refusals.since_ms + refuse_after_ms
     }
 }
--- a/crates/basilstep-core/src/flows/balancer/pending_syns.rs
+++ b/crates/basilstep-core/src/flows/balancer/pending_syns.rs
@@ -1,10 +1,6 @@
 use crate::flows::{key::FlowKey, segment::Segment};
 use std::collections::BTreeMap;
 
-/// The maximum number of pending SYNs: those that arrive in a tenth of a second at the rate of new
-/// flows that a balancer has to handle.
-const PENDING_LIMIT: usize = 1_024;
-
 /// A SYN that no agent accepts at the moment.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct PendingSyn {
@@ -17,16 +13,25 @@
 }
 
 /// SYNs that wait for an agent, for example while the fleet restarts.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct PendingSyns {
     by_flow: BTreeMap<FlowKey, PendingSyn>,
+    limit: usize,
 }
 
 impl PendingSyns {
+    /// Creates an empty queue for at most `limit` SYNs.
+    pub const fn new(limit: usize) -> Self {
+        Self {
+            by_flow: BTreeMap::new(),
+            limit,
+        }
+    }
+
     /// Stores a SYN and replaces the one that it retransmits.
     pub fn insert(&mut self, segment: &Segment, packet: &[u8], now_ms: u64) {
         let flow = segment.flow_of_caller();
-        if self.by_flow.len() >= PENDING_LIMIT && !self.by_flow.contains_key(&flow) {
+        if self.by_flow.len() >= self.limit && !self.by_flow.contains_key(&flow) {
             return;
         }
         let syn = PendingSyn {
--- a/crates/basilstep-core/src/flows/balancer/state.rs
+++ b/crates/basilstep-core/src/flows/balancer/state.rs
@@ -81,7 +81,7 @@
             balancers,
             hints: Hints::new(settings.hints.limit),
             searches: Searches::default(),
-            pending_syns: PendingSyns::default(),
+            pending_syns: PendingSyns::new(settings.syns.pending_limit),
             liveness: Liveness::default(),
             overloads: Overloads::default(),
             max_agents: None,
--- a/crates/basilstep-core/src/flows/balancer/state/syn.rs
+++ b/crates/basilstep-core/src/flows/balancer/state/syn.rs
@@ -125,7 +125,11 @@
         ctx: &Context,
     ) -> Verdict {
         let is_overload = code == ResultCode::Overloaded;
-        let is_hopeless = is_overload && self.overloads.record_refusal(service, ctx.now_ms);
+        let refuse_after_ms = self.settings.syns.refuse_after_ms;
+        let is_hopeless = is_overload
+            && self
+                .overloads
+                .record_refusal(service, refuse_after_ms, ctx.now_ms);
         if !is_hopeless && !segment.is_last_syn() {
             return Verdict::Drop { code };
         }
--- a/crates/basilstep-core/src/flows/settings.rs
+++ b/crates/basilstep-core/src/flows/settings.rs
@@ -1,3 +1,4 @@
+use super::handshake::FIRST_SYN_INTERVAL_MS;
 use serde::{Deserialize, Serialize};
 
 /// The settings of steering without tokens, by duty.
@@ -6,7 +7,7 @@
 pub struct FlowSettings {
     /// How agents and balancers show that they are running, and when one counts as silent.
     pub liveness: LivenessSettings,
-    /// SYNs that their agent does not confirm.
+    /// SYNs that no agent confirms or accepts.
     pub syns: SynSettings,
     /// Searches for the holder of a flow, and when their result may be trusted.
     pub searches: SearchSettings,
@@ -56,7 +57,7 @@
     }
 }
 
-/// SYNs that their agent does not confirm.
+/// SYNs that no agent confirms or accepts.
 #[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct SynSettings {
@@ -64,6 +65,11 @@
     pub confirm_within_ms: u64,
     /// How long an agent that did not confirm a SYN gets no new flows.
     pub doubt_ms: u64,
+    /// The maximum number of SYNs that wait at a balancer for a first agent or route.
+    pub pending_limit: usize,
+    /// How long all agents of a service must have refused new flows for load before callers are
+    /// refused at once.
+    pub refuse_after_ms: u64,
 }
 
 impl Default for SynSettings {
@@ -71,6 +77,8 @@
         Self {
             confirm_within_ms: 150,
             doubt_ms: 500,
+            pending_limit: 1_024,
+            refuse_after_ms: FIRST_SYN_INTERVAL_MS,
         }
     }
 }
--- a/crates/basilstep-core/src/flows/tests/balancer.rs
+++ b/crates/basilstep-core/src/flows/tests/balancer.rs
@@ -428,7 +428,7 @@
 fn flow_whose_hint_was_evicted_is_searched_although_its_agent_advertised_all() {
     let mut settings = FlowSettings::default();
     settings.hints.limit = 1;
-    let (mut balancer, _) = balancer_with_settings(settings, 0, RequestKind::Idempotent);
+    let (mut balancer, _) = balancer_with_settings(&settings, 0, RequestKind::Idempotent);
     report_all_advertised(&mut balancer, 1, 0, 10_000);
     balancer.on_held_flows(agent_ip(1), &held(0, flow(1)), &context(10_000));
     balancer.on_held_flows(agent_ip(1), &held(1, flow(2)), &context(10_000));
@@ -470,7 +470,7 @@
 #[test]
 fn count_of_agents_outlives_the_balancer_that_reported_it() {
     let settings = FlowSettings::default();
-    let (mut balancer, _) = balancer_with_settings(settings, 0, RequestKind::NonIdempotent);
+    let (mut balancer, _) = balancer_with_settings(&settings, 0, RequestKind::NonIdempotent);
     balancer.on_report(agent_ip(1), report(TargetPhase::Serving), &context(1_600));
     balancer.on_heartbeat(balancer_ip(2), &heartbeat(2), &context(1_600));
     let restarted = BalancerHeartbeat {
@@ -514,7 +514,7 @@
 #[test]
 fn registered_count_of_agents_outlives_the_balancers_that_wrote_it() {
     let settings = FlowSettings::default();
-    let (mut balancer, _) = balancer_with_settings(settings, 0, RequestKind::NonIdempotent);
+    let (mut balancer, _) = balancer_with_settings(&settings, 0, RequestKind::NonIdempotent);
     balancer.on_report(agent_ip(1), report(TargetPhase::Serving), &context(0));
     balancer.on_report(agent_ip(1), report(TargetPhase::Serving), &context(1_600));
     balancer.on_heartbeat(balancer_ip(2), &heartbeat(1), &context(1_600));
@@ -555,7 +555,7 @@
     #[case] kind: RequestKind,
     #[case] lost: usize,
 ) {
-    let (mut balancer, _) = balancer_with_settings(FlowSettings::default(), 0, kind);
+    let (mut balancer, _) = balancer_with_settings(&FlowSettings::default(), 0, kind);
     balancer.on_report(agent_ip(1), report(TargetPhase::Serving), &context(2_400));
     let others = BalancerHeartbeat {
         agents: 5,
--- a/crates/basilstep-core/src/flows/tests/mod.rs
+++ b/crates/basilstep-core/src/flows/tests/mod.rs
@@ -218,13 +218,13 @@
 
 /// A balancer that has been running for a while and has known agents 1 to `agents` from the start.
 pub fn balancer_with(agents: u8, kind: RequestKind) -> (BalancerFlows, Context) {
-    balancer_with_settings(FlowSettings::default(), agents, kind)
+    balancer_with_settings(&FlowSettings::default(), agents, kind)
 }
 
 /// A balancer with the given settings that has been running for a while and has known agents 1 to
 /// `agents` from the start.
 pub fn balancer_with_settings(
-    settings: FlowSettings,
+    settings: &FlowSettings,
     agents: u8,
     kind: RequestKind,
 ) -> (BalancerFlows, Context) {
@@ -233,7 +233,7 @@
         domain: DomainId(0),
         incarnation: ProcessIncarnation(9),
     };
-    let mut balancer = BalancerFlows::new(settings, own, &context(0));
+    let mut balancer = BalancerFlows::new(*settings, own, &context(0));
     balancer.on_fleet_settings(fleet_settings(kind), &context(0));
     let ctx = context(10_000);
     for now_ms in [0, ctx.now_ms] {
--- a/crates/basilstep-packet/src/agent/serve.rs
+++ b/crates/basilstep-packet/src/agent/serve.rs
@@ -132,7 +132,7 @@
             },
         };
         let internal = SocketAddrV4::new(machine.ip, machine.internal_port);
-        let settings = FlowSettings::default();
+        let settings = start.settings;
         let ctx = start.clock.new_context();
         Ok(Self {
             service,
--- a/crates/basilstep-packet/src/balancer/serve.rs
+++ b/crates/basilstep-packet/src/balancer/serve.rs
@@ -156,7 +156,7 @@
             domain: machine.domain,
             incarnation: start.incarnation,
         };
-        let settings = FlowSettings::default();
+        let settings = start.settings;
         let internal = SocketAddrV4::new(machine.ip, machine.internal_port);
         Ok(Self {
             flows: BalancerFlows::new(settings, own, &ctx),
--- a/crates/basilstep-packet/src/lib.rs
+++ b/crates/basilstep-packet/src/lib.rs
@@ -9,6 +9,7 @@
 mod datagram_socket;
 mod log_limiter;
 mod metrics;
+mod overrides;
 mod pause_detector;
 mod process;
 mod request_forwarder;
--- a/crates/basilstep-packet/src/process.rs
+++ b/crates/basilstep-packet/src/process.rs
@@ -1,5 +1,9 @@
+use crate::overrides::{self, OverrideError};
 use argh::FromArgs;
-use basilstep_core::{codes::ResultCode, flows::ProcessIncarnation};
+use basilstep_core::{
+    codes::ResultCode,
+    flows::{FlowSettings, ProcessIncarnation},
+};
 use basilstep_node::{clock::Clock, logs};
 use basilstep_platform::settings::{self, MachineSettings, SettingsError};
 use log::LevelFilter;
@@ -17,6 +21,10 @@
     #[argh(option, default = "LevelFilter::Info")]
     pub log_level: LevelFilter,
 
+    /// override a built-in setting, as group.field=value; may be repeated
+    #[argh(option)]
+    pub set: Vec<String>,
+
     /// check the settings file and exit
     #[argh(switch)]
     pub check: bool,
@@ -35,6 +43,8 @@
     pub clock: Clock,
     /// The random id of this incarnation of the process.
     pub incarnation: ProcessIncarnation,
+    /// The built-in settings with the overrides of the command line.
+    pub settings: FlowSettings,
 }
 
 /// The reason why a process cannot start or continue.
@@ -43,6 +53,9 @@
     /// The settings file is missing or invalid.
     #[error(transparent)]
     Settings(#[from] SettingsError),
+    /// An override of a built-in setting is invalid.
+    #[error(transparent)]
+    Override(#[from] OverrideError),
     /// The settings lack a value that this role requires.
     #[error("the settings do not contain the {what}, which this role requires")]
     Missing {
@@ -71,7 +84,9 @@
     /// Returns the result code of this error.
     pub const fn code(&self) -> ResultCode {
         match self {
-            Self::Settings(_) | Self::Missing { .. } => ResultCode::InvalidSetting,
+            Self::Settings(_) | Self::Override(_) | Self::Missing { .. } => {
+                ResultCode::InvalidSetting
+            }
             Self::Bind { .. } | Self::System { .. } => ResultCode::BindFailed,
         }
     }
@@ -142,6 +157,7 @@
             source,
         })?
     };
+    let built_in_settings = overrides::apply(&flags.set)?;
     let machine = settings::load()?;
     if flags.check {
         println!("the settings file is valid");
@@ -158,10 +174,14 @@
         role, node = machine.node.as_str(), lifetime = incarnation.0, domain = machine.domain.0;
         "started"
     );
+    if !flags.set.is_empty() {
+        log::warn!(overrides:? = flags.set; "built-in settings are overridden");
+    }
     let start = StartContext {
         machine,
         clock: Clock::start(),
         incarnation,
+        settings: built_in_settings,
     };
     let served = runtime.block_on(serve(start, hangups));
     log::info!(role; "stopped");
--- /dev/null
+++ b/crates/basilstep-packet/tests/overrides.rs
@@ -0,0 +1,45 @@
+//! Overrides of built-in settings on the command line.
+
+use rstest::rstest;
+use std::process::Command;
+
+/// The exit status for settings that are not valid.
+const INVALID_SETTING_STATUS: i32 = 5;
+
+const PROGRAMS: [&str; 2] = [
+    env!("CARGO_BIN_EXE_basilstep-packet-balancer"),
+    env!("CARGO_BIN_EXE_basilstep-packet-agent"),
+];
+
+#[rstest]
+#[case::no_value("hints.limit", "\"hints.limit\" is not of the form group.field=value")]
+#[case::no_group("limit=1", "\"limit=1\" is not of the form group.field=value")]
+#[case::unknown_group("cache.limit=1", "there is no setting \"cache.limit\"")]
+#[case::unknown_field("hints.size=1", "there is no setting \"hints.size\"")]
+#[case::negative(
+    "hints.limit=-1",
+    "the setting hints.limit does not take the value \"-1\""
+)]
+#[case::not_a_number(
+    "hints.limit=many",
+    "the setting hints.limit does not take the value \"many\""
+)]
+#[case::fraction(
+    "hints.limit=1.5",
+    "the setting hints.limit does not take the value \"1.5\""
+)]
+#[case::group_as_a_whole(
+    "hints.limit={}",
+    "the setting hints.limit does not take the value \"{}\""
+)]
+fn invalid_override_is_refused_with_its_code(#[case] text: &str, #[case] reason: &str) {
+    for program in PROGRAMS {
+        let mut command = Command::new(program);
+        let ended = command.args(["--set", text]).output().unwrap();
+        assert_eq!(ended.status.code(), Some(INVALID_SETTING_STATUS));
+        let log = String::from_utf8(ended.stdout).unwrap();
+        let message = format!("fatal error: {reason}").replace('"', "\\\"");
+        assert!(log.contains(&message), "{log}");
+        assert!(log.contains("501"), "{log}");
+    }
+}
