refactor(membership): state.rs depends on leaves only

state.rs and the files that extend Membership (join, merge, reports, sync, receive) imported each other. The types and constants that state.rs needs are in files of their own: contradictions, failure_reports, suspicion and probes. The experiment steering changes settings in place. No behaviour changes.

--- a/crates/basilstep-bench/src/load/steering/cases.rs
+++ b/crates/basilstep-bench/src/load/steering/cases.rs
@@ -19,7 +19,7 @@
     /// The name that the figures use.
     pub name: &'static str,
     /// Derives the policy's settings from the product's.
-    pub settings: fn(FlowSettings) -> FlowSettings,
+    pub settings: fn(&mut FlowSettings),
 }
 
 /// A fault and its time.
@@ -98,9 +98,7 @@
     },
 ];
 
-const fn unchanged(settings: FlowSettings) -> FlowSettings {
-    settings
-}
+const fn unchanged(_settings: &mut FlowSettings) {}
 
 /// The cases of the experiment, one for each question.
 pub const CASES: [Case; 4] = [
@@ -115,17 +113,15 @@
             },
             Policy {
                 name: "the balancers of the caller's domain",
-                settings: |mut settings| {
+                settings: |settings| {
                     settings.advertisements.tell_all = 0;
-                    settings
                 },
             },
             Policy {
                 name: "the balancer that asked",
-                settings: |mut settings| {
+                settings: |settings| {
                     settings.advertisements.tell_all = 0;
                     settings.advertisements.told_balancers = 0;
-                    settings
                 },
             },
         ],
@@ -141,16 +137,14 @@
             },
             Policy {
                 name: "the least work anywhere",
-                settings: |mut settings| {
+                settings: |settings| {
                     settings.placement.other_domain_cost = 0.0;
-                    settings
                 },
             },
             Policy {
                 name: "the own domain only",
-                settings: |mut settings| {
+                settings: |settings| {
                     settings.placement.other_domain_cost = 1e9;
-                    settings
                 },
             },
         ],
@@ -166,18 +160,16 @@
             },
             Policy {
                 name: "after 0.4 s and 0.5 s",
-                settings: |mut settings| {
+                settings: |settings| {
                     settings.liveness.suspect_after_ms = 400;
                     settings.liveness.reset_after_ms = 500;
-                    settings
                 },
             },
             Policy {
                 name: "after 3 s and 6 s",
-                settings: |mut settings| {
+                settings: |settings| {
                     settings.liveness.suspect_after_ms = 3_000;
                     settings.liveness.reset_after_ms = 6_000;
-                    settings
                 },
             },
         ],
@@ -203,17 +195,15 @@
             },
             Policy {
                 name: "at once, by any roster",
-                settings: |mut settings| {
+                settings: |settings| {
                     settings.searches.settle_ms = 0;
                     settings.searches.roster_wait_ms = 0;
-                    settings
                 },
             },
             Policy {
                 name: "after 3 s",
-                settings: |mut settings| {
+                settings: |settings| {
                     settings.searches.settle_ms = 3_000;
-                    settings
                 },
             },
         ],
--- a/crates/basilstep-bench/src/load/steering/simulation.rs
+++ b/crates/basilstep-bench/src/load/steering/simulation.rs
@@ -116,9 +116,11 @@
 impl Simulation {
     /// Starts a fleet with the settings of a policy.
     pub fn start(case: &Case, policy: &Policy, seed: u64) -> Self {
+        let mut settings = FlowSettings::default();
+        (policy.settings)(&mut settings);
         let mut simulation = Self {
             now_ms: 0,
-            settings: (policy.settings)(FlowSettings::default()),
+            settings,
             fleet: fleet_settings(case.kind, LATENCY_GOAL_MS),
             balancers: Vec::new(),
             machines: Vec::new(),
--- a/crates/basilstep-core/src/membership/join.rs
+++ b/crates/basilstep-core/src/membership/join.rs
@@ -1,6 +1,7 @@
 use super::{
     messages::{MembershipAction, MembershipSnapshot, SnapshotMember},
-    state::{Membership, probe},
+    probes::{SILENT_DOMAIN_PROBE_INTERVAL_MS, probe},
+    state::Membership,
 };
 use crate::{
     address::{BalancerAddress, DomainId},
@@ -9,9 +10,6 @@
 use rand::RngExt;
 use std::net::SocketAddrV4;
 
-/// The time between two probes of each silent domain.
-pub(super) const SILENT_DOMAIN_PROBE_INTERVAL_MS: u64 = 5_000;
-
 /// The time between two attempts to fetch a snapshot.
 const SNAPSHOT_RETRY_MS: u64 = 3_000;
 
--- a/crates/basilstep-core/src/membership/mod.rs
+++ b/crates/basilstep-core/src/membership/mod.rs
@@ -9,14 +9,17 @@
 
 mod acks;
 mod announcer;
+mod contradictions;
 mod dissemination;
 mod failure_detector;
+mod failure_reports;
 mod gossip;
 mod join;
 mod member;
 mod member_table;
 mod merge;
 mod messages;
+mod probes;
 mod queries;
 mod receive;
 mod record;
@@ -25,6 +28,7 @@
 mod settings_delta;
 mod state;
 mod store_freshness;
+mod suspicion;
 mod sync;
 #[cfg(test)]
 mod tests;
--- a/crates/basilstep-core/src/membership/receive.rs
+++ b/crates/basilstep-core/src/membership/receive.rs
@@ -5,7 +5,8 @@
         Announce, DomainEvidence, Evidence, Gossip, Heartbeat, MembershipAction, MembershipMessage,
         ProbeAnswer,
     },
-    state::{Membership, probe},
+    probes::probe,
+    state::Membership,
 };
 use crate::context::Context;
 use std::net::SocketAddrV4;
--- a/crates/basilstep-core/src/membership/state.rs
+++ b/crates/basilstep-core/src/membership/state.rs
@@ -1,30 +1,23 @@
 use super::{
     announcer::Announcer,
+    contradictions::Contradictions,
     failure_detector::{DetectorFindings, FailureDetector},
+    failure_reports::FailureReports,
     gossip::{ByteBudget, GossipKind, GossipQueue},
-    join::SILENT_DOMAIN_PROBE_INTERVAL_MS,
     member::MemberRecord,
     member_table::{MemberTable, MergeResult},
-    merge::PendingSuspicion,
-    messages::{MembershipAction, MembershipMessage},
+    messages::MembershipAction,
+    probes::{SILENT_DOMAIN_PROBE_INTERVAL_MS, UNANSWERED_PROBE_MS, probe},
     record::{AgentPhase, BalancerRecord},
-    reports::FailureReports,
     settings::MembershipSettings,
     store_freshness::StoreFreshness,
-    sync::Contradictions,
+    suspicion::PendingSuspicion,
 };
 use crate::{address::AgentAddress, context::Context};
 use rand::RngExt;
 use serde::Serialize;
 use std::{collections::BTreeSet, net::SocketAddrV4};
 
-/// How long a probe is unanswered when a member is suspected; a suspicion is dated back by this
-/// time.
-///
-/// An answer to the suspicion is therefore newer than the suspicion, by more than the error that
-/// the ages of evidence accumulate in transit.
-pub(super) const UNANSWERED_PROBE_MS: u64 = 150;
-
 /// How many balancers are probed before a member is suspected.
 const PEER_PROBES_BEFORE_SUSPICION: usize = 2;
 
@@ -302,11 +295,3 @@
         self.are_peers_outdated = false;
     }
 }
-
-/// Returns the action that probes a member.
-pub(super) fn probe(to: SocketAddrV4) -> MembershipAction {
-    MembershipAction::Send {
-        to,
-        message: MembershipMessage::Probe,
-    }
-}
--- a/crates/basilstep-core/src/membership/sync.rs
+++ b/crates/basilstep-core/src/membership/sync.rs
@@ -3,7 +3,8 @@
     member::{MemberRecord, StateHash},
     member_table::bucket_of,
     messages::{BucketStates, Gossip, MembershipAction, MembershipMessage, ViewDifference},
-    state::{Membership, UNANSWERED_PROBE_MS, probe},
+    probes::{UNANSWERED_PROBE_MS, probe},
+    state::Membership,
 };
 use crate::context::Context;
 use rand::RngExt;
@@ -24,46 +25,6 @@
 /// The maximum number of states in one datagram.
 const MAX_STATES_PER_DATAGRAM: usize = 220;
 
-/// The maximum random delay before the first probe, so that the first answers spare other balancers
-/// their probes.
-const MAX_CONTRADICTION_DELAY_MS: u64 = 2_000;
-
-/// The live members that another balancer considers silent on old evidence.
-#[derive(Clone, Debug, Default)]
-pub struct Contradictions {
-    open: BTreeMap<SocketAddrV4, ContradictionProbe>,
-    next_probe_ms: u64,
-}
-
-#[derive(Clone, Copy, Debug, Default)]
-struct ContradictionProbe {
-    sent: u8,
-    next_ms: u64,
-}
-
-impl Contradictions {
-    /// Records a contradiction, which a probe will resolve.
-    pub fn add(&mut self, member: SocketAddrV4, ctx: &mut Context) {
-        let delay_ms = ctx.rng.random_range(0..MAX_CONTRADICTION_DELAY_MS);
-        let probing = ContradictionProbe {
-            sent: 0,
-            next_ms: ctx.now_ms + delay_ms,
-        };
-        self.open.entry(member).or_insert(probing);
-    }
-
-    /// Removes the contradiction about a member that sent a message or has fresh evidence; returns
-    /// whether there was one.
-    pub fn resolve(&mut self, member: SocketAddrV4) -> bool {
-        self.open.remove(&member).is_some()
-    }
-
-    fn next(&self, now_ms: u64) -> Option<SocketAddrV4> {
-        let is_due = |(_, probing): &(_, &ContradictionProbe)| probing.next_ms <= now_ms;
-        self.open.iter().find(is_due).map(|(member, _)| *member)
-    }
-}
-
 impl Membership {
     /// Probes the members about which views contradict each other, at a limited rate.
     pub(super) fn probe_contradictions(
