fix(flows): only first SYNs are refused at once in a long overload

What callers saw: since callers are refused at once in a long overload the share of requests that fail has grown at the same worth; a request that would have been answered late was reset instead, on its second SYN. A late answer is ready to be used.

Cause: refusals of retransmissions counted as overload and were answered by the reset too. They take only free slots, so refusing them makes room for nobody.

Change: only first SYNs count and are refused at once; a retransmission waits for the next one as before.

Evidence: caller_that_has_waited_is_not_refused_at_once_in_a_long_overload and refusals_of_late_requests_are_no_overload failed before.

--- a/crates/basilstep-core/src/flows/balancer/state/syn.rs
+++ b/crates/basilstep-core/src/flows/balancer/state/syn.rs
@@ -116,7 +116,8 @@
     /// Refuses a SYN that no agent accepts at the moment.
     ///
     /// It is dropped if the caller's next SYN, within 400 ms, may find a free agent; otherwise the
-    /// caller gets a reset at once.
+    /// caller gets a reset at once. Retransmissions only take slots that are free, so refusing them
+    /// makes room for nobody.
     fn refuse(
         &mut self,
         segment: &Segment,
@@ -127,6 +128,7 @@
         let is_overload = code == ResultCode::Overloaded;
         let refuse_after_ms = self.settings.syns.refuse_after_ms;
         let is_hopeless = is_overload
+            && segment.is_first_syn()
             && self
                 .overloads
                 .record_refusal(service, refuse_after_ms, ctx.now_ms);
--- a/crates/basilstep-core/src/flows/handshake.rs
+++ b/crates/basilstep-core/src/flows/handshake.rs
@@ -27,6 +27,11 @@
         next_ms.unwrap_or(&HANDSHAKE_TIMEOUT_MS) - SYN_TIMES_MS[number]
     }
 
+    /// Returns whether this is the first SYN of its flow.
+    pub fn is_first_syn(&self) -> bool {
+        self.retransmission_number() == 0
+    }
+
     /// Returns whether the caller sends no further SYN for this flow.
     pub fn is_last_syn(&self) -> bool {
         self.retransmission_number() + 1 == SYN_TIMES_MS.len()
--- a/crates/basilstep-core/src/flows/tests/refusals.rs
+++ b/crates/basilstep-core/src/flows/tests/refusals.rs
@@ -3,21 +3,30 @@
 use super::{agent_ip, balancer_with, context, flow, report, service, syn};
 use crate::{
     codes::ResultCode,
-    flows::{BalancerFlows, RequestKind, Returned, TargetPhase, balancer::Verdict},
+    flows::{BalancerFlows, RequestKind, Returned, Segment, TargetPhase, balancer::Verdict},
 };
 use rstest::rstest;
 
-/// Sends a SYN that the only agent refuses, and returns what the caller gets.
+/// Sends a first SYN that the only agent refuses, and returns what the caller gets.
 fn refused(balancer: &mut BalancerFlows, port: u16, code: ResultCode, now_ms: u64) -> Verdict {
+    refused_copy(balancer, &syn(flow(port), 0), code, now_ms)
+}
+
+/// Sends a SYN or one of its retransmissions that the only agent refuses.
+fn refused_copy(
+    balancer: &mut BalancerFlows,
+    packet: &Segment,
+    code: ResultCode,
+    now_ms: u64,
+) -> Verdict {
     let ctx = context(now_ms);
-    let packet = syn(flow(port), 0);
     balancer.on_report(agent_ip(1), report(TargetPhase::Serving), &ctx);
-    balancer.on_packet(&packet, &ctx);
+    balancer.on_packet(packet, &ctx);
     let returned = Returned {
         code,
         service: service(),
     };
-    balancer.on_returned(agent_ip(1), returned, &packet, &ctx)
+    balancer.on_returned(agent_ip(1), returned, packet, &ctx)
 }
 
 const fn is_reset(verdict: &Verdict) -> bool {
@@ -55,6 +64,33 @@
     assert!(first_reset_ms.is_some_and(|at_ms| at_ms <= 10_500));
 }
 
+/// Guards against refusing callers that have waited already: they only take slots that are free, so
+/// refusing them makes room for nobody, and a late answer is of use to them.
+#[test]
+fn caller_that_has_waited_is_not_refused_at_once_in_a_long_overload() {
+    let (mut balancer, _) = balancer_with(1, RequestKind::Idempotent);
+    for now_ms in (10_000..12_000).step_by(10) {
+        let port = (now_ms - 9_000) as u16;
+        refused(&mut balancer, port, ResultCode::Overloaded, now_ms);
+        let copy = syn(flow(port + 20_000), 1);
+        let verdict = refused_copy(&mut balancer, &copy, ResultCode::Overloaded, now_ms);
+        assert!(!is_reset(&verdict), "at {now_ms} ms");
+    }
+}
+
+/// Guards against an overload that consists of late requests only, which are refused as soon as no
+/// slot is free.
+#[test]
+fn refusals_of_late_requests_are_no_overload() {
+    let (mut balancer, _) = balancer_with(1, RequestKind::Idempotent);
+    for now_ms in (10_000..12_000).step_by(10) {
+        let copy = syn(flow((now_ms - 9_000) as u16), 1);
+        refused_copy(&mut balancer, &copy, ResultCode::Overloaded, now_ms);
+    }
+    let verdict = refused(&mut balancer, 40_000, ResultCode::Overloaded, 12_000);
+    assert!(!is_reset(&verdict));
+}
+
 /// Peaks with pauses between them are no long overload.
 #[test]
 fn overload_ends_with_the_refusals() {
