--- a/crates/basilstep-bench/src/main.rs
+++ b/crates/basilstep-bench/src/main.rs
@@ -2,6 +2,7 @@
 //!
 //! Only this tool starts processes; the balancer, agent and control programs never do.
 
+mod ablation;
 mod journal;
 mod load;
 mod plot;
@@ -24,6 +25,7 @@
     Scenario(scenario::ScenarioArgs),
     Load(load::LoadArgs),
     Journal(journal::JournalArgs),
+    Ablation(ablation::AblationArgs),
     Store(fakes::store::StoreArgs),
     Target(fakes::target::TargetArgs),
     Fabric(fakes::fabric::FabricArgs),
@@ -36,6 +38,7 @@
         Command::Scenario(args) => scenario::run(&args),
         Command::Load(args) => load::run(&args),
         Command::Journal(args) => journal::run(&args),
+        Command::Ablation(args) => ablation::run(&args),
         Command::Store(args) => fakes::store::run(&args),
         Command::Target(args) => fakes::target::run(&args),
         Command::Fabric(args) => fakes::fabric::run(&args),
