fix(flows): a restore does not prolong the hold of domains that are back

Both domains had been out once; operators had brought them back, and the store was restored two more times.

Cause: all held domains had one deadline, which each restore moved on, and the removal of a record in the new era was not told apart from a copy without the record.

Change: each domain has its own deadline, 10 s from the restore before which its record was last seen; a removal that the watch reports in the new era releases the domain at once, also at balancers that pull settings from a peer.

Evidence: second_restore_does_not_prolong_the_hold_of_a_domain_without_a_record and removed_record_in_the_new_era_brings_the_domain_back fail with the former rule.

--- a/crates/basilstep-core/src/flows/balancer/agent_table.rs
+++ b/crates/basilstep-core/src/flows/balancer/agent_table.rs
@@ -1,4 +1,4 @@
-use super::liveness::Liveness;
+use super::{held_domains::HeldDomains, liveness::Liveness};
 use crate::{
     address::DomainId,
     flows::{
@@ -65,7 +65,7 @@
     /// The domains that operators have taken out.
     pub domains_out: &'a BTreeSet<DomainId>,
     /// The domains that are out by the record of an earlier era of the store.
-    pub held_domains: &'a BTreeSet<DomainId>,
+    pub held_domains: &'a HeldDomains,
     /// The agents that have refused the flow.
     pub refused_by: &'a BTreeSet<Ipv4Addr>,
     /// Detects silent agents.
@@ -244,7 +244,7 @@
         && !state.report.is_stopping
         && state.offered_since < state.report.room
         && !placement.domains_out.contains(&state.report.domain)
-        && !placement.held_domains.contains(&state.report.domain)
+        && !placement.held_domains.contains(state.report.domain)
         && !placement
             .liveness
             .is_silent(agent, state, limit_ms, settings, placement.now_ms)
--- a/crates/basilstep-core/src/flows/balancer/state/settings.rs
+++ b/crates/basilstep-core/src/flows/balancer/state/settings.rs
@@ -50,11 +50,11 @@
     /// Returns whether a domain gets no new flows, by the store's record or by that of an earlier
     /// era.
     fn is_domain_out(&self, domain: DomainId) -> bool {
-        self.fleet.domains_out.contains(&domain) || self.held_domains.domains().contains(&domain)
+        self.fleet.domains_out.contains(&domain) || self.held_domains.contains(domain)
     }
 
     /// Returns the domains that are out by the record of an earlier era of the store.
-    pub const fn held_domains(&self) -> &BTreeSet<DomainId> {
+    pub fn held_domains(&self) -> BTreeSet<DomainId> {
         self.held_domains.domains()
     }
 }
--- a/crates/basilstep-core/src/flows/balancer/state/syn.rs
+++ b/crates/basilstep-core/src/flows/balancer/state/syn.rs
@@ -87,7 +87,7 @@
         let placement = PlacementContext {
             domain: self.identity.domain,
             domains_out: &self.fleet.domains_out,
-            held_domains: self.held_domains.domains(),
+            held_domains: &self.held_domains,
             refused_by: self.searches.refused_by(&flow),
             liveness: &self.liveness,
             now_ms: ctx.now_ms,
--- a/crates/basilstep-core/src/flows/routes.rs
+++ b/crates/basilstep-core/src/flows/routes.rs
@@ -93,6 +93,8 @@
     pub table: RouteTable,
     /// The domains that operators have taken out.
     pub domains_out: BTreeSet<DomainId>,
+    /// The domains that operators have brought back in this era of the store.
+    pub domains_back: BTreeSet<DomainId>,
     /// The store's revision at which these settings were read.
     pub revision: StoreRevision,
 }
@@ -111,6 +113,7 @@
         if other.revision > self.revision {
             is_changed |= self.domains_out != other.domains_out;
             self.domains_out = other.domains_out;
+            self.domains_back = other.domains_back;
             self.revision = other.revision;
         }
         is_changed
--- a/crates/basilstep-core/src/flows/tests/store_era.rs
+++ b/crates/basilstep-core/src/flows/tests/store_era.rs
@@ -121,6 +121,29 @@
     assert!(is_used(&mut balancer, LONG_AFTER_MS));
 }
 
+/// Guards against a domain that stays out as long as the store is restored again and again.
+#[test]
+fn second_restore_does_not_prolong_the_hold_of_a_domain_without_a_record() {
+    let (mut balancer, ctx) = balancer_in_era_1(true);
+    balancer.on_fleet_settings(settings(2, 40, 7, false), &ctx);
+    let again = context(ctx.now_ms + 5_000);
+    balancer.on_fleet_settings(settings(3, 40, 7, false), &again);
+    let late = balancer.on_tick(&context(ctx.now_ms + 10_000));
+    assert_eq!(late.released_domains, BTreeSet::from([DOMAIN]));
+}
+
+/// Guards against a domain that stays out although operators have removed its record in the new era.
+#[test]
+fn removed_record_in_the_new_era_brings_the_domain_back() {
+    let (mut balancer, ctx) = balancer_in_era_1(true);
+    balancer.on_fleet_settings(settings(2, 40, 7, false), &ctx);
+    assert!(!is_used(&mut balancer, ctx.now_ms + 5));
+    let mut removed = settings(2, 41, 7, false);
+    removed.domains_back.insert(DOMAIN);
+    balancer.on_fleet_settings(removed, &context(ctx.now_ms + 500));
+    assert!(is_used(&mut balancer, ctx.now_ms + 505));
+}
+
 /// The copy was taken while the domain was out; it is back since.
 #[test]
 fn record_in_the_copy_takes_the_domain_out() {
--- a/crates/basilstep-packet/src/store_tasks/operator_settings.rs
+++ b/crates/basilstep-packet/src/store_tasks/operator_settings.rs
@@ -110,6 +110,9 @@
 
     fn replace_all(&mut self, listed: &VersionedItems) {
         self.settings.domains_out = BTreeSet::new();
+        if listed.revision.era != self.settings.revision.era {
+            self.settings.domains_back = BTreeSet::new();
+        }
         self.apply_changes(listed);
     }
 
@@ -153,8 +156,10 @@
         };
         if is_out {
             self.settings.domains_out.insert(domain);
+            self.settings.domains_back.remove(&domain);
         } else {
             self.settings.domains_out.remove(&domain);
+            self.settings.domains_back.insert(domain);
         }
     }
 }
