feat(ctl): explain outage sums up what was not served, by time and cause

An operator could follow one flow through the logs but not see what an outage consisted of. explain outage counts the packets that balancers did not serve at once, by window and cause, with the lines left out; explain flow ends with the cause. Both read the logs by the same code.

The test of a flow's timeline expects the line with the cause in addition.

--- a/crates/basilstep-ctl/src/commands/explain.rs
+++ b/crates/basilstep-ctl/src/commands/explain.rs
@@ -1,5 +1,6 @@
 use super::{
     explain_flow::FlowArgs,
+    explain_outage::OutageArgs,
     fleet::{AgentDump, BalancerDump, DumpResults, Fleet},
     service::resolve_service_path,
 };
@@ -22,7 +23,7 @@
 use serde_json::json;
 use std::net::SocketAddrV4;
 
-/// Explain a result code, a target, a service, a flow or the settings versions in force.
+/// Explain a result code, a target, a service, a flow, an outage or the settings versions in force.
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "explain")]
 pub struct ExplainArgs {
@@ -38,6 +39,7 @@
     Service(ServiceArgs),
     Versions(VersionsArgs),
     Flow(FlowArgs),
+    Outage(OutageArgs),
 }
 
 /// Explain what a result code means, such as why a request was refused.
@@ -89,6 +91,7 @@
                 explain_service(&context.open_editor()?, &path).await
             }
             ExplainCommand::Flow(args) => args.run(),
+            ExplainCommand::Outage(args) => args.run(),
             ExplainCommand::Versions(args) => explain_versions(context, args.at).await,
         }
     }
--- a/crates/basilstep-ctl/src/commands/explain_flow/mod.rs
+++ b/crates/basilstep-ctl/src/commands/explain_flow/mod.rs
@@ -3,11 +3,12 @@
 #[cfg(test)]
 mod tests;
 
+use super::packet_logs::{self, Cause, LogLine};
 use crate::{error::CtlError, output::Report};
 use argh::FromArgs;
 use basilstep_core::codes::ResultCode;
-use serde_json::{Map, Value, json};
-use std::{collections::BTreeSet, fs, path::PathBuf};
+use serde_json::json;
+use std::{collections::BTreeSet, path::PathBuf};
 
 /// How long before the first and after the last line of a flow the state changes of its processes
 /// are shown.
@@ -43,15 +44,6 @@
     logs: Vec<PathBuf>,
 }
 
-/// One parsed line of a log.
-#[derive(Clone, Debug)]
-struct LogLine {
-    process: String,
-    at_ms: u64,
-    message: String,
-    fields: Map<String, Value>,
-}
-
 impl FlowArgs {
     /// Reads the logs and returns the timeline of the flow.
     ///
@@ -59,76 +51,15 @@
     ///
     /// Returns [`CtlError`] when a log cannot be read or no line mentions the flow.
     pub fn run(&self) -> Result<Report, CtlError> {
-        let mut lines = Vec::new();
-        for path in &self.logs {
-            let text = fs::read_to_string(path).map_err(|error| {
-                CtlError::new(ResultCode::NotFound, format!("{}: {error}", path.display()))
-            })?;
-            let process = path
-                .file_stem()
-                .map_or_else(String::new, |stem| stem.to_string_lossy().into_owned());
-            lines.extend(
-                text.lines()
-                    .filter_map(|line| LogLine::parse(&process, line)),
-            );
-        }
+        let lines = packet_logs::read(&self.logs)?;
         build_timeline(&self.flow, lines)
     }
 }
 
-impl LogLine {
-    /// Parses a line; returns `None` for one that is not a JSON object of a log, such as a panic
-    /// message.
-    fn parse(process: &str, text: &str) -> Option<Self> {
-        let fields: Map<String, Value> = serde_json::from_str(text).ok()?;
-        Some(Self {
-            process: process.to_owned(),
-            at_ms: fields.get("timestamp")?.as_u64()?,
-            message: fields.get("message")?.as_str()?.to_owned(),
-            fields,
-        })
-    }
-
-    fn is_about(&self, flow: &str) -> bool {
-        self.fields.get("flow").and_then(Value::as_str) == Some(flow)
-    }
-
-    fn is_state_message(&self) -> bool {
-        STATE_MESSAGES.contains(&self.message.as_str())
-    }
-
-    /// Returns the meaning of the result code in the line.
-    fn meaning(&self) -> Option<&'static str> {
-        let text = self.fields.get("code")?.as_str()?;
-        let number: u16 = text.split(' ').next()?.parse().ok()?;
-        ResultCode::try_from(number)
-            .ok()
-            .map(|code| code.meaning().trim())
-    }
-
-    fn describe(&self) -> String {
-        let shown: Vec<String> = self
-            .fields
-            .iter()
-            .filter(|(name, value)| !HIDDEN_FIELDS.contains(&name.as_str()) && !value.is_null())
-            .map(|(name, value)| format!("{name}={value}"))
-            .collect();
-        let meaning = self
-            .meaning()
-            .map_or_else(String::new, |meaning| format!(" ({meaning})"));
-        format!(
-            "{} {}: {}{meaning} {}",
-            self.at_ms,
-            self.process,
-            self.message,
-            shown.join(" ")
-        )
-    }
+fn is_state_message(line: &LogLine) -> bool {
+    STATE_MESSAGES.contains(&line.message.as_str())
 }
 
-/// Fields that every line has or that are printed in another form.
-const HIDDEN_FIELDS: [&str; 5] = ["timestamp", "message", "level", "target", "flow"];
-
 fn build_timeline(flow: &str, mut lines: Vec<LogLine>) -> Result<Report, CtlError> {
     lines.sort_by_key(|line| line.at_ms);
     let flow_lines: Vec<&LogLine> = lines.iter().filter(|line| line.is_about(flow)).collect();
@@ -148,11 +79,15 @@
         .filter(|line| {
             let is_context = span.contains(&line.at_ms)
                 && processes.contains(line.process.as_str())
-                && line.is_state_message();
+                && is_state_message(line);
             line.is_about(flow) || is_context
         })
         .map(LogLine::describe)
         .collect();
-    let result = json!({ "flow": flow, "lines": timeline });
-    Ok(Report::with_lines(timeline, result))
+    let cause = flow_lines.iter().rev().find_map(|line| Cause::of(line));
+    let cause = cause.map(Cause::text);
+    let result = json!({ "flow": flow, "lines": timeline, "cause": cause });
+    let mut text = timeline;
+    text.extend(cause.map(|cause| format!("cause: {cause}")));
+    Ok(Report::with_lines(text, result))
 }
--- a/crates/basilstep-ctl/src/commands/explain_flow/tests.rs
+++ b/crates/basilstep-ctl/src/commands/explain_flow/tests.rs
@@ -33,7 +33,7 @@
         ),
     ];
     let timeline = build_timeline(FLOW, lines).unwrap().lines;
-    assert_eq!(timeline.len(), 2);
+    assert_eq!(timeline.len(), 3);
     assert!(
         timeline[0].starts_with("1000 a1: packet"),
         "{}",
@@ -41,6 +41,7 @@
     );
     assert!(timeline[0].contains("at_work=3"));
     assert!(timeline[1].contains("the lifetime of the target that held it has ended"));
+    assert_eq!(timeline[2], "cause: flow lost with its target");
 }
 
 #[test]
