fix(bench): an ablation compares runs that start alike

Runs without an override start without the line about it, and that moves all that follows. The runs with all mechanisms now have an override with the default.

--- a/crates/basilstep-bench/src/ablation/mechanisms.rs
+++ b/crates/basilstep-bench/src/ablation/mechanisms.rs
@@ -10,11 +10,15 @@
 /// The name under which runs with all mechanisms are kept.
 pub const NOTHING: &str = "nothing";
 
+/// An override with the default, so that all runs start alike: a start that takes longer moves all
+/// that follows.
+pub const UNCHANGED: &str = "hints.limit=131072";
+
 /// Everything that can be switched off, after the runs with all mechanisms.
 pub const MECHANISMS: [Mechanism; 12] = [
     Mechanism {
         name: NOTHING,
-        overrides: &[],
+        overrides: &[UNCHANGED],
     },
     Mechanism {
         name: "advertisements to all balancers",
--- a/crates/basilstep-bench/src/ablation/tests.rs
+++ b/crates/basilstep-bench/src/ablation/tests.rs
@@ -1,5 +1,5 @@
 use super::{
-    mechanisms::{MECHANISMS, NOTHING},
+    mechanisms::{MECHANISMS, NOTHING, UNCHANGED},
     play::with_overrides,
     table::{markdown, rows},
 };
@@ -52,6 +52,13 @@
     assert_eq!(with_overrides(deploy, &[]), deploy);
 }
 
+/// Guards against a comparison with runs that are not those with all mechanisms.
+#[test]
+fn runs_with_all_mechanisms_have_the_defaults() {
+    let limit = FlowSettings::default().hints.limit;
+    assert_eq!(UNCHANGED, format!("hints.limit={limit}"));
+}
+
 /// Guards against a table of mechanisms whose settings have been renamed.
 #[test]
 fn overrides_name_settings() {
