docs(flows): what first SYNs have ahead of their copies; seed 24 is kept

The reason for not refusing them at once is that their callers have waited already. No behaviour changes.

--- a/crates/basilstep-core/src/flows/balancer/state/syn.rs
+++ b/crates/basilstep-core/src/flows/balancer/state/syn.rs
@@ -116,8 +116,8 @@
     /// Refuses a SYN that no agent accepts at the moment.
     ///
     /// It is dropped if the caller's next SYN, within 400 ms, may find a free agent; otherwise the
-    /// caller gets a reset at once. Retransmissions only take slots that are free, so refusing them
-    /// makes room for nobody.
+    /// caller gets a reset at once. Callers of retransmissions have waited already: a late answer
+    /// is of use to them, and once they are late they only take slots that are free.
     fn refuse(
         &mut self,
         segment: &Segment,
--- a/crates/basilstep-core/src/flows/tests/refusals.rs
+++ b/crates/basilstep-core/src/flows/tests/refusals.rs
@@ -64,8 +64,8 @@
     assert!(first_reset_ms.is_some_and(|at_ms| at_ms <= 10_500));
 }
 
-/// Guards against refusing callers that have waited already: they only take slots that are free, so
-/// refusing them makes room for nobody, and a late answer is of use to them.
+/// Guards against refusing callers that have waited already: a late answer is of use to them, and
+/// once they are late they only take slots that are free.
 #[test]
 fn caller_that_has_waited_is_not_refused_at_once_in_a_long_overload() {
     let (mut balancer, _) = balancer_with(1, RequestKind::Idempotent);
--- a/crates/basilstep-packet/tests/processes/soak/mod.rs
+++ b/crates/basilstep-packet/tests/processes/soak/mod.rs
@@ -191,6 +191,16 @@
     assert!(violations.is_empty(), "seed {seed}: {violations:#?}");
 }
 
+/// The same for seeds with a store that is restored.
+#[rstest]
+#[case::each_restore_prolonged_the_hold_of_domains_that_were_back(24)]
+#[tokio::test(flavor = "multi_thread")]
+#[ignore = "takes 20 s for each seed"]
+async fn regressions_with_restores(#[case] seed: u64) {
+    let violations = run_seed(seed, LONG_DURATION, StoreKind::Restored).await;
+    assert!(violations.is_empty(), "seed {seed}: {violations:#?}");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 #[ignore = "runs many seeds; see the top of the file"]
 async fn by_hand() {
