fix(flows): a search waits for agents that start while it is under way

Cause: the 200 ms after which an agent without a heartbeat of its target counts as not holding an idempotent flow ran from the start of the search.

Change: the time runs from when the agent's current incarnation was asked. A balancer keeps the packet that started a search and sends it to an agent that starts during the search, so that neither a living flow nor the caller of a dead one has to wait for a retransmission, which may be 1.6 s away.

Looked at for the same class (a limit that counts from another event than the one it waits for): ANSWER_TIMEOUT_MS (from the last send), ADVERTISEMENT_DELAY_MS (from the first packet), settle times (from start, pause, first agent), doubt_ms and confirm_within_ms (from the offer), probe times (from the first missing report): left as they are. roster_wait_ms and relearn_ms count from the start of the process; they bound knowledge, and nothing else is known then.

Why the balancer had no hint: above 32 balancers a flow is advertised to 8 of the 12 of its caller's domain; that is the design, the search is its fallback.

--- a/crates/basilstep-core/src/flows/balancer/mod.rs
+++ b/crates/basilstep-core/src/flows/balancer/mod.rs
@@ -13,4 +13,4 @@
 pub use agent_table::{AgentState, AgentTable};
 pub use pending_syns::PendingSyn;
 pub use state::BalancerFlows;
-pub use verdict::{BalancerIdentity, NextHop, PlacedSyn, TickOutcome, Verdict};
+pub use verdict::{BalancerIdentity, NextHop, PlacedSyn, SearchPacket, TickOutcome, Verdict};
--- a/crates/basilstep-core/src/flows/balancer/search.rs
+++ b/crates/basilstep-core/src/flows/balancer/search.rs
@@ -1,7 +1,7 @@
 use crate::flows::key::FlowKey;
 use std::{
     collections::{BTreeMap, BTreeSet},
-    net::Ipv4Addr,
+    net::{Ipv4Addr, SocketAddrV4},
 };
 
 /// The maximum number of searches that a balancer keeps; beyond it the one with the lowest key is
@@ -19,6 +19,10 @@
     pub is_hint_wrong: bool,
     /// When a packet was last sent to all agents that had not answered.
     sent_ms: Option<u64>,
+    /// When the current incarnation of each agent was first asked.
+    asked_ms: BTreeMap<Ipv4Addr, u64>,
+    /// A packet of the flow, for agents that start during the search.
+    packet: Vec<u8>,
     /// The acknowledgement number in the caller's last packet.
     pub caller_acknowledged: u32,
     started_ms: u64,
@@ -41,10 +45,32 @@
         !self.refused_by.is_empty() || now_ms >= self.started_ms + ADVERTISEMENT_DELAY_MS
     }
 
-    /// Returns whether running targets would have answered by now even if their agents have
-    /// received no heartbeat from them.
-    pub const fn has_unknown_target_timed_out(&self, now_ms: u64) -> bool {
-        now_ms >= self.started_ms + UNKNOWN_TARGET_TIMEOUT_MS
+    /// Returns whether the target of `agent` would have answered by now if it were running, even if
+    /// the agent has received no heartbeat from it.
+    pub fn has_unknown_target_timed_out(&self, agent: Ipv4Addr, now_ms: u64) -> bool {
+        self.asked_ms
+            .get(&agent)
+            .is_some_and(|asked_ms| now_ms >= asked_ms + UNKNOWN_TARGET_TIMEOUT_MS)
+    }
+
+    /// Records that an agent is sent a packet of the flow.
+    pub fn record_asked(&mut self, agent: Ipv4Addr, now_ms: u64) {
+        self.asked_ms.entry(agent).or_insert(now_ms);
+    }
+
+    /// Keeps a packet of the flow for agents that start during the search.
+    pub fn keep_packet(&mut self, packet: &[u8]) {
+        packet.clone_into(&mut self.packet);
+    }
+
+    /// Takes the packet that an agent has to be sent because it has neither been asked nor refused.
+    fn ask_for_packet(&mut self, agent: Ipv4Addr, now_ms: u64) -> Option<Vec<u8>> {
+        let is_answered = self.refused_by.contains(&agent) || self.asked_ms.contains_key(&agent);
+        if is_answered || self.packet.is_empty() {
+            return None;
+        }
+        self.record_asked(agent, now_ms);
+        Some(self.packet.clone())
     }
 
     /// Returns whether a packet may be sent to all agents that have not answered, and if so records
@@ -93,6 +119,11 @@
         self.searches.get(flow)
     }
 
+    /// Returns the search for a flow, if there is one, for modification.
+    pub fn get_mut(&mut self, flow: &FlowKey) -> Option<&mut Search> {
+        self.searches.get_mut(flow)
+    }
+
     /// Returns the flows whose holder is being searched for, without those that are being opened.
     pub fn pending(&self) -> impl Iterator<Item = (&FlowKey, &Search)> {
         self.searches
@@ -100,6 +131,28 @@
             .filter(|(_, search)| search.sent_ms.is_some())
     }
 
+    /// Returns a packet of each flow to `addresses` for which an agent has neither been asked nor
+    /// refused, and records that it is asked.
+    pub fn take_packets_for(
+        &mut self,
+        agent: Ipv4Addr,
+        now_ms: u64,
+        addresses: &BTreeSet<SocketAddrV4>,
+    ) -> Vec<Vec<u8>> {
+        self.searches
+            .iter_mut()
+            .filter(|(flow, _)| addresses.contains(&flow.service_address))
+            .filter_map(|(_, search)| search.ask_for_packet(agent, now_ms))
+            .collect()
+    }
+
+    /// Records that an agent has a new incarnation, which has not been asked for any flow.
+    pub fn on_new_incarnation(&mut self, agent: Ipv4Addr) {
+        for search in self.searches.values_mut() {
+            search.asked_ms.remove(&agent);
+        }
+    }
+
     /// Ends the search for a flow.
     pub fn end(&mut self, flow: &FlowKey) {
         self.searches.remove(flow);
--- a/crates/basilstep-core/src/flows/balancer/state.rs
+++ b/crates/basilstep-core/src/flows/balancer/state.rs
@@ -240,6 +240,10 @@
         }
         self.liveness
             .record_activity(agent, report.domain, ctx.now_ms);
+        let known = self.agents.get(agent);
+        if known.is_none_or(|state| state.report.incarnation != report.incarnation) {
+            self.searches.on_new_incarnation(agent);
+        }
         self.agents.record_report(agent, report, ctx.now_ms)
     }
 
--- a/crates/basilstep-core/src/flows/balancer/state/searching.rs
+++ b/crates/basilstep-core/src/flows/balancer/state/searching.rs
@@ -5,13 +5,17 @@
     codes::ResultCode,
     context::Context,
     flows::{
-        balancer::{AgentState, NextHop, Verdict},
+        balancer::{AgentState, NextHop, SearchPacket, Verdict, search::Search},
         frame::TargetPhase,
         key::{FlowKey, LostFlow, ServiceTag},
         routes::RequestKind,
+        segment::Segment,
     },
 };
-use std::{collections::BTreeSet, net::Ipv4Addr};
+use std::{
+    collections::BTreeSet,
+    net::{Ipv4Addr, SocketAddrV4},
+};
 
 /// The agents that a search still has to ask.
 #[derive(Clone, Debug)]
@@ -22,16 +26,14 @@
 
 /// What the search for a flow implies about the agents that have not answered.
 #[derive(Clone, Copy, Debug)]
-struct SearchEvidence {
+struct SearchEvidence<'a> {
     /// The flow is at none of the agents that have advertised all their flows.
     ///
     /// This cannot be concluded if the agent in the hint has refused, because two targets may have
     /// answered the SYN and a retransmission of it, nor if a hint was evicted, because its flow was
     /// advertised and is unknown now.
     trusts_advertisements: bool,
-    /// Running targets would have answered by now, even if their agents have received no heartbeat
-    /// from them.
-    unknown_targets_timed_out: bool,
+    search: Option<&'a Search>,
 }
 
 impl BalancerFlows {
@@ -44,6 +46,11 @@
         let search = self.searches.entry(flow, ctx.now_ms, search_ms);
         let is_settled = search.is_settled(ctx.now_ms);
         let may_send = search.try_send(ctx.now_ms);
+        if may_send {
+            for next_hop in &unanswered.next_hops {
+                search.record_asked(next_hop.agent, ctx.now_ms);
+            }
+        }
         if unanswered.next_hops.is_empty() && is_settled && self.may_reset(unanswered.kind, ctx) {
             return Verdict::Reset {
                 code: ResultCode::FlowLost,
@@ -64,17 +71,10 @@
         let refused_by = self.searches.refused_by(flow);
         let evidence = self.evidence(flow, now_ms);
         let is_idempotent = route.kind == RequestKind::Idempotent;
-        let mut services: BTreeSet<ServiceTag> =
-            route.shares.iter().map(|share| share.service).collect();
-        services.extend(
-            self.former_services
-                .get(&flow.service_address)
-                .into_iter()
-                .flatten(),
-        );
-        let next_hops = services
-            .iter()
-            .flat_map(|service| self.agents.of_service(*service).map(|a| (a, *service)))
+        let next_hops = self
+            .services_of(flow)
+            .into_iter()
+            .flat_map(|service| self.agents.of_service(service).map(move |a| (a, service)))
             .filter(|(agent, _)| !refused_by.contains(agent))
             .filter(|(agent, _)| !(is_idempotent && self.can_be_skipped(*agent, evidence, now_ms)))
             .map(|(agent, service)| self.next_hop(agent, service, true))
@@ -85,30 +85,75 @@
         })
     }
 
+    /// Returns the services that may hold a flow: those of its route, and those that earlier
+    /// versions of the route named.
+    fn services_of(&self, flow: &FlowKey) -> BTreeSet<ServiceTag> {
+        let address = &flow.service_address;
+        let route = self.fleet.table.routes.get(address);
+        let former = self.former_services.get(address);
+        route
+            .into_iter()
+            .flat_map(|route| route.shares.iter().map(|share| share.service))
+            .chain(former.into_iter().flatten().copied())
+            .collect()
+    }
+
+    /// Keeps a packet that started a search, for agents that start during the search.
+    pub fn keep_search_packet(&mut self, segment: &Segment, packet: &[u8]) {
+        let flow = segment.flow_of_caller();
+        if let Some(search) = self.searches.get_mut(&flow) {
+            search.keep_packet(packet);
+        }
+    }
+
+    /// Returns the packets that an agent has to be sent because it has started during the search
+    /// for their flows.
+    ///
+    /// Its target may have been running before it, and the next packet of the caller may be
+    /// seconds away.
+    pub fn take_search_packets(&mut self, agent: Ipv4Addr, ctx: &Context) -> Vec<SearchPacket> {
+        let Some(service) = self.agents.get(agent).map(|state| state.report.service) else {
+            return Vec::new();
+        };
+        let addresses: BTreeSet<SocketAddrV4> = self
+            .searches
+            .pending()
+            .filter(|(flow, _)| self.services_of(flow).contains(&service))
+            .map(|(flow, _)| flow.service_address)
+            .collect();
+        let next_hop = self.next_hop(agent, service, true);
+        self.searches
+            .take_packets_for(agent, ctx.now_ms, &addresses)
+            .into_iter()
+            .map(|packet| SearchPacket { next_hop, packet })
+            .collect()
+    }
+
     /// Returns whether an agent probably does not hold a flow: it is silent, has advertised all its
     /// flows, or its target has neither sent a heartbeat nor answered.
     ///
     /// If this is wrong, for example because an advertisement is delayed, callers of idempotent
     /// requests only repeat them.
-    fn can_be_skipped(&self, agent: Ipv4Addr, evidence: SearchEvidence, now_ms: u64) -> bool {
+    fn can_be_skipped(&self, agent: Ipv4Addr, evidence: SearchEvidence<'_>, now_ms: u64) -> bool {
         let Some(state) = self.agents.get(agent) else {
             return true;
         };
-        let is_without_target =
-            evidence.unknown_targets_timed_out && state.report.phase == TargetPhase::Unknown;
+        let is_without_target = state.report.phase == TargetPhase::Unknown
+            && evidence
+                .search
+                .is_some_and(|search| search.has_unknown_target_timed_out(agent, now_ms));
         is_without_target
             || self.is_silent(agent, now_ms)
             || (evidence.trusts_advertisements && self.has_advertised_all(state, now_ms))
     }
 
-    fn evidence(&self, flow: &FlowKey, now_ms: u64) -> SearchEvidence {
+    fn evidence(&self, flow: &FlowKey, now_ms: u64) -> SearchEvidence<'_> {
         let search = self.searches.get(flow);
         let is_hint_wrong = search.is_some_and(|search| search.is_hint_wrong);
         let since_ms = now_ms.saturating_sub(self.settings.hints.idle_ms);
         SearchEvidence {
             trusts_advertisements: !is_hint_wrong && self.hints.is_complete_since(since_ms),
-            unknown_targets_timed_out: search
-                .is_some_and(|search| search.has_unknown_target_timed_out(now_ms)),
+            search,
         }
     }
 
--- a/crates/basilstep-core/src/flows/balancer/verdict.rs
+++ b/crates/basilstep-core/src/flows/balancer/verdict.rs
@@ -69,6 +69,15 @@
     pub next_hop: NextHop,
 }
 
+/// A packet for an agent that has started during the search for the packet's flow.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct SearchPacket {
+    /// The agent to ask.
+    pub next_hop: NextHop,
+    /// The packet as it arrived.
+    pub packet: Vec<u8>,
+}
+
 /// The results of a tick.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct TickOutcome {
--- /dev/null
+++ b/crates/basilstep-core/src/flows/tests/agent_restarts.rs
@@ -0,0 +1,149 @@
+//! Agents restart in series beside living targets: the flow of a living target is not reset before
+//! its agent's new process has been asked and a running target would have answered.
+
+use super::{agent_ip, balancer_with, context, data, flow, held, report};
+use crate::{
+    codes::ResultCode,
+    flows::{
+        AgentReport, BalancerFlows, ProcessIncarnation, RequestKind, Returned, TargetPhase,
+        balancer::{SearchPacket, Verdict},
+    },
+};
+use rstest::rstest;
+
+/// The agent that restarts; agent 1 runs all the while.
+const RESTARTING: u8 = 2;
+
+const STOPPED_MS: u64 = 10_000;
+const STARTED_MS: u64 = 10_400;
+
+/// How long a target that runs takes to answer, at most.
+const ANSWER_MS: u64 = 200;
+
+fn stop(balancer: &mut BalancerFlows) {
+    let stopping = AgentReport {
+        is_stopping: true,
+        ..report(TargetPhase::Serving)
+    };
+    balancer.on_report(agent_ip(RESTARTING), stopping, &context(STOPPED_MS));
+}
+
+/// Reports the agent's new incarnation, whose target has not sent a heartbeat to it yet; returns
+/// what it is asked.
+fn restart(balancer: &mut BalancerFlows) -> Vec<SearchPacket> {
+    let restarted = AgentReport {
+        incarnation: ProcessIncarnation(2),
+        ..report(TargetPhase::Unknown)
+    };
+    let ctx = context(STARTED_MS);
+    balancer.on_report(agent_ip(RESTARTING), restarted, &ctx);
+    balancer.take_search_packets(agent_ip(RESTARTING), &ctx)
+}
+
+/// A packet of a flow without a hint arrives; agent 1 does not hold the flow.
+fn send_packet(balancer: &mut BalancerFlows, now_ms: u64) {
+    let packet = data(flow(1), 100);
+    let ctx = context(now_ms);
+    if let Verdict::Search(_) = balancer.on_packet(&packet, &ctx) {
+        balancer.keep_search_packet(&packet, b"packet");
+    }
+    balancer.on_returned(agent_ip(1), not_held(), &packet, &ctx);
+}
+
+fn not_held() -> Returned {
+    Returned {
+        code: ResultCode::FlowNotHeld,
+        service: super::service(),
+    }
+}
+
+fn lost_until(balancer: &mut BalancerFlows, from_ms: u64, until_ms: u64) -> Option<u64> {
+    (from_ms..until_ms)
+        .step_by(10)
+        .find(|now_ms| !balancer.on_tick(&context(*now_ms)).lost.is_empty())
+}
+
+#[rstest]
+#[case::before_the_stop(STOPPED_MS - 10)]
+#[case::during_the_stop(STOPPED_MS + 10)]
+#[case::just_before_the_start(STARTED_MS - 10)]
+fn new_process_is_asked_at_once(#[case] searched_ms: u64) {
+    let (mut balancer, _) = balancer_with(2, RequestKind::Idempotent);
+    if searched_ms < STOPPED_MS {
+        send_packet(&mut balancer, searched_ms);
+        stop(&mut balancer);
+    } else {
+        stop(&mut balancer);
+        send_packet(&mut balancer, searched_ms);
+    }
+    let asked = restart(&mut balancer);
+    assert_eq!(asked.len(), 1);
+    assert_eq!(asked[0].next_hop.agent, agent_ip(RESTARTING));
+    assert!(asked[0].next_hop.header.is_search);
+    assert_eq!(asked[0].packet, b"packet");
+    let lost_ms = lost_until(&mut balancer, searched_ms, STARTED_MS + ANSWER_MS);
+    assert_eq!(lost_ms, None);
+}
+
+#[test]
+fn living_target_keeps_its_flow_without_heartbeats() {
+    let (mut balancer, _) = balancer_with(2, RequestKind::Idempotent);
+    stop(&mut balancer);
+    send_packet(&mut balancer, STOPPED_MS + 200);
+    restart(&mut balancer);
+    let ctx = context(STARTED_MS + 50);
+    balancer.on_held_flows(agent_ip(RESTARTING), &held(0, flow(1)), &ctx);
+    assert_eq!(lost_until(&mut balancer, STARTED_MS, 12_000), None);
+    let verdict = balancer.on_packet(&data(flow(1), 100), &context(STARTED_MS + 300));
+    assert!(matches!(verdict, Verdict::Forward(_)));
+}
+
+#[test]
+fn ended_target_that_denies_the_flow_costs_its_caller_nothing() {
+    let (mut balancer, _) = balancer_with(2, RequestKind::Idempotent);
+    stop(&mut balancer);
+    send_packet(&mut balancer, STOPPED_MS + 200);
+    restart(&mut balancer);
+    let packet = data(flow(1), 100);
+    let ctx = context(STARTED_MS + 5);
+    let verdict = balancer.on_returned(agent_ip(RESTARTING), not_held(), &packet, &ctx);
+    assert!(matches!(verdict, Verdict::Reset { .. }));
+}
+
+#[test]
+fn ended_target_that_says_nothing_is_not_waited_for() {
+    let (mut balancer, _) = balancer_with(2, RequestKind::Idempotent);
+    stop(&mut balancer);
+    send_packet(&mut balancer, STOPPED_MS + 200);
+    restart(&mut balancer);
+    let lost_ms = lost_until(&mut balancer, STARTED_MS, 12_000);
+    assert_eq!(lost_ms, Some(STARTED_MS + ANSWER_MS));
+}
+
+/// The time for which an earlier process of the agent was asked does not count.
+#[test]
+fn agent_that_restarts_twice_is_asked_twice() {
+    let (mut balancer, _) = balancer_with(2, RequestKind::Idempotent);
+    stop(&mut balancer);
+    send_packet(&mut balancer, STOPPED_MS + 200);
+    restart(&mut balancer);
+    let restarted_again = AgentReport {
+        incarnation: ProcessIncarnation(3),
+        ..report(TargetPhase::Unknown)
+    };
+    let ctx = context(STARTED_MS + 150);
+    balancer.on_report(agent_ip(RESTARTING), restarted_again, &ctx);
+    let asked = balancer.take_search_packets(agent_ip(RESTARTING), &ctx);
+    assert_eq!(asked.len(), 1);
+    let lost_ms = lost_until(&mut balancer, STARTED_MS, STARTED_MS + 350);
+    assert_eq!(lost_ms, None);
+}
+
+#[test]
+fn report_of_the_same_process_asks_nothing_again() {
+    let (mut balancer, _) = balancer_with(2, RequestKind::Idempotent);
+    send_packet(&mut balancer, STOPPED_MS);
+    let ctx = context(STOPPED_MS + 50);
+    balancer.on_report(agent_ip(1), report(TargetPhase::Serving), &ctx);
+    assert!(balancer.take_search_packets(agent_ip(1), &ctx).is_empty());
+}
--- a/crates/basilstep-core/src/flows/tests/mod.rs
+++ b/crates/basilstep-core/src/flows/tests/mod.rs
@@ -1,6 +1,7 @@
 //! Tests of steering without tokens, and their shared helpers.
 
 mod agent;
+mod agent_restarts;
 mod balancer;
 mod balancer_list;
 mod cold_start;
--- a/crates/basilstep-packet/src/balancer/frames.rs
+++ b/crates/basilstep-packet/src/balancer/frames.rs
@@ -87,6 +87,7 @@
             );
             let placed = self.flows.place_pending_syns(&self.ctx);
             self.forward_placed(&placed);
+            self.send_search_packets(agent);
         }
         if self.flows.has_advertisement_gap(agent) {
             self.send_frame(agent, &Frame::Readvertise);
--- a/crates/basilstep-packet/src/balancer/packets.rs
+++ b/crates/basilstep-packet/src/balancer/packets.rs
@@ -9,7 +9,7 @@
     },
 };
 use basilstep_platform::header;
-use std::net::SocketAddrV4;
+use std::net::{Ipv4Addr, SocketAddrV4};
 
 impl Balancer {
     /// Handles pending packets from callers.
@@ -49,6 +49,7 @@
             Verdict::Search(next_hops) => {
                 self.metrics.count(ResultCode::FlowSearched);
                 self.log_decision(ResultCode::FlowSearched, segment, None);
+                self.flows.keep_search_packet(segment, packet);
                 for next_hop in next_hops {
                     self.send_next_hop(next_hop, packet);
                 }
@@ -99,6 +100,18 @@
         }
     }
 
+    /// Asks an agent that has just started for the flows that are being searched for.
+    pub(super) fn send_search_packets(&mut self, agent: Ipv4Addr) {
+        let packets = self.flows.take_search_packets(agent, &self.ctx);
+        if packets.is_empty() {
+            return;
+        }
+        log::info!(agent:% = agent, flows = packets.len(); "asked a new agent for flows without a holder");
+        for asked in packets {
+            self.send_next_hop(&asked.next_hop, &asked.packet);
+        }
+    }
+
     fn send_next_hop(&mut self, next_hop: &NextHop, packet: &[u8]) {
         encode_frame(
             &Frame::Forward(next_hop.header),
