fix(node): a response that keeps arriving is read to its end

Cause: a call had to be complete within its limit (1 s for the store, 0.5 s for settings of a peer).

Change: the limit bounds each wait for the next part of the response.

--- a/crates/basilstep-node/src/http/client.rs
+++ b/crates/basilstep-node/src/http/client.rs
@@ -1,7 +1,10 @@
-use bytes::Bytes;
-use http::{HeaderMap, Method, Request, StatusCode, header};
+use bytes::{Bytes, BytesMut};
+use http::{HeaderMap, Method, Request, Response, StatusCode, header};
 use http_body_util::{BodyExt, Full};
-use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper::{
+    body::Incoming,
+    client::conn::http1::{SendRequest, handshake},
+};
 use hyper_util::rt::TokioIo;
 use std::{io, net::SocketAddrV4, time::Duration};
 use tokio::{net::TcpStream, time::timeout};
@@ -23,7 +26,7 @@
     /// The request could not be built.
     #[error("the request is malformed")]
     Request(#[from] http::Error),
-    /// No complete response arrived in time.
+    /// The response did not begin, or did not go on, in time.
     #[error("no answer within {limit_ms} ms")]
     Timeout {
         /// The time limit.
@@ -60,9 +63,12 @@
 
     /// Sends one request; after a failure the next request opens a new connection.
     ///
+    /// A response that takes long to arrive, for example a large one on a thin link, is read to its
+    /// end as long as parts of it arrive.
+    ///
     /// # Errors
     ///
-    /// Returns [`HttpError`] when no complete response arrives within `limit`.
+    /// Returns [`HttpError`] when the response does not begin, or does not go on, within `limit`.
     pub async fn call(
         &mut self,
         method: Method,
@@ -74,24 +80,33 @@
         // with an outstanding response.
         let idle_connection = self.connection.take();
         let exchange = exchange(self.address, idle_connection, method, path, body);
-        let (connection, response) =
-            timeout(limit, exchange)
-                .await
-                .map_err(|_elapsed| HttpError::Timeout {
-                    limit_ms: limit.as_millis() as u64,
-                })??;
+        let (connection, response) = within(limit, exchange).await??;
+        let (head, body) = response.into_parts();
+        let response = ClientResponse {
+            status: head.status,
+            headers: head.headers,
+            body: read_body(body, limit).await?,
+        };
         self.connection = Some(connection);
         Ok(response)
     }
 }
 
+async fn within<T>(limit: Duration, waiting: impl Future<Output = T>) -> Result<T, HttpError> {
+    timeout(limit, waiting)
+        .await
+        .map_err(|_elapsed| HttpError::Timeout {
+            limit_ms: limit.as_millis() as u64,
+        })
+}
+
 async fn exchange(
     address: SocketAddrV4,
     idle_connection: Option<SendRequest<Full<Bytes>>>,
     method: Method,
     path: &str,
     body: &[u8],
-) -> Result<(SendRequest<Full<Bytes>>, ClientResponse), HttpError> {
+) -> Result<(SendRequest<Full<Bytes>>, Response<Incoming>), HttpError> {
     let mut connection = match reuse(idle_connection).await {
         Some(connection) => connection,
         None => connect(address).await?,
@@ -105,15 +120,20 @@
     }
     let request = request.body(Full::new(Bytes::copy_from_slice(body)))?;
     let response = connection.send_request(request).await?;
-    let (head, body) = response.into_parts();
-    let response = ClientResponse {
-        status: head.status,
-        headers: head.headers,
-        body: body.collect().await?.to_bytes(),
-    };
     Ok((connection, response))
 }
 
+/// Reads a body of which each part arrives within `limit` after the one before.
+async fn read_body(mut body: Incoming, limit: Duration) -> Result<Bytes, HttpError> {
+    let mut bytes = BytesMut::new();
+    while let Some(frame) = within(limit, body.frame()).await? {
+        if let Some(data) = frame?.data_ref() {
+            bytes.extend_from_slice(data);
+        }
+    }
+    Ok(bytes.freeze())
+}
+
 /// Returns the connection if it still accepts requests.
 async fn reuse(
     idle_connection: Option<SendRequest<Full<Bytes>>>,
