feat(flows): two balancers watch the store for all, within the limits that the deployment states

The wait (2 s) and the end of a call (3 s) were constants, whatever ConfigApplyMs the deployment has.

Change: balancers watch in an order (rendezvous, first one of each domain). One watches unless two before it have had the same settings confirmed recently; the age of the confirmation travels in heartbeats, is measured on the sender's clock only, never passed on, and counts from when the store has certainly said it. A change from a peer is not broadcast again. Frames have version 4.

--- a/crates/basilstep-bench/src/load/packet_path.rs
+++ b/crates/basilstep-bench/src/load/packet_path.rs
@@ -14,7 +14,7 @@
         AgentFlows, AgentReport, BalancerFlows, Flags, FlowKey, FlowSettings, ForwardHeader, Frame,
         HeldFlows, ProcessIncarnation, RequestKind, Segment, TargetPhase,
         agent::{AgentIdentity, CallerVerdict, HeartbeatState, TargetHeartbeat},
-        balancer::{BalancerIdentity, Verdict},
+        balancer::{BalancerIdentity, Verdict, WatchTimes},
         decode_frame, encode_frame,
     },
 };
@@ -134,6 +134,7 @@
         ip: BALANCER,
         domain: DomainId(0),
         incarnation: ProcessIncarnation(1),
+        watch_times: WatchTimes::default(),
     };
     let started = Context::new(1);
     let mut balancer = BalancerFlows::new(FlowSettings::default(), own, &started);
--- a/crates/basilstep-bench/src/load/steering/simulation.rs
+++ b/crates/basilstep-bench/src/load/steering/simulation.rs
@@ -14,7 +14,7 @@
     flows::{
         AgentFlows, BalancerFlows, FleetSettings, FlowSettings, Frame, ProcessIncarnation, Segment,
         agent::{AgentIdentity, SettingsSource},
-        balancer::BalancerIdentity,
+        balancer::{BalancerIdentity, WatchTimes},
         encode_frame,
     },
 };
@@ -188,6 +188,7 @@
             ip: balancer_ip(number),
             domain: domain_of(number),
             incarnation: self.next_incarnation(),
+            watch_times: WatchTimes::default(),
         };
         let ctx = self.context();
         let mut balancer = BalancerFlows::new(self.settings, own, &ctx);
--- a/crates/basilstep-core/src/flows/balancer/mod.rs
+++ b/crates/basilstep-core/src/flows/balancer/mod.rs
@@ -7,10 +7,12 @@
 mod overload;
 mod pending_syns;
 mod search;
+mod settings_watch;
 mod state;
 mod verdict;
 
 pub use agent_table::{AgentState, AgentTable};
 pub use pending_syns::PendingSyn;
+pub use settings_watch::WatchTimes;
 pub use state::BalancerFlows;
 pub use verdict::{BalancerIdentity, NextHop, PlacedSyn, SearchPacket, TickOutcome, Verdict};
--- a/crates/basilstep-core/src/flows/balancer/state.rs
+++ b/crates/basilstep-core/src/flows/balancer/state.rs
@@ -12,6 +12,7 @@
     overload::Overloads,
     pending_syns::PendingSyns,
     search::Searches,
+    settings_watch::SettingsWatch,
     verdict::{BalancerIdentity, NextHop, TickOutcome, Verdict},
 };
 use crate::{
@@ -64,6 +65,7 @@
     is_stopping: bool,
     is_backlog_stale: bool,
     send_schedule: SendSchedule,
+    settings_watch: SettingsWatch,
 }
 
 impl BalancerFlows {
@@ -91,6 +93,7 @@
             is_stopping: false,
             is_backlog_stale: false,
             send_schedule: SendSchedule::default(),
+            settings_watch: SettingsWatch::default(),
         }
     }
 
@@ -274,6 +277,8 @@
         self.liveness.restart_timers(ctx.now_ms);
         self.is_backlog_stale = true;
         self.settling_since_ms = ctx.now_ms;
+        self.settings_watch.on_pause(ctx.now_ms);
+        self.balancers.discard_confirmations();
     }
 
     /// Records that all packets that were queued during a pause have been read.
--- a/crates/basilstep-core/src/flows/balancer/state/heartbeats.rs
+++ b/crates/basilstep-core/src/flows/balancer/state/heartbeats.rs
@@ -19,6 +19,10 @@
             agents: self.known_agents(),
             live_agents: saturate(self.live_agents(ctx.now_ms).count()),
             balancers_hash: self.balancers.hash(),
+            settings_age_ms: self
+                .settings_watch
+                .own_age_ms(ctx.now_ms)
+                .and_then(|age_ms| u32::try_from(age_ms).ok()),
         }
     }
 
--- a/crates/basilstep-core/src/flows/balancer/state/settings.rs
+++ b/crates/basilstep-core/src/flows/balancer/state/settings.rs
@@ -5,6 +5,7 @@
     address::DomainId,
     context::Context,
     flows::{
+        balancer::settings_watch::WatchLimits,
         frame::{AgentReport, ReportReply},
         routes::FleetSettings,
     },
@@ -31,6 +32,33 @@
         is_changed
     }
 
+    /// Records that the settings in force were the newest of the store at `at_ms`.
+    pub fn on_settings_confirmed(&mut self, at_ms: u64) {
+        self.settings_watch.on_confirmed(at_ms);
+    }
+
+    /// Returns whether this balancer has to watch the store for changes of the settings.
+    pub fn watches_settings(&self, ctx: &Context) -> bool {
+        let limits = WatchLimits {
+            watchers: self.settings.settings_watch.watchers,
+            times: self.identity.watch_times,
+        };
+        self.settings_watch.is_needed(
+            self.identity.ip,
+            &self.balancers,
+            &self.fleet,
+            &limits,
+            ctx.now_ms,
+        )
+    }
+
+    /// Returns how long ago the store confirmed the settings in force to this balancer or to another
+    /// one.
+    pub fn settings_age_ms(&self, ctx: &Context) -> Option<u64> {
+        self.settings_watch
+            .age_ms(&self.balancers, &self.fleet, ctx.now_ms)
+    }
+
     /// Returns the reply to the report of an agent.
     pub fn reply_to(&self, agent: Ipv4Addr, report: &AgentReport, ctx: &Context) -> ReportReply {
         let state = self.agents.get(agent);
--- a/crates/basilstep-core/src/flows/balancer/verdict.rs
+++ b/crates/basilstep-core/src/flows/balancer/verdict.rs
@@ -1,4 +1,4 @@
-use super::pending_syns::PendingSyn;
+use super::{pending_syns::PendingSyn, settings_watch::WatchTimes};
 use crate::{
     address::DomainId,
     codes::ResultCode,
@@ -9,7 +9,7 @@
 };
 use std::{collections::BTreeSet, net::Ipv4Addr};
 
-/// The identity of a balancer.
+/// The identity and fixed parameters of a balancer.
 #[derive(Clone, Copy, Debug)]
 pub struct BalancerIdentity {
     /// The balancer's address.
@@ -18,6 +18,8 @@
     pub domain: DomainId,
     /// The incarnation of the balancer.
     pub incarnation: ProcessIncarnation,
+    /// The bounds on the age of its settings.
+    pub watch_times: WatchTimes,
 }
 
 impl BalancerIdentity {
--- a/crates/basilstep-core/src/flows/balancer_list.rs
+++ b/crates/basilstep-core/src/flows/balancer_list.rs
@@ -1,6 +1,8 @@
 use super::{
     frame::{BalancerEntry, BalancerHeartbeat},
     key::{ProcessIncarnation, rendezvous},
+    routes::FleetSettings,
+    store_revision::StoreRevision,
 };
 use crate::address::DomainId;
 use siphasher::sip::SipHasher13;
@@ -17,8 +19,55 @@
     incarnation: ProcessIncarnation,
     last_alive_ms: i64,
     heartbeat: Option<BalancerHeartbeat>,
+    /// The last confirmation of its settings, and the last one of its former settings.
+    confirmations: [Option<Confirmation>; 2],
+    /// Balancers with higher scores watch the store first.
+    watch_score: u64,
 }
 
+/// The store's statement to a balancer that its settings were the newest at some time.
+#[derive(Clone, Copy, Debug)]
+struct Confirmation {
+    confirmed_ms: u64,
+    version: u64,
+    revision: StoreRevision,
+}
+
+impl Confirmation {
+    /// Returns whether it also shows that `settings` were the newest: they are at least as new.
+    ///
+    /// What another era of the store has confirmed says nothing about this one.
+    fn applies_to(&self, settings: &FleetSettings) -> bool {
+        settings.revision.era == self.revision.era
+            && settings.revision >= self.revision
+            && settings.table.version >= self.version
+    }
+}
+
+impl KnownBalancer {
+    fn record_confirmation(&mut self, heartbeat: &BalancerHeartbeat, now_ms: u64) {
+        let Some(age_ms) = heartbeat.settings_age_ms else {
+            return;
+        };
+        let [last, former] = &mut self.confirmations;
+        let is_same = last.is_some_and(|last| {
+            (last.version, last.revision) == (heartbeat.version, heartbeat.revision)
+        });
+        if !is_same {
+            // Still counts for a receiver that has not got the new settings yet.
+            *former = *last;
+        }
+        *last = Some(Confirmation {
+            confirmed_ms: now_ms.saturating_sub(u64::from(age_ms)),
+            version: heartbeat.version,
+            revision: heartbeat.revision,
+        });
+    }
+}
+
+/// Separates the order in which balancers watch the store from other uses of their hashes.
+const WATCH_ORDER_SEED: u64 = 1;
+
 /// The balancers that a process knows, including itself if it is a balancer.
 #[derive(Clone, Debug, Default)]
 pub struct BalancerList {
@@ -54,6 +103,8 @@
             incarnation: entry.incarnation,
             last_alive_ms,
             heartbeat: None,
+            confirmations: [None; 2],
+            watch_score: rendezvous(WATCH_ORDER_SEED, entry.ip),
         };
         self.by_ip.insert(entry.ip, balancer);
         true
@@ -79,6 +130,7 @@
         let is_new = self.merge_entry(&entry, now_ms);
         if let Some(balancer) = self.by_ip.get_mut(&ip) {
             balancer.heartbeat = Some(*heartbeat);
+            balancer.record_confirmation(heartbeat, now_ms);
         }
         is_new
     }
@@ -160,6 +212,44 @@
         selected.into_iter().map(|(_, ip)| ip).collect()
     }
 
+    /// Discards the confirmations of all balancers, whose age is not certain after a pause.
+    pub fn discard_confirmations(&mut self) {
+        for balancer in self.by_ip.values_mut() {
+            balancer.confirmations = [None; 2];
+        }
+    }
+
+    /// Returns when the store last confirmed to a balancer that `settings` are the newest.
+    pub fn confirmed_ms(&self, ip: Ipv4Addr, settings: &FleetSettings) -> Option<u64> {
+        let confirmations = self.by_ip.get(&ip)?.confirmations;
+        confirmations
+            .into_iter()
+            .flatten()
+            .filter(|confirmation| confirmation.applies_to(settings))
+            .map(|confirmation| confirmation.confirmed_ms)
+            .max()
+    }
+
+    /// Returns the balancers in the order in which they watch the store: first one of each domain,
+    /// then the others.
+    pub fn watch_order(&self) -> Vec<Ipv4Addr> {
+        let mut best: BTreeMap<DomainId, u64> = BTreeMap::new();
+        for balancer in self.by_ip.values() {
+            let score = best.entry(balancer.domain).or_default();
+            *score = balancer.watch_score.max(*score);
+        }
+        let mut order: Vec<(bool, u64, Ipv4Addr)> = self
+            .by_ip
+            .iter()
+            .map(|(ip, balancer)| {
+                let is_first = best.get(&balancer.domain) == Some(&balancer.watch_score);
+                (is_first, balancer.watch_score, *ip)
+            })
+            .collect();
+        order.sort_unstable_by(|left, right| right.cmp(left));
+        order.into_iter().map(|(_, _, ip)| ip).collect()
+    }
+
     /// Returns the domain of a balancer.
     pub fn domain_of(&self, ip: Ipv4Addr) -> Option<DomainId> {
         self.by_ip.get(&ip).map(|balancer| balancer.domain)
--- a/crates/basilstep-core/src/flows/frame.rs
+++ b/crates/basilstep-core/src/flows/frame.rs
@@ -11,7 +11,7 @@
 use std::net::Ipv4Addr;
 
 /// The version, which is the first byte of each frame.
-pub(super) const FRAME_VERSION: u8 = 3;
+pub(super) const FRAME_VERSION: u8 = 4;
 
 /// The error for a datagram that is not a valid frame.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
@@ -178,6 +178,8 @@
     pub live_agents: u16,
     /// A hash of the list of balancers.
     pub balancers_hash: u32,
+    /// How long ago the store confirmed to the sender that these settings are the newest.
+    pub settings_age_ms: Option<u32>,
 }
 
 /// An entry in a list of balancers.
--- a/crates/basilstep-core/src/flows/routes.rs
+++ b/crates/basilstep-core/src/flows/routes.rs
@@ -112,8 +112,14 @@
         }
         if other.revision > self.revision {
             is_changed |= self.domains_out != other.domains_out;
+            let mut domains_back = other.domains_back;
+            if other.revision.era == self.revision.era {
+                // A balancer that has just begun to watch does not know earlier returns.
+                domains_back.append(&mut self.domains_back);
+                domains_back.retain(|domain| !other.domains_out.contains(domain));
+            }
             self.domains_out = other.domains_out;
-            self.domains_back = other.domains_back;
+            self.domains_back = domains_back;
             self.revision = other.revision;
         }
         is_changed
--- a/crates/basilstep-core/src/flows/settings.rs
+++ b/crates/basilstep-core/src/flows/settings.rs
@@ -21,6 +21,8 @@
     pub table: FlowTableSettings,
     /// Which balancers are told the holder of a flow.
     pub advertisements: AdvertisementSettings,
+    /// Which balancers ask the store for the operators' settings.
+    pub settings_watch: SettingsWatchSettings,
 }
 
 /// How agents and balancers show that they are running, and when one counts as silent.
@@ -243,3 +245,17 @@
         }
     }
 }
+
+/// Which balancers ask the store for the operators' settings.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct SettingsWatchSettings {
+    /// How many balancers watch the store; the others rely on their heartbeats.
+    pub watchers: usize,
+}
+
+impl Default for SettingsWatchSettings {
+    fn default() -> Self {
+        Self { watchers: 2 }
+    }
+}
--- a/crates/basilstep-core/src/flows/tests/fleet.rs
+++ b/crates/basilstep-core/src/flows/tests/fleet.rs
@@ -15,7 +15,7 @@
             AgentIdentity, CallerVerdict, ColdAllowance, HeartbeatState, SettingsSource,
             TargetHeartbeat, TargetVerdict,
         },
-        balancer::{BalancerIdentity, Verdict},
+        balancer::{BalancerIdentity, Verdict, WatchTimes},
     },
 };
 use std::{
@@ -161,6 +161,7 @@
             ip,
             domain: DomainId(0),
             incarnation: self.next_incarnation(),
+            watch_times: WatchTimes::default(),
         };
         let ctx = self.context();
         let mut balancer = BalancerFlows::new(FlowSettings::default(), own, &ctx);
--- a/crates/basilstep-core/src/flows/tests/mod.rs
+++ b/crates/basilstep-core/src/flows/tests/mod.rs
@@ -14,6 +14,7 @@
 mod restart;
 mod routes;
 mod send_schedule;
+mod settings_watch;
 mod store_era;
 
 use super::{
@@ -21,7 +22,7 @@
     FlowSettings, ForwardHeader, HeldFlows, ProcessIncarnation, RequestKind, Route, RouteTable,
     Segment, ServiceLimits, ServiceShare, ServiceTag, StoreRevision, TargetPhase,
     agent::{AgentIdentity, ColdAllowance, HeartbeatState, TargetHeartbeat},
-    balancer::BalancerIdentity,
+    balancer::{BalancerIdentity, WatchTimes},
 };
 use crate::{address::DomainId, context::Context};
 use std::net::{Ipv4Addr, SocketAddrV4};
@@ -192,6 +193,7 @@
         agents,
         live_agents: agents,
         balancers_hash: 0,
+        settings_age_ms: None,
     }
 }
 
@@ -233,6 +235,7 @@
         ip: balancer_ip(1),
         domain: DomainId(0),
         incarnation: ProcessIncarnation(9),
+        watch_times: WatchTimes::default(),
     };
     let mut balancer = BalancerFlows::new(*settings, own, &context(0));
     balancer.on_fleet_settings(fleet_settings(kind), &context(0));
--- a/crates/basilstep-core/src/flows/tests/store_era.rs
+++ b/crates/basilstep-core/src/flows/tests/store_era.rs
@@ -10,7 +10,7 @@
     flows::{
         AgentReport, BalancerFlows, FleetSettings, ProcessIncarnation, ReportReply, RequestKind,
         StoreRevision, TargetPhase,
-        balancer::{BalancerIdentity, Verdict},
+        balancer::{BalancerIdentity, Verdict, WatchTimes},
     },
 };
 use rstest::rstest;
@@ -219,6 +219,7 @@
         ip: balancer_ip(3),
         domain: DomainId(0),
         incarnation: ProcessIncarnation(3),
+        watch_times: WatchTimes::default(),
     };
     let ctx = context(0);
     let mut balancer = BalancerFlows::new(crate::flows::FlowSettings::default(), identity, &ctx);
--- a/crates/basilstep-node/src/http/client.rs
+++ b/crates/basilstep-node/src/http/client.rs
@@ -61,6 +61,11 @@
         }
     }
 
+    /// Closes the idle connection, if there is one.
+    pub fn disconnect(&mut self) {
+        self.connection = None;
+    }
+
     /// Sends one request; after a failure the next request opens a new connection.
     ///
     /// A response that takes long to arrive, for example a large one on a thin link, is read to its
--- a/crates/basilstep-packet/src/balancer/frames.rs
+++ b/crates/basilstep-packet/src/balancer/frames.rs
@@ -14,6 +14,7 @@
         let mut buffer = [0; MAX_DATAGRAM_BYTES];
         for _ in 0..RECEIVE_BATCH {
             let Some((bytes, peer)) = self.internal_socket.try_receive(&mut buffer) else {
+                self.has_stale_frames = false;
                 return;
             };
             match decode_frame(&buffer[..bytes]) {
@@ -114,6 +115,10 @@
     }
 
     fn on_heartbeat(&mut self, peer: Ipv4Addr, heartbeat: &BalancerHeartbeat) {
+        let heartbeat = &BalancerHeartbeat {
+            settings_age_ms: heartbeat.settings_age_ms.filter(|_| !self.has_stale_frames),
+            ..*heartbeat
+        };
         let is_new = self.flows.on_heartbeat(peer, heartbeat, &self.ctx);
         if is_new {
             log::info!(balancer:% = peer, lifetime = heartbeat.incarnation.0; "discovered a balancer");
--- a/crates/basilstep-packet/src/balancer/serve.rs
+++ b/crates/basilstep-packet/src/balancer/serve.rs
@@ -6,12 +6,16 @@
     pause_detector::PauseDetector,
     process::{self, ProcessError, StartContext},
     request_forwarder::{PendingRequest, RequestForwarder},
-    store_tasks::{self, EraSignal, RegisteredBalancer, Registration, StoreEvent},
+    store_tasks::{
+        self, ConfirmedSettings, EraSignal, RegisteredBalancer, Registration, SettingsWatcher,
+        StoreEvent,
+    },
 };
 use basilstep_core::{
     context::Context,
     flows::{
-        BalancerFlows, FleetSettings, FlowSettings, Frame, Recipients, balancer::BalancerIdentity,
+        BalancerFlows, FleetSettings, FlowSettings, Frame, Recipients,
+        balancer::{BalancerIdentity, WatchTimes},
         encode_frame,
     },
 };
@@ -30,7 +34,7 @@
 use tokio::{
     signal::unix::Signal,
     sync::{mpsc, watch},
-    time::{MissedTickBehavior, interval, sleep},
+    time::{Instant, MissedTickBehavior, interval, sleep},
 };
 
 /// The interval of timer checks.
@@ -42,6 +46,10 @@
 /// flight need slightly longer.
 const STOP_DELAY_MS: u64 = 1_800;
 
+/// The time between two events, with a tick each 50 ms, from which on the process may have been
+/// stopped in between.
+const MIN_STALL_MS: u64 = 300;
+
 /// The capacity of the event channels of the packet task.
 const EVENT_QUEUE_CAPACITY: usize = 256;
 
@@ -70,8 +78,10 @@
     pub(super) metrics: Metrics,
     pub(super) frame_buffer: Vec<u8>,
     pub(super) is_pulling_settings: bool,
-    /// When the store last answered what the operators' settings are.
-    confirmed_ms: Option<u64>,
+    /// Frames that wait may be older than the last pause or stall of the process.
+    pub(super) has_stale_frames: bool,
+    /// Whether this balancer watches the store for changes of the settings.
+    watches_settings: watch::Sender<bool>,
     pub(super) era_signal: EraSignal,
     /// How many agents this balancer knows, for its entry in the store.
     known_agents: watch::Sender<u16>,
@@ -98,13 +108,14 @@
         .spawn_server("the internal port", Some(internal))
         .await?;
     if let Some(store) = machine.store_address {
-        let names = machine.domain_names.clone();
-        tokio::spawn(store_tasks::watch_operator_settings(
-            store,
-            names,
-            store_sender.clone(),
-            balancer.era_signal.clone(),
-        ));
+        tokio::spawn(store_tasks::watch_operator_settings(SettingsWatcher {
+            address: store,
+            domain_names: machine.domain_names.clone(),
+            times: WatchTimes::for_apply_limit(machine.apply_limit_ms),
+            is_needed: balancer.watches_settings.subscribe(),
+            event_sender: store_sender.clone(),
+            era_signal: balancer.era_signal.clone(),
+        }));
         tokio::spawn(store_tasks::maintain_registration(
             store,
             RegisteredBalancer {
@@ -155,6 +166,7 @@
             ip: machine.ip,
             domain: machine.domain,
             incarnation: start.incarnation,
+            watch_times: WatchTimes::for_apply_limit(machine.apply_limit_ms),
         };
         let settings = start.settings;
         let internal = SocketAddrV4::new(machine.ip, machine.internal_port);
@@ -169,7 +181,8 @@
             metrics: Metrics::new(),
             frame_buffer: Vec::new(),
             is_pulling_settings: false,
-            confirmed_ms: None,
+            has_stale_frames: false,
+            watches_settings: watch::channel(true).0,
             era_signal: EraSignal::new(),
             known_agents: watch::channel(0).0,
             event_sender,
@@ -182,9 +195,12 @@
 
     /// Updates the time and handles a pause of the machine, if there was one.
     pub(super) fn refresh_time(&mut self) {
+        let before_ms = self.ctx.now_ms;
         if let Some(pause_ms) = self.pause_detector.refresh(&mut self.ctx) {
             self.flows.on_pause(pause_ms, &self.ctx);
+            self.has_stale_frames = true;
         }
+        self.has_stale_frames |= self.ctx.now_ms >= before_ms + MIN_STALL_MS;
     }
 
     /// Sends a frame without a packet.
@@ -226,15 +242,44 @@
     fn on_store_event(&mut self, event: StoreEvent) {
         self.refresh_time();
         match event {
-            StoreEvent::Settings(settings) => {
-                self.confirmed_ms = Some(self.ctx.now_ms);
-                self.apply_settings(settings, "store");
+            StoreEvent::Settings(ConfirmedSettings {
+                settings,
+                confirmed,
+            }) => {
+                self.record_confirmation(confirmed);
+                if self.apply_settings(settings, "store") {
+                    self.send_heartbeats(Recipients::All);
+                }
             }
-            StoreEvent::Unchanged => self.confirmed_ms = Some(self.ctx.now_ms),
+            StoreEvent::Unchanged(confirmed) => self.record_confirmation(confirmed),
             StoreEvent::Balancers(registered) => self.on_registered(&registered),
         }
     }
 
+    fn record_confirmation(&mut self, confirmed: Instant) {
+        let age_ms = confirmed.elapsed().as_millis() as u64;
+        let confirmed_ms = self.ctx.now_ms.saturating_sub(age_ms);
+        self.flows.on_settings_confirmed(confirmed_ms);
+    }
+
+    /// Starts or ends watching the store for changes of the settings.
+    fn update_settings_watch(&mut self) {
+        let is_needed = self.flows.watches_settings(&self.ctx);
+        let is_changed = self.watches_settings.send_if_modified(|watches| {
+            let is_changed = *watches != is_needed;
+            *watches = is_needed;
+            is_changed
+        });
+        if is_changed {
+            log::info!(
+                watches = is_needed,
+                settings_age_ms = self.flows.settings_age_ms(&self.ctx),
+                balancers = self.flows.balancers().len();
+                "watching the store for settings changed"
+            );
+        }
+    }
+
     fn on_registered(&mut self, registered: &[Registration]) {
         let heartbeat = Frame::Heartbeat(self.flows.heartbeat(&self.ctx));
         let known: Vec<Ipv4Addr> = self.flows.balancers().addresses().collect();
@@ -246,9 +291,10 @@
         }
     }
 
-    fn apply_settings(&mut self, settings: FleetSettings, source: &str) {
+    /// Applies settings; returns whether anything changed.
+    fn apply_settings(&mut self, settings: FleetSettings, source: &str) -> bool {
         if !self.flows.on_fleet_settings(settings, &self.ctx) {
-            return;
+            return false;
         }
         let fleet = self.flows.fleet();
         log::info!(
@@ -260,7 +306,7 @@
             revision:% = fleet.revision;
             "settings are in force"
         );
-        self.send_heartbeats(Recipients::All);
+        true
     }
 
     fn on_tick(&mut self) {
@@ -278,6 +324,7 @@
         self.apply_tick_outcome(&outcome);
         self.known_agents.send_replace(self.flows.known_agents());
         self.send_probes();
+        self.update_settings_watch();
         if self.flows.balancers().len() == 1 {
             self.announce_to_seeds();
         }
@@ -334,7 +381,8 @@
             return ServerResponse::bytes(Bytes::from(settings_pull::encode(self.flows.fleet())));
         }
         if request.path == "/metrics" {
-            self.metrics.set_settings_age(self.settings_age_ms());
+            let age_ms = self.flows.settings_age_ms(&self.ctx);
+            self.metrics.set_settings_age(age_ms);
             return ServerResponse::text(Bytes::from(self.metrics.render()));
         }
         if request.path == "/state" {
@@ -351,12 +399,6 @@
         }
     }
 
-    /// Returns how long ago the store last answered this balancer what the operators' settings are.
-    fn settings_age_ms(&self) -> Option<u64> {
-        self.confirmed_ms
-            .map(|at_ms| self.ctx.now_ms.saturating_sub(at_ms))
-    }
-
     fn state_json(&self) -> String {
         let agents: Vec<_> = self.flows.agents().iter().collect();
         json!({
@@ -366,7 +408,8 @@
             "domains_out": self.flows.fleet().domains_out,
             "held_domains": self.flows.held_domains(),
             "revision": self.flows.fleet().revision,
-            "settings_age_ms": self.settings_age_ms(),
+            "settings_age_ms": self.flows.settings_age_ms(&self.ctx),
+            "watches_settings": *self.watches_settings.borrow(),
             "hints": self.flows.hint_count(),
             "balancers": self.flows.balancers().entries(self.ctx.now_ms),
             "agents": agents,
--- a/crates/basilstep-packet/src/store_tasks/mod.rs
+++ b/crates/basilstep-packet/src/store_tasks/mod.rs
@@ -6,22 +6,32 @@
 
 use basilstep_core::flows::FleetSettings;
 use basilstep_platform::store::StoreError;
+use tokio::time::Instant;
 
 pub use era_signal::EraSignal;
-pub use operator_settings::watch_operator_settings;
+pub use operator_settings::{SettingsWatcher, watch_operator_settings};
 pub use registration::{RegisteredBalancer, Registration, list_balancers, maintain_registration};
 
 /// An event from the store.
 #[derive(Debug)]
 pub enum StoreEvent {
     /// The current settings of the operators.
-    Settings(FleetSettings),
-    /// The store has answered that the settings have not changed.
-    Unchanged,
+    Settings(ConfirmedSettings),
+    /// The store has confirmed that the settings had not changed at this time.
+    Unchanged(Instant),
     /// The registered balancers.
     Balancers(Vec<Registration>),
 }
 
+/// Settings of the operators that were the newest at some time.
+#[derive(Clone, Debug)]
+pub struct ConfirmedSettings {
+    /// The settings.
+    pub settings: FleetSettings,
+    /// A time at which no newer ones existed.
+    pub confirmed: Instant,
+}
+
 /// Logs once when the connection to the store is lost and once when it is restored.
 #[derive(Debug)]
 struct ConnectionLog {
--- a/crates/basilstep-packet/src/store_tasks/operator_settings.rs
+++ b/crates/basilstep-packet/src/store_tasks/operator_settings.rs
@@ -1,5 +1,8 @@
-use super::{ConnectionLog, EraSignal, StoreEvent};
-use basilstep_core::{address::DomainId, flows::FleetSettings};
+use super::{ConfirmedSettings, ConnectionLog, EraSignal, StoreEvent};
+use basilstep_core::{
+    address::DomainId,
+    flows::{FleetSettings, balancer::WatchTimes},
+};
 use basilstep_platform::{
     config,
     responses::VersionedItems,
@@ -8,45 +11,66 @@
     store_keys,
 };
 use std::{collections::BTreeSet, net::SocketAddrV4, time::Duration};
-use tokio::{sync::mpsc, time::sleep};
-
-/// The wait time of a watch call.
-///
-/// It bounds how long a change goes unnoticed when the store no longer answers a waiting watch, for
-/// example on a dead connection or after a restore from a copy.
-const WATCH_WAIT: Duration = Duration::from_secs(2);
+use tokio::{
+    sync::{mpsc, watch},
+    time::{Instant, sleep},
+};
 
 /// The delay after a failed call.
 const RETRY_INTERVAL: Duration = Duration::from_millis(250);
 
-/// Watches the operators' keys and reports their settings until the channel is closed.
-pub async fn watch_operator_settings(
-    address: SocketAddrV4,
-    domain_names: Vec<String>,
-    event_sender: mpsc::Sender<StoreEvent>,
-    era_signal: EraSignal,
-) {
-    let mut client = StoreClient::new(address);
-    let mut operators = OperatorSettings::new(domain_names);
+/// The part of the wait after which a watch ends that follows a change.
+///
+/// The answer to a call that returns changes may have been on its way for a while; the next answer
+/// confirms the settings for certain, so it should come soon.
+const FIRST_WAIT_DIVISOR: u32 = 4;
+
+/// What a task needs for watching the operators' keys.
+#[derive(Clone, Debug)]
+pub struct SettingsWatcher {
+    /// The address of the store.
+    pub address: SocketAddrV4,
+    /// The names of all domains.
+    pub domain_names: Vec<String>,
+    /// How long calls may take.
+    pub times: WatchTimes,
+    /// Whether this process has to watch; while it has not, the task makes no calls.
+    pub is_needed: watch::Receiver<bool>,
+    /// Where the settings go.
+    pub event_sender: mpsc::Sender<StoreEvent>,
+    /// The era of the store.
+    pub era_signal: EraSignal,
+}
+
+/// Why a session of calls to the store has ended without an error.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum SessionEnd {
+    NotNeeded,
+    ChannelClosed,
+}
+
+/// Watches the operators' keys while this is needed, and reports their settings until the channel is
+/// closed.
+pub async fn watch_operator_settings(mut watcher: SettingsWatcher) {
+    let call_timeout = Duration::from_millis(watcher.times.call_timeout_ms);
+    let mut client = StoreClient::with_call_timeout(watcher.address, call_timeout);
+    let mut operators = OperatorSettings::new(watcher.domain_names.clone());
     let mut connection = ConnectionLog::new("operators' settings");
     let mut attempted_era = 0;
-    loop {
-        let ended = list_and_watch(
-            &mut client,
-            &mut operators,
-            &event_sender,
-            &mut connection,
-            &era_signal,
-        )
-        .await;
+    while watcher.is_needed.wait_for(|needed| *needed).await.is_ok() {
+        let ended = watcher
+            .list_and_watch(&mut client, &mut operators, &mut connection)
+            .await;
         match ended {
-            Ok(()) => return,
+            Ok(SessionEnd::ChannelClosed) => return,
+            Ok(SessionEnd::NotNeeded) => client.disconnect(),
             Err(StoreError::HistoryGone) => {
                 log::info!("the store compacted its history; listing again");
             }
             Err(StoreError::Restored { era }) => {
                 log::warn!(era; "the store was restored from a copy; listing again");
-                era_signal
+                watcher
+                    .era_signal
                     .start_over(era, &client, &mut attempted_era)
                     .await;
             }
@@ -58,38 +82,52 @@
     }
 }
 
-async fn list_and_watch(
-    client: &mut StoreClient,
-    operators: &mut OperatorSettings,
-    event_sender: &mpsc::Sender<StoreEvent>,
-    connection: &mut ConnectionLog,
-    era_signal: &EraSignal,
-) -> Result<(), StoreError> {
-    let listed = client.range(store_keys::OPERATOR_PREFIX, false).await?;
-    connection.log_restored();
-    era_signal.record(listed.revision.era);
-    let mut revision = listed.revision;
-    operators.replace_all(&listed);
-    if event_sender
-        .send(StoreEvent::Settings(operators.settings.clone()))
-        .await
-        .is_err()
-    {
-        return Ok(());
-    }
-    loop {
-        let call = client.watch(store_keys::OPERATOR_PREFIX, revision.number, WATCH_WAIT);
-        let changes = era_signal.interrupt(revision.era, call).await?;
-        revision = revision.max(changes.revision);
-        let event = if changes.items.is_empty() {
-            StoreEvent::Unchanged
-        } else {
-            operators.apply_changes(&changes);
-            StoreEvent::Settings(operators.settings.clone())
-        };
-        if event_sender.send(event).await.is_err() {
-            return Ok(());
+impl SettingsWatcher {
+    async fn list_and_watch(
+        &self,
+        client: &mut StoreClient,
+        operators: &mut OperatorSettings,
+        connection: &mut ConnectionLog,
+    ) -> Result<SessionEnd, StoreError> {
+        let full_wait = Duration::from_millis(self.times.wait_ms);
+        let first_wait = full_wait / FIRST_WAIT_DIVISOR;
+        let sent = Instant::now();
+        let listed = client.range(store_keys::OPERATOR_PREFIX, false).await?;
+        connection.log_restored();
+        self.era_signal.record(listed.revision.era);
+        let mut revision = listed.revision;
+        operators.replace_all(&listed);
+        let mut event = operators.confirmed(sent);
+        let mut wait = first_wait;
+        while self.event_sender.send(event).await.is_ok() {
+            if !*self.is_needed.borrow() {
+                return Ok(SessionEnd::NotNeeded);
+            }
+            let sent = Instant::now();
+            let call = client.watch(store_keys::OPERATOR_PREFIX, revision.number, wait);
+            let changes = self.era_signal.interrupt(revision.era, call).await?;
+            revision = revision.max(changes.revision);
+            if changes.items.is_empty() {
+                event = StoreEvent::Unchanged(confirmed_by_wait(sent, wait));
+                wait = full_wait;
+            } else {
+                operators.apply_changes(&changes);
+                event = operators.confirmed(sent);
+                wait = first_wait;
+            }
         }
+        Ok(SessionEnd::ChannelClosed)
+    }
+}
+
+/// Returns a time at which the answer of a watch without changes was certainly true.
+///
+/// The store waits for the whole wait time before it gives that answer, which may then be read late.
+fn confirmed_by_wait(sent: Instant, wait: Duration) -> Instant {
+    if sent.elapsed() < wait {
+        sent
+    } else {
+        sent + wait
     }
 }
 
@@ -108,6 +146,13 @@
         }
     }
 
+    fn confirmed(&self, confirmed: Instant) -> StoreEvent {
+        StoreEvent::Settings(ConfirmedSettings {
+            settings: self.settings.clone(),
+            confirmed,
+        })
+    }
+
     fn replace_all(&mut self, listed: &VersionedItems) {
         self.settings.domains_out = BTreeSet::new();
         if listed.revision.era != self.settings.revision.era {
--- a/crates/basilstep-packet/tests/processes/fleet.rs
+++ b/crates/basilstep-packet/tests/processes/fleet.rs
@@ -196,6 +196,7 @@
         agents: 0,
         live_agents: 0,
         balancers_hash: 0,
+        settings_age_ms: None,
     };
     let mut frame = Vec::new();
     encode_frame(&Frame::Heartbeat(heartbeat), &[], &mut frame);
