feat(flows): reports to other domains at a bounded rate, whatever the size of the fleet

Cause: each agent and balancer sent each balancer of other domains one to two messages a second: at 59 balancers and 136 agents some 18,000 datagrams a second between domains. A balancer that forwards a packet to an agent with an old report asks it at once (a probe), so these reports mostly say that the agent exists.

Change: above 32 balancers, 8 balancers of other domains get a report in one interval, each at most 8 s after the last. Heartbeats of balancers that watch the store keep their pace. Each process has its own phase: all used the same one, so that a balancer heard a whole domain in one interval and then nothing. A domain counts as silent when 8 messages are missing, which now depends on the pace. The age of a former incarnation allows for the pace of its reports.

--- a/crates/basilstep-core/src/flows/agent/state.rs
+++ b/crates/basilstep-core/src/flows/agent/state.rs
@@ -117,7 +117,7 @@
             balancers: BalancerList::default(),
             advertiser: FlowAdvertiser::default(),
             advertisement_scope: AdvertisementScope::default(),
-            send_schedule: SendSchedule::default(),
+            send_schedule: SendSchedule::new(identity.incarnation),
             former_incarnation: FormerIncarnation::default(),
             started_ms: ctx.now_ms,
             is_stopping: false,
--- a/crates/basilstep-core/src/flows/agent/state/reporting.rs
+++ b/crates/basilstep-core/src/flows/agent/state/reporting.rs
@@ -8,7 +8,7 @@
         agent::table::{Flow, FlowStage},
         frame::{AgentReport, BalancerEntry, HeldFlows},
         key::FlowKey,
-        send_schedule::{self, Recipients},
+        send_schedule::{self, Pace, Recipients},
     },
 };
 use std::net::Ipv4Addr;
@@ -67,6 +67,7 @@
                 balancer,
                 &self.balancers,
                 self.identity.domain,
+                Pace::Idle,
                 &self.settings,
             ),
         }
@@ -85,6 +86,7 @@
             source,
             &self.balancers,
             self.identity.domain,
+            Pace::Idle,
             &self.settings,
         );
         balancers
--- a/crates/basilstep-core/src/flows/balancer/liveness.rs
+++ b/crates/basilstep-core/src/flows/balancer/liveness.rs
@@ -2,12 +2,9 @@
 use crate::{address::DomainId, flows::settings::FlowSettings};
 use std::{collections::BTreeMap, net::Ipv4Addr};
 
-/// How many processes of a domain must have sent messages before their common silence counts as the
-/// failure of the domain.
-///
-/// At the slowest pace eight processes send eight messages a second; the loss of all messages
-/// within 800 ms is practically impossible.
-const MIN_DOMAIN_PROCESSES: usize = 8;
+/// How many messages a domain must be expected to send within a time before its silence for that
+/// time counts as its failure; the loss of all of them is practically impossible.
+const MIN_EXPECTED_MESSAGES: u64 = 8;
 
 #[derive(Clone, Copy, Debug)]
 struct Probe {
@@ -122,13 +119,25 @@
             .is_some_and(|probe| now_ms >= probe.since_ms + answer_within_ms);
         is_unanswered
             || !state.has_reported_within(limit_ms, now_ms)
-            || self.is_domain_silent(state.report.domain, limit_ms, now_ms)
+            || self.is_domain_silent(state, limit_ms, settings, now_ms)
     }
 
-    fn is_domain_silent(&self, domain: DomainId, limit_ms: u64, now_ms: u64) -> bool {
-        self.domains.get(&domain).is_some_and(|activity| {
-            activity.last_message_ms.len() >= MIN_DOMAIN_PROCESSES
-                && now_ms >= activity.last_ms + limit_ms
-        })
+    /// Returns whether the domain of an agent has been silent for `limit_ms`, in which its processes,
+    /// at the pace of this agent, send a number of messages.
+    fn is_domain_silent(
+        &self,
+        state: &AgentState,
+        limit_ms: u64,
+        settings: &FlowSettings,
+        now_ms: u64,
+    ) -> bool {
+        let interval_ms = settings.liveness.report_interval_ms * u64::from(state.report.slowness);
+        self.domains
+            .get(&state.report.domain)
+            .is_some_and(|activity| {
+                let processes = activity.last_message_ms.len() as u64;
+                processes * limit_ms >= MIN_EXPECTED_MESSAGES * interval_ms
+                    && now_ms >= activity.last_ms + limit_ms
+            })
     }
 }
--- a/crates/basilstep-core/src/flows/balancer/settings_watch.rs
+++ b/crates/basilstep-core/src/flows/balancer/settings_watch.rs
@@ -92,15 +92,25 @@
             .map(|at_ms| now_ms.saturating_sub(at_ms));
         heard.chain(self.own_age_ms(now_ms)).min()
     }
+}
 
+/// How many balancers watch, and how old their confirmations may be.
+#[derive(Clone, Copy, Debug)]
+pub struct WatchLimits {
+    /// How many balancers watch the store in calm.
+    pub watchers: usize,
+    /// The bounds on the age of the settings.
+    pub times: WatchTimes,
+}
+
+impl WatchLimits {
     /// Returns whether the balancer `own_ip` has to watch the store: fewer than `watchers` balancers
     /// that come before it have had these settings confirmed recently.
-    pub fn is_needed(
+    pub fn is_watch_needed(
         &self,
         own_ip: Ipv4Addr,
         balancers: &BalancerList,
         settings: &FleetSettings,
-        limits: &WatchLimits,
         now_ms: u64,
     ) -> bool {
         if !settings.is_known() {
@@ -108,27 +118,16 @@
         }
         let order = balancers.watch_order();
         let before = order.iter().take_while(|ip| **ip != own_ip).count();
-        let max_age_ms = limits.max_age_ms(before, order.len());
+        let max_age_ms = self.max_age_ms(before, order.len());
         let relied_on = order[..before]
             .iter()
             .filter_map(|ip| balancers.confirmed_ms(*ip, settings))
             .filter(|at_ms| now_ms < at_ms + max_age_ms)
-            .take(limits.watchers)
+            .take(self.watchers)
             .count();
-        relied_on < limits.watchers
+        relied_on < self.watchers
     }
-}
 
-/// How many balancers watch, and how old their confirmations may be.
-#[derive(Clone, Copy, Debug)]
-pub struct WatchLimits {
-    /// How many balancers watch the store in calm.
-    pub watchers: usize,
-    /// The bounds on the age of the settings.
-    pub times: WatchTimes,
-}
-
-impl WatchLimits {
     /// Returns the age of the settings at which the balancer with `before` of `balancers` before it
     /// starts to watch.
     ///
--- a/crates/basilstep-core/src/flows/balancer/state.rs
+++ b/crates/basilstep-core/src/flows/balancer/state.rs
@@ -92,7 +92,7 @@
             first_agent_ms: ctx.now_ms,
             is_stopping: false,
             is_backlog_stale: false,
-            send_schedule: SendSchedule::default(),
+            send_schedule: SendSchedule::new(identity.incarnation),
             settings_watch: SettingsWatch::default(),
         }
     }
--- a/crates/basilstep-core/src/flows/balancer/state/heartbeats.rs
+++ b/crates/basilstep-core/src/flows/balancer/state/heartbeats.rs
@@ -3,7 +3,10 @@
 use super::BalancerFlows;
 use crate::{
     context::Context,
-    flows::{frame::BalancerHeartbeat, send_schedule::Recipients},
+    flows::{
+        frame::BalancerHeartbeat,
+        send_schedule::{Pace, Recipients},
+    },
 };
 use std::net::Ipv4Addr;
 
@@ -32,12 +35,25 @@
     }
 
     /// Returns the balancers that get a heartbeat in this interval.
-    pub fn due_heartbeats(&mut self, recipients: Recipients) -> Vec<Ipv4Addr> {
+    ///
+    /// Others rely on the heartbeats of balancers that watch the store.
+    pub fn due_heartbeats(&mut self, recipients: Recipients, ctx: &Context) -> Vec<Ipv4Addr> {
+        let max_age_ms = self.identity.watch_times.max_age_ms;
+        let is_relied_on = self
+            .settings_watch
+            .own_age_ms(ctx.now_ms)
+            .is_some_and(|age_ms| age_ms < max_age_ms);
+        let pace = if is_relied_on {
+            Pace::Active
+        } else {
+            Pace::Idle
+        };
         let mut receivers = self.send_schedule.next_interval(
             recipients,
             None,
             &self.balancers,
             self.identity.domain,
+            pace,
             &self.settings,
         );
         receivers.retain(|peer| *peer != self.identity.ip);
--- a/crates/basilstep-core/src/flows/balancer/state/settings.rs
+++ b/crates/basilstep-core/src/flows/balancer/state/settings.rs
@@ -43,13 +43,7 @@
             watchers: self.settings.settings_watch.watchers,
             times: self.identity.watch_times,
         };
-        self.settings_watch.is_needed(
-            self.identity.ip,
-            &self.balancers,
-            &self.fleet,
-            &limits,
-            ctx.now_ms,
-        )
+        limits.is_watch_needed(self.identity.ip, &self.balancers, &self.fleet, ctx.now_ms)
     }
 
     /// Returns how long ago the store confirmed the settings in force to this balancer or to another
@@ -62,7 +56,12 @@
     /// Returns the reply to the report of an agent.
     pub fn reply_to(&self, agent: Ipv4Addr, report: &AgentReport, ctx: &Context) -> ReportReply {
         let state = self.agents.get(agent);
-        let former_reported_ms = state.and_then(|state| state.former_reported_ms);
+        // It may have run until its next report to this balancer was due.
+        let interval_ms = self.settings.liveness.report_interval_ms;
+        let unreported_ms = u64::from(report.slowness.saturating_sub(1)) * interval_ms;
+        let former_reported_ms = state
+            .and_then(|state| state.former_reported_ms)
+            .map(|at_ms| at_ms + unreported_ms);
         ReportReply {
             incarnation: self.identity.incarnation,
             version: self.fleet.table.version,
--- a/crates/basilstep-core/src/flows/frame.rs
+++ b/crates/basilstep-core/src/flows/frame.rs
@@ -154,8 +154,8 @@
     pub limits: Option<ServiceLimits>,
     /// A hash of the list of balancers.
     pub balancers_hash: u32,
-    /// How long ago the last report of the agent's former incarnation arrived, if the balancer
-    /// knows one.
+    /// How long ago the agent's former incarnation may last have run, by its last report and the
+    /// time until the next one, less one report interval; `None` if the balancer knows of none.
     pub former_report_age_ms: Option<u32>,
 }
 
--- a/crates/basilstep-core/src/flows/send_schedule.rs
+++ b/crates/basilstep-core/src/flows/send_schedule.rs
@@ -1,4 +1,8 @@
-use super::{balancer_list::BalancerList, key::rendezvous, settings::FlowSettings};
+use super::{
+    balancer_list::BalancerList,
+    key::{ProcessIncarnation, rendezvous},
+    settings::FlowSettings,
+};
 use crate::address::DomainId;
 use std::net::Ipv4Addr;
 
@@ -11,16 +15,37 @@
     All,
 }
 
+/// How often balancers of other domains get a message of a process.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Pace {
+    /// Each time that they rely on what it says.
+    Active,
+    /// Often enough to know that the process exists; they ask when they need to know more.
+    Idle,
+}
+
 /// The schedule by which reports or heartbeats go to each of many balancers.
 ///
-/// Their total number grows with the square of the fleet. Beyond [`FlowSettings::pace_all`]
-/// balancers, those of other domains get only every second, third or at least fourth one, in turns.
-#[derive(Clone, Copy, Debug, Default)]
+/// Their total number grows with the square of the fleet. Beyond [`LivenessSettings::pace_all`]
+/// balancers, those of other domains get a message only now and then, in turns.
+///
+/// [`LivenessSettings::pace_all`]: super::settings::LivenessSettings::pace_all
+#[derive(Clone, Copy, Debug)]
 pub struct SendSchedule {
+    /// Differs between processes, so that the messages of many do not come at the same time.
+    phase: u64,
     interval_number: u64,
 }
 
 impl SendSchedule {
+    /// Creates the schedule of a process.
+    pub fn new(incarnation: ProcessIncarnation) -> Self {
+        Self {
+            phase: u64::from(incarnation.0),
+            interval_number: 0,
+        }
+    }
+
     /// Starts the next send interval of a process in `domain` and returns the balancers that get a
     /// message; `always` is included even if it is not its turn.
     pub fn next_interval(
@@ -29,6 +54,7 @@
         always: Option<Ipv4Addr>,
         balancers: &BalancerList,
         domain: DomainId,
+        pace: Pace,
         settings: &FlowSettings,
     ) -> Vec<Ipv4Addr> {
         self.interval_number += 1;
@@ -36,7 +62,7 @@
             .addresses()
             .filter(|balancer| {
                 let send_period_intervals =
-                    send_period_intervals(*balancer, balancers, domain, settings);
+                    send_period_intervals(*balancer, balancers, domain, pace, settings);
                 recipients == Recipients::All
                     || Some(*balancer) == always
                     || self.is_turn_of(*balancer, send_period_intervals)
@@ -45,7 +71,7 @@
     }
 
     fn is_turn_of(self, balancer: Ipv4Addr, send_period_intervals: u16) -> bool {
-        let place = rendezvous(0, balancer).wrapping_add(self.interval_number);
+        let place = rendezvous(self.phase, balancer).wrapping_add(self.interval_number);
         place.is_multiple_of(u64::from(send_period_intervals))
     }
 }
@@ -56,13 +82,20 @@
     balancer: Ipv4Addr,
     balancers: &BalancerList,
     domain: DomainId,
+    pace: Pace,
     settings: &FlowSettings,
 ) -> u16 {
-    if balancers.domain_of(balancer) == Some(domain) {
+    let liveness = &settings.liveness;
+    let is_own_domain = balancers.domain_of(balancer) == Some(domain);
+    if is_own_domain || balancers.len() <= liveness.pace_all {
         return 1;
     }
-    let intervals = balancers.len().div_ceil(settings.liveness.pace_all.max(1));
+    let (per_interval, slowest) = match pace {
+        Pace::Active => (liveness.pace_all, liveness.slowest_pace),
+        Pace::Idle => (liveness.idle_per_interval, liveness.slowest_idle_pace),
+    };
+    let intervals = balancers.len().div_ceil(per_interval.max(1));
     u16::try_from(intervals)
         .unwrap_or(u16::MAX)
-        .clamp(1, settings.liveness.slowest_pace.max(1))
+        .clamp(1, slowest.max(1))
 }
--- a/crates/basilstep-core/src/flows/settings.rs
+++ b/crates/basilstep-core/src/flows/settings.rs
@@ -41,9 +41,14 @@
     pub forget_after_ms: u64,
     /// The number of balancers up to which each gets every report and heartbeat.
     pub pace_all: usize,
-    /// The maximum number of report intervals between two reports or heartbeats to a balancer of
-    /// another domain.
+    /// The maximum number of report intervals between two heartbeats to a balancer of another domain
+    /// that relies on them.
     pub slowest_pace: u16,
+    /// The number of balancers of other domains that get a report, or a heartbeat on which they do
+    /// not rely, in one report interval.
+    pub idle_per_interval: usize,
+    /// The maximum number of report intervals between two of these.
+    pub slowest_idle_pace: u16,
 }
 
 impl Default for LivenessSettings {
@@ -55,6 +60,8 @@
             forget_after_ms: 20_000,
             pace_all: 32,
             slowest_pace: 4,
+            idle_per_interval: 8,
+            slowest_idle_pace: 32,
         }
     }
 }
--- a/crates/basilstep-packet/src/balancer/serve.rs
+++ b/crates/basilstep-packet/src/balancer/serve.rs
@@ -343,7 +343,7 @@
     pub(super) fn send_heartbeats(&mut self, recipients: Recipients) {
         self.next_heartbeat_ms = self.ctx.now_ms + self.settings.liveness.report_interval_ms;
         let heartbeat = Frame::Heartbeat(self.flows.heartbeat(&self.ctx));
-        for peer in self.flows.due_heartbeats(recipients) {
+        for peer in self.flows.due_heartbeats(recipients, &self.ctx) {
             self.send_frame(peer, &heartbeat);
         }
     }
