feat(packet): processes that start ask an unresponsive store again soon

Cause: a call that is sent while the store is silent is never answered, and ended only after 1 s.

Change: the first call of a process may take 200 ms, later ones twice as long each up to the limit, until the first answer.

Tests: flows/tests/store_outage.rs (195 processes, outages of 0.3 to 3 s).

--- a/crates/basilstep-core/src/flows/mod.rs
+++ b/crates/basilstep-core/src/flows/mod.rs
@@ -17,6 +17,7 @@
 mod segment;
 mod send_schedule;
 mod settings;
+mod store_retry;
 mod store_revision;
 
 #[cfg(test)]
@@ -35,4 +36,5 @@
 pub use segment::{Flags, Segment};
 pub use send_schedule::Recipients;
 pub use settings::FlowSettings;
+pub use store_retry::StoreRetry;
 pub use store_revision::StoreRevision;
--- a/crates/basilstep-core/src/flows/tests/mod.rs
+++ b/crates/basilstep-core/src/flows/tests/mod.rs
@@ -16,6 +16,7 @@
 mod send_schedule;
 mod settings_watch;
 mod store_era;
+mod store_outage;
 
 use super::{
     AgentFlows, AgentReport, BalancerFlows, BalancerHeartbeat, Flags, FleetSettings, FlowKey,
--- a/crates/basilstep-packet/src/balancer/packets.rs
+++ b/crates/basilstep-packet/src/balancer/packets.rs
@@ -106,7 +106,14 @@
         if packets.is_empty() {
             return;
         }
-        log::info!(agent:% = agent, flows = packets.len(); "asked a new agent for flows without a holder");
+        if let Some(left_out) = self.admit_log_line(ResultCode::FlowSearched) {
+            log::info!(
+                agent:% = agent,
+                flows = packets.len(),
+                left_out;
+                "asked a new agent for flows without a holder"
+            );
+        }
         for asked in packets {
             self.send_next_hop(&asked.next_hop, &asked.packet);
         }
--- a/crates/basilstep-packet/src/store_tasks/operator_settings.rs
+++ b/crates/basilstep-packet/src/store_tasks/operator_settings.rs
@@ -1,7 +1,7 @@
 use super::{ConfirmedSettings, ConnectionLog, EraSignal, StoreEvent};
 use basilstep_core::{
     address::DomainId,
-    flows::{FleetSettings, balancer::WatchTimes},
+    flows::{FleetSettings, StoreRetry, balancer::WatchTimes},
 };
 use basilstep_platform::{
     config,
@@ -17,7 +17,7 @@
 };
 
 /// The delay after a failed call.
-const RETRY_INTERVAL: Duration = Duration::from_millis(250);
+const RETRY_INTERVAL_MS: u64 = 250;
 
 /// The part of the wait after which a watch ends that follows a change.
 ///
@@ -52,14 +52,15 @@
 /// Watches the operators' keys while this is needed, and reports their settings until the channel is
 /// closed.
 pub async fn watch_operator_settings(mut watcher: SettingsWatcher) {
-    let call_timeout = Duration::from_millis(watcher.times.call_timeout_ms);
-    let mut client = StoreClient::with_call_timeout(watcher.address, call_timeout);
+    let mut client = StoreClient::new(watcher.address);
+    let mut retry = StoreRetry::new(watcher.times.call_timeout_ms, RETRY_INTERVAL_MS);
     let mut operators = OperatorSettings::new(watcher.domain_names.clone());
     let mut connection = ConnectionLog::new("operators' settings");
     let mut attempted_era = 0;
     while watcher.is_needed.wait_for(|needed| *needed).await.is_ok() {
+        client.set_call_timeout(Duration::from_millis(retry.timeout_ms()));
         let ended = watcher
-            .list_and_watch(&mut client, &mut operators, &mut connection)
+            .list_and_watch(&mut client, &mut operators, &mut connection, &mut retry)
             .await;
         match ended {
             Ok(SessionEnd::ChannelClosed) => return,
@@ -76,7 +77,7 @@
             }
             Err(error) => {
                 connection.log_lost(&error);
-                sleep(RETRY_INTERVAL).await;
+                sleep(Duration::from_millis(retry.on_failure())).await;
             }
         }
     }
@@ -88,12 +89,15 @@
         client: &mut StoreClient,
         operators: &mut OperatorSettings,
         connection: &mut ConnectionLog,
+        retry: &mut StoreRetry,
     ) -> Result<SessionEnd, StoreError> {
         let full_wait = Duration::from_millis(self.times.wait_ms);
         let first_wait = full_wait / FIRST_WAIT_DIVISOR;
         let sent = Instant::now();
         let listed = client.range(store_keys::OPERATOR_PREFIX, false).await?;
         connection.log_restored();
+        retry.on_answer();
+        client.set_call_timeout(Duration::from_millis(retry.timeout_ms()));
         self.era_signal.record(listed.revision.era);
         let mut revision = listed.revision;
         operators.replace_all(&listed);
--- a/crates/basilstep-packet/src/store_tasks/registration.rs
+++ b/crates/basilstep-packet/src/store_tasks/registration.rs
@@ -1,7 +1,8 @@
 use super::{ConnectionLog, EraSignal, StoreEvent};
+use basilstep_core::flows::StoreRetry;
 use basilstep_platform::{
     responses::StoreItem,
-    store::{Lease, StoreClient, StoreError},
+    store::{CALL_TIMEOUT, Lease, StoreClient, StoreError},
     store_keys,
 };
 use serde::{Deserialize, Serialize};
@@ -26,9 +27,9 @@
 /// each other again within 20 s.
 const RENEWALS_PER_LISTING: u32 = 2;
 
-/// The delay before a lost registration is written again; starting processes depend on registrations
-/// to find balancers.
-const RETRY_INTERVAL: Duration = Duration::from_secs(1);
+/// The delay before a lost registration is written again, in milliseconds; starting processes depend
+/// on registrations to find balancers.
+const RETRY_INTERVAL_MS: u64 = 1_000;
 
 /// The delay before the first renewal, with which the number of agents that a balancer has found
 /// since its start is registered.
@@ -69,6 +70,7 @@
         client: StoreClient::new(address),
         balancer,
         event_sender,
+        retry: StoreRetry::new(CALL_TIMEOUT.as_millis() as u64, RETRY_INTERVAL_MS),
     };
     let mut connection = ConnectionLog::new("balancers' entries");
     let mut attempted_era = 0;
@@ -87,7 +89,7 @@
             }
             Err(error) => connection.log_lost(&error),
         }
-        sleep(RETRY_INTERVAL).await;
+        sleep(Duration::from_millis(registrar.retry.on_failure())).await;
     }
 }
 
@@ -96,6 +98,7 @@
     client: StoreClient,
     balancer: RegisteredBalancer,
     event_sender: mpsc::Sender<StoreEvent>,
+    retry: StoreRetry,
 }
 
 impl Registrar {
@@ -105,7 +108,10 @@
         era_signal: &EraSignal,
     ) -> Result<(), StoreError> {
         // A lease of a former era is not renewed: its id may have been given to another process.
+        self.apply_call_timeout();
         let lease = self.client.grant_lease(REGISTRATION_TTL).await?;
+        self.retry.on_answer();
+        self.apply_call_timeout();
         // Listed before the write, so that the entry of an earlier run of this balancer is seen.
         let mut reported = self.report_registrations().await?;
         let mut written_agents = self.write(&lease).await?;
@@ -128,6 +134,11 @@
         Ok(())
     }
 
+    const fn apply_call_timeout(&mut self) {
+        let call_timeout = Duration::from_millis(self.retry.timeout_ms());
+        self.client.set_call_timeout(call_timeout);
+    }
+
     async fn renew_after(
         &mut self,
         delay: Duration,
