perf(flows): lists of balancers are requested at most each 50 ms

When many balancers start, each heard all others with differing lists and requested each of them; a list holds all balancers.

Test: lists_of_starting_balancers_are_requested_one_at_a_time.

--- a/crates/basilstep-core/src/flows/balancer/state.rs
+++ b/crates/basilstep-core/src/flows/balancer/state.rs
@@ -66,6 +66,8 @@
     is_backlog_stale: bool,
     send_schedule: SendSchedule,
     settings_watch: SettingsWatch,
+    /// When the list of balancers may be requested from another balancer again.
+    next_list_ms: u64,
 }
 
 impl BalancerFlows {
@@ -94,6 +96,7 @@
             is_backlog_stale: false,
             send_schedule: SendSchedule::new(identity.incarnation),
             settings_watch: SettingsWatch::default(),
+            next_list_ms: 0,
         }
     }
 
--- a/crates/basilstep-core/src/flows/balancer/state/heartbeats.rs
+++ b/crates/basilstep-core/src/flows/balancer/state/heartbeats.rs
@@ -10,6 +10,9 @@
 };
 use std::net::Ipv4Addr;
 
+/// The minimum time between two requests for lists of balancers.
+const LIST_INTERVAL_MS: u64 = 50;
+
 impl BalancerFlows {
     /// Returns this balancer's heartbeat.
     pub fn heartbeat(&self, ctx: &Context) -> BalancerHeartbeat {
@@ -60,6 +63,18 @@
         receivers
     }
 
+    /// Returns whether to request the list of balancers of a peer whose list may differ.
+    ///
+    /// When many balancers start, the lists of all differ for a moment, and each one contains all
+    /// balancers: one list in [`LIST_INTERVAL_MS`] is requested.
+    pub const fn try_list_balancers(&mut self, may_differ: bool, ctx: &Context) -> bool {
+        if !may_differ || ctx.now_ms < self.next_list_ms {
+            return false;
+        }
+        self.next_list_ms = ctx.now_ms + LIST_INTERVAL_MS;
+        true
+    }
+
     /// Returns this balancer's last heartbeat, which says that it is shutting down.
     pub fn final_heartbeat(&self, ctx: &Context) -> BalancerHeartbeat {
         BalancerHeartbeat {
--- a/crates/basilstep-core/src/flows/tests/balancer_list.rs
+++ b/crates/basilstep-core/src/flows/tests/balancer_list.rs
@@ -1,7 +1,7 @@
-use super::{balancer_ip, heartbeat};
+use super::{balancer_ip, balancer_with, context, heartbeat};
 use crate::{
     address::DomainId,
-    flows::{BalancerEntry, BalancerHeartbeat, BalancerList, ProcessIncarnation},
+    flows::{BalancerEntry, BalancerHeartbeat, BalancerList, ProcessIncarnation, RequestKind},
 };
 
 fn listed(number: u8, incarnation: u32, age_ms: u32) -> BalancerEntry {
@@ -76,3 +76,15 @@
     assert!(selected.iter().all(|ip| ip.octets()[3] % 2 == 1));
     assert_eq!(selected, list.select_recipients(DomainId(1), 42, 3));
 }
+
+/// All balancers restart: each hears all others, whose lists differ, within a moment.
+#[test]
+fn lists_of_starting_balancers_are_requested_one_at_a_time() {
+    let (mut balancer, _) = balancer_with(0, RequestKind::Idempotent);
+    let requests = (0..50)
+        .filter(|after_ms| balancer.try_list_balancers(true, &context(10_000 + after_ms)))
+        .count();
+    assert_eq!(requests, 1);
+    assert!(balancer.try_list_balancers(true, &context(10_050)));
+    assert!(!balancer.try_list_balancers(false, &context(10_100)));
+}
--- a/crates/basilstep-packet/src/balancer/frames.rs
+++ b/crates/basilstep-packet/src/balancer/frames.rs
@@ -126,7 +126,8 @@
             self.send_frame(peer, &own);
             self.send_balancers_to_agents();
         }
-        if is_new || heartbeat.balancers_hash != self.flows.balancers().hash() {
+        let differs = heartbeat.balancers_hash != self.flows.balancers().hash();
+        if self.flows.try_list_balancers(is_new || differs, &self.ctx) {
             self.send_frame(peer, &Frame::ListBalancers);
         }
         self.era_signal.record(heartbeat.revision.era);
