fix(flows): agents that report rarely are not counted as live for long after their end

Cause: balancers that have just started wait until they have heard from as many agents as any other counts as live, 3 s at most; an agent that reports each 3 s counted as live for 9.6 s after its last report, so after a lost domain they waited for the dead.

Change: an agent counts as live while no report is overdue by 800 ms. Placement and resets allow for lost reports as before.

Test: ended_agent_that_reported_rarely_is_soon_not_counted_as_live.

--- a/crates/basilstep-core/src/flows/balancer/agent_table.rs
+++ b/crates/basilstep-core/src/flows/balancer/agent_table.rs
@@ -50,6 +50,15 @@
         self.report.advertised_total.is_some() && !self.has_all_advertisements
     }
 
+    /// Returns whether no report is overdue by `limit_ms`.
+    ///
+    /// Unlike [`Self::has_reported_within`] this does not allow for the loss of several reports, which
+    /// takes long at a slow pace.
+    pub fn is_on_schedule(&self, limit_ms: u64, interval_ms: u64, now_ms: u64) -> bool {
+        let period_ms = u64::from(self.report.slowness.saturating_sub(1)) * interval_ms;
+        now_ms < self.reported_ms + period_ms + limit_ms
+    }
+
     /// Returns whether the last report is younger than `limit_ms`, the limit for an agent that
     /// sends every report here.
     pub fn has_reported_within(&self, limit_ms: u64, now_ms: u64) -> bool {
--- a/crates/basilstep-core/src/flows/balancer/state/readiness.rs
+++ b/crates/basilstep-core/src/flows/balancer/state/readiness.rs
@@ -54,10 +54,16 @@
         most.map(|most| usize::from(most).max(1))
     }
 
+    /// Returns the agents that are certainly running.
+    ///
+    /// Balancers that have just started wait until they have heard from as many, so an agent that has
+    /// ended must not be counted for long.
     pub(super) fn live_agents(&self, now_ms: u64) -> impl Iterator<Item = Ipv4Addr> {
         let limit_ms = self.settings.liveness.suspect_after_ms;
+        let interval_ms = self.settings.liveness.report_interval_ms;
         self.agents
             .iter()
+            .filter(move |(_, state)| state.is_on_schedule(limit_ms, interval_ms, now_ms))
             .filter(move |(agent, state)| {
                 let liveness = &self.liveness;
                 !liveness.is_silent(**agent, state, limit_ms, &self.settings, now_ms)
--- a/crates/basilstep-core/src/flows/tests/send_schedule.rs
+++ b/crates/basilstep-core/src/flows/tests/send_schedule.rs
@@ -254,3 +254,18 @@
     let passed = balancer.on_packet(&data(flow(1), 10), &context(12_600));
     assert!(matches!(passed, Verdict::Forward(_)));
 }
+
+/// Agents of other domains have ended; balancers that start must not wait for them for long.
+#[test]
+fn ended_agent_that_reported_rarely_is_soon_not_counted_as_live() {
+    let (mut balancer, _) = balancer_with(0, RequestKind::Idempotent);
+    let rare = AgentReport {
+        slowness: 12,
+        ..report(TargetPhase::Serving)
+    };
+    balancer.on_report(agent_ip(1), rare, &context(10_000));
+    let next_report_ms = 10_000 + 12 * 250;
+    assert_eq!(balancer.heartbeat(&context(next_report_ms)).live_agents, 1);
+    let overdue = context(next_report_ms + 800);
+    assert_eq!(balancer.heartbeat(&overdue).live_agents, 0);
+}
