fix(packet): a balancer that restarts does not forget how many agents there were

Each overwrote its entry in the store with the few agents that it had heard from, so nobody knew of the paused one any more, and after 1.5 s flows of requests that may not be repeated were reset.

Change: until its second renewal, after 11 s, a balancer registers at least the number that the entry of its earlier run has.

Test: restarted_balancer_does_not_register_fewer_agents_than_before, red before.

--- a/crates/basilstep-packet/src/store_tasks/registration.rs
+++ b/crates/basilstep-packet/src/store_tasks/registration.rs
@@ -71,6 +71,7 @@
         balancer,
         event_sender,
         retry: StoreRetry::new(CALL_TIMEOUT.as_millis() as u64, RETRY_INTERVAL_MS),
+        former_agents: 0,
     };
     let mut connection = ConnectionLog::new("balancers' entries");
     let mut attempted_era = 0;
@@ -99,6 +100,9 @@
     balancer: RegisteredBalancer,
     event_sender: mpsc::Sender<StoreEvent>,
     retry: StoreRetry,
+    /// The number of agents in the entry of an earlier run of this balancer, until this run has had
+    /// the time to hear from all.
+    former_agents: u16,
 }
 
 impl Registrar {
@@ -114,14 +118,20 @@
         self.apply_call_timeout();
         // Listed before the write, so that the entry of an earlier run of this balancer is seen.
         let mut reported = self.report_registrations().await?;
+        if let Reported::WithOwnEntry { agents } = reported {
+            self.former_agents = agents;
+        }
         let mut written_agents = self.write(&lease).await?;
         connection.log_restored();
         let mut delay = FIRST_RENEWAL_DELAY;
         while reported != Reported::ChannelClosed {
             for _ in 0..RENEWALS_PER_LISTING {
                 self.renew_after(delay, &lease, era_signal).await?;
+                if delay == RENEWAL_INTERVAL {
+                    self.former_agents = 0;
+                }
                 delay = RENEWAL_INTERVAL;
-                if *self.balancer.agents.borrow() != written_agents {
+                if self.agents() != written_agents {
                     written_agents = self.write(&lease).await?;
                 }
             }
@@ -153,9 +163,14 @@
         era_signal.interrupt(era, renewed).await
     }
 
+    /// Returns how many agents the entry names.
+    fn agents(&self) -> u16 {
+        self.former_agents.max(*self.balancer.agents.borrow())
+    }
+
     /// Writes the balancer's entry and returns the number of agents in it.
     async fn write(&mut self, lease: &Lease) -> Result<u16, StoreError> {
-        let agents = *self.balancer.agents.borrow();
+        let agents = self.agents();
         let value = serde_json::to_vec(&RegistrationValue { agents })
             .expect("a registration contains only a number");
         let key = store_keys::balancer_key(self.balancer.ip);
@@ -166,12 +181,13 @@
     async fn report_registrations(&mut self) -> Result<Reported, StoreError> {
         let listed = list_balancers(&mut self.client).await?;
         let own_ip = self.balancer.ip;
-        let is_registered = listed.iter().any(|registered| registered.ip == own_ip);
+        let own = listed.iter().find(|registered| registered.ip == own_ip);
+        let own_agents = own.map(|own| own.agents);
         let sent = self.event_sender.send(StoreEvent::Balancers(listed)).await;
-        Ok(match (sent, is_registered) {
+        Ok(match (sent, own_agents) {
             (Err(_closed), _) => Reported::ChannelClosed,
-            (Ok(()), true) => Reported::WithOwnEntry,
-            (Ok(()), false) => Reported::WithoutOwnEntry,
+            (Ok(()), Some(agents)) => Reported::WithOwnEntry { agents },
+            (Ok(()), None) => Reported::WithoutOwnEntry,
         })
     }
 }
@@ -179,7 +195,10 @@
 /// What came of reporting the registered balancers.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Reported {
-    WithOwnEntry,
+    WithOwnEntry {
+        /// The number of agents in it.
+        agents: u16,
+    },
     WithoutOwnEntry,
     ChannelClosed,
 }
--- a/crates/basilstep-packet/tests/processes/fleet.rs
+++ b/crates/basilstep-packet/tests/processes/fleet.rs
@@ -211,6 +211,28 @@
     assert_eq!(value.unwrap(), br#"{"agents":1}"#);
 }
 
+/// Guards against a series of kills of all balancers, each before it has heard from the agents, that
+/// leaves no record of how many agents there were.
+#[tokio::test]
+async fn restarted_balancer_does_not_register_fewer_agents_than_before() {
+    let mut fleet = Fleet::start("count-kept").await;
+    fleet.configure(1, entry());
+    let balancer = fleet.start_balancer(1);
+    let (agent, _target) = fleet.start_agent(11).await;
+    fleet.await_ready(1).await;
+    sleep(Duration::from_secs(2)).await;
+    fleet.processes[agent].kill();
+    fleet.processes[balancer].kill();
+    let calls = fleet.store.calls();
+    fleet.start_balancer(1);
+    // A listing, a lease, a listing, and the write of the entry.
+    while fleet.store.calls() < calls + 6 {
+        sleep(Duration::from_millis(10)).await;
+    }
+    let value = fleet.store.value(&format!("balancers/{}", fleet.ip(1)));
+    assert_eq!(value.unwrap(), br#"{"agents":1}"#);
+}
+
 /// A heartbeat names an era that the store does not answer from, as when a peer reads another copy.
 #[tokio::test]
 async fn peer_in_an_unknown_era_does_not_make_a_balancer_flood_the_store() {
