feat(flows): a large configuration spreads without filling one link

Cause: balancers that do not watch pull a change from the one that told them of it, all at once: 57 times 35 kB (1,950 routes) from two balancers with links of 20 Mbit/s, and 320 times at the size we build for.

Change: a balancer hands out 128 KiB of settings in 100 ms and turns others away; they ask again and find others that have the settings by then. A pull that is turned away is an info line.

Tests: flows/tests/settings_spread.rs, 60 and 640 balancers.

--- a/crates/basilstep-core/src/flows/balancer/mod.rs
+++ b/crates/basilstep-core/src/flows/balancer/mod.rs
@@ -9,10 +9,12 @@
 mod search;
 mod settings_watch;
 mod state;
+mod transfer_budget;
 mod verdict;
 
 pub use agent_table::{AgentState, AgentTable};
 pub use pending_syns::PendingSyn;
 pub use settings_watch::WatchTimes;
 pub use state::BalancerFlows;
+pub use transfer_budget::TransferBudget;
 pub use verdict::{BalancerIdentity, NextHop, PlacedSyn, SearchPacket, TickOutcome, Verdict};
--- a/crates/basilstep-core/src/flows/tests/mod.rs
+++ b/crates/basilstep-core/src/flows/tests/mod.rs
@@ -14,6 +14,7 @@
 mod restart;
 mod routes;
 mod send_schedule;
+mod settings_spread;
 mod settings_watch;
 mod store_era;
 mod store_outage;
--- a/crates/basilstep-packet/src/balancer/serve.rs
+++ b/crates/basilstep-packet/src/balancer/serve.rs
@@ -15,7 +15,7 @@
     context::Context,
     flows::{
         BalancerFlows, FleetSettings, FlowSettings, Frame, Recipients,
-        balancer::{BalancerIdentity, WatchTimes},
+        balancer::{BalancerIdentity, TransferBudget, WatchTimes},
         encode_frame,
     },
 };
@@ -82,6 +82,7 @@
     pub(super) has_stale_frames: bool,
     /// Whether this balancer watches the store for changes of the settings.
     watches_settings: watch::Sender<bool>,
+    settings_transfers: TransferBudget,
     pub(super) era_signal: EraSignal,
     /// How many agents this balancer knows, for its entry in the store.
     known_agents: watch::Sender<u16>,
@@ -183,6 +184,7 @@
             is_pulling_settings: false,
             has_stale_frames: false,
             watches_settings: watch::channel(true).0,
+            settings_transfers: TransferBudget::default(),
             era_signal: EraSignal::new(),
             known_agents: watch::channel(0).0,
             event_sender,
@@ -383,7 +385,7 @@
     fn answer_request(&mut self, pending: &PendingRequest) -> ServerResponse {
         let request = &pending.request;
         if request.path == SETTINGS_PATH {
-            return ServerResponse::bytes(Bytes::from(settings_pull::encode(self.flows.fleet())));
+            return self.answer_settings_pull();
         }
         if request.path == "/metrics" {
             let age_ms = self.flows.settings_age_ms(&self.ctx);
@@ -404,6 +406,18 @@
         }
     }
 
+    fn answer_settings_pull(&mut self) -> ServerResponse {
+        let settings = settings_pull::encode(self.flows.fleet());
+        if self
+            .settings_transfers
+            .try_send(settings.len(), self.ctx.now_ms)
+        {
+            ServerResponse::bytes(Bytes::from(settings))
+        } else {
+            ServerResponse::empty(StatusCode::SERVICE_UNAVAILABLE)
+        }
+    }
+
     fn state_json(&self) -> String {
         let agents: Vec<_> = self.flows.agents().iter().collect();
         json!({
@@ -428,7 +442,7 @@
     tokio::spawn(async move {
         let pulled = settings_pull::fetch(peer).await;
         if let Err(error) = &pulled {
-            log::warn!(peer:% = peer, reason:% = error; "failed to pull settings from a balancer");
+            log::info!(peer:% = peer, reason:% = error; "failed to pull settings from a balancer");
             sleep(settings_pull::RETRY_DELAY).await;
         }
         if event_sender
--- a/crates/basilstep-packet/src/balancer/settings_pull.rs
+++ b/crates/basilstep-packet/src/balancer/settings_pull.rs
@@ -3,10 +3,11 @@
 use super::serve::SETTINGS_PATH;
 use basilstep_core::flows::FleetSettings;
 use basilstep_node::http::{HttpClient, HttpError};
-use http::Method;
+use http::{Method, StatusCode};
 use std::{net::SocketAddrV4, time::Duration};
 
-/// The timeout of a pull; a peer answers from memory; between domains it takes a few milliseconds.
+/// The time that a peer gets for each part of its answer, which it has in memory; between domains it
+/// takes a few milliseconds.
 const PULL_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// The delay after a failed pull before the next one.
@@ -18,6 +19,12 @@
     /// The peer did not answer.
     #[error("the peer did not answer: {0}")]
     NoResponse(#[from] HttpError),
+    /// The peer is handing out its settings to others.
+    #[error("the peer turned the request away with status {status}")]
+    TurnedAway {
+        /// The HTTP status.
+        status: u16,
+    },
     /// The response cannot be decoded.
     #[error("malformed response from the peer: {0}")]
     MalformedResponse(#[from] postcard::Error),
@@ -42,5 +49,10 @@
     let reply = client
         .call(Method::GET, SETTINGS_PATH, &[], PULL_TIMEOUT)
         .await?;
+    if reply.status != StatusCode::OK {
+        return Err(SettingsPullError::TurnedAway {
+            status: reply.status.as_u16(),
+        });
+    }
     Ok(postcard::from_bytes(&reply.body)?)
 }
