fix(packet): a balancer whose lease has ended registers again at once

Cause: found by the soak with series of restarts (seed 42): all leases ended within the first second, before entries were written again all balancers were killed or paused, and an agent was down; nobody knew of it, and flows of requests that may not be repeated were reset after 1.5 s. A lost entry was written again after 1 s.

Change: at once, unless the lease has lasted for less than 500 ms.

Test: lost_registration_is_written_again_at_once, red before. The two seeds are kept as regressions.

--- a/crates/basilstep-packet/src/store_tasks/registration.rs
+++ b/crates/basilstep-packet/src/store_tasks/registration.rs
@@ -12,7 +12,7 @@
 };
 use tokio::{
     sync::{mpsc, watch},
-    time::sleep,
+    time::{Instant, sleep},
 };
 
 /// The time to live of a registration without renewal.
@@ -31,6 +31,9 @@
 /// on registrations to find balancers.
 const RETRY_INTERVAL_MS: u64 = 1_000;
 
+/// The time for which a lease must have lasted for its end to be answered by a new one at once.
+const MIN_REGISTERED_TIME: Duration = Duration::from_millis(500);
+
 /// The delay before the first renewal, with which the number of agents that a balancer has found
 /// since its start is registered.
 const FIRST_RENEWAL_DELAY: Duration = Duration::from_secs(1);
@@ -76,6 +79,7 @@
     let mut connection = ConnectionLog::new("balancers' entries");
     let mut attempted_era = 0;
     loop {
+        let began = Instant::now();
         let ended = registrar
             .register_and_renew(&mut connection, &era_signal)
             .await;
@@ -88,7 +92,13 @@
                     .await;
                 continue;
             }
-            Err(error) => connection.log_lost(&error),
+            Err(error) => {
+                let is_lease_lost = matches!(error, StoreError::LeaseEnded);
+                connection.log_lost(&error);
+                if is_lease_lost && began.elapsed() >= MIN_REGISTERED_TIME {
+                    continue;
+                }
+            }
         }
         sleep(Duration::from_millis(registrar.retry.on_failure())).await;
     }
--- a/crates/basilstep-packet/tests/processes/fleet.rs
+++ b/crates/basilstep-packet/tests/processes/fleet.rs
@@ -211,6 +211,23 @@
     assert_eq!(value.unwrap(), br#"{"agents":1}"#);
 }
 
+/// Guards against a time without any record of how many agents there are.
+#[tokio::test]
+async fn lost_registration_is_written_again_at_once() {
+    let mut fleet = Fleet::start("lease-ended").await;
+    fleet.configure(1, entry());
+    fleet.start_balancer(1);
+    fleet.await_log(1, "settings are in force", 1).await;
+    let registration = format!("balancers/{}", fleet.ip(1));
+    while !fleet.store.contains(&registration) {
+        sleep(Duration::from_millis(5)).await;
+    }
+    fleet.store.end_leases();
+    fleet.await_log(1, "the store is lost", 1).await;
+    sleep(Duration::from_millis(300)).await;
+    assert!(fleet.store.contains(&registration));
+}
+
 /// Guards against a series of kills of all balancers, each before it has heard from the agents, that
 /// leaves no record of how many agents there were.
 #[tokio::test]
--- a/crates/basilstep-packet/tests/processes/soak/mod.rs
+++ b/crates/basilstep-packet/tests/processes/soak/mod.rs
@@ -224,6 +224,17 @@
     assert!(violations.is_empty(), "seed {seed}: {violations:#?}");
 }
 
+/// The same for seeds with series of restarts.
+#[rstest]
+#[case::balancers_were_killed_before_they_had_heard_from_all_agents(2)]
+#[case::registrations_were_lost_just_before_balancers_were_killed(42)]
+#[tokio::test(flavor = "multi_thread")]
+#[ignore = "takes 20 s for each seed"]
+async fn regressions_with_series(#[case] seed: u64) {
+    let violations = run_seed(seed, LONG_DURATION, SoakKind::RestoredWithSeries).await;
+    assert!(violations.is_empty(), "seed {seed}: {violations:#?}");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 #[ignore = "runs many seeds; see the top of the file"]
 async fn by_hand() {
