fix(flows): the reset of a target that was only asked does not reach the caller

Cause: a target that says well and resets whatever it receives (srv_lying_health) was asked in a search for a flow that another target had just opened.

Change: an agent drops the reset of a target for a flow that it only knows from a search.

Test: reset_of_a_target_that_was_only_asked_does_not_reach_the_caller, red before.

--- a/crates/basilstep-core/src/flows/agent/state.rs
+++ b/crates/basilstep-core/src/flows/agent/state.rs
@@ -164,6 +164,7 @@
         self.table.update(&key, |flow| {
             flow.origin = header.origin;
             flow.origin_domain = header.origin_domain;
+            flow.is_search &= header.is_search;
             flow.record_caller_packet(segment, ctx.now_ms);
         });
         if is_other_origin {
@@ -181,7 +182,9 @@
         let before = self.table.get(&key).copied();
         let stage = before.map(|flow| flow.stage);
         let is_in_handshake = matches!(stage, Some(FlowStage::Offered | FlowStage::Answered));
-        if is_in_handshake && segment.flags.rst {
+        let is_searched =
+            before.is_some_and(|flow| flow.stage == FlowStage::Probed && flow.is_search);
+        if (is_in_handshake || is_searched) && segment.flags.rst {
             // The caller may have opened the flow at another target; only that target may reset it.
             self.table.remove(&key);
             return TargetVerdict::Drop;
@@ -379,12 +382,13 @@
                 code: ResultCode::FlowNotHeld,
             };
         }
-        let flow = Flow::new(
+        let mut flow = Flow::new(
             FlowStage::Probed,
             header.origin,
             header.origin_domain,
             ctx.now_ms,
         );
+        flow.is_search = header.is_search;
         self.table.insert(key, flow);
         deliver(header)
     }
--- a/crates/basilstep-core/src/flows/agent/table.rs
+++ b/crates/basilstep-core/src/flows/agent/table.rs
@@ -50,6 +50,8 @@
 pub struct Flow {
     /// The stage of the flow.
     pub stage: FlowStage,
+    /// The target is only asked whether it holds the flow, like those of other agents.
+    pub is_search: bool,
     /// The balancer that forwarded the caller's last packet.
     pub origin: Ipv4Addr,
     /// The failure domain of that balancer.
@@ -80,6 +82,7 @@
     ) -> Self {
         Self {
             stage,
+            is_search: false,
             origin,
             origin_domain,
             opened_ms: now_ms,
--- a/crates/basilstep-core/src/flows/tests/agent.rs
+++ b/crates/basilstep-core/src/flows/tests/agent.rs
@@ -672,3 +672,24 @@
         Some(balancer_ip(1))
     );
 }
+
+/// A target that resets whatever it receives is asked for a flow that another target holds.
+#[rstest]
+#[case::searched(true, TargetVerdict::Drop)]
+#[case::believed_to_be_the_holder(false, TargetVerdict::ToCaller { handshake_ms: Some(5) })]
+fn reset_of_a_target_that_was_only_asked_does_not_reach_the_caller(
+    #[case] is_search: bool,
+    #[case] verdict: TargetVerdict,
+) {
+    let mut agent = new_agent();
+    let header = ForwardHeader {
+        is_search,
+        ..forward_header(balancer_ip(1))
+    };
+    let packet = data(flow(1), 100);
+    let delivered = agent.on_packet(&header, &packet, &context(100));
+    assert!(matches!(delivered, CallerVerdict::Deliver { .. }));
+    let mut reset = from_target(packet);
+    reset.flags.rst = true;
+    assert_eq!(agent.on_target_packet(&reset, &context(105)), verdict);
+}
