--- a/crates/basilstep-packet/src/balancer/frames.rs
+++ b/crates/basilstep-packet/src/balancer/frames.rs
@@ -102,8 +102,14 @@
         }
     }
 
-    /// Sends the list of balancers to the agents that get their settings from this balancer.
-    fn send_balancers_to_agents(&mut self) {
+    /// Sends the list of balancers to the agents that get their settings from this balancer, if there
+    /// are new ones.
+    ///
+    /// The list names all balancers, and when many start, all are new within a moment.
+    pub(super) fn send_new_balancers_to_agents(&mut self) {
+        if !std::mem::take(&mut self.has_new_balancers) {
+            return;
+        }
         let list = Frame::Balancers(self.flows.balancers().entries(self.ctx.now_ms));
         let agents: Vec<Ipv4Addr> = self
             .flows
@@ -127,7 +133,7 @@
             log::info!(balancer:% = peer, lifetime = heartbeat.incarnation.0; "discovered a balancer");
             let own = Frame::Heartbeat(self.flows.heartbeat(&self.ctx));
             self.send_frame(peer, &own);
-            self.send_balancers_to_agents();
+            self.has_new_balancers = true;
         }
         let differs = heartbeat.balancers_hash != self.flows.balancers().hash();
         if self.flows.try_list_balancers(is_new || differs, &self.ctx) {
--- a/crates/basilstep-packet/src/balancer/serve.rs
+++ b/crates/basilstep-packet/src/balancer/serve.rs
@@ -80,6 +80,8 @@
     pub(super) is_pulling_settings: bool,
     /// Frames that wait may be older than the last pause or stall of the process.
     pub(super) has_stale_frames: bool,
+    /// Balancers were discovered of which the agents have not been told yet.
+    pub(super) has_new_balancers: bool,
     /// Whether this balancer watches the store for changes of the settings.
     watches_settings: watch::Sender<bool>,
     settings_transfers: TransferBudget,
@@ -183,6 +185,7 @@
             frame_buffer: Vec::new(),
             is_pulling_settings: false,
             has_stale_frames: false,
+            has_new_balancers: false,
             watches_settings: watch::channel(true).0,
             settings_transfers: TransferBudget::default(),
             era_signal: EraSignal::new(),
@@ -331,6 +334,7 @@
         self.apply_tick_outcome(&outcome);
         self.known_agents.send_replace(self.flows.known_agents());
         self.send_probes();
+        self.send_new_balancers_to_agents();
         self.update_settings_watch();
         if self.flows.balancers().len() == 1 {
             self.announce_to_seeds();
