--- a/crates/basilstep-core/src/flows/send_schedule.rs
+++ b/crates/basilstep-core/src/flows/send_schedule.rs
@@ -15,12 +15,12 @@
     All,
 }
 
-/// How often balancers of other domains get a message of a process.
+/// How often balancers of other domains get a message of a process; those of its own domain get each.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Pace {
-    /// Each time that they rely on what it says.
+    /// They rely on each message, as on the heartbeats of balancers that watch the store.
     Active,
-    /// Often enough to know that the process exists; they ask when they need to know more.
+    /// They only need to know that the process exists, and probe it when they need to know more.
     Idle,
 }
 
