feat(flows): interfaces for priorities, target health and hedging

Four parts of this work share the frames between balancers and agents, the routes and the settings, so these are committed before the parts: the priority of a route and its rank among the routes to a service, fields of the forward header and of the report (frame version 5), groups of settings, and the contract on the health of targets that a settings file may name.

--- a/crates/basilstep-bench/src/load/one_service.rs
+++ b/crates/basilstep-bench/src/load/one_service.rs
@@ -35,6 +35,7 @@
     let route = Route {
         kind,
         latency_goal_ms,
+        priority: 0,
         shares,
     };
     fleet.table.version = 1;
--- a/crates/basilstep-bench/src/load/packet_path.rs
+++ b/crates/basilstep-bench/src/load/packet_path.rs
@@ -232,6 +232,9 @@
         origin_domain: DomainId(0),
         is_search: false,
         latency_goal_ms: 0,
+        priority_level: 0,
+        priority_levels: 1,
+        may_wait: false,
     }
 }
 
@@ -250,6 +253,9 @@
         wants_reply: false,
         advertised_total: None,
         slowness: 1,
+        service_time_ms: 0,
+        failure_permille: 0,
+        queued: 0,
     }
 }
 
--- a/crates/basilstep-core/src/flows/agent/state/reporting.rs
+++ b/crates/basilstep-core/src/flows/agent/state/reporting.rs
@@ -70,6 +70,9 @@
                 Pace::Idle,
                 &self.settings,
             ),
+            service_time_ms: 0,
+            failure_permille: 0,
+            queued: 0,
         }
     }
 
--- a/crates/basilstep-core/src/flows/balancer/state.rs
+++ b/crates/basilstep-core/src/flows/balancer/state.rs
@@ -368,6 +368,9 @@
                 origin_domain: self.identity.domain,
                 is_search,
                 latency_goal_ms: 0,
+                priority_level: 0,
+                priority_levels: 1,
+                may_wait: false,
             },
         }
     }
--- a/crates/basilstep-core/src/flows/frame.rs
+++ b/crates/basilstep-core/src/flows/frame.rs
@@ -11,7 +11,7 @@
 use std::net::Ipv4Addr;
 
 /// The version, which is the first byte of each frame.
-pub(super) const FRAME_VERSION: u8 = 4;
+pub(super) const FRAME_VERSION: u8 = 5;
 
 /// The error for a datagram that is not a valid frame.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
@@ -65,6 +65,12 @@
     /// What is left of the latency goal of the request of a new flow, at least 1; 0 if there is no
     /// goal, and in all other packets.
     pub latency_goal_ms: u16,
+    /// The priority of the route among those that lead to the service: 0 is the highest.
+    pub priority_level: u8,
+    /// How many priorities the routes to the service have, at least 1.
+    pub priority_levels: u8,
+    /// The agent may queue the SYN for a moment instead of returning it for load.
+    pub may_wait: bool,
 }
 
 impl ForwardHeader {
@@ -137,6 +143,12 @@
     pub advertised_total: Option<u32>,
     /// How many report intervals later the receiver gets the next report.
     pub slowness: u16,
+    /// How long the target takes for a request that was not queued; 0 if unknown.
+    pub service_time_ms: u16,
+    /// The share of the requests of the last seconds that ended without an answer, in thousandths.
+    pub failure_permille: u16,
+    /// SYNs in the agent's admission queue.
+    pub queued: u16,
 }
 
 /// The settings that a balancer sends to the agents that chose it as their source.
--- a/crates/basilstep-core/src/flows/mod.rs
+++ b/crates/basilstep-core/src/flows/mod.rs
@@ -32,7 +32,7 @@
 };
 pub use key::{FlowKey, LostFlow, ProcessIncarnation, ServiceTag};
 pub use limits::ServiceLimits;
-pub use routes::{FleetSettings, RequestKind, Route, RouteTable, ServiceShare};
+pub use routes::{FleetSettings, PriorityRank, RequestKind, Route, RouteTable, ServiceShare};
 pub use segment::{Flags, Segment};
 pub use send_schedule::Recipients;
 pub use settings::FlowSettings;
--- a/crates/basilstep-core/src/flows/routes.rs
+++ b/crates/basilstep-core/src/flows/routes.rs
@@ -37,6 +37,8 @@
     pub kind: RequestKind,
     /// The latency goal of its requests; 0 if operators have not set one.
     pub latency_goal_ms: u16,
+    /// The priority of its requests among those of other routes; 0 is the highest.
+    pub priority: u8,
     /// The services that share its new flows.
     pub shares: Vec<ServiceShare>,
 }
@@ -85,6 +87,42 @@
     pub idle_timeout_ms: u32,
 }
 
+/// The rank of a route's priority among the priorities of the routes that lead to one service.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct PriorityRank {
+    /// 0 for the highest priority.
+    pub level: u8,
+    /// How many different priorities there are, at least 1.
+    pub levels: u8,
+}
+
+impl Default for PriorityRank {
+    fn default() -> Self {
+        Self {
+            level: 0,
+            levels: 1,
+        }
+    }
+}
+
+impl RouteTable {
+    /// Returns the rank of `priority` among the priorities of the routes that lead to `service`.
+    pub fn priority_rank(&self, service: ServiceTag, priority: u8) -> PriorityRank {
+        let priorities: BTreeSet<u8> = self
+            .routes
+            .values()
+            .filter(|route| route.allows(service))
+            .map(|route| route.priority)
+            .chain([priority])
+            .collect();
+        let level = priorities.range(..priority).count();
+        PriorityRank {
+            level: u8::try_from(level).unwrap_or(u8::MAX),
+            levels: u8::try_from(priorities.len()).unwrap_or(u8::MAX),
+        }
+    }
+}
+
 /// The operators' settings as one process knows them.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 #[serde(default)]
--- a/crates/basilstep-core/src/flows/settings.rs
+++ b/crates/basilstep-core/src/flows/settings.rs
@@ -15,6 +15,14 @@
     pub placement: FlowPlacementSettings,
     /// Which new flows an agent accepts.
     pub work_limit: WorkLimitSettings,
+    /// SYNs that wait at an agent for room at its target.
+    pub admission_queue: AdmissionQueueSettings,
+    /// How the routes' priorities share the room at a target.
+    pub priorities: PrioritySettings,
+    /// How slow and failing targets are found and avoided.
+    pub target_health: TargetHealthSettings,
+    /// Second offers of SYNs that are confirmed late.
+    pub hedging: HedgingSettings,
     /// What a balancer remembers of the holders of flows.
     pub hints: HintSettings,
     /// What an agent knows of the flows of its target.
@@ -185,6 +193,106 @@
     }
 }
 
+/// SYNs that wait at an agent for room at its target.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct AdmissionQueueSettings {
+    /// Whether SYNs may wait at an agent, where routes to its service have different priorities.
+    pub is_enabled: bool,
+    /// The share of what is left of a request's latency goal that its SYN may wait.
+    pub max_wait_goal_share: f64,
+    /// How long a SYN may wait; shorter than `syns.confirm_within_ms`.
+    pub max_wait_ms: u64,
+    /// The maximum number of SYNs that wait at an agent.
+    pub limit: usize,
+    /// How many agents a SYN is offered to if they refuse it for load.
+    pub max_offers: usize,
+}
+
+impl Default for AdmissionQueueSettings {
+    fn default() -> Self {
+        Self {
+            is_enabled: true,
+            max_wait_goal_share: 0.25,
+            max_wait_ms: 140,
+            limit: 64,
+            max_offers: 4,
+        }
+    }
+}
+
+/// How the routes' priorities share the room at a target.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct PrioritySettings {
+    /// The share of the requests at work that may at most be reserved for higher priorities.
+    pub max_reserved_share: f64,
+}
+
+impl Default for PrioritySettings {
+    fn default() -> Self {
+        Self {
+            max_reserved_share: 0.5,
+        }
+    }
+}
+
+/// How slow and failing targets are found and avoided.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct TargetHealthSettings {
+    /// Whether placement takes the speed and the failures of targets into account.
+    pub is_enabled: bool,
+    /// The multiple of the service's median service time from which a target counts as slow.
+    pub slow_factor: f64,
+    /// The maximum slowdown that placement takes into account.
+    pub max_slowdown: f64,
+    /// The share of a service's agents that may at most count as slow or avoided.
+    pub max_avoided_share: f64,
+    /// The share of unanswered requests, in thousandths, from which a target is avoided.
+    pub failure_permille: u16,
+    /// The interval at which a balancer sends a new flow to a target that it avoids.
+    pub probe_interval_ms: u64,
+}
+
+impl Default for TargetHealthSettings {
+    fn default() -> Self {
+        Self {
+            is_enabled: false,
+            slow_factor: 2.0,
+            max_slowdown: 8.0,
+            max_avoided_share: 0.4,
+            failure_permille: 200,
+            probe_interval_ms: 500,
+        }
+    }
+}
+
+/// Second offers of SYNs that are confirmed late.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct HedgingSettings {
+    /// How many second offers are sent for each hundred first ones; 0 sends none.
+    pub budget_percent: u16,
+    /// The quantile of the confirmation times after which a second offer is sent.
+    pub quantile: f64,
+    /// The minimum time before a second offer.
+    pub min_delay_ms: u64,
+    /// How many second offers may be saved up.
+    pub burst: u16,
+}
+
+impl Default for HedgingSettings {
+    fn default() -> Self {
+        Self {
+            budget_percent: 0,
+            quantile: 0.95,
+            min_delay_ms: 20,
+            burst: 10,
+        }
+    }
+}
+
 /// What a balancer remembers of the holders of flows.
 #[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
 #[serde(default, deny_unknown_fields)]
--- a/crates/basilstep-core/src/flows/tests/mod.rs
+++ b/crates/basilstep-core/src/flows/tests/mod.rs
@@ -154,6 +154,9 @@
         origin_domain: DomainId(0),
         is_search: false,
         latency_goal_ms: 0,
+        priority_level: 0,
+        priority_levels: 1,
+        may_wait: false,
     }
 }
 
@@ -182,6 +185,9 @@
         wants_reply: false,
         advertised_total: None,
         slowness: 1,
+        service_time_ms: 0,
+        failure_permille: 0,
+        queued: 0,
     }
 }
 
@@ -203,6 +209,7 @@
     let route = Route {
         kind,
         latency_goal_ms: 100,
+        priority: 0,
         shares: vec![ServiceShare {
             service: service(),
             weight: 1,
--- a/crates/basilstep-packet/src/overrides.rs
+++ b/crates/basilstep-packet/src/overrides.rs
@@ -26,7 +26,7 @@
     },
 }
 
-/// Returns the built-in settings with the given overrides, each of the form `group.field=value`.
+/// Returns `settings` with the given overrides, each of the form `group.field=value`.
 ///
 /// # Errors
 ///
@@ -35,8 +35,10 @@
 /// # Panics
 ///
 /// Panics if the built-in settings cannot be encoded, which is never the case.
-pub fn apply(overrides: &[String]) -> Result<FlowSettings, OverrideError> {
-    let mut settings = FlowSettings::default();
+pub fn apply(
+    mut settings: FlowSettings,
+    overrides: &[String],
+) -> Result<FlowSettings, OverrideError> {
     for text in overrides {
         settings = apply_one(&settings, text)?;
     }
@@ -61,7 +63,8 @@
             name: name.to_owned(),
         })?;
     let parsed: Value = serde_json::from_str(value).map_err(|_error| invalid())?;
-    if parsed.as_f64().is_none_or(|number| number < 0.0) {
+    let is_switch = parsed.is_boolean();
+    if !is_switch && parsed.as_f64().is_none_or(|number| number < 0.0) {
         return Err(invalid());
     }
     *setting = parsed;
--- a/crates/basilstep-packet/src/process.rs
+++ b/crates/basilstep-packet/src/process.rs
@@ -134,6 +134,13 @@
     }
 }
 
+/// Returns the built-in settings with the parts that the deployment calls for.
+fn deployment_settings(machine: &MachineSettings) -> FlowSettings {
+    let mut settings = FlowSettings::default();
+    settings.target_health.is_enabled = machine.covers_target_health;
+    settings
+}
+
 fn start_and_serve<Served>(
     role: &'static str,
     flags: &Flags,
@@ -157,8 +164,10 @@
             source,
         })?
     };
-    let built_in_settings = overrides::apply(&flags.set)?;
+    // Mistakes on the command line are reported even if there is no settings file.
+    overrides::apply(FlowSettings::default(), &flags.set)?;
     let machine = settings::load()?;
+    let built_in_settings = overrides::apply(deployment_settings(&machine), &flags.set)?;
     if flags.check {
         println!("the settings file is valid");
         return Ok(());
--- a/crates/basilstep-packet/tests/overrides.rs
+++ b/crates/basilstep-packet/tests/overrides.rs
@@ -32,6 +32,14 @@
     "hints.limit={}",
     "the setting hints.limit does not take the value \"{}\""
 )]
+#[case::switch_for_a_number(
+    "hints.limit=true",
+    "the setting hints.limit does not take the value \"true\""
+)]
+#[case::number_for_a_switch(
+    "target_health.is_enabled=1",
+    "the setting target_health.is_enabled does not take the value \"1\""
+)]
 fn invalid_override_is_refused_with_its_code(#[case] text: &str, #[case] reason: &str) {
     for program in PROGRAMS {
         let mut command = Command::new(program);
