fix(flows): open flows are served before the routes are known

When all processes are killed while the store does not answer, balancers know no routes until it is back and dropped every packet, although the targets still held their flows. A balancer without any routes now asks all agents for the holder, resets nothing, and stops when settings would be too old to rely on, because the route may have been removed meanwhile.

--- a/crates/basilstep-core/src/flows/balancer/state/searching.rs
+++ b/crates/basilstep-core/src/flows/balancer/state/searching.rs
@@ -51,7 +51,8 @@
                 search.record_asked(next_hop.agent, ctx.now_ms);
             }
         }
-        if unanswered.next_hops.is_empty() && is_settled && self.may_reset(unanswered.kind, ctx) {
+        let may_reset = self.fleet.is_known() && self.may_reset(unanswered.kind, ctx);
+        if unanswered.next_hops.is_empty() && is_settled && may_reset {
             return Verdict::Reset {
                 code: ResultCode::FlowLost,
             };
@@ -67,6 +68,9 @@
 
     /// Returns the agents that may hold a flow and have not refused; `None` without a route.
     fn unanswered(&self, flow: &FlowKey, now_ms: u64) -> Option<Unanswered> {
+        if !self.fleet.is_known() {
+            return self.unanswered_without_routes(flow, now_ms);
+        }
         let route = self.fleet.table.routes.get(&flow.service_address)?;
         let refused_by = self.searches.refused_by(flow);
         let evidence = self.evidence(flow, now_ms);
@@ -85,6 +89,28 @@
         })
     }
 
+    /// Returns all agents that have not refused, for a balancer that does not know any routes yet.
+    ///
+    /// If all processes are killed while the store does not answer, nobody knows the routes, but
+    /// the targets still hold their flows, and only the holder accepts a packet. Ends when settings
+    /// would be too old to rely on, because the flow's route may have been removed meanwhile.
+    fn unanswered_without_routes(&self, flow: &FlowKey, now_ms: u64) -> Option<Unanswered> {
+        if now_ms >= self.started_ms + self.identity.watch_times.max_age_ms {
+            return None;
+        }
+        let refused_by = self.searches.refused_by(flow);
+        let next_hops = self
+            .agents
+            .iter()
+            .filter(|(agent, _)| !refused_by.contains(agent))
+            .map(|(agent, state)| self.next_hop(*agent, state.report.service, true))
+            .collect();
+        Some(Unanswered {
+            kind: RequestKind::NonIdempotent,
+            next_hops,
+        })
+    }
+
     /// Returns the services that may hold a flow: those of its route, and those that earlier
     /// versions of the route named.
     fn services_of(&self, flow: &FlowKey) -> BTreeSet<ServiceTag> {
@@ -164,6 +190,9 @@
 
     /// Ends the searches in which all agents have refused, once these answers are conclusive.
     pub(super) fn finish_searches(&mut self, ctx: &Context) -> Vec<LostFlow> {
+        if !self.fleet.is_known() {
+            return Vec::new();
+        }
         let pending: Vec<LostFlow> = self
             .searches
             .pending()
--- a/crates/basilstep-core/src/flows/tests/fleet.rs
+++ b/crates/basilstep-core/src/flows/tests/fleet.rs
@@ -41,6 +41,8 @@
     balancers: BTreeMap<Ipv4Addr, BalancerFlows>,
     machines: BTreeMap<Ipv4Addr, Machine>,
     resets: BTreeSet<FlowKey>,
+    /// The flows on which a target has answered a request.
+    answered: BTreeSet<FlowKey>,
     wrong_resets: usize,
 }
 
@@ -53,6 +55,7 @@
             balancers: BTreeMap::new(),
             machines: BTreeMap::new(),
             resets: BTreeSet::new(),
+            answered: BTreeSet::new(),
             wrong_resets: 0,
         };
         for number in 1..=balancers {
@@ -157,6 +160,15 @@
     }
 
     fn start_balancer(&mut self, ip: Ipv4Addr) {
+        self.start_balancer_without_settings(ip);
+        let ctx = self.context();
+        if let Some(balancer) = self.balancers.get_mut(&ip) {
+            balancer.on_fleet_settings(fleet_settings(RequestKind::Idempotent), &ctx);
+        }
+    }
+
+    /// Starts a balancer that neither the store nor another balancer gives the settings to.
+    fn start_balancer_without_settings(&mut self, ip: Ipv4Addr) {
         let own = BalancerIdentity {
             ip,
             domain: DomainId(0),
@@ -164,8 +176,7 @@
             watch_times: WatchTimes::default(),
         };
         let ctx = self.context();
-        let mut balancer = BalancerFlows::new(FlowSettings::default(), own, &ctx);
-        balancer.on_fleet_settings(fleet_settings(RequestKind::Idempotent), &ctx);
+        let balancer = BalancerFlows::new(FlowSettings::default(), own, &ctx);
         self.balancers.insert(ip, balancer);
     }
 
@@ -319,6 +330,9 @@
         let Some(machine) = self.machines.get_mut(&ip) else {
             return;
         };
+        if segment.data_bytes > 0 && machine.held.contains(&segment.flow_of_caller()) {
+            self.answered.insert(segment.flow_of_caller());
+        }
         let returned = match machine.agent.on_packet(header, segment, &ctx) {
             CallerVerdict::Return { code } => Some((balancer, code)),
             CallerVerdict::Deliver { cookie } => machine.deliver(segment, cookie, &ctx),
@@ -416,3 +430,41 @@
     fleet.send_requests(&flows, 20);
     assert_eq!(fleet.count_reset(&flows), 0);
 }
+
+/// All processes are killed while the store does not answer, and the targets keep running: nobody
+/// knows the routes for a while, but the open flows are still at their targets.
+#[test]
+fn open_flows_are_served_before_the_routes_are_known() {
+    let mut fleet = Fleet::start(3, 6);
+    let flows = fleet.open_flows(60);
+    for number in 1..=3 {
+        fleet.start_balancer_without_settings(balancer_ip(number));
+    }
+    for number in 1..=6 {
+        fleet.restart_agent(agent_ip(number));
+    }
+    fleet.run(500);
+    fleet.answered.clear();
+    fleet.send_requests(&flows, 1);
+    assert_eq!(fleet.answered.len(), flows.len());
+    fleet.send_requests(&flows, 20);
+    assert_eq!(fleet.count_reset(&flows), 0);
+}
+
+/// The same, but the store stays away: a route may have been removed meanwhile.
+#[test]
+fn flows_are_not_searched_without_routes_for_longer_than_settings_may_be_old() {
+    let mut fleet = Fleet::start(3, 6);
+    let flows = fleet.open_flows(60);
+    for number in 1..=3 {
+        fleet.start_balancer_without_settings(balancer_ip(number));
+    }
+    for number in 1..=6 {
+        fleet.restart_agent(agent_ip(number));
+    }
+    fleet.run(WatchTimes::default().max_age_ms + STEP_MS);
+    fleet.answered.clear();
+    fleet.send_requests(&flows, 1);
+    assert_eq!(fleet.answered.len(), 0);
+    assert_eq!(fleet.count_reset(&flows), 0);
+}
