feat(flows): agents measure the speed and the failures of their targets

An agent only took samples of the service time while its target was not full, so a target that turned slow with a full queue went unnoticed, and the agent went on to admit four times its capacity. Where target_health.is_enabled is set, a model of the target's slots gives the time of each request without its wait, unanswered requests raise the lower bound of the average, and requests that end without an answer are counted. Both go into the report, at once after a change, at most once in a second. Reports hold zeros and admission is unchanged where the setting is off.

The model of a target in the tests of overload takes the work per request, so that other tests can use it; its assertions are unchanged.

With 1.5 times the load and a target that turns 7 times slower, requests at work at two slots go from 8 to 3 (tests/target_health.rs).

--- a/crates/basilstep-core/src/flows/agent/mod.rs
+++ b/crates/basilstep-core/src/flows/agent/mod.rs
@@ -5,11 +5,13 @@
 mod discovery;
 mod flow_advertiser;
 mod former_incarnation;
+mod service_slots;
 mod service_time;
 mod source;
 mod state;
 mod table;
 mod target;
+mod target_health;
 
 pub use admission::ColdAllowance;
 pub use discovery::Discovery;
@@ -18,3 +20,4 @@
 pub use state::{AgentFlows, AgentIdentity, CallerVerdict, TargetVerdict};
 pub use table::{CallerWait, Flow, FlowStage};
 pub use target::{HeartbeatOutcome, HeartbeatState, TargetHeartbeat, TargetState};
+pub use target_health::{HealthChange, HealthReading};
--- a/crates/basilstep-core/src/flows/agent/state.rs
+++ b/crates/basilstep-core/src/flows/agent/state.rs
@@ -1,3 +1,4 @@
+mod health;
 mod reporting;
 
 use super::{
@@ -8,6 +9,7 @@
     service_time::ServiceTime,
     table::{Flow, FlowStage, FlowTable, WaitLimits},
     target::{HeartbeatOutcome, TargetHeartbeat, TargetState},
+    target_health::TargetHealth,
 };
 use crate::{
     address::DomainId,
@@ -85,6 +87,7 @@
     target: TargetState,
     admission: AdmissionControl,
     service_time: ServiceTime,
+    health: TargetHealth,
     table: FlowTable,
     limits: Option<ServiceLimits>,
     is_domain_out: bool,
@@ -109,6 +112,7 @@
             target: TargetState::default(),
             admission: AdmissionControl::new(identity.allowance),
             service_time: ServiceTime::default(),
+            health: TargetHealth::default(),
             table: FlowTable::default(),
             limits: None,
             is_domain_out: false,
@@ -161,12 +165,15 @@
             };
         }
         let is_other_origin = flow.origin != header.origin || header.is_search;
-        self.table.update(&key, |flow| {
+        let updated = self.table.update(&key, |flow| {
             flow.origin = header.origin;
             flow.origin_domain = header.origin_domain;
             flow.is_search &= header.is_search;
             flow.record_caller_packet(segment, ctx.now_ms);
         });
+        if let Some(flow) = updated {
+            self.track_request(key, &flow, ctx.now_ms);
+        }
         if is_other_origin {
             self.advertiser.enqueue(header.origin, key);
         }
@@ -191,14 +198,14 @@
         }
         let is_first = matches!(stage, Some(FlowStage::Offered | FlowStage::Probed));
         if let Some(flow) = before.filter(|flow| flow.is_answered_by(segment)) {
-            let had_to_wait = self.table.at_work() > usize::from(self.target.capacity());
-            if !had_to_wait {
-                self.service_time.record(ctx.now_ms - flow.requested_ms);
-            }
+            self.record_answer(&key, &flow, ctx.now_ms);
         }
         let flow = self
             .table
             .update(&key, |flow| flow.record_target_packet(segment, ctx.now_ms));
+        if let Some(flow) = flow {
+            self.track_close(&key, &flow, segment.flags.rst, ctx.now_ms);
+        }
         let mut handshake_ms = None;
         if let Some(flow) = flow.filter(|_| is_first) {
             handshake_ms = Some(ctx.now_ms - flow.opened_ms);
@@ -224,7 +231,7 @@
             self.target.set_witnessed();
         }
         if outcome == HeartbeatOutcome::NewLifetime {
-            self.service_time.reset();
+            self.reset_health();
             // The new incarnation may hold flows that were opened since then; packets of the others
             // bounce.
             return (outcome, self.mark_flows_lost(known_alive_until_ms, ctx));
@@ -276,6 +283,7 @@
             now_ms.saturating_sub(self.settings.table.idle_ms),
             now_ms.saturating_sub(self.settings.table.linger_ms),
         );
+        self.update_health(now_ms);
     }
 
     /// Records that the process was paused: packets that are already queued may be stale.
--- a/crates/basilstep-core/src/flows/agent/state/reporting.rs
+++ b/crates/basilstep-core/src/flows/agent/state/reporting.rs
@@ -50,6 +50,7 @@
             &self.settings,
             ctx.now_ms,
         );
+        let health = self.health_reading(ctx);
         AgentReport {
             incarnation: self.identity.incarnation,
             service: self.identity.service,
@@ -70,8 +71,8 @@
                 Pace::Idle,
                 &self.settings,
             ),
-            service_time_ms: 0,
-            failure_permille: 0,
+            service_time_ms: health.service_time_ms,
+            failure_permille: health.failure_permille,
             queued: 0,
         }
     }
--- a/crates/basilstep-core/src/flows/settings.rs
+++ b/crates/basilstep-core/src/flows/settings.rs
@@ -255,6 +255,18 @@
     pub probe_interval_ms: u64,
 }
 
+impl TargetHealthSettings {
+    /// The difference of two service times below which neither is slower: reports carry whole
+    /// milliseconds, and processes are scheduled late by a few.
+    const MIN_DIFFERENCE_MS: f64 = 5.0;
+
+    /// Returns whether a service time is slow compared to another one.
+    pub(super) fn is_slower(&self, service_time_ms: f64, than_ms: f64) -> bool {
+        service_time_ms >= than_ms * self.slow_factor
+            && service_time_ms - than_ms >= Self::MIN_DIFFERENCE_MS
+    }
+}
+
 impl Default for TargetHealthSettings {
     fn default() -> Self {
         Self {
--- a/crates/basilstep-core/src/flows/tests/mod.rs
+++ b/crates/basilstep-core/src/flows/tests/mod.rs
@@ -18,6 +18,7 @@
 mod settings_watch;
 mod store_era;
 mod store_outage;
+mod target_health;
 
 use super::{
     AgentFlows, AgentReport, BalancerFlows, BalancerHeartbeat, Flags, FleetSettings, FlowKey,
@@ -113,6 +114,15 @@
     }
 }
 
+/// A reset of a caller.
+pub fn reset(flow: FlowKey) -> Segment {
+    let flags = Flags {
+        rst: true,
+        ..Flags::default()
+    };
+    segment(flow, flags)
+}
+
 /// A packet with its endpoints swapped, as the target sends it.
 pub fn from_target(segment: Segment) -> Segment {
     Segment {
@@ -265,6 +275,21 @@
 
 /// An agent of the given incarnation that has received no heartbeat from its target.
 pub fn new_agent_with(incarnation: ProcessIncarnation) -> AgentFlows {
+    new_agent_with_settings(&FlowSettings::default(), incarnation)
+}
+
+/// The settings with the health of targets taken into account.
+pub fn health_settings() -> FlowSettings {
+    let mut settings = FlowSettings::default();
+    settings.target_health.is_enabled = true;
+    settings
+}
+
+/// An agent with the given settings that has received no heartbeat from its target.
+pub fn new_agent_with_settings(
+    settings: &FlowSettings,
+    incarnation: ProcessIncarnation,
+) -> AgentFlows {
     let own = AgentIdentity {
         service: service(),
         domain: DomainId(0),
@@ -276,7 +301,7 @@
             slack: 5.0,
         },
     };
-    AgentFlows::new(FlowSettings::default(), own, &context(0))
+    AgentFlows::new(*settings, own, &context(0))
 }
 
 /// An agent whose target is serving.
--- a/crates/basilstep-core/src/flows/tests/overload.rs
+++ b/crates/basilstep-core/src/flows/tests/overload.rs
@@ -12,19 +12,27 @@
 use std::collections::{BTreeMap, VecDeque};
 
 /// A target that processes some requests at once and queues the others.
-struct Target {
+pub(super) struct Target {
     slots: usize,
-    work_ms: u64,
     running: Vec<(FlowKey, u64)>,
-    queued: VecDeque<FlowKey>,
+    queued: VecDeque<(FlowKey, u64)>,
 }
 
 impl Target {
-    fn enqueue(&mut self, flow: FlowKey) {
-        self.queued.push_back(flow);
+    pub(super) fn new(slots: u16) -> Self {
+        Self {
+            slots: usize::from(slots),
+            running: Vec::new(),
+            queued: VecDeque::new(),
+        }
+    }
+
+    pub(super) fn enqueue(&mut self, flow: FlowKey, work_ms: u64) {
+        self.queued.push_back((flow, work_ms));
     }
 
-    fn step(&mut self, now_ms: u64) -> Vec<FlowKey> {
+    /// Returns the requests that have ended by `now_ms`, and begins with the next ones.
+    pub(super) fn step(&mut self, now_ms: u64) -> Vec<FlowKey> {
         let done: Vec<FlowKey> = self
             .running
             .iter()
@@ -33,9 +41,9 @@
             .collect();
         self.running.retain(|(_, until_ms)| *until_ms > now_ms);
         while self.running.len() < self.slots
-            && let Some(flow) = self.queued.pop_front()
+            && let Some((flow, work_ms)) = self.queued.pop_front()
         {
-            self.running.push((flow, now_ms + self.work_ms));
+            self.running.push((flow, now_ms + work_ms));
         }
         done
     }
@@ -50,9 +58,10 @@
 }
 
 /// An agent with its target, and the requests that were offered to it.
-struct Run {
-    agent: AgentFlows,
+pub(super) struct Run {
+    pub(super) agent: AgentFlows,
     target: Target,
+    pub(super) work_ms: u64,
     admitted: BTreeMap<FlowKey, AdmittedRequest>,
     outcomes: BTreeMap<u16, Outcome>,
     next_port: u16,
@@ -65,21 +74,19 @@
 
 impl Run {
     fn start(slots: u16, work_ms: u64) -> Self {
-        let mut agent = new_agent();
+        Self::start_with(new_agent(), slots, work_ms)
+    }
+
+    pub(super) fn start_with(mut agent: AgentFlows, slots: u16, work_ms: u64) -> Self {
         let warm = TargetHeartbeat {
             capacity: slots,
             ..target_heartbeat(1)
         };
         agent.on_target_heartbeat(&warm, &context(1_000));
-        let target = Target {
-            slots: usize::from(slots),
-            work_ms,
-            running: Vec::new(),
-            queued: VecDeque::new(),
-        };
         Self {
             agent,
-            target,
+            target: Target::new(slots),
+            work_ms,
             admitted: BTreeMap::new(),
             outcomes: BTreeMap::new(),
             next_port: 1,
@@ -87,7 +94,7 @@
     }
 
     /// Answers the requests that the target has finished by `now_ms`.
-    fn step(&mut self, now_ms: u64) {
+    pub(super) fn step(&mut self, now_ms: u64) {
         let ctx = context(now_ms);
         for flow in self.target.step(now_ms) {
             let answer = from_target(data(flow, 50));
@@ -104,7 +111,7 @@
     }
 
     /// Offers a new flow with one request of which `goal_ms` is left.
-    fn offer(&mut self, goal_ms: u16, now_ms: u64) {
+    pub(super) fn offer(&mut self, goal_ms: u16, now_ms: u64) {
         let flow = flow(self.next_port);
         self.next_port += 1;
         self.outcomes.entry(goal_ms).or_default().offered += 1;
@@ -114,7 +121,7 @@
                 since_ms: now_ms,
             };
             self.admitted.insert(flow, request);
-            self.target.enqueue(flow);
+            self.target.enqueue(flow, self.work_ms);
         }
     }
 
