feat(flows): slow targets get fewer new flows, failing ones probe flows only

Placement compared requests in progress per slot, so a target that was seven times slower got new flows until its queue was as long as that of the others. Every 100 ms a balancer now compares the service times and failures in fresh reports within each service: a slow target's expected wait is multiplied by its slowdown, a failing one gets probe flows. At most a share of a service's targets counts as slow or avoided, none if fewer than three are known, and all count as normal where target_health.is_enabled is off. The balancers share the probe flows, so that their number does not grow with that of the balancers.

--- a/crates/basilstep-core/src/flows/balancer/agent_table.rs
+++ b/crates/basilstep-core/src/flows/balancer/agent_table.rs
@@ -1,4 +1,10 @@
-use super::{held_domains::HeldDomains, liveness::Liveness};
+mod ranking;
+
+use super::{
+    held_domains::HeldDomains,
+    liveness::Liveness,
+    target_ranking::{Standing, TargetRanking},
+};
 use crate::{
     address::DomainId,
     flows::{
@@ -7,6 +13,7 @@
         settings::FlowSettings,
     },
 };
+pub use ranking::RankingScope;
 use serde::Serialize;
 use std::{
     cmp::Reverse,
@@ -41,6 +48,7 @@
 pub struct AgentTable {
     agents: BTreeMap<Ipv4Addr, AgentState>,
     by_service: BTreeMap<ServiceTag, BTreeSet<Ipv4Addr>>,
+    ranking: TargetRanking,
 }
 
 impl AgentState {
@@ -182,6 +190,7 @@
         if let Some(state) = self.agents.get_mut(&agent) {
             state.offered_since = state.offered_since.saturating_add(1);
         }
+        self.ranking.record_offer(agent);
     }
 
     /// Makes all reports older by `pause_ms`, after the process was paused for that long.
@@ -200,6 +209,7 @@
             .map(|(agent, _)| *agent)
             .collect();
         for agent in &gone {
+            self.ranking.forget(*agent);
             if let Some(state) = self.agents.remove(agent) {
                 self.remove_from_service(*agent, state.report.service);
             }
@@ -207,7 +217,11 @@
         gone
     }
 
-    /// Chooses the agent for a new flow: the one with the least work relative to its capacity.
+    /// Chooses the agent for a new flow: the one with the least work relative to its capacity and
+    /// speed.
+    ///
+    /// Targets that count as slow or avoided get a probe flow now and then; an avoided one gets no
+    /// others.
     ///
     /// An agent of another domain has to be ahead by [`FlowSettings::other_domain_cost`]. If there
     /// are many agents, only a few are compared, chosen by the flow's hash: all balancers have the
@@ -225,9 +239,23 @@
             .filter_map(|agent| Some((agent, self.agents.get(&agent)?)))
             .filter(|(agent, state)| takes_new_flows(*agent, state, placement, settings))
             .collect();
+        let is_first_offer = placement.refused_by.is_empty();
+        if let Some((agent, _)) = open
+            .iter()
+            .find(|(agent, state)| is_first_offer && self.ranking.is_probe_due(*agent, state))
+        {
+            return Some(*agent);
+        }
+        let open = open
+            .into_iter()
+            .filter(|(agent, _)| self.ranking.standing_of(*agent) != Standing::Avoided)
+            .collect();
         candidates(flow, open, placement.domain, settings)
             .into_iter()
-            .map(|(agent, state)| (agent, expected_wait(state, placement, settings)))
+            .map(|(agent, state)| {
+                let slowdown = self.ranking.slowdown_of(agent);
+                (agent, expected_wait(state, slowdown, placement, settings))
+            })
             .min_by(|(_, left), (_, right)| left.total_cmp(right))
             .map(|(agent, _)| agent)
     }
@@ -284,14 +312,21 @@
 }
 
 /// Returns the expected requests at work per request that the target processes at once.
+///
+/// A target that is `slowdown` times slower than others counts as if it had as many times the work,
+/// the new request included.
 fn expected_wait(
     state: &AgentState,
+    slowdown: f64,
     placement: &PlacementContext<'_>,
     settings: &FlowSettings,
 ) -> f64 {
     let report = &state.report;
     let mut work = f64::from(report.at_work) + f64::from(state.offered_since);
     work += f64::from(report.open_flows) * settings.placement.open_flow_load;
+    if slowdown > 1.0 {
+        work = (work + 1.0) * slowdown - 1.0;
+    }
     if report.is_cold {
         work = (work + 1.0) * settings.placement.cold_slowdown;
     }
--- a/crates/basilstep-core/src/flows/balancer/mod.rs
+++ b/crates/basilstep-core/src/flows/balancer/mod.rs
@@ -9,6 +9,7 @@
 mod search;
 mod settings_watch;
 mod state;
+mod target_ranking;
 mod transfer_budget;
 mod verdict;
 
@@ -16,5 +17,6 @@
 pub use pending_syns::PendingSyn;
 pub use settings_watch::WatchTimes;
 pub use state::BalancerFlows;
+pub use target_ranking::{RankedTarget, Standing, StandingChange};
 pub use transfer_budget::TransferBudget;
 pub use verdict::{BalancerIdentity, NextHop, PlacedSyn, SearchPacket, TickOutcome, Verdict};
--- a/crates/basilstep-core/src/flows/balancer/state.rs
+++ b/crates/basilstep-core/src/flows/balancer/state.rs
@@ -5,7 +5,7 @@
 mod syn;
 
 use super::{
-    agent_table::{AgentState, AgentTable},
+    agent_table::{AgentState, AgentTable, RankingScope},
     held_domains::HeldDomains,
     hints::{Hint, Hints},
     liveness::Liveness,
@@ -13,6 +13,7 @@
     pending_syns::PendingSyns,
     search::Searches,
     settings_watch::SettingsWatch,
+    target_ranking::StandingChange,
     verdict::{BalancerIdentity, NextHop, TickOutcome, Verdict},
 };
 use crate::{
@@ -318,10 +319,22 @@
             forgotten,
             lost,
             released_domains: self.held_domains.release(ctx.now_ms),
+            standings: self.rank_targets(ctx),
             placed: self.place_pending_syns(ctx),
         }
     }
 
+    fn rank_targets(&mut self, ctx: &Context) -> Vec<StandingChange> {
+        let scope = RankingScope {
+            domains_out: &self.fleet.domains_out,
+            held_domains: &self.held_domains,
+            balancers: self.balancers.len(),
+            probe_phase: u64::from(self.identity.incarnation.0),
+        };
+        self.agents
+            .update_ranking(&scope, &self.settings, ctx.now_ms)
+    }
+
     /// Returns the settings in force.
     pub const fn fleet(&self) -> &FleetSettings {
         &self.fleet
--- a/crates/basilstep-core/src/flows/balancer/verdict.rs
+++ b/crates/basilstep-core/src/flows/balancer/verdict.rs
@@ -1,4 +1,4 @@
-use super::{pending_syns::PendingSyn, settings_watch::WatchTimes};
+use super::{pending_syns::PendingSyn, settings_watch::WatchTimes, target_ranking::StandingChange};
 use crate::{
     address::DomainId,
     codes::ResultCode,
@@ -89,6 +89,8 @@
     pub lost: Vec<LostFlow>,
     /// Domains that are back because the restored store has no record of them.
     pub released_domains: BTreeSet<DomainId>,
+    /// Targets that begin or cease to count as slow or avoided.
+    pub standings: Vec<StandingChange>,
     /// Pending SYNs for which an agent was found.
     pub placed: Vec<PlacedSyn>,
 }
--- a/crates/basilstep-core/src/flows/tests/mod.rs
+++ b/crates/basilstep-core/src/flows/tests/mod.rs
@@ -9,6 +9,7 @@
 mod discovery;
 mod fleet;
 mod frames;
+mod load_model;
 mod overload;
 mod refusals;
 mod restart;
@@ -19,6 +20,8 @@
 mod store_era;
 mod store_outage;
 mod target_health;
+mod target_ranking;
+mod target_speed;
 
 use super::{
     AgentFlows, AgentReport, BalancerFlows, BalancerHeartbeat, Flags, FleetSettings, FlowKey,
--- a/crates/basilstep-core/src/flows/tests/overload.rs
+++ b/crates/basilstep-core/src/flows/tests/overload.rs
@@ -31,6 +31,12 @@
         self.queued.push_back((flow, work_ms));
     }
 
+    /// Ends a request that its caller has given up.
+    pub(super) fn cancel(&mut self, flow: FlowKey) {
+        self.running.retain(|(running, _)| *running != flow);
+        self.queued.retain(|(queued, _)| *queued != flow);
+    }
+
     /// Returns the requests that have ended by `now_ms`, and begins with the next ones.
     pub(super) fn step(&mut self, now_ms: u64) -> Vec<FlowKey> {
         let done: Vec<FlowKey> = self
