feat(packet): log lines, gauges and state of the health of targets

An operator could not see which targets are slow or fail, and since when. The agent logs a change of its target's health (at most one a second) and reports it at once; the balancer logs when a target begins or ceases to count as slow or avoided (at most 10 lines a second of each kind, with the number of the others). Gauges and fields in /state show the present values. The limiter of log lines takes any kind as its key, and the gauges share one function.

--- a/crates/basilstep-packet/src/agent/http.rs
+++ b/crates/basilstep-packet/src/agent/http.rs
@@ -18,9 +18,7 @@
             Some(Call::Heartbeat { id }) => self.on_target_heartbeat(&id, &request.body),
             Some(Call::Leave { id }) => self.on_leave(&id),
             Some(Call::Readiness) => ServerResponse::empty(StatusCode::OK),
-            None if request.path == "/metrics" => {
-                ServerResponse::text(Bytes::from(self.metrics.render()))
-            }
+            None if request.path == "/metrics" => self.answer_metrics(),
             None if request.path == "/state" => {
                 ServerResponse::json(StatusCode::OK, Bytes::from(self.state_json()))
             }
@@ -85,6 +83,12 @@
         self.send_reports(Recipients::All);
     }
 
+    fn answer_metrics(&mut self) -> ServerResponse {
+        let health = self.flows.health_reading(&self.ctx);
+        self.metrics.set_target_health(health);
+        ServerResponse::text(Bytes::from(self.metrics.render()))
+    }
+
     fn state_json(&self) -> String {
         json!({
             "node": self.machine.node,
@@ -93,6 +97,7 @@
             "is_domain_out": self.flows.is_domain_out(),
             "open_flows": self.flows.table().live(),
             "at_work": self.flows.table().at_work(),
+            "health": self.flows.health_reading(&self.ctx),
             "balancers": self.flows.balancers().entries(self.ctx.now_ms),
         })
         .to_string()
--- a/crates/basilstep-packet/src/agent/serve.rs
+++ b/crates/basilstep-packet/src/agent/serve.rs
@@ -58,7 +58,7 @@
     pub(super) internal_socket: DatagramSocket,
     pub(super) outbound_socket: DatagramSocket,
     pub(super) target_socket: ConnectedDatagramSocket,
-    pub(super) log_limiter: LogLimiter,
+    pub(super) log_limiter: LogLimiter<ResultCode>,
     pub(super) metrics: Metrics,
     pub(super) frame_buffer: Vec<u8>,
     event_sender: mpsc::Sender<Event>,
@@ -183,12 +183,29 @@
     fn on_tick(&mut self) {
         self.refresh_time();
         self.flows.on_tick(&self.ctx);
+        self.report_health_change();
         if self.ctx.now_ms >= self.next_report_ms {
             self.send_reports(Recipients::Scheduled);
         }
         self.discover_balancers();
     }
 
+    /// Reports a change of the target's health before the next report is due.
+    fn report_health_change(&mut self) {
+        let Some(change) = self.flows.take_health_change(&self.ctx) else {
+            return;
+        };
+        log::info!(
+            service_time_ms = change.after.service_time_ms,
+            failure_permille = change.after.failure_permille,
+            service_time_ms_before = change.before.service_time_ms,
+            failure_permille_before = change.before.failure_permille,
+            at_work = self.flows.table().at_work();
+            "the health of the target changed"
+        );
+        self.send_reports(Recipients::All);
+    }
+
     /// Sends reports to balancers.
     pub(super) fn send_reports(&mut self, recipients: Recipients) {
         self.refresh_time();
--- a/crates/basilstep-packet/src/balancer/serve.rs
+++ b/crates/basilstep-packet/src/balancer/serve.rs
@@ -12,10 +12,11 @@
     },
 };
 use basilstep_core::{
+    codes::ResultCode,
     context::Context,
     flows::{
         BalancerFlows, FleetSettings, FlowSettings, Frame, Recipients,
-        balancer::{BalancerIdentity, TransferBudget, WatchTimes},
+        balancer::{BalancerIdentity, Standing, StandingChange, TransferBudget, WatchTimes},
         encode_frame,
     },
 };
@@ -74,7 +75,8 @@
     pub(super) ctx: Context,
     pub(super) packet_socket: DatagramSocket,
     pub(super) internal_socket: DatagramSocket,
-    pub(super) log_limiter: LogLimiter,
+    pub(super) log_limiter: LogLimiter<ResultCode>,
+    standing_log_limiter: LogLimiter<Standing>,
     pub(super) metrics: Metrics,
     pub(super) frame_buffer: Vec<u8>,
     pub(super) is_pulling_settings: bool,
@@ -181,6 +183,7 @@
                 .await?,
             internal_socket: DatagramSocket::bind("the internal port", internal).await?,
             log_limiter: LogLimiter::default(),
+            standing_log_limiter: LogLimiter::default(),
             metrics: Metrics::new(),
             frame_buffer: Vec::new(),
             is_pulling_settings: false,
@@ -331,6 +334,9 @@
                 "domains are back: the restored store has no record of them"
             );
         }
+        for change in &outcome.standings {
+            self.log_standing(change);
+        }
         self.apply_tick_outcome(&outcome);
         self.known_agents.send_replace(self.flows.known_agents());
         self.send_probes();
@@ -344,6 +350,22 @@
         }
     }
 
+    fn log_standing(&mut self, change: &StandingChange) {
+        let limiter = &mut self.standing_log_limiter;
+        let Some(left_out) = limiter.admit(change.after, self.ctx.now_ms) else {
+            return;
+        };
+        log::info!(
+            agent:% = change.agent,
+            before:? = change.before,
+            after:? = change.after,
+            service_time_ms = change.service_time_ms,
+            failure_permille = change.failure_permille,
+            left_out;
+            "the standing of a target changed"
+        );
+    }
+
     /// Requests reports from agents that report rarely and have packets in flight to them.
     fn send_probes(&mut self) {
         for agent in self.flows.take_probes(&self.ctx) {
@@ -394,6 +416,9 @@
         if request.path == "/metrics" {
             let age_ms = self.flows.settings_age_ms(&self.ctx);
             self.metrics.set_settings_age(age_ms);
+            let ranked = self.flows.agents().ranked_targets();
+            self.metrics
+                .set_standings(ranked.map(|(_, target)| target.standing));
             return ServerResponse::text(Bytes::from(self.metrics.render()));
         }
         if request.path == "/state" {
@@ -424,6 +449,7 @@
 
     fn state_json(&self) -> String {
         let agents: Vec<_> = self.flows.agents().iter().collect();
+        let ranked_targets: Vec<_> = self.flows.agents().ranked_targets().collect();
         json!({
             "node": self.machine.node,
             "now_ms": self.ctx.now_ms,
@@ -436,6 +462,7 @@
             "hints": self.flows.hint_count(),
             "balancers": self.flows.balancers().entries(self.ctx.now_ms),
             "agents": agents,
+            "ranked_targets": ranked_targets,
         })
         .to_string()
     }
--- a/crates/basilstep-packet/src/log_limiter.rs
+++ b/crates/basilstep-packet/src/log_limiter.rs
@@ -1,9 +1,8 @@
-//! Rate limit for the log lines of routing decisions.
+//! Rate limit for log lines of the same kind.
 
-use basilstep_core::codes::ResultCode;
 use std::collections::BTreeMap;
 
-/// The maximum number of lines per second for each result code.
+/// The maximum number of lines per second of each kind, for example for each result code.
 ///
 /// Suppressed lines are counted, and the next line reports their number. A machine has a quarter of
 /// a core, and a line costs about 10 us of processor time.
@@ -18,17 +17,25 @@
     suppressed: u64,
 }
 
-/// Limits the rate of log lines for each result code.
-#[derive(Clone, Debug, Default)]
-pub struct LogLimiter {
-    windows: BTreeMap<ResultCode, Window>,
+/// Limits the rate of log lines of each kind.
+#[derive(Clone, Debug)]
+pub struct LogLimiter<Kind> {
+    windows: BTreeMap<Kind, Window>,
 }
 
-impl LogLimiter {
-    /// Returns how many lines of `code` were suppressed since the last one, if this one may be
+impl<Kind> Default for LogLimiter<Kind> {
+    fn default() -> Self {
+        Self {
+            windows: BTreeMap::new(),
+        }
+    }
+}
+
+impl<Kind: Ord> LogLimiter<Kind> {
+    /// Returns how many lines of `kind` were suppressed since the last one, if this one may be
     /// written; otherwise counts it as suppressed and returns `None`.
-    pub fn admit(&mut self, code: ResultCode, now_ms: u64) -> Option<u64> {
-        let window = self.windows.entry(code).or_default();
+    pub fn admit(&mut self, kind: Kind, now_ms: u64) -> Option<u64> {
+        let window = self.windows.entry(kind).or_default();
         if now_ms >= window.started_ms + WINDOW_MS {
             window.started_ms = now_ms;
             window.lines = 0;
--- a/crates/basilstep-packet/src/metrics.rs
+++ b/crates/basilstep-packet/src/metrics.rs
@@ -1,6 +1,9 @@
 //! Counters and latency histograms in the Prometheus text format.
 
-use basilstep_core::codes::ResultCode;
+use basilstep_core::{
+    codes::ResultCode,
+    flows::{agent::HealthReading, balancer::Standing},
+};
 use prometheus::{
     Encoder, Histogram, HistogramOpts, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
 };
@@ -20,7 +23,7 @@
     registry: Registry,
     decisions: IntCounterVec,
     counters: BTreeMap<ResultCode, prometheus::IntCounter>,
-    settings_age_ms: Option<IntGauge>,
+    gauges: BTreeMap<&'static str, IntGauge>,
     /// The time from the arrival of a SYN at the agent to the target's answer.
     pub handshake_ms: Histogram,
 }
@@ -58,7 +61,7 @@
             registry,
             decisions,
             counters: BTreeMap::new(),
-            settings_age_ms: None,
+            gauges: BTreeMap::new(),
             handshake_ms,
         }
     }
@@ -78,23 +81,69 @@
     ///
     /// Panics if the name of the gauge is malformed, which is never the case.
     pub fn set_settings_age(&mut self, age_ms: Option<u64>) {
-        let Some(age_ms) = age_ms else {
-            return;
-        };
+        if let Some(age_ms) = age_ms {
+            self.set_gauge(
+                "basilstep_settings_age_ms",
+                "Time since the store last confirmed the operators' settings in milliseconds",
+                i64::try_from(age_ms).unwrap_or(i64::MAX),
+            );
+        }
+    }
+
+    /// Sets the health of the agent's target.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the name of a gauge is malformed, which is never the case.
+    pub fn set_target_health(&mut self, health: HealthReading) {
+        self.set_gauge(
+            "basilstep_service_time_ms",
+            "Time of the target for a request that was not queued in milliseconds, 0 if unknown",
+            i64::from(health.service_time_ms),
+        );
+        self.set_gauge(
+            "basilstep_failure_permille",
+            "Share of the target's recent requests without an answer in thousandths",
+            i64::from(health.failure_permille),
+        );
+    }
+
+    /// Sets how many targets count as slow and as avoided.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the name of a gauge is malformed, which is never the case.
+    pub fn set_standings(&mut self, standings: impl Iterator<Item = Standing>) {
+        let (mut slow, mut avoided) = (0, 0);
+        for standing in standings {
+            slow += i64::from(standing == Standing::Slow);
+            avoided += i64::from(standing == Standing::Avoided);
+        }
+        self.set_gauge(
+            "basilstep_slow_targets",
+            "Targets that get fewer new flows because they are slow",
+            slow,
+        );
+        self.set_gauge(
+            "basilstep_avoided_targets",
+            "Targets that get only probe flows because of their failures",
+            avoided,
+        );
+    }
+
+    fn set_gauge(&mut self, name: &'static str, help: &str, value: i64) {
         let registry = &self.registry;
-        self.settings_age_ms
-            .get_or_insert_with(|| {
-                let gauge = IntGauge::new(
-                    "basilstep_settings_age_ms",
-                    "Time since the store last confirmed the operators' settings in milliseconds",
-                )
-                .expect("the name of the gauge is well formed");
+        self.gauges
+            .entry(name)
+            .or_insert_with(|| {
+                let gauge =
+                    IntGauge::new(name, help).expect("the name of the gauge is well formed");
                 registry
                     .register(Box::new(gauge.clone()))
                     .expect("the gauge is registered once");
                 gauge
             })
-            .set(i64::try_from(age_ms).unwrap_or(i64::MAX));
+            .set(value);
     }
 
     /// Returns the metrics in the Prometheus text format.
