feat(flows): priorities and the admission queue

Cause: where routes to one service have different priorities, a SYN of a lower one that arrived a moment earlier took the slot, and a balancer tried all agents of an overloaded service.

Change: the agent reserves a part of the target's queue for higher levels by their recent demand; a SYN that is refused for load may wait briefly at the last of four agents, by level and deadline, and goes on when the target has capacity. Stop, drain, a domain that is out, a new incarnation and a pause return what is queued. Whether first SYNs are reset at once in an overload is decided for each level.

--- a/crates/basilstep-bench/src/load/packet_path.rs
+++ b/crates/basilstep-bench/src/load/packet_path.rs
@@ -109,6 +109,7 @@
                 CallerVerdict::Return { code } => {
                     return Err(format!("an agent did not take a packet: {code}").into());
                 }
+                CallerVerdict::Queue => return Err("an agent queued a packet".into()),
             }
         }
         Ok(())
--- a/crates/basilstep-bench/src/load/steering/simulation/agents.rs
+++ b/crates/basilstep-bench/src/load/steering/simulation/agents.rs
@@ -79,6 +79,7 @@
                         let to = balancer_ip(balancer);
                         self.send_to_balancer(number, to, returned, Some(segment));
                     }
+                    CallerVerdict::Queue => unreachable!("all routes have one priority"),
                 }
             }
             (Frame::Reply(reply), _) => {
--- a/crates/basilstep-core/src/flows/agent/mod.rs
+++ b/crates/basilstep-core/src/flows/agent/mod.rs
@@ -1,10 +1,12 @@
 //! The agent's side of steering: which flows the target holds and which new flows are admitted.
 
 mod admission;
+mod admission_queue;
 mod advertisement_scope;
 mod discovery;
 mod flow_advertiser;
 mod former_incarnation;
+mod priority_limit;
 mod service_time;
 mod source;
 mod state;
@@ -12,6 +14,7 @@
 mod target;
 
 pub use admission::ColdAllowance;
+pub use admission_queue::{QueueOutcome, ReleasedSyn};
 pub use discovery::Discovery;
 pub use service_time::ServiceTime;
 pub use source::SettingsSource;
--- a/crates/basilstep-core/src/flows/agent/service_time.rs
+++ b/crates/basilstep-core/src/flows/agent/service_time.rs
@@ -22,6 +22,20 @@
         }));
     }
 
+    /// Returns the expected duration of a request that is not queued and of whose latency goal
+    /// `goal_ms` is left.
+    ///
+    /// In an overload that begins with the target no request goes unqueued. Until one does, this is
+    /// the duration for which [`WorkLimitSettings::default_rounds`] is right.
+    ///
+    /// [`WorkLimitSettings::default_rounds`]: crate::flows::settings::WorkLimitSettings::default_rounds
+    pub fn expected_ms(&self, goal_ms: u16, settings: &FlowSettings) -> f64 {
+        let work_limit = &settings.work_limit;
+        self.mean_ms.unwrap_or_else(|| {
+            f64::from(goal_ms) * work_limit.goal_share / work_limit.default_rounds
+        })
+    }
+
     /// Discards the average, which came from an earlier incarnation of the target.
     pub const fn reset(&mut self) {
         self.mean_ms = None;
--- a/crates/basilstep-core/src/flows/agent/state.rs
+++ b/crates/basilstep-core/src/flows/agent/state.rs
@@ -1,10 +1,13 @@
+mod queueing;
 mod reporting;
 
 use super::{
-    admission::{AdmissionControl, AdmissionInputs, ColdAllowance},
+    admission::{AdmissionControl, ColdAllowance},
+    admission_queue::{AdmissionQueue, ReleasedSyn},
     advertisement_scope::AdvertisementScope,
     flow_advertiser::FlowAdvertiser,
     former_incarnation::FormerIncarnation,
+    priority_limit::PriorityLimit,
     service_time::ServiceTime,
     table::{Flow, FlowStage, FlowTable, WaitLimits},
     target::{HeartbeatOutcome, TargetHeartbeat, TargetState},
@@ -56,6 +59,9 @@
         /// The reason.
         code: ResultCode,
     },
+    /// The packet is a SYN that waits for capacity at the target; it goes to
+    /// [`AgentFlows::queue_syn`].
+    Queue,
 }
 
 /// The decision about a packet that the target sent.
@@ -84,6 +90,10 @@
     identity: AgentIdentity,
     target: TargetState,
     admission: AdmissionControl,
+    priority_limit: PriorityLimit,
+    queue: AdmissionQueue,
+    /// SYNs that have left the queue and are not yet taken.
+    released: Vec<ReleasedSyn>,
     service_time: ServiceTime,
     table: FlowTable,
     limits: Option<ServiceLimits>,
@@ -108,6 +118,9 @@
             identity,
             target: TargetState::default(),
             admission: AdmissionControl::new(identity.allowance),
+            priority_limit: PriorityLimit::default(),
+            queue: AdmissionQueue::default(),
+            released: Vec::new(),
             service_time: ServiceTime::default(),
             table: FlowTable::default(),
             limits: None,
@@ -145,8 +158,10 @@
                     code: ResultCode::Recovering,
                 };
             }
-            return self.on_syn(key, header, ctx);
+            return self.on_syn(key, header, segment, ctx);
         }
+        // The caller has opened the flow at another target.
+        self.queue.remove(&key);
         let Some(flow) = self.table.get(&key).copied() else {
             return self.on_unknown_flow(key, header, ctx);
         };
@@ -225,6 +240,7 @@
         }
         if outcome == HeartbeatOutcome::NewLifetime {
             self.service_time.reset();
+            self.withdraw_queue(ResultCode::TargetUnreachable, ctx.now_ms);
             // The new incarnation may hold flows that were opened since then; packets of the others
             // bounce.
             return (outcome, self.mark_flows_lost(known_alive_until_ms, ctx));
@@ -278,9 +294,11 @@
         );
     }
 
-    /// Records that the process was paused: packets that are already queued may be stale.
-    pub const fn on_pause(&mut self) {
+    /// Records that the process was paused: packets that are already queued may be stale, and queued
+    /// SYNs are returned.
+    pub fn on_pause(&mut self, ctx: &Context) {
         self.is_backlog_stale = true;
+        self.withdraw_queue(ResultCode::Recovering, ctx.now_ms);
     }
 
     /// Records that all packets that were queued during a pause have been read.
@@ -319,7 +337,13 @@
         self.is_domain_out
     }
 
-    fn on_syn(&mut self, key: FlowKey, header: &ForwardHeader, ctx: &Context) -> CallerVerdict {
+    fn on_syn(
+        &mut self,
+        key: FlowKey,
+        header: &ForwardHeader,
+        segment: &Segment,
+        ctx: &Context,
+    ) -> CallerVerdict {
         match self.table.get(&key).copied() {
             Some(flow) if matches!(flow.stage, FlowStage::Answered | FlowStage::Open) => {
                 return deliver(header);
@@ -335,36 +359,7 @@
             }
             _ => {}
         }
-        let inputs = AdmissionInputs {
-            at_work: self.table.at_work(),
-            work_limit: self.service_time.work_limit(
-                &self.target,
-                header.latency_goal_ms,
-                &self.settings,
-            ),
-            open_flows: self.table.live(),
-            is_domain_out: self.is_domain_out,
-            is_stopping: self.is_stopping,
-        };
-        let refusal = self.admission.refusal(
-            &self.target,
-            self.limits.as_ref(),
-            inputs,
-            &self.settings,
-            ctx.now_ms,
-        );
-        if let Some(code) = refusal {
-            return CallerVerdict::Return { code };
-        }
-        self.admission.record_admitted(ctx.now_ms);
-        let flow = Flow::new(
-            FlowStage::Offered,
-            header.origin,
-            header.origin_domain,
-            ctx.now_ms,
-        );
-        self.table.insert(key, flow);
-        deliver(header)
+        self.on_new_flow(key, header, segment, ctx)
     }
 
     /// Handles a packet of a flow that is not in the table.
--- a/crates/basilstep-core/src/flows/agent/state/reporting.rs
+++ b/crates/basilstep-core/src/flows/agent/state/reporting.rs
@@ -72,7 +72,7 @@
             ),
             service_time_ms: 0,
             failure_permille: 0,
-            queued: 0,
+            queued: saturate(self.queue.len()),
         }
     }
 
--- a/crates/basilstep-core/src/flows/balancer/agent_table.rs
+++ b/crates/basilstep-core/src/flows/balancer/agent_table.rs
@@ -219,12 +219,7 @@
         placement: &PlacementContext<'_>,
         settings: &FlowSettings,
     ) -> Option<Ipv4Addr> {
-        let open: Vec<(Ipv4Addr, &AgentState)> = self
-            .of_service(service)
-            .filter(|agent| !placement.refused_by.contains(agent))
-            .filter_map(|agent| Some((agent, self.agents.get(&agent)?)))
-            .filter(|(agent, state)| takes_new_flows(*agent, state, placement, settings))
-            .collect();
+        let open = self.open_agents(service, placement, settings).collect();
         candidates(flow, open, placement.domain, settings)
             .into_iter()
             .map(|(agent, state)| (agent, expected_wait(state, placement, settings)))
@@ -232,6 +227,31 @@
             .map(|(agent, _)| agent)
     }
 
+    /// Returns whether an agent other than `agent` can be sent the new flow.
+    pub fn has_other_agent(
+        &self,
+        agent: Ipv4Addr,
+        service: ServiceTag,
+        placement: &PlacementContext<'_>,
+        settings: &FlowSettings,
+    ) -> bool {
+        self.open_agents(service, placement, settings)
+            .any(|(other, _)| other != agent)
+    }
+
+    /// Returns the agents of a service that can be sent the new flow.
+    fn open_agents<'a>(
+        &'a self,
+        service: ServiceTag,
+        placement: &'a PlacementContext<'_>,
+        settings: &'a FlowSettings,
+    ) -> impl Iterator<Item = (Ipv4Addr, &'a AgentState)> {
+        self.of_service(service)
+            .filter(|agent| !placement.refused_by.contains(agent))
+            .filter_map(|agent| Some((agent, self.agents.get(&agent)?)))
+            .filter(|(agent, state)| takes_new_flows(*agent, state, placement, settings))
+    }
+
     fn remove_from_service(&mut self, agent: Ipv4Addr, service: ServiceTag) {
         if let Some(agents) = self.by_service.get_mut(&service) {
             agents.remove(&agent);
--- a/crates/basilstep-core/src/flows/balancer/overload.rs
+++ b/crates/basilstep-core/src/flows/balancer/overload.rs
@@ -10,15 +10,15 @@
     last_ms: u64,
 }
 
-/// Since when the targets of each service have had no room for new flows.
+/// Since when the targets of each service have had no room for new flows of each priority level.
 #[derive(Clone, Debug, Default)]
 pub struct Overloads {
-    refusals: BTreeMap<ServiceTag, Refusals>,
+    refusals: BTreeMap<(ServiceTag, u8), Refusals>,
 }
 
 impl Overloads {
-    /// Records that all targets of a service have refused a new flow because of their load; returns
-    /// whether its caller is to be refused at once.
+    /// Records that the targets of a service have refused a new flow of a priority level because of
+    /// their load; returns whether its caller is to be refused at once.
     ///
     /// A caller that gets no answer sends its SYN again, and that is of use if there is room by
     /// then. In an overload that has lasted for longer than this takes, it would come back too late
@@ -26,10 +26,11 @@
     pub fn record_refusal(
         &mut self,
         service: ServiceTag,
+        level: u8,
         refuse_after_ms: u64,
         now_ms: u64,
     ) -> bool {
-        let refusals = self.refusals.entry(service).or_insert(Refusals {
+        let refusals = self.refusals.entry((service, level)).or_insert(Refusals {
             since_ms: now_ms,
             last_ms: now_ms,
         });
--- a/crates/basilstep-core/src/flows/balancer/search.rs
+++ b/crates/basilstep-core/src/flows/balancer/search.rs
@@ -15,6 +15,8 @@
 pub struct Search {
     /// Agents that do not hold the flow, or that refused to open it.
     pub refused_by: BTreeSet<Ipv4Addr>,
+    /// How many agents have refused to open the flow because of their load.
+    pub load_refusals: usize,
     /// The agent in the flow's hint does not hold the flow.
     pub is_hint_wrong: bool,
     /// When a packet was last sent to all agents that had not answered.
--- a/crates/basilstep-core/src/flows/balancer/state.rs
+++ b/crates/basilstep-core/src/flows/balancer/state.rs
@@ -23,7 +23,7 @@
         frame::{AgentReport, BalancerHeartbeat, ForwardHeader, HeldFlows, Returned},
         handshake::HANDSHAKE_TIMEOUT_MS,
         key::{FlowKey, ServiceTag},
-        routes::{FleetSettings, RequestKind},
+        routes::{FleetSettings, PriorityRanks, RequestKind},
         segment::Segment,
         send_schedule::SendSchedule,
         settings::FlowSettings,
@@ -44,6 +44,8 @@
     settings: FlowSettings,
     identity: BalancerIdentity,
     fleet: FleetSettings,
+    /// Computed when routes are applied, because a service may have thousands of them.
+    priority_ranks: PriorityRanks,
     held_domains: HeldDomains,
     /// Services that earlier versions of a route named and that may still hold its open flows.
     former_services: BTreeMap<SocketAddrV4, BTreeSet<ServiceTag>>,
@@ -79,6 +81,7 @@
             settings,
             identity,
             fleet: FleetSettings::default(),
+            priority_ranks: PriorityRanks::default(),
             held_domains: HeldDomains::default(),
             former_services: BTreeMap::new(),
             agents: AgentTable::default(),
@@ -160,7 +163,9 @@
         }
         let search_ms = self.settings.searches.keep_ms;
         let search = self.searches.entry(flow, ctx.now_ms, search_ms);
-        search.refused_by.insert(agent);
+        if search.refused_by.insert(agent) && returned.code == ResultCode::Overloaded {
+            search.load_refusals += 1;
+        }
         search.is_hint_wrong |= is_from_holder;
         if segment.is_syn() {
             let new = NewFlow {
--- a/crates/basilstep-core/src/flows/balancer/state/settings.rs
+++ b/crates/basilstep-core/src/flows/balancer/state/settings.rs
@@ -7,7 +7,7 @@
     flows::{
         balancer::settings_watch::WatchLimits,
         frame::{AgentReport, ReportReply},
-        routes::FleetSettings,
+        routes::{FleetSettings, PriorityRanks},
     },
 };
 use std::{collections::BTreeSet, net::Ipv4Addr};
@@ -17,6 +17,9 @@
     pub fn on_fleet_settings(&mut self, fleet: FleetSettings, ctx: &Context) -> bool {
         let before = self.fleet.clone();
         let is_changed = self.fleet.merge_newer(fleet);
+        if self.fleet.table.version != before.table.version {
+            self.priority_ranks = PriorityRanks::new(&self.fleet.table);
+        }
         self.held_domains
             .on_settings(&before, &self.fleet, ctx.now_ms);
         for (entry, route) in before.table.routes {
--- a/crates/basilstep-core/src/flows/balancer/state/syn.rs
+++ b/crates/basilstep-core/src/flows/balancer/state/syn.rs
@@ -8,6 +8,7 @@
         balancer::{PlacedSyn, Verdict, agent_table::PlacementContext, hints::Hint},
         frame::ForwardHeader,
         key::{FlowKey, ServiceTag},
+        routes::{PriorityRank, Route},
         segment::Segment,
     },
 };
@@ -43,13 +44,18 @@
             let is_confirmed = hint.is_confirmed;
             let is_overdue = ctx.now_ms >= hint.offered_ms + confirm_within_ms;
             if is_confirmed || (!is_overdue && self.allows(&flow, service)) {
-                return self.forward_syn(agent, service, new, ctx);
+                return self.forward_syn(agent, service, new, false, ctx);
             }
             if is_overdue {
                 self.agents
                     .doubt_until(agent, ctx.now_ms + self.settings.syns.doubt_ms);
             }
             self.hints.remove(&flow);
+            let route = self.fleet.table.routes.get(&flow.service_address);
+            if self.limits_offers(self.rank_of(route, service)) {
+                // Those that were full may have room by now, and the last offer counts as used up.
+                self.searches.end(&flow);
+            }
             return self.place_syn(new, Some(service), ResultCode::NoTarget, ctx);
         }
         // Agents that were full when they refused the previous SYN may accept this one.
@@ -84,6 +90,11 @@
         let Some(service) = service else {
             return self.reject_unknown_service(ctx);
         };
+        let rank = self.rank_of(Some(route), service);
+        let offers_left = self.offers_left(&flow, rank);
+        if offers_left == Some(0) {
+            return self.refuse(new.segment, service, ResultCode::Overloaded, ctx);
+        }
         let placement = PlacementContext {
             domain: self.identity.domain,
             domains_out: &self.fleet.domains_out,
@@ -98,6 +109,12 @@
         else {
             return self.refuse(new.segment, service, code, ctx);
         };
+        let may_wait = offers_left.is_some_and(|offers_left| {
+            offers_left == 1
+                || !self
+                    .agents
+                    .has_other_agent(agent, service, &placement, &self.settings)
+        });
         self.agents.record_offer(agent);
         self.record_packet_for(agent, ctx.now_ms);
         self.pending_syns.remove(&flow);
@@ -110,7 +127,32 @@
             used_ms: ctx.now_ms,
         };
         self.hints.insert(flow, hint);
-        self.forward_syn(agent, service, new, ctx)
+        self.forward_syn(agent, service, new, may_wait, ctx)
+    }
+
+    /// Returns whether a SYN that is refused for load is offered to a few agents only: where the
+    /// routes to the service have one priority, no SYN waits at an agent, so that all are tried.
+    const fn limits_offers(&self, rank: PriorityRank) -> bool {
+        rank.levels > 1 && self.settings.admission_queue.is_enabled
+    }
+
+    /// Returns to how many more agents a SYN that is refused for load is offered, or `None` if that
+    /// is not limited.
+    fn offers_left(&self, flow: &FlowKey, rank: PriorityRank) -> Option<usize> {
+        if !self.limits_offers(rank) {
+            return None;
+        }
+        let search = self.searches.get(flow);
+        let load_refusals = search.map_or(0, |search| search.load_refusals);
+        let max_offers = self.settings.admission_queue.max_offers.max(1);
+        Some(max_offers.saturating_sub(load_refusals))
+    }
+
+    /// Returns the rank of a flow's route among the routes that lead to `service`.
+    fn rank_of(&self, route: Option<&Route>, service: ServiceTag) -> PriorityRank {
+        route.map_or_else(PriorityRank::default, |route| {
+            self.priority_ranks.rank(service, route.priority)
+        })
     }
 
     /// Refuses a SYN that no agent accepts at the moment.
@@ -125,13 +167,15 @@
         code: ResultCode,
         ctx: &Context,
     ) -> Verdict {
+        let route = self.fleet.table.routes.get(&segment.destination);
+        let level = self.rank_of(route, service).level;
         let is_overload = code == ResultCode::Overloaded;
         let refuse_after_ms = self.settings.syns.refuse_after_ms;
         let is_hopeless = is_overload
             && segment.is_first_syn()
             && self
                 .overloads
-                .record_refusal(service, refuse_after_ms, ctx.now_ms);
+                .record_refusal(service, level, refuse_after_ms, ctx.now_ms);
         if !is_hopeless && !segment.is_last_syn() {
             return Verdict::Drop { code };
         }
@@ -139,17 +183,23 @@
         Verdict::Reset { code }
     }
 
-    /// Forwards a SYN to an agent, with what is left of the latency goal of its request.
+    /// Forwards a SYN to an agent, with its priority and what is left of the latency goal of its
+    /// request.
     fn forward_syn(
         &self,
         agent: Ipv4Addr,
         service: ServiceTag,
         new: NewFlow<'_>,
+        may_wait: bool,
         ctx: &Context,
     ) -> Verdict {
         let route = self.fleet.table.routes.get(&new.key().service_address);
         let goal_ms = route.map_or(0, |route| u64::from(route.latency_goal_ms));
+        let rank = self.rank_of(route, service);
         let mut next_hop = self.next_hop(agent, service, false);
+        next_hop.header.priority_level = rank.level;
+        next_hop.header.priority_levels = rank.levels;
+        next_hop.header.may_wait = may_wait;
         if goal_ms > 0 {
             let left_ms = goal_ms.saturating_sub(new.age_ms(ctx.now_ms));
             next_hop.header.latency_goal_ms =
--- a/crates/basilstep-core/src/flows/routes.rs
+++ b/crates/basilstep-core/src/flows/routes.rs
@@ -105,6 +105,17 @@
     }
 }
 
+impl PriorityRank {
+    fn among(priorities: &BTreeSet<u8>, priority: u8) -> Self {
+        let level = priorities.range(..priority).count();
+        let levels = priorities.len() + usize::from(!priorities.contains(&priority));
+        Self {
+            level: u8::try_from(level).unwrap_or(u8::MAX),
+            levels: u8::try_from(levels).unwrap_or(u8::MAX),
+        }
+    }
+}
+
 impl RouteTable {
     /// Returns the rank of `priority` among the priorities of the routes that lead to `service`.
     pub fn priority_rank(&self, service: ServiceTag, priority: u8) -> PriorityRank {
@@ -113,13 +124,41 @@
             .values()
             .filter(|route| route.allows(service))
             .map(|route| route.priority)
-            .chain([priority])
             .collect();
-        let level = priorities.range(..priority).count();
-        PriorityRank {
-            level: u8::try_from(level).unwrap_or(u8::MAX),
-            levels: u8::try_from(priorities.len()).unwrap_or(u8::MAX),
+        PriorityRank::among(&priorities, priority)
+    }
+}
+
+/// The priorities of the routes that lead to each service, for lookups on the path of a packet.
+#[derive(Clone, Debug, Default)]
+pub struct PriorityRanks {
+    /// Services whose routes have more than one priority.
+    priorities: BTreeMap<ServiceTag, BTreeSet<u8>>,
+}
+
+impl PriorityRanks {
+    /// Computes the ranks of all routes in one pass.
+    pub fn new(table: &RouteTable) -> Self {
+        let mut priorities: BTreeMap<ServiceTag, BTreeSet<u8>> = BTreeMap::new();
+        for route in table.routes.values() {
+            for share in route.shares.iter().filter(|share| share.weight > 0) {
+                priorities
+                    .entry(share.service)
+                    .or_default()
+                    .insert(route.priority);
+            }
         }
+        priorities.retain(|_, priorities| priorities.len() > 1);
+        Self { priorities }
+    }
+
+    /// Returns the rank of `priority` among the priorities of the routes that lead to `service`.
+    pub fn rank(&self, service: ServiceTag, priority: u8) -> PriorityRank {
+        self.priorities
+            .get(&service)
+            .map_or_else(PriorityRank::default, |priorities| {
+                PriorityRank::among(priorities, priority)
+            })
     }
 }
 
--- a/crates/basilstep-core/src/flows/tests/agent.rs
+++ b/crates/basilstep-core/src/flows/tests/agent.rs
@@ -38,7 +38,7 @@
 fn refusal(verdict: CallerVerdict) -> ResultCode {
     match verdict {
         CallerVerdict::Return { code } => code,
-        CallerVerdict::Deliver { .. } => panic!("expected a refusal"),
+        CallerVerdict::Deliver { .. } | CallerVerdict::Queue => panic!("expected a refusal"),
     }
 }
 
@@ -354,7 +354,7 @@
 #[test]
 fn syns_from_before_a_pause_are_returned() {
     let (mut agent, ctx) = serving_agent();
-    agent.on_pause();
+    agent.on_pause(&ctx);
     assert_eq!(
         refusal(try_syn(&mut agent, ctx.now_ms)),
         ResultCode::Recovering
--- a/crates/basilstep-core/src/flows/tests/fleet.rs
+++ b/crates/basilstep-core/src/flows/tests/fleet.rs
@@ -322,6 +322,7 @@
         let returned = match machine.agent.on_packet(header, segment, &ctx) {
             CallerVerdict::Return { code } => Some((balancer, code)),
             CallerVerdict::Deliver { cookie } => machine.deliver(segment, cookie, &ctx),
+            CallerVerdict::Queue => unreachable!("all routes have one priority"),
         };
         self.deliver_advertisements();
         if let Some((origin, code)) = returned {
--- a/crates/basilstep-core/src/flows/tests/mod.rs
+++ b/crates/basilstep-core/src/flows/tests/mod.rs
@@ -1,5 +1,6 @@
 //! Tests of steering without tokens, and their shared helpers.
 
+mod admission_queue;
 mod agent;
 mod agent_restarts;
 mod balancer;
@@ -9,7 +10,9 @@
 mod discovery;
 mod fleet;
 mod frames;
+mod offers;
 mod overload;
+mod priority_load;
 mod refusals;
 mod restart;
 mod routes;
@@ -18,6 +21,7 @@
 mod settings_watch;
 mod store_era;
 mod store_outage;
+mod target;
 
 use super::{
     AgentFlows, AgentReport, BalancerFlows, BalancerHeartbeat, Flags, FleetSettings, FlowKey,
--- a/crates/basilstep-core/src/flows/tests/overload.rs
+++ b/crates/basilstep-core/src/flows/tests/overload.rs
@@ -2,44 +2,14 @@
 
 use super::{
     accepted, balancer_ip, context, data, flow, forward_header, from_target, new_agent, syn,
-    target_heartbeat,
+    target::Target, target_heartbeat,
 };
 use crate::flows::{
     AgentFlows, FlowKey, ForwardHeader,
     agent::{CallerVerdict, TargetHeartbeat},
 };
 use rstest::rstest;
-use std::collections::{BTreeMap, VecDeque};
-
-/// A target that processes some requests at once and queues the others.
-struct Target {
-    slots: usize,
-    work_ms: u64,
-    running: Vec<(FlowKey, u64)>,
-    queued: VecDeque<FlowKey>,
-}
-
-impl Target {
-    fn enqueue(&mut self, flow: FlowKey) {
-        self.queued.push_back(flow);
-    }
-
-    fn step(&mut self, now_ms: u64) -> Vec<FlowKey> {
-        let done: Vec<FlowKey> = self
-            .running
-            .iter()
-            .filter(|(_, until_ms)| *until_ms <= now_ms)
-            .map(|(flow, _)| *flow)
-            .collect();
-        self.running.retain(|(_, until_ms)| *until_ms > now_ms);
-        while self.running.len() < self.slots
-            && let Some(flow) = self.queued.pop_front()
-        {
-            self.running.push((flow, now_ms + self.work_ms));
-        }
-        done
-    }
-}
+use std::collections::BTreeMap;
 
 /// The outcome of the requests with one latency goal.
 #[derive(Clone, Copy, Debug, Default)]
@@ -53,6 +23,7 @@
 struct Run {
     agent: AgentFlows,
     target: Target,
+    work_ms: u64,
     admitted: BTreeMap<FlowKey, AdmittedRequest>,
     outcomes: BTreeMap<u16, Outcome>,
     next_port: u16,
@@ -71,15 +42,10 @@
             ..target_heartbeat(1)
         };
         agent.on_target_heartbeat(&warm, &context(1_000));
-        let target = Target {
-            slots: usize::from(slots),
-            work_ms,
-            running: Vec::new(),
-            queued: VecDeque::new(),
-        };
         Self {
             agent,
-            target,
+            target: Target::new(slots),
+            work_ms,
             admitted: BTreeMap::new(),
             outcomes: BTreeMap::new(),
             next_port: 1,
@@ -114,7 +80,7 @@
                 since_ms: now_ms,
             };
             self.admitted.insert(flow, request);
-            self.target.enqueue(flow);
+            self.target.enqueue(flow, self.work_ms);
         }
     }
 
--- a/crates/basilstep-packet/src/agent/http.rs
+++ b/crates/basilstep-packet/src/agent/http.rs
@@ -93,6 +93,7 @@
             "is_domain_out": self.flows.is_domain_out(),
             "open_flows": self.flows.table().live(),
             "at_work": self.flows.table().at_work(),
+            "queued": self.flows.queued(),
             "balancers": self.flows.balancers().entries(self.ctx.now_ms),
         })
         .to_string()
--- a/crates/basilstep-packet/src/agent/mod.rs
+++ b/crates/basilstep-packet/src/agent/mod.rs
@@ -3,6 +3,7 @@
 mod frames;
 mod http;
 mod packets;
+mod released_syns;
 mod serve;
 
 pub use serve::serve;
--- a/crates/basilstep-packet/src/agent/packets.rs
+++ b/crates/basilstep-packet/src/agent/packets.rs
@@ -26,15 +26,26 @@
                 if segment.is_syn() {
                     self.log_decision(ResultCode::Done, &segment);
                 }
-                header::set_cookie(packet, cookie);
-                if self.target_socket.send(packet) == SendOutcome::Refused {
-                    self.on_target_refused();
-                }
+                self.send_to_target(packet, cookie);
             }
             CallerVerdict::Return { code } => {
                 self.log_decision(code, &segment);
                 self.return_packet(forward_header.origin, forward_header.service, code, packet);
             }
+            CallerVerdict::Queue => {
+                let is_new = self
+                    .flows
+                    .queue_syn(forward_header, &segment, packet, &self.ctx);
+                self.metrics.queued_syns.inc_by(u64::from(is_new));
+            }
+        }
+    }
+
+    /// Sends a packet to the target, with a cookie that says where to return it if it bounces.
+    pub(super) fn send_to_target(&mut self, packet: &mut [u8], cookie: u32) {
+        header::set_cookie(packet, cookie);
+        if self.target_socket.send(packet) == SendOutcome::Refused {
+            self.on_target_refused();
         }
     }
 
@@ -81,7 +92,7 @@
         }
     }
 
-    fn return_packet(
+    pub(super) fn return_packet(
         &mut self,
         origin: Ipv4Addr,
         service: ServiceTag,
--- a/crates/basilstep-packet/src/agent/serve.rs
+++ b/crates/basilstep-packet/src/agent/serve.rs
@@ -34,6 +34,10 @@
 /// The interval of timer checks while no balancer is known.
 const DISCOVERY_TICK: Duration = Duration::from_millis(20);
 
+/// The interval of timer checks while SYNs are queued, whose waits are bounded by some tens of
+/// milliseconds.
+const QUEUE_TICK: Duration = Duration::from_millis(10);
+
 /// The capacity of the event channel of the packet task.
 const EVENT_QUEUE_CAPACITY: usize = 256;
 
@@ -83,6 +87,8 @@
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut discovery_ticks = interval(DISCOVERY_TICK);
     discovery_ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut queue_ticks = interval(QUEUE_TICK);
+    queue_ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let stopped = shutdown::wait_for_signal();
     tokio::pin!(stopped);
     agent.send_reports(Recipients::All);
@@ -99,11 +105,14 @@
                 agent.refresh_time();
                 agent.discover_balancers();
             }
+            _ = queue_ticks.tick(), if agent.flows.queued() > 0 => agent.refresh_time(),
             _ = &mut stopped => break,
         }
+        agent.send_released_syns();
         agent.send_advertisements();
     }
     agent.flows.stop();
+    agent.send_released_syns();
     agent.send_reports(Recipients::All);
     Ok(())
 }
@@ -157,7 +166,7 @@
     /// Updates the time and handles a pause of the machine, if there was one.
     pub(super) fn refresh_time(&mut self) {
         if self.pause_detector.refresh(&mut self.ctx).is_some() {
-            self.flows.on_pause();
+            self.flows.on_pause(&self.ctx);
         }
     }
 
--- a/crates/basilstep-packet/src/metrics.rs
+++ b/crates/basilstep-packet/src/metrics.rs
@@ -1,8 +1,9 @@
 //! Counters and latency histograms in the Prometheus text format.
 
-use basilstep_core::codes::ResultCode;
+use basilstep_core::{codes::ResultCode, flows::agent::QueueOutcome};
 use prometheus::{
-    Encoder, Histogram, HistogramOpts, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
+    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
+    TextEncoder,
 };
 use std::collections::BTreeMap;
 
@@ -23,6 +24,10 @@
     settings_age_ms: Option<IntGauge>,
     /// The time from the arrival of a SYN at the agent to the target's answer.
     pub handshake_ms: Histogram,
+    /// SYNs that an agent has queued.
+    pub queued_syns: IntCounter,
+    released_syns: IntCounterVec,
+    queue_wait_ms: Histogram,
 }
 
 impl Metrics {
@@ -46,9 +51,33 @@
             .buckets(LATENCY_BUCKETS_MS.to_vec()),
         )
         .expect("the name of the histogram is well formed");
+        let queued_syns = IntCounter::new(
+            "basilstep_queued_total",
+            "SYNs that entered the admission queue",
+        )
+        .expect("the name of the counter is well formed");
+        let released_syns = IntCounterVec::new(
+            Opts::new(
+                "basilstep_queue_left_total",
+                "SYNs that left the admission queue by outcome",
+            ),
+            &["outcome"],
+        )
+        .expect("the name of the counter is well formed");
+        let queue_wait_ms = Histogram::with_opts(
+            HistogramOpts::new(
+                "basilstep_queue_wait_ms",
+                "Time of a SYN in the admission queue in milliseconds",
+            )
+            .buckets(LATENCY_BUCKETS_MS.to_vec()),
+        )
+        .expect("the name of the histogram is well formed");
         for collector in [
             Box::new(decisions.clone()) as Box<dyn prometheus::core::Collector>,
             Box::new(handshake_ms.clone()),
+            Box::new(queued_syns.clone()),
+            Box::new(released_syns.clone()),
+            Box::new(queue_wait_ms.clone()),
         ] {
             registry
                 .register(collector)
@@ -60,6 +89,9 @@
             counters: BTreeMap::new(),
             settings_age_ms: None,
             handshake_ms,
+            queued_syns,
+            released_syns,
+            queue_wait_ms,
         }
     }
 
@@ -71,6 +103,18 @@
             .inc();
     }
 
+    /// Counts a SYN that has left the admission queue after `waited_ms`.
+    pub fn count_released(&mut self, outcome: QueueOutcome, waited_ms: u64) {
+        let name = match outcome {
+            QueueOutcome::Admitted => "admitted",
+            QueueOutcome::Expired => "expired",
+            QueueOutcome::Evicted => "evicted",
+            QueueOutcome::Withdrawn => "withdrawn",
+        };
+        self.released_syns.with_label_values(&[name]).inc();
+        self.queue_wait_ms.observe(waited_ms as f64);
+    }
+
     /// Sets how long ago the store last confirmed the settings; the gauge appears with the first
     /// known age.
     ///
