test(packet): a SYN waits at an agent process and opens its flow

Cause: the delivery of queued SYNs by the agent process had no test.

Change: a process test with two routes of different priorities to one target that is full of unfinished handshakes.

--- a/crates/basilstep-packet/tests/processes/main.rs
+++ b/crates/basilstep-packet/tests/processes/main.rs
@@ -1,6 +1,7 @@
 //! Tests of balancer and agent processes over UDP and TCP, with test doubles for callers, routers,
 //! targets and the store.
 
+mod admission_queue;
 mod configuration;
 mod fleet;
 mod soak;
