--- a/crates/basilstep-core/src/flows/agent/state/reporting.rs
+++ b/crates/basilstep-core/src/flows/agent/state/reporting.rs
@@ -73,7 +73,7 @@
             ),
             service_time_ms: health.service_time_ms,
             failure_permille: health.failure_permille,
-            queued: 0,
+            queued: saturate(self.queue.len()),
         }
     }
 
--- a/crates/basilstep-core/src/flows/tests/load_model.rs
+++ b/crates/basilstep-core/src/flows/tests/load_model.rs
@@ -2,8 +2,8 @@
 
 use super::{
     HEARTBEAT_MS, accepted, agent_ip, balancer_ip, balancer_with_settings, context, data,
-    fleet_settings, flow, forward_header, from_target, new_agent_with_settings, overload::Target,
-    reset, syn, target_heartbeat,
+    fleet_settings, flow, forward_header, from_target, new_agent_with_settings, reset, syn,
+    target::Target, target_heartbeat,
 };
 use crate::{
     address::DomainId,
--- a/crates/basilstep-core/src/flows/tests/mod.rs
+++ b/crates/basilstep-core/src/flows/tests/mod.rs
@@ -1,5 +1,6 @@
 //! Tests of steering without tokens, and their shared helpers.
 
+mod admission_queue;
 mod agent;
 mod agent_restarts;
 mod balancer;
@@ -10,7 +11,9 @@
 mod fleet;
 mod frames;
 mod load_model;
+mod offers;
 mod overload;
+mod priority_load;
 mod refusals;
 mod restart;
 mod routes;
@@ -19,6 +22,7 @@
 mod settings_watch;
 mod store_era;
 mod store_outage;
+mod target;
 mod target_health;
 mod target_ranking;
 mod target_speed;
--- a/crates/basilstep-core/src/flows/tests/overload.rs
+++ b/crates/basilstep-core/src/flows/tests/overload.rs
@@ -2,58 +2,14 @@
 
 use super::{
     accepted, balancer_ip, context, data, flow, forward_header, from_target, new_agent, syn,
-    target_heartbeat,
+    target::Target, target_heartbeat,
 };
 use crate::flows::{
     AgentFlows, FlowKey, ForwardHeader,
     agent::{CallerVerdict, TargetHeartbeat},
 };
 use rstest::rstest;
-use std::collections::{BTreeMap, VecDeque};
-
-/// A target that processes some requests at once and queues the others.
-pub(super) struct Target {
-    slots: usize,
-    running: Vec<(FlowKey, u64)>,
-    queued: VecDeque<(FlowKey, u64)>,
-}
-
-impl Target {
-    pub(super) fn new(slots: u16) -> Self {
-        Self {
-            slots: usize::from(slots),
-            running: Vec::new(),
-            queued: VecDeque::new(),
-        }
-    }
-
-    pub(super) fn enqueue(&mut self, flow: FlowKey, work_ms: u64) {
-        self.queued.push_back((flow, work_ms));
-    }
-
-    /// Ends a request that its caller has given up.
-    pub(super) fn cancel(&mut self, flow: FlowKey) {
-        self.running.retain(|(running, _)| *running != flow);
-        self.queued.retain(|(queued, _)| *queued != flow);
-    }
-
-    /// Returns the requests that have ended by `now_ms`, and begins with the next ones.
-    pub(super) fn step(&mut self, now_ms: u64) -> Vec<FlowKey> {
-        let done: Vec<FlowKey> = self
-            .running
-            .iter()
-            .filter(|(_, until_ms)| *until_ms <= now_ms)
-            .map(|(flow, _)| *flow)
-            .collect();
-        self.running.retain(|(_, until_ms)| *until_ms > now_ms);
-        while self.running.len() < self.slots
-            && let Some((flow, work_ms)) = self.queued.pop_front()
-        {
-            self.running.push((flow, now_ms + work_ms));
-        }
-        done
-    }
-}
+use std::collections::BTreeMap;
 
 /// The outcome of the requests with one latency goal.
 #[derive(Clone, Copy, Debug, Default)]
--- a/crates/basilstep-packet/src/agent/http.rs
+++ b/crates/basilstep-packet/src/agent/http.rs
@@ -98,6 +98,7 @@
             "open_flows": self.flows.table().live(),
             "at_work": self.flows.table().at_work(),
             "health": self.flows.health_reading(&self.ctx),
+            "queued": self.flows.queued(),
             "balancers": self.flows.balancers().entries(self.ctx.now_ms),
         })
         .to_string()
