fix(agent): keep answers whole and outcomes true between agents

Cause: tests with two agents, a scripted target and an HTTP/3 caller found these faults. - A relayed HTTP/1.0 answer without a length lost its truncation: the relaying agent got it as HTTP/1.0 too, where the end of the connection is the end of the body. - An early answer to an upload was lost as 205 when the target answered and closed, because the client ended at the first failed write. - A header `basilstep-code` of the target was taken for the relayed agent's: a request that had run was reported as 101 and sent again. - A caller that broke off its upload made the agent pause a healthy target. - An idempotent request whose first attempt was sent and whose last one was not was reported as not run (105). - Recorded answers lost `content-encoding`; `keep-alive` was passed on, which is malformed in HTTP/3.

Change: relayed answers are HTTP/1.1; EarlyAnswerStream discards writes after the peer's close and reports them at the end of the stream; agents remove a target's result code; FailureReason::BodyBrokenOff says nothing about the target; FailedAttempt::may_have_run outlasts the last attempt.

Ruled out by tests that passed before: bodies cut by length, chunk or reset as complete, truncated answers in records, second answers, answers lost between agents that are run again, relayed requests that are started after their agent gave up.

Before the change failed: early answer (relayed), result code (both), HTTP/1.0 (relayed), upload broken off (both); with the change switched off: the tests of may_have_run, content-encoding and keep-alive.

--- a/crates/basilstep-agent/src/control_port.rs
+++ b/crates/basilstep-agent/src/control_port.rs
@@ -7,11 +7,12 @@
         ResponseBody,
     },
     shared_state::SharedState,
+    upstream::remove_hop_by_hop,
 };
 use basilstep_core::{codes::ResultCode, membership::AgentPhase};
 use basilstep_node::control::{AUTH_HEADER, ControlHandler, ControlResponse, PathAndQuery};
 use bytes::Bytes;
-use http::{Method, Request, Response};
+use http::{Method, Request, Response, Version};
 use hyper::body::Incoming;
 use serde_json::json;
 use std::sync::{Arc, atomic::Ordering};
@@ -56,7 +57,12 @@
             _ => RequestOrigin::RelayToTicketIssuer,
         };
         let request = Request::from_parts(head, body);
-        exchange::handle_request(&self.shared, &self.dispatcher, origin, request).await
+        let mut response =
+            exchange::handle_request(&self.shared, &self.dispatcher, origin, request).await;
+        // An HTTP/1.0 response has no marked end, so that its truncation would not be noticed.
+        *response.version_mut() = Version::HTTP_11;
+        remove_hop_by_hop(response.headers_mut());
+        response
     }
 }
 
--- a/crates/basilstep-agent/src/exchange/attempt.rs
+++ b/crates/basilstep-agent/src/exchange/attempt.rs
@@ -145,7 +145,12 @@
             .await;
         let latency_ms = (self.dispatcher.now_ms() - started_ms) as u32;
         let response = match result {
-            Ok(response) => response,
+            Ok(mut response) => {
+                // Only agents state result codes: the code of a service behind the target says
+                // nothing about this request.
+                response.headers_mut().remove(CODE_HEADER);
+                response
+            }
             Err(failed) => {
                 // Only failures caused by the target are reported to admission; dropping the slot
                 // cancels the request there.
@@ -244,7 +249,7 @@
         let request = Request::from_parts(adapt_head(self.head.clone()), body);
         match timeout(Duration::from_millis(remaining_ms), upstream.send(request)).await {
             Ok(Ok(response)) => Ok(response),
-            Ok(Err(_)) => Err(AttemptFailure::sent(FailureReason::TargetLost)),
+            Ok(Err(failure)) => Err(AttemptFailure::sent(failure)),
             Err(_) => Err(AttemptFailure::sent(FailureReason::DeadlinePassed)),
         }
     }
--- a/crates/basilstep-agent/src/exchange/request_handler.rs
+++ b/crates/basilstep-agent/src/exchange/request_handler.rs
@@ -50,6 +50,8 @@
     method: MethodClass,
     key: Option<IdempotencyKey>,
     deadline_ms: u64,
+    /// Whether an earlier attempt may have run the request.
+    may_have_run: bool,
 }
 
 /// The destination of one attempt.
@@ -118,6 +120,7 @@
             body: Some(body),
             key,
             deadline_ms: dispatcher.deadline_ms(timeout_ms),
+            may_have_run: false,
         })
     }
 
@@ -210,7 +213,11 @@
                 ..failed
             };
             match self.decide_retry(failed, destination, recorded, attempts) {
-                RetryDecision::RetryAfter { backoff_ms } => {
+                RetryDecision::RetryAfter {
+                    backoff_ms,
+                    may_have_run,
+                } => {
+                    self.may_have_run = may_have_run;
                     sleep(Duration::from_millis(backoff_ms)).await;
                 }
                 RetryDecision::Final(resolution) => return failure_response(resolution, failed),
@@ -315,6 +322,7 @@
             method: self.method,
             key: self.key.as_ref().filter(|_| includes_key),
             sent: failed.sent,
+            may_have_run: self.may_have_run,
             failure: failed.failure,
             // A streamed body that has been taken cannot be sent again.
             attempts: if self.body.is_some() {
--- a/crates/basilstep-agent/src/exchange/responses.rs
+++ b/crates/basilstep-agent/src/exchange/responses.rs
@@ -1,3 +1,6 @@
+#[cfg(test)]
+mod tests;
+
 use super::{body::ResponseBody, dispatcher::Refusal};
 use basilstep_core::codes::ResultCode;
 use bytes::Bytes;
@@ -11,6 +14,14 @@
 /// The header with the time in milliseconds after which the caller should retry.
 pub const RETRY_AFTER_MS_HEADER: &str = "basilstep-retry-after-ms";
 
+/// The headers without which a duplicate could not read or use the recorded body.
+const RECORDED_HEADERS: [HeaderName; 4] = [
+    header::CONTENT_TYPE,
+    header::CONTENT_ENCODING,
+    header::CONTENT_LANGUAGE,
+    header::LOCATION,
+];
+
 const DEFAULT_RETRY_AFTER_MS: u32 = 200;
 const MAX_JITTER_MS: u32 = 400;
 const MS_PER_S: u32 = 1_000;
@@ -19,19 +30,20 @@
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct RecordedResponse {
     status: u16,
-    content_type: Option<String>,
+    headers: Vec<(String, Vec<u8>)>,
     body: Vec<u8>,
 }
 
 impl RecordedResponse {
     /// Extracts the parts of a response that duplicates of the request receive.
     pub fn from_parts(head: &http::response::Parts, body: &[u8]) -> Self {
-        let content_type = head.headers.get(header::CONTENT_TYPE);
+        let headers = RECORDED_HEADERS.iter().filter_map(|name| {
+            let value = head.headers.get(name)?;
+            Some((name.as_str().to_owned(), value.as_bytes().to_vec()))
+        });
         Self {
             status: head.status.as_u16(),
-            content_type: content_type
-                .and_then(|value| value.to_str().ok())
-                .map(str::to_owned),
+            headers: headers.collect(),
             body: body.to_vec(),
         }
     }
@@ -48,8 +60,11 @@
         };
         let mut response = Response::new(buffered_body(recorded.body));
         *response.status_mut() = StatusCode::from_u16(recorded.status).unwrap_or(StatusCode::OK);
-        if let Some(content_type) = recorded.content_type {
-            insert_header(response.headers_mut(), header::CONTENT_TYPE, &content_type);
+        for (name, value) in recorded.headers {
+            let name = HeaderName::try_from(name);
+            if let (Ok(name), Ok(value)) = (name, HeaderValue::try_from(value)) {
+                response.headers_mut().insert(name, value);
+            }
         }
         response
     }
--- a/crates/basilstep-agent/src/main.rs
+++ b/crates/basilstep-agent/src/main.rs
@@ -12,6 +12,8 @@
 mod health;
 mod settings;
 mod shared_state;
+#[cfg(test)]
+mod tests;
 mod upstream;
 
 use crate::{
--- a/crates/basilstep-agent/src/upstream.rs
+++ b/crates/basilstep-agent/src/upstream.rs
@@ -1,7 +1,12 @@
 //! Sends one HTTP/1.1 request to the target or to another agent, each on a new connection.
 
-use basilstep_core::codes::ResultCode;
+mod early_answer;
+#[cfg(test)]
+mod tests;
+
+use basilstep_core::{codes::ResultCode, requests::FailureReason};
 use bytes::Bytes;
+use early_answer::EarlyAnswerStream;
 use http::{HeaderMap, HeaderName, Request, Response, header};
 use http_body::Body;
 use hyper::{body::Incoming, client::conn::http1};
@@ -12,8 +17,11 @@
 /// The timeout for connecting; the peer is in the same data-centre cage.
 const CONNECT_TIMEOUT_MS: u64 = 500;
 
-const HOP_BY_HOP: [HeaderName; 5] = [
+/// Includes the fields that make a message malformed in HTTP/3 (RFC 9114, section 4.2).
+const HOP_BY_HOP: [HeaderName; 7] = [
     header::CONNECTION,
+    HeaderName::from_static("keep-alive"),
+    HeaderName::from_static("proxy-connection"),
     header::TRANSFER_ENCODING,
     header::UPGRADE,
     header::TE,
@@ -45,7 +53,7 @@
             .or(Err(unreachable))?
             .or(Err(unreachable))?;
         stream.set_nodelay(true).or(Err(unreachable))?;
-        let (sender, connection) = http1::handshake(TokioIo::new(stream))
+        let (sender, connection) = http1::handshake(TokioIo::new(EarlyAnswerStream::new(stream)))
             .await
             .or(Err(unreachable))?;
         tokio::spawn(connection);
@@ -56,11 +64,17 @@
     ///
     /// # Errors
     ///
-    /// Returns [`ResultCode::TargetLost`] when the connection fails before the response head
-    /// arrives.
-    pub async fn send(mut self, request: Request<B>) -> Result<Response<Incoming>, ResultCode> {
+    /// Returns [`FailureReason::BodyBrokenOff`] when the body of the request fails, and
+    /// [`FailureReason::TargetLost`] when the connection fails before the response head arrives.
+    pub async fn send(mut self, request: Request<B>) -> Result<Response<Incoming>, FailureReason> {
         let response = self.sender.send_request(request).await;
-        response.or(Err(ResultCode::TargetLost))
+        response.map_err(|error| {
+            if error.is_user() || error.is_body_write_aborted() {
+                FailureReason::BodyBrokenOff
+            } else {
+                FailureReason::TargetLost
+            }
+        })
     }
 }
 
--- a/crates/basilstep-bench/src/fakes/caller/flow.rs
+++ b/crates/basilstep-bench/src/fakes/caller/flow.rs
@@ -1,6 +1,9 @@
 use basilstep_core::codes::ResultCode;
 use bytes::{Buf, Bytes, BytesMut};
-use h3::client::{RequestStream, SendRequest};
+use h3::{
+    client::{RequestStream, SendRequest},
+    error::Code,
+};
 use http::{HeaderMap, Request};
 use quinn::{
     ClientConfig, Connection, ConnectionError, Endpoint, IdleTimeout, TransportConfig, VarInt,
@@ -122,6 +125,24 @@
     }
 }
 
+/// A request whose body has not been sent completely.
+pub struct Upload {
+    stream: Stream,
+}
+
+impl std::fmt::Debug for Upload {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Upload").finish_non_exhaustive()
+    }
+}
+
+impl Upload {
+    /// Resets the stream in the middle of the request.
+    pub fn break_off(mut self) {
+        self.stream.stop_stream(Code::H3_REQUEST_CANCELLED);
+    }
+}
+
 impl Flow {
     /// Opens a flow from a new local port.
     ///
@@ -195,6 +216,22 @@
         Ok(response)
     }
 
+    /// Sends the head and the first part of the body of a request.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`RequestError`] if they cannot be sent.
+    pub async fn begin_upload(
+        &self,
+        request: Request<()>,
+        first_part: Bytes,
+    ) -> Result<Upload, RequestError> {
+        let mut sender = self.sender.0.clone();
+        let mut stream = sender.send_request(request).await.map_err(request_error)?;
+        stream.send_data(first_part).await.map_err(request_error)?;
+        Ok(Upload { stream })
+    }
+
     /// Opens a board and reads the response head.
     ///
     /// # Errors
@@ -309,7 +346,11 @@
 )]
 fn request_error(error: h3::error::StreamError) -> RequestError {
     match error {
-        h3::error::StreamError::RemoteClosing { .. } => RequestError::GoAway,
+        h3::error::StreamError::RemoteClosing { .. }
+        | h3::error::StreamError::RemoteTerminate {
+            code: Code::H3_REQUEST_REJECTED,
+            ..
+        } => RequestError::GoAway,
         other => RequestError::Lost(other.to_string()),
     }
 }
--- a/crates/basilstep-bench/src/fakes/caller/mod.rs
+++ b/crates/basilstep-bench/src/fakes/caller/mod.rs
@@ -10,6 +10,8 @@
 
 pub use counts::{CallerCounts, CallerRecorder, OfferOutcome, RemarkKind};
 pub(crate) use flow::client_config;
-pub use flow::{Board, Flow, FlowClientSettings, FlowError, FlowLoss, FlowResponse, RequestError};
+pub use flow::{
+    Board, Flow, FlowClientSettings, FlowError, FlowLoss, FlowResponse, RequestError, Upload,
+};
 pub use operation::{FlowState, Kind, NextStep, Operation};
 pub use session::{Caller, CallerSettings, ExpectedFailures};
--- a/crates/basilstep-core/src/requests/messages.rs
+++ b/crates/basilstep-core/src/requests/messages.rs
@@ -125,6 +125,8 @@
     Refused(ResultCode),
     /// The target was unreachable or closed the connection.
     TargetLost,
+    /// The caller, or the agent that relayed it, broke off its body.
+    BodyBrokenOff,
     /// The target refused it and did not run it.
     TargetShed,
     /// Its deadline passed.
@@ -146,6 +148,8 @@
     pub key: Option<&'a IdempotencyKey>,
     /// Whether the first byte may have reached the target or the relay.
     pub sent: bool,
+    /// Whether an earlier attempt may have run the request.
+    pub may_have_run: bool,
     /// The reason of the failure.
     pub failure: FailureReason,
     /// The number of attempts so far, this one included.
@@ -161,6 +165,8 @@
     RetryAfter {
         /// The backoff.
         backoff_ms: u64,
+        /// Whether this attempt or an earlier one may have run the request.
+        may_have_run: bool,
     },
     /// Answer the caller with this resolution.
     Final(RequestResolution),
--- a/crates/basilstep-core/src/requests/state.rs
+++ b/crates/basilstep-core/src/requests/state.rs
@@ -160,9 +160,19 @@
             let backoff_ms = self.retries.take(&self.settings, end, context);
             if let Some(backoff_ms) = backoff_ms {
                 self.allow_resend(end.key);
-                return RetryDecision::RetryAfter { backoff_ms };
+                return RetryDecision::RetryAfter {
+                    backoff_ms,
+                    may_have_run: end.may_have_run || !did_not_run,
+                };
             }
         }
+        let resolution = match resolution {
+            // The last attempt did not run, but an earlier one may have.
+            RequestResolution::NotRun(_) if end.may_have_run => {
+                RequestResolution::Unknown(ResultCode::TargetLost)
+            }
+            resolution => resolution,
+        };
         self.record_resolution(end.key, resolution);
         RetryDecision::Final(resolution)
     }
--- a/crates/basilstep-core/src/requests/tests.rs
+++ b/crates/basilstep-core/src/requests/tests.rs
@@ -85,6 +85,7 @@
         method: MethodClass::NonIdempotent,
         key,
         sent,
+        may_have_run: false,
         failure,
         attempts: 1,
         deadline_ms: 10_000,
@@ -424,6 +425,29 @@
     assert_eq!(matches!(after, RetryDecision::RetryAfter { .. }), retried);
 }
 
+/// Guards against a request that is reported as not run because only its last attempt did not run.
+#[test]
+fn retried_request_whose_first_attempt_may_have_run_is_not_reported_as_not_run() {
+    let (mut requests, mut context) = single(RequestSettings::default());
+    let mut failed = FailedAttempt {
+        method: MethodClass::Idempotent,
+        ..end(None, true, FailureReason::TargetLost)
+    };
+    let RetryDecision::RetryAfter { may_have_run, .. } = requests.fail(&failed, &mut context)
+    else {
+        panic!("an idempotent request is retried");
+    };
+    failed = FailedAttempt {
+        sent: false,
+        may_have_run,
+        attempts: u32::MAX,
+        ..failed
+    };
+    let unknown = RequestResolution::Unknown(ResultCode::TargetLost);
+    let after = requests.fail(&failed, &mut context);
+    assert_eq!(after, RetryDecision::Final(unknown));
+}
+
 #[rstest]
 #[case::cold_target(true, 1, false, FailureReason::Refused(ResultCode::Overloaded), true)]
 #[case::connect_refused(true, 1, false, FailureReason::TargetLost, true)]
