fix(agent): send GOAWAY at a stop and finish all accepted requests

Cause: a stopping agent left callers on their flows until stop_wait_ms ended and closed the flows with 302. It counted flows only, so that requests relayed by another agent, and recorded runs whose caller had gone, were cut off as soon as no flow was open. Queued requests were cut with their flow. A health check after the stop could announce the stopped agent as draining again.

Change: a stop has two stages. Finishing: a GOAWAY beyond all requests that may be on their way; accepted requests are finished, including those without a flow. Closing: a GOAWAY after the last accepted request; queued requests are refused as not run (106), nothing more is relayed; after the final announcement the flows left are closed with 302. RequestIntake makes the GOAWAY true: h3 accepts the request that its GOAWAY names as not run, and a flow without requests can only name request 0. The controller keeps the phase Down.

Ruled out: closing idle flows after the GOAWAY. A request on its way would be lost without an answer.

--- a/crates/basilstep-agent/src/control_port.rs
+++ b/crates/basilstep-agent/src/control_port.rs
@@ -7,15 +7,22 @@
         ResponseBody,
     },
     shared_state::SharedState,
+    stop::ActiveRequest,
     upstream::remove_hop_by_hop,
 };
 use basilstep_core::{codes::ResultCode, membership::AgentPhase};
 use basilstep_node::control::{AUTH_HEADER, ControlHandler, ControlResponse, PathAndQuery};
 use bytes::Bytes;
 use http::{Method, Request, Response, Version};
+use http_body::{Body, Frame};
 use hyper::body::Incoming;
 use serde_json::json;
-use std::sync::{Arc, atomic::Ordering};
+use std::{
+    io,
+    pin::Pin,
+    sync::{Arc, atomic::Ordering},
+    task::{Context, Poll},
+};
 use xtra::Address;
 
 /// Handles dump and drain requests from operators and requests relayed by other agents.
@@ -30,7 +37,7 @@
 }
 
 impl ControlHandler for ControlPort {
-    type Stream = ResponseBody;
+    type Stream = RelayedBody;
 
     async fn handle(&self, method: &Method, path: &str, _body: Bytes) -> ControlResponse {
         match (method.as_str(), PathAndQuery::parse(path).path()) {
@@ -45,7 +52,8 @@
     }
 
     /// Handles a request relayed by another agent.
-    async fn stream(&self, request: Request<Incoming>) -> Response<ResponseBody> {
+    async fn stream(&self, request: Request<Incoming>) -> Response<RelayedBody> {
+        let active = self.shared.active_requests.begin();
         let (mut head, body) = request.into_parts();
         let path = head.uri.path_and_query().map_or("/", |path| path.as_str());
         let path = path.strip_prefix(RELAY_PATH).unwrap_or(path);
@@ -62,7 +70,29 @@
         // An HTTP/1.0 response has no marked end, so that its truncation would not be noticed.
         *response.version_mut() = Version::HTTP_11;
         remove_hop_by_hop(response.headers_mut());
-        response
+        response.map(|body| RelayedBody {
+            body,
+            _active: active,
+        })
+    }
+}
+
+/// The body of the response to a relayed request, which is in progress until the body ends.
+#[derive(Debug)]
+pub struct RelayedBody {
+    body: ResponseBody,
+    _active: ActiveRequest,
+}
+
+impl Body for RelayedBody {
+    type Data = Bytes;
+    type Error = io::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<io::Result<Frame<Bytes>>>> {
+        Pin::new(&mut self.body).poll_frame(cx)
     }
 }
 
--- a/crates/basilstep-agent/src/controller.rs
+++ b/crates/basilstep-agent/src/controller.rs
@@ -168,6 +168,10 @@
     type Return = ();
 
     async fn handle(&mut self, changed: PhaseChanged, _: &mut Context<Self>) {
+        // A health check that ends after the stop must not bring the agent back into use.
+        if self.announcer.own_record().phase == AgentPhase::Down {
+            return;
+        }
         self.shared.clock.refresh(&mut self.context);
         let actions = self.announcer.set_phase(changed.0, &self.context);
         self.execute_actions(actions);
--- a/crates/basilstep-agent/src/endpoint.rs
+++ b/crates/basilstep-agent/src/endpoint.rs
@@ -10,7 +10,10 @@
 
 const IDLE_TIMEOUT_MS: u32 = 8_000;
 const KEEP_ALIVE_MS: u64 = 2_500;
-const MAX_STREAMS_PER_FLOW: u32 = 256;
+
+/// The number of requests that a caller may have in progress on one flow.
+pub const MAX_STREAMS_PER_FLOW: u32 = 256;
+
 const MTU_UPPER_BOUND_BYTES: u16 = 1_380;
 
 /// An error while opening the QUIC endpoint.
--- a/crates/basilstep-agent/src/exchange/request_handler.rs
+++ b/crates/basilstep-agent/src/exchange/request_handler.rs
@@ -8,7 +8,7 @@
     recorder::Recorder,
     responses::{RecordedResponse, code_response, insert_header, refusal_response},
 };
-use crate::shared_state::SharedState;
+use crate::{shared_state::SharedState, stop::StopStage};
 use basilstep_core::{
     address::AgentAddress,
     codes::ResultCode,
@@ -178,7 +178,11 @@
         if !recorded {
             return self.attempt_until_final(destination, false).await;
         }
-        let run = tokio::spawn(async move { self.attempt_until_final(destination, true).await });
+        let active = self.shared.active_requests.begin();
+        let run = tokio::spawn(async move {
+            let _active = active;
+            self.attempt_until_final(destination, true).await
+        });
         run.await
             .unwrap_or_else(|_| code_response(ResultCode::TargetLost))
     }
@@ -263,10 +267,13 @@
     fn choose_serving_peer(&self) -> Result<SocketAddrV4, AttemptFailure> {
         let active_settings = self.shared.active_settings();
         let peers = self.shared.peers();
+        // A response to a request relayed now would be cut off with the agent's flows.
+        let is_closing = self.shared.stop_stage() == StopStage::Closing;
         let serving: Vec<SocketAddrV4> = peers
             .iter()
             .filter(|peer| {
-                peer.phase == AgentPhase::Serving
+                !is_closing
+                    && peer.phase == AgentPhase::Serving
                     && !active_settings.domains_out.contains(peer.domain)
             })
             .map(|peer| peer.address.0)
--- a/crates/basilstep-agent/src/flow_server.rs
+++ b/crates/basilstep-agent/src/flow_server.rs
@@ -1,19 +1,25 @@
 //! Serves callers' flows: QUIC connections that carry HTTP/3 requests.
 
 use crate::{
+    endpoint::MAX_STREAMS_PER_FLOW,
     exchange::{self, CallerRequestBody, Dispatcher, RequestOrigin, ResponseBody},
     shared_state::SharedState,
+    stop::StopStage,
     upstream::remove_hop_by_hop,
 };
-use basilstep_core::{admission::AdmissionEvent, codes::ResultCode};
+use basilstep_core::{admission::AdmissionEvent, codes::ResultCode, requests::RequestIntake};
 use bytes::Bytes;
-use h3::{error::Code, server::RequestStream};
+use h3::{
+    error::Code,
+    server::{RequestResolver, RequestStream},
+};
 use http::{Request, Response};
 use http_body_util::BodyExt;
 use quinn::{Connection, Endpoint, Incoming, VarInt};
 use std::sync::Arc;
 
 type ResponseStream = RequestStream<h3_quinn::SendStream<Bytes>, Bytes>;
+type Resolver = RequestResolver<h3_quinn::Connection, Bytes>;
 type RequestStreams = RequestStream<h3_quinn::BidiStream<Bytes>, Bytes>;
 
 /// Accepts callers' flows and serves their requests.
@@ -74,23 +80,48 @@
             return;
         };
         let flow = rand::random();
-        while let Ok(Some(resolver)) = http.accept().await {
-            let flow_server = self.clone();
-            let connection = connection.clone();
-            tokio::spawn(async move {
-                let Ok((request, stream)) = resolver.resolve_request().await else {
-                    return;
-                };
-                tokio::select! {
-                    () = flow_server.serve_request(flow, request, stream) => {}
-                    // The connection is closed: dropping the request cancels it at the target.
-                    _ = connection.closed() => {}
+        let mut intake = RequestIntake::default();
+        let mut stop_stage = StopStage::Running;
+        loop {
+            tokio::select! {
+                accepted = http.accept() => {
+                    let Ok(Some(resolver)) = accepted else {
+                        break;
+                    };
+                    if intake.accept_next() {
+                        self.spawn_request(flow, resolver, connection.clone());
+                    } else {
+                        tokio::spawn(reject_request(resolver));
+                    }
                 }
-            });
+                reached = self.shared.stop_stage_after(stop_stage) => {
+                    stop_stage = reached;
+                    let limit = intake.limit_to(requests_after_goaway(stop_stage));
+                    if http.shutdown(limit as usize).await.is_err() {
+                        break;
+                    }
+                }
+            }
         }
         connection.closed().await;
     }
 
+    fn spawn_request(&self, flow: u32, resolver: Resolver, connection: Connection) {
+        let flow_server = self.clone();
+        let active = self.shared.active_requests.begin();
+        tokio::spawn(async move {
+            let _active = active;
+            let Ok((request, stream)) = resolver.resolve_request().await else {
+                return;
+            };
+            tokio::select! {
+                () = flow_server.serve_request(flow, request, stream) => {}
+                // The connection is closed: dropping the request cancels it at the target.
+                _ = connection.closed() => {}
+            }
+        });
+    }
+
     async fn serve_request(&self, flow: u32, request: Request<()>, stream: RequestStreams) {
         let (response_stream, body) = stream.split();
         let request = request.map(|()| CallerRequestBody::new(body));
@@ -101,6 +132,25 @@
     }
 }
 
+/// Returns the limit of further requests on a flow whose caller is told to open another one.
+///
+/// All requests that may be on their way are accepted at first, and none once the agent closes its
+/// flows.
+fn requests_after_goaway(stage: StopStage) -> u32 {
+    match stage {
+        StopStage::Closing => 1,
+        StopStage::Running | StopStage::Finishing => MAX_STREAMS_PER_FLOW,
+    }
+}
+
+/// Tells the caller that a request was not run.
+async fn reject_request(resolver: Resolver) {
+    if let Ok((_, mut stream)) = resolver.resolve_request().await {
+        stream.stop_sending(Code::H3_REQUEST_REJECTED);
+        stream.stop_stream(Code::H3_REQUEST_REJECTED);
+    }
+}
+
 /// Closes the connection when operators take the agent's failure domain out of service.
 ///
 /// The connection has to be closed before this returns: a dropped HTTP/3 connection closes itself
--- a/crates/basilstep-agent/src/main.rs
+++ b/crates/basilstep-agent/src/main.rs
@@ -12,6 +12,7 @@
 mod health;
 mod settings;
 mod shared_state;
+mod stop;
 #[cfg(test)]
 mod tests;
 mod upstream;
@@ -20,13 +21,13 @@
     bootstrap::InitialSettings,
     carrier::{CarrierSocket, MembershipDatagram},
     control_port::ControlPort,
-    controller::{Controller, DatagramReceived, NewerSettingsSeen, PhaseChanged, Tick},
+    controller::{Controller, DatagramReceived, NewerSettingsSeen, Tick},
     exchange::Dispatcher,
     flow_server::FlowServer,
     settings::{AgentFlags, AgentSettings},
     shared_state::SharedState,
 };
-use basilstep_core::{codes::ResultCode, membership::AgentPhase};
+use basilstep_core::codes::ResultCode;
 use basilstep_node::{
     clock::Clock,
     control::ControlServer,
@@ -48,8 +49,6 @@
 const TICK_INTERVAL_MS: u64 = 100;
 const METRICS_INTERVAL_MS: u64 = 10_000;
 const MEMBERSHIP_QUEUE_CAPACITY: usize = 1_024;
-const DRAIN_POLL_INTERVAL_MS: u64 = 100;
-const FINAL_ANNOUNCEMENT_WAIT_MS: u64 = 300;
 
 #[tokio::main]
 async fn main() -> ExitCode {
@@ -117,7 +116,7 @@
     ));
     let flow_server = FlowServer {
         shared: Arc::clone(&shared),
-        dispatcher,
+        dispatcher: Arc::clone(&dispatcher),
     };
     tokio::spawn(flow_server.accept(endpoint.clone()));
     tokio::spawn(report_metrics(
@@ -126,28 +125,13 @@
     ));
     log::info!(address = common.address.to_string(); "the agent is running");
     shutdown::wait_for_signal().await?;
-    drain(&shared, &controller).await;
+    stop::finish_work(&shared, &dispatcher, &controller).await;
     let code = ResultCode::FlowAgentStopped;
     endpoint.close(u32::from(code.number()).into(), code.name().as_bytes());
     endpoint.wait_idle().await;
     Ok(())
 }
 
-/// Stops taking new work and waits until all flows have ended, or for `stop_wait_ms` at most.
-async fn drain(shared: &SharedState, controller: &Address<Controller>) {
-    log::info!(flows = shared.open_flows.load(Ordering::Relaxed); "the agent is draining");
-    shared.set_draining(true);
-    // Sending fails only while the process is exiting.
-    let _ = controller.send(PhaseChanged(AgentPhase::Draining)).await;
-    let until_ms = shared.clock.now_ms() + shared.settings.stop_wait_ms;
-    while shared.open_flows.load(Ordering::Relaxed) > 0 && shared.clock.now_ms() < until_ms {
-        sleep(Duration::from_millis(DRAIN_POLL_INTERVAL_MS)).await;
-    }
-    let _ = controller.send(PhaseChanged(AgentPhase::Down)).await;
-    sleep(Duration::from_millis(FINAL_ANNOUNCEMENT_WAIT_MS)).await;
-    log::info!("the agent has stopped");
-}
-
 async fn forward_datagrams(
     mut membership_receiver: mpsc::Receiver<MembershipDatagram>,
     controller: Address<Controller>,
--- a/crates/basilstep-agent/src/shared_state.rs
+++ b/crates/basilstep-agent/src/shared_state.rs
@@ -1,6 +1,9 @@
 //! State shared by the tasks of an agent.
 
-use crate::settings::AgentSettings;
+use crate::{
+    settings::AgentSettings,
+    stop::{ActiveRequests, StopStage},
+};
 use basilstep_core::{
     address::{AgentAddress, DomainId, Incarnation, ServiceId},
     admission::AdmissionSettings,
@@ -81,6 +84,9 @@
     pub newer_settings_seen: Notify,
     /// The number of open flows.
     pub open_flows: AtomicU32,
+    /// The requests in progress.
+    pub active_requests: ActiveRequests,
+    stop_stage: watch::Sender<StopStage>,
     active_settings: watch::Sender<Arc<ActiveServiceSettings>>,
     peers: watch::Sender<Arc<[AgentRecord]>>,
     recent_offers: Mutex<RecentOffers>,
@@ -121,6 +127,8 @@
             counters: Arc::default(),
             newer_settings_seen: Notify::new(),
             open_flows: AtomicU32::new(0),
+            active_requests: ActiveRequests::default(),
+            stop_stage: watch::Sender::new(StopStage::Running),
             active_settings: watch::Sender::new(Arc::new(first)),
             peers: watch::Sender::new(Arc::from([])),
             recent_offers: Mutex::new(recent_offers),
@@ -173,6 +181,24 @@
         self.is_draining.store(draining, Ordering::Relaxed);
     }
 
+    /// Returns the stage of a planned stop.
+    pub fn stop_stage(&self) -> StopStage {
+        *self.stop_stage.borrow()
+    }
+
+    /// Enters a stage of a planned stop.
+    pub fn set_stop_stage(&self, stage: StopStage) {
+        self.stop_stage.send_replace(stage);
+    }
+
+    /// Waits until a planned stop has gone beyond `stage`, and returns the stage that it is in.
+    pub async fn stop_stage_after(&self, stage: StopStage) -> StopStage {
+        let mut stop_stage = self.stop_stage.subscribe();
+        let reached = stop_stage.wait_for(|reached| *reached > stage).await;
+        // The sender lives as long as `self`.
+        reached.map_or(stage, |reached| *reached)
+    }
+
     /// Returns whether the target passed its recent health checks.
     pub fn is_target_up(&self) -> bool {
         self.is_target_up.load(Ordering::Relaxed)
--- a/crates/basilstep-agent/src/tests/mod.rs
+++ b/crates/basilstep-agent/src/tests/mod.rs
@@ -1,6 +1,7 @@
 //! Agents in one process, with scripted targets and callers over QUIC on loopback.
 
 mod answers;
+mod stop;
 mod target;
 
 use crate::{
@@ -52,6 +53,7 @@
 struct TestAgent {
     shared: Arc<SharedState>,
     dispatcher: Arc<Dispatcher>,
+    controller: xtra::Address<controller::Controller>,
     endpoint: Endpoint,
     root: CertificateDer<'static>,
     _control: ControlServer,
@@ -80,7 +82,7 @@
         );
         let port = Arc::new(ControlPort {
             shared: Arc::clone(&shared),
-            controller,
+            controller: controller.clone(),
             dispatcher: Arc::clone(&dispatcher),
         });
         let counters = Arc::clone(&shared.counters);
@@ -95,6 +97,7 @@
         Self {
             shared,
             dispatcher,
+            controller,
             endpoint,
             root,
             _control: control.expect("a free port"),
--- /dev/null
+++ b/crates/basilstep-agent/src/tests/stop.rs
@@ -0,0 +1,132 @@
+//! Requests and flows of an agent that stops.
+
+use super::{
+    ScriptedTarget, TestAgent, get, send,
+    target::End::{Close, KeepOpen},
+    until,
+};
+use crate::{
+    controller::{CollectDump, PhaseChanged},
+    stop::{StopStage, finish_work},
+};
+use basilstep_bench::fakes::caller::{Flow, FlowResponse, RequestError};
+use basilstep_core::{codes::ResultCode, membership::AgentPhase};
+use bytes::Bytes;
+use std::{sync::Arc, time::Duration};
+use tokio::{task::JoinHandle, time::sleep};
+
+const WHOLE: &str = "HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nwhole";
+
+impl TestAgent {
+    fn stop(&self) -> JoinHandle<()> {
+        let shared = Arc::clone(&self.shared);
+        let dispatcher = Arc::clone(&self.dispatcher);
+        let controller = self.controller.clone();
+        tokio::spawn(async move { finish_work(&shared, &dispatcher, &controller).await })
+    }
+}
+
+/// Guards against a stop that leaves callers on their flows until it closes them.
+#[tokio::test]
+async fn stopping_agent_asks_for_new_flows_and_finishes_accepted_requests() {
+    let target = ScriptedTarget::spawn_held(WHOLE, KeepOpen).await;
+    let agent = TestAgent::spawn(target.address).await;
+    let flow = Arc::new(agent.open_flow().await);
+    let running = spawn_get(&flow);
+    until(|| async { target.requests() == 1 }).await;
+    let queued = spawn_get(&flow);
+    until(|| async { agent.dispatcher.admission_view().queued == 1 }).await;
+    let stop = agent.stop();
+    until(|| async { matches!(get(&flow).await, Err(RequestError::GoAway)) }).await;
+    target.release();
+    for request in [running, queued] {
+        let response = request
+            .await
+            .expect("no panic")
+            .expect("a complete response");
+        assert_eq!(response.body, "whole");
+    }
+    Arc::into_inner(flow)
+        .expect("no request is left")
+        .close()
+        .await;
+    stop.await.expect("no panic");
+    assert_eq!(target.requests(), 2);
+}
+
+/// Guards against a stop that cuts off requests without a flow: relayed by another agent.
+#[tokio::test]
+async fn stopping_agent_finishes_requests_that_another_agent_relayed() {
+    let target = ScriptedTarget::spawn_held(WHOLE, Close).await;
+    let serving = TestAgent::spawn(target.address).await;
+    let relaying = TestAgent::spawn_relaying_to(&serving).await;
+    let flow = Arc::new(relaying.open_flow_before_drain(true).await);
+    let running = spawn_get(&flow);
+    until(|| async { target.requests() == 1 }).await;
+    let stop = serving.stop();
+    // The former stop ended after the final announcement, with the request still running.
+    sleep(Duration::from_millis(600)).await;
+    assert!(!stop.is_finished());
+    target.release();
+    let response = running
+        .await
+        .expect("no panic")
+        .expect("a complete response");
+    assert_eq!(response.body, "whole");
+    stop.await.expect("no panic");
+}
+
+/// Guards against queued requests that are cut off, or reported as run, when the wait is over.
+#[tokio::test]
+async fn queued_request_is_refused_as_not_run_when_flows_are_closed() {
+    let target = ScriptedTarget::spawn_held(WHOLE, KeepOpen).await;
+    let agent = TestAgent::spawn_with_stop_wait(target.address, 0).await;
+    let flow = Arc::new(agent.open_flow().await);
+    let _running = spawn_get(&flow);
+    until(|| async { target.requests() == 1 }).await;
+    let request = Arc::clone(&flow);
+    let queued =
+        tokio::spawn(async move { send(&request, "POST", &[], Bytes::from_static(b"x")).await });
+    until(|| async { agent.dispatcher.admission_view().queued == 1 }).await;
+    agent.stop().await.expect("no panic");
+    let response = queued
+        .await
+        .expect("no panic")
+        .expect("a complete response");
+    assert_eq!(response.code, Some(ResultCode::Draining));
+    assert_eq!(target.requests(), 1);
+}
+
+/// Guards against a first request that runs although the GOAWAY of its flow states request 0.
+#[tokio::test]
+async fn flow_without_requests_runs_none_after_the_stop_began() {
+    let target = ScriptedTarget::spawn(WHOLE, Close).await;
+    let agent = TestAgent::spawn(target.address).await;
+    let flow = agent.open_flow().await;
+    agent.shared.set_stop_stage(StopStage::Finishing);
+    let response = get(&flow).await;
+    assert!(response.is_err(), "{response:?}");
+    assert_eq!(target.requests(), 0);
+}
+
+fn spawn_get(flow: &Arc<Flow>) -> JoinHandle<Result<FlowResponse, RequestError>> {
+    let flow = Arc::clone(flow);
+    tokio::spawn(async move { get(&flow).await })
+}
+
+/// Guards against a health check that announces a stopped agent as draining again.
+#[tokio::test]
+async fn stopped_agent_stays_down() {
+    let target = ScriptedTarget::spawn(WHOLE, Close).await;
+    let agent = TestAgent::spawn(target.address).await;
+    for phase in [AgentPhase::Down, AgentPhase::Draining] {
+        agent
+            .controller
+            .send(PhaseChanged(phase))
+            .await
+            .expect("it runs");
+    }
+    let dump = agent.controller.send(CollectDump).await.expect("it runs");
+    let dump = serde_json::to_value(dump).expect("a dump is JSON");
+    assert_eq!(dump["phase"], "down");
+}
--- a/crates/basilstep-core/src/requests/mod.rs
+++ b/crates/basilstep-core/src/requests/mod.rs
@@ -5,6 +5,7 @@
 //! ticket, so the records of that agent suffice to run it at most once; see
 //! docs/design/requests.md.
 
+mod intake;
 mod messages;
 mod records;
 mod resolve;
@@ -15,6 +16,7 @@
 mod tests;
 mod ticket;
 
+pub use intake::RequestIntake;
 pub use messages::{
     AgentDirectory, AgentStatus, FailedAttempt, FailureReason, IdempotencyKey, MethodClass,
     RequestArrival, RequestDecision, RequestResolution, RequestsView, RetryDecision, SendPermit,
