--- a/crates/basilstep-agent/src/exchange/request_handler.rs
+++ b/crates/basilstep-agent/src/exchange/request_handler.rs
@@ -6,7 +6,7 @@
     body::{DeadlineBody, RequestBody, ResponseBody},
     dispatcher::Dispatcher,
     recorder::Recorder,
-    responses::{RecordedResponse, code_response, insert_header, refusal_response},
+    responses::{RecordedResponse, code_response, failure_response, insert_header},
 };
 use crate::{shared_state::SharedState, stop::StopStage};
 use basilstep_core::{
@@ -15,7 +15,7 @@
     membership::AgentPhase,
     requests::{
         FailedAttempt, FailureReason, IdempotencyKey, MethodClass, RequestArrival, RequestDecision,
-        RequestResolution, RetryDecision,
+        RetryDecision,
     },
 };
 use bytes::Bytes;
@@ -224,7 +224,9 @@
                     self.may_have_run = may_have_run;
                     sleep(Duration::from_millis(backoff_ms)).await;
                 }
-                RetryDecision::Final(resolution) => return failure_response(resolution, failed),
+                RetryDecision::Final(resolution) => {
+                    return failure_response(resolution, failed.refusal);
+                }
             }
         }
     }
@@ -371,20 +373,6 @@
     }
 }
 
-fn failure_response(
-    resolution: RequestResolution,
-    failed: AttemptFailure,
-) -> Response<ResponseBody> {
-    match (resolution, failed.refusal) {
-        (RequestResolution::NotRun(code), Some(refusal)) if refusal.code == code => {
-            refusal_response(refusal)
-        }
-        (RequestResolution::NotRun(code) | RequestResolution::Unknown(code), _) => {
-            code_response(code)
-        }
-    }
-}
-
 fn method_class(method: &Method) -> MethodClass {
     match *method {
         Method::GET
--- a/crates/basilstep-agent/src/exchange/responses.rs
+++ b/crates/basilstep-agent/src/exchange/responses.rs
@@ -2,7 +2,7 @@
 mod tests;
 
 use super::{body::ResponseBody, dispatcher::Refusal};
-use basilstep_core::codes::ResultCode;
+use basilstep_core::{codes::ResultCode, requests::RequestResolution};
 use bytes::Bytes;
 use http::{HeaderMap, HeaderName, HeaderValue, Response, StatusCode, header};
 use http_body_util::Full;
@@ -99,6 +99,22 @@
     response
 }
 
+/// Builds the response for a request whose attempts all failed, the last one by `refusal` if admission
+/// refused it.
+pub fn failure_response(
+    resolution: RequestResolution,
+    refusal: Option<Refusal>,
+) -> Response<ResponseBody> {
+    match (resolution, refusal) {
+        (RequestResolution::NotRun(code), Some(refusal)) if refusal.code == code => {
+            refusal_response(refusal)
+        }
+        (RequestResolution::NotRun(code) | RequestResolution::Unknown(code), _) => {
+            code_response(code)
+        }
+    }
+}
+
 /// Inserts a header, or does nothing when the value is not a valid header value.
 pub fn insert_header(headers: &mut HeaderMap, name: HeaderName, value: &str) {
     if let Ok(value) = HeaderValue::from_str(value) {
--- a/crates/basilstep-agent/src/tests/answers.rs
+++ b/crates/basilstep-agent/src/tests/answers.rs
@@ -1,7 +1,7 @@
 //! Answers that end early, come early, or come twice.
 
 use super::{
-    ScriptedTarget, TestAgent, get, request, send,
+    ScriptedTarget, TestAgent, get, open_flow, request, send,
     target::End::{self, Close, KeepOpen, Reset},
     until,
 };
@@ -39,21 +39,31 @@
     #[values(false, true)] is_relayed: bool,
 ) {
     let target = ScriptedTarget::spawn(answer, end).await;
-    let serving = TestAgent::spawn(target.address).await;
-    let relaying = TestAgent::spawn_relaying_to(&serving).await;
-    let flow = relaying.open_flow_before_drain(is_relayed).await;
+    let (_serving, flow) = open_flow(&target, is_relayed).await;
     let response = get(&flow).await;
     assert!(response.is_err(), "{response:?}");
 }
 
+/// Guards against an answer that ends with the caller's deadline and looks complete.
+#[rstest]
+#[tokio::test]
+async fn answer_cut_by_its_deadline_is_never_complete(
+    #[values(WITHOUT_LENGTH, HTTP_1_0)] answer: &'static str,
+    #[values(false, true)] is_relayed: bool,
+) {
+    let target = ScriptedTarget::spawn(answer, KeepOpen).await;
+    let (_serving, flow) = open_flow(&target, is_relayed).await;
+    let deadline = [("basilstep-deadline-ms", "300")];
+    let response = send(&flow, "GET", &deadline, Bytes::new()).await;
+    assert!(response.is_err(), "{response:?}");
+}
+
 /// Guards against a truncated answer that is recorded, and repeated to duplicates as complete.
 #[rstest]
 #[tokio::test]
 async fn truncated_answer_is_not_recorded(#[values(false, true)] is_relayed: bool) {
     let target = ScriptedTarget::spawn(CHUNKS_WITHOUT_END, Close).await;
-    let serving = TestAgent::spawn(target.address).await;
-    let relaying = TestAgent::spawn_relaying_to(&serving).await;
-    let flow = relaying.open_flow_before_drain(is_relayed).await;
+    let (_serving, flow) = open_flow(&target, is_relayed).await;
     for _ in 0..2 {
         let key = [("idempotency-key", "1")];
         let response = send(&flow, "POST", &key, Bytes::from_static(b"x")).await;
@@ -68,9 +78,7 @@
 #[tokio::test]
 async fn second_answer_reaches_nobody(#[values(false, true)] is_relayed: bool) {
     let target = ScriptedTarget::spawn(TWICE, KeepOpen).await;
-    let serving = TestAgent::spawn(target.address).await;
-    let relaying = TestAgent::spawn_relaying_to(&serving).await;
-    let flow = relaying.open_flow_before_drain(is_relayed).await;
+    let (_serving, flow) = open_flow(&target, is_relayed).await;
     for _ in 0..3 {
         let response = get(&flow).await.expect("a complete response");
         assert_eq!(response.body, "whole");
@@ -83,9 +91,7 @@
 #[tokio::test]
 async fn early_answer_to_an_upload_is_delivered(#[values(false, true)] is_relayed: bool) {
     let target = ScriptedTarget::spawn(WHOLE, Close).await;
-    let serving = TestAgent::spawn(target.address).await;
-    let relaying = TestAgent::spawn_relaying_to(&serving).await;
-    let flow = relaying.open_flow_before_drain(is_relayed).await;
+    let (_serving, flow) = open_flow(&target, is_relayed).await;
     let response = send(&flow, "POST", &[], Bytes::from(vec![7; UPLOAD_BYTES])).await;
     let response = response.expect("a complete response");
     assert_eq!((response.code, &response.body[..]), (None, &b"whole"[..]));
@@ -98,9 +104,7 @@
     #[values(false, true)] is_relayed: bool,
 ) {
     let target = ScriptedTarget::spawn(WITH_CODE, KeepOpen).await;
-    let serving = TestAgent::spawn(target.address).await;
-    let relaying = TestAgent::spawn_relaying_to(&serving).await;
-    let flow = relaying.open_flow_before_drain(is_relayed).await;
+    let (_serving, flow) = open_flow(&target, is_relayed).await;
     let response = get(&flow).await.expect("a complete response");
     assert_eq!((response.code, target.requests()), (None, 1));
 }
@@ -112,16 +116,13 @@
     #[values(false, true)] is_relayed: bool,
 ) {
     let target = ScriptedTarget::spawn_held(WHOLE, KeepOpen).await;
-    let serving = TestAgent::spawn(target.address).await;
-    let relaying = TestAgent::spawn_relaying_to(&serving).await;
-    let flow = relaying.open_flow_before_drain(is_relayed).await;
+    let (serving, flow) = open_flow(&target, is_relayed).await;
     let upload = flow.begin_upload(request("POST", &[]), Bytes::from_static(b"part"));
     let upload = upload.await.expect("the flow is open");
     until(|| async { target.requests() == 1 }).await;
     upload.break_off();
-    let agent = if is_relayed { &serving } else { &relaying };
-    until(|| async { agent.dispatcher.admission_view().in_flight == 0 }).await;
-    assert_eq!(agent.shared.own_load().flow_refusal, None);
+    until(|| async { serving.dispatcher.admission_view().in_flight == 0 }).await;
+    assert_eq!(serving.shared.own_load().flow_refusal, None);
 }
 
 /// Guards against work that is run again, or reported as not run, after its answer was lost on the
@@ -137,7 +138,7 @@
     let peer = ScriptedTarget::spawn(answer, Close).await;
     let relaying = TestAgent::spawn(peer.address).await;
     relaying.set_peer(peer.address);
-    let flow = relaying.open_flow_before_drain(true).await;
+    let flow = relaying.open_flow_before_drain().await;
     let response = send(&flow, "POST", headers, Bytes::from_static(b"x")).await;
     let is_not_run =
         response.is_ok_and(|response| response.code.is_none_or(|code| !code.is_outcome_unknown()));
--- a/crates/basilstep-agent/src/tests/mod.rs
+++ b/crates/basilstep-agent/src/tests/mod.rs
@@ -138,10 +138,10 @@
         stream
     }
 
-    /// Opens a flow, and then lets the agent drain if `then_drains` is set.
-    async fn open_flow_before_drain(&self, then_drains: bool) -> Flow {
+    /// Opens a flow, and then lets the agent drain, so that it relays.
+    async fn open_flow_before_drain(&self) -> Flow {
         let flow = self.open_flow().await;
-        self.shared.set_draining(then_drains);
+        self.shared.set_draining(true);
         flow
     }
 
@@ -155,6 +155,18 @@
     }
 }
 
+/// Opens a flow to `target`, directly or through another agent that relays to the one returned.
+async fn open_flow(target: &ScriptedTarget, is_relayed: bool) -> (TestAgent, Flow) {
+    let serving = TestAgent::spawn(target.address).await;
+    if !is_relayed {
+        let flow = serving.open_flow().await;
+        return (serving, flow);
+    }
+    let relaying = TestAgent::spawn_relaying_to(&serving).await;
+    let flow = relaying.open_flow_before_drain().await;
+    (serving, flow)
+}
+
 /// Sends one request and waits for its complete response.
 async fn send(
     flow: &Flow,
--- a/crates/basilstep-agent/src/tests/stop.rs
+++ b/crates/basilstep-agent/src/tests/stop.rs
@@ -60,7 +60,7 @@
     let target = ScriptedTarget::spawn_held(WHOLE, Close).await;
     let serving = TestAgent::spawn(target.address).await;
     let relaying = TestAgent::spawn_relaying_to(&serving).await;
-    let flow = Arc::new(relaying.open_flow_before_drain(true).await);
+    let flow = Arc::new(relaying.open_flow_before_drain().await);
     let running = spawn_get(&flow);
     until(|| async { target.requests() == 1 }).await;
     let stop = serving.stop();
