fix(requests): report a recorded answer that is too large as run

Cause: an answer above 8 MiB under an idempotency key was reported as 201, and to admission as a lost target, which paused a healthy target.

Change: FailureReason::AnswerTooLarge resolves to 207; admission gets Ok.

--- a/crates/basilstep-agent/src/exchange/recorder.rs
+++ b/crates/basilstep-agent/src/exchange/recorder.rs
@@ -9,7 +9,7 @@
     requests::{FailureReason, IdempotencyKey},
 };
 use http::Response;
-use http_body_util::{BodyExt, Limited};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
 use std::{sync::Arc, time::Duration};
 use tokio::time::timeout;
 
@@ -49,6 +49,9 @@
         let read = timeout(Duration::from_millis(remaining_ms), limited.collect()).await;
         let (outcome, result) = match read {
             Ok(Ok(whole)) => (RequestOutcome::Ok, Ok(whole.to_bytes())),
+            Ok(Err(error)) if error.is::<LengthLimitError>() => {
+                (RequestOutcome::Ok, Err(FailureReason::AnswerTooLarge))
+            }
             Ok(Err(_)) => (RequestOutcome::TargetGone, Err(FailureReason::TargetLost)),
             Err(_) => (RequestOutcome::TimedOut, Err(FailureReason::DeadlinePassed)),
         };
--- a/crates/basilstep-agent/src/tests/answers.rs
+++ b/crates/basilstep-agent/src/tests/answers.rs
@@ -73,6 +73,23 @@
     assert_eq!(target.requests(), 1);
 }
 
+/// Guards against a recorded answer that is too large and makes its healthy target look lost.
+#[tokio::test]
+async fn recorded_answer_that_is_too_large_says_that_the_request_ran() {
+    let length = (8 << 20) + 1;
+    let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {length}\r\n\r\n");
+    let target = ScriptedTarget::spawn((head + &"x".repeat(length)).leak(), KeepOpen).await;
+    let (agent, flow) = open_flow(&target, false).await;
+    let key = [("idempotency-key", "1")];
+    for _ in 0..2 {
+        let response = send(&flow, "POST", &key, Bytes::from_static(b"x")).await;
+        let code = response.expect("a complete response").code;
+        assert_eq!(code, Some(ResultCode::AnswerNotKept));
+    }
+    assert_eq!(agent.shared.own_load().flow_refusal, None);
+    assert_eq!(target.requests(), 1);
+}
+
 /// Guards against a second answer that reaches the caller of a later request.
 #[rstest]
 #[tokio::test]
--- a/crates/basilstep-core/src/requests/messages.rs
+++ b/crates/basilstep-core/src/requests/messages.rs
@@ -127,6 +127,8 @@
     TargetLost,
     /// The caller, or the agent that relayed it, broke off its body.
     BodyBrokenOff,
+    /// It ran, and its answer is too large to be read before it is recorded.
+    AnswerTooLarge,
     /// The target refused it and did not run it.
     TargetShed,
     /// Its deadline passed.
--- a/crates/basilstep-core/src/requests/resolve.rs
+++ b/crates/basilstep-core/src/requests/resolve.rs
@@ -25,6 +25,7 @@
     match failure {
         FailureReason::DeadlinePassed => ResultCode::DeadlineAfterSend,
         FailureReason::RelayLost => ResultCode::RelayLost,
+        FailureReason::AnswerTooLarge => ResultCode::AnswerNotKept,
         _ => ResultCode::TargetLost,
     }
 }
