--- a/crates/basilstep-agent/src/exchange/request_handler.rs
+++ b/crates/basilstep-agent/src/exchange/request_handler.rs
@@ -6,16 +6,16 @@
     body::{DeadlineBody, RequestBody, ResponseBody},
     dispatcher::Dispatcher,
     recorder::Recorder,
-    responses::{RecordedResponse, code_response, insert_header, refusal_response},
+    responses::{RecordedResponse, code_response, failure_response, insert_header},
 };
-use crate::shared_state::SharedState;
+use crate::{shared_state::SharedState, stop::StopStage};
 use basilstep_core::{
     address::AgentAddress,
     codes::ResultCode,
     membership::AgentPhase,
     requests::{
         FailedAttempt, FailureReason, IdempotencyKey, MethodClass, RequestArrival, RequestDecision,
-        RequestResolution, RetryDecision,
+        RetryDecision,
     },
 };
 use bytes::Bytes;
@@ -50,6 +50,8 @@
     method: MethodClass,
     key: Option<IdempotencyKey>,
     deadline_ms: u64,
+    /// Whether an earlier attempt may have run the request.
+    may_have_run: bool,
 }
 
 /// The destination of one attempt.
@@ -118,6 +120,7 @@
             body: Some(body),
             key,
             deadline_ms: dispatcher.deadline_ms(timeout_ms),
+            may_have_run: false,
         })
     }
 
@@ -175,7 +178,11 @@
         if !recorded {
             return self.attempt_until_final(destination, false).await;
         }
-        let run = tokio::spawn(async move { self.attempt_until_final(destination, true).await });
+        let active = self.shared.active_requests.begin();
+        let run = tokio::spawn(async move {
+            let _active = active;
+            self.attempt_until_final(destination, true).await
+        });
         run.await
             .unwrap_or_else(|_| code_response(ResultCode::TargetLost))
     }
@@ -210,10 +217,16 @@
                 ..failed
             };
             match self.decide_retry(failed, destination, recorded, attempts) {
-                RetryDecision::RetryAfter { backoff_ms } => {
+                RetryDecision::RetryAfter {
+                    backoff_ms,
+                    may_have_run,
+                } => {
+                    self.may_have_run = may_have_run;
                     sleep(Duration::from_millis(backoff_ms)).await;
                 }
-                RetryDecision::Final(resolution) => return failure_response(resolution, failed),
+                RetryDecision::Final(resolution) => {
+                    return failure_response(resolution, failed.refusal);
+                }
             }
         }
     }
@@ -256,10 +269,13 @@
     fn choose_serving_peer(&self) -> Result<SocketAddrV4, AttemptFailure> {
         let active_settings = self.shared.active_settings();
         let peers = self.shared.peers();
+        // A response to a request relayed now would be cut off with the agent's flows.
+        let is_closing = self.shared.stop_stage() == StopStage::Closing;
         let serving: Vec<SocketAddrV4> = peers
             .iter()
             .filter(|peer| {
-                peer.phase == AgentPhase::Serving
+                !is_closing
+                    && peer.phase == AgentPhase::Serving
                     && !active_settings.domains_out.contains(peer.domain)
             })
             .map(|peer| peer.address.0)
@@ -315,6 +331,7 @@
             method: self.method,
             key: self.key.as_ref().filter(|_| includes_key),
             sent: failed.sent,
+            may_have_run: self.may_have_run,
             failure: failed.failure,
             // A streamed body that has been taken cannot be sent again.
             attempts: if self.body.is_some() {
@@ -356,20 +373,6 @@
     }
 }
 
-fn failure_response(
-    resolution: RequestResolution,
-    failed: AttemptFailure,
-) -> Response<ResponseBody> {
-    match (resolution, failed.refusal) {
-        (RequestResolution::NotRun(code), Some(refusal)) if refusal.code == code => {
-            refusal_response(refusal)
-        }
-        (RequestResolution::NotRun(code) | RequestResolution::Unknown(code), _) => {
-            code_response(code)
-        }
-    }
-}
-
 fn method_class(method: &Method) -> MethodClass {
     match *method {
         Method::GET
