fix(flows): resets and SYNs of reused keys, removed routes, late reports and stalls

Cause: a flow key (caller address, port, service address) stood for one flow for ever. - An agent answered FlowLost for any packet of a key that it had lost, also of a later flow at another target, and the balancer reset that flow; a late bounce did the same. Both are now compared with the acknowledgement numbers of the flow, and a balancer ignores a loss reported by another agent than the confirmed holder. - A target that had answered a copy of a SYN and gave it up after linger_ms reset the caller, whose flow was open elsewhere. An agent that knows all flows drops resets of unknown ones. - A SYN with the key of an open flow passed without admission (drain, domain out, load).

--- a/crates/basilstep-core/src/flows/agent/state.rs
+++ b/crates/basilstep-core/src/flows/agent/state.rs
@@ -148,14 +148,14 @@
             return self.on_syn(key, header, ctx);
         }
         let Some(flow) = self.table.get(&key).copied() else {
-            return self.on_unknown_flow(key, header, ctx);
+            return self.on_unknown_flow(key, segment, header, ctx);
         };
-        if flow.stage == FlowStage::Lost {
+        if flow.stage == FlowStage::Lost && flow.includes(segment) {
             return CallerVerdict::Return {
                 code: ResultCode::FlowLost,
             };
         }
-        if !flow.is_continued_by(segment) {
+        if flow.stage == FlowStage::Lost || !flow.is_continued_by(segment) {
             return CallerVerdict::Return {
                 code: ResultCode::FlowNotHeld,
             };
@@ -189,7 +189,13 @@
             self.table.remove(&key);
             return TargetVerdict::Drop;
         }
-        let is_first = matches!(stage, Some(FlowStage::Offered | FlowStage::Probed));
+        if before.is_none() && segment.flags.rst && self.knows_all_flows(ctx) {
+            // The caller never opened the flow here, or it ended long ago; it may be open at another
+            // target.
+            return TargetVerdict::Drop;
+        }
+        let is_first = matches!(stage, Some(FlowStage::Offered | FlowStage::Probed))
+            || before.is_some_and(|flow| flow.is_replaced_by(segment));
         if let Some(flow) = before.filter(|flow| flow.is_answered_by(segment)) {
             let had_to_wait = self.table.at_work() > usize::from(self.target.capacity());
             if !had_to_wait {
@@ -283,6 +289,13 @@
         self.is_backlog_stale = true;
     }
 
+    /// Records that the process did not run for `stalled_ms`, which its clock counted.
+    ///
+    /// After `suspect_after_ms` balancers have sent the next SYNs of these flows elsewhere.
+    pub const fn on_stall(&mut self, stalled_ms: u64) {
+        self.is_backlog_stale |= stalled_ms >= self.settings.liveness.suspect_after_ms;
+    }
+
     /// Records that all packets that were queued during a pause have been read.
     pub const fn on_backlog_read(&mut self) {
         self.is_backlog_stale = false;
@@ -320,8 +333,13 @@
     }
 
     fn on_syn(&mut self, key: FlowKey, header: &ForwardHeader, ctx: &Context) -> CallerVerdict {
-        match self.table.get(&key).copied() {
-            Some(flow) if matches!(flow.stage, FlowStage::Answered | FlowStage::Open) => {
+        let known = self.table.get(&key).copied();
+        let is_held = matches!(
+            known.map(|flow| flow.stage),
+            Some(FlowStage::Answered | FlowStage::Open)
+        );
+        match known {
+            Some(flow) if is_held && !flow.is_followed_by_syn(ctx.now_ms) => {
                 return deliver(header);
             }
             Some(flow) if flow.stage == FlowStage::Offered => {
@@ -357,6 +375,15 @@
             return CallerVerdict::Return { code };
         }
         self.admission.record_admitted(ctx.now_ms);
+        if is_held {
+            // The target decides whether the earlier flow has ended.
+            self.table.update(&key, |flow| {
+                flow.syn_arrived_ms = ctx.now_ms;
+                flow.origin = header.origin;
+                flow.origin_domain = header.origin_domain;
+            });
+            return deliver(header);
+        }
         let flow = Flow::new(
             FlowStage::Offered,
             header.origin,
@@ -374,6 +401,7 @@
     fn on_unknown_flow(
         &mut self,
         key: FlowKey,
+        segment: &Segment,
         header: &ForwardHeader,
         ctx: &Context,
     ) -> CallerVerdict {
@@ -389,6 +417,7 @@
             ctx.now_ms,
         );
         flow.is_search = header.is_search;
+        flow.caller_acknowledged = segment.acknowledged;
         self.table.insert(key, flow);
         deliver(header)
     }
@@ -396,7 +425,9 @@
     fn on_bounced(&mut self, segment: &Segment, ctx: &Context) -> TargetVerdict {
         let key = segment.flow_of_caller();
         let origin = Ipv4Addr::from_bits(segment.cookie);
-        let stage = self.table.get(&key).map(|flow| flow.stage);
+        // A late packet of an earlier flow with the same key says nothing about this one.
+        let flow = self.table.get(&key).filter(|flow| flow.includes(segment));
+        let stage = flow.map(|flow| flow.stage);
         if segment.is_syn() {
             if stage == Some(FlowStage::Offered) {
                 self.table.remove(&key);
--- a/crates/basilstep-core/src/flows/agent/table.rs
+++ b/crates/basilstep-core/src/flows/agent/table.rs
@@ -1,6 +1,7 @@
 use crate::{
     address::DomainId,
     flows::{
+        handshake::HANDSHAKE_TIMEOUT_MS,
         key::FlowKey,
         segment::{Segment, is_ahead},
     },
@@ -66,6 +67,9 @@
     pub caller_acknowledged: u32,
     /// When the caller last sent new data, or opened the flow.
     pub requested_ms: u64,
+    /// When the first SYN of the flow arrived, or a later one of another flow with the same key that
+    /// went to the target.
+    pub syn_arrived_ms: u64,
     target_first_sequence: Option<u32>,
     caller_end_sequence: Option<u32>,
     is_caller_finished: bool,
@@ -90,6 +94,7 @@
             wait: CallerWait::Nothing,
             caller_acknowledged: 0,
             requested_ms: now_ms,
+            syn_arrived_ms: now_ms,
             target_first_sequence: None,
             caller_end_sequence: None,
             is_caller_finished: false,
@@ -111,6 +116,34 @@
         !segment.flags.ack || segment.acknowledged.wrapping_sub(first) < span
     }
 
+    /// Returns whether a packet of the caller belongs to this flow, and not to another one with the
+    /// same key at another target.
+    pub fn includes(&self, segment: &Segment) -> bool {
+        if self.target_first_sequence.is_some() {
+            return self.is_continued_by(segment);
+        }
+        let distance = segment.acknowledged.wrapping_sub(self.caller_acknowledged);
+        !segment.flags.ack
+            || distance < ACKNOWLEDGED_SPAN_BYTES
+            || distance.wrapping_neg() < ACKNOWLEDGED_SPAN_BYTES
+    }
+
+    /// Returns whether a SYN that arrives now belongs to another flow with the same key.
+    ///
+    /// The caller sends no more SYNs of this flow; a copy that the network has delayed for longer is
+    /// answered by the target as such.
+    pub const fn is_followed_by_syn(&self, now_ms: u64) -> bool {
+        now_ms >= self.syn_arrived_ms + HANDSHAKE_TIMEOUT_MS
+    }
+
+    /// Returns whether a packet of the target accepts another flow with the same key.
+    pub fn is_replaced_by(&self, segment: &Segment) -> bool {
+        self.syn_arrived_ms > self.opened_ms
+            && segment.flags.syn
+            && segment.flags.ack
+            && self.target_first_sequence != Some(segment.sequence)
+    }
+
     /// Returns whether a packet of the target starts the answer to the caller's last request.
     pub const fn is_answered_by(&self, segment: &Segment) -> bool {
         matches!(self.wait, CallerWait::Answer) && segment.data_bytes > 0
@@ -145,6 +178,12 @@
 
     /// Updates the flow for a packet of the target.
     pub fn record_target_packet(&mut self, segment: &Segment, now_ms: u64) {
+        if self.is_replaced_by(segment) {
+            *self = Self {
+                is_search: self.is_search,
+                ..Self::new(FlowStage::Offered, self.origin, self.origin_domain, now_ms)
+            };
+        }
         self.used_ms = now_ms;
         if segment.flags.syn && segment.flags.ack {
             self.target_first_sequence = Some(segment.sequence);
--- a/crates/basilstep-core/src/flows/balancer/agent_table.rs
+++ b/crates/basilstep-core/src/flows/balancer/agent_table.rs
@@ -3,7 +3,7 @@
     address::DomainId,
     flows::{
         frame::{AgentReport, HeldFlows, TargetPhase},
-        key::{FlowKey, ServiceTag, rendezvous},
+        key::{FlowKey, ProcessIncarnation, ServiceTag, rendezvous},
         settings::FlowSettings,
     },
 };
@@ -24,6 +24,8 @@
     pub reported_ms: u64,
     /// When the last report of the agent's former incarnation arrived, if there was one.
     pub former_reported_ms: Option<u64>,
+    /// The former incarnation of the agent, if there was one.
+    pub former_incarnation: Option<ProcessIncarnation>,
     /// New flows that this balancer has sent to the agent since that report.
     pub offered_since: u16,
     /// How many flows the agent has advertised to this balancer without a gap.
@@ -111,10 +113,18 @@
                 Some(state.reported_ms)
             }
         });
+        let former_incarnation = before.and_then(|state| {
+            if is_same_incarnation {
+                state.former_incarnation
+            } else {
+                Some(state.report.incarnation)
+            }
+        });
         let state = AgentState {
             report,
             reported_ms: now_ms,
             former_reported_ms,
+            former_incarnation,
             offered_since: 0,
             received,
             has_all_advertisements: report.advertised_total == Some(received),
@@ -124,6 +134,13 @@
         !is_same_incarnation || before.is_some_and(|state| state.report.phase != report.phase)
     }
 
+    /// Returns whether an agent has had another incarnation since the given one; a report of it is
+    /// late.
+    pub fn is_former_incarnation(&self, agent: Ipv4Addr, incarnation: ProcessIncarnation) -> bool {
+        self.get(agent)
+            .is_some_and(|state| state.former_incarnation == Some(incarnation))
+    }
+
     /// Returns the state of an agent.
     pub fn get(&self, agent: Ipv4Addr) -> Option<&AgentState> {
         self.agents.get(&agent)
--- a/crates/basilstep-core/src/flows/balancer/state.rs
+++ b/crates/basilstep-core/src/flows/balancer/state.rs
@@ -162,6 +162,9 @@
         let search = self.searches.entry(flow, ctx.now_ms, search_ms);
         search.refused_by.insert(agent);
         search.is_hint_wrong |= is_from_holder;
+        if !segment.is_syn() {
+            search.caller_acknowledged = segment.acknowledged;
+        }
         if segment.is_syn() {
             let new = NewFlow {
                 segment,
@@ -169,7 +172,8 @@
             };
             return self.place_syn(new, Some(returned.service), returned.code, ctx);
         }
-        if returned.code == ResultCode::FlowLost {
+        let is_held_elsewhere = hint.is_some_and(|hint| hint.is_confirmed && !is_from_holder);
+        if returned.code == ResultCode::FlowLost && !is_held_elsewhere {
             return Verdict::Reset {
                 code: ResultCode::FlowLost,
             };
@@ -241,6 +245,9 @@
 
     /// Handles a report; returns whether the agent's phase or incarnation changed.
     pub fn on_report(&mut self, agent: Ipv4Addr, report: AgentReport, ctx: &Context) -> bool {
+        if self.agents.is_former_incarnation(agent, report.incarnation) {
+            return false;
+        }
         if self.agents.is_empty() {
             self.first_agent_ms = ctx.now_ms;
         }
@@ -284,6 +291,15 @@
         self.balancers.discard_confirmations();
     }
 
+    /// Records that the process did not run for `stalled_ms`, which its clock counted.
+    ///
+    /// From `suspect_after_ms` on, agents look silent only because their reports have not been read.
+    pub fn on_stall(&mut self, stalled_ms: u64, ctx: &Context) {
+        if stalled_ms >= self.settings.liveness.suspect_after_ms {
+            self.on_pause(0, ctx);
+        }
+    }
+
     /// Records that all packets that were queued during a pause have been read.
     pub const fn on_backlog_read(&mut self) {
         self.is_backlog_stale = false;
--- a/crates/basilstep-core/src/flows/balancer/state/searching.rs
+++ b/crates/basilstep-core/src/flows/balancer/state/searching.rs
@@ -65,24 +65,29 @@
         Verdict::Search(unanswered.next_hops)
     }
 
-    /// Returns the agents that may hold a flow and have not refused; `None` without a route.
+    /// Returns the agents that may hold a flow and have not refused; `None` if its address has never
+    /// had a route.
+    ///
+    /// A flow whose route was removed may still be open; whether its requests may be repeated is no
+    /// longer known.
     fn unanswered(&self, flow: &FlowKey, now_ms: u64) -> Option<Unanswered> {
-        let route = self.fleet.table.routes.get(&flow.service_address)?;
+        let services = self.services_of(flow);
+        if services.is_empty() {
+            return None;
+        }
+        let route = self.fleet.table.routes.get(&flow.service_address);
+        let kind = route.map_or(RequestKind::NonIdempotent, |route| route.kind);
         let refused_by = self.searches.refused_by(flow);
         let evidence = self.evidence(flow, now_ms);
-        let is_idempotent = route.kind == RequestKind::Idempotent;
-        let next_hops = self
-            .services_of(flow)
+        let is_idempotent = kind == RequestKind::Idempotent;
+        let next_hops = services
             .into_iter()
             .flat_map(|service| self.agents.of_service(service).map(move |a| (a, service)))
             .filter(|(agent, _)| !refused_by.contains(agent))
             .filter(|(agent, _)| !(is_idempotent && self.can_be_skipped(*agent, evidence, now_ms)))
             .map(|(agent, service)| self.next_hop(agent, service, true))
             .collect();
-        Some(Unanswered {
-            kind: route.kind,
-            next_hops,
-        })
+        Some(Unanswered { kind, next_hops })
     }
 
     /// Returns the services that may hold a flow: those of its route, and those that earlier
--- a/crates/basilstep-core/src/flows/balancer/state/settings.rs
+++ b/crates/basilstep-core/src/flows/balancer/state/settings.rs
@@ -21,7 +21,7 @@
             .on_settings(&before, &self.fleet, ctx.now_ms);
         for (entry, route) in before.table.routes {
             let now = self.fleet.table.routes.get(&entry);
-            if now.is_some_and(|now| now.shares != route.shares) {
+            if now.is_none_or(|now| now.shares != route.shares) {
                 let services = route.shares.iter().map(|share| share.service);
                 self.former_services
                     .entry(entry)
--- a/crates/basilstep-core/src/flows/balancer/state/syn.rs
+++ b/crates/basilstep-core/src/flows/balancer/state/syn.rs
@@ -7,6 +7,7 @@
     flows::{
         balancer::{PlacedSyn, Verdict, agent_table::PlacementContext, hints::Hint},
         frame::ForwardHeader,
+        handshake::HANDSHAKE_TIMEOUT_MS,
         key::{FlowKey, ServiceTag},
         segment::Segment,
     },
@@ -36,6 +37,7 @@
     pub(super) fn on_syn(&mut self, new: NewFlow<'_>, ctx: &Context) -> Verdict {
         let flow = new.key();
         let confirm_within_ms = self.settings.syns.confirm_within_ms;
+        self.remove_outdated_hint(&flow, new.arrived_ms);
         if let Some(hint) = self.hints.get_mut(&flow) {
             hint.used_ms = ctx.now_ms;
             hint.syn_arrived_ms = new.arrived_ms;
@@ -57,6 +59,15 @@
         self.place_syn(new, None, ResultCode::NoTarget, ctx)
     }
 
+    /// Removes the hint of an earlier flow with the same key, whose caller sends no more SYNs; its
+    /// agent may be gone by now.
+    fn remove_outdated_hint(&mut self, flow: &FlowKey, now_ms: u64) {
+        let hint = self.hints.get_mut(flow);
+        if hint.is_some_and(|hint| now_ms >= hint.syn_arrived_ms + HANDSHAKE_TIMEOUT_MS) {
+            self.hints.remove(flow);
+        }
+    }
+
     /// Returns whether the configuration in force lets a new flow go to `service`.
     fn allows(&self, flow: &FlowKey, service: ServiceTag) -> bool {
         let route = self.fleet.table.routes.get(&flow.service_address);
--- a/crates/basilstep-core/src/flows/tests/mod.rs
+++ b/crates/basilstep-core/src/flows/tests/mod.rs
@@ -12,10 +12,12 @@
 mod overload;
 mod refusals;
 mod restart;
+mod reused_keys;
 mod routes;
 mod send_schedule;
 mod settings_spread;
 mod settings_watch;
+mod stale_state;
 mod store_era;
 mod store_outage;
 
