fix(packet): finish answers and queued packets at a planned stop; detect stalls

Cause: an agent ended at once after SIGTERM, so answers of its living target and packets in its sockets were lost; a balancer ended without reading what waited in its sockets; SIGSTOP was not seen as a pause, and flows of living targets were reset when the process went on. Change: an agent refuses new flows and serves open ones until its target has no request at work, for 50 to 1,000 ms; both processes read their sockets empty before they end; both report stalls to the core. The stops are in modules of their own.

--- a/crates/basilstep-packet/src/agent/mod.rs
+++ b/crates/basilstep-packet/src/agent/mod.rs
@@ -4,5 +4,6 @@
 mod http;
 mod packets;
 mod serve;
+mod stopping;
 
 pub use serve::serve;
--- a/crates/basilstep-packet/src/agent/serve.rs
+++ b/crates/basilstep-packet/src/agent/serve.rs
@@ -25,6 +25,7 @@
 use tokio::{
     signal::unix::Signal,
     sync::mpsc,
+    task::yield_now,
     time::{MissedTickBehavior, interval},
 };
 
@@ -65,6 +66,7 @@
     pause_detector: PauseDetector,
     discovery: Discovery,
     next_report_ms: u64,
+    pub(super) stop_began_ms: Option<u64>,
 }
 
 /// Runs an agent until a signal stops it.
@@ -85,6 +87,7 @@
     discovery_ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let stopped = shutdown::wait_for_signal();
     tokio::pin!(stopped);
+    let mut is_stopping = false;
     agent.send_reports(Recipients::All);
     loop {
         tokio::select! {
@@ -99,12 +102,20 @@
                 agent.refresh_time();
                 agent.discover_balancers();
             }
-            _ = &mut stopped => break,
+            _ = &mut stopped, if !is_stopping => {
+                is_stopping = true;
+                agent.begin_stop();
+            }
         }
         agent.send_advertisements();
+        if agent.is_stop_due() {
+            // The sockets report what has arrived only after the runtime has polled them.
+            yield_now().await;
+            if agent.try_finish_stop() {
+                break;
+            }
+        }
     }
-    agent.flows.stop();
-    agent.send_reports(Recipients::All);
     Ok(())
 }
 
@@ -150,15 +161,19 @@
             pause_detector: PauseDetector::start(start.clock),
             discovery: Discovery::default(),
             next_report_ms: 0,
+            stop_began_ms: None,
             machine,
         })
     }
 
     /// Updates the time and handles a pause of the machine, if there was one.
     pub(super) fn refresh_time(&mut self) {
+        let before_ms = self.ctx.now_ms;
         if self.pause_detector.refresh(&mut self.ctx).is_some() {
             self.flows.on_pause();
         }
+        self.flows
+            .on_stall(self.ctx.now_ms.saturating_sub(before_ms));
     }
 
     /// Sends a frame followed by `packet`, which may be empty.
--- a/crates/basilstep-packet/src/balancer/mod.rs
+++ b/crates/basilstep-packet/src/balancer/mod.rs
@@ -4,5 +4,6 @@
 mod packets;
 mod serve;
 mod settings_pull;
+mod stopping;
 
 pub use serve::serve;
--- a/crates/basilstep-packet/src/balancer/serve.rs
+++ b/crates/basilstep-packet/src/balancer/serve.rs
@@ -34,18 +34,13 @@
 use tokio::{
     signal::unix::Signal,
     sync::{mpsc, watch},
+    task::yield_now,
     time::{Instant, MissedTickBehavior, interval, sleep},
 };
 
 /// The interval of timer checks.
 const TICK: Duration = Duration::from_millis(50);
 
-/// The time that a balancer keeps forwarding after SIGTERM.
-///
-/// The routers need two failed probes at two probes per second to stop using it, and packets in
-/// flight need slightly longer.
-const STOP_DELAY_MS: u64 = 1_800;
-
 /// The time between two events, with a tick each 50 ms, from which on the process may have been
 /// stopped in between.
 const MIN_STALL_MS: u64 = 300;
@@ -91,7 +86,7 @@
     pub(super) event_sender: mpsc::Sender<Event>,
     pause_detector: PauseDetector,
     next_heartbeat_ms: u64,
-    stop_at_ms: Option<u64>,
+    pub(super) stop_at_ms: Option<u64>,
 }
 
 /// Runs a balancer until a signal stops it.
@@ -151,10 +146,13 @@
                 balancer.begin_stop();
             }
         }
-        if balancer.try_finish_stop() {
+        if balancer.is_stop_due() {
             break;
         }
     }
+    // The sockets report what has arrived only after the runtime has polled them.
+    yield_now().await;
+    balancer.finish_stop();
     Ok(())
 }
 
@@ -205,7 +203,9 @@
             self.flows.on_pause(pause_ms, &self.ctx);
             self.has_stale_frames = true;
         }
-        self.has_stale_frames |= self.ctx.now_ms >= before_ms + MIN_STALL_MS;
+        let stalled_ms = self.ctx.now_ms.saturating_sub(before_ms);
+        self.flows.on_stall(stalled_ms, &self.ctx);
+        self.has_stale_frames |= stalled_ms >= MIN_STALL_MS;
     }
 
     /// Sends a frame without a packet.
@@ -365,27 +365,6 @@
         }
     }
 
-    fn begin_stop(&mut self) {
-        self.refresh_time();
-        log::info!("stopping: readiness probes now fail");
-        self.flows.stop();
-        self.stop_at_ms = Some(self.ctx.now_ms + STOP_DELAY_MS);
-    }
-
-    /// Returns whether the stop delay has passed; if so, announces the stop to all peers and agents.
-    fn try_finish_stop(&mut self) -> bool {
-        if self.stop_at_ms.is_none_or(|at_ms| self.ctx.now_ms < at_ms) {
-            return false;
-        }
-        let final_heartbeat = Frame::Heartbeat(self.flows.final_heartbeat(&self.ctx));
-        let mut recipients: Vec<Ipv4Addr> = self.flows.balancers().addresses().collect();
-        recipients.extend(self.flows.agents().iter().map(|(ip, _)| *ip));
-        for ip in recipients {
-            self.send_frame(ip, &final_heartbeat);
-        }
-        true
-    }
-
     fn answer_request(&mut self, pending: &PendingRequest) -> ServerResponse {
         let request = &pending.request;
         if request.path == SETTINGS_PATH {
--- a/crates/basilstep-packet/src/datagram_socket.rs
+++ b/crates/basilstep-packet/src/datagram_socket.rs
@@ -14,6 +14,10 @@
 /// The maximum number of datagrams read from a socket before timers and other sockets are served.
 pub const RECEIVE_BATCH: usize = 64;
 
+/// The maximum number of batches read from each socket before a process ends: 1,024 datagrams, more
+/// than the usual receive buffer holds.
+pub const MAX_FINAL_BATCHES: usize = 16;
+
 /// The outcome of sending a datagram.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum SendOutcome {
--- a/crates/basilstep-packet/tests/processes/main.rs
+++ b/crates/basilstep-packet/tests/processes/main.rs
@@ -2,6 +2,7 @@
 //! targets and the store.
 
 mod configuration;
+mod failures;
 mod fleet;
 mod soak;
 mod support;
--- a/crates/basilstep-packet/tests/processes/support/target.rs
+++ b/crates/basilstep-packet/tests/processes/support/target.rs
@@ -63,6 +63,8 @@
 pub struct TargetLog {
     pub opened: AtomicU32,
     pub is_draining: AtomicBool,
+    /// How long the target takes to answer a request.
+    pub answer_delay_ms: AtomicU32,
     /// The number of flows opened after the agent had acknowledged that the target is draining.
     pub opened_while_draining: AtomicU32,
     /// The times at which flows were opened.
@@ -154,6 +156,10 @@
         let (bytes, _) = socket.recv_from(&mut buffer).await.unwrap();
         let received = &mut buffer[..bytes];
         let packet = Packet::decode(received);
+        if !packet.is(SYN) {
+            let delay_ms = log.answer_delay_ms.load(Ordering::SeqCst);
+            sleep(Duration::from_millis(u64::from(delay_ms))).await;
+        }
         let reply = if let Some(reply) = answer(&packet, &config, &log) {
             reply.encode()
         } else {
