fix(membership): members that have left no longer return through a paused balancer

Cause: a balancer that was paused while an agent left, and while all balancers that knew of it restarted, spread its old view; the agent was live in all 6 views for good, since nobody watches it. Restarted balancers took the view as more complete than their own. Change: after a pause a balancer spreads nothing until a peer's view has been merged (at most 4 s), and has the members probed that this view lacks (5 probes a second, as for other contradictions).

--- a/crates/basilstep-core/src/membership/dissemination.rs
+++ b/crates/basilstep-core/src/membership/dissemination.rs
@@ -45,6 +45,9 @@
 
     /// Sends the periodic gossip if it is due, and queued items as far as the budget allows.
     pub(super) fn gossip(&mut self, ctx: &mut Context, actions: &mut Vec<MembershipAction>) {
+        if self.has_stale_view(ctx.now_ms) {
+            return;
+        }
         self.flush(ctx, actions);
         if ctx.now_ms >= self.next_gossip_ms {
             self.next_gossip_ms = ctx.now_ms + self.settings.gossip_interval_ms;
--- a/crates/basilstep-core/src/membership/join.rs
+++ b/crates/basilstep-core/src/membership/join.rs
@@ -8,7 +8,7 @@
     context::Context,
 };
 use rand::RngExt;
-use std::net::SocketAddrV4;
+use std::{collections::BTreeSet, net::SocketAddrV4};
 
 /// The time between two attempts to fetch a snapshot.
 const SNAPSHOT_RETRY_MS: u64 = 3_000;
@@ -121,6 +121,10 @@
         ctx: &mut Context,
     ) -> Vec<MembershipAction> {
         let mut actions = Vec::new();
+        if self.has_stale_view(ctx.now_ms) {
+            self.stale_view_until_ms = 0;
+            self.contradict_unknown_members(snapshot, ctx);
+        }
         for member in &snapshot.members {
             self.merge_snapshot_member(member, ctx, &mut actions);
         }
@@ -132,6 +136,28 @@
         actions
     }
 
+    /// Has members probed that the peer does not know: they may have left during the pause, and the
+    /// balancers that knew of it may have restarted. Nobody watches such a member.
+    fn contradict_unknown_members(&mut self, snapshot: &MembershipSnapshot, ctx: &mut Context) {
+        let known: BTreeSet<SocketAddrV4> = snapshot
+            .members
+            .iter()
+            .map(|member| member.record.address)
+            .collect();
+        let own = self.own_record().address;
+        let unknown: Vec<SocketAddrV4> = self
+            .table
+            .members()
+            .values()
+            .filter(|member| self.table.is_live(member, ctx.now_ms))
+            .map(|member| member.record.address)
+            .filter(|address| *address != own && !known.contains(address))
+            .collect();
+        for address in unknown {
+            self.contradictions.add(address, ctx);
+        }
+    }
+
     fn merge_snapshot_member(
         &mut self,
         member: &SnapshotMember,
--- a/crates/basilstep-core/src/membership/state.rs
+++ b/crates/basilstep-core/src/membership/state.rs
@@ -21,6 +21,10 @@
 /// How many balancers are probed before a member is suspected.
 const PEER_PROBES_BEFORE_SUSPICION: usize = 2;
 
+/// How long a balancer keeps its view to itself after a pause, if no peer's view arrives: the time of
+/// a second attempt to fetch one.
+const MAX_STALE_VIEW_MS: u64 = 4_000;
+
 /// How long the ages of evidence in datagrams are not trusted after a pause.
 const STALE_DATAGRAMS_MS: u64 = 200;
 
@@ -38,6 +42,9 @@
     pub(super) budget: ByteBudget,
     pub(super) store_freshness: StoreFreshness,
     pub(super) contradictions: Contradictions,
+    /// Until when the view is not spread, because it is from before a pause and no peer's view has
+    /// been merged since.
+    pub(super) stale_view_until_ms: u64,
     pub(super) reports: FailureReports,
     pub(super) settings_version: u64,
     pub(super) urgent_sends: u8,
@@ -94,6 +101,7 @@
             budget: ByteBudget::new(settings, now_ms),
             store_freshness: StoreFreshness::new(&settings, ctx),
             contradictions: Contradictions::default(),
+            stale_view_until_ms: 0,
             reports: FailureReports::default(),
             settings_version: 0,
             urgent_sends: 0,
@@ -207,6 +215,7 @@
         if gap_ms > self.settings.pause_limit_ms {
             self.recover_from_pause(ctx.now_ms);
             self.trusted_from_ms = ctx.now_ms + STALE_DATAGRAMS_MS;
+            self.stale_view_until_ms = ctx.now_ms + MAX_STALE_VIEW_MS;
         }
     }
 
@@ -215,6 +224,12 @@
         now_ms >= self.trusted_from_ms
     }
 
+    /// Returns whether the view is from before a pause, so that it may hold members that have left and
+    /// that nobody else knows.
+    pub(super) fn has_stale_view(&self, now_ms: u64) -> bool {
+        now_ms < self.stale_view_until_ms
+    }
+
     /// Returns whether the view may still be incomplete.
     pub(super) fn is_settling(&self, now_ms: u64) -> bool {
         now_ms < self.started_ms + self.settings.settle_ms
--- a/crates/basilstep-core/src/membership/sync.rs
+++ b/crates/basilstep-core/src/membership/sync.rs
@@ -62,7 +62,7 @@
         actions: &mut Vec<MembershipAction>,
     ) {
         let is_quiet = ctx.now_ms >= self.last_change_ms + VIEW_QUIET_MS;
-        if gossip.digest == self.table.digest() {
+        if gossip.digest == self.table.digest() || self.has_stale_view(ctx.now_ms) {
             return;
         }
         if self.is_far_behind(gossip.members, ctx.now_ms) {
--- a/crates/basilstep-core/src/membership/tests.rs
+++ b/crates/basilstep-core/src/membership/tests.rs
@@ -1,3 +1,5 @@
+mod departures;
+
 use super::{
     AgentPhase, AgentRecord, Announcer, BalancerRecord, Evidence, MemberRecord, Membership,
     MembershipAction, MembershipMessage, MembershipSettings, ProbeAnswer, SettingsDelta,
