fix(flows): late farewells and heartbeats of a target's incarnation change nothing

Cause: a farewell was applied whatever instance it named, so a late one of the former incarnation ended the new one and reset its flows; a heartbeat that arrived after the farewell of its incarnation on another connection made the target serve again.

--- a/crates/basilstep-core/src/flows/agent/state.rs
+++ b/crates/basilstep-core/src/flows/agent/state.rs
@@ -1,4 +1,5 @@
 mod reporting;
+mod target_departure;
 
 use super::{
     admission::{AdmissionControl, AdmissionInputs, ColdAllowance},
--- a/crates/basilstep-core/src/flows/agent/target.rs
+++ b/crates/basilstep-core/src/flows/agent/target.rs
@@ -58,6 +58,10 @@
     cold_until_ms: u64,
     /// This incarnation of the target started together with the agent or later.
     is_witnessed: bool,
+    /// The id that the target chose for its incarnation, once a heartbeat has named it.
+    instance: Option<String>,
+    /// The incarnation that has left, by the time of its start.
+    left_born_ms: Option<u64>,
 }
 
 impl TargetState {
@@ -68,6 +72,9 @@
         heartbeat_ms: u64,
         now_ms: u64,
     ) -> HeartbeatOutcome {
+        if self.left_born_ms == Some(heartbeat.born_ms) {
+            return HeartbeatOutcome::Outdated;
+        }
         let silence_ms = now_ms.saturating_sub(self.last_heartbeat_ms);
         if let Some(last) = self.last {
             let is_older = heartbeat.born_ms < last.born_ms;
@@ -114,6 +121,25 @@
         self.phase = TargetPhase::Down;
     }
 
+    /// Records the id of the incarnation whose heartbeat was accepted last.
+    pub fn set_instance(&mut self, instance: &str) {
+        if self.instance.as_deref() != Some(instance) {
+            self.instance = Some(instance.to_owned());
+        }
+    }
+
+    /// Records that an incarnation has left; returns whether it is the last one.
+    ///
+    /// Heartbeats and farewells arrive on connections of their own, in any order.
+    pub fn on_left(&mut self, instance: &str) -> bool {
+        let is_last = self.instance.as_deref().is_none_or(|last| last == instance);
+        if is_last {
+            self.left_born_ms = self.last.map(|last| last.born_ms);
+            self.set_down();
+        }
+        is_last
+    }
+
     /// Returns whether the target accepts new flows.
     pub const fn phase(&self) -> TargetPhase {
         self.phase
--- a/crates/basilstep-core/src/flows/tests/stale_state.rs
+++ b/crates/basilstep-core/src/flows/tests/stale_state.rs
@@ -2,11 +2,16 @@
 //! reports from before a stall.
 
 use super::{
-    agent_ip, balancer_with, context, data, fleet_settings, flow, held, report, serving_agent, syn,
+    agent_ip, balancer_ip, balancer_with, context, data, fleet_settings, flow, forward_header,
+    held, report, serving_agent, syn, target_heartbeat,
 };
 use crate::{
     codes::ResultCode,
-    flows::{AgentReport, ProcessIncarnation, RequestKind, TargetPhase, balancer::Verdict},
+    flows::{
+        AgentReport, ProcessIncarnation, RequestKind, TargetPhase,
+        agent::{CallerVerdict, HeartbeatOutcome, TargetHeartbeat},
+        balancer::Verdict,
+    },
 };
 
 /// Guards against the reset of an open flow by a balancer that has no hint of it, when operators
@@ -63,15 +68,43 @@
 #[test]
 fn stalled_agent_returns_the_syns_that_waited() {
     let (mut agent, ctx) = serving_agent();
-    let header = super::forward_header(super::balancer_ip(1));
+    let header = forward_header(balancer_ip(1));
     agent.on_stall(700);
     let verdict = agent.on_packet(&header, &syn(flow(1), 0), &ctx);
-    assert!(matches!(
-        verdict,
-        crate::flows::agent::CallerVerdict::Deliver { .. }
-    ));
+    assert!(matches!(verdict, CallerVerdict::Deliver { .. }));
     agent.on_stall(800);
     let verdict = agent.on_packet(&header, &syn(flow(2), 0), &ctx);
     let code = ResultCode::Recovering;
-    assert_eq!(verdict, crate::flows::agent::CallerVerdict::Return { code });
+    assert_eq!(verdict, CallerVerdict::Return { code });
+}
+
+/// Guards against new flows at a target that has left, because a heartbeat on another connection
+/// has arrived after its farewell.
+#[test]
+fn target_that_has_left_comes_back_only_as_a_new_incarnation() {
+    let (mut agent, _) = serving_agent();
+    agent.set_target_instance("a");
+    agent.on_target_left("a", &context(5_100));
+    let (outcome, _) = agent.on_target_heartbeat(&target_heartbeat(2), &context(5_110));
+    assert_eq!(outcome, HeartbeatOutcome::Outdated);
+    assert_eq!(agent.target().phase(), TargetPhase::Down);
+    let restarted = TargetHeartbeat {
+        born_ms: 20_000,
+        ..target_heartbeat(1)
+    };
+    agent.on_target_heartbeat(&restarted, &context(6_000));
+    assert_eq!(agent.target().phase(), TargetPhase::Serving);
+}
+
+/// Guards against the end of a target by the late farewell of its former incarnation.
+#[test]
+fn farewell_of_a_former_incarnation_changes_nothing() {
+    let (mut agent, ctx) = serving_agent();
+    agent.set_target_instance("b");
+    agent.on_packet(&forward_header(balancer_ip(1)), &syn(flow(1), 0), &ctx);
+    assert_eq!(agent.on_target_left("a", &ctx), None);
+    assert_eq!(agent.target().phase(), TargetPhase::Serving);
+    assert_eq!(agent.table().live(), 1);
+    assert!(agent.on_target_left("b", &ctx).is_some());
+    assert_eq!(agent.target().phase(), TargetPhase::Down);
 }
--- a/crates/basilstep-packet/src/agent/http.rs
+++ b/crates/basilstep-packet/src/agent/http.rs
@@ -47,6 +47,9 @@
             .flows
             .on_target_heartbeat(&request.heartbeat, &self.ctx);
         self.reset_lost_flows(&lost);
+        if outcome != HeartbeatOutcome::Outdated {
+            self.flows.set_target_instance(id);
+        }
         if matches!(
             outcome,
             HeartbeatOutcome::NewLifetime | HeartbeatOutcome::PhaseChanged
@@ -67,7 +70,10 @@
     }
 
     fn on_leave(&mut self, id: &str) -> ServerResponse {
-        let lost = self.flows.on_target_ended(&self.ctx);
+        let Some(lost) = self.flows.on_target_left(id, &self.ctx) else {
+            log::info!(id; "ignored the farewell of a former incarnation of the target");
+            return ServerResponse::empty(StatusCode::OK);
+        };
         log::info!(id, flows = lost.len(); "the target has left");
         self.reset_lost_flows(&lost);
         self.send_reports(Recipients::All);
