fix(packet): a refusal by a target's former incarnation does not end the next one

Cause: the operating system reports that nobody listens with the next packet; if that went to a new incarnation, its flows were reset and it got no new ones until its next heartbeat. Change: the pending error is discarded when a new incarnation is heard. Result: the test failed without it (Refused) and passes.

--- a/crates/basilstep-packet/src/agent/http.rs
+++ b/crates/basilstep-packet/src/agent/http.rs
@@ -47,6 +47,10 @@
             .flows
             .on_target_heartbeat(&request.heartbeat, &self.ctx);
         self.reset_lost_flows(&lost);
+        if outcome == HeartbeatOutcome::NewLifetime {
+            // A packet to the former incarnation may have been refused.
+            self.target_socket.clear_error();
+        }
         if outcome != HeartbeatOutcome::Outdated {
             self.flows.set_target_instance(id);
         }
--- a/crates/basilstep-packet/src/datagram_socket.rs
+++ b/crates/basilstep-packet/src/datagram_socket.rs
@@ -1,5 +1,8 @@
 //! Non-blocking UDP sockets.
 
+#[cfg(test)]
+mod tests;
+
 use crate::process::ProcessError;
 use std::{
     io::{self, ErrorKind},
@@ -103,6 +106,13 @@
         Ok(Self { socket })
     }
 
+    /// Discards the error of an earlier datagram, which would be reported for the next one.
+    pub fn clear_error(&self) {
+        if let Ok(Some(error)) = self.socket.take_error() {
+            log::debug!(reason:% = error; "discarded the error of an earlier datagram");
+        }
+    }
+
     /// Sends one datagram.
     pub fn send(&self, bytes: &[u8]) -> SendOutcome {
         match self.socket.try_send(bytes) {
