fix(flows): a late reset of a caller does not close the record of a flow that goes on

Cause: the agent closed its record at any reset with the flow's key, although the target ignored one of an earlier flow; after linger_ms the flow was unknown and its caller was reset. Change: data that follows in the same flow opens the record again.

--- a/crates/basilstep-core/src/flows/agent/table.rs
+++ b/crates/basilstep-core/src/flows/agent/table.rs
@@ -74,6 +74,7 @@
     caller_end_sequence: Option<u32>,
     is_caller_finished: bool,
     is_target_finished: bool,
+    is_reset_by_caller: bool,
 }
 
 impl Flow {
@@ -99,6 +100,7 @@
             caller_end_sequence: None,
             is_caller_finished: false,
             is_target_finished: false,
+            is_reset_by_caller: false,
         }
     }
 
@@ -159,6 +161,10 @@
             }
         }
         if segment.data_bytes > 0 {
+            if std::mem::take(&mut self.is_reset_by_caller) && self.stage == FlowStage::Closed {
+                // The reset was late and belonged to an earlier flow with the same key.
+                self.stage = FlowStage::Open;
+            }
             let end = segment.end_sequence();
             if self
                 .caller_end_sequence
@@ -171,6 +177,7 @@
         }
         self.is_caller_finished |= segment.flags.fin;
         if segment.flags.rst {
+            self.is_reset_by_caller = self.stage != FlowStage::Closed;
             self.close();
         }
         self.close_if_finished();
--- a/crates/basilstep-core/src/flows/tests/reused_keys.rs
+++ b/crates/basilstep-core/src/flows/tests/reused_keys.rs
@@ -163,6 +163,21 @@
     assert_eq!(agent.table().live(), 1);
 }
 
+/// Guards against the loss of an open flow by a late reset of its caller that belongs to an earlier
+/// flow and that the target ignores.
+#[test]
+fn late_reset_by_the_caller_does_not_end_a_flow_that_goes_on() {
+    let mut agent = agent_with_flow();
+    let mut late = data(flow(1), 0);
+    late.flags.rst = true;
+    late.flags.ack = false;
+    agent.on_packet(&origin(), &late, &context(5_100));
+    agent.on_packet(&origin(), &data(flow(1), 10), &context(5_200));
+    assert_eq!(agent.table().at_work(), 1);
+    agent.on_tick(&context(11_000));
+    assert!(agent.table().get(&flow(1)).is_some());
+}
+
 /// Guards against a caller that is kept waiting until it gives up, because its SYNs follow the hint
 /// of an earlier flow to an agent that is gone.
 #[test]
