fix(flows): flows of silent agents that others know are kept for 20 s after a start

Change: for such flows a count holds until those who gave it have forgotten the agent. A SYN without a route is refused without that wait, since its caller loses nothing.

--- a/crates/basilstep-core/src/flows/agent/table.rs
+++ b/crates/basilstep-core/src/flows/agent/table.rs
@@ -74,7 +74,6 @@
     caller_end_sequence: Option<u32>,
     is_caller_finished: bool,
     is_target_finished: bool,
-    is_reset_by_caller: bool,
 }
 
 impl Flow {
@@ -100,7 +99,6 @@
             caller_end_sequence: None,
             is_caller_finished: false,
             is_target_finished: false,
-            is_reset_by_caller: false,
         }
     }
 
@@ -161,8 +159,9 @@
             }
         }
         if segment.data_bytes > 0 {
-            if std::mem::take(&mut self.is_reset_by_caller) && self.stage == FlowStage::Closed {
-                // The reset was late and belonged to an earlier flow with the same key.
+            if self.stage == FlowStage::Closed && !self.is_finished() {
+                // The reset was late and belonged to an earlier flow with the same key; otherwise the
+                // target answers with another one.
                 self.stage = FlowStage::Open;
             }
             let end = segment.end_sequence();
@@ -177,7 +176,6 @@
         }
         self.is_caller_finished |= segment.flags.fin;
         if segment.flags.rst {
-            self.is_reset_by_caller = self.stage != FlowStage::Closed;
             self.close();
         }
         self.close_if_finished();
@@ -210,8 +208,12 @@
         self.close_if_finished();
     }
 
+    const fn is_finished(&self) -> bool {
+        self.is_caller_finished && self.is_target_finished
+    }
+
     fn close_if_finished(&mut self) {
-        if self.is_caller_finished && self.is_target_finished {
+        if self.is_finished() {
             self.close();
         }
     }
--- a/crates/basilstep-core/src/flows/balancer/state.rs
+++ b/crates/basilstep-core/src/flows/balancer/state.rs
@@ -363,9 +363,11 @@
         self.hints.len()
     }
 
-    fn reject_unknown_service(&self, ctx: &Context) -> Verdict {
+    /// Rejects a packet to an address without a route; `kind` says what the caller may do after a
+    /// reset, which is to try again if its flow is not open yet.
+    fn reject_unknown_service(&self, kind: RequestKind, ctx: &Context) -> Verdict {
         let code = ResultCode::UnknownService;
-        if self.fleet.is_known() && self.may_reset(RequestKind::NonIdempotent, ctx) {
+        if self.fleet.is_known() && self.may_reset(kind, ctx) {
             return Verdict::Reset { code };
         }
         Verdict::Drop { code }
--- a/crates/basilstep-core/src/flows/balancer/state/readiness.rs
+++ b/crates/basilstep-core/src/flows/balancer/state/readiness.rs
@@ -21,7 +21,17 @@
 
     /// Returns whether this balancer knows at least as many agents as any other one, including
     /// agents that have not reported to the others for a while.
+    ///
+    /// A count holds until those who knew such an agent have forgotten it: its silence says nothing
+    /// about its target, and the caller of a request that may not be repeated gains little from an
+    /// early reset.
     fn knows_enough_agents(&self, ctx: &Context) -> bool {
+        let forgotten_ms = self.started_ms + self.settings.liveness.forget_after_ms;
+        if let Some(most) = self.max_agents
+            && ctx.now_ms < forgotten_ms
+        {
+            return self.agents.len() >= usize::from(most).max(1);
+        }
         let required = self.required_agents(self.max_agents, ctx);
         required.is_some_and(|required| self.agents.len() >= required)
     }
--- a/crates/basilstep-core/src/flows/balancer/state/searching.rs
+++ b/crates/basilstep-core/src/flows/balancer/state/searching.rs
@@ -40,7 +40,7 @@
     /// Asks the agents that have not answered yet, or resets the flow if all have refused.
     pub(super) fn search(&mut self, flow: FlowKey, ctx: &Context) -> Verdict {
         let Some(unanswered) = self.unanswered(&flow, ctx.now_ms) else {
-            return self.reject_unknown_service(ctx);
+            return self.reject_unknown_service(RequestKind::NonIdempotent, ctx);
         };
         let search_ms = self.settings.searches.keep_ms;
         let search = self.searches.entry(flow, ctx.now_ms, search_ms);
--- a/crates/basilstep-core/src/flows/balancer/state/syn.rs
+++ b/crates/basilstep-core/src/flows/balancer/state/syn.rs
@@ -9,6 +9,7 @@
         frame::ForwardHeader,
         handshake::HANDSHAKE_TIMEOUT_MS,
         key::{FlowKey, ServiceTag},
+        routes::RequestKind,
         segment::Segment,
     },
 };
@@ -87,13 +88,13 @@
     ) -> Verdict {
         let flow = new.key();
         let Some(route) = self.fleet.table.routes.get(&flow.service_address) else {
-            return self.reject_unknown_service(ctx);
+            return self.reject_unknown_service(RequestKind::Idempotent, ctx);
         };
         let service = service
             .filter(|service| route.allows(*service))
             .or_else(|| route.service_for(&flow));
         let Some(service) = service else {
-            return self.reject_unknown_service(ctx);
+            return self.reject_unknown_service(RequestKind::Idempotent, ctx);
         };
         let placement = PlacementContext {
             domain: self.identity.domain,
--- a/crates/basilstep-core/src/flows/tests/stale_state.rs
+++ b/crates/basilstep-core/src/flows/tests/stale_state.rs
@@ -3,12 +3,12 @@
 
 use super::{
     agent_ip, balancer_ip, balancer_with, context, data, fleet_settings, flow, forward_header,
-    held, report, serving_agent, syn, target_heartbeat,
+    heartbeat, held, report, service, serving_agent, syn, target_heartbeat,
 };
 use crate::{
     codes::ResultCode,
     flows::{
-        AgentReport, ProcessIncarnation, RequestKind, TargetPhase,
+        AgentReport, ProcessIncarnation, RequestKind, Returned, TargetPhase,
         agent::{CallerVerdict, HeartbeatOutcome, TargetHeartbeat},
         balancer::Verdict,
     },
@@ -108,3 +108,27 @@
     assert!(agent.on_target_left("b", &ctx).is_some());
     assert_eq!(agent.target().phase(), TargetPhase::Down);
 }
+
+/// Guards against the reset of a flow whose request may not be repeated, while its agent is down or
+/// paused for more than 3 s after a balancer has started and other balancers still know the agent.
+#[test]
+fn flow_of_an_agent_that_others_know_is_not_lost_soon_after_a_start() {
+    let (mut balancer, _) = balancer_with(0, RequestKind::NonIdempotent);
+    let packet = data(flow(1), 100);
+    let not_held = Returned {
+        code: ResultCode::FlowNotHeld,
+        service: service(),
+    };
+    let mut resets = Vec::new();
+    for now_ms in (100..21_000).step_by(100) {
+        let ctx = context(now_ms);
+        balancer.on_heartbeat(balancer_ip(2), &heartbeat(2), &ctx);
+        balancer.on_report(agent_ip(1), report(TargetPhase::Serving), &ctx);
+        balancer.on_packet(&packet, &ctx);
+        balancer.on_returned(agent_ip(1), not_held, &packet, &ctx);
+        if !balancer.on_tick(&ctx).lost.is_empty() {
+            resets.push(now_ms);
+        }
+    }
+    assert_eq!(resets.first(), Some(&20_000));
+}
