--- a/crates/basilstep-packet/tests/processes/failures.rs
+++ b/crates/basilstep-packet/tests/processes/failures.rs
@@ -31,9 +31,7 @@
         for balancer in BALANCERS {
             fleet.start_balancer(balancer);
         }
-        let (_, target) = fleet.start_agent(11).await;
-        // The target runs until the test ends.
-        std::mem::forget(target);
+        let _target = fleet.start_agent(11).await;
         let mut flows = Vec::new();
         for balancer in BALANCERS {
             fleet.await_ready(balancer).await;
@@ -45,22 +43,27 @@
         Self { fleet, flows }
     }
 
-    fn signal_balancers(&self, signal: Signal) {
-        for process in self.fleet.processes.iter().take(self.flows.len()) {
-            process.signal(signal);
-        }
-    }
-
-    /// Starts a request in each flow, through the balancer that opened it.
-    fn start_requests(&mut self) -> JoinSet<Option<Packet>> {
+    /// Stalls the balancers for the sum of two durations, sends a request in each flow between them,
+    /// and returns how many are answered.
+    async fn count_answers_after(self, [before, after]: [Duration; 2]) -> usize {
+        signal_balancers(&self.fleet, Signal::STOP);
+        sleep(before).await;
         let mut requests = JoinSet::new();
-        for ((caller, opened), balancer) in
-            std::mem::take(&mut self.flows).into_iter().zip(BALANCERS)
-        {
+        for ((caller, opened), balancer) in self.flows.into_iter().zip(BALANCERS) {
             let address = self.fleet.address(balancer, self.fleet.ports.packets);
             requests.spawn(async move { caller.request(address, &opened, "meanwhile").await });
         }
-        requests
+        sleep(after).await;
+        signal_balancers(&self.fleet, Signal::CONT);
+        let answers = requests.join_all().await;
+        let answered = answers.iter().filter(|answer| is_answer(answer.as_ref()));
+        answered.count()
+    }
+}
+
+fn signal_balancers(fleet: &Fleet, signal: Signal) {
+    for process in fleet.processes.iter().take(BALANCERS.count()) {
+        process.signal(signal);
     }
 }
 
@@ -72,36 +75,19 @@
 /// flows of living targets.
 #[tokio::test]
 async fn stalled_balancers_reset_no_flow_of_a_living_target() {
-    let mut busy = BusyFleet::start("stalled").await;
-    busy.signal_balancers(Signal::STOP);
-    sleep(Duration::from_millis(2_500)).await;
-    let processes = std::mem::take(&mut busy.fleet.processes);
-    let requests = busy.start_requests();
-    sleep(Duration::from_millis(50)).await;
-    for process in processes.iter().take(BALANCERS.count()) {
-        process.signal(Signal::CONT);
-    }
-    let answers = requests.join_all().await;
-    let answered = answers.iter().filter(|answer| is_answer(answer.as_ref()));
-    assert_eq!(answered.count(), BALANCERS.count());
+    let busy = BusyFleet::start("stalled").await;
+    let stalls = [Duration::from_millis(2_500), Duration::from_millis(50)];
+    assert_eq!(busy.count_answers_after(stalls).await, BALANCERS.count());
 }
 
 /// Guards against packets that wait in the sockets of a balancer when it ends.
 #[tokio::test]
 async fn stopping_balancers_forward_the_packets_that_wait_in_their_sockets() {
-    let mut busy = BusyFleet::start("stop-balancers").await;
-    busy.signal_balancers(Signal::TERM);
+    let busy = BusyFleet::start("stop-balancers").await;
+    signal_balancers(&busy.fleet, Signal::TERM);
     sleep(Duration::from_millis(1_500)).await;
-    busy.signal_balancers(Signal::STOP);
-    let processes = std::mem::take(&mut busy.fleet.processes);
-    let requests = busy.start_requests();
-    sleep(Duration::from_millis(600)).await;
-    for process in processes.iter().take(BALANCERS.count()) {
-        process.signal(Signal::CONT);
-    }
-    let answers = requests.join_all().await;
-    let answered = answers.iter().filter(|answer| is_answer(answer.as_ref()));
-    assert_eq!(answered.count(), BALANCERS.count());
+    let stalls = [Duration::ZERO, Duration::from_millis(600)];
+    assert_eq!(busy.count_answers_after(stalls).await, BALANCERS.count());
 }
 
 /// Guards against an agent that ends while its target processes a request, whose answer then
--- a/crates/basilstep-packet/tests/processes/support/fleet.rs
+++ b/crates/basilstep-packet/tests/processes/support/fleet.rs
@@ -97,7 +97,9 @@
             64 + (id % 128) as u8,
             NEXT_NETWORK.fetch_add(1, Ordering::SeqCst),
         ];
-        let folder = std::env::temp_dir().join(format!("basilstep-packet-{id}-{name}"));
+        // Several kinds of the soak may run with one seed, so with one name, at the same time.
+        let fleet = network[1];
+        let folder = std::env::temp_dir().join(format!("basilstep-packet-{id}-{fleet}-{name}"));
         fs::create_dir_all(&folder).unwrap();
         let ports = free_ports();
         let store_ip = Ipv4Addr::new(127, network[0], network[1], STORE);
