--- a/crates/basilstep-core/src/flows/agent/state.rs
+++ b/crates/basilstep-core/src/flows/agent/state.rs
@@ -1,6 +1,7 @@
 mod health;
 mod queueing;
 mod reporting;
+mod target_departure;
 
 use super::{
     admission::{AdmissionControl, ColdAllowance},
@@ -167,14 +168,14 @@
         // The caller has opened the flow at another target.
         self.queue.remove(&key);
         let Some(flow) = self.table.get(&key).copied() else {
-            return self.on_unknown_flow(key, header, ctx);
+            return self.on_unknown_flow(key, segment, header, ctx);
         };
-        if flow.stage == FlowStage::Lost {
+        if flow.stage == FlowStage::Lost && flow.includes(segment) {
             return CallerVerdict::Return {
                 code: ResultCode::FlowLost,
             };
         }
-        if !flow.is_continued_by(segment) {
+        if flow.stage == FlowStage::Lost || !flow.is_continued_by(segment) {
             return CallerVerdict::Return {
                 code: ResultCode::FlowNotHeld,
             };
@@ -211,7 +212,13 @@
             self.table.remove(&key);
             return TargetVerdict::Drop;
         }
-        let is_first = matches!(stage, Some(FlowStage::Offered | FlowStage::Probed));
+        if before.is_none() && segment.flags.rst && self.knows_all_flows(ctx) {
+            // The caller never opened the flow here, or it ended long ago; it may be open at another
+            // target.
+            return TargetVerdict::Drop;
+        }
+        let is_first = matches!(stage, Some(FlowStage::Offered | FlowStage::Probed))
+            || before.is_some_and(|flow| flow.is_replaced_by(segment));
         if let Some(flow) = before.filter(|flow| flow.is_answered_by(segment)) {
             self.record_answer(&key, &flow, ctx.now_ms);
         }
@@ -309,6 +316,13 @@
         self.withdraw_queue(ResultCode::Recovering, ctx.now_ms);
     }
 
+    /// Records that the process did not run for `stalled_ms`, which its clock counted.
+    ///
+    /// After `suspect_after_ms` balancers have sent the next SYNs of these flows elsewhere.
+    pub const fn on_stall(&mut self, stalled_ms: u64) {
+        self.is_backlog_stale |= stalled_ms >= self.settings.liveness.suspect_after_ms;
+    }
+
     /// Records that all packets that were queued during a pause have been read.
     pub const fn on_backlog_read(&mut self) {
         self.is_backlog_stale = false;
@@ -353,7 +367,7 @@
         ctx: &Context,
     ) -> CallerVerdict {
         match self.table.get(&key).copied() {
-            Some(flow) if matches!(flow.stage, FlowStage::Answered | FlowStage::Open) => {
+            Some(flow) if flow.is_held() && !flow.is_followed_by_syn(ctx.now_ms) => {
                 return deliver(header);
             }
             Some(flow) if flow.stage == FlowStage::Offered => {
@@ -377,6 +391,7 @@
     fn on_unknown_flow(
         &mut self,
         key: FlowKey,
+        segment: &Segment,
         header: &ForwardHeader,
         ctx: &Context,
     ) -> CallerVerdict {
@@ -392,6 +407,7 @@
             ctx.now_ms,
         );
         flow.is_search = header.is_search;
+        flow.caller_acknowledged = segment.acknowledged;
         self.table.insert(key, flow);
         deliver(header)
     }
@@ -399,7 +415,9 @@
     fn on_bounced(&mut self, segment: &Segment, ctx: &Context) -> TargetVerdict {
         let key = segment.flow_of_caller();
         let origin = Ipv4Addr::from_bits(segment.cookie);
-        let stage = self.table.get(&key).map(|flow| flow.stage);
+        // A late packet of an earlier flow with the same key says nothing about this one.
+        let flow = self.table.get(&key).filter(|flow| flow.includes(segment));
+        let stage = flow.map(|flow| flow.stage);
         if segment.is_syn() {
             if stage == Some(FlowStage::Offered) {
                 self.table.remove(&key);
--- a/crates/basilstep-core/src/flows/agent/state/queueing.rs
+++ b/crates/basilstep-core/src/flows/agent/state/queueing.rs
@@ -160,6 +160,15 @@
             self.priority_limit
                 .record_admitted(header.priority_level, ctx.now_ms);
         }
+        if self.table.get(&key).is_some_and(Flow::is_held) {
+            // The target decides whether the earlier flow with this key has ended.
+            self.table.update(&key, |flow| {
+                flow.syn_arrived_ms = ctx.now_ms;
+                flow.origin = header.origin;
+                flow.origin_domain = header.origin_domain;
+            });
+            return deliver(header);
+        }
         let flow = Flow::new(
             FlowStage::Offered,
             header.origin,
--- a/crates/basilstep-core/src/flows/balancer/state/searching.rs
+++ b/crates/basilstep-core/src/flows/balancer/state/searching.rs
@@ -40,7 +40,7 @@
     /// Asks the agents that have not answered yet, or resets the flow if all have refused.
     pub(super) fn search(&mut self, flow: FlowKey, ctx: &Context) -> Verdict {
         let Some(unanswered) = self.unanswered(&flow, ctx.now_ms) else {
-            return self.reject_unknown_service(ctx);
+            return self.reject_unknown_service(RequestKind::NonIdempotent, ctx);
         };
         let search_ms = self.settings.searches.keep_ms;
         let search = self.searches.entry(flow, ctx.now_ms, search_ms);
@@ -66,27 +66,32 @@
         Verdict::Search(unanswered.next_hops)
     }
 
-    /// Returns the agents that may hold a flow and have not refused; `None` without a route.
+    /// Returns the agents that may hold a flow and have not refused; `None` if its address has never
+    /// had a route.
+    ///
+    /// A flow whose route was removed may still be open; whether its requests may be repeated is no
+    /// longer known.
     fn unanswered(&self, flow: &FlowKey, now_ms: u64) -> Option<Unanswered> {
         if !self.fleet.is_known() {
             return self.unanswered_without_routes(flow, now_ms);
         }
-        let route = self.fleet.table.routes.get(&flow.service_address)?;
+        let services = self.services_of(flow);
+        if services.is_empty() {
+            return None;
+        }
+        let route = self.fleet.table.routes.get(&flow.service_address);
+        let kind = route.map_or(RequestKind::NonIdempotent, |route| route.kind);
         let refused_by = self.searches.refused_by(flow);
         let evidence = self.evidence(flow, now_ms);
-        let is_idempotent = route.kind == RequestKind::Idempotent;
-        let next_hops = self
-            .services_of(flow)
+        let is_idempotent = kind == RequestKind::Idempotent;
+        let next_hops = services
             .into_iter()
             .flat_map(|service| self.agents.of_service(service).map(move |a| (a, service)))
             .filter(|(agent, _)| !refused_by.contains(agent))
             .filter(|(agent, _)| !(is_idempotent && self.can_be_skipped(*agent, evidence, now_ms)))
             .map(|(agent, service)| self.next_hop(agent, service, true))
             .collect();
-        Some(Unanswered {
-            kind: route.kind,
-            next_hops,
-        })
+        Some(Unanswered { kind, next_hops })
     }
 
     /// Returns all agents that have not refused, for a balancer that does not know any routes yet.
--- /dev/null
+++ b/crates/basilstep-core/src/flows/tests/stale_state.rs
@@ -0,0 +1,134 @@
+//! What processes still know of earlier states: routes that were removed, former incarnations, and
+//! reports from before a stall.
+
+use super::{
+    agent_ip, balancer_ip, balancer_with, context, data, fleet_settings, flow, forward_header,
+    heartbeat, held, report, service, serving_agent, syn, target_heartbeat,
+};
+use crate::{
+    codes::ResultCode,
+    flows::{
+        AgentReport, ProcessIncarnation, RequestKind, Returned, TargetPhase,
+        agent::{CallerVerdict, HeartbeatOutcome, TargetHeartbeat},
+        balancer::Verdict,
+    },
+};
+
+/// Guards against the reset of an open flow by a balancer that has no hint of it, when operators
+/// have removed its route.
+#[test]
+fn open_flow_is_found_after_its_route_was_removed() {
+    let (mut balancer, ctx) = balancer_with(2, RequestKind::Idempotent);
+    let mut settings = fleet_settings(RequestKind::Idempotent);
+    settings.table.version = 2;
+    settings.table.routes.clear();
+    balancer.on_fleet_settings(settings, &ctx);
+    let verdict = balancer.on_packet(&data(flow(1), 100), &ctx);
+    assert!(matches!(verdict, Verdict::Search(next_hops) if next_hops.len() == 2));
+    let verdict = balancer.on_packet(&syn(flow(2), 0), &ctx);
+    let code = ResultCode::UnknownService;
+    assert_eq!(verdict, Verdict::Reset { code });
+}
+
+/// Guards against a late report of an agent's former incarnation that makes its former state valid
+/// again.
+#[test]
+fn report_of_a_former_incarnation_changes_nothing() {
+    let (mut balancer, ctx) = balancer_with(1, RequestKind::Idempotent);
+    let restarted = AgentReport {
+        incarnation: ProcessIncarnation(2),
+        ..report(TargetPhase::Draining)
+    };
+    assert!(balancer.on_report(agent_ip(1), restarted, &ctx));
+    let late = report(TargetPhase::Serving);
+    assert!(!balancer.on_report(agent_ip(1), late, &ctx));
+    let verdict = balancer.on_packet(&syn(flow(1), 0), &ctx);
+    assert!(matches!(verdict, Verdict::Drop { .. }));
+    let reply = balancer.reply_to(agent_ip(1), &restarted, &context(ctx.now_ms + 700));
+    assert_eq!(reply.former_report_age_ms, Some(700));
+}
+
+/// Guards against a balancer that takes its own stall for the silence of all agents, and resets
+/// flows of living targets before it has read the reports that wait in its socket.
+#[test]
+fn stalled_balancer_resets_no_flow_for_silence() {
+    let (mut balancer, ctx) = balancer_with(2, RequestKind::Idempotent);
+    balancer.on_held_flows(agent_ip(1), &held(0, flow(1)), &ctx);
+    let resumed = context(ctx.now_ms + 4_000);
+    balancer.on_stall(4_000, &resumed);
+    let verdict = balancer.on_packet(&data(flow(1), 100), &resumed);
+    assert!(matches!(verdict, Verdict::Forward(next_hop) if next_hop.agent == agent_ip(1)));
+    let verdict = balancer.on_packet(&syn(flow(2), 0), &resumed);
+    let code = ResultCode::Recovering;
+    assert_eq!(verdict, Verdict::Drop { code });
+}
+
+/// Guards against SYNs that reach a target although their callers have opened the flows elsewhere
+/// while the agent's process did not run.
+#[test]
+fn stalled_agent_returns_the_syns_that_waited() {
+    let (mut agent, ctx) = serving_agent();
+    let header = forward_header(balancer_ip(1));
+    agent.on_stall(700);
+    let verdict = agent.on_packet(&header, &syn(flow(1), 0), &ctx);
+    assert!(matches!(verdict, CallerVerdict::Deliver { .. }));
+    agent.on_stall(800);
+    let verdict = agent.on_packet(&header, &syn(flow(2), 0), &ctx);
+    let code = ResultCode::Recovering;
+    assert_eq!(verdict, CallerVerdict::Return { code });
+}
+
+/// Guards against new flows at a target that has left, because a heartbeat on another connection
+/// has arrived after its farewell.
+#[test]
+fn target_that_has_left_comes_back_only_as_a_new_incarnation() {
+    let (mut agent, _) = serving_agent();
+    agent.set_target_instance("a");
+    agent.on_target_left("a", &context(5_100));
+    let (outcome, _) = agent.on_target_heartbeat(&target_heartbeat(2), &context(5_110));
+    assert_eq!(outcome, HeartbeatOutcome::Outdated);
+    assert_eq!(agent.target().phase(), TargetPhase::Down);
+    let restarted = TargetHeartbeat {
+        born_ms: 20_000,
+        ..target_heartbeat(1)
+    };
+    agent.on_target_heartbeat(&restarted, &context(6_000));
+    assert_eq!(agent.target().phase(), TargetPhase::Serving);
+}
+
+/// Guards against the end of a target by the late farewell of its former incarnation.
+#[test]
+fn farewell_of_a_former_incarnation_changes_nothing() {
+    let (mut agent, ctx) = serving_agent();
+    agent.set_target_instance("b");
+    agent.on_packet(&forward_header(balancer_ip(1)), &syn(flow(1), 0), &ctx);
+    assert_eq!(agent.on_target_left("a", &ctx), None);
+    assert_eq!(agent.target().phase(), TargetPhase::Serving);
+    assert_eq!(agent.table().live(), 1);
+    assert!(agent.on_target_left("b", &ctx).is_some());
+    assert_eq!(agent.target().phase(), TargetPhase::Down);
+}
+
+/// Guards against the reset of a flow whose request may not be repeated, while its agent is down or
+/// paused for more than 3 s after a balancer has started and other balancers still know the agent.
+#[test]
+fn flow_of_an_agent_that_others_know_is_not_lost_soon_after_a_start() {
+    let (mut balancer, _) = balancer_with(0, RequestKind::NonIdempotent);
+    let packet = data(flow(1), 100);
+    let not_held = Returned {
+        code: ResultCode::FlowNotHeld,
+        service: service(),
+    };
+    let mut resets = Vec::new();
+    for now_ms in (100..21_000).step_by(100) {
+        let ctx = context(now_ms);
+        balancer.on_heartbeat(balancer_ip(2), &heartbeat(2), &ctx);
+        balancer.on_report(agent_ip(1), report(TargetPhase::Serving), &ctx);
+        balancer.on_packet(&packet, &ctx);
+        balancer.on_returned(agent_ip(1), not_held, &packet, &ctx);
+        if !balancer.on_tick(&ctx).lost.is_empty() {
+            resets.push(now_ms);
+        }
+    }
+    assert_eq!(resets.first(), Some(&20_000));
+}
--- a/crates/basilstep-packet/src/agent/mod.rs
+++ b/crates/basilstep-packet/src/agent/mod.rs
@@ -5,5 +5,6 @@
 mod packets;
 mod released_syns;
 mod serve;
+mod stopping;
 
 pub use serve::serve;
--- a/crates/basilstep-packet/src/datagram_socket.rs
+++ b/crates/basilstep-packet/src/datagram_socket.rs
@@ -1,5 +1,8 @@
 //! Non-blocking UDP sockets.
 
+#[cfg(test)]
+mod tests;
+
 use crate::process::ProcessError;
 use std::{
     io::{self, ErrorKind},
@@ -14,6 +17,10 @@
 /// The maximum number of datagrams read from a socket before timers and other sockets are served.
 pub const RECEIVE_BATCH: usize = 64;
 
+/// The maximum number of batches read from each socket before a process ends: 1,024 datagrams, more
+/// than the usual receive buffer holds.
+pub const MAX_FINAL_BATCHES: usize = 16;
+
 /// The outcome of sending a datagram.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum SendOutcome {
@@ -99,6 +106,13 @@
         Ok(Self { socket })
     }
 
+    /// Discards the error of an earlier datagram, which would be reported for the next one.
+    pub fn clear_error(&self) {
+        if let Ok(Some(error)) = self.socket.take_error() {
+            log::debug!(reason:% = error; "discarded the error of an earlier datagram");
+        }
+    }
+
     /// Sends one datagram.
     pub fn send(&self, bytes: &[u8]) -> SendOutcome {
         match self.socket.try_send(bytes) {
--- a/crates/basilstep-packet/tests/processes/main.rs
+++ b/crates/basilstep-packet/tests/processes/main.rs
@@ -3,6 +3,7 @@
 
 mod admission_queue;
 mod configuration;
+mod failures;
 mod fleet;
 mod soak;
 mod support;
