feat(hedging): budget, delay and policy of second copies

Cause: a few late confirmations make up the slowest requests of a service, and operators accept some extra work to cut them, within a limit that they set.

Change: the module `hedging` of the core decides without I/O whether a second copy of a request is sent, and when: `HedgeBudget` (a share of the first copies, empty at a start, counted in hundredths so that nothing is rounded), `DelayEstimate` (a quantile of the last 128 delays) and `HedgePolicy`. Nothing uses the module yet.

--- /dev/null
+++ b/crates/basilstep-core/src/hedging/tests/mod.rs
@@ -0,0 +1,3 @@
+mod budget;
+mod delay_estimate;
+mod policy;
--- a/crates/basilstep-core/src/lib.rs
+++ b/crates/basilstep-core/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod crypto;
 pub mod domains;
 pub mod flows;
+pub mod hedging;
 pub mod membership;
 pub mod placement;
 pub mod requests;
