feat(flows): late SYNs of idempotent routes are offered to a second agent

Cause: a SYN whose agent or target is dead or hangs is sent elsewhere only when the caller sends it again after 200 ms.

Change: a balancer watches first offers of idempotent routes (at most 1,024) and offers those that are not confirmed within the delay once to the best other agent, by the function that places flows, without cold, slow and failing targets. Active only with `hedging.budget_percent` above 0 and `target_health.is_enabled`. If the first agent returns the SYN meanwhile, the second offer takes its place; a packet of the caller that comes before any confirmation is searched for. A late second holder is settled by the existing rules.

--- /dev/null
+++ b/crates/basilstep-core/src/flows/balancer/hedges.rs
@@ -0,0 +1,302 @@
+use super::{agent_table::AgentState, hints::Hint, verdict::NextHop};
+use crate::{
+    codes::ResultCode,
+    flows::{
+        frame::Returned,
+        handshake::{FIRST_SYN_INTERVAL_MS, HANDSHAKE_TIMEOUT_MS},
+        key::{FlowKey, ServiceTag},
+        segment::Segment,
+        settings::{FlowSettings, TargetHealthSettings},
+    },
+    hedging::{HedgeCounts, HedgePolicy, HedgeRefusal},
+};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::Ipv4Addr,
+};
+
+/// The maximum number of SYNs whose packets are kept, and of those that are followed up after their
+/// second offer was decided on.
+const WATCH_LIMIT: usize = 1_024;
+
+/// The time before a second offer while too few confirmations are known: long after nearly all of
+/// them, and early enough for an answer before the caller sends its SYN again.
+const UNKNOWN_DELAY_MS: u64 = FIRST_SYN_INTERVAL_MS / 2;
+
+/// The number of agents with a known service time below which none counts as slow.
+const MIN_KNOWN_TIMES: usize = 3;
+
+/// The decision about the second offer of a SYN that was not confirmed in time.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct DueHedge {
+    /// The header of the packet.
+    pub segment: Segment,
+    /// The packet as it was received.
+    pub packet: Vec<u8>,
+    /// The agent that the SYN was first offered to.
+    pub first_agent: Ipv4Addr,
+    /// How long ago that was.
+    pub waited_ms: u64,
+    /// Where the SYN goes now, or why it is not offered again.
+    pub result: Result<NextHop, HedgeRefusal>,
+}
+
+/// A first offer that may be followed by a second one.
+#[derive(Clone, Debug)]
+pub struct WatchedSyn {
+    pub segment: Segment,
+    pub packet: Vec<u8>,
+    pub first: Ipv4Addr,
+    pub service: ServiceTag,
+    pub offered_ms: u64,
+    due_ms: u64,
+}
+
+/// A first offer whose second one has been decided on.
+#[derive(Clone, Copy, Debug)]
+struct OverdueSyn {
+    first: Ipv4Addr,
+    service: ServiceTag,
+    offered_ms: u64,
+    /// The second offer, until its agent confirms or returns it.
+    second: Option<SecondOffer>,
+}
+
+/// A second offer that has not been answered.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct SecondOffer {
+    pub agent: Ipv4Addr,
+    pub offered_ms: u64,
+}
+
+/// The SYNs that a balancer may offer to a second agent.
+#[derive(Clone, Debug)]
+pub struct Hedges {
+    is_active: bool,
+    policy: HedgePolicy<ServiceTag>,
+    watched: BTreeMap<FlowKey, WatchedSyn>,
+    /// The watched SYNs by the time of their second offer.
+    due: BTreeSet<(u64, FlowKey)>,
+    overdue: BTreeMap<FlowKey, OverdueSyn>,
+}
+
+impl Hedges {
+    /// Creates the state of a balancer that has just started.
+    pub const fn new(settings: &FlowSettings) -> Self {
+        Self {
+            is_active: settings.hedging.budget_percent > 0 && settings.target_health.is_enabled,
+            policy: HedgePolicy::new(settings.hedging),
+            watched: BTreeMap::new(),
+            due: BTreeSet::new(),
+            overdue: BTreeMap::new(),
+        }
+    }
+
+    /// Returns whether second offers may be sent at all.
+    pub const fn is_active(&self) -> bool {
+        self.is_active
+    }
+
+    /// Counts a first offer, and watches it if there is room.
+    pub fn watch(&mut self, segment: &Segment, packet: &[u8], hint: &Hint, now_ms: u64) {
+        let flow = segment.flow_of_caller();
+        let is_known = self.watched.contains_key(&flow) || self.overdue.contains_key(&flow);
+        if !self.is_active || is_known {
+            return;
+        }
+        let delay_ms = self
+            .policy
+            .record_first(hint.service, UNKNOWN_DELAY_MS, now_ms);
+        if self.watched.len() >= WATCH_LIMIT {
+            return;
+        }
+        let due_ms = now_ms + delay_ms;
+        let syn = WatchedSyn {
+            segment: *segment,
+            packet: packet.to_vec(),
+            first: hint.agent,
+            service: hint.service,
+            offered_ms: now_ms,
+            due_ms,
+        };
+        self.watched.insert(flow, syn);
+        self.due.insert((due_ms, flow));
+    }
+
+    /// Stops watching a flow, because its caller has sent its SYN again.
+    pub fn forget(&mut self, flow: &FlowKey) {
+        self.unwatch(flow);
+        self.overdue.remove(flow);
+    }
+
+    /// Handles a packet of a caller that is not a SYN; returns whether either of two agents may
+    /// hold the flow, because neither has confirmed it.
+    pub fn on_caller_packet(&mut self, flow: &FlowKey) -> bool {
+        self.unwatch(flow);
+        self.overdue
+            .get(flow)
+            .is_some_and(|syn| syn.second.is_some())
+    }
+
+    /// Handles the advertisement of a flow; `is_first_holder` if no other agent has confirmed it.
+    pub fn on_confirmed(
+        &mut self,
+        flow: &FlowKey,
+        agent: Ipv4Addr,
+        is_first_holder: bool,
+        now_ms: u64,
+    ) {
+        if let Some(syn) = self.unwatch(flow)
+            && syn.first == agent
+        {
+            let delay_ms = now_ms.saturating_sub(syn.offered_ms);
+            self.policy.record_delay(syn.service, delay_ms, now_ms);
+        }
+        let Some(syn) = self.overdue.get_mut(flow) else {
+            return;
+        };
+        if syn.first == agent {
+            let delay_ms = now_ms.saturating_sub(syn.offered_ms);
+            self.policy.record_delay(syn.service, delay_ms, now_ms);
+            self.overdue.remove(flow);
+        } else if syn.second.is_some_and(|second| second.agent == agent) {
+            syn.second = None;
+            if is_first_holder {
+                self.policy.record_won();
+            }
+        }
+    }
+
+    /// Handles a packet that an agent returned; returns the second offer that takes the place of the
+    /// first one, if the packet is the SYN of the first one.
+    pub fn on_returned(
+        &mut self,
+        segment: &Segment,
+        agent: Ipv4Addr,
+        returned: Returned,
+        now_ms: u64,
+    ) -> Option<SecondOffer> {
+        if !segment.is_syn() {
+            return None;
+        }
+        let flow = &segment.flow_of_caller();
+        if self.is_active && returned.code == ResultCode::Overloaded {
+            self.policy.record_overload(returned.service, now_ms);
+        }
+        if self.watched.get(flow).is_some_and(|syn| syn.first == agent) {
+            self.unwatch(flow);
+        }
+        let syn = self.overdue.get_mut(flow)?;
+        if syn.second.is_some_and(|second| second.agent == agent) {
+            syn.second = None;
+        }
+        syn.second.filter(|_| syn.first == agent)
+    }
+
+    /// Returns whether the second offer of a watched SYN is due.
+    pub fn has_due(&self, now_ms: u64) -> bool {
+        self.due
+            .first()
+            .is_some_and(|(due_ms, _)| *due_ms <= now_ms)
+    }
+
+    /// Takes the watched SYNs whose second offer is due.
+    pub fn take_due(&mut self, now_ms: u64) -> Vec<WatchedSyn> {
+        let mut due = Vec::new();
+        while let Some((due_ms, flow)) = self.due.first().copied()
+            && due_ms <= now_ms
+        {
+            due.extend(self.unwatch(&flow));
+        }
+        due
+    }
+
+    /// Decides about a second offer that is due; `agent` is the one that would get it.
+    pub fn decide(
+        &mut self,
+        syn: &WatchedSyn,
+        agent: Option<Ipv4Addr>,
+        now_ms: u64,
+    ) -> Result<Ipv4Addr, HedgeRefusal> {
+        let result = self.policy.try_hedge(syn.service, agent, now_ms);
+        let overdue = OverdueSyn {
+            first: syn.first,
+            service: syn.service,
+            offered_ms: syn.offered_ms,
+            second: result.ok().map(|agent| SecondOffer {
+                agent,
+                offered_ms: now_ms,
+            }),
+        };
+        if self.overdue.len() < WATCH_LIMIT {
+            let flow = syn.segment.flow_of_caller();
+            self.overdue.insert(flow, overdue);
+        }
+        result
+    }
+
+    /// Forgets flows whose callers have given up.
+    pub fn on_tick(&mut self, now_ms: u64) {
+        self.overdue
+            .retain(|_, syn| now_ms < syn.offered_ms + HANDSHAKE_TIMEOUT_MS);
+        self.policy.forget_idle_groups(now_ms);
+    }
+
+    /// Forgets all SYNs, because the process was paused and their callers have moved on.
+    pub fn clear(&mut self) {
+        self.watched.clear();
+        self.due.clear();
+        self.overdue.clear();
+    }
+
+    /// Returns how many SYNs are watched.
+    pub fn watched_count(&self) -> usize {
+        self.watched.len()
+    }
+
+    /// Returns how many second offers were sent and refused since the start.
+    pub const fn counts(&self) -> HedgeCounts {
+        self.policy.counts()
+    }
+
+    fn unwatch(&mut self, flow: &FlowKey) -> Option<WatchedSyn> {
+        let syn = self.watched.remove(flow)?;
+        self.due.remove(&(syn.due_ms, *flow));
+        Some(syn)
+    }
+}
+
+/// Returns the agents of a service whose targets get no second offers: they are cold, slow, or leave
+/// requests without an answer.
+pub fn unfit_agents<'a>(
+    agents: impl Iterator<Item = (Ipv4Addr, &'a AgentState)> + Clone,
+    settings: &TargetHealthSettings,
+) -> BTreeSet<Ipv4Addr> {
+    let slow_from_ms = slow_from_ms(agents.clone(), settings);
+    agents
+        .filter(|(_, state)| {
+            let report = &state.report;
+            let is_slow =
+                slow_from_ms.is_some_and(|slow_ms| f64::from(report.service_time_ms) >= slow_ms);
+            report.is_cold || is_slow || report.failure_permille >= settings.failure_permille
+        })
+        .map(|(agent, _)| agent)
+        .collect()
+}
+
+/// Returns the service time from which a target counts as slow, if enough times are known.
+fn slow_from_ms<'a>(
+    agents: impl Iterator<Item = (Ipv4Addr, &'a AgentState)>,
+    settings: &TargetHealthSettings,
+) -> Option<f64> {
+    let mut known_ms: Vec<u16> = agents
+        .map(|(_, state)| state.report.service_time_ms)
+        .filter(|time_ms| *time_ms > 0)
+        .collect();
+    if known_ms.len() < MIN_KNOWN_TIMES {
+        return None;
+    }
+    known_ms.sort_unstable();
+    let median_ms = known_ms[(known_ms.len() - 1) / 2];
+    Some(f64::from(median_ms) * settings.slow_factor)
+}
--- a/crates/basilstep-core/src/flows/balancer/hints.rs
+++ b/crates/basilstep-core/src/flows/balancer/hints.rs
@@ -1,3 +1,4 @@
+use super::hedges::SecondOffer;
 use crate::flows::key::{FlowKey, ServiceTag};
 use std::{collections::BTreeMap, net::Ipv4Addr};
 
@@ -18,6 +19,17 @@
     pub used_ms: u64,
 }
 
+impl Hint {
+    /// Returns the hint after the first offer was returned and only a second one is outstanding.
+    pub const fn offered_again(self, second: SecondOffer) -> Self {
+        Self {
+            agent: second.agent,
+            offered_ms: second.offered_ms,
+            ..self
+        }
+    }
+}
+
 /// A bounded cache from flows to agents. A hint may be wrong or missing; only the agents know.
 #[derive(Clone, Debug)]
 pub struct Hints {
--- a/crates/basilstep-core/src/flows/balancer/mod.rs
+++ b/crates/basilstep-core/src/flows/balancer/mod.rs
@@ -1,6 +1,7 @@
 //! The balancer's side of steering: which agent gets a packet.
 
 mod agent_table;
+mod hedges;
 mod held_domains;
 mod hints;
 mod liveness;
@@ -13,6 +14,7 @@
 mod verdict;
 
 pub use agent_table::{AgentState, AgentTable};
+pub use hedges::DueHedge;
 pub use pending_syns::PendingSyn;
 pub use settings_watch::WatchTimes;
 pub use state::BalancerFlows;
--- a/crates/basilstep-core/src/flows/balancer/state.rs
+++ b/crates/basilstep-core/src/flows/balancer/state.rs
@@ -1,4 +1,5 @@
 mod heartbeats;
+mod hedging;
 mod readiness;
 mod searching;
 mod settings;
@@ -6,6 +7,7 @@
 
 use super::{
     agent_table::{AgentState, AgentTable},
+    hedges::Hedges,
     held_domains::HeldDomains,
     hints::{Hint, Hints},
     liveness::Liveness,
@@ -52,6 +54,7 @@
     hints: Hints,
     searches: Searches,
     pending_syns: PendingSyns,
+    hedges: Hedges,
     liveness: Liveness,
     overloads: Overloads,
     /// The highest number of agents that a balancer has reported or registered since this one started;
@@ -86,6 +89,7 @@
             hints: Hints::new(settings.hints.limit),
             searches: Searches::default(),
             pending_syns: PendingSyns::new(settings.syns.pending_limit),
+            hedges: Hedges::new(&settings),
             liveness: Liveness::default(),
             overloads: Overloads::default(),
             max_agents: None,
@@ -104,6 +108,9 @@
     pub fn on_packet(&mut self, segment: &Segment, ctx: &Context) -> Verdict {
         let flow = segment.flow_of_caller();
         if segment.is_syn() {
+            if !segment.is_first_syn() {
+                self.hedges.forget(&flow);
+            }
             if self.is_backlog_stale {
                 // The caller may have opened the flow through another balancer during the pause.
                 return Verdict::Drop {
@@ -116,6 +123,7 @@
             };
             return self.on_syn(new, ctx);
         }
+        self.discard_undecided_hint(flow, ctx);
         let Some(hint) = self.hints.get_mut(&flow) else {
             let search_ms = self.settings.searches.keep_ms;
             let search = self.searches.entry(flow, ctx.now_ms, search_ms);
@@ -145,6 +153,9 @@
         let flow = segment.flow_of_caller();
         self.clear_doubt(agent);
         let hint = self.hints.get_mut(&flow).copied();
+        let second_offer = self
+            .hedges
+            .on_returned(segment, agent, returned, ctx.now_ms);
         let is_from_holder = hint.is_some_and(|hint| hint.agent == agent);
         let is_caller_waiting =
             hint.is_some_and(|hint| ctx.now_ms < hint.syn_arrived_ms + HANDSHAKE_TIMEOUT_MS);
@@ -162,6 +173,12 @@
         let search = self.searches.entry(flow, ctx.now_ms, search_ms);
         search.refused_by.insert(agent);
         search.is_hint_wrong |= is_from_holder;
+        if let Some((hint, second)) = hint.zip(second_offer) {
+            self.hints.insert(flow, hint.offered_again(second));
+            return Verdict::Drop {
+                code: returned.code,
+            };
+        }
         if segment.is_syn() {
             let new = NewFlow {
                 segment,
@@ -219,6 +236,9 @@
 
     fn record_holder(&mut self, agent: Ipv4Addr, flow: FlowKey, ctx: &Context) {
         let known = self.hints.get_mut(&flow).copied();
+        let is_first_holder = known.is_none_or(|hint| !hint.is_confirmed);
+        self.hedges
+            .on_confirmed(&flow, agent, is_first_holder, ctx.now_ms);
         if known.is_some_and(|hint| hint.is_confirmed && hint.agent != agent) {
             // A late SYN retransmission has reached a second target. The first one holds the flow,
             // or will return its next packet.
@@ -278,6 +298,7 @@
     pub fn on_pause(&mut self, pause_ms: u64, ctx: &Context) {
         self.agents.age_reports(pause_ms);
         self.liveness.restart_timers(ctx.now_ms);
+        self.hedges.clear();
         self.is_backlog_stale = true;
         self.settling_since_ms = ctx.now_ms;
         self.settings_watch.on_pause(ctx.now_ms);
@@ -302,6 +323,7 @@
             HINTS_SWEPT_PER_TICK,
             ctx.now_ms.saturating_sub(settings.hints.idle_ms),
         );
+        self.hedges.on_tick(ctx.now_ms);
         let lost = self.finish_searches(ctx);
         self.searches
             .forget(ctx.now_ms.saturating_sub(settings.searches.keep_ms));
--- /dev/null
+++ b/crates/basilstep-core/src/flows/balancer/state/hedging.rs
@@ -0,0 +1,131 @@
+//! Second offers of SYNs that are confirmed late.
+
+use super::{BalancerFlows, syn::NewFlow};
+use crate::{
+    context::Context,
+    flows::{
+        balancer::{
+            DueHedge, Verdict,
+            agent_table::PlacementContext,
+            hedges::{WatchedSyn, unfit_agents},
+        },
+        key::FlowKey,
+        routes::RequestKind,
+        segment::Segment,
+    },
+    hedging::{HedgeCounts, HedgeRefusal},
+};
+use std::net::Ipv4Addr;
+
+impl BalancerFlows {
+    /// Counts and watches a SYN that has just been forwarded, if it is the first offer of a flow
+    /// whose requests may be repeated.
+    pub fn watch_syn(&mut self, segment: &Segment, packet: &[u8], ctx: &Context) {
+        let flow = segment.flow_of_caller();
+        if !self.hedges.is_active() || !segment.is_first_syn() || !self.is_idempotent(&flow) {
+            return;
+        }
+        let is_returned = !self.searches.refused_by(&flow).is_empty();
+        if let Some(hint) = self.hints.get_mut(&flow)
+            && !hint.is_confirmed
+            && !is_returned
+            && hint.offered_ms == ctx.now_ms
+        {
+            self.hedges.watch(segment, packet, hint, ctx.now_ms);
+        }
+    }
+
+    /// Returns whether there is a second offer to decide about.
+    pub fn has_due_hedge(&self, ctx: &Context) -> bool {
+        self.hedges.has_due(ctx.now_ms)
+    }
+
+    /// Decides about the second offers that are due.
+    pub fn take_due_hedges(&mut self, ctx: &Context) -> Vec<DueHedge> {
+        let due = self.hedges.take_due(ctx.now_ms);
+        due.into_iter()
+            .filter_map(|syn| self.decide_hedge(syn, ctx))
+            .collect()
+    }
+
+    /// Returns how many second offers were sent and refused since the start.
+    pub const fn hedge_counts(&self) -> HedgeCounts {
+        self.hedges.counts()
+    }
+
+    /// Returns how many SYNs may still get a second offer.
+    pub fn watched_syns(&self) -> usize {
+        self.hedges.watched_count()
+    }
+
+    /// Returns the decision about a SYN; `None` if it needs no second offer any more.
+    fn decide_hedge(&mut self, syn: WatchedSyn, ctx: &Context) -> Option<DueHedge> {
+        let flow = syn.segment.flow_of_caller();
+        let hint = self.hints.get_mut(&flow).copied()?;
+        let next_syn_ms = hint.syn_arrived_ms + syn.segment.next_syn_after_ms();
+        let is_open = !hint.is_confirmed && hint.agent == syn.first && ctx.now_ms < next_syn_ms;
+        if !is_open || !self.is_idempotent(&flow) || !self.allows(&flow, syn.service) {
+            return None;
+        }
+        let agent = self.choose_second_agent(&syn, ctx);
+        let decided = self.hedges.decide(&syn, agent, ctx.now_ms);
+        let new = NewFlow {
+            segment: &syn.segment,
+            arrived_ms: hint.syn_arrived_ms,
+        };
+        let result = decided.and_then(|agent| {
+            self.agents.record_offer(agent);
+            self.record_packet_for(agent, ctx.now_ms);
+            match self.forward_syn(agent, syn.service, new, ctx) {
+                Verdict::Forward(next_hop) => Ok(next_hop),
+                _ => Err(HedgeRefusal::NoCandidate),
+            }
+        });
+        Some(DueHedge {
+            segment: syn.segment,
+            packet: syn.packet,
+            first_agent: syn.first,
+            waited_ms: ctx.now_ms.saturating_sub(syn.offered_ms),
+            result,
+        })
+    }
+
+    fn choose_second_agent(&self, syn: &WatchedSyn, ctx: &Context) -> Option<Ipv4Addr> {
+        let flow = syn.segment.flow_of_caller();
+        let agents = self
+            .agents
+            .of_service(syn.service)
+            .filter_map(|agent| Some((agent, self.agents.get(agent)?)));
+        let agents: Vec<_> = agents.collect();
+        let mut excluded = unfit_agents(agents.iter().copied(), &self.settings.target_health);
+        excluded.insert(syn.first);
+        excluded.extend(self.searches.refused_by(&flow));
+        let placement = PlacementContext {
+            domain: self.identity.domain,
+            domains_out: &self.fleet.domains_out,
+            held_domains: &self.held_domains,
+            refused_by: &excluded,
+            liveness: &self.liveness,
+            now_ms: ctx.now_ms,
+        };
+        self.agents
+            .choose_agent(&flow, syn.service, &placement, &self.settings)
+    }
+
+    /// Searches for a flow that either of two agents may hold, because neither has confirmed it; the
+    /// advertisement of its holder may be lost.
+    pub(super) fn discard_undecided_hint(&mut self, flow: FlowKey, ctx: &Context) {
+        if !self.hedges.on_caller_packet(&flow) {
+            return;
+        }
+        self.hints.remove(&flow);
+        let search_ms = self.settings.searches.keep_ms;
+        let search = self.searches.entry(flow, ctx.now_ms, search_ms);
+        search.is_hint_wrong = true;
+    }
+
+    pub(super) fn is_idempotent(&self, flow: &FlowKey) -> bool {
+        let route = self.fleet.table.routes.get(&flow.service_address);
+        route.is_some_and(|route| route.kind == RequestKind::Idempotent)
+    }
+}
--- a/crates/basilstep-core/src/flows/balancer/state/searching.rs
+++ b/crates/basilstep-core/src/flows/balancer/state/searching.rs
@@ -192,9 +192,7 @@
     ///
     /// Only callers of idempotent requests benefit from a reset: they repeat the request elsewhere.
     pub(super) fn is_unreachable(&self, agent: Ipv4Addr, flow: &FlowKey, now_ms: u64) -> bool {
-        let route = self.fleet.table.routes.get(&flow.service_address);
-        let is_idempotent = route.is_some_and(|route| route.kind == RequestKind::Idempotent);
-        is_idempotent && self.is_silent(agent, now_ms)
+        self.is_idempotent(flow) && self.is_silent(agent, now_ms)
     }
 
     fn is_silent(&self, agent: Ipv4Addr, now_ms: u64) -> bool {
--- a/crates/basilstep-core/src/flows/balancer/state/syn.rs
+++ b/crates/basilstep-core/src/flows/balancer/state/syn.rs
@@ -58,7 +58,7 @@
     }
 
     /// Returns whether the configuration in force lets a new flow go to `service`.
-    fn allows(&self, flow: &FlowKey, service: ServiceTag) -> bool {
+    pub(super) fn allows(&self, flow: &FlowKey, service: ServiceTag) -> bool {
         let route = self.fleet.table.routes.get(&flow.service_address);
         route.is_some_and(|route| route.allows(service))
     }
@@ -140,7 +140,7 @@
     }
 
     /// Forwards a SYN to an agent, with what is left of the latency goal of its request.
-    fn forward_syn(
+    pub(super) fn forward_syn(
         &self,
         agent: Ipv4Addr,
         service: ServiceTag,
--- a/crates/basilstep-core/src/flows/tests/mod.rs
+++ b/crates/basilstep-core/src/flows/tests/mod.rs
@@ -9,6 +9,8 @@
 mod discovery;
 mod fleet;
 mod frames;
+mod hedging;
+mod hedging_tail;
 mod overload;
 mod refusals;
 mod restart;
