feat(packet): the balancer sends second offers, with log lines and a metric

Cause: the decisions on second offers need a process that carries them out.

Change: the balancer checks for due second offers at each batch of packets and each tick.

Not run against a network here.

--- a/crates/basilstep-packet/src/balancer/packets.rs
+++ b/crates/basilstep-packet/src/balancer/packets.rs
@@ -45,6 +45,7 @@
                     self.log_decision(ResultCode::Done, segment, Some(next_hop));
                 }
                 self.send_next_hop(next_hop, packet);
+                self.flows.watch_syn(segment, packet, &self.ctx);
             }
             Verdict::Search(next_hops) => {
                 self.metrics.count(ResultCode::FlowSearched);
@@ -97,6 +98,8 @@
                 Some(&placed.next_hop),
             );
             self.send_next_hop(&placed.next_hop, &placed.syn.packet);
+            self.flows
+                .watch_syn(&placed.syn.segment, &placed.syn.packet, &self.ctx);
         }
     }
 
@@ -119,7 +122,7 @@
         }
     }
 
-    fn send_next_hop(&mut self, next_hop: &NextHop, packet: &[u8]) {
+    pub(super) fn send_next_hop(&mut self, next_hop: &NextHop, packet: &[u8]) {
         encode_frame(
             &Frame::Forward(next_hop.header),
             packet,
--- a/crates/basilstep-packet/src/balancer/serve.rs
+++ b/crates/basilstep-packet/src/balancer/serve.rs
@@ -75,6 +75,8 @@
     pub(super) packet_socket: DatagramSocket,
     pub(super) internal_socket: DatagramSocket,
     pub(super) log_limiter: LogLimiter,
+    /// Limits the log lines about second offers.
+    pub(super) hedge_log_limiter: LogLimiter,
     pub(super) metrics: Metrics,
     pub(super) frame_buffer: Vec<u8>,
     pub(super) is_pulling_settings: bool,
@@ -139,6 +141,7 @@
         tokio::select! {
             () = balancer.packet_socket.readable() => {
                 balancer.read_packets();
+                balancer.send_due_hedges();
                 balancer.send_probes();
             }
             () = balancer.internal_socket.readable() => balancer.read_frames(),
@@ -181,6 +184,7 @@
                 .await?,
             internal_socket: DatagramSocket::bind("the internal port", internal).await?,
             log_limiter: LogLimiter::default(),
+            hedge_log_limiter: LogLimiter::default(),
             metrics: Metrics::new(),
             frame_buffer: Vec::new(),
             is_pulling_settings: false,
@@ -332,6 +336,7 @@
             );
         }
         self.apply_tick_outcome(&outcome);
+        self.send_due_hedges();
         self.known_agents.send_replace(self.flows.known_agents());
         self.send_probes();
         self.send_new_balancers_to_agents();
@@ -394,6 +399,7 @@
         if request.path == "/metrics" {
             let age_ms = self.flows.settings_age_ms(&self.ctx);
             self.metrics.set_settings_age(age_ms);
+            self.metrics.set_hedges(&self.flows.hedge_counts());
             return ServerResponse::text(Bytes::from(self.metrics.render()));
         }
         if request.path == "/state" {
@@ -434,6 +440,8 @@
             "settings_age_ms": self.flows.settings_age_ms(&self.ctx),
             "watches_settings": *self.watches_settings.borrow(),
             "hints": self.flows.hint_count(),
+            "hedges": self.flows.hedge_counts(),
+            "watched_syns": self.flows.watched_syns(),
             "balancers": self.flows.balancers().entries(self.ctx.now_ms),
             "agents": agents,
         })
--- a/crates/basilstep-packet/src/metrics.rs
+++ b/crates/basilstep-packet/src/metrics.rs
@@ -1,6 +1,6 @@
 //! Counters and latency histograms in the Prometheus text format.
 
-use basilstep_core::codes::ResultCode;
+use basilstep_core::{codes::ResultCode, hedging::HedgeCounts};
 use prometheus::{
     Encoder, Histogram, HistogramOpts, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
 };
@@ -21,6 +21,7 @@
     decisions: IntCounterVec,
     counters: BTreeMap<ResultCode, prometheus::IntCounter>,
     settings_age_ms: Option<IntGauge>,
+    hedges: IntCounterVec,
     /// The time from the arrival of a SYN at the agent to the target's answer.
     pub handshake_ms: Histogram,
 }
@@ -38,6 +39,14 @@
             &["code"],
         )
         .expect("the name of the counter is well formed");
+        let hedges = IntCounterVec::new(
+            Opts::new(
+                "basilstep_hedges_total",
+                "Second offers of SYNs by what became of them",
+            ),
+            &["result"],
+        )
+        .expect("the name of the counter is well formed");
         let handshake_ms = Histogram::with_opts(
             HistogramOpts::new(
                 "basilstep_opening_ms",
@@ -48,6 +57,7 @@
         .expect("the name of the histogram is well formed");
         for collector in [
             Box::new(decisions.clone()) as Box<dyn prometheus::core::Collector>,
+            Box::new(hedges.clone()),
             Box::new(handshake_ms.clone()),
         ] {
             registry
@@ -59,6 +69,7 @@
             decisions,
             counters: BTreeMap::new(),
             settings_age_ms: None,
+            hedges,
             handshake_ms,
         }
     }
@@ -97,6 +108,22 @@
             .set(i64::try_from(age_ms).unwrap_or(i64::MAX));
     }
 
+    /// Sets how many second offers were sent and refused since the start of the process.
+    pub fn set_hedges(&self, counts: &HedgeCounts) {
+        for (result, count) in [
+            ("sent", counts.sent),
+            ("won", counts.won),
+            ("refused_by_budget", counts.refused_by_budget),
+            ("refused_by_overload", counts.refused_by_overload),
+            ("without_candidate", counts.without_candidate),
+        ] {
+            if count > 0 {
+                let counter = self.hedges.with_label_values(&[result]);
+                counter.inc_by(count.saturating_sub(counter.get()));
+            }
+        }
+    }
+
     /// Returns the metrics in the Prometheus text format.
     pub fn render(&self) -> Vec<u8> {
         let mut text = Vec::new();
