feat(requests): agents for HTTP/3 send second copies of late requests

Cause: a request whose target hangs or is slow is answered at its deadline, or after a retry that begins only once the first attempt has failed.

Change: `requests.hedge_percent`, `requests.hedge_quantile_percent` and `requests.hedge_min_delay_ms` (off by default). The first attempt of a GET, HEAD or OPTIONS without a body and without a key, from a caller, is relayed once to another agent if no response head has come within the delay. The first head is taken, the other copy is dropped. A failed copy leaves the other one as its retry; both count as attempts and against the retry budget. If both fail and only one may have run, the outcome is reported as unknown. None after a refusal for load within a second. OPTIONS whose body is known to be empty can now be repeated like GET.

Not run between processes.

--- a/crates/basilstep-agent/src/exchange/dispatcher.rs
+++ b/crates/basilstep-agent/src/exchange/dispatcher.rs
@@ -1,3 +1,5 @@
+mod hedging;
+
 use crate::shared_state::SharedState;
 use basilstep_core::{
     address::{AgentAddress, Incarnation},
@@ -62,6 +64,8 @@
     context: Context,
     waiting: BTreeMap<RequestId, oneshot::Sender<AdmissionResult>>,
     next_id: u64,
+    /// When the next line about second copies may be written.
+    next_hedge_log_ms: u64,
 }
 
 impl Dispatcher {
@@ -84,6 +88,7 @@
             context,
             waiting: BTreeMap::new(),
             next_id: 0,
+            next_hedge_log_ms: 0,
         };
         Arc::new(Self {
             shared,
--- a/crates/basilstep-agent/src/exchange/mod.rs
+++ b/crates/basilstep-agent/src/exchange/mod.rs
@@ -2,7 +2,9 @@
 
 mod attempt;
 mod body;
+mod copy_race;
 mod dispatcher;
+mod hedged_attempt;
 mod recorder;
 mod request_handler;
 mod responses;
--- a/crates/basilstep-agent/src/exchange/request_handler.rs
+++ b/crates/basilstep-agent/src/exchange/request_handler.rs
@@ -1,3 +1,5 @@
+mod hedging;
+
 use super::{
     attempt::{
         Attempt, AttemptFailure, AttemptResponse, DEADLINE_HEADER, RELAY_KEEPS_RECORD,
@@ -47,9 +49,13 @@
     origin: RequestOrigin,
     head: Parts,
     body: Option<RequestBody<B>>,
+    /// The request has no body, or none that is passed on, so it can be sent again.
+    is_bodyless: bool,
     method: MethodClass,
     key: Option<IdempotencyKey>,
     deadline_ms: u64,
+    /// How many second copies were sent, which count as attempts.
+    hedges: u32,
 }
 
 /// The destination of one attempt.
@@ -104,7 +110,8 @@
             Some(text) => Some(text.parse().or(Err(ResultCode::BadRequest))?),
             None => None,
         };
-        let body = if matches!(head.method, Method::GET | Method::HEAD) {
+        let is_bodyless = hedging::is_bodyless(&head, &body);
+        let body = if is_bodyless {
             RequestBody::Empty
         } else {
             RequestBody::Streamed(body)
@@ -116,8 +123,10 @@
             method: method_class(&head.method),
             head,
             body: Some(body),
+            is_bodyless,
             key,
             deadline_ms: dispatcher.deadline_ms(timeout_ms),
+            hedges: 0,
         })
     }
 
@@ -190,7 +199,7 @@
         let mut target_refusal = None;
         loop {
             attempts += 1;
-            let failed = match self.attempt(destination, recorded).await {
+            let failed = match self.attempt(destination, recorded, attempts).await {
                 Ok(attempt_response) if recorded => {
                     match self.recorder().record(attempt_response).await {
                         Ok(response) => return response,
@@ -222,7 +231,9 @@
         &mut self,
         destination: Destination,
         recorded: bool,
+        attempts: u32,
     ) -> Result<AttemptResponse, AttemptFailure> {
+        let hedge_delay_ms = self.hedge_delay_ms(destination, attempts);
         let peer = match destination {
             Destination::Target => None,
             Destination::TicketIssuer(agent) => Some((agent.0, RELAY_TO_TICKET_ISSUER)),
@@ -236,18 +247,28 @@
             key: self.key.as_ref().filter(|_| recorded),
             deadline_ms: self.deadline_ms,
         };
-        let result = match peer {
-            None => attempt.send_to_target(&mut self.body).await,
-            Some((agent, relay_mode)) => {
+        let result = match (peer, hedge_delay_ms) {
+            (None, Some(delay_ms)) => {
+                let hedged = attempt
+                    .send_to_target_or_hedge(delay_ms, &mut self.body)
+                    .await;
+                self.hedges += hedged.hedges;
+                hedged.result
+            }
+            (None, None) => attempt.send_to_target(&mut self.body).await,
+            (Some((agent, relay_mode)), _) => {
                 attempt
                     .relay_to_agent(agent, relay_mode, &mut self.body)
                     .await
             }
         };
+        if let Err(failed) = &result {
+            self.dispatcher.record_failure(failed.failure);
+        }
         if let Destination::OverflowPeer(agent) = destination {
             self.dispatcher.note_overflow_result(agent, result.is_ok());
         }
-        if self.body.is_none() && matches!(self.head.method, Method::GET | Method::HEAD) {
+        if self.body.is_none() && self.is_bodyless {
             self.body = Some(RequestBody::Empty);
         }
         result
@@ -318,7 +339,7 @@
             failure: failed.failure,
             // A streamed body that has been taken cannot be sent again.
             attempts: if self.body.is_some() {
-                attempts
+                attempts + self.hedges
             } else {
                 u32::MAX
             },
--- a/crates/basilstep-core/src/hedging/policy.rs
+++ b/crates/basilstep-core/src/hedging/policy.rs
@@ -1,5 +1,5 @@
 use super::{DelayEstimate, HedgeBudget, HedgingSettings};
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
 /// The time after a refusal for load in which a group of requests counts as overloaded.
@@ -9,7 +9,7 @@
 const FORGET_GROUP_MS: u64 = 60_000;
 
 /// How many second copies were sent, and with which result.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Serialize)]
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct HedgeCounts {
     /// Second copies that were sent.
     pub sent: u64,
@@ -69,6 +69,11 @@
         }
     }
 
+    /// Applies changed settings; the budget and the delays stay.
+    pub const fn change_settings(&mut self, settings: HedgingSettings) {
+        self.settings = settings;
+    }
+
     /// Returns whether second copies may be sent at all.
     pub const fn is_enabled(&self) -> bool {
         self.settings.budget_percent > 0
@@ -139,6 +144,11 @@
         Err(HedgeRefusal::Budget)
     }
 
+    /// Records that a second copy was not sent because another budget was used up.
+    pub const fn record_refused_by_budget(&mut self) {
+        self.counts.refused_by_budget += 1;
+    }
+
     /// Records that a second copy was answered before the first one.
     pub const fn record_won(&mut self) {
         self.counts.won += 1;
--- a/crates/basilstep-core/src/requests/messages.rs
+++ b/crates/basilstep-core/src/requests/messages.rs
@@ -4,6 +4,7 @@
 use crate::{
     address::{AgentAddress, Incarnation},
     codes::ResultCode,
+    hedging::HedgeCounts,
 };
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
@@ -195,4 +196,6 @@
     pub joined: u64,
     /// The number of requests whose outcome was reported as unknown.
     pub unknown: u64,
+    /// The second copies of late requests.
+    pub hedges: HedgeCounts,
 }
--- a/crates/basilstep-core/src/requests/mod.rs
+++ b/crates/basilstep-core/src/requests/mod.rs
@@ -5,6 +5,7 @@
 //! ticket, so the records of that agent suffice to run it at most once; see
 //! docs/design/requests.md.
 
+mod hedges;
 mod messages;
 mod records;
 mod resolve;
@@ -15,6 +16,7 @@
 mod tests;
 mod ticket;
 
+pub use hedges::{FirstCopy, hedge_peers, may_have_run};
 pub use messages::{
     AgentDirectory, AgentStatus, FailedAttempt, FailureReason, IdempotencyKey, MethodClass,
     RequestArrival, RequestDecision, RequestResolution, RequestsView, RetryDecision, SendPermit,
--- a/crates/basilstep-core/src/requests/retry.rs
+++ b/crates/basilstep-core/src/requests/retry.rs
@@ -34,6 +34,11 @@
         self.tokens = (self.tokens + share).min(MAX_BUDGET_TOKENS);
     }
 
+    /// Takes a token for a second copy of a request that is late.
+    pub(super) fn take_for_hedge(&mut self) {
+        self.tokens = (self.tokens - 1.0).max(0.0);
+    }
+
     /// Takes a token for a retry and returns its backoff; `None` when no retry is allowed.
     pub(super) fn take(
         &mut self,
--- a/crates/basilstep-core/src/requests/settings.rs
+++ b/crates/basilstep-core/src/requests/settings.rs
@@ -21,6 +21,12 @@
     pub retry_limit: u32,
     /// The number of retries allowed per hundred requests.
     pub retry_budget_percent: u32,
+    /// The number of second copies allowed per hundred requests that may be repeated; 0 sends none.
+    pub hedge_percent: u16,
+    /// The quantile of the times to a response head after which a second copy is sent, in percent.
+    pub hedge_quantile_percent: u16,
+    /// The minimum time before a second copy.
+    pub hedge_min_delay_ms: u32,
 }
 
 impl Default for RequestSettings {
@@ -34,6 +40,9 @@
             recorded_answer_limit_bytes: 4_096,
             retry_limit: 2,
             retry_budget_percent: 10,
+            hedge_percent: 0,
+            hedge_quantile_percent: 95,
+            hedge_min_delay_ms: 20,
         }
     }
 }
--- a/crates/basilstep-core/src/requests/state.rs
+++ b/crates/basilstep-core/src/requests/state.rs
@@ -2,6 +2,7 @@
     AgentDirectory, AgentStatus, FailedAttempt, FailureReason, IdempotencyKey, MethodClass,
     RequestArrival, RequestDecision, RequestResolution, RequestSettings, RequestsView,
     RetryDecision, SendPermit, Ticket, TicketKey,
+    hedges::RequestHedges,
     records::{KeyLookup, KeyRecord, KeyRecords},
     resolve::{resolve, resolve_foreign},
     retry::RetryBudget,
@@ -20,14 +21,15 @@
 /// The request handling of one agent: records of idempotency keys and the retry budget.
 #[derive(Debug)]
 pub struct RequestTracker {
-    settings: RequestSettings,
+    pub(super) settings: RequestSettings,
     ticket_key: TicketKey,
     agent: AgentAddress,
     incarnation: Incarnation,
     run: u32,
     draining: bool,
     records: KeyRecords,
-    retries: RetryBudget,
+    pub(super) retries: RetryBudget,
+    pub(super) hedges: RequestHedges,
     repeated: u64,
     joined: u64,
     unknown: u64,
@@ -46,6 +48,7 @@
         context: &mut Context,
     ) -> Self {
         Self {
+            hedges: RequestHedges::new(&settings),
             settings,
             ticket_key,
             agent,
@@ -62,6 +65,7 @@
 
     /// Applies changed settings.
     pub fn change_settings(&mut self, settings: RequestSettings) {
+        self.hedges.change_settings(&settings);
         self.settings = settings;
     }
 
@@ -198,6 +202,7 @@
             repeated: self.repeated,
             joined: self.joined,
             unknown: self.unknown,
+            hedges: self.hedges.counts(),
         }
     }
 
--- a/crates/basilstep-core/src/requests/tests.rs
+++ b/crates/basilstep-core/src/requests/tests.rs
@@ -1,3 +1,5 @@
+mod hedges;
+
 use super::{
     AgentDirectory, AgentStatus, FailedAttempt, FailureReason, IdempotencyKey, MethodClass,
     RequestArrival, RequestDecision, RequestResolution, RequestSettings, RequestTracker,
@@ -29,6 +31,9 @@
     recorded_answer_limit_bytes: 100,
     retry_limit: 0,
     retry_budget_percent: 0,
+    hedge_percent: 0,
+    hedge_quantile_percent: 95,
+    hedge_min_delay_ms: 20,
 };
 
 struct Directory(AgentStatus);
--- a/crates/basilstep-core/src/settings/checks.rs
+++ b/crates/basilstep-core/src/settings/checks.rs
@@ -60,6 +60,9 @@
     requests.recorded_answer_limit_bytes "bytes" 0..=1 << 20,
     requests.retry_limit "attempts" 0..=10,
     requests.retry_budget_percent "percent" 0..=100,
+    requests.hedge_percent "percent" 0..=100,
+    requests.hedge_quantile_percent "percent" 50..=100,
+    requests.hedge_min_delay_ms "ms" 1..=60_000,
 };
 
 /// Checks every value of a service record.
