--- a/crates/basilstep-agent/src/exchange/dispatcher.rs
+++ b/crates/basilstep-agent/src/exchange/dispatcher.rs
@@ -68,6 +68,18 @@
     next_hedge_log_ms: u64,
 }
 
+impl DispatcherState {
+    /// Chooses an agent that may have room for a request.
+    fn choose_relay(
+        &mut self,
+        peers: &[AgentRecord],
+        domains_out: &DomainSet,
+    ) -> Option<AgentAddress> {
+        self.overflow
+            .choose_peer(peers, domains_out, &mut self.context)
+    }
+}
+
 impl Dispatcher {
     /// Creates the dispatcher of a newly started agent.
     pub fn new(shared: Arc<SharedState>) -> Arc<Self> {
@@ -164,10 +176,7 @@
         let peers = self.shared.peers();
         let domains_out = self.shared.active_settings().domains_out;
         let mut state = self.lock();
-        let state = &mut *state;
-        let peer = state
-            .overflow
-            .choose_peer(&peers, &domains_out, &mut state.context);
+        let peer = state.choose_relay(&peers, &domains_out);
         peer.filter(|_| state.requests.should_relay_overflow(attempt, true))
     }
 
--- a/crates/basilstep-agent/src/exchange/dispatcher/hedging.rs
+++ b/crates/basilstep-agent/src/exchange/dispatcher/hedging.rs
@@ -29,10 +29,7 @@
         let peers = hedge_peers(&self.shared.peers());
         let domains_out = self.shared.active_settings().domains_out;
         let mut state = self.lock();
-        let state = &mut *state;
-        let peer = state
-            .overflow
-            .choose_peer(&peers, &domains_out, &mut state.context);
+        let peer = state.choose_relay(&peers, &domains_out);
         let now_ms = state.context.now_ms;
         let result = state.requests.try_hedge(peer, now_ms);
         if now_ms >= state.next_hedge_log_ms {
