--- a/crates/basilstep-agent/src/exchange/dispatcher.rs
+++ b/crates/basilstep-agent/src/exchange/dispatcher.rs
@@ -1,3 +1,5 @@
+mod hedging;
+
 use crate::shared_state::SharedState;
 use basilstep_core::{
     address::{AgentAddress, Incarnation},
@@ -62,6 +64,20 @@
     context: Context,
     waiting: BTreeMap<RequestId, oneshot::Sender<AdmissionResult>>,
     next_id: u64,
+    /// When the next line about second copies may be written.
+    next_hedge_log_ms: u64,
+}
+
+impl DispatcherState {
+    /// Chooses an agent that may have room for a request.
+    fn choose_relay(
+        &mut self,
+        peers: &[AgentRecord],
+        domains_out: &DomainSet,
+    ) -> Option<AgentAddress> {
+        self.overflow
+            .choose_peer(peers, domains_out, &mut self.context)
+    }
 }
 
 impl Dispatcher {
@@ -84,6 +100,7 @@
             context,
             waiting: BTreeMap::new(),
             next_id: 0,
+            next_hedge_log_ms: 0,
         };
         Arc::new(Self {
             shared,
@@ -159,10 +176,7 @@
         let peers = self.shared.peers();
         let domains_out = self.shared.active_settings().domains_out;
         let mut state = self.lock();
-        let state = &mut *state;
-        let peer = state
-            .overflow
-            .choose_peer(&peers, &domains_out, &mut state.context);
+        let peer = state.choose_relay(&peers, &domains_out);
         peer.filter(|_| state.requests.should_relay_overflow(attempt, true))
     }
 
--- a/crates/basilstep-core/src/flows/tests/mod.rs
+++ b/crates/basilstep-core/src/flows/tests/mod.rs
@@ -10,6 +10,8 @@
 mod discovery;
 mod fleet;
 mod frames;
+mod hedging;
+mod hedging_tail;
 mod load_model;
 mod offers;
 mod overload;
--- a/crates/basilstep-core/src/requests/mod.rs
+++ b/crates/basilstep-core/src/requests/mod.rs
@@ -5,6 +5,7 @@
 //! ticket, so the records of that agent suffice to run it at most once; see
 //! docs/design/requests.md.
 
+mod hedges;
 mod intake;
 mod messages;
 mod records;
@@ -16,6 +17,7 @@
 mod tests;
 mod ticket;
 
+pub use hedges::{FirstCopy, hedge_peers, may_have_run};
 pub use intake::RequestIntake;
 pub use messages::{
     AgentDirectory, AgentStatus, FailedAttempt, FailureReason, IdempotencyKey, MethodClass,
--- a/crates/basilstep-packet/src/balancer/serve.rs
+++ b/crates/basilstep-packet/src/balancer/serve.rs
@@ -72,6 +72,8 @@
     pub(super) internal_socket: DatagramSocket,
     pub(super) log_limiter: LogLimiter<ResultCode>,
     standing_log_limiter: LogLimiter<Standing>,
+    /// Limits the log lines about second offers.
+    pub(super) hedge_log_limiter: LogLimiter<ResultCode>,
     pub(super) metrics: Metrics,
     pub(super) frame_buffer: Vec<u8>,
     pub(super) is_pulling_settings: bool,
@@ -136,6 +138,7 @@
         tokio::select! {
             () = balancer.packet_socket.readable() => {
                 balancer.read_packets();
+                balancer.send_due_hedges();
                 balancer.send_probes();
             }
             () = balancer.internal_socket.readable() => balancer.read_frames(),
@@ -182,6 +185,7 @@
             internal_socket: DatagramSocket::bind("the internal port", internal).await?,
             log_limiter: LogLimiter::default(),
             standing_log_limiter: LogLimiter::default(),
+            hedge_log_limiter: LogLimiter::default(),
             metrics: Metrics::new(),
             frame_buffer: Vec::new(),
             is_pulling_settings: false,
@@ -338,6 +342,7 @@
             self.log_standing(change);
         }
         self.apply_tick_outcome(&outcome);
+        self.send_due_hedges();
         self.known_agents.send_replace(self.flows.known_agents());
         self.send_probes();
         self.send_new_balancers_to_agents();
@@ -398,6 +403,7 @@
             let ranked = self.flows.agents().ranked_targets();
             self.metrics
                 .set_standings(ranked.map(|(_, target)| target.standing));
+            self.metrics.set_hedges(&self.flows.hedge_counts());
             return ServerResponse::text(Bytes::from(self.metrics.render()));
         }
         if request.path == "/state" {
@@ -439,6 +445,8 @@
             "settings_age_ms": self.flows.settings_age_ms(&self.ctx),
             "watches_settings": *self.watches_settings.borrow(),
             "hints": self.flows.hint_count(),
+            "hedges": self.flows.hedge_counts(),
+            "watched_syns": self.flows.watched_syns(),
             "balancers": self.flows.balancers().entries(self.ctx.now_ms),
             "agents": agents,
             "ranked_targets": ranked_targets,
--- a/crates/basilstep-packet/src/metrics.rs
+++ b/crates/basilstep-packet/src/metrics.rs
@@ -6,6 +6,7 @@
         agent::{HealthReading, QueueOutcome},
         balancer::Standing,
     },
+    hedging::HedgeCounts,
 };
 use prometheus::{
     Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
@@ -28,6 +29,7 @@
     decisions: IntCounterVec,
     counters: BTreeMap<ResultCode, prometheus::IntCounter>,
     gauges: BTreeMap<&'static str, IntGauge>,
+    hedges: IntCounterVec,
     /// The time from the arrival of a SYN at the agent to the target's answer.
     pub handshake_ms: Histogram,
     /// SYNs that an agent has queued.
@@ -49,6 +51,14 @@
             &["code"],
         )
         .expect("the name of the counter is well formed");
+        let hedges = IntCounterVec::new(
+            Opts::new(
+                "basilstep_hedges_total",
+                "Second offers of SYNs by what became of them",
+            ),
+            &["result"],
+        )
+        .expect("the name of the counter is well formed");
         let handshake_ms = Histogram::with_opts(
             HistogramOpts::new(
                 "basilstep_opening_ms",
@@ -80,6 +90,7 @@
         .expect("the name of the histogram is well formed");
         for collector in [
             Box::new(decisions.clone()) as Box<dyn prometheus::core::Collector>,
+            Box::new(hedges.clone()),
             Box::new(handshake_ms.clone()),
             Box::new(queued_syns.clone()),
             Box::new(released_syns.clone()),
@@ -94,6 +105,7 @@
             decisions,
             counters: BTreeMap::new(),
             gauges: BTreeMap::new(),
+            hedges,
             handshake_ms,
             queued_syns,
             released_syns,
@@ -193,6 +205,22 @@
             .set(value);
     }
 
+    /// Sets how many second offers were sent and refused since the start of the process.
+    pub fn set_hedges(&self, counts: &HedgeCounts) {
+        for (result, count) in [
+            ("sent", counts.sent),
+            ("won", counts.won),
+            ("refused_by_budget", counts.refused_by_budget),
+            ("refused_by_overload", counts.refused_by_overload),
+            ("without_candidate", counts.without_candidate),
+        ] {
+            if count > 0 {
+                let counter = self.hedges.with_label_values(&[result]);
+                counter.inc_by(count.saturating_sub(counter.get()));
+            }
+        }
+    }
+
     /// Returns the metrics in the Prometheus text format.
     pub fn render(&self) -> Vec<u8> {
         let mut text = Vec::new();
