fix(agent): reject all requests that arrive after a GOAWAY

Cause: h3 stops accepting as soon as it has rejected a request beyond the GOAWAY while none is in progress. Later requests of a caller that had not read the GOAWAY yet got neither a response nor a rejection, and waited for the caller's timeout or for the end of stop_wait_ms.

Change: once h3 has stopped accepting, the agent rejects the streams of the connection itself (H3_REQUEST_REJECTED).

Measured: requests_of_a_caller_that_has_not_read_the_goaway_are_all_rejected failed before in the stage Finishing (no answer within 20 s), and passes in both stages now.

--- a/crates/basilstep-agent/src/flow_server.rs
+++ b/crates/basilstep-agent/src/flow_server.rs
@@ -22,6 +22,9 @@
 type Resolver = RequestResolver<h3_quinn::Connection, Bytes>;
 type RequestStreams = RequestStream<h3_quinn::BidiStream<Bytes>, Bytes>;
 
+/// `H3_REQUEST_REJECTED` (RFC 9114, section 8.1) as a QUIC error code.
+const REQUEST_REJECTED: VarInt = VarInt::from_u32(0x10b);
+
 /// Accepts callers' flows and serves their requests.
 #[derive(Clone, Debug)]
 pub struct FlowServer {
@@ -103,7 +106,7 @@
                 }
             }
         }
-        connection.closed().await;
+        reject_further_requests(&connection).await;
     }
 
     fn spawn_request(&self, flow: u32, resolver: Resolver, connection: Connection) {
@@ -151,6 +154,18 @@
     }
 }
 
+/// Rejects requests until the connection is closed.
+///
+/// After a GOAWAY, h3 stops accepting as soon as it has rejected a request while none is in
+/// progress; later ones would wait for their caller's timeout.
+async fn reject_further_requests(connection: &Connection) {
+    while let Ok((mut response_stream, mut request_stream)) = connection.accept_bi().await {
+        // These fail only when the caller has given up the request.
+        let _ = request_stream.stop(REQUEST_REJECTED);
+        let _ = response_stream.reset(REQUEST_REJECTED);
+    }
+}
+
 /// Closes the connection when operators take the agent's failure domain out of service.
 ///
 /// The connection has to be closed before this returns: a dropped HTTP/3 connection closes itself
--- a/crates/basilstep-agent/src/tests/stop.rs
+++ b/crates/basilstep-agent/src/tests/stop.rs
@@ -1,7 +1,7 @@
 //! Requests and flows of an agent that stops.
 
 use super::{
-    ScriptedTarget, TestAgent, get, send,
+    SERVER_NAME, ScriptedTarget, TEST_TIMEOUT, TestAgent, get, request, send,
     target::End::{Close, KeepOpen},
     until,
 };
@@ -12,8 +12,15 @@
 use basilstep_bench::fakes::caller::{Flow, FlowResponse, RequestError};
 use basilstep_core::{codes::ResultCode, membership::AgentPhase};
 use bytes::Bytes;
-use std::{sync::Arc, time::Duration};
-use tokio::{task::JoinHandle, time::sleep};
+use h3::error::{Code, StreamError};
+use quinn::{ClientConfig, Endpoint, crypto::rustls::QuicClientConfig};
+use rstest::rstest;
+use rustls::{RootCertStore, crypto::ring};
+use std::{net::Ipv4Addr, sync::Arc, time::Duration};
+use tokio::{
+    task::JoinHandle,
+    time::{sleep, timeout},
+};
 
 const WHOLE: &str = "HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nwhole";
 
@@ -24,6 +31,28 @@
         let controller = self.controller.clone();
         tokio::spawn(async move { finish_work(&shared, &dispatcher, &controller).await })
     }
+
+    /// Opens a connection whose HTTP/3 layer is left to the test.
+    async fn connect(&self) -> (Endpoint, quinn::Connection) {
+        let mut roots = RootCertStore::empty();
+        roots.add(self.root.clone()).expect("a valid certificate");
+        let provider = Arc::new(ring::default_provider());
+        let mut tls = rustls::ClientConfig::builder_with_provider(provider)
+            .with_protocol_versions(&[&rustls::version::TLS13])
+            .expect("the provider has TLS 1.3")
+            .with_root_certificates(roots)
+            .with_no_client_auth();
+        tls.alpn_protocols = vec![b"h3".to_vec()];
+        let tls = QuicClientConfig::try_from(tls).expect("a valid configuration");
+        let mut endpoint = Endpoint::client((Ipv4Addr::LOCALHOST, 0).into()).expect("a free port");
+        endpoint.set_default_client_config(ClientConfig::new(Arc::new(tls)));
+        let address = self.endpoint.local_addr().expect("an address");
+        let connecting = endpoint
+            .connect(address, SERVER_NAME)
+            .expect("a valid name");
+        let connection = connecting.await.expect("the agent accepts it");
+        (endpoint, connection)
+    }
 }
 
 /// Guards against a stop that leaves callers on their flows until it closes them.
@@ -109,6 +138,37 @@
     assert_eq!(target.requests(), 0);
 }
 
+/// Guards against requests after a GOAWAY that are neither run nor rejected.
+#[rstest]
+#[tokio::test]
+async fn requests_of_a_caller_that_has_not_read_the_goaway_are_all_rejected(
+    #[values(StopStage::Finishing, StopStage::Closing)] stage: StopStage,
+) {
+    let target = ScriptedTarget::spawn(WHOLE, Close).await;
+    let agent = TestAgent::spawn(target.address).await;
+    let (endpoint, connection) = agent.connect().await;
+    let transport = h3_quinn::Connection::new(connection);
+    // The driver, which would read the GOAWAY, is never polled.
+    let (_driver, mut sender) = h3::client::new(transport).await.expect("a flow");
+    agent.shared.set_stop_stage(stage);
+    for _ in 0..5 {
+        let stream = sender.send_request(request("GET", &[])).await;
+        let mut stream = stream.expect("the flow is open");
+        let response = timeout(TEST_TIMEOUT, stream.recv_response());
+        let response = response.await.expect("the agent rejects it in time");
+        let is_rejected = matches!(
+            response,
+            Err(StreamError::RemoteTerminate {
+                code: Code::H3_REQUEST_REJECTED,
+                ..
+            })
+        );
+        assert!(is_rejected, "{response:?}");
+    }
+    assert_eq!(target.requests(), 0);
+    drop(endpoint);
+}
+
 fn spawn_get(flow: &Arc<Flow>) -> JoinHandle<Result<FlowResponse, RequestError>> {
     let flow = Arc::clone(flow);
     tokio::spawn(async move { get(&flow).await })
