fix(agent): send no further attempt while flows are being closed

Cause: a queued request that was refused at the end of a stop (106) was sent to the draining admission again, with a backoff for each retry. With requests.retry_limit above 3 the backoff can exceed the 300 ms before the flow is closed with 302, so that a request that had not run ended with an unknown outcome.

--- a/crates/basilstep-agent/src/exchange/request_handler.rs
+++ b/crates/basilstep-agent/src/exchange/request_handler.rs
@@ -333,8 +333,7 @@
             sent: failed.sent,
             may_have_run: self.may_have_run,
             failure: failed.failure,
-            // A streamed body that has been taken cannot be sent again.
-            attempts: if self.body.is_some() {
+            attempts: if self.may_attempt_again() {
                 attempts
             } else {
                 u32::MAX
@@ -343,6 +342,14 @@
         }
     }
 
+    /// Returns whether the request may be sent again.
+    ///
+    /// A streamed body that has been taken cannot be sent again. While the agent closes its flows,
+    /// admission refuses each attempt, and the backoff of retries could outlast the flow.
+    fn may_attempt_again(&self) -> bool {
+        self.body.is_some() && self.shared.stop_stage() != StopStage::Closing
+    }
+
     fn remaining_ms(&self) -> u64 {
         self.deadline_ms.saturating_sub(self.dispatcher.now_ms())
     }
--- a/crates/basilstep-agent/src/tests/stop.rs
+++ b/crates/basilstep-agent/src/tests/stop.rs
@@ -117,12 +117,16 @@
     let queued =
         tokio::spawn(async move { send(&request, "POST", &[], Bytes::from_static(b"x")).await });
     until(|| async { agent.dispatcher.admission_view().queued == 1 }).await;
+    let retry_tokens = agent.dispatcher.requests_view().retry_tokens;
     agent.stop().await.expect("no panic");
     let response = queued
         .await
         .expect("no panic")
         .expect("a complete response");
     assert_eq!(response.code, Some(ResultCode::Draining));
+    // A retry would be refused too, and its backoff could outlast the flow.
+    let tokens_left = agent.dispatcher.requests_view().retry_tokens;
+    assert_eq!(tokens_left, retry_tokens);
     assert_eq!(target.requests(), 1);
 }
 
