fix(membership): keep the stop of a member that is not known yet

Cause: MemberTable dropped a record with the phase Down for an unknown address. A balancer that has just started and hears of the stop of an agent before it merges the view of a peer that does not know of it takes the older record, and uses the stopped agent for new flows until it is found silent.

Change: the stop is kept until forget_after_ms, without being spread, so that views that have forgotten the member are not told again.

--- a/crates/basilstep-core/src/membership/member_table.rs
+++ b/crates/basilstep-core/src/membership/member_table.rs
@@ -156,21 +156,29 @@
     }
 
     /// Merges a record that was received at `stamp_ms`.
+    ///
+    /// The stop of an unknown member is kept, so that an older record that arrives later does not
+    /// bring the member back. It counts as unchanged: views that have forgotten the member need
+    /// not learn of it again.
     pub fn merge_record(&mut self, record: MemberRecord, stamp_ms: u64) -> MergeResult {
         let old = self.members.get(&record.address).copied();
         match old {
             Some(old) if old.record.recency() > record.recency() => return MergeResult::Outdated,
             Some(old) if old.record.recency() == record.recency() => return MergeResult::Unchanged,
-            None if record.phase == AgentPhase::Down => return MergeResult::Unchanged,
             _ => {}
         }
+        let is_unknown_stop = old.is_none() && record.phase == AgentPhase::Down;
         self.replace(Member {
             record,
             silent: false,
             stamp_ms,
             silent_since_ms: 0,
         });
-        MergeResult::Changed
+        if is_unknown_stop {
+            MergeResult::Unchanged
+        } else {
+            MergeResult::Changed
+        }
     }
 
     /// Merges evidence that a member is silent or alive.
--- a/crates/basilstep-core/src/membership/tests.rs
+++ b/crates/basilstep-core/src/membership/tests.rs
@@ -603,6 +603,26 @@
     assert_eq!(probes, 1);
 }
 
+/// Guards against an agent that stopped during the start of a balancer and is in use there again,
+/// because a peer that does not know of the stop sent its older record.
+#[test]
+fn stop_that_arrives_first_outweighs_an_older_record() {
+    let mut table = MemberTable::new(500);
+    let serving = agent(1, 0);
+    let stopped = AgentRecord {
+        phase: AgentPhase::Down,
+        revision: serving.revision + 1,
+        ..serving
+    };
+    table.merge_record(MemberRecord::from(stopped), 1_000);
+    let merged = table.merge_record(MemberRecord::from(serving), 1_100);
+    assert_eq!(merged, MergeResult::Outdated);
+    let member = table.get(serving.address.0).expect("the stop is kept");
+    assert!(!table.is_live(member, 1_100));
+    assert_eq!(table.digest(), MemberTable::new(500).digest());
+    assert_eq!(table.forget_gone(1_001), 1);
+}
+
 /// A record or evidence to merge, in any order.
 #[derive(Clone, Copy, Debug)]
 enum Change {
