fix(flows): a SYN waits at one agent only

Cause: a queued SYN that its agent returned for another reason than load (drain, pause, new incarnation, a cold target) kept its last offer, so the next agent was allowed to queue it again with a new age. Two waits of 100 and 75 ms exceed a quarter of a latency goal of 400 ms.

Change: the hint records whether the agent may have queued the SYN, and the search whether it has been returned since. Later offers of that SYN are sent without permission to wait. A retransmission starts anew, with what is left of the goal.

--- a/crates/basilstep-core/src/flows/balancer/hints.rs
+++ b/crates/basilstep-core/src/flows/balancer/hints.rs
@@ -10,6 +10,8 @@
     pub service: ServiceTag,
     /// The agent has confirmed that it holds the flow.
     pub is_confirmed: bool,
+    /// The agent may have queued the SYN.
+    pub may_wait: bool,
     /// When the caller's last SYN arrived.
     pub syn_arrived_ms: u64,
     /// When the SYN was last sent to the agent.
--- a/crates/basilstep-core/src/flows/balancer/search.rs
+++ b/crates/basilstep-core/src/flows/balancer/search.rs
@@ -17,6 +17,8 @@
     pub refused_by: BTreeSet<Ipv4Addr>,
     /// How many agents have refused to open the flow because of their load.
     pub load_refusals: usize,
+    /// The SYN may have waited at an agent, so that another wait would exceed the bound on both.
+    pub has_waited: bool,
     /// The agent in the flow's hint does not hold the flow.
     pub is_hint_wrong: bool,
     /// When a packet was last sent to all agents that had not answered.
--- a/crates/basilstep-core/src/flows/balancer/state.rs
+++ b/crates/basilstep-core/src/flows/balancer/state.rs
@@ -167,6 +167,7 @@
             search.load_refusals += 1;
         }
         search.is_hint_wrong |= is_from_holder;
+        search.has_waited |= hint.is_some_and(|hint| hint.may_wait);
         if segment.is_syn() {
             let new = NewFlow {
                 segment,
@@ -237,6 +238,7 @@
             agent,
             service,
             is_confirmed: true,
+            may_wait: false,
             syn_arrived_ms: known.map_or(ctx.now_ms, |hint| hint.syn_arrived_ms),
             offered_ms: ctx.now_ms,
             used_ms: ctx.now_ms,
--- a/crates/basilstep-core/src/flows/balancer/state/syn.rs
+++ b/crates/basilstep-core/src/flows/balancer/state/syn.rs
@@ -109,12 +109,17 @@
         else {
             return self.refuse(new.segment, service, code, ctx);
         };
-        let may_wait = offers_left.is_some_and(|offers_left| {
-            offers_left == 1
-                || !self
-                    .agents
-                    .has_other_agent(agent, service, &placement, &self.settings)
-        });
+        let has_waited = self
+            .searches
+            .get(&flow)
+            .is_some_and(|search| search.has_waited);
+        let may_wait = !has_waited
+            && offers_left.is_some_and(|offers_left| {
+                offers_left == 1
+                    || !self
+                        .agents
+                        .has_other_agent(agent, service, &placement, &self.settings)
+            });
         self.agents.record_offer(agent);
         self.record_packet_for(agent, ctx.now_ms);
         self.pending_syns.remove(&flow);
@@ -122,6 +127,7 @@
             agent,
             service,
             is_confirmed: false,
+            may_wait,
             syn_arrived_ms: new.arrived_ms,
             offered_ms: ctx.now_ms,
             used_ms: ctx.now_ms,
--- a/crates/basilstep-core/src/flows/tests/offers.rs
+++ b/crates/basilstep-core/src/flows/tests/offers.rs
@@ -171,3 +171,33 @@
     let verdict = balancer.on_packet(&syn(flow(1), 1), &ctx);
     assert_eq!(forwarded(&verdict).map(|hop| hop.agent), Some(first.agent));
 }
+
+/// Guards against a SYN that waits at a second agent, for as long again, after the first one at
+/// which it waited has returned it because its target drains.
+#[test]
+fn syn_waits_at_one_agent_only() {
+    let (mut balancer, mut ctx) = balancer(&FlowSettings::default(), AGENTS);
+    let packet = syn(flow(1), 0);
+    let mut headers = Vec::new();
+    let mut verdict = balancer.on_packet(&packet, &ctx);
+    while let Some(next_hop) = forwarded(&verdict) {
+        headers.push(next_hop.header);
+        let code = if headers.len() == 4 {
+            ctx.advance(90);
+            ResultCode::Draining
+        } else {
+            ResultCode::Overloaded
+        };
+        let returned = Returned {
+            code,
+            service: service(),
+        };
+        verdict = balancer.on_returned(next_hop.agent, returned, &packet, &ctx);
+    }
+    assert_eq!(may_wait(&headers), [false, false, false, true, false]);
+    // The retransmission may wait again, for a share of what is left of the latency goal.
+    ctx.advance(110);
+    let code = ResultCode::Overloaded;
+    let (headers, _) = offer_to_refusing_agents(&mut balancer, &syn(flow(1), 1), code, &ctx);
+    assert_eq!(may_wait(&headers), [false, false, false, true]);
+}
