fix(flows): a stall of an agent is no evidence about its target

Cause: answers that arrive while an agent process does not run are read late, and their whole age counted as service time, as lower bound, and, beyond work_limit.answer_wait_ms, as failures. After a stall of 1 s with eight requests at work, a target of 20 ms was reported as slow to all balancers at once.

Change: a time of more than 100 ms without an event (two ticks) is left out of the age of all unanswered requests. What remains is a lower bound: it is no sample if it is below the average, and a request given up counts as a failure only if it is long in itself, so that hanging requests are still found.

--- a/crates/basilstep-core/src/flows/agent/service_slots.rs
+++ b/crates/basilstep-core/src/flows/agent/service_slots.rs
@@ -7,6 +7,7 @@
     order: u64,
     requested_ms: u64,
     started_ms: Option<u64>,
+    is_interrupted: bool,
 }
 
 /// A request that has ended.
@@ -16,6 +17,8 @@
     pub age_ms: u64,
     /// The time since the target began to process it; `None` if it was still queued.
     pub processing_ms: Option<u64>,
+    /// The agent did not run for a part of this time, which is left out: the times are lower bounds.
+    pub is_interrupted: bool,
 }
 
 /// The unanswered requests at a target, and which of them it is processing.
@@ -36,6 +39,7 @@
         if let Some(request) = self.requests.get_mut(&key) {
             request.requested_ms = now_ms;
             request.started_ms = request.started_ms.map(|_| now_ms);
+            request.is_interrupted = false;
             return;
         }
         let order = self.next_order;
@@ -45,6 +49,7 @@
             order,
             requested_ms: now_ms,
             started_ms: None,
+            is_interrupted: false,
         };
         self.requests.insert(key, request);
         self.start_queued(capacity, now_ms);
@@ -60,9 +65,21 @@
             processing_ms: request
                 .started_ms
                 .map(|started_ms| now_ms.saturating_sub(started_ms)),
+            is_interrupted: request.is_interrupted,
         })
     }
 
+    /// Leaves a time in which the agent did not run out of the times of all unanswered requests.
+    pub fn skip(&mut self, duration_ms: u64) {
+        for request in self.requests.values_mut() {
+            request.requested_ms += duration_ms;
+            request.started_ms = request
+                .started_ms
+                .map(|started_ms| started_ms + duration_ms);
+            request.is_interrupted = true;
+        }
+    }
+
     /// Returns the flows of all unanswered requests.
     pub fn flows(&self) -> impl Iterator<Item = &FlowKey> {
         self.requests.keys()
--- a/crates/basilstep-core/src/flows/agent/target_health.rs
+++ b/crates/basilstep-core/src/flows/agent/target_health.rs
@@ -24,6 +24,12 @@
 /// The minimum time between two changes that are reported at once.
 const MIN_CHANGE_INTERVAL_MS: u64 = 1_000;
 
+/// The time without an event from which the agent is assumed not to have run: two of its ticks.
+///
+/// Answers that arrived during this time are read late, and a slow agent is no evidence of a slow
+/// target.
+const MAX_EVENT_GAP_MS: u64 = 100;
+
 /// The health of a target as its agent reports it.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Serialize)]
 pub struct HealthReading {
@@ -69,11 +75,13 @@
     outcomes: VecDeque<Outcome>,
     announced: HealthReading,
     announced_ms: u64,
+    last_event_ms: u64,
 }
 
 impl TargetHealth {
     /// Records data of a caller for the target.
     pub fn on_request(&mut self, key: FlowKey, capacity: u16, now_ms: u64) {
+        self.skip_stall(now_ms);
         self.slots.on_request(key, capacity, now_ms);
     }
 
@@ -85,18 +93,13 @@
         service_time: &mut ServiceTime,
         now_ms: u64,
     ) {
+        self.skip_stall(now_ms);
         let Some(request) = self.slots.remove(key, capacity, now_ms) else {
             return;
         };
         self.record_outcome(false, now_ms);
-        match request.processing_ms {
-            Some(processing_ms) => service_time.record_at(processing_ms, now_ms),
-            // The target has answered out of order. The request took at most its age, which is
-            // evidence only if it is short.
-            None if service_time.exceeds(request.age_ms) => {
-                service_time.record_at(request.age_ms, now_ms);
-            }
-            None => {}
+        if let Some(sample_ms) = sample_ms(request, service_time) {
+            service_time.record_at(sample_ms, now_ms);
         }
     }
 
@@ -110,12 +113,16 @@
         settings: &TargetHealthSettings,
         now_ms: u64,
     ) {
+        self.skip_stall(now_ms);
         let Some(request) = self.slots.remove(key, capacity, now_ms) else {
             return;
         };
         let is_failure = match end {
-            UnansweredEnd::TargetReset | UnansweredEnd::GivenUp => true,
-            UnansweredEnd::Closed => was_slow(request, service_time, settings),
+            UnansweredEnd::TargetReset => true,
+            UnansweredEnd::GivenUp if !request.is_interrupted => true,
+            UnansweredEnd::GivenUp | UnansweredEnd::Closed => {
+                was_slow(request, service_time, settings)
+            }
             UnansweredEnd::Unknown => false,
         };
         if is_failure {
@@ -133,6 +140,7 @@
         settings: &TargetHealthSettings,
         now_ms: u64,
     ) {
+        self.skip_stall(now_ms);
         let ended: Vec<(FlowKey, UnansweredEnd)> = self
             .slots
             .flows()
@@ -183,6 +191,14 @@
         Some(HealthChange { before, after })
     }
 
+    fn skip_stall(&mut self, now_ms: u64) {
+        let gap_ms = now_ms.saturating_sub(self.last_event_ms);
+        if gap_ms > MAX_EVENT_GAP_MS {
+            self.slots.skip(gap_ms);
+        }
+        self.last_event_ms = now_ms;
+    }
+
     fn failure_permille(&self, now_ms: u64) -> u16 {
         let (mut ended, mut failed) = (0, 0);
         for outcome in &self.outcomes {
@@ -208,6 +224,22 @@
     }
 }
 
+/// Returns the service time that an answered request shows, if it is evidence.
+fn sample_ms(request: EndedRequest, service_time: &ServiceTime) -> Option<u64> {
+    match request.processing_ms {
+        // It took at least this time, which is evidence only if it is long.
+        Some(processing_ms) if request.is_interrupted => service_time
+            .mean_ms()
+            .is_some_and(|mean_ms| processing_ms as f64 > mean_ms)
+            .then_some(processing_ms),
+        Some(processing_ms) => Some(processing_ms),
+        // The target has answered out of order. The request took at most its age, which is evidence
+        // only if it is short.
+        None => (!request.is_interrupted && service_time.exceeds(request.age_ms))
+            .then_some(request.age_ms),
+    }
+}
+
 /// Returns whether the target had processed a request for so long that its caller may have ended it
 /// for that reason; callers also end requests that they no longer need.
 fn was_slow(
--- a/crates/basilstep-core/src/flows/tests/target_health.rs
+++ b/crates/basilstep-core/src/flows/tests/target_health.rs
@@ -12,6 +12,7 @@
 use std::ops::Range;
 
 const START_MS: u64 = 5_000;
+const TICK_MS: u64 = 50;
 
 /// An agent whose target answers requests when told to, each on a flow of its own.
 struct Requests {
@@ -29,8 +30,21 @@
         }
     }
 
+    /// Lets time pass with a tick at least every 50 ms, as in the agent process.
     fn wait(&mut self, duration_ms: u64) {
+        let end_ms = self.now_ms + duration_ms;
+        while self.now_ms < end_ms {
+            self.now_ms = end_ms.min(self.now_ms + TICK_MS);
+            self.agent.on_tick(&context(self.now_ms));
+        }
+    }
+
+    /// Lets time pass in which the agent process does not run.
+    fn stall(&mut self, duration_ms: u64) {
         self.now_ms += duration_ms;
+    }
+
+    fn tick(&mut self) {
         self.agent.on_tick(&context(self.now_ms));
     }
 
@@ -172,6 +186,47 @@
     assert_eq!(requests.reading().failure_permille, 0);
 }
 
+/// Guards against a target that counts as slow or failing because its agent did not run for a while:
+/// the answers arrived in time but were read late. The first event afterwards is a tick or a packet.
+#[rstest]
+#[case::slow_before_a_tick(1_000, true)]
+#[case::slow_before_a_packet(1_000, false)]
+#[case::failing_before_a_tick(3_500, true)]
+#[case::failing_before_a_packet(3_500, false)]
+fn stall_of_the_agent_is_no_evidence_about_its_target(
+    #[case] stall_ms: u64,
+    #[case] is_tick_first: bool,
+) {
+    let mut requests = serving(20);
+    let before = requests.reading();
+    requests.send(1..9);
+    requests.stall(stall_ms);
+    if is_tick_first {
+        requests.tick();
+        assert_eq!(requests.reading(), before);
+    }
+    requests.answer(1..9);
+    requests.tick();
+    assert_eq!(requests.reading(), before);
+    requests.reset_by_caller(1..9);
+    requests.serve(20, 140);
+    assert!(requests.reading().service_time_ms >= 100);
+}
+
+/// Guards against a hanging target that is not found because its agent does not run for a short time
+/// now and then.
+#[test]
+fn requests_that_hang_count_as_failures_in_spite_of_stalls() {
+    let mut requests = serving(20);
+    requests.send(1..5);
+    for _ in 0..6 {
+        requests.wait(400);
+        requests.stall(200);
+    }
+    requests.tick();
+    assert!(requests.reading().failure_permille >= 150);
+}
+
 /// Guards against a new incarnation that is avoided for the failures of the earlier one.
 #[test]
 fn new_incarnation_starts_anew() {
