fix(flows): probe intervals saturate, and tests of slow targets can fail

Cause: probe_interval_ms times the number of balancers, and its sum with the time, overflowed for very long intervals. SETTINGS said that each balancer sends a probe flow per interval; the balancers share them. choose_agent built a second list of agents for each SYN. The check that no healthy target gets more than eight requests at work could not fail, because agents refuse what exceeds their limit; the load scenario of slow targets left out the second in which they are found, and ran with one seed.

Change: saturating arithmetic; the setting's description; the list is filtered in place. The check counts the flows that healthy targets refuse, at most one for 40 requests. A second test counts from the fault on, with three seeds.

Measured: longest_probe_interval_sends_no_probe_flows panicked before (multiply with overflow).

--- a/crates/basilstep-core/src/flows/balancer/agent_table.rs
+++ b/crates/basilstep-core/src/flows/balancer/agent_table.rs
@@ -233,7 +233,7 @@
         placement: &PlacementContext<'_>,
         settings: &FlowSettings,
     ) -> Option<Ipv4Addr> {
-        let open: Vec<(Ipv4Addr, &AgentState)> = self
+        let mut open: Vec<(Ipv4Addr, &AgentState)> = self
             .of_service(service)
             .filter(|agent| !placement.refused_by.contains(agent))
             .filter_map(|agent| Some((agent, self.agents.get(&agent)?)))
@@ -246,10 +246,7 @@
         {
             return Some(*agent);
         }
-        let open = open
-            .into_iter()
-            .filter(|(agent, _)| self.ranking.standing_of(*agent) != Standing::Avoided)
-            .collect();
+        open.retain(|(agent, _)| self.ranking.standing_of(*agent) != Standing::Avoided);
         candidates(flow, open, placement.domain, settings)
             .into_iter()
             .map(|(agent, state)| {
--- a/crates/basilstep-core/src/flows/balancer/target_ranking.rs
+++ b/crates/basilstep-core/src/flows/balancer/target_ranking.rs
@@ -35,7 +35,8 @@
     pub before: Standing,
     /// What it counts as now.
     pub after: Standing,
-    /// How long it takes for a request that was not queued; 0 if there is no fresh report.
+    /// How long it takes for a request that was not queued, as if it was warm; 0 if there is no fresh
+    /// report.
     pub service_time_ms: u16,
     /// The share of its requests that ended without an answer, in thousandths.
     pub failure_permille: u16,
@@ -98,7 +99,10 @@
     ) -> Vec<StandingChange> {
         // The balancers share the probe flows, so that their number does not grow with that of the
         // balancers.
-        self.probe_period_ms = (settings.probe_interval_ms * scope.balancers.max(1) as u64).max(1);
+        self.probe_period_ms = settings
+            .probe_interval_ms
+            .saturating_mul(scope.balancers.max(1) as u64)
+            .max(1);
         let mut ranked = BTreeMap::new();
         for rank in services.iter().flat_map(|service| rank(service, settings)) {
             ranked.insert(rank.measurement.agent, rank);
@@ -109,7 +113,11 @@
             .into_iter()
             .map(|(agent, rank)| {
                 let next_probe_ms = before.get(&agent).map_or_else(
-                    || self.now_ms + rendezvous(scope.probe_phase, agent) % self.probe_period_ms,
+                    || {
+                        self.probe_time_ms(
+                            rendezvous(scope.probe_phase, agent) % self.probe_period_ms,
+                        )
+                    },
                     |target| target.next_probe_ms,
                 );
                 let target = RankedTarget {
@@ -149,8 +157,9 @@
 
     /// Records that a new flow was sent to an agent.
     pub fn record_offer(&mut self, agent: Ipv4Addr) {
+        let next_probe_ms = self.probe_time_ms(self.probe_period_ms);
         if let Some(target) = self.targets.get_mut(&agent) {
-            target.next_probe_ms = self.now_ms + self.probe_period_ms;
+            target.next_probe_ms = next_probe_ms;
         }
     }
 
@@ -164,6 +173,11 @@
         self.targets.iter()
     }
 
+    /// Returns the time after `delay_ms`, which is practically never if the interval is set so.
+    const fn probe_time_ms(&self, delay_ms: u64) -> u64 {
+        self.now_ms.saturating_add(delay_ms)
+    }
+
     fn changes_to(
         &self,
         ranked: &BTreeMap<Ipv4Addr, Rank>,
--- a/crates/basilstep-core/src/flows/settings.rs
+++ b/crates/basilstep-core/src/flows/settings.rs
@@ -251,7 +251,7 @@
     pub max_avoided_share: f64,
     /// The share of unanswered requests, in thousandths, from which a target is avoided.
     pub failure_permille: u16,
-    /// The interval at which a balancer sends a new flow to a target that it avoids.
+    /// The interval at which the balancers together send a new flow to a target that they avoid.
     pub probe_interval_ms: u64,
 }
 
--- a/crates/basilstep-core/src/flows/tests/load_model.rs
+++ b/crates/basilstep-core/src/flows/tests/load_model.rs
@@ -74,8 +74,8 @@
     pub tally: Tally,
     /// The new flows of each target.
     pub placed: [usize; AGENTS as usize],
-    /// The highest number of requests at work at each target.
-    pub max_at_work: [usize; AGENTS as usize],
+    /// The new flows that each agent has refused.
+    pub refused_by: [usize; AGENTS as usize],
     machines: Vec<Machine>,
     balancers: Vec<BalancerFlows>,
     open: BTreeMap<FlowKey, OpenRequest>,
@@ -102,7 +102,7 @@
             now_ms: ctx.now_ms,
             tally: Tally::default(),
             placed: [0; AGENTS as usize],
-            max_at_work: [0; AGENTS as usize],
+            refused_by: [0; AGENTS as usize],
             machines: (1..=AGENTS).map(machine).collect(),
             balancers: (0..BALANCERS).map(|_| balancer.clone()).collect(),
             open: BTreeMap::new(),
@@ -122,6 +122,7 @@
     pub fn run(&mut self, duration_ms: u64, load: f64) -> Tally {
         self.tally = Tally::default();
         self.placed = [0; AGENTS as usize];
+        self.refused_by = [0; AGENTS as usize];
         let mean_work_ms = WORK_MS as f64 * (0.97 + 0.03 * 7.0);
         let per_ms = load * f64::from(AGENTS) * f64::from(CAPACITY) / mean_work_ms;
         let until_ms = self.now_ms + duration_ms;
@@ -229,6 +230,7 @@
                 self.begin_request(flow, number);
                 return;
             };
+            self.refused_by[number] += 1;
             let returned = Returned {
                 code,
                 service: next_hop.header.service,
@@ -253,8 +255,6 @@
             Fault::None | Fault::Hang(_) => work_ms,
         };
         machine.target.enqueue(flow, work_ms);
-        let at_work = machine.agent.table().at_work();
-        self.max_at_work[number] = self.max_at_work[number].max(at_work);
         self.placed[number] += 1;
         let request = OpenRequest {
             machine: number,
@@ -265,7 +265,7 @@
 }
 
 /// The balancers, which share the probe flows.
-fn balancer_entries() -> Vec<BalancerEntry> {
+pub fn balancer_entries() -> Vec<BalancerEntry> {
     let entry = |number: u8| BalancerEntry {
         ip: balancer_ip(number),
         domain: DomainId(0),
--- a/crates/basilstep-core/src/flows/tests/target_ranking.rs
+++ b/crates/basilstep-core/src/flows/tests/target_ranking.rs
@@ -1,6 +1,9 @@
 //! Which targets a balancer counts as slow or avoided, and what it sends them.
 
-use super::{agent_ip, balancer_with_settings, context, flow, health_settings, report, syn};
+use super::{
+    agent_ip, balancer_with_settings, context, flow, health_settings, load_model::balancer_entries,
+    report, syn,
+};
 use crate::flows::{
     AgentReport, BalancerFlows, FlowSettings, RequestKind, TargetPhase,
     balancer::{Standing, Verdict},
@@ -91,6 +94,17 @@
     assert!(expected.contains(&placed), "{placed} of 500");
 }
 
+/// Guards against an overflow where operators set the interval so long that no probe flow is sent.
+#[test]
+fn longest_probe_interval_sends_no_probe_flows() {
+    let mut settings = health_settings();
+    settings.target_health.probe_interval_ms = u64::MAX;
+    let reports = [failing(), healthy(), healthy(), healthy()];
+    let (mut balancer, ctx) = balancer_with_settings(&settings, 4, RequestKind::Idempotent);
+    balancer.on_balancers(&balancer_entries(), &ctx);
+    assert_eq!(placed_at_first(&mut balancer, &reports, 5_000), 0);
+}
+
 /// Guards against any change of placement where the setting is off.
 #[test]
 fn reports_change_nothing_unless_enabled() {
--- a/crates/basilstep-core/src/flows/tests/target_speed.rs
+++ b/crates/basilstep-core/src/flows/tests/target_speed.rs
@@ -5,6 +5,7 @@
     load_model::{AGENTS, Fault, LoadModel, Tally},
 };
 use crate::flows::FlowSettings;
+use rstest::rstest;
 
 /// What became of the requests with a fault at the first targets.
 struct Comparison {
@@ -47,12 +48,27 @@
     let run = compare(6, Fault::Slow(7), 0.5);
     assert!(run.with.missed() * 3 <= run.without.missed());
     assert_eq!(run.with.refused, 0);
-    // Four rounds of the capacity.
-    assert!(
-        run.model.max_at_work[6..]
-            .iter()
-            .all(|at_work| *at_work <= 8)
-    );
+    // An agent never admits more than its limit; what is offered beyond it is refused.
+    let above_limit: usize = run.model.refused_by[6..].iter().sum();
+    assert!(above_limit * 40 <= run.with.offered, "{above_limit}");
+}
+
+/// Load: as above, with the first second after the fault, in which agents and balancers find out which
+/// targets are slow. Guards against a slow detection, and against a result that depends on the seed.
+#[rstest]
+#[case(3)]
+#[case(7)]
+#[case(23)]
+fn slow_targets_are_found_at_once(#[case] seed: u64) {
+    let missed = |settings: &FlowSettings| {
+        let mut model = LoadModel::new(settings, seed);
+        model.run(2_000, 0.5);
+        model.set_fault(0..6, Fault::Slow(7));
+        model.run(3_000, 0.5).missed()
+    };
+    let (with, without) = (missed(&health_settings()), missed(&FlowSettings::default()));
+    println!("seed {seed}: {with}, without: {without}");
+    assert!(with * 3 <= without, "{with} {without}");
 }
 
 /// Load: half of the capacity; a fifth of the targets 7 times slower for 5.5 s. Guards against
