--- a/crates/basilstep-core/src/flows/balancer/agent_table.rs
+++ b/crates/basilstep-core/src/flows/balancer/agent_table.rs
@@ -233,7 +233,7 @@
         placement: &PlacementContext<'_>,
         settings: &FlowSettings,
     ) -> Option<Ipv4Addr> {
-        let mut open: Vec<(Ipv4Addr, &AgentState)> = self
+        let open: Vec<(Ipv4Addr, &AgentState)> = self
             .of_service(service)
             .filter(|agent| !placement.refused_by.contains(agent))
             .filter_map(|agent| Some((agent, self.agents.get(&agent)?)))
@@ -246,7 +246,10 @@
         {
             return Some(*agent);
         }
-        open.retain(|(agent, _)| self.ranking.standing_of(*agent) != Standing::Avoided);
+        let open = open
+            .into_iter()
+            .filter(|(agent, _)| self.ranking.standing_of(*agent) != Standing::Avoided)
+            .collect();
         candidates(flow, open, placement.domain, settings)
             .into_iter()
             .map(|(agent, state)| {
