fix(packet): log lines of the admission queue have their own limit

Cause: "packet left the admission queue" shared ten lines a second for each code with "packet". The test did not notice: it counted lines of any outcome in any round, so that a round in which the flow opened without waiting could pass it.

Change: a separate limiter. The test requires that the SYN of the higher priority is the one admitted, that its flow opens, and that the metric counts it.

--- a/crates/basilstep-packet/src/agent/released_syns.rs
+++ b/crates/basilstep-packet/src/agent/released_syns.rs
@@ -29,7 +29,7 @@
         let Ok(segment) = header::decode(&syn.packet) else {
             return;
         };
-        let Some(left_out) = self.log_limiter.admit(code, self.ctx.now_ms) else {
+        let Some(left_out) = self.queue_log_limiter.admit(code, self.ctx.now_ms) else {
             return;
         };
         let flow = segment.flow_of_caller();
--- a/crates/basilstep-packet/src/agent/serve.rs
+++ b/crates/basilstep-packet/src/agent/serve.rs
@@ -63,6 +63,8 @@
     pub(super) outbound_socket: DatagramSocket,
     pub(super) target_socket: ConnectedDatagramSocket,
     pub(super) log_limiter: LogLimiter,
+    /// Separate, because the lines of other packets use up the limit under load.
+    pub(super) queue_log_limiter: LogLimiter,
     pub(super) metrics: Metrics,
     pub(super) frame_buffer: Vec<u8>,
     event_sender: mpsc::Sender<Event>,
@@ -153,6 +155,7 @@
             outbound_socket: DatagramSocket::bind("the outbound address", outbound).await?,
             target_socket: ConnectedDatagramSocket::connect(machine.ip, target).await?,
             log_limiter: LogLimiter::default(),
+            queue_log_limiter: LogLimiter::default(),
             metrics: Metrics::new(),
             frame_buffer: Vec::new(),
             event_sender,
--- a/crates/basilstep-packet/tests/processes/admission_queue.rs
+++ b/crates/basilstep-packet/tests/processes/admission_queue.rs
@@ -9,7 +9,10 @@
 };
 use serde_json::json;
 use std::{net::SocketAddrV4, time::Duration};
-use tokio::{net::UdpSocket, time::timeout};
+use tokio::{
+    net::UdpSocket,
+    time::{Instant, sleep, timeout_at},
+};
 
 const CALLER: u8 = 200;
 
@@ -19,6 +22,13 @@
 /// The maximum number of rounds until the agent has been fast enough for the target to be full.
 const MAX_ROUNDS: u16 = 20;
 
+/// The time after which nothing is reserved for the higher priority of the last round; a reserve
+/// would admit its SYN at once.
+const RESERVE_DURATION: Duration = Duration::from_millis(2_100);
+
+/// The metric of the agent that counts SYNs admitted from the queue.
+const ADMITTED: &str = "basilstep_queue_left_total{outcome=\"admitted\"}";
+
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(1);
 
 fn urgent_entry() -> SocketAddrV4 {
@@ -61,7 +71,8 @@
     let syn = packet(SYN, last_port, urgent_entry());
     socket.send_to(&syn.encode(), balancer).await.unwrap();
     let mut buffer = [0; 2_048];
-    while let Ok(received) = timeout(ANSWER_TIMEOUT, socket.recv_from(&mut buffer)).await {
+    let ends_at = Instant::now() + ANSWER_TIMEOUT;
+    while let Ok(received) = timeout_at(ends_at, socket.recv_from(&mut buffer)).await {
         let (bytes, _) = received.unwrap();
         let answer = Packet::decode(&buffer[..bytes]);
         if answer.destination.port() == last_port {
@@ -78,8 +89,9 @@
     false
 }
 
-/// Guards against a queued SYN that the agent process neither delivers nor returns. On a busy
-/// machine a round may find the target with capacity, so it is repeated.
+/// Guards against a queued SYN that the agent process admits but does not deliver: its caller sends
+/// it once, so that its flow opens only by that delivery. On a busy machine a round may find the
+/// target with capacity, so it is repeated.
 #[tokio::test]
 async fn syn_waits_at_a_full_target_and_opens_its_flow() {
     let mut fleet = Fleet::start("admission-queue").await;
@@ -90,16 +102,17 @@
     let socket = UdpSocket::bind(fleet.address(CALLER, fleet.ports.packets))
         .await
         .unwrap();
-    let left_queue = || fleet.count_in_log(11, "packet left the admission queue");
     for round in 0..MAX_ROUNDS {
         let first_port = 41_000 + round * 100;
         let is_open = open_flow_at_full_target(&fleet, &socket, first_port).await;
-        if is_open && left_queue() > 0 {
+        let caller = format!(":{}>", first_port + WORK_LIMIT);
+        let parts = ["packet left the admission queue", "Admitted", &caller];
+        if fleet.has_log_line(11, &parts) {
+            assert!(is_open, "the queued SYN was admitted but not delivered");
+            assert!(fleet.metric(11, ADMITTED).await > 0);
             return;
         }
+        sleep(RESERVE_DURATION).await;
     }
-    panic!(
-        "no flow was opened from the queue: {} left it",
-        left_queue()
-    );
+    panic!("no flow was opened from the queue");
 }
--- a/crates/basilstep-packet/tests/processes/support/fleet.rs
+++ b/crates/basilstep-packet/tests/processes/support/fleet.rs
@@ -161,6 +161,18 @@
         serde_json::from_slice(&reply.body).ok()
     }
 
+    /// Returns the value of a metric of an agent, or 0 if it is not among its metrics yet.
+    pub async fn metric(&self, number: u8, name: &str) -> u64 {
+        let mut client = HttpClient::new(self.address(number, self.ports.control));
+        let call = client.call(Method::GET, "/metrics", &[], STATE_TIMEOUT);
+        let reply = call.await.unwrap();
+        let text = String::from_utf8(reply.body.to_vec()).unwrap();
+        text.lines()
+            .filter_map(|line| line.rsplit_once(' '))
+            .find(|(left, _)| *left == name)
+            .map_or(0, |(_, value)| value.parse().unwrap())
+    }
+
     /// Returns the version of the configuration that is in force at a balancer.
     pub async fn version_in_force(&self, number: u8) -> Option<u64> {
         self.state(number).await?["version"].as_u64()
@@ -212,6 +224,14 @@
         text.matches(&format!("\"message\":\"{message}\"")).count()
     }
 
+    /// Returns whether a line in the log of a machine contains all of `parts`.
+    pub fn has_log_line(&self, number: u8, parts: &[&str]) -> bool {
+        let log = self.folder.join(format!("log-{number}"));
+        let text = fs::read_to_string(log).unwrap();
+        text.lines()
+            .any(|line| parts.iter().all(|part| line.contains(part)))
+    }
+
     /// Waits until the log of a machine has `count` lines with the given message.
     pub async fn await_log(&self, number: u8, message: &str, count: usize) {
         let seen = async {
