test(flows): copies in the queue, ranks and the sustained overload are checked

Cause: the deleted copy_replaces_the_packet_and_keeps_the_age was the only check that a copy replaces the packet. PriorityRanks was not compared to the route table. The overload scenario would pass if no SYN were ever queued.

--- a/crates/basilstep-core/src/flows/agent/admission_queue/tests.rs
+++ b/crates/basilstep-core/src/flows/agent/admission_queue/tests.rs
@@ -63,6 +63,27 @@
     assert_eq!(ports(&queue), [4, 1, 2]);
 }
 
+/// Guards against a copy that makes a SYN young again, or that is returned to a balancer that has
+/// failed since, or whose shorter latency goal admits it only after younger SYNs.
+#[test]
+fn copy_replaces_the_packet_and_keeps_the_age() {
+    let mut queue = AdmissionQueue::default();
+    queue.insert(queued(1, 0, 1_050), LIMIT);
+    let mut copy = queued(1, 0, 1_200);
+    copy.queued_ms = 1_040;
+    copy.packet = vec![9];
+    copy.header.origin = balancer_ip(2);
+    copy.header.latency_goal_ms = 100;
+    assert!(queue.insert(copy, LIMIT).is_none());
+    assert_eq!(queue.len(), 1);
+    let syn = queue.remove(&flow(1)).unwrap();
+    assert_eq!((syn.queued_ms, syn.deadline_ms), (1_000, 1_050));
+    assert_eq!(syn.packet, [9]);
+    assert_eq!(syn.header.origin, balancer_ip(2));
+    assert_eq!(syn.header.latency_goal_ms, 300);
+    assert!(queue.is_empty() && !queue.contains(&flow(1)));
+}
+
 /// Guards against a wait that uses up the latency goal, and against one after which the balancer
 /// takes the SYN for lost.
 #[rstest]
--- a/crates/basilstep-core/src/flows/tests/priority_load.rs
+++ b/crates/basilstep-core/src/flows/tests/priority_load.rs
@@ -69,6 +69,7 @@
         assert!(used >= 980, "{used} {overload:?}");
         assert!(run.max_queued <= 10, "{}", run.max_queued);
     }
+    assert!(run.admitted_from_queue > 0);
     let longest_ms = run.queue_waits_ms.iter().max();
     assert!(longest_ms <= Some(&MAX_WAIT_MS), "{longest_ms:?}");
     assert!(
--- a/crates/basilstep-core/src/flows/tests/routes.rs
+++ b/crates/basilstep-core/src/flows/tests/routes.rs
@@ -1,7 +1,10 @@
 use super::{fleet_settings, flow, service, service_address};
 use crate::{
     address::DomainId,
-    flows::{FleetSettings, PriorityRank, RequestKind, Route, ServiceShare, ServiceTag},
+    flows::{
+        FleetSettings, PriorityRank, RequestKind, Route, ServiceShare, ServiceTag,
+        routes::PriorityRanks,
+    },
 };
 use std::net::SocketAddrV4;
 
@@ -71,6 +74,8 @@
     assert_eq!(route.service_for(&flow(1)), None);
 }
 
+/// Guards against ranks that a balancer computes in advance and that differ from those of the route
+/// table.
 #[test]
 fn priorities_are_ranked_among_the_routes_to_one_service() {
     let mut table = fleet_settings(RequestKind::Idempotent).table;
@@ -86,21 +91,26 @@
         let address = SocketAddrV4::new(*service_address().ip(), port);
         table.routes.insert(address, route_of(priority, name));
     }
-    let rank = |priority| table.priority_rank(ServiceTag::of("a"), priority);
+    let ranks = PriorityRanks::new(&table);
+    let rank = |name, priority| {
+        let service = ServiceTag::of(name);
+        let rank = table.priority_rank(service, priority);
+        assert_eq!(ranks.rank(service, priority), rank);
+        rank
+    };
     assert_eq!(
-        rank(1),
+        rank("a", 1),
         PriorityRank {
             level: 0,
             levels: 2
         }
     );
     assert_eq!(
-        rank(4),
+        rank("a", 4),
         PriorityRank {
             level: 1,
             levels: 2
         }
     );
-    let single = table.priority_rank(ServiceTag::of("b"), 0);
-    assert_eq!(single, PriorityRank::default());
+    assert_eq!(rank("b", 0), PriorityRank::default());
 }
