fix(flows): a late report no longer makes the running incarnation a former one for good

Cause: only one former incarnation is known, and ids have no order. After two restarts of an agent a late report of the first incarnation was accepted; from then on the reports of the running one were ignored until the agent was forgotten (20 s), and its idempotent flows were reset for silence. Change: a report of the former incarnation counts as late only if another one has reported within suspect_after_ms (800 ms). "Deregistration" replaces "farewell" in the test names.

--- a/crates/basilstep-core/src/flows/balancer/agent_table.rs
+++ b/crates/basilstep-core/src/flows/balancer/agent_table.rs
@@ -134,11 +134,23 @@
         !is_same_incarnation || before.is_some_and(|state| state.report.phase != report.phase)
     }
 
-    /// Returns whether an agent has had another incarnation since the given one; a report of it is
-    /// late.
-    pub fn is_former_incarnation(&self, agent: Ipv4Addr, incarnation: ProcessIncarnation) -> bool {
-        self.get(agent)
-            .is_some_and(|state| state.former_incarnation == Some(incarnation))
+    /// Returns whether a report of an agent's former incarnation is late: another one has reported
+    /// within `suspect_after_ms`.
+    ///
+    /// Incarnations have no order: after two restarts, a late report of the first incarnation makes
+    /// the running one a former one. Without a limit it would be ignored until the agent is forgotten.
+    pub fn is_late_report(
+        &self,
+        agent: Ipv4Addr,
+        report: &AgentReport,
+        settings: &FlowSettings,
+        now_ms: u64,
+    ) -> bool {
+        let limit_ms = settings.liveness.suspect_after_ms;
+        self.get(agent).is_some_and(|state| {
+            state.former_incarnation == Some(report.incarnation)
+                && now_ms < state.reported_ms + limit_ms
+        })
     }
 
     /// Returns the state of an agent.
--- a/crates/basilstep-core/src/flows/balancer/state.rs
+++ b/crates/basilstep-core/src/flows/balancer/state.rs
@@ -245,7 +245,10 @@
 
     /// Handles a report; returns whether the agent's phase or incarnation changed.
     pub fn on_report(&mut self, agent: Ipv4Addr, report: AgentReport, ctx: &Context) -> bool {
-        if self.agents.is_former_incarnation(agent, report.incarnation) {
+        if self
+            .agents
+            .is_late_report(agent, &report, &self.settings, ctx.now_ms)
+        {
             return false;
         }
         if self.agents.is_empty() {
--- a/crates/basilstep-core/src/flows/tests/stale_state.rs
+++ b/crates/basilstep-core/src/flows/tests/stale_state.rs
@@ -48,6 +48,26 @@
     assert_eq!(reply.former_report_age_ms, Some(700));
 }
 
+/// Guards against a running agent that counts as silent until it is forgotten, because a late report
+/// of the incarnation before the former one has made the present one a former one.
+#[test]
+fn present_incarnation_is_heard_again_after_a_late_report_of_an_older_one() {
+    let (mut balancer, ctx) = balancer_with(1, RequestKind::Idempotent);
+    let of_incarnation = |number| AgentReport {
+        incarnation: ProcessIncarnation(number),
+        ..report(TargetPhase::Serving)
+    };
+    for number in [2, 3, 1] {
+        balancer.on_report(agent_ip(1), of_incarnation(number), &ctx);
+    }
+    for after_ms in (250..=1_000).step_by(250) {
+        let at = context(ctx.now_ms + after_ms);
+        balancer.on_report(agent_ip(1), of_incarnation(3), &at);
+    }
+    let state = balancer.agents().get(agent_ip(1)).unwrap();
+    assert_eq!(state.report.incarnation, ProcessIncarnation(3));
+}
+
 /// Guards against a balancer that takes its own stall for the silence of all agents, and resets
 /// flows of living targets before it has read the reports that wait in its socket.
 #[test]
@@ -79,7 +99,7 @@
 }
 
 /// Guards against new flows at a target that has left, because a heartbeat on another connection
-/// has arrived after its farewell.
+/// has arrived after its deregistration.
 #[test]
 fn target_that_has_left_comes_back_only_as_a_new_incarnation() {
     let (mut agent, _) = serving_agent();
@@ -96,9 +116,9 @@
     assert_eq!(agent.target().phase(), TargetPhase::Serving);
 }
 
-/// Guards against the end of a target by the late farewell of its former incarnation.
+/// Guards against the end of a target by the late deregistration of its former incarnation.
 #[test]
-fn farewell_of_a_former_incarnation_changes_nothing() {
+fn deregistration_of_a_former_incarnation_changes_nothing() {
     let (mut agent, ctx) = serving_agent();
     agent.set_target_instance("b");
     agent.on_packet(&forward_header(balancer_ip(1)), &syn(flow(1), 0), &ctx);
