fix(flows): a learned flow is not replaced by its own late answer; handshakes count from the SYN

Cause: the first sequence number of a flow that was learned by a search is not known, so each repeated answer to a late copy of its SYN looked like another flow's; after 64 KiB of responses its packets were then returned as not held. A flow that replaces another one was opened at the time of the answer, so its handshake was measured as 0 ms. Change: without a known first number, the caller's last acknowledgement number is compared; a flow that replaces another one is opened when its SYN arrived.

--- a/crates/basilstep-core/src/flows/agent/table.rs
+++ b/crates/basilstep-core/src/flows/agent/table.rs
@@ -141,7 +141,16 @@
         self.syn_arrived_ms > self.opened_ms
             && segment.flags.syn
             && segment.flags.ack
-            && self.target_first_sequence != Some(segment.sequence)
+            && !self.has_started_at(segment.sequence)
+    }
+
+    /// Returns whether the target has begun this flow with a sequence number; if its answer to the SYN
+    /// was not seen, the caller has acknowledged a number shortly after it.
+    fn has_started_at(&self, sequence: u32) -> bool {
+        self.target_first_sequence.map_or_else(
+            || self.caller_acknowledged.wrapping_sub(sequence) < ACKNOWLEDGED_SPAN_BYTES,
+            |first| first == sequence,
+        )
     }
 
     /// Returns whether a packet of the target starts the answer to the caller's last request.
@@ -184,9 +193,11 @@
     /// Updates the flow for a packet of the target.
     pub fn record_target_packet(&mut self, segment: &Segment, now_ms: u64) {
         if self.is_replaced_by(segment) {
+            let (origin, domain, opened_ms) =
+                (self.origin, self.origin_domain, self.syn_arrived_ms);
             *self = Self {
                 is_search: self.is_search,
-                ..Self::new(FlowStage::Offered, self.origin, self.origin_domain, now_ms)
+                ..Self::new(FlowStage::Offered, origin, domain, opened_ms)
             };
         }
         self.used_ms = now_ms;
--- a/crates/basilstep-core/src/flows/tests/reused_keys.rs
+++ b/crates/basilstep-core/src/flows/tests/reused_keys.rs
@@ -163,6 +163,36 @@
     assert_eq!(agent.table().live(), 1);
 }
 
+/// Guards against a flow that a restarted agent has learned and that counts as a new one, because the
+/// target repeats its answer to a late copy of the SYN.
+#[test]
+fn late_copy_of_a_syn_leaves_a_learned_flow_as_it_is() {
+    let mut agent = agent_that_learned_the_flow();
+    agent.on_packet(&origin(), &syn(flow(1), 0), &context(REUSED_MS));
+    agent.on_target_packet(&accepted(flow(1)), &context(REUSED_MS));
+    let after_long_answer = Segment {
+        acknowledged: 200_000,
+        ..data(flow(1), 10)
+    };
+    let verdict = agent.on_packet(&origin(), &after_long_answer, &context(REUSED_MS));
+    assert!(matches!(verdict, CallerVerdict::Deliver { .. }));
+}
+
+/// Guards against a handshake time of 0 ms in the metrics for each flow with a key that is used
+/// again.
+#[test]
+fn handshake_of_a_later_flow_with_the_same_key_is_measured_from_its_syn() {
+    let mut agent = agent_with_flow();
+    agent.on_packet(&origin(), &syn(flow(1), 0), &context(REUSED_MS));
+    let answer = Segment {
+        sequence: 90_000_000,
+        ..accepted(flow(1))
+    };
+    let verdict = agent.on_target_packet(&answer, &context(REUSED_MS + 30));
+    let handshake_ms = Some(30);
+    assert_eq!(verdict, TargetVerdict::ToCaller { handshake_ms });
+}
+
 /// Guards against the loss of an open flow by a late reset of its caller that belongs to an earlier
 /// flow and that the target ignores.
 #[test]
