--- a/crates/basilstep-core/src/membership/dissemination.rs
+++ b/crates/basilstep-core/src/membership/dissemination.rs
@@ -65,6 +65,9 @@
 
     /// Sends queued items to some peers at once, as far as the budget allows.
     pub(super) fn flush(&mut self, ctx: &mut Context, actions: &mut Vec<MembershipAction>) {
+        if self.has_stale_view(ctx.now_ms) {
+            return;
+        }
         for _ in 0..self.settings.fanout {
             let has_items = !self.gossip_queue.is_empty() || self.urgent_sends > 0;
             if !has_items || !self.budget.has_credit(ctx.now_ms) {
--- a/crates/basilstep-core/src/membership/join.rs
+++ b/crates/basilstep-core/src/membership/join.rs
@@ -121,8 +121,8 @@
         ctx: &mut Context,
     ) -> Vec<MembershipAction> {
         let mut actions = Vec::new();
-        if self.has_stale_view(ctx.now_ms) {
-            self.stale_view_until_ms = 0;
+        // The first view after a pause may arrive later than the view is kept back.
+        if std::mem::take(&mut self.stale_view_until_ms) > 0 {
             self.contradict_unknown_members(snapshot, ctx);
         }
         for member in &snapshot.members {
--- a/crates/basilstep-core/src/membership/state.rs
+++ b/crates/basilstep-core/src/membership/state.rs
@@ -42,7 +42,7 @@
     pub(super) budget: ByteBudget,
     pub(super) store_freshness: StoreFreshness,
     pub(super) contradictions: Contradictions,
-    /// Until when the view is not spread, because it is from before a pause and no peer's view has
+    /// Until when the view is not spread, because it is from before a pause; 0 once a peer's view has
     /// been merged since.
     pub(super) stale_view_until_ms: u64,
     pub(super) reports: FailureReports,
--- a/crates/basilstep-core/src/membership/sync.rs
+++ b/crates/basilstep-core/src/membership/sync.rs
@@ -94,6 +94,9 @@
         ctx: &mut Context,
         actions: &mut Vec<MembershipAction>,
     ) {
+        if self.has_stale_view(ctx.now_ms) {
+            return;
+        }
         let own = self.table.bucket_digests();
         let pairs = own.iter().zip(digests).enumerate();
         let mut differing: Vec<u8> = pairs
@@ -144,6 +147,9 @@
         ctx: &mut Context,
         actions: &mut Vec<MembershipAction>,
     ) {
+        if self.has_stale_view(ctx.now_ms) {
+            return;
+        }
         let buckets: BTreeSet<u8> = theirs.buckets.iter().copied().collect();
         let their_states: BTreeSet<StateHash> = theirs.states.iter().copied().collect();
         let own = self
