--- a/crates/basilstep-core/src/flows/agent/target.rs
+++ b/crates/basilstep-core/src/flows/agent/target.rs
@@ -130,7 +130,7 @@
 
     /// Records that an incarnation has left; returns whether it is the last one.
     ///
-    /// Heartbeats and farewells arrive on connections of their own, in any order.
+    /// Heartbeats and deregistrations arrive on connections of their own, in any order.
     pub fn on_left(&mut self, instance: &str) -> bool {
         let is_last = self.instance.as_deref().is_none_or(|last| last == instance);
         if is_last {
--- a/crates/basilstep-packet/src/agent/http.rs
+++ b/crates/basilstep-packet/src/agent/http.rs
@@ -75,7 +75,7 @@
 
     fn on_leave(&mut self, id: &str) -> ServerResponse {
         let Some(lost) = self.flows.on_target_left(id, &self.ctx) else {
-            log::info!(id; "ignored the farewell of a former incarnation of the target");
+            log::info!(id; "ignored the deregistration of a former incarnation of the target");
             return ServerResponse::empty(StatusCode::OK);
         };
         log::info!(id, flows = lost.len(); "the target has left");
