test(membership): each kind of reply from a view from before a pause is covered

Cause: the test sent gossip within 200 ms after the pause, when its contents are ignored, and no states of buckets; two of the three checks could be removed without a failure.

--- a/crates/basilstep-core/src/membership/tests/departures.rs
+++ b/crates/basilstep-core/src/membership/tests/departures.rs
@@ -5,7 +5,7 @@
     address::Incarnation,
     membership::{
         AgentPhase, BalancerRecord, Membership, MembershipAction, MembershipMessage,
-        MembershipSettings,
+        MembershipSettings, messages::BucketStates,
     },
 };
 use rstest::rstest;
@@ -116,16 +116,25 @@
     let digests = MembershipMessage::BucketDigests {
         digests: vec![[0; 2]; 256],
     };
+    let states = MembershipMessage::BucketStates(BucketStates {
+        buckets: (0..=u8::MAX).collect(),
+        ..BucketStates::default()
+    });
     let view = fleet.balancers.get_mut(&frozen()).unwrap();
     let mut actions = Vec::new();
-    for message in [gossip, digests] {
+    // The contents of gossip count only from 200 ms after the pause on.
+    view.on_tick(&mut fleet.ctx);
+    fleet.ctx.advance(300);
+    for message in [gossip, digests, states] {
         actions.extend(view.on_datagram(balancer(1).address.0, &message, &mut fleet.ctx));
     }
     let spread = actions.iter().filter(|action| {
         matches!(
             action,
             MembershipAction::Send {
-                message: MembershipMessage::Gossip(_) | MembershipMessage::BucketStates(_),
+                message: MembershipMessage::Gossip(_)
+                    | MembershipMessage::BucketStates(_)
+                    | MembershipMessage::Difference(_),
                 ..
             }
         )
