fix(membership): a view from before a pause answers no request for records either

Cause: a peer's list of differences that waited in the socket was still answered from the old view. Change: the check is where differences are sent, which covers both replies.

--- a/crates/basilstep-core/src/membership/sync.rs
+++ b/crates/basilstep-core/src/membership/sync.rs
@@ -147,9 +147,6 @@
         ctx: &mut Context,
         actions: &mut Vec<MembershipAction>,
     ) {
-        if self.has_stale_view(ctx.now_ms) {
-            return;
-        }
         let buckets: BTreeSet<u8> = theirs.buckets.iter().copied().collect();
         let their_states: BTreeSet<StateHash> = theirs.states.iter().copied().collect();
         let own = self
@@ -214,6 +211,9 @@
         ctx: &Context,
         actions: &mut Vec<MembershipAction>,
     ) {
+        if self.has_stale_view(ctx.now_ms) {
+            return;
+        }
         while !difference.is_empty() && self.budget.has_credit(ctx.now_ms) {
             let part = difference.split_off_datagram();
             self.send_counted(to, MembershipMessage::Difference(part), actions);
