--- a/crates/basilstep-core/src/membership/sync.rs
+++ b/crates/basilstep-core/src/membership/sync.rs
@@ -94,6 +94,9 @@
         ctx: &mut Context,
         actions: &mut Vec<MembershipAction>,
     ) {
+        if self.has_stale_view(ctx.now_ms) {
+            return;
+        }
         let own = self.table.bucket_digests();
         let pairs = own.iter().zip(digests).enumerate();
         let mut differing: Vec<u8> = pairs
@@ -208,6 +211,9 @@
         ctx: &Context,
         actions: &mut Vec<MembershipAction>,
     ) {
+        if self.has_stale_view(ctx.now_ms) {
+            return;
+        }
         while !difference.is_empty() && self.budget.has_credit(ctx.now_ms) {
             let part = difference.split_off_datagram();
             self.send_counted(to, MembershipMessage::Difference(part), actions);
