fix(flows): a returned first offer leaves one possible holder

Cause: after the first agent had returned a SYN, a packet of its caller that came before the second agent's confirmation was still searched for among all agents, although only the second one could hold the flow. A minimum delay near the highest number (`--set hedging.min_delay_ms`) overflowed the due time.

Change: the return is recorded, and the packet goes to the second agent; the due time saturates.

--- a/crates/basilstep-core/src/flows/balancer/hedges.rs
+++ b/crates/basilstep-core/src/flows/balancer/hedges.rs
@@ -56,6 +56,7 @@
 #[derive(Clone, Copy, Debug)]
 struct OverdueSyn {
     first: Ipv4Addr,
+    is_first_returned: bool,
     service: ServiceTag,
     offered_ms: u64,
     /// The second offer, until its agent confirms or returns it.
@@ -110,7 +111,7 @@
         if self.watched.len() >= WATCH_LIMIT {
             return;
         }
-        let due_ms = now_ms + delay_ms;
+        let due_ms = now_ms.saturating_add(delay_ms);
         let syn = WatchedSyn {
             segment: *segment,
             packet: packet.to_vec(),
@@ -135,7 +136,7 @@
         self.unwatch(flow);
         self.overdue
             .get(flow)
-            .is_some_and(|syn| syn.second.is_some())
+            .is_some_and(|syn| syn.second.is_some() && !syn.is_first_returned)
     }
 
     /// Handles the advertisement of a flow; `is_first_holder` if no other agent has confirmed it.
@@ -190,6 +191,7 @@
         if syn.second.is_some_and(|second| second.agent == agent) {
             syn.second = None;
         }
+        syn.is_first_returned |= syn.first == agent;
         syn.second.filter(|_| syn.first == agent)
     }
 
@@ -221,6 +223,7 @@
         let result = self.policy.try_hedge(syn.service, agent, now_ms);
         let overdue = OverdueSyn {
             first: syn.first,
+            is_first_returned: false,
             service: syn.service,
             offered_ms: syn.offered_ms,
             second: result.ok().map(|agent| SecondOffer {
--- a/crates/basilstep-core/src/flows/tests/hedging.rs
+++ b/crates/basilstep-core/src/flows/tests/hedging.rs
@@ -348,6 +348,30 @@
     assert!(![first, second].contains(&agent_of(&third)));
 }
 
+/// Guards against a search among all agents although only the second one may hold the flow.
+#[test]
+fn packet_after_a_returned_first_offer_goes_to_the_second_agent() {
+    let mut balancer = hedging_balancer(3);
+    let first = offer(&mut balancer, flow(1), START_MS);
+    let second = second_agent(&mut balancer, DUE_MS).unwrap();
+    let code = ResultCode::TargetCold;
+    return_syn(&mut balancer, first, code, flow(1), DUE_MS + 2);
+    let next = balancer.on_packet(&data(flow(1), 0), &context(DUE_MS + 5));
+    assert_eq!(agent_of(&next), second);
+    confirm(&mut balancer, second, flow(1), DUE_MS + 6);
+    assert_eq!(balancer.hedge_counts().won, 1);
+}
+
+/// Guards against a due time that overflows: `--set` accepts every number as the minimum delay.
+#[test]
+fn longest_minimum_delay_sends_no_second_offer() {
+    let mut settings = hedging_settings(100);
+    settings.hedging.min_delay_ms = u64::MAX;
+    let (mut balancer, _) = balancer_with_settings(&settings, 3, RequestKind::Idempotent);
+    offer(&mut balancer, flow(1), START_MS);
+    assert_eq!(due(&mut balancer, DUE_MS), []);
+}
+
 /// Guards against packets to a first agent that is dead while the advertisement of the second one is
 /// lost or late.
 #[test]
