perf(flows): no agent is chosen for a second offer that is refused anyway

Cause: the balancer compared all agents of the service for each late SYN, also under overload or without budget, when many SYNs are late.

Change: `HedgePolicy::refusal` is asked first. Without budget the refusal is now counted as that, also if no agent would have been fit.

The time saved was not measured.

--- a/crates/basilstep-core/src/flows/balancer/hedges.rs
+++ b/crates/basilstep-core/src/flows/balancer/hedges.rs
@@ -213,6 +213,11 @@
         due
     }
 
+    /// Returns whether a second offer for a service would be sent now if there is an agent for it.
+    pub fn may_hedge(&self, service: ServiceTag, now_ms: u64) -> bool {
+        self.policy.refusal(service, now_ms).is_none()
+    }
+
     /// Decides about a second offer that is due; `agent` is the one that would get it.
     pub fn decide(
         &mut self,
--- a/crates/basilstep-core/src/flows/balancer/state/hedging.rs
+++ b/crates/basilstep-core/src/flows/balancer/state/hedging.rs
@@ -67,7 +67,12 @@
         if !is_open || !self.is_idempotent(&flow) || !self.allows(&flow, syn.service) {
             return None;
         }
-        let agent = self.choose_second_agent(&syn, ctx);
+        // Under overload many SYNs are late, and a comparison of all agents for each would add work.
+        let agent = if self.hedges.may_hedge(syn.service, ctx.now_ms) {
+            self.choose_second_agent(&syn, ctx)
+        } else {
+            None
+        };
         let decided = self.hedges.decide(&syn, agent, ctx.now_ms);
         let new = NewFlow {
             segment: &syn.segment,
--- a/crates/basilstep-core/src/hedging/budget.rs
+++ b/crates/basilstep-core/src/hedging/budget.rs
@@ -26,9 +26,14 @@
         self.hundredths = added.min(max_hundredths);
     }
 
+    /// Returns whether there is a token for a second copy.
+    pub const fn has_token(&self) -> bool {
+        self.hundredths >= HEDGE_COST
+    }
+
     /// Takes a token for a second copy; returns false if there is none.
     pub const fn try_take(&mut self) -> bool {
-        if self.hundredths < HEDGE_COST {
+        if !self.has_token() {
             return false;
         }
         self.hundredths -= HEDGE_COST;
--- a/crates/basilstep-core/src/hedging/policy.rs
+++ b/crates/basilstep-core/src/hedging/policy.rs
@@ -133,17 +133,27 @@
         candidate: Option<Candidate>,
         now_ms: u64,
     ) -> Result<Candidate, HedgeRefusal> {
-        let group = self.groups.get(&key);
-        if group.is_some_and(|group| now_ms < group.overloaded_until_ms) {
-            return Err(HedgeRefusal::Overload);
+        if let Some(refusal) = self.refusal(key, now_ms) {
+            return Err(refusal);
         }
         let candidate = candidate.ok_or(HedgeRefusal::NoCandidate)?;
-        if self.is_enabled() && self.budget.try_take() {
+        if self.budget.try_take() {
             return Ok(candidate);
         }
         Err(HedgeRefusal::Budget)
     }
 
+    /// Returns why no second copy would be sent now, whichever process would get it; `None` if one
+    /// would be.
+    pub fn refusal(&self, key: Key, now_ms: u64) -> Option<HedgeRefusal> {
+        let group = self.groups.get(&key);
+        if group.is_some_and(|group| now_ms < group.overloaded_until_ms) {
+            return Some(HedgeRefusal::Overload);
+        }
+        let has_token = self.is_enabled() && self.budget.has_token();
+        (!has_token).then_some(HedgeRefusal::Budget)
+    }
+
     /// Records that a second copy was not sent because another budget was used up.
     pub const fn record_refused_by_budget(&mut self) {
         self.counts.refused_by_budget += 1;
--- a/crates/basilstep-core/src/hedging/tests/policy.rs
+++ b/crates/basilstep-core/src/hedging/tests/policy.rs
@@ -81,3 +81,15 @@
     policy.forget_idle_groups(200_000);
     assert_eq!(policy.record_first(1, UNKNOWN_DELAY_MS, 200_000), 100);
 }
+
+/// Guards against a search for a process that ends in a refusal that was known before.
+#[test]
+fn refusal_is_known_without_a_candidate() {
+    let mut policy = policy();
+    assert_eq!(policy.refusal(1, 0), Some(HedgeRefusal::Budget));
+    policy.record_first(1, UNKNOWN_DELAY_MS, 0);
+    assert_eq!(policy.refusal(1, 0), None);
+    policy.record_overload(1, 0);
+    assert_eq!(policy.refusal(1, 999), Some(HedgeRefusal::Overload));
+    assert_eq!(policy.refusal(2, 999), None);
+}
