test(flows): cold and failing targets as the only other ones

Cause: with the exclusion of unfit targets removed, the case of the cold target still passed, because placement prefers others to it. The restart test passed for an empty list of decisions.

Change: a test in which the unfit target is the only other one, and the number of decisions after a restart.

--- a/crates/basilstep-core/src/flows/tests/hedging.rs
+++ b/crates/basilstep-core/src/flows/tests/hedging.rs
@@ -282,6 +282,29 @@
     }
 }
 
+/// Guards against a second offer to an unfit target because it is the only other one. Placement
+/// prefers the others to a cold target, so the test above does not show that it is excluded.
+#[rstest]
+#[case::cold(true, 0)]
+#[case::failing(false, 200)]
+fn unfit_target_gets_no_second_offer_if_no_other_is_left(
+    #[case] is_cold: bool,
+    #[case] failure_permille: u16,
+) {
+    let mut balancer = hedging_balancer(2);
+    let first = offer(&mut balancer, flow(1), START_MS);
+    let unfit = AgentReport {
+        is_cold,
+        failure_permille,
+        ..report(TargetPhase::Serving)
+    };
+    balancer.on_report(agent_ip(3 - first), unfit, &context(START_MS + 1));
+    assert_eq!(
+        due(&mut balancer, DUE_MS)[0].result,
+        Err(HedgeRefusal::NoCandidate)
+    );
+}
+
 /// Guards against a second offer that goes to a process that is unfit because no other is left.
 #[test]
 fn single_agent_gets_no_second_offer() {
@@ -475,6 +498,7 @@
         offer(&mut balancer, flow(port), START_MS);
     }
     let hedges = due(&mut balancer, DUE_MS);
+    assert_eq!(hedges.len(), 19);
     assert!(
         hedges
             .iter()
