--- a/crates/basilstep-agent/src/exchange/dispatcher/hedging.rs
+++ b/crates/basilstep-agent/src/exchange/dispatcher/hedging.rs
@@ -39,7 +39,8 @@
                 sent = counts.sent,
                 won = counts.won,
                 refused_by_budget = counts.refused_by_budget,
-                refused_by_overload = counts.refused_by_overload;
+                refused_by_overload = counts.refused_by_overload,
+                without_candidate = counts.without_candidate;
                 "a request is answered late; second copies since the start"
             );
         }
