test(flows): second offers are forgotten after the handshake timeout

Cause: no test failed when the balancer kept decided second offers for ever.

Change: a test of the limit in time.

Result: it fails without the call in `on_tick` and passes with it.

--- a/crates/basilstep-core/src/flows/tests/hedging.rs
+++ b/crates/basilstep-core/src/flows/tests/hedging.rs
@@ -541,6 +541,24 @@
     assert_eq!(due(&mut balancer, due_ms).len(), 1);
 }
 
+/// Guards against second offers that are remembered after their callers have given up: a later flow of
+/// the same addresses would not be watched.
+#[test]
+fn second_offer_is_forgotten_after_the_handshake_timeout() {
+    for (tick_ms, watched) in [(START_MS + 1_399, 0), (START_MS + 1_400, 1)] {
+        let mut balancer = hedging_balancer(3);
+        offer(&mut balancer, flow(1), START_MS);
+        assert!(second_agent(&mut balancer, DUE_MS).is_some());
+        balancer.on_tick(&context(tick_ms));
+        for number in 1..=3 {
+            let ctx = context(START_MS + 1_399);
+            balancer.on_report(agent_ip(number), report(TargetPhase::Serving), &ctx);
+        }
+        offer(&mut balancer, flow(1), START_MS + 1_400);
+        assert_eq!(balancer.watched_syns(), watched);
+    }
+}
+
 /// Guards against a change of fleets that do not use second offers.
 #[test]
 fn default_settings_watch_nothing() {
