--- a/crates/basilstep-core/src/flows/balancer/hedges.rs
+++ b/crates/basilstep-core/src/flows/balancer/hedges.rs
@@ -53,6 +53,7 @@
 #[derive(Clone, Copy, Debug)]
 struct OverdueSyn {
     first: Ipv4Addr,
+    is_first_returned: bool,
     service: ServiceTag,
     offered_ms: u64,
     /// The second offer, until its agent confirms or returns it.
@@ -107,7 +108,7 @@
         if self.watched.len() >= WATCH_LIMIT {
             return;
         }
-        let due_ms = now_ms + delay_ms;
+        let due_ms = now_ms.saturating_add(delay_ms);
         let syn = WatchedSyn {
             segment: *segment,
             packet: packet.to_vec(),
@@ -132,7 +133,7 @@
         self.unwatch(flow);
         self.overdue
             .get(flow)
-            .is_some_and(|syn| syn.second.is_some())
+            .is_some_and(|syn| syn.second.is_some() && !syn.is_first_returned)
     }
 
     /// Handles the advertisement of a flow; `is_first_holder` if no other agent has confirmed it.
@@ -187,6 +188,7 @@
         if syn.second.is_some_and(|second| second.agent == agent) {
             syn.second = None;
         }
+        syn.is_first_returned |= syn.first == agent;
         syn.second.filter(|_| syn.first == agent)
     }
 
@@ -208,6 +210,11 @@
         due
     }
 
+    /// Returns whether a second offer for a service would be sent now if there is an agent for it.
+    pub fn may_hedge(&self, service: ServiceTag, now_ms: u64) -> bool {
+        self.policy.refusal(service, now_ms).is_none()
+    }
+
     /// Decides about a second offer that is due; `agent` is the one that would get it.
     pub fn decide(
         &mut self,
@@ -218,6 +225,7 @@
         let result = self.policy.try_hedge(syn.service, agent, now_ms);
         let overdue = OverdueSyn {
             first: syn.first,
+            is_first_returned: false,
             service: syn.service,
             offered_ms: syn.offered_ms,
             second: result.ok().map(|agent| SecondOffer {
--- a/crates/basilstep-core/src/flows/tests/hedging.rs
+++ b/crates/basilstep-core/src/flows/tests/hedging.rs
@@ -283,6 +283,29 @@
     }
 }
 
+/// Guards against a second offer to an unfit target because it is the only other one. Placement
+/// prefers the others to a cold target, so the test above does not show that it is excluded.
+#[rstest]
+#[case::cold(true, 0)]
+#[case::failing(false, 200)]
+fn unfit_target_gets_no_second_offer_if_no_other_is_left(
+    #[case] is_cold: bool,
+    #[case] failure_permille: u16,
+) {
+    let mut balancer = hedging_balancer(2);
+    let first = offer(&mut balancer, flow(1), START_MS);
+    let unfit = AgentReport {
+        is_cold,
+        failure_permille,
+        ..report(TargetPhase::Serving)
+    };
+    balancer.on_report(agent_ip(3 - first), unfit, &context(START_MS + 1));
+    assert_eq!(
+        due(&mut balancer, DUE_MS)[0].result,
+        Err(HedgeRefusal::NoCandidate)
+    );
+}
+
 /// Guards against a second offer that goes to a process that is unfit because no other is left.
 #[test]
 fn single_agent_gets_no_second_offer() {
@@ -349,6 +372,30 @@
     assert!(![first, second].contains(&agent_of(&third)));
 }
 
+/// Guards against a search among all agents although only the second one may hold the flow.
+#[test]
+fn packet_after_a_returned_first_offer_goes_to_the_second_agent() {
+    let mut balancer = hedging_balancer(3);
+    let first = offer(&mut balancer, flow(1), START_MS);
+    let second = second_agent(&mut balancer, DUE_MS).unwrap();
+    let code = ResultCode::TargetCold;
+    return_syn(&mut balancer, first, code, flow(1), DUE_MS + 2);
+    let next = balancer.on_packet(&data(flow(1), 0), &context(DUE_MS + 5));
+    assert_eq!(agent_of(&next), second);
+    confirm(&mut balancer, second, flow(1), DUE_MS + 6);
+    assert_eq!(balancer.hedge_counts().won, 1);
+}
+
+/// Guards against a due time that overflows: `--set` accepts every number as the minimum delay.
+#[test]
+fn longest_minimum_delay_sends_no_second_offer() {
+    let mut settings = hedging_settings(100);
+    settings.hedging.min_delay_ms = u64::MAX;
+    let (mut balancer, _) = balancer_with_settings(&settings, 3, RequestKind::Idempotent);
+    offer(&mut balancer, flow(1), START_MS);
+    assert_eq!(due(&mut balancer, DUE_MS), []);
+}
+
 /// Guards against packets to a first agent that is dead while the advertisement of the second one is
 /// lost or late.
 #[test]
@@ -454,6 +501,7 @@
         offer(&mut balancer, flow(port), START_MS);
     }
     let hedges = due(&mut balancer, DUE_MS);
+    assert_eq!(hedges.len(), 19);
     assert!(
         hedges
             .iter()
@@ -496,6 +544,24 @@
     assert_eq!(due(&mut balancer, due_ms).len(), 1);
 }
 
+/// Guards against second offers that are remembered after their callers have given up: a later flow of
+/// the same addresses would not be watched.
+#[test]
+fn second_offer_is_forgotten_after_the_handshake_timeout() {
+    for (tick_ms, watched) in [(START_MS + 1_399, 0), (START_MS + 1_400, 1)] {
+        let mut balancer = hedging_balancer(3);
+        offer(&mut balancer, flow(1), START_MS);
+        assert!(second_agent(&mut balancer, DUE_MS).is_some());
+        balancer.on_tick(&context(tick_ms));
+        for number in 1..=3 {
+            let ctx = context(START_MS + 1_399);
+            balancer.on_report(agent_ip(number), report(TargetPhase::Serving), &ctx);
+        }
+        offer(&mut balancer, flow(1), START_MS + 1_400);
+        assert_eq!(balancer.watched_syns(), watched);
+    }
+}
+
 /// Guards against a change of fleets that do not use second offers.
 #[test]
 fn default_settings_watch_nothing() {
