feat(flows): explain where a new flow would go

Operators could not see why a balancer picks an agent for a new flow. The choice is split into parts without side effects: what becomes of a SYN (plan_syn), its route (match_route), the eligibility of an agent with its reason, the agents compared and the terms of their expected waits. on_packet and the new BalancerFlows::explain_placement both use them; the decisions stay as they were. The reports' lack of room is now checked after silence, so that a silent agent that used up its room is explained as silent; the outcome of the check does not depend on the order.

--- a/crates/basilstep-core/src/flows/balancer/agent_table.rs
+++ b/crates/basilstep-core/src/flows/balancer/agent_table.rs
@@ -1,3 +1,5 @@
+mod comparison;
+mod eligibility;
 mod ranking;
 
 use super::{
@@ -8,15 +10,18 @@
 use crate::{
     address::DomainId,
     flows::{
-        frame::{AgentReport, HeldFlows, TargetPhase},
-        key::{FlowKey, ProcessIncarnation, ServiceTag, rendezvous},
+        frame::{AgentReport, HeldFlows},
+        key::{FlowKey, ProcessIncarnation, ServiceTag},
         settings::FlowSettings,
     },
 };
+use comparison::candidates;
+pub use comparison::{Candidate, PlacementDetails, WaitTerms};
+use eligibility::takes_new_flows;
+pub use eligibility::{PassedOver, PassedOverReason};
 pub use ranking::RankingScope;
 use serde::Serialize;
 use std::{
-    cmp::Reverse,
     collections::{BTreeMap, BTreeSet},
     net::Ipv4Addr,
 };
@@ -252,25 +257,50 @@
     ) -> Option<Ipv4Addr> {
         let open: Vec<(Ipv4Addr, &AgentState)> =
             self.open_agents(service, placement, settings).collect();
+        self.due_probe(&open, placement).or_else(|| {
+            self.compared(flow, open, placement, settings)
+                .map(|(agent, terms)| (agent, terms.expected_wait(&settings.placement)))
+                .min_by(|(_, left), (_, right)| left.total_cmp(right))
+                .map(|(agent, _)| agent)
+        })
+    }
+
+    /// Returns the agent of a target that is to get the new flow as a probe.
+    fn due_probe(
+        &self,
+        open: &[(Ipv4Addr, &AgentState)],
+        placement: &PlacementContext<'_>,
+    ) -> Option<Ipv4Addr> {
         let is_first_offer = placement.refused_by.is_empty();
-        if let Some((agent, _)) = open
-            .iter()
+        open.iter()
             .find(|(agent, state)| is_first_offer && self.ranking.is_probe_due(*agent, state))
-        {
-            return Some(*agent);
-        }
+            .map(|(agent, _)| *agent)
+    }
+
+    /// Returns the agents whose expected waits are compared, with the terms of the waits.
+    fn compared(
+        &self,
+        flow: &FlowKey,
+        open: Vec<(Ipv4Addr, &AgentState)>,
+        placement: &PlacementContext<'_>,
+        settings: &FlowSettings,
+    ) -> impl Iterator<Item = (Ipv4Addr, WaitTerms)> {
         let open = open
             .into_iter()
             .filter(|(agent, _)| self.ranking.standing_of(*agent) != Standing::Avoided)
             .collect();
         candidates(flow, open, placement.domain, settings)
             .into_iter()
-            .map(|(agent, state)| {
-                let slowdown = self.ranking.slowdown_of(agent);
-                (agent, expected_wait(state, slowdown, placement, settings))
-            })
-            .min_by(|(_, left), (_, right)| left.total_cmp(right))
-            .map(|(agent, _)| agent)
+            .map(|(agent, state)| (agent, self.wait_terms(agent, state, placement)))
+    }
+
+    fn wait_terms(
+        &self,
+        agent: Ipv4Addr,
+        state: &AgentState,
+        placement: &PlacementContext<'_>,
+    ) -> WaitTerms {
+        WaitTerms::new(state, self.ranking.slowdown_of(agent), placement.domain)
     }
 
     /// Returns whether an agent other than `agent` can be sent the new flow.
@@ -307,69 +337,3 @@
         }
     }
 }
-
-fn takes_new_flows(
-    agent: Ipv4Addr,
-    state: &AgentState,
-    placement: &PlacementContext<'_>,
-    settings: &FlowSettings,
-) -> bool {
-    let limit_ms = settings.liveness.suspect_after_ms;
-    state.report.phase == TargetPhase::Serving
-        && !state.report.is_stopping
-        && state.offered_since < state.report.room
-        && !placement.domains_out.contains(&state.report.domain)
-        && !placement.held_domains.contains(state.report.domain)
-        && !placement
-            .liveness
-            .is_silent(agent, state, limit_ms, settings, placement.now_ms)
-        && placement.now_ms >= state.doubted_until_ms
-}
-
-/// Returns the agents to compare: all if there are few, otherwise some of the own domain and some
-/// of the others.
-fn candidates<'a>(
-    flow: &FlowKey,
-    mut open: Vec<(Ipv4Addr, &'a AgentState)>,
-    domain: DomainId,
-    settings: &FlowSettings,
-) -> Vec<(Ipv4Addr, &'a AgentState)> {
-    if open.len() <= settings.placement.compare_all {
-        return open;
-    }
-    let flow_hash = flow.hash();
-    open.sort_by_cached_key(|(agent, _)| Reverse(rendezvous(flow_hash, *agent)));
-    let (own, others): (Vec<_>, Vec<_>) = open
-        .into_iter()
-        .partition(|(_, state)| state.report.domain == domain);
-    let limit = settings.placement.compare_drawn;
-    own.into_iter()
-        .take(limit)
-        .chain(others.into_iter().take(limit))
-        .collect()
-}
-
-/// Returns the expected requests at work per request that the target processes at once.
-///
-/// A target that is `slowdown` times slower than others counts as if it had as many times the work,
-/// the new request included.
-fn expected_wait(
-    state: &AgentState,
-    slowdown: f64,
-    placement: &PlacementContext<'_>,
-    settings: &FlowSettings,
-) -> f64 {
-    let report = &state.report;
-    let mut work = f64::from(report.at_work) + f64::from(state.offered_since);
-    work += f64::from(report.open_flows) * settings.placement.open_flow_load;
-    if slowdown > 1.0 {
-        work = (work + 1.0) * slowdown - 1.0;
-    }
-    if report.is_cold {
-        work = (work + 1.0) * settings.placement.cold_slowdown;
-    }
-    if report.domain != placement.domain {
-        work += settings.placement.other_domain_cost;
-    }
-    work / f64::from(report.capacity.max(1))
-}
--- a/crates/basilstep-core/src/flows/balancer/hints.rs
+++ b/crates/basilstep-core/src/flows/balancer/hints.rs
@@ -54,6 +54,11 @@
     }
 
     /// Returns the hint of a flow.
+    pub fn get(&self, flow: &FlowKey) -> Option<&Hint> {
+        self.by_flow.get(flow)
+    }
+
+    /// Returns the hint of a flow for modification.
     pub fn get_mut(&mut self, flow: &FlowKey) -> Option<&mut Hint> {
         self.by_flow.get_mut(flow)
     }
--- a/crates/basilstep-core/src/flows/balancer/mod.rs
+++ b/crates/basilstep-core/src/flows/balancer/mod.rs
@@ -1,6 +1,7 @@
 //! The balancer's side of steering: which agent gets a packet.
 
 mod agent_table;
+mod explain;
 mod hedges;
 mod held_domains;
 mod hints;
@@ -14,7 +15,8 @@
 mod transfer_budget;
 mod verdict;
 
-pub use agent_table::{AgentState, AgentTable};
+pub use agent_table::{AgentState, AgentTable, Candidate, PassedOver, PassedOverReason, WaitTerms};
+pub use explain::{ExplainedHint, Explanation, MAX_EXPLAINED_AGENTS, NoRoute, PlacementOutcome};
 pub use hedges::DueHedge;
 pub use pending_syns::PendingSyn;
 pub use settings_watch::WatchTimes;
--- a/crates/basilstep-core/src/flows/balancer/search.rs
+++ b/crates/basilstep-core/src/flows/balancer/search.rs
@@ -43,6 +43,11 @@
 const ANSWER_TIMEOUT_MS: u64 = 100;
 
 impl Search {
+    /// Returns the agents that have refused the flow of a search, none if there is no search.
+    pub fn refusals(search: Option<&Self>) -> &BTreeSet<Ipv4Addr> {
+        search.map_or(&NO_AGENTS, |search| &search.refused_by)
+    }
+
     /// Returns whether an agent has refused, or an advertisement of a new flow would have arrived
     /// by now.
     pub fn is_settled(&self, now_ms: u64) -> bool {
@@ -114,8 +119,7 @@
 
     /// Returns the agents that have refused a flow so far.
     pub fn refused_by(&self, flow: &FlowKey) -> &BTreeSet<Ipv4Addr> {
-        self.get(flow)
-            .map_or(&NO_AGENTS, |search| &search.refused_by)
+        Search::refusals(self.get(flow))
     }
 
     /// Returns the search for a flow, if there is one.
--- a/crates/basilstep-core/src/flows/balancer/state.rs
+++ b/crates/basilstep-core/src/flows/balancer/state.rs
@@ -1,3 +1,4 @@
+mod explaining;
 mod heartbeats;
 mod hedging;
 mod readiness;
--- a/crates/basilstep-core/src/flows/balancer/state/hedging.rs
+++ b/crates/basilstep-core/src/flows/balancer/state/hedging.rs
@@ -4,10 +4,7 @@
 use crate::{
     context::Context,
     flows::{
-        balancer::{
-            DueHedge, Verdict, agent_table::PlacementContext, hedges::WatchedSyn,
-            target_ranking::Standing,
-        },
+        balancer::{DueHedge, Verdict, hedges::WatchedSyn, target_ranking::Standing},
         key::FlowKey,
         routes::RequestKind,
         segment::Segment,
@@ -98,14 +95,7 @@
             .collect();
         excluded.insert(syn.first);
         excluded.extend(self.searches.refused_by(&flow));
-        let placement = PlacementContext {
-            domain: self.identity.domain,
-            domains_out: &self.fleet.domains_out,
-            held_domains: &self.held_domains,
-            refused_by: &excluded,
-            liveness: &self.liveness,
-            now_ms: ctx.now_ms,
-        };
+        let placement = self.placement_context(&excluded, ctx);
         self.agents
             .choose_agent(&flow, syn.service, &placement, &self.settings)
     }
--- a/crates/basilstep-core/src/flows/balancer/state/syn.rs
+++ b/crates/basilstep-core/src/flows/balancer/state/syn.rs
@@ -5,7 +5,9 @@
     codes::ResultCode,
     context::Context,
     flows::{
-        balancer::{PlacedSyn, Verdict, agent_table::PlacementContext, hints::Hint},
+        balancer::{
+            PlacedSyn, Verdict, agent_table::PlacementContext, hints::Hint, search::Search,
+        },
         frame::ForwardHeader,
         handshake::HANDSHAKE_TIMEOUT_MS,
         key::{FlowKey, ServiceTag},
@@ -13,7 +15,7 @@
         segment::Segment,
     },
 };
-use std::net::Ipv4Addr;
+use std::{collections::BTreeSet, net::Ipv4Addr};
 
 /// The SYN of a flow that is not open yet.
 #[derive(Clone, Copy, Debug)]
@@ -23,6 +25,34 @@
     pub arrived_ms: u64,
 }
 
+/// What becomes of a SYN of a caller.
+#[derive(Clone, Copy, Debug)]
+pub(super) enum SynPlan {
+    /// It goes to the agent that an earlier SYN of the flow was sent to.
+    Follow(Hint),
+    /// An agent is chosen for it.
+    Place(NewPlacement),
+}
+
+/// What an earlier SYN of the flow means for the choice of an agent.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct NewPlacement {
+    /// The service of the earlier SYN.
+    pub service: Option<ServiceTag>,
+    /// The agent that has not confirmed the earlier SYN in time.
+    pub doubted: Option<Ipv4Addr>,
+    /// The flow does not go to agents that have refused it.
+    pub keeps_refusals: bool,
+}
+
+/// The route of a new flow and its place among the routes to the same service.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct MatchedRoute<'a> {
+    pub route: &'a Route,
+    pub service: ServiceTag,
+    pub rank: PriorityRank,
+}
+
 impl NewFlow<'_> {
     const fn key(&self) -> FlowKey {
         self.segment.flow_of_caller()
@@ -37,41 +67,50 @@
 impl BalancerFlows {
     pub(super) fn on_syn(&mut self, new: NewFlow<'_>, ctx: &Context) -> Verdict {
         let flow = new.key();
-        let confirm_within_ms = self.settings.syns.confirm_within_ms;
-        self.remove_outdated_hint(&flow, new.arrived_ms);
-        if let Some(hint) = self.hints.get_mut(&flow) {
-            hint.used_ms = ctx.now_ms;
-            hint.syn_arrived_ms = new.arrived_ms;
-            let (agent, service) = (hint.agent, hint.service);
-            let is_confirmed = hint.is_confirmed;
-            let is_overdue = ctx.now_ms >= hint.offered_ms + confirm_within_ms;
-            if is_confirmed || (!is_overdue && self.allows(&flow, service)) {
-                return self.forward_syn(agent, service, new, false, ctx);
+        match self.plan_syn(&flow, new.arrived_ms, ctx) {
+            SynPlan::Follow(known) => {
+                if let Some(hint) = self.hints.get_mut(&flow) {
+                    hint.used_ms = ctx.now_ms;
+                    hint.syn_arrived_ms = new.arrived_ms;
+                }
+                self.forward_syn(known.agent, known.service, new, false, ctx)
             }
-            if is_overdue {
-                self.agents
-                    .doubt_until(agent, ctx.now_ms + self.settings.syns.doubt_ms);
+            SynPlan::Place(plan) => {
+                self.hints.remove(&flow);
+                if let Some(agent) = plan.doubted {
+                    self.agents
+                        .doubt_until(agent, ctx.now_ms + self.settings.syns.doubt_ms);
+                }
+                if !plan.keeps_refusals {
+                    self.searches.end(&flow);
+                }
+                self.place_syn(new, plan.service, ResultCode::NoTarget, ctx)
             }
-            self.hints.remove(&flow);
-            let route = self.fleet.table.routes.get(&flow.service_address);
-            if self.limits_offers(self.rank_of(route, service)) {
-                // Those that were full may have room by now, and the last offer counts as used up.
-                self.searches.end(&flow);
-            }
-            return self.place_syn(new, Some(service), ResultCode::NoTarget, ctx);
         }
-        // Agents that were full when they refused the previous SYN may accept this one.
-        self.searches.end(&flow);
-        self.place_syn(new, None, ResultCode::NoTarget, ctx)
     }
 
-    /// Removes the hint of an earlier flow with the same key, whose caller sends no more SYNs; its
-    /// agent may be gone by now.
-    fn remove_outdated_hint(&mut self, flow: &FlowKey, now_ms: u64) {
-        let hint = self.hints.get_mut(flow);
-        if hint.is_some_and(|hint| now_ms >= hint.syn_arrived_ms + HANDSHAKE_TIMEOUT_MS) {
-            self.hints.remove(flow);
+    /// Returns what becomes of a SYN of a caller, without any change of the state.
+    pub(super) fn plan_syn(&self, flow: &FlowKey, arrived_ms: u64, ctx: &Context) -> SynPlan {
+        // An outdated hint is that of an earlier flow with the same key, whose caller sends no more
+        // SYNs; its agent may be gone by now.
+        let hint = self.hints.get(flow).copied();
+        let hint = hint.filter(|hint| arrived_ms < hint.syn_arrived_ms + HANDSHAKE_TIMEOUT_MS);
+        let Some(hint) = hint else {
+            // Agents that were full when they refused the previous SYN may accept this one.
+            return SynPlan::Place(NewPlacement::default());
+        };
+        let is_overdue = ctx.now_ms >= hint.offered_ms + self.settings.syns.confirm_within_ms;
+        if hint.is_confirmed || (!is_overdue && self.allows(flow, hint.service)) {
+            return SynPlan::Follow(hint);
         }
+        let route = self.fleet.table.routes.get(&flow.service_address);
+        SynPlan::Place(NewPlacement {
+            service: Some(hint.service),
+            doubted: is_overdue.then_some(hint.agent),
+            // Where offers are limited, those that were full may have room by now, and the last
+            // offer counts as used up.
+            keeps_refusals: !self.limits_offers(self.rank_of(route, hint.service)),
+        })
     }
 
     /// Returns whether the configuration in force lets a new flow go to `service`.
@@ -92,38 +131,22 @@
         ctx: &Context,
     ) -> Verdict {
         let flow = new.key();
-        let Some(route) = self.fleet.table.routes.get(&flow.service_address) else {
-            return self.reject_unknown_service(RequestKind::Idempotent, ctx);
-        };
-        let service = service
-            .filter(|service| route.allows(*service))
-            .or_else(|| route.service_for(&flow));
-        let Some(service) = service else {
+        let Some(MatchedRoute { service, rank, .. }) = self.match_route(&flow, service) else {
             return self.reject_unknown_service(RequestKind::Idempotent, ctx);
         };
-        let rank = self.rank_of(Some(route), service);
-        let offers_left = self.offers_left(&flow, rank);
+        let search = self.searches.get(&flow);
+        let placement = self.placement_context(Search::refusals(search), ctx);
+        let offers_left = self.offers_left(search, rank);
         if offers_left == Some(0) {
             return self.refuse(new.segment, service, ResultCode::Overloaded, ctx);
         }
-        let placement = PlacementContext {
-            domain: self.identity.domain,
-            domains_out: &self.fleet.domains_out,
-            held_domains: &self.held_domains,
-            refused_by: self.searches.refused_by(&flow),
-            liveness: &self.liveness,
-            now_ms: ctx.now_ms,
-        };
         let Some(agent) = self
             .agents
             .choose_agent(&flow, service, &placement, &self.settings)
         else {
             return self.refuse(new.segment, service, code, ctx);
         };
-        let has_waited = self
-            .searches
-            .get(&flow)
-            .is_some_and(|search| search.has_waited);
+        let has_waited = search.is_some_and(|search| search.has_waited);
         let may_wait = !has_waited
             && offers_left.is_some_and(|offers_left| {
                 offers_left == 1
@@ -147,6 +170,39 @@
         self.forward_syn(agent, service, new, may_wait, ctx)
     }
 
+    /// Returns the route of a new flow; its service is `service` if the route allows it.
+    pub(super) fn match_route(
+        &self,
+        flow: &FlowKey,
+        service: Option<ServiceTag>,
+    ) -> Option<MatchedRoute<'_>> {
+        let route = self.fleet.table.routes.get(&flow.service_address)?;
+        let service = service
+            .filter(|service| route.allows(*service))
+            .or_else(|| route.service_for(flow))?;
+        Some(MatchedRoute {
+            route,
+            service,
+            rank: self.rank_of(Some(route), service),
+        })
+    }
+
+    /// Returns the state that a placement depends on, for a flow that these agents have refused.
+    pub(super) const fn placement_context<'a>(
+        &'a self,
+        refused_by: &'a BTreeSet<Ipv4Addr>,
+        ctx: &Context,
+    ) -> PlacementContext<'a> {
+        PlacementContext {
+            domain: self.identity.domain,
+            domains_out: &self.fleet.domains_out,
+            held_domains: &self.held_domains,
+            refused_by,
+            liveness: &self.liveness,
+            now_ms: ctx.now_ms,
+        }
+    }
+
     /// Returns whether a SYN that is refused for load is offered to a few agents only: where the
     /// routes to the service have one priority, no SYN waits at an agent, so that all are tried.
     const fn limits_offers(&self, rank: PriorityRank) -> bool {
@@ -155,11 +211,10 @@
 
     /// Returns to how many more agents a SYN that is refused for load is offered, or `None` if that
     /// is not limited.
-    fn offers_left(&self, flow: &FlowKey, rank: PriorityRank) -> Option<usize> {
+    pub(super) fn offers_left(&self, search: Option<&Search>, rank: PriorityRank) -> Option<usize> {
         if !self.limits_offers(rank) {
             return None;
         }
-        let search = self.searches.get(flow);
         let load_refusals = search.map_or(0, |search| search.load_refusals);
         let max_offers = self.settings.admission_queue.max_offers.max(1);
         Some(max_offers.saturating_sub(load_refusals))
--- a/crates/basilstep-core/src/flows/tests/mod.rs
+++ b/crates/basilstep-core/src/flows/tests/mod.rs
@@ -8,6 +8,7 @@
 mod cold_start;
 mod configuration;
 mod discovery;
+mod explain;
 mod fleet;
 mod frames;
 mod hedging;
