feat(packet): serve explanations of placements over HTTP

An operator has no access to the decision in the balancer's process. GET /explain?caller=IP:PORT&service_address=IP:PORT is answered where /state is.

--- a/crates/basilstep-packet/src/balancer/mod.rs
+++ b/crates/basilstep-packet/src/balancer/mod.rs
@@ -1,5 +1,6 @@
 //! The balancer: receives packets of callers from the routers and forwards them to agents.
 
+mod explaining;
 mod frames;
 mod hedging;
 mod packets;
--- a/crates/basilstep-packet/src/balancer/serve.rs
+++ b/crates/basilstep-packet/src/balancer/serve.rs
@@ -1,4 +1,4 @@
-use super::settings_pull;
+use super::{explaining, settings_pull};
 use crate::{
     datagram_socket::DatagramSocket,
     log_limiter::LogLimiter,
@@ -409,6 +409,9 @@
         if request.path == "/state" {
             return ServerResponse::json(StatusCode::OK, Bytes::from(self.state_json()));
         }
+        if request.path == explaining::EXPLAIN_PATH {
+            return explaining::answer(&self.flows, &request.query, &self.ctx);
+        }
         match calls::decode(&request.method, &request.path) {
             Some(Call::Readiness) if self.flows.is_ready(&self.ctx) => {
                 ServerResponse::empty(StatusCode::OK)
--- a/crates/basilstep-packet/tests/processes/main.rs
+++ b/crates/basilstep-packet/tests/processes/main.rs
@@ -3,6 +3,7 @@
 
 mod admission_queue;
 mod configuration;
+mod explain;
 mod failures;
 mod fleet;
 mod soak;
--- a/crates/basilstep-packet/tests/processes/support/fleet.rs
+++ b/crates/basilstep-packet/tests/processes/support/fleet.rs
@@ -157,10 +157,16 @@
 
     /// Returns the state of a balancer, if it answers.
     pub async fn state(&self, number: u8) -> Option<Value> {
+        let (_, body) = self.get_json(number, "/state").await?;
+        Some(body)
+    }
+
+    /// Returns the status and the JSON body of a balancer's answer, if it answers.
+    pub async fn get_json(&self, number: u8, path: &str) -> Option<(StatusCode, Value)> {
         let mut client = HttpClient::new(self.address(number, self.ports.internal));
-        let call = client.call(Method::GET, "/state", &[], STATE_TIMEOUT);
+        let call = client.call(Method::GET, path, &[], STATE_TIMEOUT);
         let reply = call.await.ok()?;
-        serde_json::from_slice(&reply.body).ok()
+        Some((reply.status, serde_json::from_slice(&reply.body).ok()?))
     }
 
     /// Returns the version of the configuration that is in force at a balancer.
