--- a/crates/basilstep-ctl/src/commands/explain.rs
+++ b/crates/basilstep-ctl/src/commands/explain.rs
@@ -1,6 +1,7 @@
 use super::{
     explain_flow::FlowArgs,
     explain_outage::OutageArgs,
+    explain_placement::PlacementArgs,
     fleet::{AgentDump, BalancerDump, DumpResults, Fleet},
     service::resolve_service_path,
 };
@@ -23,7 +24,7 @@
 use serde_json::json;
 use std::net::SocketAddrV4;
 
-/// Explain a result code, a target, a service, a flow, an outage or the settings versions in force.
+/// Explain a result code, a target, a service, a flow, an outage, a placement or the settings versions in force.
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "explain")]
 pub struct ExplainArgs {
@@ -40,6 +41,7 @@
     Versions(VersionsArgs),
     Flow(FlowArgs),
     Outage(OutageArgs),
+    Placement(PlacementArgs),
 }
 
 /// Explain what a result code means, such as why a request was refused.
@@ -92,6 +94,7 @@
             }
             ExplainCommand::Flow(args) => args.run(),
             ExplainCommand::Outage(args) => args.run(),
+            ExplainCommand::Placement(args) => args.run().await,
             ExplainCommand::Versions(args) => explain_versions(context, args.at).await,
         }
     }
--- a/crates/basilstep-ctl/src/commands/mod.rs
+++ b/crates/basilstep-ctl/src/commands/mod.rs
@@ -6,6 +6,7 @@
 mod explain;
 mod explain_flow;
 mod explain_outage;
+mod explain_placement;
 mod fleet;
 mod keys;
 mod packet_logs;
