test(flows): cover the other reasons of agents that are passed over

Refused, doubted, held and avoided had no test of their own, and the random states did not check that each agent of the service is listed or counted.

--- a/crates/basilstep-core/src/flows/tests/explain.rs
+++ b/crates/basilstep-core/src/flows/tests/explain.rs
@@ -19,7 +19,7 @@
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 use std::{
     collections::{BTreeMap, BTreeSet},
-    net::SocketAddrV4,
+    net::{Ipv4Addr, SocketAddrV4},
 };
 
 const NOW_MS: u64 = 10_000;
@@ -124,6 +124,9 @@
         let before = format!("{balancer:?}");
         let explanation = explain(&balancer, key, now_ms);
         assert_eq!(format!("{balancer:?}"), before, "seed {seed}");
+        let listed = explanation.candidates.len() + explanation.passed_over.len();
+        let agents = balancer.agents().of_service(service()).count();
+        assert_eq!(listed + explanation.left_out, agents, "seed {seed}");
         let verdict = balancer.on_packet(&syn(key, 0), &context(now_ms));
         let kind = match (explanation.outcome, verdict) {
             (PlacementOutcome::Refused { code }, Verdict::Drop { code: actual }) => {
@@ -191,13 +194,8 @@
         balancer.on_report(agent_ip(number), report, &context(later_ms));
     }
     let explanation = explain(&balancer, flow(1), later_ms);
-    let reasons: Vec<_> = explanation
-        .passed_over
-        .iter()
-        .map(|passed| (passed.agent, passed.reason))
-        .collect();
     assert_eq!(
-        reasons,
+        reasons(&explanation),
         [
             (agent_ip(2), PassedOverReason::Draining),
             (agent_ip(3), PassedOverReason::TargetNotServing),
@@ -211,6 +209,68 @@
     assert_eq!(explanation.outcome.agent(), Some(agent_ip(1)));
 }
 
+fn reasons(explanation: &Explanation) -> Vec<(Ipv4Addr, PassedOverReason)> {
+    let passed_over = explanation.passed_over.iter();
+    passed_over
+        .map(|passed| (passed.agent, passed.reason))
+        .collect()
+}
+
+/// Guards against a retransmission that is explained like a first SYN: the agent that has not
+/// confirmed is doubted, and the one that refused is not asked again.
+#[test]
+fn agents_that_refused_or_did_not_confirm_the_flow_are_passed_over() {
+    let (mut balancer, ctx) = balancer_with(3, RequestKind::Idempotent);
+    let packet = syn(flow(1), 0);
+    let first = explain(&balancer, flow(1), NOW_MS).outcome.agent().unwrap();
+    balancer.on_packet(&packet, &ctx);
+    let returned = Returned {
+        code: ResultCode::Overloaded,
+        service: service(),
+    };
+    balancer.on_returned(first, returned, &packet, &ctx);
+    let hinted = explain(&balancer, flow(1), NOW_MS);
+    let second = hinted.outcome.agent().unwrap();
+    assert_eq!(hinted.outcome, PlacementOutcome::Hinted { agent: second });
+    let overdue = explain(&balancer, flow(1), NOW_MS + 200);
+    let expected = BTreeMap::from([
+        (first, PassedOverReason::Refused),
+        (second, PassedOverReason::Doubted),
+    ]);
+    assert_eq!(BTreeMap::from_iter(reasons(&overdue)), expected);
+}
+
+/// Guards against a domain held after a restore, and a target that fails requests, that are listed as
+/// candidates or without their reason.
+#[test]
+fn held_domains_and_avoided_targets_are_passed_over() {
+    let (mut balancer, ctx) =
+        balancer_with_settings(&health_settings(), 5, RequestKind::Idempotent);
+    let mut fleet = fleet_settings(RequestKind::Idempotent);
+    fleet.revision = revision(2);
+    fleet.domains_out = BTreeSet::from([DomainId(2)]);
+    balancer.on_fleet_settings(fleet.clone(), &ctx);
+    fleet.revision.era = 1;
+    fleet.domains_out.clear();
+    balancer.on_fleet_settings(fleet, &ctx);
+    for number in 1..=5 {
+        let agent_report = AgentReport {
+            domain: DomainId(if number == 1 { 2 } else { 0 }),
+            service_time_ms: 20,
+            failure_permille: if number == 2 { 450 } else { 0 },
+            ..report(TargetPhase::Serving)
+        };
+        balancer.on_report(agent_ip(number), agent_report, &ctx);
+    }
+    balancer.on_tick(&ctx);
+    let explanation = explain(&balancer, flow(1), NOW_MS);
+    let expected = [
+        (agent_ip(1), PassedOverReason::DomainHeld),
+        (agent_ip(2), PassedOverReason::Avoided),
+    ];
+    assert_eq!(reasons(&explanation), expected);
+}
+
 /// Guards against an answer that grows with the number of agents.
 #[test]
 fn explanation_lists_a_bounded_number_of_agents() {
