fix(flows): failing targets: probes, last choice and second offers

Probe flows to failing targets are those whose requests may be repeated, if the service has such routes. A failing target is used if there is no other.

--- a/crates/basilstep-core/src/flows/balancer/agent_table.rs
+++ b/crates/basilstep-core/src/flows/balancer/agent_table.rs
@@ -94,6 +94,8 @@
     pub refused_by: &'a BTreeSet<Ipv4Addr>,
     /// Detects silent agents.
     pub liveness: &'a Liveness,
+    /// The flow may be sent to a target only to detect its recovery.
+    pub may_probe: bool,
     /// The current time.
     pub now_ms: u64,
 }
@@ -283,13 +285,16 @@
         open: &[(Ipv4Addr, &AgentState)],
         placement: &PlacementContext<'_>,
     ) -> Option<Ipv4Addr> {
-        let is_first_offer = placement.refused_by.is_empty();
+        let may_probe = placement.may_probe && placement.refused_by.is_empty();
         open.iter()
-            .find(|(agent, state)| is_first_offer && self.ranking.is_probe_due(*agent, state))
+            .find(|(agent, state)| may_probe && self.ranking.is_probe_due(*agent, state))
             .map(|(agent, _)| *agent)
     }
 
     /// Returns the agents whose expected waits are compared, with the terms of the waits.
+    ///
+    /// Targets that fail requests are compared only if there is no other one: most of their requests
+    /// are answered. If others have refused the flow for load, its caller had better come back.
     fn compared(
         &self,
         flow: &FlowKey,
@@ -297,9 +302,11 @@
         placement: &PlacementContext<'_>,
         settings: &FlowSettings,
     ) -> impl Iterator<Item = (Ipv4Addr, WaitTerms)> {
+        let is_only_choice = placement.refused_by.is_empty()
+            && open.iter().all(|(agent, _)| self.is_avoided(*agent));
         let open = open
             .into_iter()
-            .filter(|(agent, _)| self.ranking.standing_of(*agent) != Standing::Avoided)
+            .filter(|(agent, _)| is_only_choice || !self.is_avoided(*agent))
             .collect();
         candidates(flow, open, placement.domain, settings)
             .into_iter()
@@ -315,7 +322,11 @@
         WaitTerms::new(state, self.ranking.slowdown_of(agent), placement.domain)
     }
 
-    /// Returns whether an agent other than `agent` can be sent the new flow.
+    fn is_avoided(&self, agent: Ipv4Addr) -> bool {
+        self.ranking.standing_of(agent) == Standing::Avoided
+    }
+
+    /// Returns whether an agent other than `agent` can be sent the new flow, and not as a probe.
     pub fn has_other_agent(
         &self,
         agent: Ipv4Addr,
@@ -324,7 +335,7 @@
         settings: &FlowSettings,
     ) -> bool {
         self.open_agents(service, placement, settings)
-            .any(|(other, _)| other != agent)
+            .any(|(other, _)| other != agent && !self.is_avoided(other))
     }
 
     /// Returns the agents of a service that can be sent the new flow.
--- a/crates/basilstep-core/src/flows/balancer/state.rs
+++ b/crates/basilstep-core/src/flows/balancer/state.rs
@@ -50,6 +50,8 @@
     fleet: FleetSettings,
     /// Computed when routes are applied, because a service may have thousands of them.
     priority_ranks: PriorityRanks,
+    /// Services to which a route leads whose requests may be repeated.
+    idempotent_services: BTreeSet<ServiceTag>,
     held_domains: HeldDomains,
     /// Services that earlier versions of a route named and that may still hold its open flows.
     former_services: BTreeMap<SocketAddrV4, BTreeSet<ServiceTag>>,
@@ -87,6 +89,7 @@
             identity,
             fleet: FleetSettings::default(),
             priority_ranks: PriorityRanks::default(),
+            idempotent_services: BTreeSet::new(),
             held_domains: HeldDomains::default(),
             former_services: BTreeMap::new(),
             agents: AgentTable::default(),
--- a/crates/basilstep-core/src/flows/balancer/state/explaining.rs
+++ b/crates/basilstep-core/src/flows/balancer/state/explaining.rs
@@ -48,8 +48,9 @@
         let agents = self.agents_after(&placement, ctx);
         let search = self.searches.get(&flow);
         let search = search.filter(|_| placement.keeps_refusals);
-        let placement = self.placement_context(Search::refusals(search), ctx);
         let service = matched.service;
+        let kind = matched.route.kind;
+        let placement = self.placement_context(Search::refusals(search), service, kind, ctx);
         let mut details = agents.placement_details(&flow, service, &placement, &self.settings);
         let outcome = match plan {
             _ if self.is_backlog_stale => PlacementOutcome::Refused {
--- a/crates/basilstep-core/src/flows/balancer/state/hedging.rs
+++ b/crates/basilstep-core/src/flows/balancer/state/hedging.rs
@@ -96,21 +96,24 @@
         let mut excluded: BTreeSet<Ipv4Addr> = self
             .agents
             .of_service(syn.service)
-            .filter(|agent| self.is_cold_or_slow(*agent))
+            .filter(|agent| self.is_unfit(*agent))
             .collect();
         excluded.insert(syn.first);
         excluded.extend(self.searches.refused_by(&flow));
-        let placement = self.placement_context(&excluded, ctx);
+        let placement =
+            self.placement_context(&excluded, syn.service, RequestKind::Idempotent, ctx);
         self.agents
             .choose_agent(&flow, syn.service, &placement, &self.settings)
     }
 
-    fn is_cold_or_slow(&self, agent: Ipv4Addr) -> bool {
-        let is_cold = self
-            .agents
-            .get(agent)
-            .is_some_and(|state| state.report.is_cold);
-        is_cold || self.agents.standing_of(agent) != Standing::Normal
+    /// Returns whether the target of an agent is cold, slow, or leaves requests unanswered.
+    fn is_unfit(&self, agent: Ipv4Addr) -> bool {
+        let Some(state) = self.agents.get(agent) else {
+            return true;
+        };
+        state.report.is_cold
+            || state.report.failure_permille >= self.settings.target_health.failure_permille
+            || self.agents.standing_of(agent) != Standing::Normal
     }
 
     /// Searches for a flow that either of two agents may hold, because neither has confirmed it; the
--- a/crates/basilstep-core/src/flows/balancer/state/settings.rs
+++ b/crates/basilstep-core/src/flows/balancer/state/settings.rs
@@ -19,6 +19,7 @@
         let is_changed = self.fleet.merge_newer(fleet);
         if self.fleet.table.version != before.table.version {
             self.priority_ranks = PriorityRanks::new(&self.fleet.table);
+            self.idempotent_services = self.fleet.table.idempotent_services();
         }
         self.held_domains
             .on_settings(&before, &self.fleet, ctx.now_ms);
--- a/crates/basilstep-core/src/flows/balancer/state/syn.rs
+++ b/crates/basilstep-core/src/flows/balancer/state/syn.rs
@@ -131,11 +131,16 @@
         ctx: &Context,
     ) -> Verdict {
         let flow = new.key();
-        let Some(MatchedRoute { service, rank, .. }) = self.match_route(&flow, service) else {
+        let Some(MatchedRoute {
+            service,
+            rank,
+            route,
+        }) = self.match_route(&flow, service)
+        else {
             return self.reject_unknown_service(RequestKind::Idempotent, ctx);
         };
         let search = self.searches.get(&flow);
-        let placement = self.placement_context(Search::refusals(search), ctx);
+        let placement = self.placement_context(Search::refusals(search), service, route.kind, ctx);
         let offers_left = self.offers_left(search, rank);
         if offers_left == Some(0) {
             return self.refuse(new.segment, service, ResultCode::Overloaded, ctx);
@@ -188,9 +193,14 @@
     }
 
     /// Returns the state that a placement depends on, for a flow that these agents have refused.
-    pub(super) const fn placement_context<'a>(
+    ///
+    /// Probe flows go to targets that fail requests, so those whose requests may be repeated are
+    /// used where the service has such routes.
+    pub(super) fn placement_context<'a>(
         &'a self,
         refused_by: &'a BTreeSet<Ipv4Addr>,
+        service: ServiceTag,
+        kind: RequestKind,
         ctx: &Context,
     ) -> PlacementContext<'a> {
         PlacementContext {
@@ -199,6 +209,8 @@
             held_domains: &self.held_domains,
             refused_by,
             liveness: &self.liveness,
+            may_probe: kind == RequestKind::Idempotent
+                || !self.idempotent_services.contains(&service),
             now_ms: ctx.now_ms,
         }
     }
--- a/crates/basilstep-core/src/flows/routes.rs
+++ b/crates/basilstep-core/src/flows/routes.rs
@@ -129,6 +129,18 @@
     }
 }
 
+impl RouteTable {
+    /// Returns the services to which a route leads whose requests may be repeated.
+    pub fn idempotent_services(&self) -> BTreeSet<ServiceTag> {
+        self.routes
+            .values()
+            .filter(|route| route.kind == RequestKind::Idempotent)
+            .flat_map(|route| route.shares.iter().filter(|share| share.weight > 0))
+            .map(|share| share.service)
+            .collect()
+    }
+}
+
 /// The priorities of the routes that lead to each service, for lookups on the path of a packet.
 #[derive(Clone, Debug, Default)]
 pub struct PriorityRanks {
--- a/crates/basilstep-core/src/flows/settings.rs
+++ b/crates/basilstep-core/src/flows/settings.rs
@@ -217,7 +217,7 @@
             max_wait_goal_share: 0.25,
             max_wait_ms: 140,
             limit: 64,
-            max_offers: 4,
+            max_offers: 8,
         }
     }
 }
--- a/crates/basilstep-core/src/flows/tests/offers.rs
+++ b/crates/basilstep-core/src/flows/tests/offers.rs
@@ -18,6 +18,13 @@
     SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 2), 443)
 }
 
+/// Settings with fewer offers than there are agents.
+fn four_offers() -> FlowSettings {
+    let mut settings = FlowSettings::default();
+    settings.admission_queue.max_offers = 4;
+    settings
+}
+
 /// Routes of two priorities to one service.
 fn two_priorities() -> FleetSettings {
     let mut fleet = fleet_settings(RequestKind::Idempotent);
@@ -70,7 +77,7 @@
 /// offer that may not wait.
 #[test]
 fn syn_that_is_refused_for_load_gets_four_offers_and_waits_at_the_last() {
-    let (mut balancer, ctx) = balancer(&FlowSettings::default(), AGENTS);
+    let (mut balancer, ctx) = balancer(&four_offers(), AGENTS);
     let mut packet = syn(flow(1), 0);
     packet.destination = lower_address();
     let (headers, verdict) =
@@ -90,7 +97,7 @@
 /// Guards against a SYN that is returned by the only agent left although it could wait there.
 #[test]
 fn syn_may_wait_at_the_last_remaining_agent() {
-    let (mut balancer, ctx) = balancer(&FlowSettings::default(), 2);
+    let (mut balancer, ctx) = balancer(&four_offers(), 2);
     let (headers, _) = offer_to_refusing_agents(
         &mut balancer,
         &syn(flow(1), 0),
@@ -105,7 +112,7 @@
 /// four of them.
 #[test]
 fn refusals_for_other_reasons_do_not_count() {
-    let (mut balancer, ctx) = balancer(&FlowSettings::default(), AGENTS);
+    let (mut balancer, ctx) = balancer(&four_offers(), AGENTS);
     let (headers, _) = offer_to_refusing_agents(
         &mut balancer,
         &syn(flow(1), 0),
@@ -119,7 +126,7 @@
 /// switch the queue off.
 #[test]
 fn one_priority_or_no_queue_tries_all_agents_without_waiting() {
-    let mut settings = FlowSettings::default();
+    let mut settings = four_offers();
     settings.admission_queue.is_enabled = false;
     let with_one_priority = balancer_with(AGENTS, RequestKind::Idempotent);
     let without_queue = balancer(&settings, AGENTS);
@@ -138,7 +145,7 @@
 /// Guards against an overload of the lower level that resets first SYNs of the higher one.
 #[test]
 fn overload_of_a_lower_level_does_not_refuse_the_higher_one_at_once() {
-    let (mut balancer, mut ctx) = balancer(&FlowSettings::default(), AGENTS);
+    let (mut balancer, mut ctx) = balancer(&four_offers(), AGENTS);
     let mut verdict = Verdict::Drop {
         code: ResultCode::Done,
     };
@@ -158,7 +165,7 @@
 /// Guards against a SYN that gets no second agent after the one at which it waited has failed.
 #[test]
 fn retransmission_goes_to_another_agent_when_the_queueing_one_is_gone() {
-    let (mut balancer, mut ctx) = balancer(&FlowSettings::default(), 2);
+    let (mut balancer, mut ctx) = balancer(&four_offers(), 2);
     let first = forwarded(&balancer.on_packet(&syn(flow(1), 0), &ctx)).unwrap();
     let returned = Returned {
         code: ResultCode::Overloaded,
@@ -176,7 +183,7 @@
 /// which it waited has returned it because its target drains.
 #[test]
 fn syn_waits_at_one_agent_only() {
-    let (mut balancer, mut ctx) = balancer(&FlowSettings::default(), AGENTS);
+    let (mut balancer, mut ctx) = balancer(&four_offers(), AGENTS);
     let packet = syn(flow(1), 0);
     let mut headers = Vec::new();
     let mut verdict = balancer.on_packet(&packet, &ctx);
--- a/crates/basilstep-core/src/flows/tests/target_ranking.rs
+++ b/crates/basilstep-core/src/flows/tests/target_ranking.rs
@@ -1,15 +1,15 @@
 //! Which targets a balancer counts as slow or avoided, and what it sends them.
 
 use super::{
-    agent_ip, balancer_with_settings, context, flow, health_settings, load_model::balancer_entries,
-    report, syn,
+    agent_ip, balancer_with_settings, context, fleet_settings, flow, health_settings,
+    load_model::balancer_entries, report, service_address, syn,
 };
 use crate::flows::{
-    AgentReport, BalancerFlows, FlowSettings, RequestKind, TargetPhase,
+    AgentReport, BalancerFlows, FlowSettings, RequestKind, Route, TargetPhase,
     balancer::{Standing, Verdict},
 };
 use rstest::rstest;
-use std::ops::RangeInclusive;
+use std::{net::SocketAddrV4, ops::RangeInclusive};
 
 const NOW_MS: u64 = 10_000;
 const REPORT_MS: u64 = 250;
@@ -177,3 +177,61 @@
     balancer.on_tick(&ctx);
     assert_eq!(standings(&balancer, 2), [expected, Standing::Normal]);
 }
+
+/// Guards against refusing a caller while a target is idle that answers most requests.
+#[test]
+fn failing_target_is_used_if_there_is_no_other() {
+    let reports = [failing(), healthy(), healthy()];
+    let mut balancer = balancer_with_reports(&health_settings(), &reports);
+    let draining = AgentReport {
+        phase: TargetPhase::Draining,
+        ..healthy()
+    };
+    for number in 2..=3 {
+        balancer.on_report(agent_ip(number), draining, &context(NOW_MS));
+    }
+    assert_eq!(standings(&balancer, 1), [Standing::Avoided]);
+    for port in 1..=3 {
+        let verdict = balancer.on_packet(&syn(flow(port), 0), &context(NOW_MS));
+        let expected = agent_ip(1);
+        assert!(
+            matches!(verdict, Verdict::Forward(next_hop) if next_hop.agent == expected),
+            "{verdict:?}"
+        );
+    }
+}
+
+/// Guards against requests that may not be repeated being sent to a failing target although the
+/// service has others to find its recovery with.
+#[rstest]
+#[case::no_other_route(false, 1)]
+#[case::other_route_may_be_repeated(true, 0)]
+fn probe_flows_are_those_that_may_be_repeated(
+    #[case] has_idempotent_route: bool,
+    #[case] expected: usize,
+) {
+    let reports = [failing(), healthy(), healthy()];
+    let settings = health_settings();
+    let (mut balancer, ctx) = balancer_with_settings(&settings, 3, RequestKind::NonIdempotent);
+    let mut fleet = fleet_settings(RequestKind::NonIdempotent);
+    fleet.table.version += 1;
+    if has_idempotent_route {
+        let address = SocketAddrV4::new(*service_address().ip(), 8_000);
+        let route = Route {
+            kind: RequestKind::Idempotent,
+            ..fleet.table.routes[&service_address()].clone()
+        };
+        fleet.table.routes.insert(address, route);
+    }
+    balancer.on_fleet_settings(fleet, &ctx);
+    for (number, report) in (1..).zip(&reports) {
+        balancer.on_report(agent_ip(number), *report, &ctx);
+    }
+    balancer.on_tick(&ctx);
+    let placed = placed_at_first(
+        &mut balancer,
+        &reports,
+        settings.target_health.probe_interval_ms,
+    );
+    assert_eq!(placed, expected);
+}
