fix(flows): packets of an undecided flow go to its two offered agents only

Change: both offers are kept. Until the first agent confirms or either one returns a packet, each packet goes to these two agents; if one returns it, the other one takes the following packets, and only if both return it the flow is searched for. If neither has confirmed within the handshake timeout, the flow is searched for as before.

--- a/crates/basilstep-core/src/flows/balancer/hedges.rs
+++ b/crates/basilstep-core/src/flows/balancer/hedges.rs
@@ -56,17 +56,63 @@
     is_first_returned: bool,
     service: ServiceTag,
     offered_ms: u64,
-    /// The second offer, until its agent confirms or returns it.
-    second: Option<SecondOffer>,
+    /// The second offer, until its agent confirms it.
+    second: Option<Offer>,
+    is_second_returned: bool,
 }
 
-/// A second offer that has not been answered.
+impl OverdueSyn {
+    /// Records that an agent does not hold the flow.
+    fn record_returned(&mut self, agent: Ipv4Addr) {
+        self.is_first_returned |= self.first == agent;
+        self.is_second_returned |= self.second.is_some_and(|second| second.agent == agent);
+    }
+
+    /// Returns the second offer, if its agent has neither confirmed nor returned it.
+    fn outstanding_second(&self) -> Option<Offer> {
+        self.second.filter(|_| !self.is_second_returned)
+    }
+
+    /// Returns the other one of two offers if `agent` got one of them, and the other one was neither
+    /// confirmed nor returned.
+    fn outstanding_other(&self, agent: Ipv4Addr) -> Option<Offer> {
+        let second = self.second?;
+        if agent == self.first {
+            return self.outstanding_second();
+        }
+        let first = Offer {
+            agent: self.first,
+            offered_ms: self.offered_ms,
+        };
+        (agent == second.agent && !self.is_first_returned).then_some(first)
+    }
+}
+
+/// An offer of a SYN to an agent.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct SecondOffer {
+pub struct Offer {
     pub agent: Ipv4Addr,
     pub offered_ms: u64,
 }
 
+/// Two offers of a flow of which neither was confirmed or returned.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct UndecidedOffers {
+    pub flow: FlowKey,
+    pub service: ServiceTag,
+    pub first: Offer,
+    pub second: Offer,
+}
+
+impl UndecidedOffers {
+    /// Returns whether a hint is about the first one of the two offers, and not about a later flow of
+    /// the same addresses.
+    pub fn are_of(&self, hint: &Hint) -> bool {
+        let is_same = hint.agent == self.first.agent && hint.offered_ms == self.first.offered_ms;
+        is_same && !hint.is_confirmed
+    }
+}
+
 /// The SYNs that a balancer may offer to a second agent.
 #[derive(Clone, Debug)]
 pub struct Hedges {
@@ -127,13 +173,11 @@
         self.overdue.remove(flow);
     }
 
-    /// Handles a packet of a caller that is not a SYN; returns whether either of two agents may
-    /// hold the flow, because neither has confirmed it.
-    pub fn on_caller_packet(&mut self, flow: &FlowKey) -> bool {
+    /// Handles a packet of a caller that is not a SYN; returns both offers of its flow if neither was
+    /// confirmed or returned, so that either agent may hold the flow.
+    pub fn on_caller_packet(&mut self, flow: &FlowKey) -> Option<UndecidedOffers> {
         self.unwatch(flow);
-        self.overdue
-            .get(flow)
-            .is_some_and(|syn| syn.second.is_some() && !syn.is_first_returned)
+        undecided_offers(flow, self.overdue.get(flow)?)
     }
 
     /// Handles the advertisement of a flow; `is_first_holder` if no other agent has confirmed it.
@@ -157,7 +201,9 @@
             let delay_ms = now_ms.saturating_sub(syn.offered_ms);
             self.policy.record_delay(syn.service, delay_ms, now_ms);
             self.overdue.remove(flow);
-        } else if syn.second.is_some_and(|second| second.agent == agent) {
+        } else if let Some(second) = syn.outstanding_second()
+            && second.agent == agent
+        {
             syn.second = None;
             if is_first_holder {
                 self.policy.record_won();
@@ -165,31 +211,27 @@
         }
     }
 
-    /// Handles a packet that an agent returned; returns the second offer that takes the place of the
-    /// first one, if the packet is the SYN of the first one.
+    /// Handles a packet that an agent returned; returns the other one of two offers of its flow if that
+    /// one is outstanding.
+    ///
+    /// The agent of the other offer has been sent the packet as well.
     pub fn on_returned(
         &mut self,
         segment: &Segment,
         agent: Ipv4Addr,
         returned: Returned,
         now_ms: u64,
-    ) -> Option<SecondOffer> {
-        if !segment.is_syn() {
-            return None;
-        }
+    ) -> Option<Offer> {
         let flow = &segment.flow_of_caller();
-        if self.is_active && returned.code == ResultCode::Overloaded {
+        if self.is_active && segment.is_syn() && returned.code == ResultCode::Overloaded {
             self.policy.record_overload(returned.service, now_ms);
         }
         if self.watched.get(flow).is_some_and(|syn| syn.first == agent) {
             self.unwatch(flow);
         }
         let syn = self.overdue.get_mut(flow)?;
-        if syn.second.is_some_and(|second| second.agent == agent) {
-            syn.second = None;
-        }
-        syn.is_first_returned |= syn.first == agent;
-        syn.second.filter(|_| syn.first == agent)
+        syn.record_returned(agent);
+        syn.outstanding_other(agent)
     }
 
     /// Returns whether the second offer of a watched SYN is due.
@@ -228,10 +270,11 @@
             is_first_returned: false,
             service: syn.service,
             offered_ms: syn.offered_ms,
-            second: result.ok().map(|agent| SecondOffer {
+            second: result.ok().map(|agent| Offer {
                 agent,
                 offered_ms: now_ms,
             }),
+            is_second_returned: false,
         };
         if self.overdue.len() < WATCH_LIMIT {
             let flow = syn.segment.flow_of_caller();
@@ -240,11 +283,14 @@
         result
     }
 
-    /// Forgets flows whose callers have given up.
-    pub fn on_tick(&mut self, now_ms: u64) {
-        self.overdue
-            .retain(|_, syn| now_ms < syn.offered_ms + HANDSHAKE_TIMEOUT_MS);
+    /// Forgets flows whose callers have opened them or given up; returns those of which it is still not
+    /// known which of two agents holds them.
+    pub fn on_tick(&mut self, now_ms: u64) -> Vec<UndecidedOffers> {
         self.policy.forget_idle_groups(now_ms);
+        self.overdue
+            .extract_if(.., |_, syn| now_ms >= syn.offered_ms + HANDSHAKE_TIMEOUT_MS)
+            .filter_map(|(flow, syn)| undecided_offers(&flow, &syn))
+            .collect()
     }
 
     /// Forgets all SYNs, because the process was paused and their callers have moved on.
@@ -270,3 +316,14 @@
         Some(syn)
     }
 }
+
+fn undecided_offers(flow: &FlowKey, syn: &OverdueSyn) -> Option<UndecidedOffers> {
+    let second = syn.outstanding_second()?;
+    let first = syn.outstanding_other(second.agent)?;
+    Some(UndecidedOffers {
+        flow: *flow,
+        service: syn.service,
+        first,
+        second,
+    })
+}
--- a/crates/basilstep-core/src/flows/balancer/hints.rs
+++ b/crates/basilstep-core/src/flows/balancer/hints.rs
@@ -1,4 +1,4 @@
-use super::hedges::SecondOffer;
+use super::hedges::Offer;
 use crate::flows::key::{FlowKey, ServiceTag};
 use std::{collections::BTreeMap, net::Ipv4Addr};
 
@@ -23,7 +23,7 @@
 
 impl Hint {
     /// Returns the hint after the first offer was returned and only a second one is outstanding.
-    pub const fn offered_again(self, second: SecondOffer) -> Self {
+    pub const fn offered_again(self, second: Offer) -> Self {
         Self {
             agent: second.agent,
             offered_ms: second.offered_ms,
--- a/crates/basilstep-core/src/flows/balancer/state.rs
+++ b/crates/basilstep-core/src/flows/balancer/state.rs
@@ -127,7 +127,9 @@
             };
             return self.on_syn(new, ctx);
         }
-        self.discard_undecided_hint(flow, ctx);
+        if let Some(verdict) = self.send_to_both_offered(&flow, ctx) {
+            return verdict;
+        }
         let Some(hint) = self.hints.get_mut(&flow) else {
             let search_ms = self.settings.searches.keep_ms;
             let search = self.searches.entry(flow, ctx.now_ms, search_ms);
@@ -157,7 +159,7 @@
         let flow = segment.flow_of_caller();
         self.clear_doubt(agent);
         let hint = self.hints.get_mut(&flow).copied();
-        let second_offer = self
+        let other_offer = self
             .hedges
             .on_returned(segment, agent, returned, ctx.now_ms);
         let is_from_holder = hint.is_some_and(|hint| hint.agent == agent);
@@ -183,8 +185,12 @@
         if !segment.is_syn() {
             search.caller_acknowledged = segment.acknowledged;
         }
-        if let Some((hint, second)) = hint.zip(second_offer) {
-            self.hints.insert(flow, hint.offered_again(second));
+        if let Some((hint, other)) = hint.zip(other_offer)
+            && !hint.is_confirmed
+        {
+            if is_from_holder {
+                self.hints.insert(flow, hint.offered_again(other));
+            }
             return Verdict::Drop {
                 code: returned.code,
             };
@@ -350,7 +356,7 @@
             HINTS_SWEPT_PER_TICK,
             ctx.now_ms.saturating_sub(settings.hints.idle_ms),
         );
-        self.hedges.on_tick(ctx.now_ms);
+        self.discard_undecided_hints(ctx);
         let lost = self.finish_searches(ctx);
         self.searches
             .forget(ctx.now_ms.saturating_sub(settings.searches.keep_ms));
--- a/crates/basilstep-core/src/flows/balancer/state/hedging.rs
+++ b/crates/basilstep-core/src/flows/balancer/state/hedging.rs
@@ -123,16 +123,39 @@
         is_cold || self.agents.standing_of(agent) != Standing::Normal
     }
 
-    /// Searches for a flow that either of two agents may hold, because neither has confirmed it; the
-    /// advertisement of its holder may be lost.
-    pub(super) fn discard_undecided_hint(&mut self, flow: FlowKey, ctx: &Context) {
-        if !self.hedges.on_caller_packet(&flow) {
-            return;
+    /// Sends a packet of a flow to both agents that may hold it, because neither has confirmed it;
+    /// `None` if there is only one, or if it was returned.
+    pub(super) fn send_to_both_offered(
+        &mut self,
+        flow: &FlowKey,
+        ctx: &Context,
+    ) -> Option<Verdict> {
+        let offers = self.hedges.on_caller_packet(flow)?;
+        let hint = self.hints.get_mut(flow)?;
+        if !offers.are_of(hint) {
+            return None;
+        }
+        hint.used_ms = ctx.now_ms;
+        let agents = [offers.first.agent, offers.second.agent];
+        for agent in agents {
+            self.record_packet_for(agent, ctx.now_ms);
         }
-        self.hints.remove(&flow);
+        let next_hops = agents.map(|agent| self.next_hop(agent, offers.service, true));
+        Some(Verdict::Search(next_hops.to_vec()))
+    }
+
+    /// Discards the hints of flows whose first or second agent should have confirmed them by now, so
+    /// that they are searched for: the advertisement of the holder may be lost.
+    pub(super) fn discard_undecided_hints(&mut self, ctx: &Context) {
         let search_ms = self.settings.searches.keep_ms;
-        let search = self.searches.entry(flow, ctx.now_ms, search_ms);
-        search.is_hint_wrong = true;
+        for offers in self.hedges.on_tick(ctx.now_ms) {
+            let hint = self.hints.get_mut(&offers.flow);
+            if hint.is_some_and(|hint| offers.are_of(hint)) {
+                self.hints.remove(&offers.flow);
+                let search = self.searches.entry(offers.flow, ctx.now_ms, search_ms);
+                search.is_hint_wrong = true;
+            }
+        }
     }
 
     pub(super) fn is_idempotent(&self, flow: &FlowKey) -> bool {
