fix(agent): hedged copies record that the request may have run

Cause: whether an earlier copy may have run followed only from the one failure that the hedged attempt reported, and no test covered a refused retry after it.

Change: the hedged attempt reports whether any failed copy may have run, and the handler keeps that for all later attempts; no attempt can clear it.

--- a/crates/basilstep-agent/src/exchange/hedged_attempt.rs
+++ b/crates/basilstep-agent/src/exchange/hedged_attempt.rs
@@ -16,6 +16,31 @@
     pub result: Result<AttemptResponse, AttemptFailure>,
     /// How many second copies were sent: 0 or 1.
     pub hedges: u32,
+    /// Whether a copy that failed may have run the request; the other one may have been refused.
+    pub may_have_run: bool,
+}
+
+impl HedgedResult {
+    fn answered(response: AttemptResponse, hedges: u32) -> Self {
+        Self {
+            result: Ok(response),
+            hedges,
+            may_have_run: false,
+        }
+    }
+
+    /// Merges the failures of all copies that were sent.
+    fn failed(first: AttemptFailure, second: Option<AttemptFailure>, hedges: u32) -> Self {
+        let may_run = |failed: &AttemptFailure| may_have_run(failed.sent, failed.failure);
+        let may_have_run = may_run(&first) || second.as_ref().is_some_and(may_run);
+        // The caller must not be told that a request did not run because one of its copies did not.
+        let conclusive = second.filter(|second| may_run(second) && !may_run(&first));
+        Self {
+            result: Err(conclusive.unwrap_or(first)),
+            hedges,
+            may_have_run,
+        }
+    }
 }
 
 impl Attempt<'_> {
@@ -48,22 +73,23 @@
             },
         )
         .await;
-        let result = match end {
+        match end {
             RaceEnd::First(response) => {
                 self.dispatcher.record_first_delay(started_ms);
-                Ok(response)
+                HedgedResult::answered(response, hedges)
             }
             RaceEnd::Second(response) => {
                 // Without the delays of first copies that were cancelled, the quantile would fall
                 // with each second one.
                 self.dispatcher.record_first_delay(started_ms);
                 self.dispatcher.record_hedge_won();
-                Ok(response)
+                HedgedResult::answered(response, hedges)
+            }
+            RaceEnd::FirstFailed(failed) => HedgedResult::failed(failed, None, hedges),
+            RaceEnd::BothFailed { first, second } => {
+                HedgedResult::failed(first, Some(second), hedges)
             }
-            RaceEnd::FirstFailed(failed) => Err(failed),
-            RaceEnd::BothFailed { first, second } => Err(more_conclusive(first, second)),
-        };
-        HedgedResult { result, hedges }
+        }
     }
 
     /// Records a refusal for load at once, even if the other copy is answered.
@@ -79,13 +105,5 @@
     }
 }
 
-/// Returns the failure of the copy that may have run, if only one may: the caller must not be told
-/// that a request did not run because one of its copies did not.
-fn more_conclusive(first: AttemptFailure, second: AttemptFailure) -> AttemptFailure {
-    let may_run = |failed: &AttemptFailure| may_have_run(failed.sent, failed.failure);
-    if may_run(&second) && !may_run(&first) {
-        second
-    } else {
-        first
-    }
-}
+#[cfg(test)]
+mod tests;
--- a/crates/basilstep-agent/src/exchange/request_handler.rs
+++ b/crates/basilstep-agent/src/exchange/request_handler.rs
@@ -230,7 +230,7 @@
                     backoff_ms,
                     may_have_run,
                 } => {
-                    self.may_have_run = may_have_run;
+                    self.may_have_run |= may_have_run;
                     sleep(Duration::from_millis(backoff_ms)).await;
                 }
                 RetryDecision::Final(resolution) => {
@@ -266,6 +266,7 @@
                     .send_to_target_or_hedge(delay_ms, &mut self.body)
                     .await;
                 self.hedges += hedged.hedges;
+                self.may_have_run |= hedged.may_have_run;
                 hedged.result
             }
             (None, None) => attempt.send_to_target(&mut self.body).await,
--- a/crates/basilstep-core/src/requests/tests.rs
+++ b/crates/basilstep-core/src/requests/tests.rs
@@ -453,6 +453,44 @@
     assert_eq!(after, RetryDecision::Final(unknown));
 }
 
+/// Guards against a request that is reported as not run because its retries, the last one included,
+/// were refused after an attempt with an unknown outcome.
+#[rstest]
+#[case::target_lost(FailureReason::TargetLost, FailureReason::TargetShed)]
+#[case::relay_lost(
+    FailureReason::RelayLost,
+    FailureReason::RelayRefused(ResultCode::Overloaded)
+)]
+#[case::late(
+    FailureReason::TargetLost,
+    FailureReason::Refused(ResultCode::DeadlineBeforeRun)
+)]
+fn unknown_outcome_survives_refused_retries(
+    #[case] first: FailureReason,
+    #[case] refusal: FailureReason,
+) {
+    let (mut requests, mut context) = single(RequestSettings::default());
+    let mut failed = FailedAttempt {
+        method: MethodClass::Idempotent,
+        ..end(None, true, first)
+    };
+    while let RetryDecision::RetryAfter { may_have_run, .. } = requests.fail(&failed, &mut context)
+    {
+        assert!(may_have_run);
+        failed = FailedAttempt {
+            sent: false,
+            may_have_run,
+            failure: refusal,
+            attempts: failed.attempts + 1,
+            ..failed
+        };
+    }
+    assert!(failed.attempts > 1);
+    let unknown = RequestResolution::Unknown(ResultCode::TargetLost);
+    let last = requests.fail(&failed, &mut context);
+    assert_eq!(last, RetryDecision::Final(unknown));
+}
+
 #[rstest]
 #[case::cold_target(true, 1, false, FailureReason::Refused(ResultCode::Overloaded), true)]
 #[case::connect_refused(true, 1, false, FailureReason::TargetLost, true)]
