fix(agent): OPTIONS is sent again only where hedging is on

Cause: OPTIONS with an empty body counted as bodyless for hedging, so that it was also retried and relayed as overflow where hedging is off; it was not before.

--- a/crates/basilstep-agent/src/exchange/dispatcher/hedging.rs
+++ b/crates/basilstep-agent/src/exchange/dispatcher/hedging.rs
@@ -11,6 +11,11 @@
 const LOG_INTERVAL_MS: u64 = 1_000;
 
 impl Dispatcher {
+    /// Returns whether second copies may be sent at all.
+    pub fn allows_hedges(&self) -> bool {
+        self.lock().requests.allows_hedges()
+    }
+
     /// Counts the first copy of a request, and returns after which time a second one is due; `None`
     /// if it must not be sent twice.
     pub fn hedge_delay_ms(&self, copy: FirstCopy<'_>) -> Option<u64> {
--- a/crates/basilstep-agent/src/exchange/request_handler.rs
+++ b/crates/basilstep-agent/src/exchange/request_handler.rs
@@ -112,7 +112,7 @@
             Some(text) => Some(text.parse().or(Err(ResultCode::BadRequest))?),
             None => None,
         };
-        let is_bodyless = hedging::is_bodyless(&head, &body);
+        let is_bodyless = hedging::is_bodyless(&head, &body, dispatcher.allows_hedges());
         let body = if is_bodyless {
             RequestBody::Empty
         } else {
--- a/crates/basilstep-agent/src/exchange/request_handler/hedging.rs
+++ b/crates/basilstep-agent/src/exchange/request_handler/hedging.rs
@@ -24,10 +24,18 @@
 }
 
 /// Returns whether a request is passed on without a body, and can be sent again.
-pub(super) fn is_bodyless(head: &Parts, body: &impl Body<Data = Bytes>) -> bool {
+///
+/// OPTIONS is sent again only where second copies are allowed.
+pub(super) fn is_bodyless(
+    head: &Parts,
+    body: &impl Body<Data = Bytes>,
+    allows_hedges: bool,
+) -> bool {
     match head.method {
         Method::GET | Method::HEAD => true,
-        Method::OPTIONS => body.is_end_stream() || has_zero_length(&head.headers),
+        Method::OPTIONS => {
+            allows_hedges && (body.is_end_stream() || has_zero_length(&head.headers))
+        }
         _ => false,
     }
 }
@@ -41,3 +49,6 @@
 fn announces_body(headers: &HeaderMap) -> bool {
     headers.contains_key(header::CONTENT_LENGTH) && !has_zero_length(headers)
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/basilstep-core/src/requests/hedges.rs
+++ b/crates/basilstep-core/src/requests/hedges.rs
@@ -103,6 +103,11 @@
         self.hedges.record_first(copy, now_ms)
     }
 
+    /// Returns whether second copies may be sent at all.
+    pub const fn allows_hedges(&self) -> bool {
+        self.hedges.policy.is_enabled()
+    }
+
     /// Decides about the second copy of a request, which is due now and would go to `peer`; it also
     /// counts as a retry. To be called at most once for each request.
     ///
