fix(flows): second offers that cannot be followed up are refused

Cause: with 1,024 SYNs followed up, further second offers were sent but not recorded. If the first offer was then returned, the SYN went to a third agent, and a packet of the caller to the first one only.

Change: such a second offer is refused and counts as refused by the budget.

--- a/crates/basilstep-core/src/flows/balancer/hedges.rs
+++ b/crates/basilstep-core/src/flows/balancer/hedges.rs
@@ -258,12 +258,22 @@
     }
 
     /// Decides about a second offer that is due; `agent` is the one that would get it.
+    ///
+    /// # Errors
+    ///
+    /// Returns the [`HedgeRefusal`] if it must not be sent, [`HedgeRefusal::Budget`] also if there is no
+    /// room to follow it up.
     pub fn decide(
         &mut self,
         syn: &WatchedSyn,
         agent: Option<Ipv4Addr>,
         now_ms: u64,
     ) -> Result<Ipv4Addr, HedgeRefusal> {
+        if self.overdue.len() >= WATCH_LIMIT {
+            // If the first offer was returned, nobody would know that a second one is outstanding.
+            self.policy.record_refused_by_budget();
+            return Err(HedgeRefusal::Budget);
+        }
         let result = self.policy.try_hedge(syn.service, agent, now_ms);
         let overdue = OverdueSyn {
             first: syn.first,
@@ -276,10 +286,7 @@
             }),
             is_second_returned: false,
         };
-        if self.overdue.len() < WATCH_LIMIT {
-            let flow = syn.segment.flow_of_caller();
-            self.overdue.insert(flow, overdue);
-        }
+        self.overdue.insert(syn.segment.flow_of_caller(), overdue);
         result
     }
 
--- a/crates/basilstep-core/src/flows/tests/hedging.rs
+++ b/crates/basilstep-core/src/flows/tests/hedging.rs
@@ -587,6 +587,25 @@
     assert_eq!(balancer.watched_syns(), 0);
 }
 
+/// Guards against second offers that are not followed up: if the first one is returned, the flow would
+/// get a third one.
+#[test]
+fn second_offers_that_cannot_be_followed_up_are_refused() {
+    let mut settings = hedging_settings(100);
+    settings.hedging.burst = 2_000;
+    let (mut balancer, _) = balancer_with_settings(&settings, 3, RequestKind::Idempotent);
+    for port in 1..=1_024 {
+        offer(&mut balancer, flow(port), START_MS);
+    }
+    let hedges = due(&mut balancer, DUE_MS);
+    assert!(hedges.iter().all(|hedge| hedge.result.is_ok()));
+    offer(&mut balancer, flow(1_025), DUE_MS);
+    let hedges = due(&mut balancer, DUE_MS + 100);
+    assert_eq!(hedges[0].result, Err(HedgeRefusal::Budget));
+    let counts = balancer.hedge_counts();
+    assert_eq!((counts.sent, counts.refused_by_budget), (1_024, 1));
+}
+
 /// Guards against a delay that ignores how fast targets confirm, and against one that falls with
 /// each second offer because late confirmations are not counted.
 #[rstest]
--- a/crates/basilstep-core/src/hedging/policy.rs
+++ b/crates/basilstep-core/src/hedging/policy.rs
@@ -154,7 +154,7 @@
         (!has_token).then_some(HedgeRefusal::Budget)
     }
 
-    /// Records that a second copy was not sent because another budget was used up.
+    /// Records that a second copy was not sent because another budget or limit was used up.
     pub const fn record_refused_by_budget(&mut self) {
         self.counts.refused_by_budget += 1;
     }
