fix(packet): all waiting frames are read before second offers are decided

Cause: only one batch of 64 frames was read, so that confirmations behind it did not count and their SYNs got second offers.

Change: frames are read until none is left, at most `MAX_WAITING_BATCHES` batches, which is what a usual receive buffer holds.

--- a/crates/basilstep-packet/src/balancer/frames.rs
+++ b/crates/basilstep-packet/src/balancer/frames.rs
@@ -8,14 +8,15 @@
 use std::net::{Ipv4Addr, SocketAddrV4};
 
 impl Balancer {
-    /// Handles pending frames from agents and other balancers.
-    pub(super) fn read_frames(&mut self) {
+    /// Handles a batch of pending frames from agents and other balancers; returns whether more may be
+    /// waiting.
+    pub(super) fn read_frames(&mut self) -> bool {
         self.refresh_time();
         let mut buffer = [0; MAX_DATAGRAM_BYTES];
         for _ in 0..RECEIVE_BATCH {
             let Some((bytes, peer)) = self.internal_socket.try_receive(&mut buffer) else {
                 self.has_stale_frames = false;
-                return;
+                return false;
             };
             match decode_frame(&buffer[..bytes]) {
                 Ok((frame, packet)) => self.on_frame(peer, frame, packet),
@@ -27,6 +28,7 @@
                 }
             }
         }
+        true
     }
 
     fn on_frame(&mut self, peer: Ipv4Addr, frame: Frame, packet: &[u8]) {
--- a/crates/basilstep-packet/src/balancer/hedging.rs
+++ b/crates/basilstep-packet/src/balancer/hedging.rs
@@ -1,4 +1,5 @@
 use super::serve::Balancer;
+use crate::datagram_socket::{MAX_WAITING_BATCHES, read_waiting};
 use basilstep_core::{codes::ResultCode, flows::balancer::DueHedge};
 
 impl Balancer {
@@ -8,7 +9,7 @@
             return;
         }
         // The confirmations may have arrived while the process was waiting for its processor.
-        self.read_frames();
+        read_waiting(MAX_WAITING_BATCHES, || self.read_frames());
         for hedge in self.flows.take_due_hedges(&self.ctx) {
             self.log_hedge(&hedge);
             if let Ok(next_hop) = &hedge.result {
--- a/crates/basilstep-packet/src/balancer/serve.rs
+++ b/crates/basilstep-packet/src/balancer/serve.rs
@@ -141,7 +141,9 @@
                 balancer.send_due_hedges();
                 balancer.send_probes();
             }
-            () = balancer.internal_socket.readable() => balancer.read_frames(),
+            () = balancer.internal_socket.readable() => {
+                balancer.read_frames();
+            }
             Some(event) = events.recv() => balancer.on_event(event),
             Some(event) = store_events.recv() => balancer.on_store_event(event),
             _ = hangups.recv() => balancer.reload_seeds(),
--- a/crates/basilstep-packet/src/datagram_socket.rs
+++ b/crates/basilstep-packet/src/datagram_socket.rs
@@ -21,6 +21,19 @@
 /// than the usual receive buffer holds.
 pub const MAX_FINAL_BATCHES: usize = 16;
 
+/// The maximum number of batches read before a decision that depends on what has arrived: as many as
+/// at the end, so that a full receive buffer is read.
+pub const MAX_WAITING_BATCHES: usize = MAX_FINAL_BATCHES;
+
+/// Reads at most `max_batches` batches with `read_batch`, which returns whether more may be waiting.
+pub fn read_waiting(max_batches: usize, mut read_batch: impl FnMut() -> bool) {
+    for _ in 0..max_batches {
+        if !read_batch() {
+            return;
+        }
+    }
+}
+
 /// The outcome of sending a datagram.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum SendOutcome {
