fix(flows): balancers forget the services of removed routes

Cause: former_services kept an entry for every route that was ever removed or changed, so it grew with route churn, and packets to removed addresses searched all agents of the former services for as long as the process ran.

Change: an entry names a service that the route no longer has, lasts for hints.idle_ms after the removal, and at most 8,192 are kept, the latest ones.

Measured: removed_route_is_forgotten_when_its_flows_have_been_idle_for_too_long failed before (search after hints.idle_ms + 1) and passes.

--- a/crates/basilstep-core/src/flows/balancer/state.rs
+++ b/crates/basilstep-core/src/flows/balancer/state.rs
@@ -26,21 +26,23 @@
         frame::{AgentReport, BalancerHeartbeat, ForwardHeader, HeldFlows, Returned},
         handshake::HANDSHAKE_TIMEOUT_MS,
         key::{FlowKey, ServiceTag},
+        recent_keys::RecentKeys,
         routes::{FleetSettings, PriorityRanks, RequestKind},
         segment::Segment,
         send_schedule::SendSchedule,
         settings::FlowSettings,
     },
 };
-use std::{
-    collections::{BTreeMap, BTreeSet},
-    net::{Ipv4Addr, SocketAddrV4},
-};
+use std::net::{Ipv4Addr, SocketAddrV4};
 use syn::NewFlow;
 
 /// How many hints are checked in one tick.
 const HINTS_SWEPT_PER_TICK: usize = 256;
 
+/// The maximum number of services that are remembered for routes that no longer name them: several
+/// times the routes of a large fleet (2,000), in about 1 MB.
+const MAX_FORMER_SERVICES: usize = 8_192;
+
 /// The steering state of one balancer.
 #[derive(Clone, Debug)]
 pub struct BalancerFlows {
@@ -50,8 +52,9 @@
     /// Computed when routes are applied, because a service may have thousands of them.
     priority_ranks: PriorityRanks,
     held_domains: HeldDomains,
-    /// Services that earlier versions of a route named and that may still hold its open flows.
-    former_services: BTreeMap<SocketAddrV4, BTreeSet<ServiceTag>>,
+    /// Services that earlier versions of a route named and that may still hold its open flows, with
+    /// the time of their removal.
+    former_services: RecentKeys<(SocketAddrV4, ServiceTag)>,
     agents: AgentTable,
     balancers: BalancerList,
     hints: Hints,
@@ -87,7 +90,7 @@
             fleet: FleetSettings::default(),
             priority_ranks: PriorityRanks::default(),
             held_domains: HeldDomains::default(),
-            former_services: BTreeMap::new(),
+            former_services: RecentKeys::new(MAX_FORMER_SERVICES),
             agents: AgentTable::default(),
             balancers,
             hints: Hints::new(settings.hints.limit),
@@ -350,6 +353,8 @@
             HINTS_SWEPT_PER_TICK,
             ctx.now_ms.saturating_sub(settings.hints.idle_ms),
         );
+        self.former_services
+            .expire(ctx.now_ms.saturating_sub(settings.hints.idle_ms));
         self.hedges.on_tick(ctx.now_ms);
         let lost = self.finish_searches(ctx);
         self.searches
--- a/crates/basilstep-core/src/flows/balancer/state/searching.rs
+++ b/crates/basilstep-core/src/flows/balancer/state/searching.rs
@@ -66,8 +66,8 @@
         Verdict::Search(unanswered.next_hops)
     }
 
-    /// Returns the agents that may hold a flow and have not refused; `None` if its address has never
-    /// had a route.
+    /// Returns the agents that may hold a flow and have not refused; `None` if its address has had
+    /// no route for as long as an idle flow is remembered.
     ///
     /// A flow whose route was removed may still be open; whether its requests may be repeated is no
     /// longer known.
@@ -121,11 +121,15 @@
     fn services_of(&self, flow: &FlowKey) -> BTreeSet<ServiceTag> {
         let address = &flow.service_address;
         let route = self.fleet.table.routes.get(address);
-        let former = self.former_services.get(address);
+        let former = self
+            .former_services
+            .keys_from((*address, ServiceTag::MIN))
+            .take_while(|(former, _)| former == address)
+            .map(|(_, service)| service);
         route
             .into_iter()
             .flat_map(|route| route.shares.iter().map(|share| share.service))
-            .chain(former.into_iter().flatten().copied())
+            .chain(former)
             .collect()
     }
 
--- a/crates/basilstep-core/src/flows/balancer/state/settings.rs
+++ b/crates/basilstep-core/src/flows/balancer/state/settings.rs
@@ -7,7 +7,7 @@
     flows::{
         balancer::settings_watch::WatchLimits,
         frame::{AgentReport, ReportReply},
-        routes::{FleetSettings, PriorityRanks},
+        routes::{FleetSettings, PriorityRanks, Route, RouteTable, ServiceShare},
     },
 };
 use std::{collections::BTreeSet, net::Ipv4Addr};
@@ -22,19 +22,25 @@
         }
         self.held_domains
             .on_settings(&before, &self.fleet, ctx.now_ms);
-        for (entry, route) in before.table.routes {
-            let now = self.fleet.table.routes.get(&entry);
-            if now.is_none_or(|now| now.shares != route.shares) {
-                let services = route.shares.iter().map(|share| share.service);
-                self.former_services
-                    .entry(entry)
-                    .or_default()
-                    .extend(services);
-            }
+        if is_changed {
+            self.record_former_services(&before.table, ctx.now_ms);
         }
         is_changed
     }
 
+    /// Records the services that the routes no longer name.
+    fn record_former_services(&mut self, before: &RouteTable, now_ms: u64) {
+        for (address, route) in &before.routes {
+            let now = self.fleet.table.routes.get(address);
+            for ServiceShare { service, .. } in &route.shares {
+                let is_named = |now: &Route| now.shares.iter().any(|s| s.service == *service);
+                if !now.is_some_and(is_named) {
+                    self.former_services.insert((*address, *service), now_ms);
+                }
+            }
+        }
+    }
+
     /// Records that the settings in force were the newest of the store at `at_ms`.
     pub fn on_settings_confirmed(&mut self, at_ms: u64) {
         self.settings_watch.on_confirmed(at_ms);
--- a/crates/basilstep-core/src/flows/key.rs
+++ b/crates/basilstep-core/src/flows/key.rs
@@ -44,6 +44,9 @@
 pub struct ServiceTag(pub [u8; 6]);
 
 impl ServiceTag {
+    /// The lowest tag.
+    pub(super) const MIN: Self = Self([0; 6]);
+
     /// Returns the tag of the service called `name`.
     pub fn of(name: &str) -> Self {
         let mut hasher = SipHasher13::new();
--- a/crates/basilstep-core/src/flows/mod.rs
+++ b/crates/basilstep-core/src/flows/mod.rs
@@ -13,6 +13,7 @@
 mod handshake;
 mod key;
 mod limits;
+mod recent_keys;
 mod routes;
 mod segment;
 mod send_schedule;
--- a/crates/basilstep-core/src/flows/tests/mod.rs
+++ b/crates/basilstep-core/src/flows/tests/mod.rs
@@ -16,6 +16,7 @@
 mod offers;
 mod overload;
 mod priority_load;
+mod recent_keys;
 mod refusals;
 mod restart;
 mod reused_keys;
--- a/crates/basilstep-core/src/flows/tests/stale_state.rs
+++ b/crates/basilstep-core/src/flows/tests/stale_state.rs
@@ -8,7 +8,7 @@
 use crate::{
     codes::ResultCode,
     flows::{
-        AgentReport, ProcessIncarnation, RequestKind, Returned, TargetPhase,
+        AgentReport, FlowSettings, ProcessIncarnation, RequestKind, Returned, TargetPhase,
         agent::{CallerVerdict, HeartbeatOutcome, TargetHeartbeat},
         balancer::Verdict,
     },
@@ -30,6 +30,28 @@
     assert_eq!(verdict, Verdict::Reset { code });
 }
 
+/// Guards against searches at all agents for flows of addresses whose route was removed long ago.
+#[test]
+fn removed_route_is_forgotten_when_its_flows_have_been_idle_for_too_long() {
+    let (mut balancer, ctx) = balancer_with(1, RequestKind::Idempotent);
+    let mut settings = fleet_settings(RequestKind::Idempotent);
+    settings.table.version = 2;
+    settings.table.routes.clear();
+    balancer.on_fleet_settings(settings, &ctx);
+    let end_ms = ctx.now_ms + FlowSettings::default().hints.idle_ms;
+    for (port, now_ms, is_kept) in [(1, end_ms, true), (2, end_ms + 1, false)] {
+        let later = context(now_ms);
+        balancer.on_tick(&later);
+        balancer.on_report(agent_ip(1), report(TargetPhase::Serving), &later);
+        let verdict = balancer.on_packet(&data(flow(port), 100), &later);
+        assert_eq!(
+            matches!(verdict, Verdict::Search(_)),
+            is_kept,
+            "{verdict:?}"
+        );
+    }
+}
+
 /// Guards against a late report of an agent's former incarnation that makes its former state valid
 /// again.
 #[test]
