fix(flows): a SYN without a route is refused although no agent is live

Cause: reject_unknown_service waited for live agents, although the absence of a route does not depend on them, so the caller waited for its last SYN (1.4 s).

Change: a balancer whose settings the store has confirmed within max_age_ms resets the SYN at once. One that has just started or was paused (settle_ms), or whose settings are unconfirmed or older, drops it as before.

Measured: of syn_without_a_route_is_refused_without_agents_if_settings_are_confirmed the two cases with confirmed settings failed before; all six pass.

--- a/crates/basilstep-core/src/flows/balancer/state.rs
+++ b/crates/basilstep-core/src/flows/balancer/state.rs
@@ -417,7 +417,9 @@
     /// reset, which is to try again if its flow is not open yet.
     fn reject_unknown_service(&self, kind: RequestKind, ctx: &Context) -> Verdict {
         let code = ResultCode::UnknownService;
-        if self.fleet.is_known() && self.may_reset(kind, ctx) {
+        let may_reset = self.may_reset(kind, ctx)
+            || (kind == RequestKind::Idempotent && self.has_confirmed_settings(ctx));
+        if self.fleet.is_known() && may_reset {
             return Verdict::Reset { code };
         }
         Verdict::Drop { code }
--- a/crates/basilstep-core/src/flows/balancer/state/readiness.rs
+++ b/crates/basilstep-core/src/flows/balancer/state/readiness.rs
@@ -55,6 +55,19 @@
         }
     }
 
+    /// Returns whether the store has confirmed the settings recently enough, so that a route that is
+    /// missing here does not exist.
+    ///
+    /// A balancer that has just started or was paused waits until it has read what was queued.
+    pub(super) fn has_confirmed_settings(&self, ctx: &Context) -> bool {
+        let settled_ms = self.settling_since_ms + self.settings.searches.settle_ms;
+        let max_age_ms = self.identity.watch_times.max_age_ms;
+        ctx.now_ms >= settled_ms
+            && self
+                .settings_age_ms(ctx)
+                .is_some_and(|age_ms| age_ms < max_age_ms)
+    }
+
     /// Returns how many agents are enough if another balancer has `most`; `None` if no other
     /// balancer has sent a heartbeat yet.
     fn required_agents(&self, most: Option<u16>, ctx: &Context) -> Option<usize> {
--- a/crates/basilstep-core/src/flows/tests/stale_state.rs
+++ b/crates/basilstep-core/src/flows/tests/stale_state.rs
@@ -13,6 +13,7 @@
         balancer::Verdict,
     },
 };
+use rstest::rstest;
 
 /// Guards against the reset of an open flow by a balancer that has no hint of it, when operators
 /// have removed its route.
@@ -52,6 +53,54 @@
     }
 }
 
+/// The state of a balancer without agents that gets a SYN for an address without a route.
+#[derive(Clone, Copy, Debug)]
+#[expect(clippy::struct_field_names, reason = "each is a time with its unit")]
+struct SettingsState {
+    confirmed_ms: Option<u64>,
+    paused_ms: Option<u64>,
+    syn_ms: u64,
+}
+
+const CONFIRMED: SettingsState = SettingsState {
+    confirmed_ms: Some(9_900),
+    paused_ms: None,
+    syn_ms: 10_000,
+};
+
+/// Guards against callers that wait for their last SYN although the address has no route, and
+/// against a reset by a balancer that may lack a new route.
+#[rstest]
+#[case::confirmed(CONFIRMED, true)]
+#[case::never_confirmed(SettingsState { confirmed_ms: None, ..CONFIRMED }, false)]
+#[case::just_started(SettingsState { confirmed_ms: Some(100), syn_ms: 200, ..CONFIRMED }, false)]
+#[case::paused(SettingsState { paused_ms: Some(9_950), syn_ms: 10_500, ..CONFIRMED }, false)]
+#[case::nearly_too_old(SettingsState { syn_ms: 11_899, ..CONFIRMED }, true)]
+#[case::too_old(SettingsState { syn_ms: 11_900, ..CONFIRMED }, false)]
+fn syn_without_a_route_is_refused_without_agents_if_settings_are_confirmed(
+    #[case] state: SettingsState,
+    #[case] is_refused: bool,
+) {
+    let (mut balancer, _) = balancer_with(0, RequestKind::Idempotent);
+    if let Some(at_ms) = state.confirmed_ms {
+        balancer.on_settings_confirmed(at_ms);
+    }
+    if let Some(at_ms) = state.paused_ms {
+        balancer.on_pause(0, &context(at_ms));
+        balancer.on_backlog_read();
+    }
+    let mut unknown = flow(1);
+    unknown.service_address.set_port(9);
+    let verdict = balancer.on_packet(&syn(unknown, 0), &context(state.syn_ms));
+    let code = ResultCode::UnknownService;
+    let expected = if is_refused {
+        Verdict::Reset { code }
+    } else {
+        Verdict::Drop { code }
+    };
+    assert_eq!(verdict, expected);
+}
+
 /// Guards against a late report of an agent's former incarnation that makes its former state valid
 /// again.
 #[test]
