fix(flows): the reset of an idle flow reaches its caller

Cause: an agent discards an open flow after table.idle_ms and took a later reset of its target for that of a second target, so the caller kept waiting.

Change: the table remembers discarded open flows (at most 8,192, the latest ones) until the key is used again, the target resets the flow or the target ends. Flows that were never open here are not remembered, so the resets of second targets are still dropped.

Measured: reset_of_an_open_flow_that_was_idle_reaches_its_caller_once failed before and passes; the tests of reused_keys pass.

--- a/crates/basilstep-core/src/flows/agent/state.rs
+++ b/crates/basilstep-core/src/flows/agent/state.rs
@@ -212,10 +212,13 @@
             self.table.remove(&key);
             return TargetVerdict::Drop;
         }
-        if before.is_none() && segment.flags.rst && self.knows_all_flows(ctx) {
-            // The caller never opened the flow here, or it ended long ago; it may be open at another
-            // target.
-            return TargetVerdict::Drop;
+        if before.is_none() && segment.flags.rst {
+            let was_idle = self.table.end_idle(&key);
+            if !was_idle && self.knows_all_flows(ctx) {
+                // The caller never opened the flow here, or it ended long ago; it may be open at
+                // another target.
+                return TargetVerdict::Drop;
+            }
         }
         let is_first = matches!(stage, Some(FlowStage::Offered | FlowStage::Probed))
             || before.is_some_and(|flow| flow.is_replaced_by(segment));
@@ -471,7 +474,8 @@
         self.target.is_witnessed() && (has_started_later || is_first_agent)
     }
 
-    /// Returns whether the table holds every flow of the target.
+    /// Returns whether the table holds every flow of the target, except for those that were idle for
+    /// too long.
     fn knows_all_flows(&self, ctx: &Context) -> bool {
         self.has_witnessed_target()
             || (self.target.phase() != TargetPhase::Unknown
--- a/crates/basilstep-core/src/flows/agent/table.rs
+++ b/crates/basilstep-core/src/flows/agent/table.rs
@@ -3,6 +3,7 @@
     flows::{
         handshake::HANDSHAKE_TIMEOUT_MS,
         key::FlowKey,
+        recent_keys::RecentKeys,
         segment::{Segment, is_ahead},
     },
 };
@@ -18,6 +19,10 @@
 /// completes the handshake, which follows the target's first packets.
 const HANDSHAKE_SPAN_BYTES: u32 = 1 << 16;
 
+/// The maximum number of idle flows that are remembered after they were discarded: several times the
+/// flows that callers keep open to one target, in about 1 MB.
+const MAX_IDLE_FLOWS: usize = 8_192;
+
 /// The stage of a flow in its life cycle.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum FlowStage {
@@ -278,13 +283,27 @@
 }
 
 /// The flows of a target, with running counts of live flows and of requests at work.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct FlowTable {
     flows: BTreeMap<FlowKey, Flow>,
+    /// Open flows that were discarded because they were idle, with the time of their last packet; the
+    /// target may still hold them.
+    idle: RecentKeys<FlowKey>,
     live: usize,
     at_work: usize,
 }
 
+impl Default for FlowTable {
+    fn default() -> Self {
+        Self {
+            flows: BTreeMap::new(),
+            idle: RecentKeys::new(MAX_IDLE_FLOWS),
+            live: 0,
+            at_work: 0,
+        }
+    }
+}
+
 impl FlowTable {
     /// Returns a flow.
     pub fn get(&self, key: &FlowKey) -> Option<&Flow> {
@@ -294,6 +313,7 @@
     /// Adds a flow and replaces an earlier one with the same key.
     pub fn insert(&mut self, key: FlowKey, flow: Flow) {
         self.remove(&key);
+        self.idle.remove(&key);
         self.update_counts(&flow, true);
         self.flows.insert(key, flow);
     }
@@ -305,6 +325,11 @@
         Some(flow)
     }
 
+    /// Ends a flow that was discarded while it was open; returns whether it was.
+    pub fn end_idle(&mut self, key: &FlowKey) -> bool {
+        self.idle.remove(key)
+    }
+
     /// Changes a flow and returns its new state.
     pub fn update(&mut self, key: &FlowKey, change: impl FnOnce(&mut Flow)) -> Option<Flow> {
         let flow = self.flows.get_mut(key)?;
@@ -337,6 +362,7 @@
     /// Flows whose callers have not completed the handshake here are removed: they may be open at
     /// another target.
     pub fn mark_lost(&mut self, opened_until_ms: u64, now_ms: u64) -> Vec<(FlowKey, Flow)> {
+        self.idle.expire(opened_until_ms.saturating_add(1));
         let mut lost: Vec<(FlowKey, Flow)> = self
             .flows
             .iter()
@@ -383,7 +409,10 @@
             .map(|(key, _)| *key)
             .collect();
         for key in expired {
-            self.remove(&key);
+            let flow = self.remove(&key);
+            if let Some(open) = flow.filter(|flow| flow.stage == FlowStage::Open) {
+                self.idle.insert(key, open.used_ms);
+            }
         }
     }
 
--- a/crates/basilstep-core/src/flows/tests/reused_keys.rs
+++ b/crates/basilstep-core/src/flows/tests/reused_keys.rs
@@ -255,3 +255,51 @@
     let sequences: Vec<u32> = lost.iter().map(|lost| lost.sequence).collect();
     assert_eq!(sequences, [501]);
 }
+
+fn reset_of_target() -> Segment {
+    let mut reset = from_target(data(flow(1), 0));
+    reset.flags.rst = true;
+    reset
+}
+
+/// An agent that has discarded an open flow because it was idle; its target is still running.
+fn agent_after_an_idle_flow() -> AgentFlows {
+    let mut agent = agent_with_flow();
+    agent.on_tick(&context(36_000));
+    agent.on_target_heartbeat(&target_heartbeat(2), &context(36_000));
+    assert!(agent.table().get(&flow(1)).is_none());
+    agent
+}
+
+/// Guards against a caller that waits for an answer on an idle flow although its target has reset
+/// the flow.
+#[test]
+fn reset_of_an_open_flow_that_was_idle_reaches_its_caller_once() {
+    let mut agent = agent_after_an_idle_flow();
+    let verdict = agent.on_target_packet(&reset_of_target(), &context(36_100));
+    assert!(matches!(verdict, TargetVerdict::ToCaller { .. }));
+    let verdict = agent.on_target_packet(&reset_of_target(), &context(36_200));
+    assert_eq!(verdict, TargetVerdict::Drop);
+}
+
+/// Guards against the reset of a flow at another target, because an earlier flow with its key was
+/// idle here.
+#[test]
+fn reset_of_a_flow_that_was_not_chosen_is_dropped_although_an_earlier_one_was_idle() {
+    let mut agent = agent_after_an_idle_flow();
+    agent.on_packet(&origin(), &syn(flow(1), 0), &context(36_100));
+    agent.on_target_packet(&accepted(flow(1)), &context(36_100));
+    agent.on_tick(&context(42_000));
+    assert!(agent.table().get(&flow(1)).is_none());
+    let verdict = agent.on_target_packet(&reset_of_target(), &context(42_000));
+    assert_eq!(verdict, TargetVerdict::Drop);
+}
+
+/// Guards against a reset for an idle flow of an earlier incarnation of the target.
+#[test]
+fn reset_of_an_idle_flow_is_dropped_after_the_target_has_ended() {
+    let mut agent = agent_after_an_idle_flow();
+    agent.on_target_ended(&context(37_000));
+    let verdict = agent.on_target_packet(&reset_of_target(), &context(37_100));
+    assert_eq!(verdict, TargetVerdict::Drop);
+}
