--- a/crates/basilstep-balancer/src/control_port.rs
+++ b/crates/basilstep-balancer/src/control_port.rs
@@ -84,6 +84,9 @@
         let Ok(snapshot) = self.controller.send(TakeSnapshot).await else {
             return ControlResponse::code(ResultCode::PeerUnreachable);
         };
+        let Some(snapshot) = snapshot else {
+            return ControlResponse::code(ResultCode::Recovering);
+        };
         ControlResponse {
             code: ResultCode::Done,
             body: postcard::to_stdvec(&snapshot).unwrap_or_default(),
--- a/crates/basilstep-balancer/src/controller/handlers.rs
+++ b/crates/basilstep-balancer/src/controller/handlers.rs
@@ -133,9 +133,12 @@
 }
 
 impl Handler<TakeSnapshot> for Controller {
-    type Return = MembershipSnapshot;
+    type Return = Option<MembershipSnapshot>;
 
-    async fn handle(&mut self, _: TakeSnapshot, _: &mut Context<Self>) -> MembershipSnapshot {
-        self.membership.snapshot(self.shared.clock.now_ms())
+    async fn handle(&mut self, _: TakeSnapshot, _: &mut Context<Self>) -> Self::Return {
+        // The first message after a pause may be this one, before the next tick.
+        self.shared.clock.refresh(&mut self.context);
+        self.membership.detect_pause(&self.context);
+        self.membership.snapshot(self.context.now_ms)
     }
 }
--- a/crates/basilstep-bench/src/load/membership/fleet.rs
+++ b/crates/basilstep-bench/src/load/membership/fleet.rs
@@ -475,7 +475,9 @@
         if !self.is_reachable(member, from) {
             return;
         }
-        let snapshot = Box::new(peer.snapshot(self.ctx.now_ms));
+        let Some(snapshot) = peer.snapshot(self.ctx.now_ms).map(Box::new) else {
+            return;
+        };
         let bytes = snapshot.members.len() * SNAPSHOT_MEMBER_BYTES;
         self.traffic.count_transfer(from, member, bytes);
         let at_ms = self.ctx.now_ms + 2 * self.latency_ms(member, from) + TRANSFER_MS;
--- a/crates/basilstep-core/src/codes.rs
+++ b/crates/basilstep-core/src/codes.rs
@@ -110,7 +110,7 @@
     BadSeal = 409,
     /// The datagram was dropped: its target is dead.
     TargetDead = 410,
-    /// The datagram was dropped: the balancer was paused and its view is not confirmed yet.
+    /// The datagram or the snapshot was refused: the balancer was paused and its view is not confirmed yet.
     Recovering = 411,
     /// The packet was passed back: its flow is not held by this target.
     FlowNotHeld = 412,
--- a/crates/basilstep-core/src/membership/join.rs
+++ b/crates/basilstep-core/src/membership/join.rs
@@ -95,19 +95,23 @@
         }
     }
 
-    /// Returns the whole view for a balancer that joins.
-    pub fn snapshot(&self, now_ms: u64) -> MembershipSnapshot {
+    /// Returns the whole view for a balancer that joins; `None` while the view is kept back after a
+    /// pause, until a peer's view has been merged.
+    pub fn snapshot(&self, now_ms: u64) -> Option<MembershipSnapshot> {
+        if self.has_stale_view(now_ms) {
+            return None;
+        }
         let members = self.table.members().values().map(|member| SnapshotMember {
             record: member.record,
             silent_ms: member
                 .silent
                 .then(|| now_ms.saturating_sub(member.stamp_ms)),
         });
-        MembershipSnapshot {
+        Some(MembershipSnapshot {
             members: members.collect(),
             domains: self.domain_evidence(now_ms),
             settings_version: self.settings_version,
-        }
+        })
     }
 
     /// Merges the whole view of a peer.
--- a/crates/basilstep-core/src/membership/state.rs
+++ b/crates/basilstep-core/src/membership/state.rs
@@ -209,7 +209,7 @@
 
     /// Detects a pause of this process; the ages of evidence in datagrams queued meanwhile are
     /// wrong.
-    pub(super) fn detect_pause(&mut self, ctx: &Context) {
+    pub fn detect_pause(&mut self, ctx: &Context) {
         let gap_ms = ctx.now_ms - self.last_active_ms;
         self.last_active_ms = ctx.now_ms;
         if gap_ms > self.settings.pause_limit_ms {
--- a/crates/basilstep-core/src/membership/tests.rs
+++ b/crates/basilstep-core/src/membership/tests.rs
@@ -147,7 +147,9 @@
         if self.stopped.contains(&from) || self.lost_paths.contains(&(by, from)) {
             return;
         }
-        let snapshot = self.balancers[&from].snapshot(self.ctx.now_ms);
+        let Some(snapshot) = self.balancers[&from].snapshot(self.ctx.now_ms) else {
+            return;
+        };
         let joining = self.balancers.get_mut(&by).unwrap();
         let actions = joining.merge_snapshot(&snapshot, &mut self.ctx);
         self.execute(by, actions);
--- a/crates/basilstep-core/src/membership/tests/departures.rs
+++ b/crates/basilstep-core/src/membership/tests/departures.rs
@@ -148,7 +148,9 @@
 fn unknown_members_are_probed_although_the_first_view_of_a_peer_is_late() {
     let mut fleet = fleet_after_a_pause();
     let left = agent(1, 0).address.0;
-    let mut peers_view = fleet.balancers[&balancer(1).address.0].snapshot(fleet.ctx.now_ms);
+    let mut peers_view = fleet.balancers[&balancer(1).address.0]
+        .snapshot(fleet.ctx.now_ms)
+        .unwrap();
     peers_view
         .members
         .retain(|member| member.record.address != left);
@@ -173,3 +175,18 @@
     }
     assert!(probed.contains(&left), "{probed:?}");
 }
+
+/// Guards against a member that has left and comes back at a balancer that joins, through the view
+/// of one that was paused meanwhile.
+#[test]
+fn view_from_before_a_pause_is_no_snapshot_until_a_peers_view_is_merged() {
+    let mut fleet = fleet_after_a_pause();
+    let peers_view = fleet.balancers[&balancer(1).address.0]
+        .snapshot(fleet.ctx.now_ms)
+        .unwrap();
+    let view = fleet.balancers.get_mut(&frozen()).unwrap();
+    view.on_tick(&mut fleet.ctx);
+    assert!(view.snapshot(fleet.ctx.now_ms).is_none());
+    view.merge_snapshot(&peers_view, &mut fleet.ctx);
+    assert!(view.snapshot(fleet.ctx.now_ms).is_some());
+}
