--- a/crates/basilstep-core/src/flows/tests/stale_state.rs
+++ b/crates/basilstep-core/src/flows/tests/stale_state.rs
@@ -7,23 +7,31 @@
 };
 use crate::{
     codes::ResultCode,
+    context::Context,
     flows::{
-        AgentReport, FlowSettings, ProcessIncarnation, RequestKind, Returned, TargetPhase,
+        AgentReport, BalancerFlows, FlowSettings, ProcessIncarnation, RequestKind, Returned,
+        TargetPhase,
         agent::{CallerVerdict, HeartbeatOutcome, TargetHeartbeat},
         balancer::Verdict,
     },
 };
 use rstest::rstest;
 
-/// Guards against the reset of an open flow by a balancer that has no hint of it, when operators
-/// have removed its route.
-#[test]
-fn open_flow_is_found_after_its_route_was_removed() {
-    let (mut balancer, ctx) = balancer_with(2, RequestKind::Idempotent);
+/// A balancer that knows agents 1 to `agents` and whose only route has just been removed.
+fn balancer_without_its_route(agents: u8) -> (BalancerFlows, Context) {
+    let (mut balancer, ctx) = balancer_with(agents, RequestKind::Idempotent);
     let mut settings = fleet_settings(RequestKind::Idempotent);
     settings.table.version = 2;
     settings.table.routes.clear();
     balancer.on_fleet_settings(settings, &ctx);
+    (balancer, ctx)
+}
+
+/// Guards against the reset of an open flow by a balancer that has no hint of it, when operators
+/// have removed its route.
+#[test]
+fn open_flow_is_found_after_its_route_was_removed() {
+    let (mut balancer, ctx) = balancer_without_its_route(2);
     let verdict = balancer.on_packet(&data(flow(1), 100), &ctx);
     assert!(matches!(verdict, Verdict::Search(next_hops) if next_hops.len() == 2));
     let verdict = balancer.on_packet(&syn(flow(2), 0), &ctx);
@@ -34,11 +42,7 @@
 /// Guards against searches at all agents for flows of addresses whose route was removed long ago.
 #[test]
 fn removed_route_is_forgotten_when_its_flows_have_been_idle_for_too_long() {
-    let (mut balancer, ctx) = balancer_with(1, RequestKind::Idempotent);
-    let mut settings = fleet_settings(RequestKind::Idempotent);
-    settings.table.version = 2;
-    settings.table.routes.clear();
-    balancer.on_fleet_settings(settings, &ctx);
+    let (mut balancer, ctx) = balancer_without_its_route(1);
     let end_ms = ctx.now_ms + FlowSettings::default().hints.idle_ms;
     for (port, now_ms, is_kept) in [(1, end_ms, true), (2, end_ms + 1, false)] {
         let later = context(now_ms);
