--- a/crates/basilstep-core/src/flows/balancer/state.rs
+++ b/crates/basilstep-core/src/flows/balancer/state.rs
@@ -27,21 +27,23 @@
         frame::{AgentReport, BalancerHeartbeat, ForwardHeader, HeldFlows, Returned},
         handshake::HANDSHAKE_TIMEOUT_MS,
         key::{FlowKey, ServiceTag},
+        recent_keys::RecentKeys,
         routes::{FleetSettings, PriorityRanks, RequestKind},
         segment::Segment,
         send_schedule::SendSchedule,
         settings::FlowSettings,
     },
 };
-use std::{
-    collections::{BTreeMap, BTreeSet},
-    net::{Ipv4Addr, SocketAddrV4},
-};
+use std::net::{Ipv4Addr, SocketAddrV4};
 use syn::NewFlow;
 
 /// How many hints are checked in one tick.
 const HINTS_SWEPT_PER_TICK: usize = 256;
 
+/// The maximum number of services that are remembered for routes that no longer name them: several
+/// times the routes of a large fleet (2,000), in about 1 MB.
+const MAX_FORMER_SERVICES: usize = 8_192;
+
 /// The steering state of one balancer.
 #[derive(Clone, Debug)]
 pub struct BalancerFlows {
@@ -53,8 +55,9 @@
     /// Services to which a route leads whose requests may be repeated.
     idempotent_services: BTreeSet<ServiceTag>,
     held_domains: HeldDomains,
-    /// Services that earlier versions of a route named and that may still hold its open flows.
-    former_services: BTreeMap<SocketAddrV4, BTreeSet<ServiceTag>>,
+    /// Services that earlier versions of a route named and that may still hold its open flows, with
+    /// the time of their removal.
+    former_services: RecentKeys<(SocketAddrV4, ServiceTag)>,
     agents: AgentTable,
     balancers: BalancerList,
     hints: Hints,
@@ -91,7 +94,7 @@
             priority_ranks: PriorityRanks::default(),
             idempotent_services: BTreeSet::new(),
             held_domains: HeldDomains::default(),
-            former_services: BTreeMap::new(),
+            former_services: RecentKeys::new(MAX_FORMER_SERVICES),
             agents: AgentTable::default(),
             balancers,
             hints: Hints::new(settings.hints.limit),
@@ -361,6 +364,8 @@
             ctx.now_ms.saturating_sub(settings.hints.idle_ms),
         );
         self.discard_undecided_hints(ctx);
+        self.former_services
+            .expire(ctx.now_ms.saturating_sub(settings.hints.idle_ms));
         let lost = self.finish_searches(ctx);
         self.searches
             .forget(ctx.now_ms.saturating_sub(settings.searches.keep_ms));
@@ -422,7 +427,9 @@
     /// reset, which is to try again if its flow is not open yet.
     fn reject_unknown_service(&self, kind: RequestKind, ctx: &Context) -> Verdict {
         let code = ResultCode::UnknownService;
-        if self.fleet.is_known() && self.may_reset(kind, ctx) {
+        let may_reset = self.may_reset(kind, ctx)
+            || (kind == RequestKind::Idempotent && self.has_confirmed_settings(ctx));
+        if self.fleet.is_known() && may_reset {
             return Verdict::Reset { code };
         }
         Verdict::Drop { code }
--- a/crates/basilstep-core/src/flows/tests/stale_state.rs
+++ b/crates/basilstep-core/src/flows/tests/stale_state.rs
@@ -7,22 +7,31 @@
 };
 use crate::{
     codes::ResultCode,
+    context::Context,
     flows::{
-        AgentReport, ProcessIncarnation, RequestKind, Returned, TargetPhase,
+        AgentReport, BalancerFlows, FlowSettings, ProcessIncarnation, RequestKind, Returned,
+        TargetPhase,
         agent::{CallerVerdict, HeartbeatOutcome, TargetHeartbeat},
         balancer::Verdict,
     },
 };
+use rstest::rstest;
 
-/// Guards against the reset of an open flow by a balancer that has no hint of it, when operators
-/// have removed its route.
-#[test]
-fn open_flow_is_found_after_its_route_was_removed() {
-    let (mut balancer, ctx) = balancer_with(2, RequestKind::Idempotent);
+/// A balancer that knows agents 1 to `agents` and whose only route has just been removed.
+fn balancer_without_its_route(agents: u8) -> (BalancerFlows, Context) {
+    let (mut balancer, ctx) = balancer_with(agents, RequestKind::Idempotent);
     let mut settings = fleet_settings(RequestKind::Idempotent);
     settings.table.version = 2;
     settings.table.routes.clear();
     balancer.on_fleet_settings(settings, &ctx);
+    (balancer, ctx)
+}
+
+/// Guards against the reset of an open flow by a balancer that has no hint of it, when operators
+/// have removed its route.
+#[test]
+fn open_flow_is_found_after_its_route_was_removed() {
+    let (mut balancer, ctx) = balancer_without_its_route(2);
     let verdict = balancer.on_packet(&data(flow(1), 100), &ctx);
     assert!(matches!(verdict, Verdict::Search(next_hops) if next_hops.len() == 2));
     let verdict = balancer.on_packet(&syn(flow(2), 0), &ctx);
@@ -30,6 +39,72 @@
     assert_eq!(verdict, Verdict::Reset { code });
 }
 
+/// Guards against searches at all agents for flows of addresses whose route was removed long ago.
+#[test]
+fn removed_route_is_forgotten_when_its_flows_have_been_idle_for_too_long() {
+    let (mut balancer, ctx) = balancer_without_its_route(1);
+    let end_ms = ctx.now_ms + FlowSettings::default().hints.idle_ms;
+    for (port, now_ms, is_kept) in [(1, end_ms, true), (2, end_ms + 1, false)] {
+        let later = context(now_ms);
+        balancer.on_tick(&later);
+        balancer.on_report(agent_ip(1), report(TargetPhase::Serving), &later);
+        let verdict = balancer.on_packet(&data(flow(port), 100), &later);
+        assert_eq!(
+            matches!(verdict, Verdict::Search(_)),
+            is_kept,
+            "{verdict:?}"
+        );
+    }
+}
+
+/// The state of a balancer without agents that gets a SYN for an address without a route.
+#[derive(Clone, Copy, Debug)]
+#[expect(clippy::struct_field_names, reason = "each is a time with its unit")]
+struct SettingsState {
+    confirmed_ms: Option<u64>,
+    paused_ms: Option<u64>,
+    syn_ms: u64,
+}
+
+const CONFIRMED: SettingsState = SettingsState {
+    confirmed_ms: Some(9_900),
+    paused_ms: None,
+    syn_ms: 10_000,
+};
+
+/// Guards against callers that wait for their last SYN although the address has no route, and
+/// against a reset by a balancer that may lack a new route.
+#[rstest]
+#[case::confirmed(CONFIRMED, true)]
+#[case::never_confirmed(SettingsState { confirmed_ms: None, ..CONFIRMED }, false)]
+#[case::just_started(SettingsState { confirmed_ms: Some(100), syn_ms: 200, ..CONFIRMED }, false)]
+#[case::paused(SettingsState { paused_ms: Some(9_950), syn_ms: 10_500, ..CONFIRMED }, false)]
+#[case::nearly_too_old(SettingsState { syn_ms: 11_899, ..CONFIRMED }, true)]
+#[case::too_old(SettingsState { syn_ms: 11_900, ..CONFIRMED }, false)]
+fn syn_without_a_route_is_refused_without_agents_if_settings_are_confirmed(
+    #[case] state: SettingsState,
+    #[case] is_refused: bool,
+) {
+    let (mut balancer, _) = balancer_with(0, RequestKind::Idempotent);
+    if let Some(at_ms) = state.confirmed_ms {
+        balancer.on_settings_confirmed(at_ms);
+    }
+    if let Some(at_ms) = state.paused_ms {
+        balancer.on_pause(0, &context(at_ms));
+        balancer.on_backlog_read();
+    }
+    let mut unknown = flow(1);
+    unknown.service_address.set_port(9);
+    let verdict = balancer.on_packet(&syn(unknown, 0), &context(state.syn_ms));
+    let code = ResultCode::UnknownService;
+    let expected = if is_refused {
+        Verdict::Reset { code }
+    } else {
+        Verdict::Drop { code }
+    };
+    assert_eq!(verdict, expected);
+}
+
 /// Guards against a late report of an agent's former incarnation that makes its former state valid
 /// again.
 #[test]
