test(packet): the stand-ins of callers and targets keep sequence numbers

Cause: flow_survives_restarts_of_its_agent_in_series read the answer of the round before. Traces of failed runs: the caller sends each request once; a search brings it to its target twice, the target answers anew with the same sequence number, and the caller takes the second copy as the answer to its next request. The caller's retransmission was ruled out: none happened in the traced failures.

Change: both ends keep their sequence numbers (support/flow.rs). A caller takes only data that continues the flow and acknowledges its last request, acknowledges and ignores repeated data, and fails on any other. A target repeats its answer to a repeated request. The callers of the soak use the same code; data that does not fit is a violation.

--- a/crates/basilstep-packet/tests/processes/soak/callers.rs
+++ b/crates/basilstep-packet/tests/processes/soak/callers.rs
@@ -5,7 +5,8 @@
     routers::Routers,
 };
 use crate::support::{
-    packet::{ACK, Packet, RST, SYN},
+    flow::{CALLER_SEQUENCE, CallerFlow, Received},
+    packet::{Packet, RST, SYN},
     target::TargetConfig,
 };
 use rand_chacha::{ChaCha8Rng, rand_core::Rng};
@@ -96,13 +97,14 @@
         };
         self.invariants.record_opened_flow();
         let run = TargetConfig::run_of(opened.sequence);
+        let mut flow = CallerFlow::new(&opened);
         let mut target_id: Option<String> = None;
         for number in 0..REQUESTS_PER_FLOW {
             if is_stopped.load(Ordering::SeqCst) {
                 return;
             }
             let text = format!("{port}.{number}");
-            match self.request(source, &opened, &text).await {
+            match self.request(&mut flow, &text).await {
                 Answer::Whole(answer) => {
                     let target = self.target_of(&answer, &text);
                     self.invariants.record_answer();
@@ -149,32 +151,50 @@
         None
     }
 
-    async fn request(&self, source: SocketAddrV4, opened: &Packet, text: &str) -> Answer {
-        let packet = Packet {
-            flags: ACK,
-            sequence: 101,
-            acknowledged: opened.sequence + 1,
-            data: text.as_bytes().to_vec(),
-            ..self.packet(source)
-        };
+    async fn request(&self, flow: &mut CallerFlow, text: &str) -> Answer {
+        let request = flow.start_request(text);
         let until = Instant::now() + ANSWER_TIMEOUT;
         while Instant::now() < until {
-            self.send(&packet).await;
-            let is_ours = |answer: &Packet| {
-                // The platform's callers ignore resets outside of this distance on an open flow.
-                let distance = answer.sequence.abs_diff(packet.acknowledged);
-                let is_reset = answer.is(RST) && distance <= MAX_RESET_DISTANCE;
-                answer.destination == source && (is_reset || is_answer_to(answer, text))
-            };
-            match self.receive(RESEND_AFTER, is_ours).await {
+            self.send(&request).await;
+            let is_final = |packet: &Packet| self.is_final(flow, &request, packet);
+            match self.receive(RESEND_AFTER, is_final).await {
                 Some(answer) if answer.is(RST) => return Answer::Reset,
-                Some(answer) => return Answer::Whole(answer),
+                Some(answer) => {
+                    self.send(&flow.acknowledgement()).await;
+                    return Answer::Whole(answer);
+                }
                 None => {}
             }
         }
         Answer::None
     }
 
+    /// Returns whether `packet` is the answer to a request or resets its flow.
+    fn is_final(&self, flow: &mut CallerFlow, request: &Packet, packet: &Packet) -> bool {
+        match flow.receive(packet) {
+            Received::Answer => true,
+            Received::Reset => {
+                // The platform's callers ignore resets outside of this distance on an open flow.
+                let distance = packet.sequence.abs_diff(request.acknowledged);
+                distance <= MAX_RESET_DISTANCE
+            }
+            Received::Repeated => {
+                if let Some(balancer) = self.routers.balancer_for(request) {
+                    // An acknowledgement that cannot be sent counts as lost.
+                    let bytes = flow.acknowledgement().encode();
+                    let _ = self.socket.try_send_to(&bytes, balancer.into());
+                }
+                false
+            }
+            Received::Nothing => false,
+            Received::Unexpected => {
+                self.invariants
+                    .record_violation(format!("{packet:?} does not fit {flow:?}"));
+                false
+            }
+        }
+    }
+
     /// Returns the id of the target that sent an answer.
     fn target_of(&self, answer: &Packet, text: &str) -> String {
         if answer.source != self.config.entry {
@@ -184,11 +204,13 @@
             ));
         }
         let text_of_answer = String::from_utf8_lossy(&answer.data).into_owned();
-        text_of_answer
-            .split_whitespace()
-            .next()
-            .unwrap_or_default()
-            .to_owned()
+        let mut words = text_of_answer.split_whitespace();
+        let target = words.next().unwrap_or_default().to_owned();
+        if words.next_back() != Some(text) {
+            self.invariants
+                .record_violation(format!("{text_of_answer:?} does not answer {text}"));
+        }
+        target
     }
 
     fn packet(&self, source: SocketAddrV4) -> Packet {
@@ -196,7 +218,7 @@
             flags: 0,
             source,
             destination: self.config.entry,
-            sequence: 100,
+            sequence: CALLER_SEQUENCE,
             acknowledged: 0,
             data: Vec::new(),
         }
@@ -209,7 +231,11 @@
         }
     }
 
-    async fn receive(&self, wait: Duration, is_ours: impl Fn(&Packet) -> bool) -> Option<Packet> {
+    async fn receive(
+        &self,
+        wait: Duration,
+        mut is_ours: impl FnMut(&Packet) -> bool,
+    ) -> Option<Packet> {
         let received = async {
             let mut buffer = [0; 2_048];
             loop {
@@ -225,10 +251,3 @@
         timeout(wait, received).await.ok()
     }
 }
-
-fn is_answer_to(answer: &Packet, text: &str) -> bool {
-    String::from_utf8_lossy(&answer.data)
-        .split_whitespace()
-        .next_back()
-        == Some(text)
-}
--- a/crates/basilstep-packet/tests/processes/support/mod.rs
+++ b/crates/basilstep-packet/tests/processes/support/mod.rs
@@ -5,6 +5,7 @@
 
 pub mod caller;
 pub mod fleet;
+pub mod flow;
 pub mod packet;
 pub mod proxy;
 pub mod store;
--- a/crates/basilstep-packet/tests/processes/support/packet.rs
+++ b/crates/basilstep-packet/tests/processes/support/packet.rs
@@ -54,6 +54,11 @@
         }
     }
 
+    /// Returns the sequence number after the data.
+    pub const fn end_sequence(&self) -> u32 {
+        self.sequence.wrapping_add(self.data.len() as u32)
+    }
+
     pub fn is(&self, flag: u8) -> bool {
         self.flags & flag != 0
     }
--- a/crates/basilstep-packet/tests/processes/support/target.rs
+++ b/crates/basilstep-packet/tests/processes/support/target.rs
@@ -1,11 +1,14 @@
 //! Test double of a target: sends heartbeats to its agent, accepts flows and answers requests.
 
-use super::packet::{ACK, BOUNCED, Packet, SYN};
+use super::{
+    flow::TargetFlow,
+    packet::{ACK, BOUNCED, Packet, SYN},
+};
 use basilstep_node::http::HttpClient;
 use http::Method;
 use serde_json::json;
 use std::{
-    collections::BTreeSet,
+    collections::{BTreeMap, BTreeSet},
     net::SocketAddrV4,
     sync::{
         Arc, Mutex,
@@ -72,7 +75,7 @@
     /// The service addresses to which packets were sent.
     pub entries: Mutex<BTreeSet<SocketAddrV4>>,
     draining_since: Mutex<Option<Instant>>,
-    open_flows: Mutex<BTreeSet<SocketAddrV4>>,
+    open_flows: Mutex<BTreeMap<SocketAddrV4, TargetFlow>>,
 }
 
 impl TargetLog {
@@ -156,47 +159,61 @@
         let (bytes, _) = socket.recv_from(&mut buffer).await.unwrap();
         let received = &mut buffer[..bytes];
         let packet = Packet::decode(received);
-        if !packet.is(SYN) {
+        if !packet.data.is_empty() {
             let delay_ms = log.answer_delay_ms.load(Ordering::SeqCst);
             sleep(Duration::from_millis(u64::from(delay_ms))).await;
         }
-        let reply = if let Some(reply) = answer(&packet, &config, &log) {
-            reply.encode()
-        } else {
-            received[0] |= BOUNCED;
-            received.to_vec()
+        let reply = match answer(&packet, &config, &log) {
+            Reply::Packet(reply) => reply.encode(),
+            Reply::Bounce => {
+                received[0] |= BOUNCED;
+                received.to_vec()
+            }
+            Reply::None => continue,
         };
         socket.send_to(&reply, config.outbound).await.unwrap();
     }
 }
 
-/// Returns the reply of the target, or `None` if it does not hold the flow.
-fn answer(packet: &Packet, config: &TargetConfig, log: &TargetLog) -> Option<Packet> {
+/// What a target sends back for a packet.
+enum Reply {
+    Packet(Packet),
+    /// The packet itself, because the target does not hold the flow.
+    Bounce,
+    /// Nothing, because the packet has no data.
+    None,
+}
+
+fn answer(packet: &Packet, config: &TargetConfig, log: &TargetLog) -> Reply {
     let mut open_flows = log.open_flows.lock().unwrap();
-    let reply = |flags, data: Vec<u8>| Packet {
-        flags,
-        source: packet.destination,
-        destination: packet.source,
-        sequence: config.first_sequence(),
-        acknowledged: packet.sequence + packet.data.len() as u32,
-        data,
-    };
     log.entries.lock().unwrap().insert(packet.destination);
+    let first_sequence = config.first_sequence();
     if packet.is(SYN) {
-        if open_flows.insert(packet.source) {
+        open_flows.entry(packet.source).or_insert_with(|| {
             log.record_opened_flow();
-        }
-        return Some(reply(SYN | ACK, Vec::new()));
+            TargetFlow::new(packet, first_sequence)
+        });
+        return Reply::Packet(Packet {
+            flags: SYN | ACK,
+            source: packet.destination,
+            destination: packet.source,
+            sequence: first_sequence,
+            acknowledged: packet.sequence + 1,
+            data: Vec::new(),
+        });
     }
     // Only the target whose sequence number the caller acknowledges holds the flow.
-    let is_acknowledged = packet.acknowledged == config.first_sequence() + 1;
-    if !open_flows.contains(&packet.source) || !is_acknowledged {
-        return None;
+    let Some(flow) = open_flows
+        .get_mut(&packet.source)
+        .filter(|flow| flow.is_acknowledged_by(packet))
+    else {
+        return Reply::Bounce;
+    };
+    if packet.data.is_empty() {
+        return Reply::None;
     }
-    let text = format!(
-        "{} answers {}",
-        config.id,
-        String::from_utf8_lossy(&packet.data)
-    );
-    Some(reply(ACK, text.into_bytes()))
+    Reply::Packet(flow.answer(packet, || {
+        let text = String::from_utf8_lossy(&packet.data);
+        format!("{} answers {text}", config.id)
+    }))
 }
