test(packet): each fleet of the process tests reserves its network

Cause: the network was the process id modulo 128, and all fleets use the fixed metrics port. Two runs of the tests whose ids agree modulo 128 bound the same metrics addresses (513 BindFailed, exit status 5).

Change: a fleet reserves a /24 with a socket that is bound as long as the test process or a child process lives, and takes the next one if it is bound.

--- a/crates/basilstep-packet/tests/processes/support/fleet.rs
+++ b/crates/basilstep-packet/tests/processes/support/fleet.rs
@@ -1,6 +1,7 @@
 //! Balancer and agent processes with their settings files, on separate loopback addresses.
 
 use super::{
+    network::Network,
     proxy::Proxy,
     store::Store,
     target::{HEARTBEAT_INTERVAL_MS, Target, TargetConfig},
@@ -14,7 +15,7 @@
     net::{Ipv4Addr, SocketAddrV4, UdpSocket},
     path::PathBuf,
     process::{Child, Command, ExitStatus, Stdio},
-    sync::atomic::{AtomicBool, AtomicU8, Ordering},
+    sync::atomic::{AtomicBool, Ordering},
     time::Duration,
 };
 use tokio::time::{sleep, timeout};
@@ -22,9 +23,6 @@
 pub const BALANCER: &str = env!("CARGO_BIN_EXE_basilstep-packet-balancer");
 pub const AGENT: &str = env!("CARGO_BIN_EXE_basilstep-packet-agent");
 pub const SERVICE: &str = "quotes";
-/// The network of the next fleet. Fleets need separate addresses because all use the same metrics
-/// port.
-static NEXT_NETWORK: AtomicU8 = AtomicU8::new(0);
 
 const READY_TIMEOUT: Duration = Duration::from_secs(20);
 const STATE_TIMEOUT: Duration = Duration::from_secs(1);
@@ -51,7 +49,7 @@
 #[derive(Debug)]
 pub struct Fleet {
     folder: PathBuf,
-    network: [u8; 2],
+    network: Network,
     pub ports: Ports,
     pub store: Store,
     pub processes: Vec<Process>,
@@ -92,18 +90,14 @@
 impl Fleet {
     /// Starts a fleet with only the store; `name` distinguishes the folders of tests in one run.
     pub async fn start(name: &str) -> Self {
-        let id = std::process::id();
-        let network = [
-            64 + (id % 128) as u8,
-            NEXT_NETWORK.fetch_add(1, Ordering::SeqCst),
-        ];
+        let network = Network::reserve();
         // Several kinds of the soak may run with one seed, so with one name, at the same time.
-        let fleet = network[1];
-        let folder = std::env::temp_dir().join(format!("basilstep-packet-{id}-{fleet}-{name}"));
+        let id = std::process::id();
+        let folder = format!("basilstep-packet-{id}-{}-{name}", network.ip(0));
+        let folder = std::env::temp_dir().join(folder);
         fs::create_dir_all(&folder).unwrap();
         let ports = free_ports();
-        let store_ip = Ipv4Addr::new(127, network[0], network[1], STORE);
-        let store = Store::spawn(SocketAddrV4::new(store_ip, ports.store)).await;
+        let store = Store::spawn(SocketAddrV4::new(network.ip(STORE), ports.store)).await;
         Self {
             folder,
             network,
@@ -120,7 +114,7 @@
     }
 
     pub fn ip(&self, number: u8) -> Ipv4Addr {
-        Ipv4Addr::new(127, self.network[0], self.network[1], number)
+        self.network.ip(number)
     }
 
     pub fn address(&self, number: u8, port: u16) -> SocketAddrV4 {
--- a/crates/basilstep-packet/tests/processes/support/mod.rs
+++ b/crates/basilstep-packet/tests/processes/support/mod.rs
@@ -6,6 +6,7 @@
 pub mod caller;
 pub mod fleet;
 pub mod flow;
+pub mod network;
 pub mod packet;
 pub mod proxy;
 pub mod store;
