--- a/crates/basilstep-packet/tests/processes/support/mod.rs
+++ b/crates/basilstep-packet/tests/processes/support/mod.rs
@@ -5,6 +5,8 @@
 
 pub mod caller;
 pub mod fleet;
+pub mod flow;
+pub mod network;
 pub mod packet;
 pub mod proxy;
 pub mod store;
