fix(flows): no SYN is refused for load while a target reports a free slot

Cause: after max_offers refusals a SYN was refused although agents that had not been asked reported free slots. Requests of the lower priority lost all three attempts to resets in short surges. Change: such a SYN goes on to the agents that report a free slot; reports and the flows offered since bound how many these are. The explanation of a placement uses the same function.

--- a/crates/basilstep-core/src/flows/balancer/agent_table.rs
+++ b/crates/basilstep-core/src/flows/balancer/agent_table.rs
@@ -74,6 +74,13 @@
         now_ms < self.reported_ms + period_ms + limit_ms
     }
 
+    /// Returns whether the target processes fewer requests than it can at once, by the last report
+    /// and the flows sent since.
+    pub fn has_free_slot(&self) -> bool {
+        let report = &self.report;
+        u32::from(report.at_work) + u32::from(self.offered_since) < u32::from(report.capacity)
+    }
+
     /// Returns whether the last report is younger than `limit_ms`, the limit for an agent that
     /// sends every report here.
     pub fn has_reported_within(&self, limit_ms: u64, now_ms: u64) -> bool {
@@ -279,6 +286,23 @@
         })
     }
 
+    /// Chooses the agent with the lowest expected wait among those that report a free slot.
+    pub fn choose_idle_agent(
+        &self,
+        service: ServiceTag,
+        placement: &PlacementContext<'_>,
+        settings: &FlowSettings,
+    ) -> Option<Ipv4Addr> {
+        self.open_agents(service, placement, settings)
+            .filter(|(agent, state)| state.has_free_slot() && !self.is_avoided(*agent))
+            .map(|(agent, state)| {
+                let terms = self.wait_terms(agent, state, placement);
+                (agent, terms.expected_wait(&settings.placement))
+            })
+            .min_by(|(_, left), (_, right)| left.total_cmp(right))
+            .map(|(agent, _)| agent)
+    }
+
     /// Returns the agent of a target that is to get the new flow as a probe.
     fn due_probe(
         &self,
--- a/crates/basilstep-core/src/flows/balancer/state/explaining.rs
+++ b/crates/basilstep-core/src/flows/balancer/state/explaining.rs
@@ -57,17 +57,16 @@
                 code: ResultCode::Recovering,
             },
             SynPlan::Follow(hint) => PlacementOutcome::Hinted { agent: hint.agent },
-            SynPlan::Place(_) if self.offers_left(search, matched.rank) == Some(0) => {
-                PlacementOutcome::Refused {
-                    code: ResultCode::Overloaded,
-                }
-            }
             SynPlan::Place(_) => {
-                match agents.choose_agent(&flow, service, &placement, &self.settings) {
+                let offers_left = self.offers_left(search, matched.rank);
+                match self.choose_agent(&agents, &flow, service, &placement, offers_left) {
                     Some(agent) if details.probe == Some(agent) => {
                         PlacementOutcome::Probe { agent }
                     }
                     Some(agent) => PlacementOutcome::Chosen { agent },
+                    None if offers_left == Some(0) => PlacementOutcome::Refused {
+                        code: ResultCode::Overloaded,
+                    },
                     None => PlacementOutcome::Refused {
                         code: ResultCode::NoTarget,
                     },
--- a/crates/basilstep-core/src/flows/balancer/state/syn.rs
+++ b/crates/basilstep-core/src/flows/balancer/state/syn.rs
@@ -6,7 +6,10 @@
     context::Context,
     flows::{
         balancer::{
-            PlacedSyn, Verdict, agent_table::PlacementContext, hints::Hint, search::Search,
+            PlacedSyn, Verdict,
+            agent_table::{AgentTable, PlacementContext},
+            hints::Hint,
+            search::Search,
         },
         frame::ForwardHeader,
         handshake::HANDSHAKE_TIMEOUT_MS,
@@ -142,12 +145,7 @@
         let search = self.searches.get(&flow);
         let placement = self.placement_context(Search::refusals(search), service, route.kind, ctx);
         let offers_left = self.offers_left(search, rank);
-        if offers_left == Some(0) {
-            return self.refuse(new.segment, service, ResultCode::Overloaded, ctx);
-        }
-        let Some(agent) = self
-            .agents
-            .choose_agent(&flow, service, &placement, &self.settings)
+        let Some(agent) = self.choose_agent(&self.agents, &flow, service, &placement, offers_left)
         else {
             return self.refuse(new.segment, service, code, ctx);
         };
@@ -175,6 +173,26 @@
         self.forward_syn(agent, service, new, may_wait, ctx)
     }
 
+    /// Chooses the agent for the next offer of a new flow; `agents` may be a changed copy of the
+    /// table.
+    ///
+    /// A SYN that has been refused for load by as many agents as it is offered to still goes to
+    /// agents that report a free slot: its caller is not refused while a target is idle.
+    pub(super) fn choose_agent(
+        &self,
+        agents: &AgentTable,
+        flow: &FlowKey,
+        service: ServiceTag,
+        placement: &PlacementContext<'_>,
+        offers_left: Option<usize>,
+    ) -> Option<Ipv4Addr> {
+        if offers_left == Some(0) {
+            agents.choose_idle_agent(service, placement, &self.settings)
+        } else {
+            agents.choose_agent(flow, service, placement, &self.settings)
+        }
+    }
+
     /// Returns the route of a new flow; its service is `service` if the route allows it.
     pub(super) fn match_route(
         &self,
