test(packet): the soak plays with priorities, target health and hedging

Its services have routes of two priorities and a latency goal, its settings files name the contract on the health of targets, and its balancers have a hedge budget of 20 percent.

--- a/crates/basilstep-packet/tests/processes/soak/cluster.rs
+++ b/crates/basilstep-packet/tests/processes/soak/cluster.rs
@@ -96,7 +96,8 @@
 
 impl Cluster {
     pub async fn start(name: &str) -> Self {
-        let fleet = Fleet::start(name).await;
+        let mut fleet = Fleet::start(name).await;
+        fleet.balancer_arguments = &["--set", "hedging.budget_percent=20"];
         let configuration = Configuration::write_first(&fleet);
         let invariants = Arc::new(Invariants::default());
         let mut balancers = Vec::new();
@@ -202,6 +203,7 @@
     let store = Proxy::spawn(proxy, fleet.address(STORE, fleet.ports.store)).await;
     extra_settings["Zone"] = json!(zone);
     extra_settings["Zones"] = json!({"east": "r1", "west": "r1"});
+    extra_settings["Contracts"] = json!(["base", "health"]);
     extra_settings["platform"] = json!({"Address": proxy.to_string(), "TtlMinMs": 1_000});
     Machine {
         number,
--- a/crates/basilstep-packet/tests/processes/soak/configuration.rs
+++ b/crates/basilstep-packet/tests/processes/soak/configuration.rs
@@ -109,16 +109,26 @@
     }
 }
 
-/// Writes a configuration with one route per service; only requests to the first are idempotent.
+/// The latency goal of the routes: it makes agents limit and queue new flows.
+const LATENCY_GOAL_MS: u64 = 300;
+
+/// How much higher the port of the second route of a service is than that of the first.
+const IDLE_ROUTE_PORTS: u16 = 1_000;
+
+/// Writes a configuration with two routes per service, of different priorities, of which the higher
+/// one gets no requests; only requests to the first service are idempotent.
 fn write(fleet: &Fleet, version: u64) {
     let routes: Vec<Value> = SERVICES
         .iter()
         .enumerate()
-        .map(|(service, name)| {
+        .flat_map(|(service, name)| [(service, name, 1), (service, name, 0)])
+        .map(|(service, name, priority)| {
             let entry = entry(service);
-            json!({"Name": format!("r{service}"), "Hostname": entry.ip().to_string(),
-                   "Prefix": format!("/{}/", entry.port()),
+            let port = entry.port() + if priority == 0 { IDLE_ROUTE_PORTS } else { 0 };
+            json!({"Name": format!("r{service}-{priority}"), "Hostname": entry.ip().to_string(),
+                   "Prefix": format!("/{port}/"),
                    "Type": if service == 0 { "safe" } else { "unsafe" },
+                   "Priority": priority, "TargetLatencyMs": LATENCY_GOAL_MS,
                    "TimeoutMs": 2_500, "Service": name})
         })
         .collect();
--- a/crates/basilstep-packet/tests/processes/support/fleet.rs
+++ b/crates/basilstep-packet/tests/processes/support/fleet.rs
@@ -53,6 +53,8 @@
     pub ports: Ports,
     pub store: Store,
     pub processes: Vec<Process>,
+    /// The command-line arguments of balancers.
+    pub balancer_arguments: &'static [&'static str],
     keeps_logs: AtomicBool,
 }
 
@@ -104,6 +106,7 @@
             ports,
             store,
             processes: Vec::new(),
+            balancer_arguments: &[],
             keeps_logs: AtomicBool::new(false),
         }
     }
@@ -296,7 +299,13 @@
             .append(true)
             .open(self.folder.join(format!("log-{number}")))
             .unwrap();
+        let arguments: &[&str] = if program == BALANCER {
+            self.balancer_arguments
+        } else {
+            &[]
+        };
         let child = Command::new(program)
+            .args(arguments)
             .env("BASILSTEP_CONFIG", path)
             .stdout(Stdio::from(log))
             .spawn()
