--- a/crates/basilstep-core/src/flows/tests/fleet.rs
+++ b/crates/basilstep-core/src/flows/tests/fleet.rs
@@ -111,6 +111,18 @@
         }
     }
 
+    /// Restarts all balancers and agents while the targets keep running and nobody has the settings.
+    fn restart_processes_without_settings(&mut self) {
+        let balancers: Vec<Ipv4Addr> = self.balancers.keys().copied().collect();
+        for balancer in balancers {
+            self.start_balancer_without_settings(balancer);
+        }
+        let agents: Vec<Ipv4Addr> = self.machines.keys().copied().collect();
+        for agent in agents {
+            self.restart_agent(agent);
+        }
+    }
+
     pub fn count_reset(&self, flows: &[FlowKey]) -> usize {
         flows
             .iter()
@@ -438,12 +450,7 @@
 fn open_flows_are_served_before_the_routes_are_known() {
     let mut fleet = Fleet::start(3, 6);
     let flows = fleet.open_flows(60);
-    for number in 1..=3 {
-        fleet.start_balancer_without_settings(balancer_ip(number));
-    }
-    for number in 1..=6 {
-        fleet.restart_agent(agent_ip(number));
-    }
+    fleet.restart_processes_without_settings();
     fleet.run(500);
     fleet.answered.clear();
     fleet.send_requests(&flows, 1);
@@ -457,12 +464,7 @@
 fn flows_are_not_searched_without_routes_for_longer_than_settings_may_be_old() {
     let mut fleet = Fleet::start(3, 6);
     let flows = fleet.open_flows(60);
-    for number in 1..=3 {
-        fleet.start_balancer_without_settings(balancer_ip(number));
-    }
-    for number in 1..=6 {
-        fleet.restart_agent(agent_ip(number));
-    }
+    fleet.restart_processes_without_settings();
     fleet.run(WatchTimes::default().max_age_ms + STEP_MS);
     fleet.answered.clear();
     fleet.send_requests(&flows, 1);
--- a/crates/basilstep-core/src/flows/tests/priority_load.rs
+++ b/crates/basilstep-core/src/flows/tests/priority_load.rs
@@ -59,7 +59,7 @@
 }
 
 /// Load scenario (c): a sustained overload of the higher level. Guards against a queue that grows,
-/// callers that are held longer than the bounds, and SYNs that wait in vain.
+/// callers that are held longer than the bounds, and SYNs that expire in the queue.
 #[test]
 fn sustained_overload_of_the_higher_level_keeps_the_queue_short() {
     let mut run = Run::start(TARGETS, &[QUERY, FEED]);
