feat(flows): processes of builds back to frame version 4 work together

Cause: a process read and wrote exactly one frame version, and settings passed between balancers had none. Ruled out: a version field that older builds would have to read; what they send and accept cannot change any more.

Change: flows/wire encodes and decodes versions 4 and 5. A peer is spoken to in the highest common version; until it has shown one it gets each frame in all versions. Frames without a packet end with the highest version that their sender speaks, a byte that older builds ignore, so that two processes of this build do not stay at an older version. A pull of settings states its version, and so does the answer; older builds get what they can read, known by their frames. Routes that came from version 4 lack priorities, which are filled in from the store. An unknown version is counted as 418 and is a sign that its sender runs. wire.highest_version pins the version.

Upgrade and rollback with real processes, the older ones pinned: passes.

--- a/crates/basilstep-bench/src/load/packet_path.rs
+++ b/crates/basilstep-bench/src/load/packet_path.rs
@@ -15,7 +15,7 @@
         HeldFlows, ProcessIncarnation, RequestKind, Segment, TargetPhase,
         agent::{AgentIdentity, CallerVerdict, HeartbeatState, TargetHeartbeat},
         balancer::{BalancerIdentity, Verdict, WatchTimes},
-        decode_frame, encode_frame,
+        wire::{ReceivedFrame, SpokenVersion, WireVersion, decode_frame, encode_frame},
     },
 };
 use basilstep_platform::header;
@@ -78,7 +78,8 @@
             let Verdict::Forward(next_hop) = balancer.on_packet(&segment, &ctx) else {
                 return Err("a balancer did not know an open flow".into());
             };
-            encode_frame(&Frame::Forward(next_hop.header), packet, &mut frame);
+            let forward = Frame::Forward(next_hop.header);
+            encode_frame(&forward, packet, SpokenVersion::LATEST, &mut frame);
             black_box(&frame);
         }
         Ok(())
@@ -93,6 +94,7 @@
             encode_frame(
                 &Frame::Forward(forward_header()),
                 &packet(flow, data_flags()),
+                SpokenVersion::LATEST,
                 &mut frame,
             );
             frame
@@ -100,7 +102,12 @@
         .collect();
     median_ns_per_packet(flows, || {
         for frame in &frames {
-            let (Frame::Forward(forward_header), packet) = decode_frame(frame)? else {
+            let ReceivedFrame {
+                frame: Frame::Forward(forward_header),
+                packet,
+                ..
+            } = decode_frame(frame, WireVersion::LATEST)?
+            else {
                 return Err("a frame was read as another one".into());
             };
             let segment = header::decode(packet)?;
--- a/crates/basilstep-bench/src/load/steering/simulation.rs
+++ b/crates/basilstep-bench/src/load/steering/simulation.rs
@@ -15,7 +15,7 @@
         AgentFlows, BalancerFlows, FleetSettings, FlowSettings, Frame, ProcessIncarnation, Segment,
         agent::{AgentIdentity, SettingsSource},
         balancer::{BalancerIdentity, WatchTimes},
-        encode_frame,
+        wire::{SpokenVersion, encode_frame},
     },
 };
 use rand::{RngExt, SeedableRng};
@@ -383,7 +383,7 @@
 
     fn count_control_frame(&mut self, frame: &Frame) {
         let mut bytes = Vec::new();
-        encode_frame(frame, &[], &mut bytes);
+        encode_frame(frame, &[], SpokenVersion::LATEST, &mut bytes);
         self.figures.control_frames += 1;
         self.figures.control_bytes += DATAGRAM_BYTES + bytes.len() as u64;
     }
--- a/crates/basilstep-core/src/codes.rs
+++ b/crates/basilstep-core/src/codes.rs
@@ -124,6 +124,8 @@
     FlowUnreachable = 416,
     /// The packet was dropped: the holder of its flow is being searched for.
     FlowSearched = 417,
+    /// The datagram was dropped: it has a version that this process does not speak.
+    UnsupportedVersion = 418,
     /// A setting of the process has a value that is not allowed.
     InvalidSetting = 501,
     /// A record in the store is malformed.
--- a/crates/basilstep-core/src/flows/balancer/agent_table.rs
+++ b/crates/basilstep-core/src/flows/balancer/agent_table.rs
@@ -108,6 +108,13 @@
 }
 
 impl AgentTable {
+    /// Records that an agent is running; its last report stays as it is.
+    pub fn record_contact(&mut self, agent: Ipv4Addr, now_ms: u64) {
+        if let Some(state) = self.agents.get_mut(&agent) {
+            state.reported_ms = state.reported_ms.max(now_ms);
+        }
+    }
+
     /// Stores a report; returns whether the agent's phase or incarnation changed.
     pub fn record_report(&mut self, agent: Ipv4Addr, report: AgentReport, now_ms: u64) -> bool {
         let before = self.agents.get(&agent).copied();
--- a/crates/basilstep-core/src/flows/balancer/state.rs
+++ b/crates/basilstep-core/src/flows/balancer/state.rs
@@ -319,6 +319,13 @@
         is_changed
     }
 
+    /// Records a frame that cannot be read because a newer build has sent it: its sender is running.
+    pub fn on_unreadable_frame(&mut self, peer: Ipv4Addr, ctx: &Context) {
+        self.balancers.refresh(peer, ctx.now_ms);
+        self.clear_doubt(peer);
+        self.agents.record_contact(peer, ctx.now_ms);
+    }
+
     /// Handles a heartbeat of another balancer; returns whether the balancer or its incarnation was
     /// unknown.
     pub fn on_heartbeat(
--- a/crates/basilstep-core/src/flows/balancer/state/settings.rs
+++ b/crates/basilstep-core/src/flows/balancer/state/settings.rs
@@ -17,7 +17,7 @@
     pub fn on_fleet_settings(&mut self, fleet: FleetSettings, ctx: &Context) -> bool {
         let before = self.fleet.clone();
         let is_changed = self.fleet.merge_newer(fleet);
-        if self.fleet.table.version != before.table.version {
+        if is_changed {
             self.priority_ranks = PriorityRanks::new(&self.fleet.table);
             self.idempotent_services = self.fleet.table.idempotent_services();
         }
@@ -53,7 +53,8 @@
             watchers: self.settings.settings_watch.watchers,
             times: self.identity.watch_times,
         };
-        limits.is_watch_needed(self.identity.ip, &self.balancers, &self.fleet, ctx.now_ms)
+        self.fleet.table.lacks_priorities
+            || limits.is_watch_needed(self.identity.ip, &self.balancers, &self.fleet, ctx.now_ms)
     }
 
     /// Returns how long ago the store confirmed the settings in force to this balancer or to another
--- a/crates/basilstep-core/src/flows/balancer_list.rs
+++ b/crates/basilstep-core/src/flows/balancer_list.rs
@@ -163,6 +163,13 @@
         }
     }
 
+    /// Records that a process has received something from a balancer.
+    pub fn refresh(&mut self, ip: Ipv4Addr, now_ms: u64) {
+        if let Some(balancer) = self.by_ip.get_mut(&ip) {
+            balancer.last_alive_ms = now_ms.cast_signed();
+        }
+    }
+
     /// Returns the list for sending to other processes.
     pub fn entries(&self, now_ms: u64) -> Vec<BalancerEntry> {
         self.by_ip
--- a/crates/basilstep-core/src/flows/frame.rs
+++ b/crates/basilstep-core/src/flows/frame.rs
@@ -1,5 +1,4 @@
-//! Datagrams between balancers and agents: a version byte, a `postcard` header, then at most one
-//! packet as it was received.
+//! The messages between balancers and agents; [`wire`](super::wire) encodes them.
 
 use super::{
     key::{FlowKey, ProcessIncarnation, ServiceTag},
@@ -10,23 +9,10 @@
 use serde::{Deserialize, Serialize};
 use std::net::Ipv4Addr;
 
-/// The version, which is the first byte of each frame.
-pub(super) const FRAME_VERSION: u8 = 5;
-
-/// The error for a datagram that is not a valid frame.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
-pub enum FrameError {
-    /// The datagram is empty or has another version.
-    #[error("the datagram does not start with frame version {FRAME_VERSION}")]
-    Version,
-    /// The header cannot be decoded.
-    #[error("the header of the frame cannot be read")]
-    Header,
-}
-
 /// A message from one process to another.
 ///
-/// `postcard` encodes a variant as its position, so the order of the variants must not change.
+/// These types are the layout of the latest wire version. A change of a field or of the order of the
+/// variants needs a new version, and a copy of the former types beside `wire/v4.rs`.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum Frame {
     /// Balancer to agent; a packet follows.
@@ -207,27 +193,3 @@
     /// How long ago any process last received a message from it.
     pub age_ms: u32,
 }
-
-/// Encodes `frame` and the packet that belongs to it into `buffer`, which is cleared first.
-///
-/// # Panics
-///
-/// Panics if `postcard` cannot encode a frame, which does not occur for any frame.
-pub fn encode_frame(frame: &Frame, packet: &[u8], buffer: &mut Vec<u8>) {
-    buffer.clear();
-    buffer.push(FRAME_VERSION);
-    postcard::to_io(frame, &mut *buffer).expect("a frame is plain data and a vector always grows");
-    buffer.extend_from_slice(packet);
-}
-
-/// Decodes a frame and returns it with the packet that follows it.
-///
-/// # Errors
-///
-/// Returns [`FrameError`] if the bytes are not a frame of this version.
-pub fn decode_frame(bytes: &[u8]) -> Result<(Frame, &[u8]), FrameError> {
-    let Some((&FRAME_VERSION, rest)) = bytes.split_first() else {
-        return Err(FrameError::Version);
-    };
-    postcard::take_from_bytes(rest).map_err(|_error| FrameError::Header)
-}
--- a/crates/basilstep-core/src/flows/mod.rs
+++ b/crates/basilstep-core/src/flows/mod.rs
@@ -20,6 +20,7 @@
 mod settings;
 mod store_retry;
 mod store_revision;
+pub mod wire;
 
 #[cfg(test)]
 mod tests;
@@ -28,8 +29,8 @@
 pub use balancer::BalancerFlows;
 pub use balancer_list::BalancerList;
 pub use frame::{
-    AgentReport, BalancerEntry, BalancerHeartbeat, ForwardHeader, Frame, FrameError, HeldFlows,
-    ReportReply, Returned, TargetPhase, decode_frame, encode_frame,
+    AgentReport, BalancerEntry, BalancerHeartbeat, ForwardHeader, Frame, HeldFlows, ReportReply,
+    Returned, TargetPhase,
 };
 pub use key::{FlowKey, LostFlow, ProcessIncarnation, ServiceTag};
 pub use limits::ServiceLimits;
--- a/crates/basilstep-core/src/flows/routes.rs
+++ b/crates/basilstep-core/src/flows/routes.rs
@@ -2,6 +2,7 @@
     key::{FlowKey, ServiceTag},
     limits::ServiceLimits,
     store_revision::StoreRevision,
+    wire::WireVersion,
 };
 use crate::address::DomainId;
 use serde::{Deserialize, Serialize};
@@ -85,6 +86,9 @@
     pub services: BTreeMap<ServiceTag, ServiceLimits>,
     /// How long a flow may be idle before either end discards it.
     pub idle_timeout_ms: u32,
+    /// The routes came from an older build, which does not know their priorities.
+    #[serde(skip)]
+    pub lacks_priorities: bool,
 }
 
 /// The rank of a route's priority among the priorities of the routes that lead to one service.
@@ -117,6 +121,15 @@
 }
 
 impl RouteTable {
+    /// Returns the oldest wire version that says all that is known of the routes.
+    pub const fn wire_version(&self) -> WireVersion {
+        if self.lacks_priorities {
+            WireVersion::OLDEST
+        } else {
+            WireVersion::LATEST
+        }
+    }
+
     /// Returns the rank of `priority` among the priorities of the routes that lead to `service`.
     pub fn priority_rank(&self, service: ServiceTag, priority: u8) -> PriorityRank {
         let priorities: BTreeSet<u8> = self
@@ -195,7 +208,10 @@
     /// domains are ordered by the store's era and revision.
     pub fn merge_newer(&mut self, other: Self) -> bool {
         let mut is_changed = false;
-        if other.table.version > self.table.version {
+        let completes_table = other.table.version == self.table.version
+            && self.table.lacks_priorities
+            && !other.table.lacks_priorities;
+        if other.table.version > self.table.version || completes_table {
             self.table = other.table;
             is_changed = true;
         }
--- a/crates/basilstep-core/src/flows/settings.rs
+++ b/crates/basilstep-core/src/flows/settings.rs
@@ -1,4 +1,4 @@
-use super::handshake::FIRST_SYN_INTERVAL_MS;
+use super::{handshake::FIRST_SYN_INTERVAL_MS, wire::WireVersion};
 use crate::hedging::HedgingSettings;
 use serde::{Deserialize, Serialize};
 
@@ -32,6 +32,8 @@
     pub advertisements: AdvertisementSettings,
     /// Which balancers ask the store for the operators' settings.
     pub settings_watch: SettingsWatchSettings,
+    /// Which versions of frames and settings are spoken.
+    pub wire: WireSettings,
 }
 
 /// How agents and balancers show that they are running, and when one counts as silent.
@@ -362,3 +364,11 @@
         Self { watchers: 2 }
     }
 }
+
+/// Which versions of frames and settings are spoken.
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct WireSettings {
+    /// The highest version that the process reads and writes.
+    pub highest_version: WireVersion,
+}
--- a/crates/basilstep-core/src/flows/tests/mod.rs
+++ b/crates/basilstep-core/src/flows/tests/mod.rs
@@ -32,6 +32,7 @@
 mod target_health;
 mod target_ranking;
 mod target_speed;
+mod versions;
 
 use super::{
     AgentFlows, AgentReport, BalancerFlows, BalancerHeartbeat, Flags, FleetSettings, FlowKey,
--- a/crates/basilstep-node/src/http/server.rs
+++ b/crates/basilstep-node/src/http/server.rs
@@ -3,7 +3,13 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::{body::Incoming as IncomingBody, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use std::{convert::Infallible, io, net::SocketAddrV4, sync::Arc, time::Duration};
+use std::{
+    convert::Infallible,
+    io,
+    net::{Ipv4Addr, SocketAddr, SocketAddrV4},
+    sync::Arc,
+    time::Duration,
+};
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::Semaphore,
@@ -27,6 +33,8 @@
 /// A request with its complete body.
 #[derive(Clone, Debug)]
 pub struct ServerRequest {
+    /// The address of the client.
+    pub peer: Ipv4Addr,
     /// The method.
     pub method: Method,
     /// The path without the query.
@@ -107,8 +115,8 @@
     Ok(tokio::spawn(async move {
         while let Ok(permit) = Arc::clone(&permits).acquire_owned().await {
             match listener.accept().await {
-                Ok((stream, _peer)) => {
-                    let connection = serve(stream, handler.clone());
+                Ok((stream, peer)) => {
+                    let connection = serve(stream, ipv4(peer), handler.clone());
                     tokio::spawn(async move {
                         connection.await;
                         drop(permit);
@@ -123,10 +131,18 @@
     }))
 }
 
-async fn serve(stream: TcpStream, handler: impl RequestHandler) {
+/// Returns the address of a client of a server that is bound to an IPv4 address.
+const fn ipv4(address: SocketAddr) -> Ipv4Addr {
+    match address {
+        SocketAddr::V4(address) => *address.ip(),
+        SocketAddr::V6(_) => Ipv4Addr::UNSPECIFIED,
+    }
+}
+
+async fn serve(stream: TcpStream, peer: Ipv4Addr, handler: impl RequestHandler) {
     let service = service_fn(move |request: Request<IncomingBody>| {
         let handler = handler.clone();
-        async move { Ok::<_, Infallible>(respond(request, handler).await) }
+        async move { Ok::<_, Infallible>(respond(request, peer, handler).await) }
     });
     let result = http1::Builder::new()
         .timer(TokioTimer::new())
@@ -140,12 +156,14 @@
 
 async fn respond(
     request: Request<IncomingBody>,
+    peer: Ipv4Addr,
     handler: impl RequestHandler,
 ) -> Response<Full<Bytes>> {
     let (head, body) = request.into_parts();
     let response = match Limited::new(body, MAX_BODY_BYTES).collect().await {
         Ok(body) => {
             let request = ServerRequest {
+                peer,
                 method: head.method,
                 path: head.uri.path().to_owned(),
                 query: head.uri.query().unwrap_or_default().to_owned(),
--- a/crates/basilstep-packet/src/agent/frames.rs
+++ b/crates/basilstep-packet/src/agent/frames.rs
@@ -2,7 +2,10 @@
 use crate::datagram_socket::{MAX_DATAGRAM_BYTES, RECEIVE_BATCH};
 use basilstep_core::{
     codes::ResultCode,
-    flows::{Frame, Recipients, ReportReply, decode_frame},
+    flows::{
+        Frame, Recipients, ReportReply,
+        wire::{ReceivedFrame, WireError},
+    },
 };
 use std::net::Ipv4Addr;
 
@@ -12,30 +15,37 @@
         self.refresh_time();
         let mut buffer = [0; MAX_DATAGRAM_BYTES];
         for _ in 0..RECEIVE_BATCH {
-            let Some((bytes, peer)) = self.internal_socket.try_receive(&mut buffer) else {
+            let Some((bytes, peer)) = self.frames.socket().try_receive(&mut buffer) else {
                 self.flows.on_backlog_read();
                 return;
             };
             let datagram = &mut buffer[..bytes];
-            match decode_frame(datagram) {
-                Ok((Frame::Forward(forward_header), packet)) => {
-                    let packet_at = datagram.len() - packet.len();
+            match self.frames.decode(peer, datagram, self.ctx.now_ms) {
+                Ok(ReceivedFrame {
+                    frame: Frame::Forward(forward_header),
+                    packet,
+                    ..
+                }) => {
+                    let packet_at = bytes - packet.len();
                     self.on_forwarded_packet(&forward_header, &mut datagram[packet_at..]);
                 }
-                Ok((frame, _)) => self.on_frame(peer, &frame),
-                Err(error) => {
-                    self.metrics.count(ResultCode::Malformed);
-                    if let Some(left_out) = self
-                        .log_limiter
-                        .admit(ResultCode::Malformed, self.ctx.now_ms)
-                    {
-                        log::warn!(peer:% = peer, reason:% = error, left_out; "received a malformed frame");
-                    }
-                }
+                Ok(received) => self.on_frame(peer, &received.frame),
+                Err(error) => self.on_unreadable_frame(peer, error),
             }
         }
     }
 
+    fn on_unreadable_frame(&mut self, peer: Ipv4Addr, error: WireError) {
+        let code = error.code();
+        self.metrics.count(code);
+        if code == ResultCode::UnsupportedVersion {
+            self.flows.balancers_mut().refresh(peer, self.ctx.now_ms);
+        }
+        if let Some(left_out) = self.log_limiter.admit(code, self.ctx.now_ms) {
+            log::warn!(peer:% = peer, code:% = code, reason:% = error, left_out; "received a frame that cannot be read");
+        }
+    }
+
     fn on_frame(&mut self, peer: Ipv4Addr, frame: &Frame) {
         match frame {
             Frame::Reply(reply) => self.on_reply(peer, reply),
--- a/crates/basilstep-packet/src/agent/http.rs
+++ b/crates/basilstep-packet/src/agent/http.rs
@@ -96,6 +96,8 @@
     fn answer_metrics(&mut self) -> ServerResponse {
         let health = self.flows.health_reading(&self.ctx);
         self.metrics.set_target_health(health);
+        self.metrics
+            .set_older_peers(self.frames.versions().older_peers());
         ServerResponse::text(Bytes::from(self.metrics.render()))
     }
 
@@ -110,6 +112,8 @@
             "health": self.flows.health_reading(&self.ctx),
             "queued": self.flows.queued(),
             "balancers": self.flows.balancers().entries(self.ctx.now_ms),
+            "wire_version": self.frames.versions().highest(),
+            "peer_versions": self.frames.versions().known(),
         })
         .to_string()
     }
--- a/crates/basilstep-packet/src/agent/serve.rs
+++ b/crates/basilstep-packet/src/agent/serve.rs
@@ -1,5 +1,6 @@
 use crate::{
     datagram_socket::{ConnectedDatagramSocket, DatagramSocket},
+    frame_channel::FrameChannel,
     log_limiter::LogLimiter,
     metrics::Metrics,
     pause_detector::PauseDetector,
@@ -13,7 +14,6 @@
     flows::{
         AgentFlows, FlowSettings, Frame, LostFlow, Recipients, ServiceTag,
         agent::{AgentIdentity, ColdAllowance, Discovery, SettingsSource},
-        encode_frame,
     },
 };
 use basilstep_node::{clock::unix_time_ms, shutdown};
@@ -60,14 +60,13 @@
     pub(super) flows: AgentFlows,
     pub(super) settings_source: SettingsSource,
     pub(super) ctx: Context,
-    pub(super) internal_socket: DatagramSocket,
+    pub(super) frames: FrameChannel,
     pub(super) outbound_socket: DatagramSocket,
     pub(super) target_socket: ConnectedDatagramSocket,
     pub(super) log_limiter: LogLimiter<ResultCode>,
     /// Separate, because the lines of other packets use up the limit under load.
     pub(super) queue_log_limiter: LogLimiter<ResultCode>,
     pub(super) metrics: Metrics,
-    pub(super) frame_buffer: Vec<u8>,
     event_sender: mpsc::Sender<Event>,
     pause_detector: PauseDetector,
     discovery: Discovery,
@@ -99,7 +98,7 @@
     agent.send_reports(Recipients::All);
     loop {
         tokio::select! {
-            () = agent.internal_socket.readable() => agent.read_frames(),
+            () = agent.frames.socket().readable() => agent.read_frames(),
             () = agent.outbound_socket.readable() => agent.read_target_packets(),
             Some(event) = events.recv() => agent.on_event(event),
             _ = hangups.recv() => {
@@ -161,13 +160,12 @@
             settings,
             settings_source: SettingsSource::default(),
             ctx,
-            internal_socket: DatagramSocket::bind("the internal port", internal).await?,
+            frames: FrameChannel::bind(internal, settings.wire.highest_version).await?,
             outbound_socket: DatagramSocket::bind("the outbound address", outbound).await?,
             target_socket: ConnectedDatagramSocket::connect(machine.ip, target).await?,
             log_limiter: LogLimiter::default(),
             queue_log_limiter: LogLimiter::default(),
             metrics: Metrics::new(),
-            frame_buffer: Vec::new(),
             event_sender,
             pause_detector: PauseDetector::start(start.clock),
             discovery: Discovery::default(),
@@ -189,9 +187,7 @@
 
     /// Sends a frame followed by `packet`, which may be empty.
     pub(super) fn send_frame(&mut self, peer: Ipv4Addr, frame: &Frame, packet: &[u8]) {
-        encode_frame(frame, packet, &mut self.frame_buffer);
-        let address = SocketAddrV4::new(peer, self.machine.internal_port);
-        self.internal_socket.send(&self.frame_buffer, address);
+        self.frames.send(peer, frame, packet);
     }
 
     fn on_event(&mut self, event: Event) {
@@ -209,6 +205,7 @@
     fn on_tick(&mut self) {
         self.refresh_time();
         self.flows.on_tick(&self.ctx);
+        self.frames.on_tick(self.ctx.now_ms);
         self.report_health_change();
         if self.ctx.now_ms >= self.next_report_ms {
             self.send_reports(Recipients::Scheduled);
@@ -326,6 +323,6 @@
 
     pub(super) fn send_to_caller(&self, packet: &[u8], caller: Ipv4Addr) {
         let address = SocketAddrV4::new(caller, self.machine.packet_address.port());
-        self.internal_socket.send(packet, address);
+        self.frames.socket().send(packet, address);
     }
 }
--- a/crates/basilstep-packet/src/balancer/frames.rs
+++ b/crates/basilstep-packet/src/balancer/frames.rs
@@ -1,8 +1,11 @@
-use super::serve::{Balancer, spawn_settings_pull};
+use super::{
+    serve::{Balancer, spawn_settings_pull},
+    settings_pull::SettingsPull,
+};
 use crate::datagram_socket::{MAX_DATAGRAM_BYTES, RECEIVE_BATCH};
 use basilstep_core::{
     codes::ResultCode,
-    flows::{AgentReport, BalancerEntry, BalancerHeartbeat, Frame, Returned, decode_frame},
+    flows::{AgentReport, BalancerEntry, BalancerHeartbeat, Frame, Returned, wire::WireError},
 };
 use basilstep_platform::header;
 use std::net::{Ipv4Addr, SocketAddrV4};
@@ -14,23 +17,29 @@
         self.refresh_time();
         let mut buffer = [0; MAX_DATAGRAM_BYTES];
         for _ in 0..RECEIVE_BATCH {
-            let Some((bytes, peer)) = self.internal_socket.try_receive(&mut buffer) else {
+            let Some((bytes, peer)) = self.frames.socket().try_receive(&mut buffer) else {
                 self.has_stale_frames = false;
                 return false;
             };
-            match decode_frame(&buffer[..bytes]) {
-                Ok((frame, packet)) => self.on_frame(peer, frame, packet),
-                Err(error) => {
-                    self.metrics.count(ResultCode::Malformed);
-                    if let Some(left_out) = self.admit_log_line(ResultCode::Malformed) {
-                        log::warn!(peer:% = peer, reason:% = error, left_out; "received a malformed frame");
-                    }
-                }
+            match self.frames.decode(peer, &buffer[..bytes], self.ctx.now_ms) {
+                Ok(received) => self.on_frame(peer, received.frame, received.packet),
+                Err(error) => self.on_unreadable_frame(peer, error),
             }
         }
         true
     }
 
+    fn on_unreadable_frame(&mut self, peer: Ipv4Addr, error: WireError) {
+        let code = error.code();
+        self.metrics.count(code);
+        if code == ResultCode::UnsupportedVersion {
+            self.flows.on_unreadable_frame(peer, &self.ctx);
+        }
+        if let Some(left_out) = self.admit_log_line(code) {
+            log::warn!(peer:% = peer, code:% = code, reason:% = error, left_out; "received a frame that cannot be read");
+        }
+    }
+
     fn on_frame(&mut self, peer: Ipv4Addr, frame: Frame, packet: &[u8]) {
         match frame {
             Frame::Returned(returned) => self.on_returned(peer, returned, packet),
@@ -147,8 +156,16 @@
             heartbeat.version > fleet.table.version || heartbeat.revision > fleet.revision;
         if is_ahead && !self.is_pulling_settings && !heartbeat.is_stopping {
             self.is_pulling_settings = true;
-            let address = SocketAddrV4::new(peer, self.machine.internal_port);
-            spawn_settings_pull(address, self.event_sender.clone());
+            let pull = SettingsPull {
+                peer: SocketAddrV4::new(peer, self.machine.internal_port),
+                highest_version: self.frames.versions().highest(),
+                unstated_version: self
+                    .frames
+                    .versions()
+                    .version_of(peer)
+                    .filter(|_| !self.frames.versions().states_versions(peer)),
+            };
+            spawn_settings_pull(pull, self.event_sender.clone());
         }
     }
 }
--- a/crates/basilstep-packet/src/balancer/packets.rs
+++ b/crates/basilstep-packet/src/balancer/packets.rs
@@ -5,7 +5,6 @@
     flows::{
         Frame, LostFlow, Segment,
         balancer::{NextHop, PlacedSyn, TickOutcome, Verdict},
-        encode_frame,
     },
 };
 use basilstep_platform::header;
@@ -123,13 +122,8 @@
     }
 
     pub(super) fn send_next_hop(&mut self, next_hop: &NextHop, packet: &[u8]) {
-        encode_frame(
-            &Frame::Forward(next_hop.header),
-            packet,
-            &mut self.frame_buffer,
-        );
-        let address = SocketAddrV4::new(next_hop.agent, self.machine.internal_port);
-        self.internal_socket.send(&self.frame_buffer, address);
+        self.frames
+            .send(next_hop.agent, &Frame::Forward(next_hop.header), packet);
     }
 
     fn send_reset(&self, lost: &LostFlow) {
--- a/crates/basilstep-packet/src/balancer/serve.rs
+++ b/crates/basilstep-packet/src/balancer/serve.rs
@@ -1,6 +1,10 @@
-use super::{explaining, settings_pull};
+use super::{
+    explaining,
+    settings_pull::{self, SettingsPull},
+};
 use crate::{
     datagram_socket::DatagramSocket,
+    frame_channel::FrameChannel,
     log_limiter::LogLimiter,
     metrics::Metrics,
     pause_detector::PauseDetector,
@@ -17,10 +21,12 @@
     flows::{
         BalancerFlows, FleetSettings, FlowSettings, Frame, Recipients,
         balancer::{BalancerIdentity, Standing, StandingChange, TransferBudget, WatchTimes},
-        encode_frame,
     },
 };
-use basilstep_node::{http::ServerResponse, shutdown};
+use basilstep_node::{
+    http::{ServerRequest, ServerResponse},
+    shutdown,
+};
 use basilstep_platform::{
     calls::{self, Call},
     settings::MachineSettings,
@@ -69,13 +75,12 @@
     pub(super) flows: BalancerFlows,
     pub(super) ctx: Context,
     pub(super) packet_socket: DatagramSocket,
-    pub(super) internal_socket: DatagramSocket,
+    pub(super) frames: FrameChannel,
     pub(super) log_limiter: LogLimiter<ResultCode>,
     standing_log_limiter: LogLimiter<Standing>,
     /// Limits the log lines about second offers.
     pub(super) hedge_log_limiter: LogLimiter<ResultCode>,
     pub(super) metrics: Metrics,
-    pub(super) frame_buffer: Vec<u8>,
     pub(super) is_pulling_settings: bool,
     /// Frames that wait may be older than the last pause or stall of the process.
     pub(super) has_stale_frames: bool,
@@ -141,7 +146,7 @@
                 balancer.send_due_hedges();
                 balancer.send_probes();
             }
-            () = balancer.internal_socket.readable() => {
+            () = balancer.frames.socket().readable() => {
                 balancer.read_frames();
             }
             Some(event) = events.recv() => balancer.on_event(event),
@@ -184,12 +189,11 @@
             ctx,
             packet_socket: DatagramSocket::bind("the address for packets", machine.packet_address)
                 .await?,
-            internal_socket: DatagramSocket::bind("the internal port", internal).await?,
+            frames: FrameChannel::bind(internal, settings.wire.highest_version).await?,
             log_limiter: LogLimiter::default(),
             standing_log_limiter: LogLimiter::default(),
             hedge_log_limiter: LogLimiter::default(),
             metrics: Metrics::new(),
-            frame_buffer: Vec::new(),
             is_pulling_settings: false,
             has_stale_frames: false,
             has_new_balancers: false,
@@ -219,9 +223,7 @@
 
     /// Sends a frame without a packet.
     pub(super) fn send_frame(&mut self, peer: Ipv4Addr, frame: &Frame) {
-        encode_frame(frame, &[], &mut self.frame_buffer);
-        let address = SocketAddrV4::new(peer, self.machine.internal_port);
-        self.internal_socket.send(&self.frame_buffer, address);
+        self.frames.send(peer, frame, &[]);
     }
 
     /// Announces this balancer to the seeds and requests their lists of balancers.
@@ -330,6 +332,7 @@
 
     fn on_tick(&mut self) {
         self.refresh_time();
+        self.frames.on_tick(self.ctx.now_ms);
         let outcome = self.flows.on_tick(&self.ctx);
         for agent in &outcome.forgotten {
             log::info!(agent:% = agent; "removed an agent that stopped reporting");
@@ -397,11 +400,13 @@
     fn answer_request(&mut self, pending: &PendingRequest) -> ServerResponse {
         let request = &pending.request;
         if request.path == SETTINGS_PATH {
-            return self.answer_settings_pull();
+            return self.answer_settings_pull(request);
         }
         if request.path == "/metrics" {
             let age_ms = self.flows.settings_age_ms(&self.ctx);
             self.metrics.set_settings_age(age_ms);
+            self.metrics
+                .set_older_peers(self.frames.versions().older_peers());
             let ranked = self.flows.agents().ranked_targets();
             self.metrics
                 .set_standings(ranked.map(|(_, target)| target.standing));
@@ -425,13 +430,26 @@
         }
     }
 
-    fn answer_settings_pull(&mut self) -> ServerResponse {
-        let settings = settings_pull::encode(self.flows.fleet());
+    fn answer_settings_pull(&mut self, request: &ServerRequest) -> ServerResponse {
+        let asked = match settings_pull::asked_version(&request.query) {
+            Ok(asked) => asked,
+            Err(error) => {
+                log::warn!(peer:% = request.peer, code:% = ResultCode::BadRequest, reason:% = error; "refused a pull of settings");
+                return ServerResponse::empty(StatusCode::BAD_REQUEST);
+            }
+        };
+        let versions = self.frames.versions();
+        let unstated = || versions.version_of(request.peer);
+        let version = asked
+            .or_else(unstated)
+            .unwrap_or_else(|| versions.highest())
+            .min(versions.highest());
+        let answer = settings_pull::encode(self.flows.fleet(), version, asked.is_some());
         if self
             .settings_transfers
-            .try_send(settings.len(), self.ctx.now_ms)
+            .try_send(answer.body.len(), self.ctx.now_ms)
         {
-            ServerResponse::bytes(Bytes::from(settings))
+            answer
         } else {
             ServerResponse::empty(StatusCode::SERVICE_UNAVAILABLE)
         }
@@ -453,6 +471,8 @@
             "hedges": self.flows.hedge_counts(),
             "watched_syns": self.flows.watched_syns(),
             "balancers": self.flows.balancers().entries(self.ctx.now_ms),
+            "wire_version": self.frames.versions().highest(),
+            "peer_versions": self.frames.versions().known(),
             "agents": agents,
             "ranked_targets": ranked_targets,
         })
@@ -461,11 +481,11 @@
 }
 
 /// Spawns a task that pulls the settings of another balancer.
-pub(super) fn spawn_settings_pull(peer: SocketAddrV4, event_sender: mpsc::Sender<Event>) {
+pub(super) fn spawn_settings_pull(pull: SettingsPull, event_sender: mpsc::Sender<Event>) {
     tokio::spawn(async move {
-        let pulled = settings_pull::fetch(peer).await;
+        let pulled = pull.fetch().await;
         if let Err(error) = &pulled {
-            log::info!(peer:% = peer, reason:% = error; "failed to pull settings from a balancer");
+            log::info!(peer:% = pull.peer, reason:% = error; "failed to pull settings from a balancer");
             sleep(settings_pull::RETRY_DELAY).await;
         }
         if event_sender
--- a/crates/basilstep-packet/src/lib.rs
+++ b/crates/basilstep-packet/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod agent;
 pub mod balancer;
 mod datagram_socket;
+mod frame_channel;
 mod log_limiter;
 mod metrics;
 mod overrides;
--- a/crates/basilstep-packet/src/metrics.rs
+++ b/crates/basilstep-packet/src/metrics.rs
@@ -149,6 +149,19 @@
         }
     }
 
+    /// Sets how many peers speak an older version than this process.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the name of the gauge is malformed, which is never the case.
+    pub fn set_older_peers(&mut self, peers: usize) {
+        self.set_gauge(
+            "basilstep_older_peers",
+            "Peers that speak an older version of frames than this process",
+            i64::try_from(peers).unwrap_or(i64::MAX),
+        );
+    }
+
     /// Sets the health of the agent's target.
     ///
     /// # Panics
--- a/crates/basilstep-packet/tests/processes/fleet.rs
+++ b/crates/basilstep-packet/tests/processes/fleet.rs
@@ -7,7 +7,10 @@
 };
 use basilstep_core::{
     address::DomainId,
-    flows::{BalancerHeartbeat, Frame, ProcessIncarnation, StoreRevision, encode_frame},
+    flows::{
+        BalancerHeartbeat, Frame, ProcessIncarnation, StoreRevision,
+        wire::{SpokenVersion, encode_frame},
+    },
 };
 use rustix::process::Signal;
 use std::{
@@ -23,7 +26,7 @@
     SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), 443)
 }
 
-fn data_text(packet: &Packet) -> String {
+pub fn data_text(packet: &Packet) -> String {
     String::from_utf8_lossy(&packet.data).into_owned()
 }
 
@@ -287,7 +290,8 @@
         settings_age_ms: None,
     };
     let mut frame = Vec::new();
-    encode_frame(&Frame::Heartbeat(heartbeat), &[], &mut frame);
+    let spoken = SpokenVersion::LATEST;
+    encode_frame(&Frame::Heartbeat(heartbeat), &[], spoken, &mut frame);
     let peer = UdpSocket::bind((fleet.ip(2), 0)).await.unwrap();
     let balancer = fleet.address(1, fleet.ports.internal);
     let calls_before = fleet.store.calls();
--- a/crates/basilstep-packet/tests/processes/main.rs
+++ b/crates/basilstep-packet/tests/processes/main.rs
@@ -8,3 +8,4 @@
 mod fleet;
 mod soak;
 mod support;
+mod upgrade;
--- a/crates/basilstep-packet/tests/processes/support/fleet.rs
+++ b/crates/basilstep-packet/tests/processes/support/fleet.rs
@@ -53,7 +53,9 @@
     pub ports: Ports,
     pub store: Store,
     pub processes: Vec<Process>,
-    /// The command-line arguments of balancers.
+    /// The command-line arguments of the processes that start from now on.
+    pub arguments: &'static [&'static str],
+    /// Further arguments of balancers.
     pub balancer_arguments: &'static [&'static str],
     keeps_logs: AtomicBool,
 }
@@ -106,6 +108,7 @@
             ports,
             store,
             processes: Vec::new(),
+            arguments: &[],
             balancer_arguments: &[],
             keeps_logs: AtomicBool::new(false),
         }
@@ -299,13 +302,14 @@
             .append(true)
             .open(self.folder.join(format!("log-{number}")))
             .unwrap();
-        let arguments: &[&str] = if program == BALANCER {
+        let role_arguments: &[&str] = if program == BALANCER {
             self.balancer_arguments
         } else {
             &[]
         };
         let child = Command::new(program)
-            .args(arguments)
+            .args(self.arguments)
+            .args(role_arguments)
             .env("BASILSTEP_CONFIG", path)
             .stdout(Stdio::from(log))
             .spawn()
