fix(flows): callers are not refused at once while targets warm up within their time limit

Cause: after a loss of all power each try of a price feed was reset within 30 ms, so that its three tries were used up in a tenth of a second of a time limit of 2 s. The refusal at once knows neither how long the shortage lasts nor the time limit.

Change: routes carry their time limit (TimeoutMs; settings of version 6, those of version 5 are frozen). While most targets of the service are cold, for less than the time limit, the count of the overload starts again instead of a reset. Other overloads are refused as before.

--- a/crates/basilstep-bench/src/load/one_service.rs
+++ b/crates/basilstep-bench/src/load/one_service.rs
@@ -36,6 +36,7 @@
         kind,
         latency_goal_ms,
         priority: 0,
+        time_limit_ms: 0,
         shares,
     };
     fleet.table.version = 1;
--- a/crates/basilstep-core/src/flows/balancer/agent_table.rs
+++ b/crates/basilstep-core/src/flows/balancer/agent_table.rs
@@ -38,6 +38,8 @@
     pub former_reported_ms: Option<u64>,
     /// The former incarnation of the agent, if there was one.
     pub former_incarnation: Option<ProcessIncarnation>,
+    /// When the first of the reports arrived that say without a gap that the target is cold.
+    pub cold_since_ms: Option<u64>,
     /// New flows that this balancer has sent to the agent since that report.
     pub offered_since: u16,
     /// How many flows the agent has advertised to this balancer without a gap.
@@ -81,6 +83,13 @@
         u32::from(report.at_work) + u32::from(self.offered_since) < u32::from(report.capacity)
     }
 
+    /// Returns how much longer the target is cold at most, or `None` if it is not cold; `warmup_ms` is
+    /// how long targets are cold after their start.
+    pub fn warmup_left_ms(&self, warmup_ms: u32, now_ms: u64) -> Option<u64> {
+        let warm_from_ms = self.cold_since_ms? + u64::from(warmup_ms);
+        Some(warm_from_ms.saturating_sub(now_ms))
+    }
+
     /// Returns whether the last report is younger than `limit_ms`, the limit for an agent that
     /// sends every report here.
     pub fn has_reported_within(&self, limit_ms: u64, now_ms: u64) -> bool {
@@ -149,7 +158,13 @@
                 Some(state.report.incarnation)
             }
         });
+        let cold_since_ms = before
+            .filter(|_| is_same_incarnation)
+            .and_then(|state| state.cold_since_ms)
+            .or(Some(now_ms))
+            .filter(|_| report.is_cold);
         let state = AgentState {
+            cold_since_ms,
             report,
             reported_ms: now_ms,
             former_reported_ms,
--- a/crates/basilstep-core/src/flows/balancer/overload.rs
+++ b/crates/basilstep-core/src/flows/balancer/overload.rs
@@ -40,4 +40,11 @@
         refusals.last_ms = now_ms;
         now_ms >= refusals.since_ms + refuse_after_ms
     }
+
+    /// Restarts the overload of a service and priority level, which is expected to end soon.
+    pub fn restart(&mut self, service: ServiceTag, level: u8, now_ms: u64) {
+        if let Some(refusals) = self.refusals.get_mut(&(service, level)) {
+            refusals.since_ms = now_ms;
+        }
+    }
 }
--- a/crates/basilstep-core/src/flows/balancer/state/settings.rs
+++ b/crates/basilstep-core/src/flows/balancer/state/settings.rs
@@ -8,6 +8,7 @@
         balancer::settings_watch::WatchLimits,
         frame::{AgentReport, ReportReply},
         routes::{FleetSettings, PriorityRanks, Route, RouteTable, ServiceShare},
+        wire::WireVersion,
     },
 };
 use std::{collections::BTreeSet, net::Ipv4Addr};
@@ -53,7 +54,7 @@
             watchers: self.settings.settings_watch.watchers,
             times: self.identity.watch_times,
         };
-        self.fleet.table.lacks_priorities
+        self.fleet.table.wire_version < WireVersion::LATEST
             || limits.is_watch_needed(self.identity.ip, &self.balancers, &self.fleet, ctx.now_ms)
     }
 
--- a/crates/basilstep-core/src/flows/balancer/state/syn.rs
+++ b/crates/basilstep-core/src/flows/balancer/state/syn.rs
@@ -257,8 +257,43 @@
         })
     }
 
+    /// Records the refusal of a first SYN for load; returns whether the overload has lasted for long
+    /// and is not expected to end while the caller still waits.
+    fn outlasts_callers(&mut self, segment: &Segment, service: ServiceTag, ctx: &Context) -> bool {
+        let route = self.fleet.table.routes.get(&segment.destination);
+        let level = self.rank_of(route, service).level;
+        let time_limit_ms = route.map_or(0, |route| route.time_limit_ms);
+        let refuse_after_ms = self.settings.syns.refuse_after_ms;
+        let is_long = self
+            .overloads
+            .record_refusal(service, level, refuse_after_ms, ctx.now_ms);
+        if is_long && self.warms_up_within(time_limit_ms, service, ctx.now_ms) {
+            self.overloads.restart(service, level, ctx.now_ms);
+            return false;
+        }
+        is_long
+    }
+
+    /// Returns whether most targets of a service are cold, for less than `time_limit_ms` from now.
+    fn warms_up_within(&self, time_limit_ms: u32, service: ServiceTag, now_ms: u64) -> bool {
+        let limits = self.fleet.table.services.get(&service);
+        let warmup_ms = limits.map_or(0, |limits| limits.warmup_ms);
+        let (mut agents, mut warming_up) = (0, 0);
+        for agent in self.agents.of_service(service) {
+            let state = self.agents.get(agent);
+            let left_ms = state.and_then(|state| state.warmup_left_ms(warmup_ms, now_ms));
+            agents += 1;
+            warming_up +=
+                usize::from(left_ms.is_some_and(|left_ms| left_ms < u64::from(time_limit_ms)));
+        }
+        warming_up * 2 > agents
+    }
+
     /// Refuses a SYN that no agent accepts at the moment.
     ///
+    /// In a lasting overload, the caller of a first SYN is refused at once. While targets warm up it
+    /// is not: its tries would be used up within a fraction of its time limit.
+    ///
     /// It is dropped if the caller's next SYN, within 400 ms, may find a free agent; otherwise the
     /// caller gets a reset at once. Callers of retransmissions have waited already: a late answer
     /// is of use to them, and once they are late they only take slots that are free.
@@ -269,15 +304,9 @@
         code: ResultCode,
         ctx: &Context,
     ) -> Verdict {
-        let route = self.fleet.table.routes.get(&segment.destination);
-        let level = self.rank_of(route, service).level;
-        let is_overload = code == ResultCode::Overloaded;
-        let refuse_after_ms = self.settings.syns.refuse_after_ms;
-        let is_hopeless = is_overload
+        let is_hopeless = code == ResultCode::Overloaded
             && segment.is_first_syn()
-            && self
-                .overloads
-                .record_refusal(service, level, refuse_after_ms, ctx.now_ms);
+            && self.outlasts_callers(segment, service, ctx);
         if !is_hopeless && !segment.is_last_syn() {
             return Verdict::Drop { code };
         }
--- a/crates/basilstep-core/src/flows/routes.rs
+++ b/crates/basilstep-core/src/flows/routes.rs
@@ -40,6 +40,8 @@
     pub latency_goal_ms: u16,
     /// The priority of its requests among those of other routes; 0 is the highest.
     pub priority: u8,
+    /// How long its callers wait for an answer, new tries included; 0 if this is not known.
+    pub time_limit_ms: u32,
     /// The services that share its new flows.
     pub shares: Vec<ServiceShare>,
 }
@@ -86,9 +88,9 @@
     pub services: BTreeMap<ServiceTag, ServiceLimits>,
     /// How long a flow may be idle before either end discards it.
     pub idle_timeout_ms: u32,
-    /// The routes came from an older build, which does not know their priorities.
+    /// The wire version in which the routes came; an older one does not say all of them.
     #[serde(skip)]
-    pub lacks_priorities: bool,
+    pub wire_version: WireVersion,
 }
 
 /// The rank of a route's priority among the priorities of the routes that lead to one service.
@@ -121,15 +123,6 @@
 }
 
 impl RouteTable {
-    /// Returns the oldest wire version that says all that is known of the routes.
-    pub const fn wire_version(&self) -> WireVersion {
-        if self.lacks_priorities {
-            WireVersion::OLDEST
-        } else {
-            WireVersion::LATEST
-        }
-    }
-
     /// Returns the rank of `priority` among the priorities of the routes that lead to `service`.
     pub fn priority_rank(&self, service: ServiceTag, priority: u8) -> PriorityRank {
         let priorities: BTreeSet<u8> = self
@@ -209,8 +202,7 @@
     pub fn merge_newer(&mut self, other: Self) -> bool {
         let mut is_changed = false;
         let completes_table = other.table.version == self.table.version
-            && self.table.lacks_priorities
-            && !other.table.lacks_priorities;
+            && other.table.wire_version > self.table.wire_version;
         if other.table.version > self.table.version || completes_table {
             self.table = other.table;
             is_changed = true;
--- a/crates/basilstep-core/src/flows/tests/frames.rs
+++ b/crates/basilstep-core/src/flows/tests/frames.rs
@@ -12,7 +12,7 @@
 use rstest::rstest;
 use std::net::Ipv4Addr;
 
-const LATEST: u8 = 5;
+const LATEST: u8 = 6;
 
 fn spoken(version: u8) -> SpokenVersion {
     SpokenVersion {
@@ -119,7 +119,7 @@
 #[rstest]
 #[case::forward(forward())]
 #[case::returned(returned())]
-fn frame_and_packet_round_trip(#[case] frame: Frame, #[values(4, 5)] version: u8) {
+fn frame_and_packet_round_trip(#[case] frame: Frame, #[values(4, 5, 6)] version: u8) {
     let mut bytes = vec![9; 3];
     encode_frame(&frame, b"packet", spoken(version), &mut bytes);
     let received = decode_frame(&bytes, WireVersion::LATEST).unwrap();
@@ -133,7 +133,7 @@
 #[case::list(Frame::ListBalancers)]
 fn frame_without_a_packet_announces_the_highest_version(
     #[case] frame: Frame,
-    #[values(4, 5)] version: u8,
+    #[values(4, 5, 6)] version: u8,
 ) {
     let mut bytes = Vec::new();
     encode_frame(&frame, &[], spoken(version), &mut bytes);
--- a/crates/basilstep-core/src/flows/tests/mod.rs
+++ b/crates/basilstep-core/src/flows/tests/mod.rs
@@ -234,6 +234,7 @@
         kind,
         latency_goal_ms: 100,
         priority: 0,
+        time_limit_ms: 0,
         shares: vec![ServiceShare {
             service: service(),
             weight: 1,
--- a/crates/basilstep-core/src/flows/tests/refusals.rs
+++ b/crates/basilstep-core/src/flows/tests/refusals.rs
@@ -1,9 +1,11 @@
 //! Several times the load that all targets can serve, for seconds: which callers come back.
 
-use super::{agent_ip, balancer_with, context, flow, report, service, syn};
+use super::{agent_ip, balancer_with, context, fleet_settings, flow, report, service, syn};
 use crate::{
     codes::ResultCode,
-    flows::{BalancerFlows, RequestKind, Returned, Segment, TargetPhase, balancer::Verdict},
+    flows::{
+        AgentReport, BalancerFlows, RequestKind, Returned, Segment, TargetPhase, balancer::Verdict,
+    },
 };
 use rstest::rstest;
 
@@ -44,6 +46,52 @@
     }
 }
 
+/// Return after a loss of all targets: a caller whose time limit is longer than the warm-up keeps its
+/// tries, and is refused as in any overload after it.
+#[rstest]
+#[case::ends_within_the_time_limit(2_001, None)]
+#[case::ends_in_time_when_it_has_lasted_for_a_while(1_801, None)]
+#[case::ends_too_late(1_500, Some(10_200))]
+#[case::unknown_time_limit(0, Some(10_200))]
+fn caller_is_not_refused_at_once_while_targets_warm_up(
+    #[case] time_limit_ms: u32,
+    #[case] first_reset_ms: Option<u64>,
+) {
+    const WARM_FROM_MS: u64 = 12_000;
+    let (mut balancer, ctx) = balancer_with(1, RequestKind::Idempotent);
+    let mut settings = fleet_settings(RequestKind::Idempotent);
+    settings.table.version += 1;
+    let limits = settings.table.services.get_mut(&service()).unwrap();
+    limits.warmup_ms = 2_000;
+    for route in settings.table.routes.values_mut() {
+        route.time_limit_ms = time_limit_ms;
+    }
+    balancer.on_fleet_settings(settings, &ctx);
+    let mut resets = Vec::new();
+    for now_ms in (10_000..13_000).step_by(10) {
+        let state = AgentReport {
+            is_cold: now_ms < WARM_FROM_MS,
+            ..report(TargetPhase::Serving)
+        };
+        let packet = syn(flow((now_ms - 9_000) as u16), 0);
+        balancer.on_report(agent_ip(1), state, &context(now_ms));
+        balancer.on_packet(&packet, &context(now_ms));
+        let returned = Returned {
+            code: ResultCode::Overloaded,
+            service: service(),
+        };
+        let verdict = balancer.on_returned(agent_ip(1), returned, &packet, &context(now_ms));
+        if is_reset(&verdict) {
+            resets.push(now_ms);
+        }
+    }
+    let expected = first_reset_ms.map_or(WARM_FROM_MS..=WARM_FROM_MS + 200, |at_ms| at_ms..=at_ms);
+    assert!(
+        resets.first().is_some_and(|at_ms| expected.contains(at_ms)),
+        "{resets:?}"
+    );
+}
+
 /// Callers that come back late would take the places of those that can still be answered in time.
 #[test]
 fn caller_is_refused_at_once_in_a_long_overload() {
--- a/crates/basilstep-core/src/flows/tests/routes.rs
+++ b/crates/basilstep-core/src/flows/tests/routes.rs
@@ -51,6 +51,7 @@
         kind: RequestKind::Idempotent,
         latency_goal_ms: 0,
         priority: 0,
+        time_limit_ms: 0,
         shares: vec![share("a", 90), share("b", 10)],
     };
     let to_b = (1..=10_000)
@@ -66,6 +67,7 @@
         kind: RequestKind::Idempotent,
         latency_goal_ms: 0,
         priority: 0,
+        time_limit_ms: 0,
         shares: vec![ServiceShare {
             service: service(),
             weight: 0,
--- a/crates/basilstep-core/src/flows/tests/versions.rs
+++ b/crates/basilstep-core/src/flows/tests/versions.rs
@@ -13,6 +13,8 @@
 
 const SETTINGS_4: &str =
     "0101c6120001bb03006401dd924519814a0101dd924519814a000000000000000000000000000001";
+const SETTINGS_6: &str =
+    "0101c6120001bb030064000001dd924519814a0101dd924519814a000000000000000000000000000001";
 const SETTINGS_5: &str =
     "0101c6120001bb0300640001dd924519814a0101dd924519814a000000000000000000000000000001";
 
@@ -95,16 +97,16 @@
 /// Two processes that meet, and then one of them is replaced: each frame is read, and after one
 /// exchange it is sent once, in the highest common version.
 #[rstest]
-#[case::same_build(Build::UpTo(5), 5)]
-#[case::pinned(Build::UpTo(4), 4)]
+#[case::same_build(Build::UpTo(6), 6)]
+#[case::pinned(Build::UpTo(5), 5)]
 #[case::build_of_version_4(Build::Only(4), 4)]
 #[case::build_of_version_5(Build::Only(5), 5)]
 fn processes_agree_on_the_highest_common_version(
     #[case] peer: Build,
     #[case] common: u8,
-    #[values(Build::Only(4), Build::Only(5), Build::UpTo(5))] replacement: Build,
+    #[values(Build::Only(4), Build::Only(5), Build::UpTo(6))] replacement: Build,
 ) {
-    let mut own = Process::new(1, Build::UpTo(5));
+    let mut own = Process::new(1, Build::UpTo(6));
     let mut other = Process::new(2, peer);
     assert_ne!(
         exchange(&mut own, &mut other)[0],
@@ -125,34 +127,62 @@
     assert_eq!(exchange(&mut own, &mut other), [1, 1]);
 }
 
+/// Guards against frames that take effect once for each version in which they were sent.
+#[rstest]
+#[case::for_older_builds(5, 6, true)]
+#[case::highest_of_both(5, 5, false)]
+#[case::sender_of_a_newer_build(6, 9, false)]
+fn only_the_copy_in_the_highest_common_version_takes_effect(
+    #[case] number: u8,
+    #[case] announced: u8,
+    #[case] is_copy: bool,
+) {
+    let spoken = SpokenVersion {
+        version: version(number),
+        highest: WireVersion::LATEST,
+    };
+    let mut bytes = Vec::new();
+    encode_frame(&Frame::Probe, &[], spoken, &mut bytes);
+    *bytes.last_mut().unwrap() = announced;
+    let received = decode_frame(&bytes, WireVersion::LATEST).unwrap();
+    assert_eq!(
+        received.is_copy_for_older_builds(WireVersion::LATEST),
+        is_copy
+    );
+}
+
 /// A packet of an older version says nothing about what else its sender speaks.
 #[test]
 fn frame_with_a_packet_does_not_lower_the_version() {
-    let mut own = Process::new(1, Build::UpTo(5));
-    let mut other = Process::new(2, Build::UpTo(5));
+    let mut own = Process::new(1, Build::UpTo(6));
+    let mut other = Process::new(2, Build::UpTo(6));
     exchange(&mut own, &mut other);
     let returned = super::forward_header(other.ip);
     let spoken = SpokenVersion {
         version: version(4),
-        highest: version(5),
+        highest: version(6),
     };
     let mut bytes = Vec::new();
     encode_frame(&Frame::Forward(returned), b"packet", spoken, &mut bytes);
     own.receive(other.ip, &[bytes]);
-    assert_eq!(own.versions.version_of(other.ip), Some(version(5)));
+    assert_eq!(own.versions.version_of(other.ip), Some(version(6)));
 }
 
 /// The settings of each version, recorded from the build that introduced it.
 #[rstest]
 #[case::version_4(4, SETTINGS_4)]
 #[case::version_5(5, SETTINGS_5)]
+#[case::version_6(6, SETTINGS_6)]
 fn layout_of_settings_never_changes(#[case] number: u8, #[case] recorded: &str) {
     let settings = fleet_settings(RequestKind::Idempotent);
     let recorded = from_hex(recorded);
     assert_eq!(encode_settings(&settings, version(number)), recorded);
     let mut decoded = decode_settings(&recorded, version(number)).unwrap();
-    assert_eq!(decoded.table.lacks_priorities, number == 4);
-    decoded.table.lacks_priorities = false;
+    assert_eq!(
+        decoded.table.wire_version,
+        version(number).min(WireVersion::LATEST)
+    );
+    decoded.table.wire_version = WireVersion::LATEST;
     assert_eq!(decoded, settings);
 }
 
@@ -160,6 +190,8 @@
 #[rstest]
 #[case::older_as_newer(SETTINGS_4, 5)]
 #[case::newer_as_older(SETTINGS_5, 4)]
+#[case::former_as_latest(SETTINGS_5, 6)]
+#[case::latest_as_former(SETTINGS_6, 5)]
 fn settings_of_another_version_are_refused(#[case] recorded: &str, #[case] number: u8) {
     let decoded = decode_settings(&from_hex(recorded), version(number));
     assert_eq!(decoded, Err(WireError::Malformed));
@@ -179,7 +211,7 @@
     let partial = decode_settings(&bytes, version(4)).unwrap();
     let mut known = FleetSettings::default();
     assert!(known.merge_newer(partial.clone()));
-    assert_eq!(known.table.wire_version(), version(4));
+    assert_eq!(known.table.wire_version, version(4));
     assert!(known.merge_newer(complete.clone()));
     assert!(!known.merge_newer(partial));
     assert_eq!(known, complete);
--- a/crates/basilstep-core/src/flows/wire.rs
+++ b/crates/basilstep-core/src/flows/wire.rs
@@ -6,6 +6,7 @@
 
 mod peers;
 mod v4;
+mod v5;
 
 use super::{frame::Frame, routes::FleetSettings};
 use crate::codes::ResultCode;
@@ -23,10 +24,14 @@
 pub struct WireVersion(u8);
 
 impl WireVersion {
+    const V4: Self = Self(4);
+    const V5: Self = Self(5);
+    const V6: Self = Self(6);
+
     /// The oldest version that is still spoken.
-    pub const OLDEST: Self = Self(4);
+    pub const OLDEST: Self = Self::V4;
     /// The latest version.
-    pub const LATEST: Self = Self(5);
+    pub const LATEST: Self = Self::V6;
 
     /// Returns the versions from the oldest one to this one.
     pub fn supported(self) -> impl Iterator<Item = Self> {
@@ -121,6 +126,15 @@
     pub announced: Option<u8>,
 }
 
+impl ReceivedFrame<'_> {
+    /// Returns whether this is a copy for older builds, which a sender adds for a peer whose version
+    /// it does not know: one that a process with this highest version reads better comes as well.
+    pub fn is_copy_for_older_builds(&self, highest: WireVersion) -> bool {
+        self.announced
+            .is_some_and(|announced| announced.min(highest.0) > self.version.0)
+    }
+}
+
 impl Frame {
     const fn carries_packet(&self) -> bool {
         matches!(self, Self::Forward(_) | Self::Returned(_))
@@ -135,7 +149,7 @@
 pub fn encode_frame(frame: &Frame, packet: &[u8], spoken: SpokenVersion, buffer: &mut Vec<u8>) {
     buffer.clear();
     buffer.push(spoken.version.0);
-    if spoken.version < WireVersion::LATEST {
+    if spoken.version == WireVersion::V4 {
         append(&v4::Frame::from(frame.clone()), buffer);
     } else {
         append(frame, buffer);
@@ -158,7 +172,7 @@
 /// Returns [`WireError`] if the bytes are no frame, or one of another version.
 pub fn decode_frame(bytes: &[u8], highest: WireVersion) -> Result<ReceivedFrame<'_>, WireError> {
     let (version, body) = split_version(bytes, highest)?;
-    let (frame, rest) = if version < WireVersion::LATEST {
+    let (frame, rest) = if version == WireVersion::V4 {
         let (frame, rest) = take::<v4::Frame>(body)?;
         (Frame::from(frame), rest)
     } else {
@@ -196,10 +210,10 @@
 /// Panics if `postcard` cannot encode settings, which never happens for plain data.
 pub fn encode_settings(settings: &FleetSettings, version: WireVersion) -> Vec<u8> {
     let mut bytes = Vec::new();
-    if version < WireVersion::LATEST {
-        append(&v4::FleetSettings::from(settings.clone()), &mut bytes);
-    } else {
-        append(settings, &mut bytes);
+    match version {
+        WireVersion::V4 => append(&v4::FleetSettings::from(settings.clone()), &mut bytes),
+        WireVersion::V5 => append(&v5::FleetSettings::from(settings.clone()), &mut bytes),
+        _ => append(settings, &mut bytes),
     }
     bytes
 }
@@ -210,11 +224,16 @@
 ///
 /// Returns [`WireError::Malformed`] if the bytes are not settings of that version and nothing else.
 pub fn decode_settings(bytes: &[u8], version: WireVersion) -> Result<FleetSettings, WireError> {
-    let (settings, rest) = if version < WireVersion::LATEST {
-        let (settings, rest) = take::<v4::FleetSettings>(bytes)?;
-        (FleetSettings::from(settings), rest)
-    } else {
-        take(bytes)?
+    let (settings, rest) = match version {
+        WireVersion::V4 => {
+            let (settings, rest) = take::<v4::FleetSettings>(bytes)?;
+            (FleetSettings::from(settings), rest)
+        }
+        WireVersion::V5 => {
+            let (settings, rest) = take::<v5::FleetSettings>(bytes)?;
+            (FleetSettings::from(settings), rest)
+        }
+        _ => take(bytes)?,
     };
     if rest.is_empty() {
         Ok(settings)
--- a/crates/basilstep-core/src/flows/wire/v4.rs
+++ b/crates/basilstep-core/src/flows/wire/v4.rs
@@ -11,6 +11,7 @@
         limits::ServiceLimits,
         routes::{self, RequestKind, ServiceShare},
         store_revision::StoreRevision,
+        wire::WireVersion,
     },
 };
 use serde::{Deserialize, Serialize};
@@ -222,6 +223,7 @@
             kind: route.kind,
             latency_goal_ms: route.latency_goal_ms,
             priority: 0,
+            time_limit_ms: 0,
             shares: route.shares,
         };
         let routes = table.routes.into_iter();
@@ -231,7 +233,7 @@
                 routes: routes.map(|(at, route)| (at, to_route(route))).collect(),
                 services: table.services,
                 idle_timeout_ms: table.idle_timeout_ms,
-                lacks_priorities: true,
+                wire_version: WireVersion::V4,
             },
             domains_out: settings.domains_out,
             domains_back: settings.domains_back,
--- a/crates/basilstep-packet/src/balancer/settings_pull.rs
+++ b/crates/basilstep-packet/src/balancer/settings_pull.rs
@@ -82,7 +82,7 @@
     if !states_version {
         return ServerResponse::bytes(Bytes::from(encode_settings(settings, version)));
     }
-    let version = version.min(settings.table.wire_version());
+    let version = version.min(settings.table.wire_version);
     let mut response = ServerResponse::bytes(Bytes::from(encode_settings(settings, version)));
     response.headers.insert(
         VERSION_HEADER,
