perf(packet): a frame takes effect once, and an unknown version is answered

Cause: a peer that had not shown its version got each frame in all versions for as long as it sent nothing back, and a process of this build read all of the copies.

Change: only the copy in the highest common version takes effect. The sender of another one is told the version by an empty list of balancers, which older builds ignore.

--- a/crates/basilstep-packet/src/agent/frames.rs
+++ b/crates/basilstep-packet/src/agent/frames.rs
@@ -21,15 +21,16 @@
             };
             let datagram = &mut buffer[..bytes];
             match self.frames.decode(peer, datagram, self.ctx.now_ms) {
-                Ok(ReceivedFrame {
+                Ok(Some(ReceivedFrame {
                     frame: Frame::Forward(forward_header),
                     packet,
                     ..
-                }) => {
+                })) => {
                     let packet_at = bytes - packet.len();
                     self.on_forwarded_packet(&forward_header, &mut datagram[packet_at..]);
                 }
-                Ok(received) => self.on_frame(peer, &received.frame),
+                Ok(Some(received)) => self.on_frame(peer, &received.frame),
+                Ok(None) => {}
                 Err(error) => self.on_unreadable_frame(peer, error),
             }
         }
--- a/crates/basilstep-packet/src/balancer/frames.rs
+++ b/crates/basilstep-packet/src/balancer/frames.rs
@@ -22,7 +22,8 @@
                 return false;
             };
             match self.frames.decode(peer, &buffer[..bytes], self.ctx.now_ms) {
-                Ok(received) => self.on_frame(peer, received.frame, received.packet),
+                Ok(Some(received)) => self.on_frame(peer, received.frame, received.packet),
+                Ok(None) => {}
                 Err(error) => self.on_unreadable_frame(peer, error),
             }
         }
--- a/crates/basilstep-packet/src/frame_channel.rs
+++ b/crates/basilstep-packet/src/frame_channel.rs
@@ -53,6 +53,9 @@
 
     /// Decodes a datagram of a peer and records the versions of the peers that it shows.
     ///
+    /// Returns `None` for a copy for older builds, whose sender does not know the version of this
+    /// process and is told.
+    ///
     /// # Errors
     ///
     /// Returns [`WireError`] if the datagram is no frame, or one of another version.
@@ -61,8 +64,9 @@
         peer: Ipv4Addr,
         datagram: &'a [u8],
         now_ms: u64,
-    ) -> Result<ReceivedFrame<'a>, WireError> {
-        let received = decode_frame(datagram, self.versions.highest())?;
+    ) -> Result<Option<ReceivedFrame<'a>>, WireError> {
+        let highest = self.versions.highest();
+        let received = decode_frame(datagram, highest)?;
         match &received.frame {
             Frame::Heartbeat(heartbeat) => {
                 self.versions.on_incarnation(peer, heartbeat.incarnation);
@@ -76,7 +80,7 @@
         }
         let change = self.versions.on_frame(peer, &received, now_ms);
         if let Some(change) = change
-            && (change.before.is_some() || change.after < self.versions.highest())
+            && (change.before.is_some() || change.after < highest)
         {
             log::info!(
                 peer:% = peer,
@@ -85,7 +89,15 @@
                 "the version to speak to a peer changed"
             );
         }
-        Ok(received)
+        if received.is_copy_for_older_builds(highest) {
+            // The sender may take this process for the older build that it has replaced, and send no
+            // other copy until it is told. An answer is not answered.
+            if received.frame != announcement() {
+                self.send(peer, &announcement(), &[]);
+            }
+            return Ok(None);
+        }
+        Ok(Some(received))
     }
 
     /// Forgets peers that have sent nothing for long.
@@ -93,3 +105,8 @@
         self.versions.on_tick(now_ms);
     }
 }
+
+/// Returns a frame that has no effect but to show the version of its sender.
+const fn announcement() -> Frame {
+    Frame::Balancers(Vec::new())
+}
