--- a/crates/basilstep-core/src/flows/tests/stale_state.rs
+++ b/crates/basilstep-core/src/flows/tests/stale_state.rs
@@ -227,3 +227,23 @@
     }
     assert_eq!(resets.first(), Some(&20_000));
 }
+
+/// Guards against the reset of a flow whose agent is a newer build that sends what cannot be read.
+#[rstest]
+#[case::unreadable(true)]
+#[case::silent(false)]
+fn flow_of_an_agent_whose_frames_cannot_be_read_is_kept(#[case] is_heard: bool) {
+    let (mut balancer, ctx) = balancer_with(1, RequestKind::Idempotent);
+    balancer.on_held_flows(agent_ip(1), &held(0, flow(1)), &ctx);
+    for now_ms in (10_250..=13_000).step_by(250) {
+        if is_heard {
+            balancer.on_unreadable_frame(agent_ip(1), &context(now_ms));
+        }
+    }
+    let verdict = balancer.on_packet(&data(flow(1), 100), &context(13_000));
+    assert_eq!(
+        matches!(verdict, Verdict::Forward(_)),
+        is_heard,
+        "{verdict:?}"
+    );
+}
--- a/crates/basilstep-packet/src/balancer/settings_pull.rs
+++ b/crates/basilstep-packet/src/balancer/settings_pull.rs
@@ -17,8 +17,8 @@
 /// The delay after a failed pull before the next one.
 pub const RETRY_DELAY: Duration = Duration::from_millis(200);
 
-/// The query parameter with the highest version that the requester reads. Builds before 0.2 neither
-/// send nor read it.
+/// The query parameter with the highest version that the requester reads. Builds that speak only one
+/// version neither send nor read it.
 const VERSION_PARAMETER: &str = "version";
 
 /// The response header with the version of the body, if the requester has stated one.
