fix(flows): the first known incarnation of a peer does not confirm its version

By reading: an agent learned the balancer's version from its frames without an incarnation, took the list's entry of the new incarnation for the same one, and went on sending version 6, which the older process cannot read. The version is now unknown again.

The core test no longer announces an earlier incarnation and covers this.

--- a/crates/basilstep-core/src/flows/tests/versions.rs
+++ b/crates/basilstep-core/src/flows/tests/versions.rs
@@ -117,7 +117,6 @@
     assert_eq!(own.versions.version_of(other.ip), Some(version(common)));
 
     let mut other = Process::new(2, replacement);
-    own.versions.on_incarnation(other.ip, ProcessIncarnation(1));
     own.versions.on_incarnation(other.ip, ProcessIncarnation(2));
     assert_ne!(
         exchange(&mut own, &mut other)[0],
--- a/crates/basilstep-core/src/flows/wire/peers.rs
+++ b/crates/basilstep-core/src/flows/wire/peers.rs
@@ -81,7 +81,8 @@
         let Some(peer) = self.peers.get_mut(&ip) else {
             return;
         };
-        if peer.incarnation.is_some_and(|known| known != incarnation) {
+        // If no incarnation was known, the version may be that of an earlier one.
+        if peer.incarnation != Some(incarnation) {
             peer.version = None;
         }
         peer.incarnation = Some(incarnation);
