--- a/review/standins/src/cases.rs
+++ b/review/standins/src/cases.rs
@@ -273,18 +273,18 @@
 
 const PER_S: f64 = 20.0;
 const LIMIT: usize = (PER_S * 1.5 + 5.0) as usize;
-const COLD_MS: u64 = 10_000;
+const COLD_MS: u64 = 20_000;
 
 /// The node beside a cold endpoint is killed and starts again.
 pub fn cold_kill(mut world: World, is_troubled: bool) -> ! {
     let store = Store::start(world.at(250, world.ports.store));
-    store.put("op/config", Some(&config(1, "safe", 15_000, 10.0, PER_S)));
+    store.put("op/config", Some(&config(1, "safe", 15_000, 20.0, PER_S)));
     world.start("balancer", 1, &[1, 2], None);
     world.start("balancer", 2, &[1, 2], None);
-    let length = ms(13_000);
+    let length = ms(23_000);
     let mut load = Load::start(&world, &[1, 2], length);
     sleep(ms(2_000));
-    // The endpoint starts during traffic and is cold for 10 s.
+    // The endpoint starts during traffic and is cold for 20 s.
     world.start("agent", 11, &[1, 2], Some(SERVICE));
     sleep(ms(500));
     let endpoint = Endpoint::start(&world, 11, SERVICE, 9, COLD_MS);
