--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# A front machine and the machines beside endpoints are rolled at the same time.
+# A front machine and a side machine are rolled at the same time.
 # Exit status: 0 if the rule held, 1 if it was broken, 2 if the case could not run. TROUBLE=0 leaves
 # the disruption out. review/build.sh and the build of the deploy file come first.
 cd "$(dirname "$0")/../.." || exit 2
