review: a young balancer resets flows of an agent that is being restarted

Cause: for idempotent requests a balancer that has just started is content with as many agents as are live elsewhere; an agent that is down for a restart is in no table of it and is not asked.

--- a/review/standins/src/cases.rs
+++ b/review/standins/src/cases.rs
@@ -15,6 +15,7 @@
     time::{Duration, Instant},
 };
 
+pub const SECOND: Duration = Duration::from_secs(1);
 const SERVICE: &str = "quotes";
 const ROUTE: &str = "198.18.0.1:8443";
 
@@ -411,7 +412,9 @@
 }
 
 /// A front machine and a machine beside an endpoint are rolled at the same time.
-pub fn double_roll(mut world: World, is_troubled: bool) -> ! {
+///
+/// The process of the side machine starts again `side_delay` after its end.
+pub fn double_roll(mut world: World, is_troubled: bool, side_delay: Duration) -> ! {
     // `VARIANT=front` and `VARIANT=side` roll only one class.
     let variant = std::env::var("VARIANT").unwrap_or_default();
     let with_front = is_troubled && variant != "side";
@@ -468,11 +471,12 @@
         world.terminate("agent", 11);
         world.await_end("agent", 11);
     }
+    let side_ended = Instant::now();
     if with_front {
         world.await_end("balancer", 1);
     }
     sleep(RESTART_DELAY);
-    if with_side {
+    if with_side && side_delay <= RESTART_DELAY {
         world.start("agent", 11, &fronts, Some(SERVICE));
     }
     if with_front {
@@ -491,6 +495,10 @@
             })
         })
         .collect();
+    if with_side && side_delay > RESTART_DELAY {
+        sleep(side_delay.saturating_sub(side_ended.elapsed()));
+        world.start("agent", 11, &fronts, Some(SERVICE));
+    }
     let (mut wrong, mut answered, mut nothing) = (0, 0, 0);
     for thread in threads {
         let (idle, outcome) = thread.join().unwrap();
--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -29,7 +29,8 @@
         "idle-limit" => cases::idle_limit(world, is_troubled),
         "cold-kill" => cases::cold_kill(world, is_troubled),
         "moved-route" => cases::moved_route(world, is_troubled),
-        "double-roll" => cases::double_roll(world, is_troubled),
+        "double-roll" => cases::double_roll(world, is_troubled, world::RESTART_DELAY),
+        "young-balancer" => cases::double_roll(world, is_troubled, cases::SECOND),
         _ => cannot_run("unknown case"),
     }
 }
