fix(flows): flows within the operators' limits are kept, whatever these are

Cause: an agent discarded open flows after a constant 30 s and then answered "not held" for them; a restarted agent answered for its target after a constant 20 s; balancers forgot silent agents after a constant 20 s. Nothing read IdleTimeoutMs, and FlowMaxS was not decoded. Ruled out: the balancers' hints, which are kept for 90 s.

An agent now keeps an open flow until it has been idle for FlowMaxS: then it is too old whatever the limit on idle flows was, so changed limits need not be known there. A restarted agent leaves the answer to its target for that long. A balancer keeps silent agents by the highest IdleTimeoutMs in force within the age of flows. Resets of a target for flows that its agent does not know are dropped, as the flow may be open at another target.

A lost flow waits milliseconds longer in the first 60 s (before: 20 s) after the start of an agent, since the target is asked; flows that may not be repeated wait for an agent that is gone for the longer of 20 s and the limit on idle flows (before: 20 s).

--- a/crates/basilstep-bench/src/load/one_service.rs
+++ b/crates/basilstep-bench/src/load/one_service.rs
@@ -6,6 +6,9 @@
 };
 use std::net::{Ipv4Addr, SocketAddrV4};
 
+/// The age from which on flows may be discarded.
+pub const FLOW_MAX_AGE_MS: u64 = 60_000;
+
 /// The load that a cold target of the service may take.
 pub const COLD_ALLOWANCE: ColdAllowance = ColdAllowance {
     overage: 1.5,
--- a/crates/basilstep-bench/src/load/steering/simulation.rs
+++ b/crates/basilstep-bench/src/load/steering/simulation.rs
@@ -7,7 +7,7 @@
     figures::Figures,
     target::Target,
 };
-use crate::load::one_service::{COLD_ALLOWANCE, fleet_settings, service};
+use crate::load::one_service::{COLD_ALLOWANCE, FLOW_MAX_AGE_MS, fleet_settings, service};
 use basilstep_core::{
     address::DomainId,
     context::Context,
@@ -189,6 +189,7 @@
             domain: domain_of(number),
             incarnation: self.next_incarnation(),
             watch_times: WatchTimes::default(),
+            flow_max_age_ms: FLOW_MAX_AGE_MS,
         };
         let ctx = self.context();
         let mut balancer = BalancerFlows::new(self.settings, own, &ctx);
@@ -204,6 +205,7 @@
             incarnation,
             born_ms: self.now_ms,
             heartbeat_ms: HEARTBEAT_MS,
+            flow_max_age_ms: FLOW_MAX_AGE_MS,
             allowance: COLD_ALLOWANCE,
         };
         Machine {
--- a/crates/basilstep-core/src/flows/agent/state.rs
+++ b/crates/basilstep-core/src/flows/agent/state.rs
@@ -45,6 +45,8 @@
     pub born_ms: u64,
     /// The interval between two heartbeats of the target.
     pub heartbeat_ms: u64,
+    /// The age from which on a flow may be discarded.
+    pub flow_max_age_ms: u64,
     /// The tolerance on the request rate of a cold target.
     pub allowance: ColdAllowance,
 }
@@ -212,13 +214,10 @@
             self.table.remove(&key);
             return TargetVerdict::Drop;
         }
-        if before.is_none() && segment.flags.rst {
-            let was_idle = self.table.end_idle(&key);
-            if !was_idle && self.knows_all_flows(ctx) {
-                // The caller never opened the flow here, or it ended long ago; it may be open at
-                // another target.
-                return TargetVerdict::Drop;
-            }
+        if before.is_none() && segment.flags.rst && !self.table.end_idle(&key) {
+            // The flow may be open at another target: its caller may never have opened it here. If it
+            // did, before this agent started, the target answers its next packet with a reset.
+            return TargetVerdict::Drop;
         }
         let is_first = matches!(stage, Some(FlowStage::Offered | FlowStage::Probed))
             || before.is_some_and(|flow| flow.is_replaced_by(segment));
@@ -305,8 +304,10 @@
             answer_ms: self.settings.work_limit.answer_wait_ms,
         };
         self.table.expire_waits(&limits, now_ms);
+        // A flow that has been idle for as long as flows may live is too old, whatever the limit on
+        // idle flows was meanwhile.
         self.table.expire(
-            now_ms.saturating_sub(self.settings.table.idle_ms),
+            now_ms.saturating_sub(self.identity.flow_max_age_ms),
             now_ms.saturating_sub(self.settings.table.linger_ms),
         );
         self.update_health(now_ms);
@@ -474,12 +475,15 @@
         self.target.is_witnessed() && (has_started_later || is_first_agent)
     }
 
-    /// Returns whether the table holds every flow of the target, except for those that were idle for
-    /// too long.
+    /// Returns whether the table holds every flow of the target, except for those that may be
+    /// discarded.
+    ///
+    /// A flow that was open before the agent started, and has had no packet since, is not in the
+    /// table; only the target knows it until the flow is too old.
     fn knows_all_flows(&self, ctx: &Context) -> bool {
         self.has_witnessed_target()
             || (self.target.phase() != TargetPhase::Unknown
-                && ctx.now_ms >= self.started_ms + self.settings.table.relearn_ms)
+                && ctx.now_ms >= self.started_ms + self.identity.flow_max_age_ms)
     }
 }
 
--- a/crates/basilstep-core/src/flows/balancer/state.rs
+++ b/crates/basilstep-core/src/flows/balancer/state.rs
@@ -24,6 +24,7 @@
     context::Context,
     flows::{
         balancer_list::BalancerList,
+        flow_lifetime::FlowLifetime,
         frame::{AgentReport, BalancerHeartbeat, ForwardHeader, HeldFlows, Returned},
         handshake::HANDSHAKE_TIMEOUT_MS,
         key::{FlowKey, ServiceTag},
@@ -55,6 +56,7 @@
     fleet: FleetSettings,
     /// Computed when routes are applied, because a service may have thousands of them.
     priority_ranks: PriorityRanks,
+    flow_lifetime: FlowLifetime,
     /// Services to which a route leads whose requests may be repeated.
     idempotent_services: BTreeSet<ServiceTag>,
     held_domains: HeldDomains,
@@ -99,6 +101,7 @@
             identity,
             fleet: FleetSettings::default(),
             priority_ranks: PriorityRanks::default(),
+            flow_lifetime: FlowLifetime::new(identity.flow_max_age_ms),
             idempotent_services: BTreeSet::new(),
             held_domains: HeldDomains::default(),
             former_services: RecentKeys::new(MAX_FORMER_SERVICES),
@@ -388,11 +391,11 @@
         let settings = self.settings;
         self.hints.sweep(
             HINTS_SWEPT_PER_TICK,
-            ctx.now_ms.saturating_sub(settings.hints.idle_ms),
+            ctx.now_ms.saturating_sub(self.hint_retention_ms()),
         );
         self.discard_undecided_hints(ctx);
         self.former_services
-            .expire(ctx.now_ms.saturating_sub(settings.hints.idle_ms));
+            .expire(ctx.now_ms.saturating_sub(self.hint_retention_ms()));
         let lost = self.finish_searches(ctx);
         self.searches
             .forget(ctx.now_ms.saturating_sub(settings.searches.keep_ms));
@@ -401,7 +404,8 @@
             .merge_entry(&self.identity.entry(), ctx.now_ms);
         self.balancers.forget(before_ms);
         self.liveness.forget(before_ms);
-        let forgotten = self.agents.forget(before_ms);
+        let agents_before_ms = ctx.now_ms.saturating_sub(self.agent_retention_ms(ctx));
+        let forgotten = self.agents.forget(agents_before_ms);
         for agent in &forgotten {
             self.liveness.end_probe(*agent);
         }
@@ -414,6 +418,22 @@
         }
     }
 
+    /// Returns how long a hint is kept after the last packet of its flow here: flows that are not
+    /// too old still have their hints.
+    fn hint_retention_ms(&self) -> u64 {
+        let hints = &self.settings.hints;
+        hints.idle_ms.max(self.identity.flow_max_age_ms)
+    }
+
+    /// Returns how long a silent agent is kept: flows that its target may still hold are not yet
+    /// idle for too long.
+    fn agent_retention_ms(&self, ctx: &Context) -> u64 {
+        let liveness = &self.settings.liveness;
+        liveness
+            .forget_after_ms
+            .max(self.flow_lifetime.idle_retention_ms(ctx.now_ms))
+    }
+
     fn rank_targets(&mut self, ctx: &Context) -> Vec<StandingChange> {
         let scope = RankingScope {
             domains_out: &self.fleet.domains_out,
--- a/crates/basilstep-core/src/flows/balancer/state/readiness.rs
+++ b/crates/basilstep-core/src/flows/balancer/state/readiness.rs
@@ -26,7 +26,7 @@
     /// about its target, and the caller of a request that may not be repeated gains little from an
     /// early reset.
     fn knows_enough_agents(&self, ctx: &Context) -> bool {
-        let forgotten_ms = self.started_ms + self.settings.liveness.forget_after_ms;
+        let forgotten_ms = self.started_ms + self.agent_retention_ms(ctx);
         if let Some(most) = self.max_agents
             && ctx.now_ms < forgotten_ms
         {
--- a/crates/basilstep-core/src/flows/balancer/state/searching.rs
+++ b/crates/basilstep-core/src/flows/balancer/state/searching.rs
@@ -185,7 +185,7 @@
     fn evidence(&self, flow: &FlowKey, now_ms: u64) -> SearchEvidence<'_> {
         let search = self.searches.get(flow);
         let is_hint_wrong = search.is_some_and(|search| search.is_hint_wrong);
-        let since_ms = now_ms.saturating_sub(self.settings.hints.idle_ms);
+        let since_ms = now_ms.saturating_sub(self.hint_retention_ms());
         SearchEvidence {
             trusts_advertisements: !is_hint_wrong && self.hints.is_complete_since(since_ms),
             search,
--- a/crates/basilstep-core/src/flows/balancer/state/settings.rs
+++ b/crates/basilstep-core/src/flows/balancer/state/settings.rs
@@ -26,6 +26,9 @@
             .on_settings(&before, &self.fleet, ctx.now_ms);
         if is_changed {
             self.record_former_services(&before.table, ctx.now_ms);
+            let idle_timeout_ms = u64::from(self.fleet.table.idle_timeout_ms);
+            self.flow_lifetime
+                .set_idle_timeout(idle_timeout_ms, ctx.now_ms);
         }
         is_changed
     }
--- a/crates/basilstep-core/src/flows/balancer/verdict.rs
+++ b/crates/basilstep-core/src/flows/balancer/verdict.rs
@@ -20,6 +20,8 @@
     pub incarnation: ProcessIncarnation,
     /// The bounds on the age of its settings.
     pub watch_times: WatchTimes,
+    /// The age from which on a flow may be discarded.
+    pub flow_max_age_ms: u64,
 }
 
 impl BalancerIdentity {
--- a/crates/basilstep-core/src/flows/mod.rs
+++ b/crates/basilstep-core/src/flows/mod.rs
@@ -9,6 +9,7 @@
 pub mod agent;
 pub mod balancer;
 mod balancer_list;
+mod flow_lifetime;
 mod frame;
 mod handshake;
 mod key;
--- a/crates/basilstep-core/src/flows/tests/settings_watch.rs
+++ b/crates/basilstep-core/src/flows/tests/settings_watch.rs
@@ -1,7 +1,7 @@
 //! Which balancers ask the store: a few in calm, and whatever fails, each balancer that reaches the
 //! store has a change in force in time.
 
-use super::{fleet_settings, revision, service_address};
+use super::{FLOW_MAX_AGE_MS, fleet_settings, revision, service_address};
 use crate::{
     address::DomainId,
     context::Context,
@@ -85,6 +85,7 @@
             domain: DomainId(ip.octets()[2]),
             incarnation: ProcessIncarnation(incarnation),
             watch_times: self.times,
+            flow_max_age_ms: FLOW_MAX_AGE_MS,
         };
         BalancerFlows::new(self.settings, own, &self.context())
     }
--- a/crates/basilstep-packet/src/agent/serve.rs
+++ b/crates/basilstep-packet/src/agent/serve.rs
@@ -146,6 +146,7 @@
             incarnation: start.incarnation,
             born_ms: unix_time_ms(),
             heartbeat_ms: machine.heartbeat_interval_ms,
+            flow_max_age_ms: machine.flow_max_age_ms,
             allowance: ColdAllowance {
                 overage: machine.warmup_overage,
                 slack: machine.warmup_slack,
--- a/crates/basilstep-packet/src/balancer/serve.rs
+++ b/crates/basilstep-packet/src/balancer/serve.rs
@@ -180,6 +180,7 @@
             domain: machine.domain,
             incarnation: start.incarnation,
             watch_times: WatchTimes::for_apply_limit(machine.apply_limit_ms),
+            flow_max_age_ms: machine.flow_max_age_ms,
         };
         let settings = start.settings;
         let internal = SocketAddrV4::new(machine.ip, machine.internal_port);
