fix(agent): calls of other writers do not end the target's incarnation

The heartbeat counted as that of its own target, its later born as a new incarnation. Not the cause: the comparison of born, which is right for the target's own heartbeats.

Same cause for deregistrations: before the first heartbeat an agent took any DELETE for its target's and then denied all of its flows.

A lost flow waits as long as before, but for a target that deregisters before its new agent has received a heartbeat: its flows are lost at the first packet that the machine refuses.

--- a/crates/basilstep-core/src/flows/agent/target.rs
+++ b/crates/basilstep-core/src/flows/agent/target.rs
@@ -130,9 +130,10 @@
 
     /// Records that an incarnation has left; returns whether it is the last one.
     ///
-    /// Heartbeats and deregistrations arrive on connections of their own, in any order.
+    /// Heartbeats and deregistrations arrive on connections of their own, in any order. Before the
+    /// first heartbeat it is not known which incarnation is running.
     pub fn on_left(&mut self, instance: &str) -> bool {
-        let is_last = self.instance.as_deref().is_none_or(|last| last == instance);
+        let is_last = self.instance.as_deref() == Some(instance);
         if is_last {
             self.left_born_ms = self.last.map(|last| last.born_ms);
             self.set_down();
--- a/crates/basilstep-core/src/flows/tests/stale_state.rs
+++ b/crates/basilstep-core/src/flows/tests/stale_state.rs
@@ -3,7 +3,7 @@
 
 use super::{
     agent_ip, balancer_ip, balancer_with, context, data, fleet_settings, flow, forward_header,
-    heartbeat, held, report, service, serving_agent, syn, target_heartbeat,
+    heartbeat, held, new_agent, report, service, serving_agent, syn, target_heartbeat,
 };
 use crate::{
     codes::ResultCode,
@@ -204,6 +204,17 @@
     assert_eq!(agent.target().phase(), TargetPhase::Down);
 }
 
+/// Guards against the end of a target by a deregistration that reaches its restarted agent before the
+/// first heartbeat: the agent would say that the target holds no flow.
+#[test]
+fn deregistration_before_the_first_heartbeat_changes_nothing() {
+    let mut agent = new_agent();
+    assert_eq!(agent.on_target_left("a", &context(100)), None);
+    let header = forward_header(balancer_ip(1));
+    let verdict = agent.on_packet(&header, &data(flow(1), 100), &context(200));
+    assert!(matches!(verdict, CallerVerdict::Deliver { .. }));
+}
+
 /// Guards against the reset of a flow whose request may not be repeated, while its agent is down or
 /// paused for more than 3 s after a balancer has started and other balancers still know the agent.
 #[test]
--- a/crates/basilstep-packet/src/agent/http.rs
+++ b/crates/basilstep-packet/src/agent/http.rs
@@ -41,6 +41,10 @@
             log::warn!(id, service = request.service.as_str(); "rejected a heartbeat of another service");
             return ServerResponse::empty(StatusCode::CONFLICT);
         }
+        if Some(request.address) != self.machine.target_address {
+            log::warn!(id, address:% = request.address; "rejected a heartbeat of another address");
+            return ServerResponse::empty(StatusCode::CONFLICT);
+        }
         let (outcome, lost) = self
             .flows
             .on_target_heartbeat(&request.heartbeat, &self.ctx);
@@ -73,7 +77,7 @@
 
     fn on_leave(&mut self, id: &str) -> ServerResponse {
         let Some(lost) = self.flows.on_target_left(id, &self.ctx) else {
-            log::info!(id; "ignored the deregistration of a former incarnation of the target");
+            log::info!(id; "ignored the deregistration of another incarnation of the target");
             return ServerResponse::empty(StatusCode::OK);
         };
         log::info!(id, flows = lost.len(); "the target has left");
--- a/crates/basilstep-packet/tests/processes/main.rs
+++ b/crates/basilstep-packet/tests/processes/main.rs
@@ -6,6 +6,7 @@
 mod explain;
 mod failures;
 mod fleet;
+mod heartbeats;
 mod soak;
 mod support;
 mod upgrade;
