fix(flows): flows at a former service of their route survive a roll

Cause: which agents are asked for a flow followed from today's route and the balancer's own memory of earlier ones. A balancer that starts has none, so all agents of the present service refuse and the flow is reset. Ruled out: the agents, which pass the packet to their targets when they are asked.

Balancers that watch the configuration record the services that routes name and named under routes/history in the store, under a condition. A balancer that starts reads it once; services of an older record count as former ones. Without a record the past is known only if the first configuration has never been changed. Until the past is known, or the balancer has been running for the age of flows, it resets no open flow. Asking all services instead would have sent packets to targets of other services.

Same cause at addresses without a route: a balancer that a new route had not reached yet reset flows that others had opened on it; its settings now have to be confirmed after the packet came.

A lost flow waits as before once the record is read.

--- a/crates/basilstep-bench/src/load/packet_path.rs
+++ b/crates/basilstep-bench/src/load/packet_path.rs
@@ -14,7 +14,7 @@
         AgentFlows, AgentReport, BalancerFlows, Flags, FlowKey, FlowSettings, ForwardHeader, Frame,
         HeldFlows, ProcessIncarnation, RequestKind, Segment, TargetPhase,
         agent::{AgentIdentity, CallerVerdict, HeartbeatState, TargetHeartbeat},
-        balancer::{BalancerIdentity, Verdict, WatchTimes},
+        balancer::{BalancerIdentity, PastRoutes, Verdict, WatchTimes},
         wire::{ReceivedFrame, SpokenVersion, WireVersion, decode_frame, encode_frame},
     },
 };
@@ -148,6 +148,7 @@
     let started = Context::new(1);
     let mut balancer = BalancerFlows::new(FlowSettings::default(), own, &started);
     balancer.on_fleet_settings(fleet_settings(RequestKind::NonIdempotent, 0), &started);
+    balancer.on_past_routes(&PastRoutes::NeverChanged, &started);
     balancer.on_report(AGENT, report(), &context());
     let held = HeldFlows {
         advertised_before: 0,
--- a/crates/basilstep-bench/src/load/steering/simulation.rs
+++ b/crates/basilstep-bench/src/load/steering/simulation.rs
@@ -14,7 +14,7 @@
     flows::{
         AgentFlows, BalancerFlows, FleetSettings, FlowSettings, Frame, ProcessIncarnation, Segment,
         agent::{AgentIdentity, SettingsSource},
-        balancer::{BalancerIdentity, WatchTimes},
+        balancer::{BalancerIdentity, PastRoutes, WatchTimes},
         wire::{SpokenVersion, encode_frame},
     },
 };
@@ -194,6 +194,7 @@
         let ctx = self.context();
         let mut balancer = BalancerFlows::new(self.settings, own, &ctx);
         balancer.on_fleet_settings(self.fleet.clone(), &ctx);
+        balancer.on_past_routes(&PastRoutes::NeverChanged, &ctx);
         balancer
     }
 
--- a/crates/basilstep-core/src/flows/balancer/mod.rs
+++ b/crates/basilstep-core/src/flows/balancer/mod.rs
@@ -8,6 +8,7 @@
 mod liveness;
 mod overload;
 mod pending_syns;
+mod route_history;
 mod search;
 mod settings_watch;
 mod state;
@@ -19,6 +20,7 @@
 pub use explain::{ExplainedHint, Explanation, MAX_EXPLAINED_AGENTS, NoRoute, PlacementOutcome};
 pub use hedges::DueHedge;
 pub use pending_syns::PendingSyn;
+pub use route_history::{FormerService, PastRoutes, RouteHistoryRecord};
 pub use settings_watch::WatchTimes;
 pub use state::BalancerFlows;
 pub use target_ranking::{RankedTarget, Standing, StandingChange};
--- a/crates/basilstep-core/src/flows/balancer/search.rs
+++ b/crates/basilstep-core/src/flows/balancer/search.rs
@@ -48,6 +48,11 @@
         search.map_or(&NO_AGENTS, |search| &search.refused_by)
     }
 
+    /// Returns when the first packet of the flow came.
+    pub const fn started_ms(&self) -> u64 {
+        self.started_ms
+    }
+
     /// Returns whether an agent has refused, or an advertisement of a new flow would have arrived
     /// by now.
     pub fn is_settled(&self, now_ms: u64) -> bool {
--- a/crates/basilstep-core/src/flows/balancer/state.rs
+++ b/crates/basilstep-core/src/flows/balancer/state.rs
@@ -14,6 +14,7 @@
     liveness::Liveness,
     overload::Overloads,
     pending_syns::PendingSyns,
+    route_history::RouteHistory,
     search::Searches,
     settings_watch::SettingsWatch,
     target_ranking::StandingChange,
@@ -28,26 +29,18 @@
         frame::{AgentReport, BalancerHeartbeat, ForwardHeader, HeldFlows, Returned},
         handshake::HANDSHAKE_TIMEOUT_MS,
         key::{FlowKey, ServiceTag},
-        recent_keys::RecentKeys,
         routes::{FleetSettings, PriorityRanks, RequestKind},
         segment::Segment,
         send_schedule::SendSchedule,
         settings::FlowSettings,
     },
 };
-use std::{
-    collections::BTreeSet,
-    net::{Ipv4Addr, SocketAddrV4},
-};
+use std::{collections::BTreeSet, net::Ipv4Addr};
 use syn::NewFlow;
 
 /// How many hints are checked in one tick.
 const HINTS_SWEPT_PER_TICK: usize = 256;
 
-/// The maximum number of services that are remembered for routes that no longer name them: several
-/// times the routes of a large fleet (2,000), in about 1 MB.
-const MAX_FORMER_SERVICES: usize = 8_192;
-
 /// The steering state of one balancer.
 #[derive(Clone, Debug)]
 pub struct BalancerFlows {
@@ -60,9 +53,7 @@
     /// Services to which a route leads whose requests may be repeated.
     idempotent_services: BTreeSet<ServiceTag>,
     held_domains: HeldDomains,
-    /// Services that earlier versions of a route named and that may still hold its open flows, with
-    /// the time of their removal.
-    former_services: RecentKeys<(SocketAddrV4, ServiceTag)>,
+    route_history: RouteHistory,
     agents: AgentTable,
     balancers: BalancerList,
     hints: Hints,
@@ -104,7 +95,7 @@
             flow_lifetime: FlowLifetime::new(identity.flow_max_age_ms),
             idempotent_services: BTreeSet::new(),
             held_domains: HeldDomains::default(),
-            former_services: RecentKeys::new(MAX_FORMER_SERVICES),
+            route_history: RouteHistory::default(),
             agents: AgentTable::default(),
             balancers,
             hints: Hints::new(settings.hints.limit),
@@ -394,8 +385,10 @@
             ctx.now_ms.saturating_sub(self.hint_retention_ms()),
         );
         self.discard_undecided_hints(ctx);
-        self.former_services
-            .expire(ctx.now_ms.saturating_sub(self.hint_retention_ms()));
+        self.route_history.expire(
+            ctx.now_ms
+                .saturating_sub(self.former_service_retention_ms()),
+        );
         let lost = self.finish_searches(ctx);
         self.searches
             .forget(ctx.now_ms.saturating_sub(settings.searches.keep_ms));
@@ -425,6 +418,14 @@
         hints.idle_ms.max(self.identity.flow_max_age_ms)
     }
 
+    /// Returns for how long after the change of a route its former services may hold flows that are
+    /// not too old: other balancers may have opened flows there until they applied the change.
+    fn former_service_retention_ms(&self) -> u64 {
+        let identity = &self.identity;
+        self.hint_retention_ms()
+            .max(identity.flow_max_age_ms + identity.watch_times.max_age_ms)
+    }
+
     /// Returns how long a silent agent is kept: flows that its target may still hold are not yet
     /// idle for too long.
     fn agent_retention_ms(&self, ctx: &Context) -> u64 {
--- a/crates/basilstep-core/src/flows/balancer/state/searching.rs
+++ b/crates/basilstep-core/src/flows/balancer/state/searching.rs
@@ -40,7 +40,7 @@
     /// Asks the agents that have not answered yet, or resets the flow if all have refused.
     pub(super) fn search(&mut self, flow: FlowKey, ctx: &Context) -> Verdict {
         let Some(unanswered) = self.unanswered(&flow, ctx.now_ms) else {
-            return self.reject_unknown_service(RequestKind::NonIdempotent, ctx);
+            return self.reject_without_route(&flow, ctx);
         };
         let search_ms = self.settings.searches.keep_ms;
         let search = self.searches.entry(flow, ctx.now_ms, search_ms);
@@ -51,8 +51,8 @@
                 search.record_asked(next_hop.agent, ctx.now_ms);
             }
         }
-        let may_reset = self.fleet.is_known() && self.may_reset(unanswered.kind, ctx);
-        if unanswered.next_hops.is_empty() && is_settled && may_reset {
+        let is_lost = unanswered.next_hops.is_empty() && self.may_conclude(unanswered.kind, ctx);
+        if is_lost && is_settled {
             return Verdict::Reset {
                 code: ResultCode::FlowLost,
             };
@@ -66,6 +66,30 @@
         Verdict::Search(unanswered.next_hops)
     }
 
+    /// Returns whether the agents that are known are all that may hold a flow, so that it is lost if
+    /// none of them holds it.
+    fn may_conclude(&self, kind: RequestKind, ctx: &Context) -> bool {
+        self.fleet.is_known() && self.knows_route_history(ctx) && self.may_reset(kind, ctx)
+    }
+
+    /// Rejects a packet of an open flow to an address without a route.
+    ///
+    /// The flow may have been opened by another balancer on a route that has not reached this one
+    /// yet; so it is reset only if the settings here were still the newest when the packet came.
+    fn reject_without_route(&self, flow: &FlowKey, ctx: &Context) -> Verdict {
+        let code = ResultCode::UnknownService;
+        let confirmed_ms = self
+            .settings_age_ms(ctx)
+            .map(|age_ms| ctx.now_ms.saturating_sub(age_ms));
+        let is_confirmed = self.searches.get(flow).is_some_and(|search| {
+            confirmed_ms.is_some_and(|confirmed_ms| confirmed_ms >= search.started_ms())
+        });
+        if is_confirmed && self.may_reset(RequestKind::NonIdempotent, ctx) {
+            return Verdict::Reset { code };
+        }
+        Verdict::Drop { code }
+    }
+
     /// Returns the agents that may hold a flow and have not refused; `None` if its address has had
     /// no route for as long as an idle flow is remembered.
     ///
@@ -121,11 +145,7 @@
     fn services_of(&self, flow: &FlowKey) -> BTreeSet<ServiceTag> {
         let address = &flow.service_address;
         let route = self.fleet.table.routes.get(address);
-        let former = self
-            .former_services
-            .keys_from((*address, ServiceTag::MIN))
-            .take_while(|(former, _)| former == address)
-            .map(|(_, service)| service);
+        let former = self.route_history.former_services(*address);
         route
             .into_iter()
             .flat_map(|route| route.shares.iter().map(|share| share.service))
@@ -199,9 +219,6 @@
 
     /// Ends the searches in which all agents have refused, once these answers are conclusive.
     pub(super) fn finish_searches(&mut self, ctx: &Context) -> Vec<LostFlow> {
-        if !self.fleet.is_known() {
-            return Vec::new();
-        }
         let pending: Vec<LostFlow> = self
             .searches
             .pending()
@@ -218,7 +235,8 @@
                 continue;
             };
             let is_held = self.hints.get_mut(&flow).is_some();
-            if !is_held && unanswered.next_hops.is_empty() && self.may_reset(unanswered.kind, ctx) {
+            let is_denied = unanswered.next_hops.is_empty();
+            if !is_held && is_denied && self.may_conclude(unanswered.kind, ctx) {
                 self.searches.end(&flow);
                 lost.push(candidate);
             }
--- a/crates/basilstep-core/src/flows/balancer/state/settings.rs
+++ b/crates/basilstep-core/src/flows/balancer/state/settings.rs
@@ -5,9 +5,12 @@
     address::DomainId,
     context::Context,
     flows::{
-        balancer::settings_watch::WatchLimits,
+        balancer::{
+            route_history::{PastRoutes, RouteHistoryRecord},
+            settings_watch::WatchLimits,
+        },
         frame::{AgentReport, ReportReply},
-        routes::{FleetSettings, PriorityRanks, Route, RouteTable, ServiceShare},
+        routes::{FleetSettings, PriorityRanks},
         wire::WireVersion,
     },
 };
@@ -25,7 +28,8 @@
         self.held_domains
             .on_settings(&before, &self.fleet, ctx.now_ms);
         if is_changed {
-            self.record_former_services(&before.table, ctx.now_ms);
+            self.route_history
+                .on_routes(&before.table, &self.fleet.table, ctx.now_ms);
             let idle_timeout_ms = u64::from(self.fleet.table.idle_timeout_ms);
             self.flow_lifetime
                 .set_idle_timeout(idle_timeout_ms, ctx.now_ms);
@@ -33,17 +37,28 @@
         is_changed
     }
 
-    /// Records the services that the routes no longer name.
-    fn record_former_services(&mut self, before: &RouteTable, now_ms: u64) {
-        for (address, route) in &before.routes {
-            let now = self.fleet.table.routes.get(address);
-            for ServiceShare { service, .. } in &route.shares {
-                let is_named = |now: &Route| now.shares.iter().any(|s| s.service == *service);
-                if !now.is_some_and(is_named) {
-                    self.former_services.insert((*address, *service), now_ms);
-                }
-            }
-        }
+    /// Records what the store says of the routes before the start of this balancer.
+    pub fn on_past_routes(&mut self, past: &PastRoutes, ctx: &Context) {
+        self.route_history
+            .on_past(past, &self.fleet.table, ctx.now_ms);
+    }
+
+    /// Returns what balancers that start later have to know of the routes, or `None` if this balancer
+    /// does not know it itself or others record it.
+    ///
+    /// When many balancers start, it takes a moment until most of them leave the store to others.
+    pub fn route_history_record(&self, ctx: &Context) -> Option<RouteHistoryRecord> {
+        let settled_ms = self.started_ms + self.settings.searches.settle_non_idempotent_ms;
+        let is_known = self.fleet.is_known() && self.knows_route_history(ctx);
+        (is_known && ctx.now_ms >= settled_ms && self.watches_settings(ctx))
+            .then(|| self.route_history.record(&self.fleet.table, ctx.now_ms))
+    }
+
+    /// Returns whether all services are known at which flows may be open that are not too old.
+    pub(super) fn knows_route_history(&self, ctx: &Context) -> bool {
+        let identity = &self.identity;
+        let lifetime_ms = identity.flow_max_age_ms + identity.watch_times.max_age_ms;
+        self.route_history.is_complete(lifetime_ms, ctx.now_ms)
     }
 
     /// Records that the settings in force were the newest of the store at `at_ms`.
--- a/crates/basilstep-core/src/flows/recent_keys.rs
+++ b/crates/basilstep-core/src/flows/recent_keys.rs
@@ -49,6 +49,16 @@
         }
     }
 
+    /// Returns when a key was recorded.
+    pub fn recorded_ms(&self, key: &K) -> Option<u64> {
+        self.recorded_ms.get(key).copied()
+    }
+
+    /// Returns all keys with the times at which they were recorded.
+    pub fn iter(&self) -> impl Iterator<Item = (K, u64)> {
+        self.recorded_ms.iter().map(|(key, at_ms)| (*key, *at_ms))
+    }
+
     /// Returns the keys from `first` on, in ascending order.
     pub fn keys_from(&self, first: K) -> impl Iterator<Item = K> {
         self.recorded_ms.range(first..).map(|(key, _)| *key)
--- a/crates/basilstep-core/src/flows/routes.rs
+++ b/crates/basilstep-core/src/flows/routes.rs
@@ -47,6 +47,11 @@
 }
 
 impl Route {
+    /// Returns whether the route names `service`, be it without new flows.
+    pub fn names(&self, service: ServiceTag) -> bool {
+        self.shares.iter().any(|share| share.service == service)
+    }
+
     /// Returns whether new flows may go to `service`.
     pub fn allows(&self, service: ServiceTag) -> bool {
         self.shares
--- a/crates/basilstep-core/src/flows/tests/fleet.rs
+++ b/crates/basilstep-core/src/flows/tests/fleet.rs
@@ -15,7 +15,7 @@
             AgentIdentity, CallerVerdict, ColdAllowance, HeartbeatState, SettingsSource,
             TargetHeartbeat, TargetVerdict,
         },
-        balancer::{BalancerIdentity, Verdict, WatchTimes},
+        balancer::{BalancerIdentity, PastRoutes, Verdict, WatchTimes},
     },
 };
 use std::{
@@ -176,6 +176,7 @@
         let ctx = self.context();
         if let Some(balancer) = self.balancers.get_mut(&ip) {
             balancer.on_fleet_settings(fleet_settings(RequestKind::Idempotent), &ctx);
+            balancer.on_past_routes(&PastRoutes::NeverChanged, &ctx);
         }
     }
 
--- a/crates/basilstep-core/src/flows/tests/mod.rs
+++ b/crates/basilstep-core/src/flows/tests/mod.rs
@@ -22,6 +22,7 @@
 mod refusals;
 mod restart;
 mod reused_keys;
+mod route_history;
 mod routes;
 mod send_schedule;
 mod settings_spread;
@@ -40,7 +41,7 @@
     FlowSettings, ForwardHeader, HeldFlows, ProcessIncarnation, RequestKind, Route, RouteTable,
     Segment, ServiceLimits, ServiceShare, ServiceTag, StoreRevision, TargetPhase,
     agent::{AgentIdentity, ColdAllowance, HeartbeatState, TargetHeartbeat},
-    balancer::{BalancerIdentity, WatchTimes},
+    balancer::{BalancerIdentity, PastRoutes, WatchTimes},
 };
 use crate::{address::DomainId, context::Context};
 use std::net::{Ipv4Addr, SocketAddrV4};
@@ -261,6 +262,17 @@
     }
 }
 
+/// The identity of the first balancer.
+pub fn balancer_identity() -> BalancerIdentity {
+    BalancerIdentity {
+        ip: balancer_ip(1),
+        domain: DomainId(0),
+        incarnation: ProcessIncarnation(9),
+        watch_times: WatchTimes::default(),
+        flow_max_age_ms: FLOW_MAX_AGE_MS,
+    }
+}
+
 /// A balancer that has been running for a while and has known agents 1 to `agents` from the start.
 pub fn balancer_with(agents: u8, kind: RequestKind) -> (BalancerFlows, Context) {
     balancer_with_settings(&FlowSettings::default(), agents, kind)
@@ -273,15 +285,9 @@
     agents: u8,
     kind: RequestKind,
 ) -> (BalancerFlows, Context) {
-    let own = BalancerIdentity {
-        ip: balancer_ip(1),
-        domain: DomainId(0),
-        incarnation: ProcessIncarnation(9),
-        watch_times: WatchTimes::default(),
-        flow_max_age_ms: FLOW_MAX_AGE_MS,
-    };
-    let mut balancer = BalancerFlows::new(*settings, own, &context(0));
+    let mut balancer = BalancerFlows::new(*settings, balancer_identity(), &context(0));
     balancer.on_fleet_settings(fleet_settings(kind), &context(0));
+    balancer.on_past_routes(&PastRoutes::NeverChanged, &context(0));
     let ctx = context(10_000);
     for now_ms in [0, ctx.now_ms] {
         for number in 1..=agents {
--- a/crates/basilstep-packet/src/balancer/serve.rs
+++ b/crates/basilstep-packet/src/balancer/serve.rs
@@ -11,8 +11,8 @@
     process::{self, ProcessError, StartContext},
     request_forwarder::{PendingRequest, RequestForwarder},
     store_tasks::{
-        self, ConfirmedSettings, EraSignal, RegisteredBalancer, Registration, SettingsWatcher,
-        StoreEvent,
+        self, ConfirmedSettings, EraSignal, RegisteredBalancer, Registration, RouteHistoryKeeper,
+        SettingsWatcher, StoreEvent,
     },
 };
 use basilstep_core::{
@@ -20,7 +20,10 @@
     context::Context,
     flows::{
         BalancerFlows, FleetSettings, FlowSettings, Frame, Recipients,
-        balancer::{BalancerIdentity, Standing, StandingChange, TransferBudget, WatchTimes},
+        balancer::{
+            BalancerIdentity, RouteHistoryRecord, Standing, StandingChange, TransferBudget,
+            WatchTimes,
+        },
     },
 };
 use basilstep_node::{
@@ -90,6 +93,8 @@
     watches_settings: watch::Sender<bool>,
     settings_transfers: TransferBudget,
     pub(super) era_signal: EraSignal,
+    /// What balancers that start later have to know of the routes, for the store.
+    route_history: watch::Sender<Option<RouteHistoryRecord>>,
     /// How many agents this balancer knows, for its entry in the store.
     known_agents: watch::Sender<u16>,
     pub(super) event_sender: mpsc::Sender<Event>,
@@ -123,6 +128,12 @@
             event_sender: store_sender.clone(),
             era_signal: balancer.era_signal.clone(),
         }));
+        tokio::spawn(store_tasks::maintain_route_history(RouteHistoryKeeper {
+            address: store,
+            own: balancer.route_history.subscribe(),
+            event_sender: store_sender.clone(),
+            era_signal: balancer.era_signal.clone(),
+        }));
         tokio::spawn(store_tasks::maintain_registration(
             store,
             RegisteredBalancer {
@@ -201,6 +212,7 @@
             watches_settings: watch::channel(true).0,
             settings_transfers: TransferBudget::default(),
             era_signal: EraSignal::new(),
+            route_history: watch::channel(None).0,
             known_agents: watch::channel(0).0,
             event_sender,
             pause_detector: PauseDetector::start(start.clock),
@@ -274,6 +286,10 @@
                 }
             }
             StoreEvent::Unchanged(confirmed) => self.record_confirmation(confirmed),
+            StoreEvent::PastRoutes(past) => {
+                self.flows.on_past_routes(&past, &self.ctx);
+                log::info!(past:? = past; "learned the route history");
+            }
             StoreEvent::Balancers(registered) => self.on_registered(&registered),
         }
     }
@@ -302,6 +318,21 @@
         }
     }
 
+    /// Records the routes for balancers that start later, if they have changed.
+    fn publish_route_history(&self) {
+        let published = self
+            .route_history
+            .borrow()
+            .as_ref()
+            .map(|record| record.version);
+        if published == Some(self.flows.fleet().table.version) {
+            return;
+        }
+        if let Some(record) = self.flows.route_history_record(&self.ctx) {
+            self.route_history.send_replace(Some(record));
+        }
+    }
+
     fn on_registered(&mut self, registered: &[Registration]) {
         let heartbeat = Frame::Heartbeat(self.flows.heartbeat(&self.ctx));
         let known: Vec<Ipv4Addr> = self.flows.balancers().addresses().collect();
@@ -328,6 +359,7 @@
             revision:% = fleet.revision;
             "settings are in force"
         );
+        self.publish_route_history();
         true
     }
 
@@ -353,6 +385,7 @@
         self.send_probes();
         self.send_new_balancers_to_agents();
         self.update_settings_watch();
+        self.publish_route_history();
         if self.flows.balancers().len() == 1 {
             self.announce_to_seeds();
         }
--- a/crates/basilstep-packet/src/store_tasks/mod.rs
+++ b/crates/basilstep-packet/src/store_tasks/mod.rs
@@ -3,14 +3,16 @@
 mod era_signal;
 mod operator_settings;
 mod registration;
+mod route_history;
 
-use basilstep_core::flows::FleetSettings;
+use basilstep_core::flows::{FleetSettings, balancer::PastRoutes};
 use basilstep_platform::store::StoreError;
 use tokio::time::Instant;
 
 pub use era_signal::EraSignal;
 pub use operator_settings::{SettingsWatcher, watch_operator_settings};
 pub use registration::{RegisteredBalancer, Registration, list_balancers, maintain_registration};
+pub use route_history::{RouteHistoryKeeper, maintain_route_history};
 
 /// An event from the store.
 #[derive(Debug)]
@@ -19,6 +21,8 @@
     Settings(ConfirmedSettings),
     /// The store has confirmed that the settings had not changed at this time.
     Unchanged(Instant),
+    /// What the store says of the routes before the start of this process.
+    PastRoutes(PastRoutes),
     /// The registered balancers.
     Balancers(Vec<Registration>),
 }
--- a/crates/basilstep-packet/tests/processes/main.rs
+++ b/crates/basilstep-packet/tests/processes/main.rs
@@ -7,6 +7,7 @@
 mod failures;
 mod fleet;
 mod heartbeats;
+mod rolling;
 mod soak;
 mod support;
 mod upgrade;
--- a/crates/basilstep-packet/tests/processes/support/fleet.rs
+++ b/crates/basilstep-packet/tests/processes/support/fleet.rs
@@ -197,14 +197,14 @@
     }
 
     pub async fn start_agent(&mut self, number: u8) -> (usize, Target) {
-        let extra = json!({
-            "Service": SERVICE,
-            "app": self.address(number, self.ports.target).to_string(),
-        });
-        let process = self.spawn(AGENT, number, &extra);
+        self.start_agent_of(SERVICE, number).await
+    }
+
+    pub async fn start_agent_of(&mut self, service: &str, number: u8) -> (usize, Target) {
+        let process = self.restart_agent_of(service, number);
         let target = Target::spawn(TargetConfig {
             id: format!("target-{number}"),
-            service: SERVICE.to_owned(),
+            service: service.to_owned(),
             address: self.address(number, self.ports.target),
             outbound: self.address(number, self.ports.outbound),
             control: self.address(number, self.ports.control),
@@ -218,8 +218,12 @@
 
     /// Restarts an agent whose target is still running.
     pub fn restart_agent(&mut self, number: u8) -> usize {
+        self.restart_agent_of(SERVICE, number)
+    }
+
+    pub fn restart_agent_of(&mut self, service: &str, number: u8) -> usize {
         let extra = json!({
-            "Service": SERVICE,
+            "Service": service,
             "app": self.address(number, self.ports.target).to_string(),
         });
         self.spawn(AGENT, number, &extra)
--- a/crates/basilstep-packet/tests/processes/support/store.rs
+++ b/crates/basilstep-packet/tests/processes/support/store.rs
@@ -24,12 +24,25 @@
     era: u64,
     revision: u64,
     values: BTreeMap<String, (u64, Option<Vec<u8>>)>,
+    /// The revision at which each existing item was created.
+    created: BTreeMap<String, u64>,
     /// The oldest revision from which a watch can start.
     history_from: u64,
     /// The id of the lease that all writers share.
     lease: u64,
 }
 
+impl StoreState {
+    fn set(&mut self, key: &str, revision: u64, value: Option<Vec<u8>>) {
+        if value.is_some() {
+            self.created.entry(key.to_owned()).or_insert(revision);
+        } else {
+            self.created.remove(key);
+        }
+        self.values.insert(key.to_owned(), (revision, value));
+    }
+}
+
 /// A running store.
 #[derive(Clone, Debug, Default)]
 pub struct Store {
@@ -53,7 +66,7 @@
         state.revision += 1;
         let revision = state.revision;
         let value = value.map(|value| value.to_string().into_bytes());
-        state.values.insert(key.to_owned(), (revision, value));
+        state.set(key, revision, value);
     }
 
     /// Ends all leases and deletes the items written with them.
@@ -137,7 +150,7 @@
             .map(|(key, (revision, value))| match value {
                 Some(value) => {
                     json!({"Key": key, "Value": STANDARD.encode(value), "Revision": revision,
-                           "Created": revision, "Lease": 0})
+                           "Created": state.created.get(key), "Lease": 0})
                 }
                 None => json!({"Key": key, "Revision": revision, "Tombstone": true}),
             })
@@ -164,15 +177,24 @@
 
     fn transact(&self, body: &[u8]) -> ServerResponse {
         let body: Value = serde_json::from_slice(body).unwrap();
+        let mut state = self.state.lock().unwrap();
+        let is_expected = body["Expected"].as_array().unwrap().iter().all(|expected| {
+            let known = state.values.get(expected["Key"].as_str().unwrap());
+            let revision = known.map_or(0, |(revision, value)| {
+                value.as_ref().map_or(0, |_| *revision)
+            });
+            expected["Revision"] == revision
+        });
+        if !is_expected {
+            return ServerResponse::empty(StatusCode::PRECONDITION_FAILED);
+        }
+        state.revision += 1;
+        let revision = state.revision;
         for write in body["Writes"].as_array().unwrap() {
-            let mut state = self.state.lock().unwrap();
-            state.revision += 1;
-            let revision = state.revision;
             let value = STANDARD.decode(write["Value"].as_str().unwrap()).unwrap();
-            let key = write["Key"].as_str().unwrap().to_owned();
-            state.values.insert(key, (revision, Some(value)));
+            state.set(write["Key"].as_str().unwrap(), revision, Some(value));
         }
-        json_answer(&json!({"Revision": 1}))
+        json_answer(&json!({"Revision": revision}))
     }
 }
 
