fix(flows): the silence of a target is no evidence that it lacks a flow

Cause: a balancer that has started searches for the holder; an agent that has started too passes the packet to its target, which need not answer before its response is ready and never answers a packet without data. The balancer took 200 ms of silence for a refusal.

An agent counts as denying only if it has said so. To keep lost flows from waiting, an agent is asked again when its phase changes, and an agent checks within 50 ms whether the packets that it passed on were refused by the machine; a refusal from before a heartbeat no longer ends the target.

Two tests required the fault and are replaced by ones as strict: ended_target_that_says_nothing_is_not_waited_for by busy_target_that_says_nothing_keeps_its_flow and agent_whose_state_changes_is_asked_again, and target_without_heartbeats_is_not_waited_for_if_the_caller_benefits by silent_target_is_waited_for.

A lost flow at a target that has ended waits about 50 ms for the refusal (before 200 ms), at one that is being restarted until its first heartbeat; at one that stands still until it goes on (before 200 ms).

--- a/crates/basilstep-core/src/flows/balancer/search.rs
+++ b/crates/basilstep-core/src/flows/balancer/search.rs
@@ -23,8 +23,8 @@
     pub is_hint_wrong: bool,
     /// When a packet was last sent to all agents that had not answered.
     sent_ms: Option<u64>,
-    /// When the current incarnation of each agent was first asked.
-    asked_ms: BTreeMap<Ipv4Addr, u64>,
+    /// The agents that were asked since their state last changed.
+    asked: BTreeSet<Ipv4Addr>,
     /// A packet of the flow, for agents that start during the search.
     packet: Vec<u8>,
     /// The acknowledgement number in the caller's last packet.
@@ -35,10 +35,6 @@
 /// The maximum delay of the advertisement of a new flow; between domains it takes 2 ms.
 const ADVERTISEMENT_DELAY_MS: u64 = 40;
 
-/// The maximum time in which a target that has not sent a heartbeat to its agent returns a packet of
-/// a flow that it does not hold; a running target does so in milliseconds.
-const UNKNOWN_TARGET_TIMEOUT_MS: u64 = 200;
-
 /// The maximum time in which all agents answer; between domains it takes a few milliseconds.
 const ANSWER_TIMEOUT_MS: u64 = 100;
 
@@ -59,17 +55,9 @@
         !self.refused_by.is_empty() || now_ms >= self.started_ms + ADVERTISEMENT_DELAY_MS
     }
 
-    /// Returns whether the target of `agent` would have answered by now if it were running, even if
-    /// the agent has received no heartbeat from it.
-    pub fn has_unknown_target_timed_out(&self, agent: Ipv4Addr, now_ms: u64) -> bool {
-        self.asked_ms
-            .get(&agent)
-            .is_some_and(|asked_ms| now_ms >= asked_ms + UNKNOWN_TARGET_TIMEOUT_MS)
-    }
-
     /// Records that an agent is sent a packet of the flow.
-    pub fn record_asked(&mut self, agent: Ipv4Addr, now_ms: u64) {
-        self.asked_ms.entry(agent).or_insert(now_ms);
+    pub fn record_asked(&mut self, agent: Ipv4Addr) {
+        self.asked.insert(agent);
     }
 
     /// Keeps a packet of the flow for agents that start during the search.
@@ -78,12 +66,12 @@
     }
 
     /// Takes the packet that an agent has to be sent because it has neither been asked nor refused.
-    fn ask_for_packet(&mut self, agent: Ipv4Addr, now_ms: u64) -> Option<Vec<u8>> {
-        let is_answered = self.refused_by.contains(&agent) || self.asked_ms.contains_key(&agent);
-        if is_answered || self.packet.is_empty() {
+    fn ask_for_packet(&mut self, agent: Ipv4Addr) -> Option<Vec<u8>> {
+        let is_asked = self.refused_by.contains(&agent) || self.asked.contains(&agent);
+        if is_asked || self.packet.is_empty() {
             return None;
         }
-        self.record_asked(agent, now_ms);
+        self.record_asked(agent);
         Some(self.packet.clone())
     }
 
@@ -149,20 +137,20 @@
     pub fn take_packets_for(
         &mut self,
         agent: Ipv4Addr,
-        now_ms: u64,
         addresses: &BTreeSet<SocketAddrV4>,
     ) -> Vec<Vec<u8>> {
         self.searches
             .iter_mut()
             .filter(|(flow, _)| addresses.contains(&flow.service_address))
-            .filter_map(|(_, search)| search.ask_for_packet(agent, now_ms))
+            .filter_map(|(_, search)| search.ask_for_packet(agent))
             .collect()
     }
 
-    /// Records that an agent has a new incarnation, which has not been asked for any flow.
-    pub fn on_new_incarnation(&mut self, agent: Ipv4Addr) {
+    /// Records that an agent has another incarnation or phase: its target may answer now what it did
+    /// not answer before, and so the agent is asked again.
+    pub fn on_agent_changed(&mut self, agent: Ipv4Addr) {
         for search in self.searches.values_mut() {
-            search.asked_ms.remove(&agent);
+            search.asked.remove(&agent);
         }
     }
 
--- a/crates/basilstep-core/src/flows/balancer/state.rs
+++ b/crates/basilstep-core/src/flows/balancer/state.rs
@@ -300,12 +300,11 @@
         }
         self.liveness
             .record_activity(agent, report.domain, ctx.now_ms);
-        let known = self.agents.get(agent);
-        let is_new = known.is_none();
-        if known.is_none_or(|state| state.report.incarnation != report.incarnation) {
-            self.searches.on_new_incarnation(agent);
-        }
+        let is_new = self.agents.get(agent).is_none();
         let is_changed = self.agents.record_report(agent, report, ctx.now_ms);
+        if is_changed {
+            self.searches.on_agent_changed(agent);
+        }
         let most = self.balancers.max_live_agents();
         if is_new && most.is_some_and(|most| self.agents.len() > usize::from(most)) {
             self.agents_grew_ms = ctx.now_ms;
--- a/crates/basilstep-core/src/flows/balancer/state/searching.rs
+++ b/crates/basilstep-core/src/flows/balancer/state/searching.rs
@@ -5,8 +5,7 @@
     codes::ResultCode,
     context::Context,
     flows::{
-        balancer::{AgentState, NextHop, SearchPacket, Verdict, search::Search},
-        frame::TargetPhase,
+        balancer::{AgentState, NextHop, SearchPacket, Verdict},
         key::{FlowKey, LostFlow, ServiceTag},
         routes::RequestKind,
         segment::Segment,
@@ -24,18 +23,6 @@
     next_hops: Vec<NextHop>,
 }
 
-/// What the search for a flow implies about the agents that have not answered.
-#[derive(Clone, Copy, Debug)]
-struct SearchEvidence<'a> {
-    /// The flow is at none of the agents that have advertised all their flows.
-    ///
-    /// This cannot be concluded if the agent in the hint has refused, because two targets may have
-    /// answered the SYN and a retransmission of it, nor if a hint was evicted, because its flow was
-    /// advertised and is unknown now.
-    trusts_advertisements: bool,
-    search: Option<&'a Search>,
-}
-
 impl BalancerFlows {
     /// Asks the agents that have not answered yet, or resets the flow if all have refused.
     pub(super) fn search(&mut self, flow: FlowKey, ctx: &Context) -> Verdict {
@@ -48,7 +35,7 @@
         let may_send = search.try_send(ctx.now_ms);
         if may_send {
             for next_hop in &unanswered.next_hops {
-                search.record_asked(next_hop.agent, ctx.now_ms);
+                search.record_asked(next_hop.agent);
             }
         }
         let is_lost = unanswered.next_hops.is_empty() && self.may_conclude(unanswered.kind, ctx);
@@ -106,13 +93,15 @@
         let route = self.fleet.table.routes.get(&flow.service_address);
         let kind = route.map_or(RequestKind::NonIdempotent, |route| route.kind);
         let refused_by = self.searches.refused_by(flow);
-        let evidence = self.evidence(flow, now_ms);
+        let trusts_advertisements = self.trusts_advertisements(flow, now_ms);
         let is_idempotent = kind == RequestKind::Idempotent;
         let next_hops = services
             .into_iter()
             .flat_map(|service| self.agents.of_service(service).map(move |a| (a, service)))
             .filter(|(agent, _)| !refused_by.contains(agent))
-            .filter(|(agent, _)| !(is_idempotent && self.can_be_skipped(*agent, evidence, now_ms)))
+            .filter(|(agent, _)| {
+                !(is_idempotent && self.can_be_skipped(*agent, trusts_advertisements, now_ms))
+            })
             .map(|(agent, service)| self.next_hop(agent, service, true))
             .collect();
         Some(Unanswered { kind, next_hops })
@@ -161,12 +150,12 @@
         }
     }
 
-    /// Returns the packets that an agent has to be sent because it has started during the search
-    /// for their flows.
+    /// Returns the packets that an agent has to be sent because it has started, or its state has
+    /// changed, during the search for their flows.
     ///
     /// Its target may have been running before it, and the next packet of the caller may be
     /// seconds away.
-    pub fn take_search_packets(&mut self, agent: Ipv4Addr, ctx: &Context) -> Vec<SearchPacket> {
+    pub fn take_search_packets(&mut self, agent: Ipv4Addr) -> Vec<SearchPacket> {
         let Some(service) = self.agents.get(agent).map(|state| state.report.service) else {
             return Vec::new();
         };
@@ -178,38 +167,36 @@
             .collect();
         let next_hop = self.next_hop(agent, service, true);
         self.searches
-            .take_packets_for(agent, ctx.now_ms, &addresses)
+            .take_packets_for(agent, &addresses)
             .into_iter()
             .map(|packet| SearchPacket { next_hop, packet })
             .collect()
     }
 
-    /// Returns whether an agent probably does not hold a flow: it is silent, has advertised all its
-    /// flows, or its target has neither sent a heartbeat nor answered.
+    /// Returns whether an agent does not hold a flow although it has not been asked: it has
+    /// advertised all its flows, or counts as lost because it is silent without having stopped.
     ///
     /// If this is wrong, for example because an advertisement is delayed, callers of idempotent
-    /// requests only repeat them.
-    fn can_be_skipped(&self, agent: Ipv4Addr, evidence: SearchEvidence<'_>, now_ms: u64) -> bool {
+    /// requests only repeat them. The silence of the target of a running agent is never evidence: a
+    /// target that holds the flow need not answer a packet, one that does not returns it at once.
+    fn can_be_skipped(&self, agent: Ipv4Addr, trusts_advertisements: bool, now_ms: u64) -> bool {
         let Some(state) = self.agents.get(agent) else {
             return true;
         };
-        let is_without_target = state.report.phase == TargetPhase::Unknown
-            && evidence
-                .search
-                .is_some_and(|search| search.has_unknown_target_timed_out(agent, now_ms));
-        is_without_target
-            || self.is_silent(agent, now_ms)
-            || (evidence.trusts_advertisements && self.has_advertised_all(state, now_ms))
+        self.is_silent(agent, now_ms)
+            || (trusts_advertisements && self.has_advertised_all(state, now_ms))
     }
 
-    fn evidence(&self, flow: &FlowKey, now_ms: u64) -> SearchEvidence<'_> {
+    /// Returns whether a flow is at none of the agents that have advertised all their flows.
+    ///
+    /// This cannot be concluded if the agent in the hint has refused, because two targets may have
+    /// answered the SYN and a retransmission of it, nor if a hint was evicted, because its flow was
+    /// advertised and is unknown now.
+    fn trusts_advertisements(&self, flow: &FlowKey, now_ms: u64) -> bool {
         let search = self.searches.get(flow);
         let is_hint_wrong = search.is_some_and(|search| search.is_hint_wrong);
         let since_ms = now_ms.saturating_sub(self.hint_retention_ms());
-        SearchEvidence {
-            trusts_advertisements: !is_hint_wrong && self.hints.is_complete_since(since_ms),
-            search,
-        }
+        !is_hint_wrong && self.hints.is_complete_since(since_ms)
     }
 
     fn has_advertised_all(&self, state: &AgentState, now_ms: u64) -> bool {
--- a/crates/basilstep-core/src/flows/tests/agent_restarts.rs
+++ b/crates/basilstep-core/src/flows/tests/agent_restarts.rs
@@ -1,5 +1,5 @@
 //! Agents restart in series beside living targets: the flow of a living target is not reset before
-//! its agent's new process has been asked and a running target would have answered.
+//! its agent's new process has been asked and has refused it.
 
 use super::{agent_ip, balancer_with, context, data, flow, held, report};
 use crate::{
@@ -28,6 +28,17 @@
     balancer.on_report(agent_ip(RESTARTING), stopping, &context(STOPPED_MS));
 }
 
+/// Reports that the agent runs and its target has not sent a heartbeat to it yet.
+fn report_unheard(balancer: &mut BalancerFlows, now_ms: u64) {
+    let unheard = AgentReport {
+        incarnation: ProcessIncarnation(2),
+        ..report(TargetPhase::Unknown)
+    };
+    let ctx = context(now_ms);
+    balancer.on_report(agent_ip(RESTARTING), unheard, &ctx);
+    balancer.on_report(agent_ip(1), report(TargetPhase::Serving), &ctx);
+}
+
 /// Reports the agent's new incarnation, whose target has not sent a heartbeat to it yet; returns
 /// what it is asked.
 fn restart(balancer: &mut BalancerFlows) -> Vec<SearchPacket> {
@@ -37,7 +48,7 @@
     };
     let ctx = context(STARTED_MS);
     balancer.on_report(agent_ip(RESTARTING), restarted, &ctx);
-    balancer.take_search_packets(agent_ip(RESTARTING), &ctx)
+    balancer.take_search_packets(agent_ip(RESTARTING))
 }
 
 /// A packet of a flow without a hint arrives; agent 1 does not hold the flow.
@@ -110,14 +121,53 @@
     assert!(matches!(verdict, Verdict::Reset { .. }));
 }
 
-#[test]
-fn ended_target_that_says_nothing_is_not_waited_for() {
+/// Guards against the silence of a target being taken for a refusal: a target that holds the flow and
+/// is at work on its request need not answer, one that does not hold it returns the packet at once.
+#[rstest]
+#[case::for_longer_than_a_request_takes(1_000)]
+#[case::for_longer_than_the_heartbeat_interval(4_000)]
+fn busy_target_that_says_nothing_keeps_its_flow(#[case] silent_ms: u64) {
     let (mut balancer, _) = balancer_with(2, RequestKind::Idempotent);
     stop(&mut balancer);
     send_packet(&mut balancer, STOPPED_MS + 200);
     restart(&mut balancer);
-    let lost_ms = lost_until(&mut balancer, STARTED_MS, 12_000);
-    assert_eq!(lost_ms, Some(STARTED_MS + ANSWER_MS));
+    for after_ms in (0..silent_ms).step_by(50) {
+        let now_ms = STARTED_MS + after_ms;
+        report_unheard(&mut balancer, now_ms);
+        if after_ms % 400 == 0 {
+            send_packet(&mut balancer, now_ms);
+        }
+        assert!(
+            balancer.on_tick(&context(now_ms)).lost.is_empty(),
+            "{now_ms} ms"
+        );
+    }
+    let ctx = context(STARTED_MS + silent_ms);
+    balancer.on_held_flows(agent_ip(RESTARTING), &held(0, flow(1)), &ctx);
+    let verdict = balancer.on_packet(&data(flow(1), 100), &ctx);
+    assert!(matches!(verdict, Verdict::Forward(_)));
+}
+
+/// Guards against a caller that waits although the target of its flow is known to have ended: the
+/// agent is asked again as soon as it says so, or as soon as its target is back.
+#[rstest]
+#[case::target_does_not_listen(TargetPhase::Down)]
+#[case::target_is_back(TargetPhase::Serving)]
+fn agent_whose_state_changes_is_asked_again(#[case] phase: TargetPhase) {
+    let (mut balancer, _) = balancer_with(2, RequestKind::Idempotent);
+    stop(&mut balancer);
+    send_packet(&mut balancer, STOPPED_MS + 200);
+    assert_eq!(restart(&mut balancer).len(), 1);
+    let changed = AgentReport {
+        incarnation: ProcessIncarnation(2),
+        ..report(phase)
+    };
+    let ctx = context(STARTED_MS + 100);
+    assert!(balancer.on_report(agent_ip(RESTARTING), changed, &ctx));
+    assert_eq!(balancer.take_search_packets(agent_ip(RESTARTING)).len(), 1);
+    let packet = data(flow(1), 100);
+    let verdict = balancer.on_returned(agent_ip(RESTARTING), not_held(), &packet, &ctx);
+    assert!(matches!(verdict, Verdict::Reset { .. }));
 }
 
 /// The time for which an earlier process of the agent was asked does not count.
@@ -133,7 +183,7 @@
     };
     let ctx = context(STARTED_MS + 150);
     balancer.on_report(agent_ip(RESTARTING), restarted_again, &ctx);
-    let asked = balancer.take_search_packets(agent_ip(RESTARTING), &ctx);
+    let asked = balancer.take_search_packets(agent_ip(RESTARTING));
     assert_eq!(asked.len(), 1);
     let lost_ms = lost_until(&mut balancer, STARTED_MS, STARTED_MS + 350);
     assert_eq!(lost_ms, None);
@@ -145,5 +195,5 @@
     send_packet(&mut balancer, STOPPED_MS);
     let ctx = context(STOPPED_MS + 50);
     balancer.on_report(agent_ip(1), report(TargetPhase::Serving), &ctx);
-    assert!(balancer.take_search_packets(agent_ip(1), &ctx).is_empty());
+    assert!(balancer.take_search_packets(agent_ip(1)).is_empty());
 }
--- a/crates/basilstep-core/src/flows/tests/balancer.rs
+++ b/crates/basilstep-core/src/flows/tests/balancer.rs
@@ -554,14 +554,12 @@
     assert_eq!(balancer.on_tick(&context(1_850)).lost.len(), 1);
 }
 
-/// Power loss everywhere, and one machine is back without its target.
+/// Guards against the reset of a flow at a target that has sent no heartbeat to its agent and is at
+/// work on the flow's request.
 #[rstest]
-#[case::idempotent(RequestKind::Idempotent, 1)]
-#[case::not_idempotent(RequestKind::NonIdempotent, 0)]
-fn target_without_heartbeats_is_not_waited_for_if_the_caller_benefits(
-    #[case] kind: RequestKind,
-    #[case] lost: usize,
-) {
+#[case::idempotent(RequestKind::Idempotent)]
+#[case::not_idempotent(RequestKind::NonIdempotent)]
+fn silent_target_is_waited_for(#[case] kind: RequestKind) {
     let (mut balancer, _) = balancer_with(1, kind);
     let unheard = report(TargetPhase::Unknown);
     balancer.on_report(agent_ip(2), unheard, &context(10_000));
@@ -569,7 +567,12 @@
     balancer.on_packet(&packet, &context(10_000));
     refuse(&mut balancer, 1, &packet, 10_005);
     assert!(balancer.on_tick(&context(10_150)).lost.is_empty());
-    assert_eq!(balancer.on_tick(&context(10_200)).lost.len(), lost);
+    assert!(balancer.on_tick(&context(10_900)).lost.is_empty());
+    for (agent, phase) in [(1, TargetPhase::Serving), (2, TargetPhase::Unknown)] {
+        balancer.on_report(agent_ip(agent), report(phase), &context(10_900));
+    }
+    let verdict = refuse(&mut balancer, 2, &packet, 10_950);
+    assert!(matches!(verdict, Verdict::Reset { .. }));
 }
 
 /// Power loss in most places: balancers that kept running still remember agents that no longer
--- a/crates/basilstep-packet/src/agent/http.rs
+++ b/crates/basilstep-packet/src/agent/http.rs
@@ -49,10 +49,6 @@
             .flows
             .on_target_heartbeat(&request.heartbeat, &self.ctx);
         self.reset_lost_flows(&lost);
-        if outcome == HeartbeatOutcome::NewLifetime {
-            // A packet to the former incarnation may have been refused.
-            self.target_socket.clear_error();
-        }
         if outcome != HeartbeatOutcome::Outdated {
             self.flows.set_target_instance(id);
         }
@@ -60,6 +56,9 @@
             outcome,
             HeartbeatOutcome::NewLifetime | HeartbeatOutcome::PhaseChanged
         ) {
+            // A packet to the former incarnation, or from before the first heartbeat, may have been
+            // refused.
+            self.target_socket.clear_error();
             log::info!(
                 id,
                 outcome:? = outcome,
--- a/crates/basilstep-packet/src/agent/packets.rs
+++ b/crates/basilstep-packet/src/agent/packets.rs
@@ -44,6 +44,7 @@
     /// Sends a packet to the target, with a cookie that says where to return it if it bounces.
     pub(super) fn send_to_target(&mut self, packet: &mut [u8], cookie: u32) {
         header::set_cookie(packet, cookie);
+        self.has_sent_to_target = true;
         if self.target_socket.send(packet) == SendOutcome::Refused {
             self.on_target_refused();
         }
--- a/crates/basilstep-packet/src/agent/serve.rs
+++ b/crates/basilstep-packet/src/agent/serve.rs
@@ -63,6 +63,8 @@
     pub(super) frames: FrameChannel,
     pub(super) outbound_socket: DatagramSocket,
     pub(super) target_socket: ConnectedDatagramSocket,
+    /// A packet was sent to the target since it was last checked whether it is refused.
+    pub(super) has_sent_to_target: bool,
     pub(super) log_limiter: LogLimiter<ResultCode>,
     /// Separate, because the lines of other packets use up the limit under load.
     pub(super) queue_log_limiter: LogLimiter<ResultCode>,
@@ -164,6 +166,7 @@
             frames: FrameChannel::bind(internal, settings.wire.highest_version).await?,
             outbound_socket: DatagramSocket::bind("the outbound address", outbound).await?,
             target_socket: ConnectedDatagramSocket::connect(machine.ip, target).await?,
+            has_sent_to_target: false,
             log_limiter: LogLimiter::default(),
             queue_log_limiter: LogLimiter::default(),
             metrics: Metrics::new(),
@@ -207,6 +210,7 @@
         self.refresh_time();
         self.flows.on_tick(&self.ctx);
         self.frames.on_tick(self.ctx.now_ms);
+        self.check_target_refusal();
         self.report_health_change();
         if self.ctx.now_ms >= self.next_report_ms {
             self.send_reports(Recipients::Scheduled);
@@ -214,6 +218,13 @@
         self.discover_balancers();
     }
 
+    /// Handles that the last packet to the target was refused; the next one may be seconds away.
+    fn check_target_refusal(&mut self) {
+        if std::mem::take(&mut self.has_sent_to_target) && self.target_socket.take_refusal() {
+            self.on_target_refused();
+        }
+    }
+
     /// Reports a change of the target's health before the next report is due.
     fn report_health_change(&mut self) {
         let Some(change) = self.flows.take_health_change(&self.ctx) else {
--- a/crates/basilstep-packet/src/balancer/packets.rs
+++ b/crates/basilstep-packet/src/balancer/packets.rs
@@ -102,9 +102,9 @@
         }
     }
 
-    /// Asks an agent that has just started for the flows that are being searched for.
+    /// Asks an agent that has started or changed for the flows that are being searched for.
     pub(super) fn send_search_packets(&mut self, agent: Ipv4Addr) {
-        let packets = self.flows.take_search_packets(agent, &self.ctx);
+        let packets = self.flows.take_search_packets(agent);
         if packets.is_empty() {
             return;
         }
@@ -113,7 +113,7 @@
                 agent:% = agent,
                 flows = packets.len(),
                 left_out;
-                "asked a new agent for flows without a holder"
+                "asked an agent again for flows without a holder"
             );
         }
         for asked in packets {
--- a/crates/basilstep-packet/src/datagram_socket.rs
+++ b/crates/basilstep-packet/src/datagram_socket.rs
@@ -126,6 +126,12 @@
         }
     }
 
+    /// Returns whether an earlier datagram was refused because no socket is bound at the peer's
+    /// address; says so once.
+    pub fn take_refusal(&self) -> bool {
+        matches!(self.socket.take_error(), Ok(Some(error)) if outcome_of_error(&error) == SendOutcome::Refused)
+    }
+
     /// Sends one datagram.
     pub fn send(&self, bytes: &[u8]) -> SendOutcome {
         match self.socket.try_send(bytes) {
