fix(flows): a young balancer does not take the agents it hears for all

Cause: for idempotent requests the balancer compared with the agents that are live at others, who stop counting an agent 0.8 s after its last report even if it has announced its stop; for all requests it relied on what it had heard itself from 3 s after its start. Evidence: the log of the script has the reset at the first packet, without a search, while the other balancer's heartbeats said two agents, one of them live.

All requests now wait for as many agents as any other balancer remembers or has registered within the time that a stopped agent is remembered; without such a count, and as long as a count is higher, nothing is concluded before the balancer has been running for the age of flows. Silent agents that have not announced a stop are remembered for that age as well. In return an agent whose last report says that its target has ended and that it stops is neither counted nor asked, and its flows are lost at once.

Fixtures of balancers that have been running for long now say how many agents others know.

A lost flow waits as before where all agents report. At a balancer that has just started it waits for agents that are silent without having announced their end, at most for the age of flows (before 0.8 s for idempotent requests, 20 s for others).

--- a/crates/basilstep-core/src/flows/balancer/agent_table.rs
+++ b/crates/basilstep-core/src/flows/balancer/agent_table.rs
@@ -10,7 +10,7 @@
 use crate::{
     address::DomainId,
     flows::{
-        frame::{AgentReport, HeldFlows},
+        frame::{AgentReport, HeldFlows, TargetPhase},
         key::{FlowKey, ProcessIncarnation, ServiceTag},
         settings::FlowSettings,
     },
@@ -60,7 +60,22 @@
     ranking: TargetRanking,
 }
 
+/// How long silent agents are kept.
+#[derive(Clone, Copy, Debug)]
+pub struct AgentRetention {
+    /// For agents that have announced their stop.
+    pub stopping_ms: u64,
+    /// For all others.
+    pub others_ms: u64,
+}
+
 impl AgentState {
+    /// Returns whether the agent has announced that its target has ended and that it stops itself:
+    /// no flow is left there, and none can be opened.
+    pub fn has_ended(&self) -> bool {
+        self.report.is_stopping && self.report.phase == TargetPhase::Down
+    }
+
     /// Returns whether the last report counts flows whose advertisement this balancer has not
     /// received.
     pub const fn has_advertisement_gap(&self) -> bool {
@@ -265,12 +280,20 @@
         }
     }
 
-    /// Removes agents that have not reported since `before_ms`, and returns them.
-    pub fn forget(&mut self, before_ms: u64) -> Vec<Ipv4Addr> {
+    /// Removes agents that have not reported for longer than `retention`, and returns them.
+    pub fn forget(&mut self, retention: &AgentRetention, now_ms: u64) -> Vec<Ipv4Addr> {
+        let is_gone = |state: &AgentState| {
+            let retention_ms = if state.report.is_stopping {
+                retention.stopping_ms
+            } else {
+                retention.others_ms
+            };
+            state.reported_ms < now_ms.saturating_sub(retention_ms)
+        };
         let gone: Vec<Ipv4Addr> = self
             .agents
             .iter()
-            .filter(|(_, state)| state.reported_ms < before_ms)
+            .filter(|(_, state)| is_gone(state))
             .map(|(agent, _)| *agent)
             .collect();
         for agent in &gone {
--- a/crates/basilstep-core/src/flows/balancer/mod.rs
+++ b/crates/basilstep-core/src/flows/balancer/mod.rs
@@ -1,5 +1,6 @@
 //! The balancer's side of steering: which agent gets a packet.
 
+mod agent_counts;
 mod agent_table;
 mod explain;
 mod hedges;
--- a/crates/basilstep-core/src/flows/balancer/state.rs
+++ b/crates/basilstep-core/src/flows/balancer/state.rs
@@ -7,7 +7,8 @@
 mod syn;
 
 use super::{
-    agent_table::{AgentState, AgentTable, RankingScope},
+    agent_counts::AgentCounts,
+    agent_table::{AgentRetention, AgentState, AgentTable, RankingScope},
     hedges::Hedges,
     held_domains::HeldDomains,
     hints::{Hint, Hints},
@@ -62,9 +63,8 @@
     hedges: Hedges,
     liveness: Liveness,
     overloads: Overloads,
-    /// The highest number of agents that a balancer has reported or registered since this one started;
-    /// that balancer may have restarted since.
-    max_agents: Option<u16>,
+    /// How many agents other balancers know, by their heartbeats and their entries in the store.
+    agent_counts: AgentCounts,
     /// The highest number of agents that a balancer has registered in the store.
     registered_agents: u16,
     /// When this balancer last learned of more live agents than any balancer had stated before.
@@ -104,7 +104,7 @@
             hedges: Hedges::new(&settings),
             liveness: Liveness::default(),
             overloads: Overloads::default(),
-            max_agents: None,
+            agent_counts: AgentCounts::default(),
             registered_agents: 0,
             agents_grew_ms: ctx.now_ms,
             started_ms: ctx.now_ms,
@@ -140,6 +140,7 @@
         if let Some(verdict) = self.send_to_both_offered(&flow, ctx) {
             return verdict;
         }
+        self.discard_hint_of_ended_agent(&flow);
         let Some(hint) = self.hints.get_mut(&flow) else {
             let search_ms = self.settings.searches.keep_ms;
             let search = self.searches.entry(flow, ctx.now_ms, search_ms);
@@ -158,6 +159,15 @@
         self.forward(agent, service)
     }
 
+    /// Removes the hint of a flow whose agent has announced that its target and itself have ended.
+    fn discard_hint_of_ended_agent(&mut self, flow: &FlowKey) {
+        let agent = self.hints.get(flow).map(|hint| hint.agent);
+        let state = agent.and_then(|agent| self.agents.get(agent));
+        if state.is_some_and(AgentState::has_ended) {
+            self.hints.remove(flow);
+        }
+    }
+
     /// Decides about a packet that an agent returned.
     pub fn on_returned(
         &mut self,
@@ -328,7 +338,7 @@
         ctx: &Context,
     ) -> bool {
         if !heartbeat.is_stopping {
-            self.max_agents = self.max_agents.max(Some(heartbeat.agents));
+            self.agent_counts.record(heartbeat.agents, ctx.now_ms);
             let most = self.balancers.max_live_agents();
             if most.is_some_and(|most| heartbeat.live_agents > most) {
                 self.agents_grew_ms = ctx.now_ms;
@@ -340,9 +350,9 @@
     }
 
     /// Records how many agents a balancer knew when it last updated its registration.
-    pub fn on_registered_agents(&mut self, agents: u16) {
+    pub fn on_registered_agents(&mut self, agents: u16, ctx: &Context) {
         self.registered_agents = self.registered_agents.max(agents);
-        self.max_agents = self.max_agents.max(Some(agents));
+        self.agent_counts.record(agents, ctx.now_ms);
     }
 
     /// Records that the process was paused for `pause_ms`, which its clock did not count.
@@ -396,8 +406,10 @@
             .merge_entry(&self.identity.entry(), ctx.now_ms);
         self.balancers.forget(before_ms);
         self.liveness.forget(before_ms);
-        let agents_before_ms = ctx.now_ms.saturating_sub(self.agent_retention_ms(ctx));
-        let forgotten = self.agents.forget(agents_before_ms);
+        let retention = self.agent_retention(ctx);
+        self.agent_counts
+            .expire(ctx.now_ms.saturating_sub(retention.stopping_ms));
+        let forgotten = self.agents.forget(&retention, ctx.now_ms);
         for agent in &forgotten {
             self.liveness.end_probe(*agent);
         }
@@ -425,13 +437,15 @@
             .max(identity.flow_max_age_ms + identity.watch_times.max_age_ms)
     }
 
-    /// Returns how long a silent agent is kept: flows that its target may still hold are not yet
-    /// idle for too long.
-    fn agent_retention_ms(&self, ctx: &Context) -> u64 {
-        let liveness = &self.settings.liveness;
-        liveness
-            .forget_after_ms
-            .max(self.flow_lifetime.idle_retention_ms(ctx.now_ms))
+    /// Returns how long a silent agent is kept: until the flows that its target may hold are too old,
+    /// or, if it has announced its stop and so forwards nothing, until they are idle for too long.
+    fn agent_retention(&self, ctx: &Context) -> AgentRetention {
+        let forget_after_ms = self.settings.liveness.forget_after_ms;
+        let idle_retention_ms = self.flow_lifetime.idle_retention_ms(ctx.now_ms);
+        AgentRetention {
+            stopping_ms: forget_after_ms.max(idle_retention_ms),
+            others_ms: forget_after_ms.max(self.identity.flow_max_age_ms),
+        }
     }
 
     fn rank_targets(&mut self, ctx: &Context) -> Vec<StandingChange> {
--- a/crates/basilstep-core/src/flows/balancer/state/heartbeats.rs
+++ b/crates/basilstep-core/src/flows/balancer/state/heartbeats.rs
@@ -32,9 +32,10 @@
         }
     }
 
-    /// Returns how many agents have reported and are not forgotten.
+    /// Returns how many agents have reported, are not forgotten and have not ended.
     pub fn known_agents(&self) -> u16 {
-        saturate(self.agents.len())
+        let agents = self.agents.iter();
+        saturate(agents.filter(|(_, state)| !state.has_ended()).count())
     }
 
     /// Returns the balancers that get a heartbeat in this interval.
--- a/crates/basilstep-core/src/flows/balancer/state/readiness.rs
+++ b/crates/basilstep-core/src/flows/balancer/state/readiness.rs
@@ -20,20 +20,15 @@
     }
 
     /// Returns whether this balancer knows at least as many agents as any other one, including
-    /// agents that have not reported to the others for a while.
+    /// agents that are silent or being restarted.
     ///
-    /// A count holds until those who knew such an agent have forgotten it: its silence says nothing
-    /// about its target, and the caller of a request that may not be repeated gains little from an
-    /// early reset.
+    /// Their silence says nothing about their targets. A balancer that has been running for the
+    /// lifetime of a flow knows all agents that can hold one; one that has no count of others to
+    /// compare with waits for as long.
     fn knows_enough_agents(&self, ctx: &Context) -> bool {
-        let forgotten_ms = self.started_ms + self.agent_retention_ms(ctx);
-        if let Some(most) = self.max_agents
-            && ctx.now_ms < forgotten_ms
-        {
-            return self.agents.len() >= usize::from(most).max(1);
-        }
-        let required = self.required_agents(self.max_agents, ctx);
-        required.is_some_and(|required| self.agents.len() >= required)
+        let has_seen_all = ctx.now_ms >= self.started_ms + self.agent_retention(ctx).others_ms;
+        let has_enough = |most| self.agents.len() >= usize::from(most);
+        has_seen_all || self.agent_counts.max().is_some_and(has_enough)
     }
 
     /// Returns whether all agents have probably reported to this balancer.
@@ -51,23 +46,21 @@
 
     /// Returns whether the answers of all known agents are the answers of all agents.
     ///
-    /// A wrong reset costs callers of idempotent requests only a short delay, so it is allowed
-    /// early for them, without waiting for agents that no longer report to any balancer.
+    /// A wrong reset costs callers of idempotent requests only a short delay, so that less time is
+    /// left for reports that are late.
     pub(super) fn may_reset(&self, kind: RequestKind, ctx: &Context) -> bool {
         let searches = &self.settings.searches;
-        match kind {
+        let is_settled = match kind {
             RequestKind::Idempotent => {
                 let settled_ms = self.settling_since_ms + searches.settle_ms;
-                ctx.now_ms >= settled_ms
-                    && self.has_complete_roster(ctx)
-                    && self.has_enough_live_agents(ctx)
+                ctx.now_ms >= settled_ms && self.has_complete_roster(ctx)
             }
             RequestKind::NonIdempotent => {
                 let since_ms = self.settling_since_ms.max(self.first_agent_ms);
-                let settled_ms = since_ms + searches.settle_non_idempotent_ms;
-                ctx.now_ms >= settled_ms && self.knows_enough_agents(ctx)
+                ctx.now_ms >= since_ms + searches.settle_non_idempotent_ms
             }
-        }
+        };
+        is_settled && !self.agents.is_empty() && self.knows_enough_agents(ctx)
     }
 
     /// Returns whether the store has confirmed the settings recently enough, so that a route that is
--- a/crates/basilstep-core/src/flows/balancer/state/searching.rs
+++ b/crates/basilstep-core/src/flows/balancer/state/searching.rs
@@ -98,7 +98,7 @@
         let next_hops = services
             .into_iter()
             .flat_map(|service| self.agents.of_service(service).map(move |a| (a, service)))
-            .filter(|(agent, _)| !refused_by.contains(agent))
+            .filter(|(agent, _)| !refused_by.contains(agent) && !self.has_ended(*agent))
             .filter(|(agent, _)| {
                 !(is_idempotent && self.can_be_skipped(*agent, trusts_advertisements, now_ms))
             })
@@ -173,6 +173,11 @@
             .collect()
     }
 
+    /// Returns whether an agent has announced the end of its target and of itself.
+    fn has_ended(&self, agent: Ipv4Addr) -> bool {
+        self.agents.get(agent).is_some_and(AgentState::has_ended)
+    }
+
     /// Returns whether an agent does not hold a flow although it has not been asked: it has
     /// advertised all its flows, or counts as lost because it is silent without having stopped.
     ///
--- a/crates/basilstep-core/src/flows/settings.rs
+++ b/crates/basilstep-core/src/flows/settings.rs
@@ -48,8 +48,8 @@
     /// The time since an agent's last report after which its idempotent flows are reset, if it
     /// sends every report here.
     pub reset_after_ms: u64,
-    /// The time since its last report after which an agent is forgotten, unless flows may be idle
-    /// for longer.
+    /// The time since its last report after which an agent is forgotten, unless its target may hold
+    /// flows for longer.
     pub forget_after_ms: u64,
     /// The number of balancers up to which each gets every report and heartbeat.
     pub pace_all: usize,
--- a/crates/basilstep-core/src/flows/tests/flow_limits.rs
+++ b/crates/basilstep-core/src/flows/tests/flow_limits.rs
@@ -80,21 +80,23 @@
 /// Guards against a balancer that forgets an agent that is being restarted while its target's flows
 /// may still be open by the operators' limit, or were by the limit that was in force before.
 #[rstest]
-#[case::raised(&[(0, 50_000)], 50_000)]
-#[case::raised_meanwhile(&[(0, 15_000), (5_000, 50_000)], 50_000)]
-#[case::lowered_meanwhile(&[(0, 50_000), (5_000, 15_000)], 50_000)]
-#[case::beyond_the_age(&[(0, 600_000)], 60_000)]
-fn silent_agent_is_remembered_until_its_flows_are_idle_for_too_long(
+#[case::raised(&[(0, 50_000)], true, 50_000)]
+#[case::raised_meanwhile(&[(0, 15_000), (5_000, 50_000)], true, 50_000)]
+#[case::lowered_meanwhile(&[(0, 50_000), (5_000, 15_000)], true, 50_000)]
+#[case::beyond_the_age(&[(0, 600_000)], true, 60_000)]
+#[case::without_an_announced_stop(&[(0, 15_000)], false, 60_000)]
+fn silent_agent_is_remembered_while_its_flows_may_be_open(
     #[case] idle_timeouts_ms: &[(u64, u32)],
+    #[case] is_stopping: bool,
     #[case] lost_from_ms: u64,
 ) {
     const SILENT_MS: u64 = 10_000;
     let (mut balancer, _) = balancer_with(1, RequestKind::NonIdempotent);
-    let stopping = AgentReport {
-        is_stopping: true,
+    let last = AgentReport {
+        is_stopping,
         ..report(TargetPhase::Serving)
     };
-    balancer.on_report(agent_ip(2), stopping, &context(SILENT_MS));
+    balancer.on_report(agent_ip(2), last, &context(SILENT_MS));
     let not_held = Returned {
         code: ResultCode::FlowNotHeld,
         service: service(),
--- a/crates/basilstep-core/src/flows/tests/mod.rs
+++ b/crates/basilstep-core/src/flows/tests/mod.rs
@@ -11,6 +11,7 @@
 mod explain;
 mod fleet;
 mod flow_limits;
+mod flow_model;
 mod frames;
 mod hedging;
 mod hedging_tail;
@@ -35,6 +36,7 @@
 mod target_ranking;
 mod target_speed;
 mod versions;
+mod young_balancer;
 
 use super::{
     AgentFlows, AgentReport, BalancerFlows, BalancerHeartbeat, Flags, FleetSettings, FlowKey,
@@ -289,6 +291,9 @@
     balancer.on_fleet_settings(fleet_settings(kind), &context(0));
     balancer.on_past_routes(&PastRoutes::NeverChanged, &context(0));
     let ctx = context(10_000);
+    if agents > 0 {
+        balancer.on_registered_agents(u16::from(agents), &context(0));
+    }
     for now_ms in [0, ctx.now_ms] {
         for number in 1..=agents {
             let serving = report(TargetPhase::Serving);
--- a/crates/basilstep-core/src/flows/tests/route_history.rs
+++ b/crates/basilstep-core/src/flows/tests/route_history.rs
@@ -39,9 +39,12 @@
     settings
 }
 
-/// A balancer that has just started.
+/// A balancer that has just started, in a fleet with an agent of each service.
 fn new_balancer() -> BalancerFlows {
-    BalancerFlows::new(FlowSettings::default(), balancer_identity(), &context(0))
+    let mut balancer =
+        BalancerFlows::new(FlowSettings::default(), balancer_identity(), &context(0));
+    balancer.on_registered_agents(SERVICES.len() as u16, &context(0));
+    balancer
 }
 
 fn report_all(balancer: &mut BalancerFlows, now_ms: u64) {
--- a/crates/basilstep-core/src/flows/tests/stale_state.rs
+++ b/crates/basilstep-core/src/flows/tests/stale_state.rs
@@ -2,8 +2,9 @@
 //! reports from before a stall.
 
 use super::{
-    agent_ip, balancer_ip, balancer_with, context, data, fleet_settings, flow, forward_header,
-    heartbeat, held, new_agent, report, service, serving_agent, syn, target_heartbeat,
+    FLOW_MAX_AGE_MS, agent_ip, balancer_ip, balancer_with, context, data, fleet_settings, flow,
+    forward_header, heartbeat, held, new_agent, report, service, serving_agent, syn,
+    target_heartbeat,
 };
 use crate::{
     codes::ResultCode,
@@ -226,7 +227,7 @@
         service: service(),
     };
     let mut resets = Vec::new();
-    for now_ms in (100..21_000).step_by(100) {
+    for now_ms in (100..FLOW_MAX_AGE_MS + 1_000).step_by(100) {
         let ctx = context(now_ms);
         balancer.on_heartbeat(balancer_ip(2), &heartbeat(2), &ctx);
         balancer.on_report(agent_ip(1), report(TargetPhase::Serving), &ctx);
@@ -236,7 +237,7 @@
             resets.push(now_ms);
         }
     }
-    assert_eq!(resets.first(), Some(&20_000));
+    assert_eq!(resets.first(), Some(&FLOW_MAX_AGE_MS));
 }
 
 /// Guards against the reset of a flow whose agent is a newer build that sends what cannot be read.
--- a/crates/basilstep-packet/src/balancer/serve.rs
+++ b/crates/basilstep-packet/src/balancer/serve.rs
@@ -337,7 +337,7 @@
         let heartbeat = Frame::Heartbeat(self.flows.heartbeat(&self.ctx));
         let known: Vec<Ipv4Addr> = self.flows.balancers().addresses().collect();
         for balancer in registered {
-            self.flows.on_registered_agents(balancer.agents);
+            self.flows.on_registered_agents(balancer.agents, &self.ctx);
             if balancer.ip != self.machine.ip && !known.contains(&balancer.ip) {
                 self.send_frame(balancer.ip, &heartbeat);
             }
--- a/crates/basilstep-packet/tests/processes/rolling.rs
+++ b/crates/basilstep-packet/tests/processes/rolling.rs
@@ -9,6 +9,7 @@
         target::Target,
     },
 };
+use rstest::rstest;
 use rustix::process::Signal;
 use serde_json::json;
 use std::time::Duration;
@@ -21,6 +22,9 @@
 /// repeated.
 const SETTLE_TIME: Duration = Duration::from_millis(1_800);
 
+/// How long an agent stays away while a request waits.
+const AWAY_TIME: Duration = Duration::from_secs(1);
+
 /// Two balancers and two agents with their targets, and a flow that is open at the first target.
 struct RollingFleet {
     fleet: Fleet,
@@ -122,3 +126,29 @@
     }
     assert_eq!(rolling.targets.len(), services.len());
 }
+
+/// Guards against a balancer that starts while an agent is being restarted and takes the agents that
+/// report to it for all that may hold a flow.
+#[rstest]
+#[case::idempotent("safe")]
+#[case::not_idempotent("unsafe")]
+#[tokio::test]
+async fn flow_of_an_agent_that_is_away_survives_the_start_of_a_balancer(#[case] kind: &str) {
+    let name = format!("away-{kind}");
+    let mut rolling = RollingFleet::start(&name, kind, [SERVICE, SERVICE]).await;
+    rolling.stop(rolling.agents[0]).await;
+    rolling.roll_balancer(1).await;
+    sleep(SETTLE_TIME).await;
+    let RollingFleet {
+        mut fleet,
+        caller,
+        opened,
+        ..
+    } = rolling;
+    let balancer = fleet.address(1, fleet.ports.packets);
+    let (answer, ()) = tokio::join!(caller.request(balancer, &opened, "meanwhile"), async {
+        sleep(AWAY_TIME).await;
+        fleet.restart_agent_of(SERVICE, 11);
+    });
+    assert_eq!(data_text(&answer.unwrap()), "target-11 answers meanwhile");
+}
