fix(flows): a version that was in force only elsewhere is not forgotten

Cause: a balancer knew the past of a route from the versions that it had in force itself, and read the record at its start only; a watch that returned several versions put the last one in force.

Balancers that watch the store put each version in force in turn, so that the record has all of them; the others read it a second after a change.

A lost flow waits as before. Each change costs a stale read, a tenth of a call, at each balancer that does not watch.

--- a/crates/basilstep-packet/src/balancer/serve.rs
+++ b/crates/basilstep-packet/src/balancer/serve.rs
@@ -11,8 +11,8 @@
     process::{self, ProcessError, StartContext},
     request_forwarder::{PendingRequest, RequestForwarder},
     store_tasks::{
-        self, ConfirmedSettings, EraSignal, RegisteredBalancer, Registration, RouteHistoryKeeper,
-        SettingsWatcher, StoreEvent,
+        self, ConfirmedSettings, EraSignal, RegisteredBalancer, Registration, RouteHistoryDuty,
+        RouteHistoryKeeper, SettingsWatcher, StoreEvent,
     },
 };
 use basilstep_core::{
@@ -20,10 +20,7 @@
     context::Context,
     flows::{
         BalancerFlows, FleetSettings, FlowSettings, Frame, Recipients,
-        balancer::{
-            BalancerIdentity, RouteHistoryRecord, Standing, StandingChange, TransferBudget,
-            WatchTimes,
-        },
+        balancer::{BalancerIdentity, Standing, StandingChange, TransferBudget, WatchTimes},
     },
 };
 use basilstep_node::{
@@ -93,8 +90,8 @@
     watches_settings: watch::Sender<bool>,
     settings_transfers: TransferBudget,
     pub(super) era_signal: EraSignal,
-    /// What balancers that start later have to know of the routes, for the store.
-    route_history: watch::Sender<Option<RouteHistoryRecord>>,
+    /// What has to be done for the record of the routes in the store.
+    route_history: watch::Sender<RouteHistoryDuty>,
     /// How many agents this balancer knows, for its entry in the store.
     known_agents: watch::Sender<u16>,
     pub(super) event_sender: mpsc::Sender<Event>,
@@ -130,7 +127,7 @@
         }));
         tokio::spawn(store_tasks::maintain_route_history(RouteHistoryKeeper {
             address: store,
-            own: balancer.route_history.subscribe(),
+            duty: balancer.route_history.subscribe(),
             event_sender: store_sender.clone(),
             era_signal: balancer.era_signal.clone(),
         }));
@@ -212,7 +209,7 @@
             watches_settings: watch::channel(true).0,
             settings_transfers: TransferBudget::default(),
             era_signal: EraSignal::new(),
-            route_history: watch::channel(None).0,
+            route_history: watch::channel(RouteHistoryDuty::default()).0,
             known_agents: watch::channel(0).0,
             event_sender,
             pause_detector: PauseDetector::start(start.clock),
@@ -285,6 +282,9 @@
                     self.send_heartbeats(Recipients::All);
                 }
             }
+            StoreEvent::PassedSettings(settings) => {
+                self.apply_settings(settings, "store");
+            }
             StoreEvent::Unchanged(confirmed) => self.record_confirmation(confirmed),
             StoreEvent::PastRoutes(past) => {
                 self.flows.on_past_routes(&past, &self.ctx);
@@ -318,19 +318,18 @@
         }
     }
 
-    /// Records the routes for balancers that start later, if they have changed.
-    fn publish_route_history(&self) {
-        let published = self
-            .route_history
-            .borrow()
-            .as_ref()
-            .map(|record| record.version);
-        if published == Some(self.flows.fleet().table.version) {
-            return;
-        }
-        if let Some(record) = self.flows.route_history_record(&self.ctx) {
-            self.route_history.send_replace(Some(record));
-        }
+    /// Has the routes recorded for balancers that start later, or what others record read, if the
+    /// version has changed.
+    fn update_route_history(&self) {
+        let version = self.flows.fleet().table.version;
+        let own = self.flows.route_history_record(&self.ctx);
+        self.route_history.send_if_modified(|duty| {
+            let is_new = version > duty.version || (duty.own.is_none() && own.is_some());
+            if is_new {
+                *duty = RouteHistoryDuty { version, own };
+            }
+            is_new
+        });
     }
 
     fn on_registered(&mut self, registered: &[Registration]) {
@@ -359,7 +358,7 @@
             revision:% = fleet.revision;
             "settings are in force"
         );
-        self.publish_route_history();
+        self.update_route_history();
         true
     }
 
@@ -385,7 +384,7 @@
         self.send_probes();
         self.send_new_balancers_to_agents();
         self.update_settings_watch();
-        self.publish_route_history();
+        self.update_route_history();
         if self.flows.balancers().len() == 1 {
             self.announce_to_seeds();
         }
--- a/crates/basilstep-packet/src/store_tasks/mod.rs
+++ b/crates/basilstep-packet/src/store_tasks/mod.rs
@@ -12,13 +12,15 @@
 pub use era_signal::EraSignal;
 pub use operator_settings::{SettingsWatcher, watch_operator_settings};
 pub use registration::{RegisteredBalancer, Registration, list_balancers, maintain_registration};
-pub use route_history::{RouteHistoryKeeper, maintain_route_history};
+pub use route_history::{RouteHistoryDuty, RouteHistoryKeeper, maintain_route_history};
 
 /// An event from the store.
 #[derive(Debug)]
 pub enum StoreEvent {
     /// The current settings of the operators.
     Settings(ConfirmedSettings),
+    /// Settings of the operators that later ones have replaced since.
+    PassedSettings(FleetSettings),
     /// The store has confirmed that the settings had not changed at this time.
     Unchanged(Instant),
     /// What the store says of the routes before the start of this process.
--- a/crates/basilstep-packet/src/store_tasks/operator_settings.rs
+++ b/crates/basilstep-packet/src/store_tasks/operator_settings.rs
@@ -115,7 +115,12 @@
                 event = StoreEvent::Unchanged(confirmed_by_wait(sent, wait));
                 wait = full_wait;
             } else {
-                operators.apply_changes(&changes);
+                for earlier in operators.apply_changes(&changes) {
+                    let passed = StoreEvent::PassedSettings(earlier);
+                    if self.event_sender.send(passed).await.is_err() {
+                        return Ok(SessionEnd::ChannelClosed);
+                    }
+                }
                 event = operators.confirmed(sent);
                 wait = first_wait;
             }
@@ -165,9 +170,16 @@
         self.apply_changes(listed);
     }
 
-    fn apply_changes(&mut self, changes: &VersionedItems) {
+    /// Applies changes; returns the settings of the versions before the last one among them, which
+    /// other processes may have had in force.
+    fn apply_changes(&mut self, changes: &VersionedItems) -> Vec<FleetSettings> {
+        let mut passed = Vec::new();
+        let mut has_read_version = false;
         for item in &changes.items {
             if item.key == store_keys::CONFIG_KEY {
+                if std::mem::replace(&mut has_read_version, true) {
+                    passed.push(self.settings.clone());
+                }
                 self.read_config(item.value.as_deref());
             } else if let Some(name) = store_keys::evacuated_domain(&item.key) {
                 let is_out = item.value.is_some();
@@ -175,6 +187,7 @@
             }
         }
         self.settings.revision = changes.revision;
+        passed
     }
 
     fn read_config(&mut self, value: Option<&[u8]>) {
