test(packet): the soak rolls both classes in series that overlap

A new kind of the soak has planned work only: agents and balancers are rolled in series that overlap, targets answer late, a route moves from service to service, the limit on idle flows changes, other writers call the agents. No flow of a living target may be reset, whatever its requests. All kinds have callers on the route that moves.

--- a/crates/basilstep-packet/tests/processes/soak/cluster.rs
+++ b/crates/basilstep-packet/tests/processes/soak/cluster.rs
@@ -89,6 +89,9 @@
     pub operators: [Mutex<()>; ZONES.len()],
 }
 
+/// The service address of the route that operators lead from service to service.
+pub const MOVED_ENTRY: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), 450);
+
 /// Returns the service address of a service.
 pub fn entry(service: usize) -> SocketAddrV4 {
     SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), 440 + service as u16)
--- a/crates/basilstep-packet/tests/processes/soak/configuration.rs
+++ b/crates/basilstep-packet/tests/processes/soak/configuration.rs
@@ -1,6 +1,6 @@
 //! The operators' configuration in a soak test, and the check that balancers apply it in time.
 
-use super::cluster::{Cluster, Machine, SERVICES, entry};
+use super::cluster::{Cluster, MOVED_ENTRY, Machine, SERVICES, entry};
 use crate::support::fleet::Fleet;
 use serde_json::{Value, json};
 use std::{
@@ -115,10 +115,14 @@
 /// How much higher the port of the second route of a service is than that of the first.
 const IDLE_ROUTE_PORTS: u16 = 1_000;
 
+/// The limits on idle flows of successive versions; the age of flows is 60 s.
+const IDLE_TIMEOUTS_MS: [u64; 3] = [15_000, 50_000, 10_000];
+
 /// Writes a configuration with two routes per service, of different priorities, of which the higher
-/// one gets no requests; only requests to the first service are idempotent.
+/// one gets no requests; only requests to the first service are idempotent. A further route leads to
+/// another service in each version, and the limit on idle flows changes with the version as well.
 fn write(fleet: &Fleet, version: u64) {
-    let routes: Vec<Value> = SERVICES
+    let mut routes: Vec<Value> = SERVICES
         .iter()
         .enumerate()
         .flat_map(|(service, name)| [(service, name, 1), (service, name, 0)])
@@ -132,13 +136,19 @@
                    "TimeoutMs": 2_500, "Service": name})
         })
         .collect();
+    routes.push(json!({
+        "Name": "moved", "Hostname": MOVED_ENTRY.ip().to_string(),
+        "Prefix": format!("/{}/", MOVED_ENTRY.port()), "Type": "unsafe", "Priority": 1,
+        "TargetLatencyMs": LATENCY_GOAL_MS, "TimeoutMs": 2_500,
+        "Service": SERVICES[version as usize % SERVICES.len()]
+    }));
     let services: Vec<Value> = SERVICES
         .iter()
         .map(|name| json!({"Name": name, "MaxConnections": 2_000}))
         .collect();
     let config = json!({
         "Version": version, "Routes": routes, "Services": services,
-        "Limits": {"IdleTimeoutMs": 15_000},
+        "Limits": {"IdleTimeoutMs": IDLE_TIMEOUTS_MS[version as usize % IDLE_TIMEOUTS_MS.len()]},
     });
     fleet.store.put("op/config", Some(&config));
 }
--- a/crates/basilstep-packet/tests/processes/soak/faults.rs
+++ b/crates/basilstep-packet/tests/processes/soak/faults.rs
@@ -146,15 +146,20 @@
         return;
     };
     cluster.disturb(machine);
+    stop_process(cluster, machine, &mut process).await;
+    *process = cluster.launch(machine).await;
+    cluster.disturb(machine);
+}
+
+/// Stops a process on purpose and waits for its end.
+pub async fn stop_process(cluster: &Cluster, machine: &Machine, process: &mut Process) {
     process.signal(Signal::TERM);
-    if !has_ended_within(&mut process, STOP_TIMEOUT).await {
+    if !has_ended_within(process, STOP_TIMEOUT).await {
         cluster
             .invariants
             .record_violation(format!("machine {} did not stop in time", machine.number));
         process.kill();
     }
-    *process = cluster.launch(machine).await;
-    cluster.disturb(machine);
 }
 
 async fn has_ended_within(process: &mut Process, limit: Duration) -> bool {
--- a/crates/basilstep-packet/tests/processes/soak/mod.rs
+++ b/crates/basilstep-packet/tests/processes/soak/mod.rs
@@ -6,19 +6,22 @@
 //! BASILSTEP_SOAK_SEEDS=1..51 BASILSTEP_SOAK_SECONDS=12 BASILSTEP_SOAK_JOBS=4 cargo test \
 //!     -p basilstep-packet --test processes by_hand -- --ignored --nocapture
 //! ```
+//!
+//! `BASILSTEP_SOAK_STORE` chooses another kind of faults: `restored`, `series` or `rolls`.
 
 mod callers;
 mod cluster;
 mod configuration;
 mod faults;
 mod invariants;
+mod rolls;
 mod routers;
 mod series;
 mod store_faults;
 
 use super::support::{self, caller::Caller};
 use callers::CallerConfig;
-use cluster::{Cluster, SERVICES, entry};
+use cluster::{Cluster, MOVED_ENTRY, SERVICES, entry};
 use rand_chacha::{ChaCha8Rng, rand_core::SeedableRng};
 use routers::Routers;
 use rstest::rstest;
@@ -34,6 +37,10 @@
 use tokio::{sync::Semaphore, task::JoinSet, time::sleep};
 
 const CALLERS: u8 = 16;
+
+/// The callers of the route that is led from service to service.
+const MOVED_CALLERS: u8 = 4;
+
 const FIRST_CALLER: u8 = 200;
 
 /// The caller that checks all services through all balancers at the end.
@@ -42,6 +49,7 @@
 /// Keeps the store faults of a seed apart from its other faults, which are drawn from the seed itself.
 const STORE_FAULTS_SEED_OFFSET: u64 = 1 << 32;
 const SERIES_SEED_OFFSET: u64 = 1 << 33;
+const ROLLS_SEED_OFFSET: u64 = 1 << 34;
 const SHORT_DURATION: Duration = Duration::from_secs(6);
 const LONG_DURATION: Duration = Duration::from_secs(12);
 
@@ -57,6 +65,8 @@
     Restored,
     /// The same, and processes are restarted and killed in series.
     RestoredWithSeries,
+    /// Planned work only, under which no flow of a living target may be reset.
+    Rolls,
 }
 
 /// Runs one seed and returns the violated invariants.
@@ -68,14 +78,19 @@
     let routers = Routers::spawn(&cluster.balancer_endpoints());
     let is_stopped = Arc::new(AtomicBool::new(false));
     let mut callers = JoinSet::new();
-    for number in 0..CALLERS {
+    for number in 0..CALLERS + MOVED_CALLERS {
         let service = usize::from(number) % SERVICES.len();
+        let is_moved = number >= CALLERS;
         let config = CallerConfig {
             address: cluster
                 .fleet
                 .address(FIRST_CALLER + number, cluster.fleet.ports.packets),
-            entry: entry(service),
-            is_idempotent: service == 0,
+            entry: if is_moved {
+                MOVED_ENTRY
+            } else {
+                entry(service)
+            },
+            is_idempotent: service == 0 && !is_moved,
         };
         callers.spawn(callers::call(
             config,
@@ -88,7 +103,7 @@
     let checks = configuration::check_until(Arc::clone(&cluster), Arc::clone(&is_stopped));
     let checks = tokio::spawn(checks);
     let store_faults = async {
-        if kind != SoakKind::Durable {
+        if matches!(kind, SoakKind::Restored | SoakKind::RestoredWithSeries) {
             let random = ChaCha8Rng::seed_from_u64(STORE_FAULTS_SEED_OFFSET + seed);
             store_faults::inject(&cluster, random, duration).await;
         }
@@ -99,12 +114,16 @@
             series::inject(&cluster, random, duration).await;
         }
     };
-    let random = ChaCha8Rng::seed_from_u64(seed);
-    tokio::join!(
-        store_faults,
-        series,
-        faults::inject(&cluster, random, duration)
-    );
+    let faults = async {
+        if kind == SoakKind::Rolls {
+            let random = ChaCha8Rng::seed_from_u64(ROLLS_SEED_OFFSET + seed);
+            rolls::inject(&cluster, random, duration).await;
+        } else {
+            let random = ChaCha8Rng::seed_from_u64(seed);
+            faults::inject(&cluster, random, duration).await;
+        }
+    };
+    tokio::join!(store_faults, series, faults);
     sleep(RECOVERY_TIME).await;
     is_stopped.store(true, Ordering::SeqCst);
     checks.await.unwrap();
@@ -158,9 +177,10 @@
         };
         let running = agent_target.running.lock().await;
         let entries = running.target.log.entries.lock().unwrap();
+        let own = entry(agent_target.service);
         if entries
             .iter()
-            .any(|seen| *seen != entry(agent_target.service))
+            .any(|seen| *seen != own && *seen != MOVED_ENTRY)
         {
             cluster.invariants.record_violation(format!(
                 "target-{} got packets for {entries:?}",
@@ -195,6 +215,15 @@
     assert!(violations.is_empty(), "seed {seed}: {violations:#?}");
 }
 
+#[rstest]
+#[case::first(1)]
+#[case::second(2)]
+#[tokio::test(flavor = "multi_thread")]
+async fn invariants_hold_while_both_classes_are_rolled(#[case] seed: u64) {
+    let violations = run_seed(seed, SHORT_DURATION, SoakKind::Rolls).await;
+    assert!(violations.is_empty(), "seed {seed}: {violations:#?}");
+}
+
 /// Seeds that once violated an invariant; each case is named after the cause.
 #[rstest]
 #[case::second_target_ended_and_silent_agent_was_left_out(4)]
@@ -245,6 +274,7 @@
     let kind = match env::var("BASILSTEP_SOAK_STORE").as_deref() {
         Ok("restored") => SoakKind::Restored,
         Ok("series") => SoakKind::RestoredWithSeries,
+        Ok("rolls") => SoakKind::Rolls,
         _ => SoakKind::Durable,
     };
     let free = Arc::new(Semaphore::new(jobs));
--- a/crates/basilstep-packet/tests/processes/support/target.rs
+++ b/crates/basilstep-packet/tests/processes/support/target.rs
@@ -25,6 +25,9 @@
 /// The interval between heartbeats; also written to the settings file.
 pub const HEARTBEAT_INTERVAL_MS: u64 = 200;
 
+/// The version of the software of targets, as heartbeats say it.
+pub const TARGET_VERSION: &str = "v1";
+
 /// The distance between the initial sequence numbers of two runs and of two targets; larger than the
 /// number of bytes in flight, so that a sequence number identifies the run.
 const SEQUENCES_PER_RUN: u32 = 1_000_000;
@@ -132,7 +135,7 @@
         let is_draining = log.is_draining.load(Ordering::SeqCst);
         let body = json!({
             "Service": config.service, "Address": config.address.to_string(), "Zone": config.zone,
-            "Version": "v1", "Capacity": 9, "State": if is_draining { "draining" } else { "ready" },
+            "Version": TARGET_VERSION, "Capacity": 9, "State": if is_draining { "draining" } else { "ready" },
             "WarmupLeftMs": 0, "Sequence": sequence, "born": config.born_ms,
         });
         // A failed heartbeat is ignored: the agent may not be up yet, and the next one repeats the
