fix(flows): balancers that start wait for the recorded agents, not for a number

Cause: since balancers that start wait for as many agents as others have registered, the numbers in their entries decide. These are renewed every 10 s and still counted agents that had been removed with their machines. Ruled out: the record of the routes (read within 20 ms after the store was back).

The balancers that watch the store record the addresses of all agents that have not ended, together with the routes, whenever one comes or ends; a balancer that starts concludes nothing before it has heard from these. The numbers in the entries count only without a record.

--- a/crates/basilstep-core/src/flows/balancer/route_history.rs
+++ b/crates/basilstep-core/src/flows/balancer/route_history.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 use std::{
     collections::{BTreeMap, BTreeSet},
-    net::SocketAddrV4,
+    net::{Ipv4Addr, SocketAddrV4},
 };
 
 /// The maximum number of services that are remembered for routes that no longer name them: several
@@ -23,11 +23,13 @@
     pub age_ms: u64,
 }
 
-/// What balancers that start later have to know of the routes of the past.
+/// What balancers that start later have to know of the routes of the past and of the agents.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct RouteHistoryRecord {
     /// The operators' version at which this was recorded.
     pub version: u64,
+    /// The agents that may hold flows; `None` if not all of them are known.
+    pub agents: Option<BTreeSet<Ipv4Addr>>,
     /// The services that the routes of that version name.
     pub services: BTreeMap<SocketAddrV4, BTreeSet<ServiceTag>>,
     /// The services that routes have named before.
@@ -42,15 +44,20 @@
             .iter()
             .map(|former| (former.address, former.service))
             .collect();
-        self.version >= other.version
+        let has_agents = other.agents.is_none() || self.agents == other.agents;
+        has_agents
+            && self.version >= other.version
             && other
                 .former
                 .iter()
                 .all(|other| former.contains(&(other.address, other.service)))
     }
 
-    /// Adds the services of `other` that this record lacks.
-    pub fn add_former(&mut self, other: &Self) {
+    /// Adds what this record lacks and `other` has.
+    pub fn add_missing(&mut self, other: &Self) {
+        if self.agents.is_none() {
+            self.agents.clone_from(&other.agents);
+        }
         for former in &other.former {
             let is_known = self
                 .former
@@ -187,6 +194,7 @@
             .collect();
         RouteHistoryRecord {
             version: routes.version,
+            agents: None,
             services,
             former,
         }
--- a/crates/basilstep-core/src/flows/balancer/state.rs
+++ b/crates/basilstep-core/src/flows/balancer/state.rs
@@ -65,6 +65,9 @@
     overloads: Overloads,
     /// How many agents other balancers know, by their heartbeats and their entries in the store.
     agent_counts: AgentCounts,
+    /// The agents by the record in the store, which is kept up to date, unlike the numbers in the
+    /// balancers' entries.
+    recorded_agents: Option<BTreeSet<Ipv4Addr>>,
     /// The highest number of agents that a balancer has registered in the store.
     registered_agents: u16,
     /// When this balancer last learned of more live agents than any balancer had stated before.
@@ -105,6 +108,7 @@
             liveness: Liveness::default(),
             overloads: Overloads::default(),
             agent_counts: AgentCounts::default(),
+            recorded_agents: None,
             registered_agents: 0,
             agents_grew_ms: ctx.now_ms,
             started_ms: ctx.now_ms,
@@ -350,9 +354,8 @@
     }
 
     /// Records how many agents a balancer knew when it last updated its registration.
-    pub fn on_registered_agents(&mut self, agents: u16, ctx: &Context) {
+    pub fn on_registered_agents(&mut self, agents: u16) {
         self.registered_agents = self.registered_agents.max(agents);
-        self.agent_counts.record(agents, ctx.now_ms);
     }
 
     /// Records that the process was paused for `pause_ms`, which its clock did not count.
--- a/crates/basilstep-core/src/flows/balancer/state/heartbeats.rs
+++ b/crates/basilstep-core/src/flows/balancer/state/heartbeats.rs
@@ -34,8 +34,15 @@
 
     /// Returns how many agents have reported, are not forgotten and have not ended.
     pub fn known_agents(&self) -> u16 {
-        let agents = self.agents.iter();
-        saturate(agents.filter(|(_, state)| !state.has_ended()).count())
+        saturate(self.agents_that_may_hold_flows().count())
+    }
+
+    /// Returns the agents that have reported, are not forgotten and have not ended.
+    pub(super) fn agents_that_may_hold_flows(&self) -> impl Iterator<Item = Ipv4Addr> {
+        self.agents
+            .iter()
+            .filter(|(_, state)| !state.has_ended())
+            .map(|(agent, _)| *agent)
     }
 
     /// Returns the balancers that get a heartbeat in this interval.
--- a/crates/basilstep-core/src/flows/balancer/state/readiness.rs
+++ b/crates/basilstep-core/src/flows/balancer/state/readiness.rs
@@ -2,7 +2,7 @@
 
 use super::BalancerFlows;
 use crate::{context::Context, flows::routes::RequestKind};
-use std::net::Ipv4Addr;
+use std::{collections::BTreeSet, net::Ipv4Addr};
 
 impl BalancerFlows {
     /// Returns whether the balancer can place new flows.
@@ -19,16 +19,32 @@
             .is_some_and(|required| self.live_agents(ctx.now_ms).take(required).count() == required)
     }
 
-    /// Returns whether this balancer knows at least as many agents as any other one, including
-    /// agents that are silent or being restarted.
+    /// Returns whether this balancer knows all agents of the record in the store, and at least as many
+    /// as any other balancer, including agents that are silent or being restarted.
     ///
     /// Their silence says nothing about their targets. A balancer that has been running for the
-    /// lifetime of a flow knows all agents that can hold one; one that has no count of others to
-    /// compare with waits for as long.
-    fn knows_enough_agents(&self, ctx: &Context) -> bool {
-        let has_seen_all = ctx.now_ms >= self.started_ms + self.agent_retention(ctx).others_ms;
-        let has_enough = |most| self.agents.len() >= usize::from(most);
-        has_seen_all || self.agent_counts.max().is_some_and(has_enough)
+    /// lifetime of a flow knows all agents that can hold one; one that has nothing to compare with
+    /// waits for as long.
+    pub(super) fn knows_enough_agents(&self, ctx: &Context) -> bool {
+        let retention = self.agent_retention(ctx);
+        if ctx.now_ms >= self.started_ms + retention.others_ms {
+            return true;
+        }
+        let stated = self.agent_counts.max();
+        let is_registration_recent = ctx.now_ms < self.started_ms + retention.stopping_ms;
+        let most = match &self.recorded_agents {
+            Some(recorded) if !self.knows_all_of(recorded) => return false,
+            Some(_) => stated.or(Some(0)),
+            None if is_registration_recent && self.registered_agents > 0 => {
+                stated.max(Some(self.registered_agents))
+            }
+            None => stated,
+        };
+        most.is_some_and(|most| self.agents.len() >= usize::from(most))
+    }
+
+    fn knows_all_of(&self, agents: &BTreeSet<Ipv4Addr>) -> bool {
+        agents.iter().all(|agent| self.agents.get(*agent).is_some())
     }
 
     /// Returns whether all agents have probably reported to this balancer.
@@ -39,8 +55,10 @@
     fn has_complete_roster(&self, ctx: &Context) -> bool {
         let searches = &self.settings.searches;
         let registered = usize::from(self.registered_agents);
+        let recorded = self.recorded_agents.as_ref();
         ctx.now_ms >= self.started_ms + searches.roster_wait_ms
             || ctx.now_ms >= self.agents_grew_ms + searches.settle_ms
+            || recorded.is_some_and(|recorded| self.knows_all_of(recorded))
             || (registered > 0 && self.agents.len() >= registered)
     }
 
--- a/crates/basilstep-core/src/flows/balancer/state/settings.rs
+++ b/crates/basilstep-core/src/flows/balancer/state/settings.rs
@@ -41,6 +41,11 @@
     pub fn on_past_routes(&mut self, past: &PastRoutes, ctx: &Context) {
         self.route_history
             .on_past(past, &self.fleet.table, ctx.now_ms);
+        if let PastRoutes::Recorded(record) = past
+            && record.agents.is_some()
+        {
+            self.recorded_agents.clone_from(&record.agents);
+        }
     }
 
     /// Returns what balancers that start later have to know of the routes, or `None` if this balancer
@@ -50,8 +55,15 @@
     pub fn route_history_record(&self, ctx: &Context) -> Option<RouteHistoryRecord> {
         let settled_ms = self.started_ms + self.settings.searches.settle_non_idempotent_ms;
         let is_known = self.fleet.is_known() && self.knows_route_history(ctx);
-        (is_known && ctx.now_ms >= settled_ms && self.watches_settings(ctx))
-            .then(|| self.route_history.record(&self.fleet.table, ctx.now_ms))
+        if !is_known || ctx.now_ms < settled_ms || !self.watches_settings(ctx) {
+            return None;
+        }
+        Some(RouteHistoryRecord {
+            agents: self
+                .knows_enough_agents(ctx)
+                .then(|| self.agents_that_may_hold_flows().collect()),
+            ..self.route_history.record(&self.fleet.table, ctx.now_ms)
+        })
     }
 
     /// Returns whether all services are known at which flows may be open that are not too old.
--- a/crates/basilstep-core/src/flows/tests/balancer.rs
+++ b/crates/basilstep-core/src/flows/tests/balancer.rs
@@ -361,7 +361,7 @@
 #[test]
 fn flow_that_nobody_holds_is_reset_as_soon_as_the_answers_may_be_trusted() {
     let (mut balancer, _) = balancer_with(0, RequestKind::Idempotent);
-    balancer.on_registered_agents(1, &context(10_000));
+    balancer.on_registered_agents(1);
     balancer.on_pause(1_000, &context(10_000));
     let ctx = context(10_100);
     balancer.on_report(agent_ip(1), report(TargetPhase::Serving), &ctx);
@@ -378,7 +378,7 @@
 #[test]
 fn flow_of_requests_that_may_not_be_repeated_is_reset_later() {
     let (mut balancer, _) = balancer_with(0, RequestKind::NonIdempotent);
-    balancer.on_registered_agents(1, &context(10_000));
+    balancer.on_registered_agents(1);
     balancer.on_pause(1_000, &context(10_000));
     let serving = report(TargetPhase::Serving);
     balancer.on_report(agent_ip(1), serving, &context(10_000));
@@ -413,7 +413,7 @@
 #[test]
 fn flow_is_lost_without_asking_agents_that_have_advertised_all_their_flows() {
     let (mut balancer, _) = balancer_with(0, RequestKind::Idempotent);
-    balancer.on_registered_agents(2, &context(10_000));
+    balancer.on_registered_agents(2);
     report_all_advertised(&mut balancer, 1, 0, 10_000);
     report_all_advertised(&mut balancer, 2, 0, 10_000);
     let verdict = balancer.on_packet(&data(flow(1), 100), &context(10_000));
@@ -498,7 +498,7 @@
 ) {
     const FIRST_AGENT_MS: u64 = 10_000;
     let (mut balancer, _) = balancer_with(0, kind);
-    balancer.on_registered_agents(1, &context(FIRST_AGENT_MS));
+    balancer.on_registered_agents(1);
     let serving = report(TargetPhase::Serving);
     balancer.on_report(agent_ip(1), serving, &context(FIRST_AGENT_MS));
     let packet = data(flow(1), 100);
@@ -526,7 +526,7 @@
     let settings = FlowSettings::default();
     let (mut balancer, _) = balancer_with_settings(&settings, 0, RequestKind::Idempotent);
     let serving = report(TargetPhase::Serving);
-    balancer.on_registered_agents(registered, &context(0));
+    balancer.on_registered_agents(registered);
     balancer.on_heartbeat(balancer_ip(2), &heartbeat(0), &context(0));
     balancer.on_heartbeat(balancer_ip(2), &heartbeat(1), &context(250));
     balancer.on_report(agent_ip(1), serving, &context(250));
@@ -548,7 +548,7 @@
     balancer.on_report(agent_ip(1), report(TargetPhase::Serving), &context(0));
     balancer.on_report(agent_ip(1), report(TargetPhase::Serving), &context(1_600));
     balancer.on_heartbeat(balancer_ip(2), &heartbeat(1), &context(1_600));
-    balancer.on_registered_agents(2, &context(0));
+    balancer.on_registered_agents(2);
     let packet = data(flow(1), 100);
     balancer.on_packet(&packet, &context(1_700));
     refuse(&mut balancer, 1, &packet, 1_705);
--- a/crates/basilstep-core/src/flows/tests/flow_model/world.rs
+++ b/crates/basilstep-core/src/flows/tests/flow_model/world.rs
@@ -276,7 +276,7 @@
             if known.covers(&own) {
                 return;
             }
-            own.add_former(&known);
+            own.add_missing(&known);
         }
         self.record = Some((own, self.now_ms));
     }
@@ -423,7 +423,7 @@
             .collect();
         if let Some(flows) = &mut self.balancers[index].flows {
             for agents in registered {
-                flows.on_registered_agents(agents, &ctx);
+                flows.on_registered_agents(agents);
             }
             if let Some(past) = past {
                 flows.on_past_routes(&past, &ctx);
--- a/crates/basilstep-core/src/flows/tests/mod.rs
+++ b/crates/basilstep-core/src/flows/tests/mod.rs
@@ -292,7 +292,7 @@
     balancer.on_past_routes(&PastRoutes::NeverChanged, &context(0));
     let ctx = context(10_000);
     if agents > 0 {
-        balancer.on_registered_agents(u16::from(agents), &context(0));
+        balancer.on_registered_agents(u16::from(agents));
     }
     for now_ms in [0, ctx.now_ms] {
         for number in 1..=agents {
--- a/crates/basilstep-core/src/flows/tests/route_history.rs
+++ b/crates/basilstep-core/src/flows/tests/route_history.rs
@@ -43,7 +43,7 @@
 fn new_balancer() -> BalancerFlows {
     let mut balancer =
         BalancerFlows::new(FlowSettings::default(), balancer_identity(), &context(0));
-    balancer.on_registered_agents(SERVICES.len() as u16, &context(0));
+    balancer.on_registered_agents(SERVICES.len() as u16);
     balancer
 }
 
@@ -92,6 +92,7 @@
     });
     PastRoutes::Recorded(RouteHistoryRecord {
         version,
+        agents: None,
         services: BTreeMap::from([(service_address(), BTreeSet::from([tag(named)]))]),
         former: former.collect(),
     })
--- a/crates/basilstep-core/src/flows/tests/young_balancer.rs
+++ b/crates/basilstep-core/src/flows/tests/young_balancer.rs
@@ -10,10 +10,11 @@
     flows::{
         AgentReport, BalancerFlows, BalancerHeartbeat, FlowSettings, ProcessIncarnation,
         RequestKind, Returned, TargetPhase,
-        balancer::{PastRoutes, Verdict},
+        balancer::{PastRoutes, RouteHistoryRecord, Verdict},
     },
 };
 use rstest::rstest;
+use std::collections::BTreeSet;
 
 /// When the balancer has heard from the agents that are running.
 const HEARD_MS: u64 = 2_400;
@@ -46,7 +47,7 @@
                 };
                 balancer.on_heartbeat(balancer_ip(2), &others, &ctx);
             }
-            CountOf::Store => balancer.on_registered_agents(2, &ctx),
+            CountOf::Store => balancer.on_registered_agents(2),
             CountOf::Nobody => {}
         }
     }
@@ -160,3 +161,19 @@
     assert_eq!(balancer.heartbeat(&ctx).agents, 2);
     assert!(!is_reset_without_first_agent(&mut balancer, ctx.now_ms));
 }
+
+/// Guards against callers that wait after a power failure because the balancers' entries in the store
+/// still count agents that were removed before it.
+#[test]
+fn count_of_the_record_goes_before_the_entries_of_balancers() {
+    let mut balancer = young_balancer(RequestKind::Idempotent, CountOf::Store);
+    let record = RouteHistoryRecord {
+        version: 1,
+        agents: Some(BTreeSet::from([agent_ip(1)])),
+        ..RouteHistoryRecord::default()
+    };
+    let past = PastRoutes::Recorded(record);
+    assert!(!is_reset_without_first_agent(&mut balancer, HEARD_MS));
+    balancer.on_past_routes(&past, &context(HEARD_MS + 100));
+    assert!(is_reset_without_first_agent(&mut balancer, HEARD_MS + 200));
+}
--- a/crates/basilstep-packet/src/balancer/serve.rs
+++ b/crates/basilstep-packet/src/balancer/serve.rs
@@ -324,7 +324,8 @@
         let version = self.flows.fleet().table.version;
         let own = self.flows.route_history_record(&self.ctx);
         self.route_history.send_if_modified(|duty| {
-            let is_new = version > duty.version || (duty.own.is_none() && own.is_some());
+            let is_new =
+                version > duty.version || own.as_ref().is_some_and(|own| duty.differs(own));
             if is_new {
                 *duty = RouteHistoryDuty { version, own };
             }
@@ -336,7 +337,7 @@
         let heartbeat = Frame::Heartbeat(self.flows.heartbeat(&self.ctx));
         let known: Vec<Ipv4Addr> = self.flows.balancers().addresses().collect();
         for balancer in registered {
-            self.flows.on_registered_agents(balancer.agents, &self.ctx);
+            self.flows.on_registered_agents(balancer.agents);
             if balancer.ip != self.machine.ip && !known.contains(&balancer.ip) {
                 self.send_frame(balancer.ip, &heartbeat);
             }
--- a/crates/basilstep-packet/src/store_tasks/route_history.rs
+++ b/crates/basilstep-packet/src/store_tasks/route_history.rs
@@ -42,6 +42,15 @@
     pub own: Option<RouteHistoryRecord>,
 }
 
+impl RouteHistoryDuty {
+    /// Returns whether `own` says something else of the agents than what is to be recorded.
+    pub fn differs(&self, own: &RouteHistoryRecord) -> bool {
+        self.own
+            .as_ref()
+            .is_none_or(|recorded| recorded.agents != own.agents)
+    }
+}
+
 /// What a task needs for keeping the record.
 #[derive(Debug)]
 pub struct RouteHistoryKeeper {
@@ -188,7 +197,7 @@
         if record.covers(&own) {
             return Ok(());
         }
-        own.add_former(record);
+        own.add_missing(record);
     }
     let value = encode(&own);
     let revision = client
