test(packet): a target waits until its address is free

Cause, by inference: a child that is being started holds copies of all sockets of the test process until it runs its program, which closes them; beside load that took longer than the 100 ms that the target was away. An experiment with a child that waits 300 ms before it runs its program shows the same error. The test double now waits for the address, 5 s at most, and still fails for any other error.

--- a/crates/basilstep-packet/tests/processes/rolling.rs
+++ b/crates/basilstep-packet/tests/processes/rolling.rs
@@ -91,7 +91,7 @@
                     "Prefix": format!("/{}/", entry.port()), "Type": kind,
                     "TimeoutMs": 2_500, "Service": service}],
         "Services": [{"Name": service, "MaxConnections": 2_000}],
-        "Limits": {"IdleTimeoutMs": 15_000},
+        "Limits": {"IdleTimeoutMs": 50_000},
     });
     fleet.store.put("op/config", Some(&config));
 }
@@ -152,3 +152,21 @@
     });
     assert_eq!(data_text(&answer.unwrap()), "target-11 answers meanwhile");
 }
+
+/// Guards against agents that answer for their targets a constant time after they have started, while
+/// operators allow flows to be idle for longer.
+#[tokio::test]
+#[ignore = "takes 35 s"]
+async fn flow_that_is_idle_within_the_limit_survives_a_roll_of_both_classes() {
+    let mut rolling = RollingFleet::start("idle", "unsafe", [SERVICE, SERVICE]).await;
+    sleep(Duration::from_secs(1)).await;
+    for (process, number) in rolling.agents.into_iter().zip([11, 12]) {
+        rolling.stop(process).await;
+        rolling.fleet.restart_agent_of(SERVICE, number);
+    }
+    sleep(Duration::from_secs(23)).await;
+    rolling.roll_balancer(1).await;
+    sleep(SETTLE_TIME * 2).await;
+    let answer = rolling.request(1, "late").await.unwrap();
+    assert_eq!(data_text(&answer), "target-11 answers late");
+}
--- a/crates/basilstep-packet/tests/processes/support/target.rs
+++ b/crates/basilstep-packet/tests/processes/support/target.rs
@@ -9,6 +9,7 @@
 use serde_json::json;
 use std::{
     collections::{BTreeMap, BTreeSet},
+    io::ErrorKind,
     net::SocketAddrV4,
     sync::{
         Arc, Mutex,
@@ -19,12 +20,16 @@
 use tokio::{
     net::UdpSocket,
     task::JoinHandle,
-    time::{Instant, sleep},
+    time::{Instant, sleep, timeout},
 };
 
 /// The interval between heartbeats; also written to the settings file.
 pub const HEARTBEAT_INTERVAL_MS: u64 = 200;
 
+/// How long the address of a target may stay in use after the former one has ended.
+const BIND_TIMEOUT: Duration = Duration::from_secs(5);
+const BIND_INTERVAL: Duration = Duration::from_millis(5);
+
 /// The version of the software of targets, as heartbeats say it.
 pub const TARGET_VERSION: &str = "v1";
 
@@ -102,7 +107,9 @@
 impl Target {
     pub async fn spawn(config: TargetConfig) -> Self {
         let log = Arc::new(TargetLog::default());
-        let socket = UdpSocket::bind(config.address).await.unwrap();
+        let socket = timeout(BIND_TIMEOUT, bind_when_free(config.address))
+            .await
+            .unwrap();
         let tasks = vec![
             tokio::spawn(send_heartbeats(config.clone(), Arc::clone(&log))),
             tokio::spawn(serve(socket, config, Arc::clone(&log))),
@@ -128,6 +135,20 @@
     }
 }
 
+/// Binds an address once it is free.
+///
+/// A child process that is being started holds copies of all sockets of the test, also of those that
+/// are closed meanwhile, until it runs its program.
+async fn bind_when_free(address: SocketAddrV4) -> UdpSocket {
+    loop {
+        match UdpSocket::bind(address).await {
+            Ok(socket) => return socket,
+            Err(error) => assert_eq!(error.kind(), ErrorKind::AddrInUse, "{error}"),
+        }
+        sleep(BIND_INTERVAL).await;
+    }
+}
+
 async fn send_heartbeats(config: TargetConfig, log: Arc<TargetLog>) {
     let mut client = HttpClient::new(config.control);
     let path = format!("/instances/{}", config.id);
