test(packet): a rolled balancer's time for its settings counts from its start

Case 1 of the rolls: a balancer had no settings although a version was due; the check counted 4 s from the beginning of its stop, which with the time that it is away passed before it was started again. It counts from the start now, as for processes that are killed.

--- a/crates/basilstep-packet/tests/processes/soak/rolls.rs
+++ b/crates/basilstep-packet/tests/processes/soak/rolls.rs
@@ -77,6 +77,8 @@
             machine.record_disturbance();
             stop_process(cluster, machine, &mut process).await;
             sleep(series.away).await;
+            // The time within which a balancer has its settings counts from its start.
+            machine.record_disturbance();
             *process = cluster.launch(machine).await;
             machine.record_disturbance();
         }
