fix(packet): the log line on the route history names numbers, not all routes

Each balancer wrote the whole record, all service addresses and agents, at its start and after each version: with 2,200 routes far over 100 kB a line, worked out. It writes the version and how many former services and agents there are.

--- a/crates/basilstep-core/src/flows/balancer/state.rs
+++ b/crates/basilstep-core/src/flows/balancer/state.rs
@@ -63,7 +63,7 @@
     hedges: Hedges,
     liveness: Liveness,
     overloads: Overloads,
-    /// How many agents other balancers know, by their heartbeats and their entries in the store.
+    /// How many agents other balancers know, by their heartbeats.
     agent_counts: AgentCounts,
     /// The agents by the record in the store, which is kept up to date, unlike the numbers in the
     /// balancers' entries.
--- a/crates/basilstep-packet/src/balancer/serve.rs
+++ b/crates/basilstep-packet/src/balancer/serve.rs
@@ -20,7 +20,9 @@
     context::Context,
     flows::{
         BalancerFlows, FleetSettings, FlowSettings, Frame, Recipients,
-        balancer::{BalancerIdentity, Standing, StandingChange, TransferBudget, WatchTimes},
+        balancer::{
+            BalancerIdentity, PastRoutes, Standing, StandingChange, TransferBudget, WatchTimes,
+        },
     },
 };
 use basilstep_node::{
@@ -35,6 +37,7 @@
 use http::StatusCode;
 use serde_json::json;
 use std::{
+    collections::BTreeSet,
     net::{Ipv4Addr, SocketAddrV4},
     time::Duration,
 };
@@ -295,7 +298,16 @@
             StoreEvent::Unchanged(confirmed) => self.record_confirmation(confirmed),
             StoreEvent::PastRoutes(past) => {
                 self.flows.on_past_routes(&past, &self.ctx);
-                log::info!(past:? = past; "learned the route history");
+                let record = match &past {
+                    PastRoutes::Recorded(record) => Some(record),
+                    PastRoutes::NeverChanged => None,
+                };
+                log::info!(
+                    version = record.map(|record| record.version),
+                    former = record.map(|record| record.former.len()),
+                    agents = record.and_then(|record| record.agents.as_ref()).map(BTreeSet::len);
+                    "learned the route history"
+                );
             }
             StoreEvent::Balancers(registered) => self.on_registered(&registered),
         }
