--- a/review/standins-2/src/cases.rs
+++ b/review/standins-2/src/cases.rs
@@ -220,10 +220,10 @@
         found.ok_or_else(|| format!("no flow was opened at {name}"))
     }
 
-    /// Sends SIGTERM to the agent of a machine, waits for its end, and starts it again.
-    fn roll_agent(&self, number: u8, pause: Duration) -> Result<(), String> {
+    /// Sends a signal that ends the agent of a machine, waits for its end, and starts it again.
+    fn restart_agent(&self, number: u8, signal: &str, pause: Duration) -> Result<(), String> {
         let name = format!("side-{number}");
-        self.fleet.signal(&name, "TERM");
+        self.fleet.signal(&name, signal);
         if !self.fleet.await_end(&name, Duration::from_secs(6)) {
             return Err(format!("{name} did not end within GraceS"));
         }
@@ -269,14 +269,14 @@
     record.line(&format!(
         "the agent is rolled {age:.1} s after its endpoint has started"
     ));
-    deployment.roll_agent(ADDED, Duration::from_millis(300))?;
+    deployment.restart_agent(ADDED, "TERM", Duration::from_millis(300))?;
     // The flow is idle for less than IdleTimeoutMs, and for longer than ContactMs after the jump.
     deployment.requester.idle(Duration::from_secs(6));
     deployment.request_and_judge(port)
 }
 
 /// An endpoint crashes and starts again; a ping of its former lifetime that was delayed arrives after
-/// the agent beside it was rolled.
+/// the agent beside it was killed and has started again.
 fn late_ping(root: &Path, record: &Arc<Record>, has_trouble: bool) -> Played {
     let text = |error: std::io::Error| error.to_string();
     let mut deployment = Deployment::start(root, record, "safe", 0)?;
@@ -295,7 +295,7 @@
     deployment.requester.idle(Duration::from_millis(500));
     let port = deployment.open_at(&format!("server-{ADDED}"), Duration::from_secs(5))?;
     deployment.requester.idle(Duration::from_secs(4));
-    deployment.roll_agent(ADDED, Duration::from_millis(1_500))?;
+    deployment.restart_agent(ADDED, "KILL", Duration::from_millis(1_500))?;
     if has_trouble {
         let body = crate::endpoint::ping_body(&former.config, "ready", 3, former_born_ms);
         let path = format!("/instances/{}", former.config.id);
