fix(flows): a flow is known by numbers that move on with it

Cause: the agent took a packet for one of another flow with the same key if its acknowledgement was 2^24 or more past the target's first sequence number. That reference never moved, so from 16 MiB on every packet was returned as 412, all agents had refused, and the balancer reset the flow. The constant was used in four places: packets of open and of lost flows, bounced packets, and repeated SYN-ACKs.

Fix: each flow has a window of the numbers that its caller can acknowledge, from what it had acknowledged a packet lifetime ago to what the target has sent. Whoever sends a packet of the flow has received what the target sent, so the packet lies in it, however long the flow is and wherever its numbers wrap. An agent that starts in the middle of a flow accepts any number behind what the target has sent for one packet lifetime.

Evidence: 18 of the 19 cases of tests/long_flows.rs failed before (all but the upload, which does not move the target's numbers). A lost flow waits for its reset as long as before.

late_copy_of_a_syn_leaves_a_learned_flow_as_it_is let the caller acknowledge 200,000 bytes that the target had not sent, which no caller does; the target sends them now, and the check is the same.

--- a/crates/basilstep-core/src/flows/agent/mod.rs
+++ b/crates/basilstep-core/src/flows/agent/mod.rs
@@ -7,6 +7,7 @@
 mod flow_advertiser;
 mod former_incarnation;
 mod priority_limit;
+mod sequence_window;
 mod service_slots;
 mod service_time;
 mod source;
--- a/crates/basilstep-core/src/flows/agent/state.rs
+++ b/crates/basilstep-core/src/flows/agent/state.rs
@@ -172,12 +172,12 @@
         let Some(flow) = self.table.get(&key).copied() else {
             return self.on_unknown_flow(key, segment, header, ctx);
         };
-        if flow.stage == FlowStage::Lost && flow.includes(segment) {
+        if flow.stage == FlowStage::Lost && flow.surely_includes(segment) {
             return CallerVerdict::Return {
                 code: ResultCode::FlowLost,
             };
         }
-        if flow.stage == FlowStage::Lost || !flow.is_continued_by(segment) {
+        if flow.stage == FlowStage::Lost || !flow.may_include(segment) {
             return CallerVerdict::Return {
                 code: ResultCode::FlowNotHeld,
             };
@@ -404,14 +404,8 @@
                 code: ResultCode::FlowNotHeld,
             };
         }
-        let mut flow = Flow::new(
-            FlowStage::Probed,
-            header.origin,
-            header.origin_domain,
-            ctx.now_ms,
-        );
+        let mut flow = Flow::probed(segment, header.origin, header.origin_domain, ctx.now_ms);
         flow.is_search = header.is_search;
-        flow.caller_acknowledged = segment.acknowledged;
         self.table.insert(key, flow);
         deliver(header)
     }
@@ -420,7 +414,10 @@
         let key = segment.flow_of_caller();
         let origin = Ipv4Addr::from_bits(segment.cookie);
         // A late packet of an earlier flow with the same key says nothing about this one.
-        let flow = self.table.get(&key).filter(|flow| flow.includes(segment));
+        let flow = self
+            .table
+            .get(&key)
+            .filter(|flow| flow.surely_includes(segment));
         let stage = flow.map(|flow| flow.stage);
         if segment.is_syn() {
             if stage == Some(FlowStage::Offered) {
@@ -459,7 +456,7 @@
             .into_iter()
             .map(|(key, flow)| LostFlow {
                 flow: key,
-                sequence: flow.caller_acknowledged,
+                sequence: flow.caller_acknowledged(),
             })
             .collect()
     }
--- a/crates/basilstep-core/src/flows/agent/table.rs
+++ b/crates/basilstep-core/src/flows/agent/table.rs
@@ -1,3 +1,4 @@
+use super::sequence_window::SequenceWindow;
 use crate::{
     address::DomainId,
     flows::{
@@ -9,16 +10,6 @@
 };
 use std::{collections::BTreeMap, net::Ipv4Addr};
 
-/// The maximum distance from the target's first sequence number to a caller's acknowledgement.
-///
-/// Flows transfer less data; the acknowledgement of a flow at another target fits by chance once in
-/// 256 times.
-const ACKNOWLEDGED_SPAN_BYTES: u32 = 1 << 24;
-
-/// The maximum distance from the target's first sequence number to the acknowledgement that
-/// completes the handshake, which follows the target's first packets.
-const HANDSHAKE_SPAN_BYTES: u32 = 1 << 16;
-
 /// The maximum number of idle flows that are remembered after they were discarded: several times the
 /// flows that callers keep open to one target, in about 1 MB.
 const MAX_IDLE_FLOWS: usize = 8_192;
@@ -68,14 +59,18 @@
     pub used_ms: u64,
     /// What the caller is waiting for.
     pub wait: CallerWait,
-    /// The last acknowledgement number of the caller.
-    pub caller_acknowledged: u32,
     /// When the caller last sent new data, or opened the flow.
     pub requested_ms: u64,
     /// When the first SYN of the flow arrived, or a later one of another flow with the same key that
     /// went to the target.
     pub syn_arrived_ms: u64,
+    /// The target's first sequence number, if its answer to the SYN was seen.
     target_first_sequence: Option<u32>,
+    /// What the caller can acknowledge; `None` until a packet shows it.
+    window: Option<SequenceWindow>,
+    /// The window of another flow with the same key that the target may have accepted: the caller's
+    /// next packet tells.
+    successor: Option<SequenceWindow>,
     caller_end_sequence: Option<u32>,
     is_caller_finished: bool,
     is_target_finished: bool,
@@ -97,40 +92,69 @@
             opened_ms: now_ms,
             used_ms: now_ms,
             wait: CallerWait::Nothing,
-            caller_acknowledged: 0,
             requested_ms: now_ms,
             syn_arrived_ms: now_ms,
             target_first_sequence: None,
+            window: None,
+            successor: None,
             caller_end_sequence: None,
             is_caller_finished: false,
             is_target_finished: false,
         }
     }
 
+    /// Creates a flow that is not known to the agent, but perhaps to its target, from a packet of its
+    /// caller.
+    pub fn probed(
+        segment: &Segment,
+        origin: Ipv4Addr,
+        origin_domain: DomainId,
+        now_ms: u64,
+    ) -> Self {
+        let mut flow = Self::new(FlowStage::Probed, origin, origin_domain, now_ms);
+        if segment.flags.ack {
+            flow.window = Some(SequenceWindow::from_middle(segment.acknowledged, now_ms));
+        }
+        flow
+    }
+
+    /// Returns the highest acknowledgement number of the caller.
+    pub fn caller_acknowledged(&self) -> u32 {
+        self.window.map_or(0, |window| window.acknowledged())
+    }
+
     /// Returns whether a packet of the caller can continue what this target has sent.
-    pub fn is_continued_by(&self, segment: &Segment) -> bool {
-        let Some(first) = self.target_first_sequence else {
+    ///
+    /// Packets that may be late ones of this flow are included: if they are, the target ignores them,
+    /// while a refusal could end the flow.
+    pub fn may_include(&self, segment: &Segment) -> bool {
+        let Some(window) = &self.window else {
             // The target has not answered the SYN, so no later packet can belong to it.
             return self.stage != FlowStage::Offered;
         };
-        let span = if self.stage == FlowStage::Answered {
-            HANDSHAKE_SPAN_BYTES
-        } else {
-            ACKNOWLEDGED_SPAN_BYTES
-        };
-        !segment.flags.ack || segment.acknowledged.wrapping_sub(first) < span
+        !segment.flags.ack
+            || window.may_contain(segment.acknowledged)
+            || self.is_succeeded_by(segment)
     }
 
-    /// Returns whether a packet of the caller belongs to this flow, and not to another one with the
-    /// same key at another target.
-    pub fn includes(&self, segment: &Segment) -> bool {
-        if self.target_first_sequence.is_some() {
-            return self.is_continued_by(segment);
-        }
-        let distance = segment.acknowledged.wrapping_sub(self.caller_acknowledged);
+    /// Returns whether a packet of the caller certainly belongs to this flow, and not to another one
+    /// with the same key at another target.
+    pub fn surely_includes(&self, segment: &Segment) -> bool {
         !segment.flags.ack
-            || distance < ACKNOWLEDGED_SPAN_BYTES
-            || distance.wrapping_neg() < ACKNOWLEDGED_SPAN_BYTES
+            || self
+                .window
+                .map_or(self.stage != FlowStage::Offered, |window| {
+                    window.surely_contains(segment.acknowledged)
+                })
+    }
+
+    /// Returns whether a packet of the caller belongs to another flow with the same key that the
+    /// target has accepted.
+    fn is_succeeded_by(&self, segment: &Segment) -> bool {
+        let is_in = |window: Option<SequenceWindow>| {
+            window.is_some_and(|window| window.surely_contains(segment.acknowledged))
+        };
+        segment.flags.ack && is_in(self.successor) && !is_in(self.window)
     }
 
     /// Returns whether the target has accepted the flow and neither end has closed it.
@@ -147,20 +171,16 @@
     }
 
     /// Returns whether a packet of the target accepts another flow with the same key.
+    ///
+    /// The target repeats its answer to a late copy of the SYN with the sequence number at which it
+    /// has begun this flow.
     pub fn is_replaced_by(&self, segment: &Segment) -> bool {
         self.syn_arrived_ms > self.opened_ms
             && segment.flags.syn
             && segment.flags.ack
-            && !self.has_started_at(segment.sequence)
-    }
-
-    /// Returns whether the target has begun this flow with a sequence number; if its answer to the SYN
-    /// was not seen, the caller has acknowledged a number shortly after it.
-    fn has_started_at(&self, sequence: u32) -> bool {
-        self.target_first_sequence.map_or_else(
-            || self.caller_acknowledged.wrapping_sub(sequence) < ACKNOWLEDGED_SPAN_BYTES,
-            |first| first == sequence,
-        )
+            && self
+                .target_first_sequence
+                .is_some_and(|first| first != segment.sequence)
     }
 
     /// Returns whether a packet of the target starts the answer to the caller's last request.
@@ -170,9 +190,15 @@
 
     /// Updates the flow for a packet of the caller that goes to the target.
     pub fn record_caller_packet(&mut self, segment: &Segment, now_ms: u64) {
+        if let Some(window) = self.successor.filter(|_| self.is_succeeded_by(segment)) {
+            self.replace();
+            self.stage = FlowStage::Answered;
+            self.target_first_sequence = Some(window.acknowledged());
+            self.window = Some(window);
+        }
         self.used_ms = now_ms;
         if segment.flags.ack {
-            self.caller_acknowledged = segment.acknowledged;
+            self.record_acknowledged(segment.acknowledged, now_ms);
             if self.stage == FlowStage::Answered {
                 self.stage = FlowStage::Open;
             }
@@ -203,17 +229,10 @@
     /// Updates the flow for a packet of the target.
     pub fn record_target_packet(&mut self, segment: &Segment, now_ms: u64) {
         if self.is_replaced_by(segment) {
-            let (origin, domain, opened_ms) =
-                (self.origin, self.origin_domain, self.syn_arrived_ms);
-            *self = Self {
-                is_search: self.is_search,
-                ..Self::new(FlowStage::Offered, origin, domain, opened_ms)
-            };
+            self.replace();
         }
         self.used_ms = now_ms;
-        if segment.flags.syn && segment.flags.ack {
-            self.target_first_sequence = Some(segment.sequence);
-        }
+        self.record_sent(segment, now_ms);
         match self.stage {
             FlowStage::Offered if segment.flags.syn => self.stage = FlowStage::Answered,
             FlowStage::Probed => self.stage = FlowStage::Open,
@@ -229,6 +248,52 @@
         self.close_if_finished();
     }
 
+    /// Starts afresh for another flow with the same key, whose SYN came last.
+    fn replace(&mut self) {
+        *self = Self {
+            is_search: self.is_search,
+            ..Self::new(
+                FlowStage::Offered,
+                self.origin,
+                self.origin_domain,
+                self.syn_arrived_ms,
+            )
+        };
+    }
+
+    fn record_acknowledged(&mut self, acknowledged: u32, now_ms: u64) {
+        if let Some(window) = &mut self.window {
+            if window.surely_contains(acknowledged) {
+                self.successor = None;
+            }
+            window.record_acknowledged(acknowledged, now_ms);
+        } else {
+            self.window = Some(SequenceWindow::from_middle(acknowledged, now_ms));
+        }
+    }
+
+    fn record_sent(&mut self, segment: &Segment, now_ms: u64) {
+        let sequence = segment.sequence;
+        if segment.flags.syn && segment.flags.ack {
+            let window = SequenceWindow::from_start(sequence, now_ms);
+            let is_opening = matches!(self.stage, FlowStage::Offered | FlowStage::Answered);
+            if self.window.is_none() || is_opening {
+                self.target_first_sequence = Some(sequence);
+                self.window = Some(window);
+            } else if self.target_first_sequence != Some(sequence) {
+                self.successor = Some(window);
+            }
+        } else if !segment.flags.rst {
+            let window = match &mut self.successor {
+                Some(successor) if successor.surely_contains(sequence) => Some(successor),
+                _ => self.window.as_mut(),
+            };
+            if let Some(window) = window {
+                window.record_sent(sequence, segment.end_sequence());
+            }
+        }
+    }
+
     const fn is_finished(&self) -> bool {
         self.is_caller_finished && self.is_target_finished
     }
--- a/crates/basilstep-core/src/flows/tests/mod.rs
+++ b/crates/basilstep-core/src/flows/tests/mod.rs
@@ -16,6 +16,7 @@
 mod hedging;
 mod hedging_tail;
 mod load_model;
+mod long_flows;
 mod offers;
 mod overload;
 mod priority_load;
--- a/crates/basilstep-core/src/flows/tests/reused_keys.rs
+++ b/crates/basilstep-core/src/flows/tests/reused_keys.rs
@@ -170,6 +170,13 @@
     let mut agent = agent_that_learned_the_flow();
     agent.on_packet(&origin(), &syn(flow(1), 0), &context(REUSED_MS));
     agent.on_target_packet(&accepted(flow(1)), &context(REUSED_MS));
+    for sequence in (501..200_000).step_by(1_200) {
+        let answer = Segment {
+            sequence,
+            ..from_target(data(flow(1), 1_200))
+        };
+        agent.on_target_packet(&answer, &context(REUSED_MS));
+    }
     let after_long_answer = Segment {
         acknowledged: 200_000,
         ..data(flow(1), 10)
