fix(flows): an open flow that is in use is no refusal of a packet with its key

Same cause as the reset after 16 MiB, on the balancer's side: a packet that did not fit the open flow of an agent was returned as 412, and that counted as the refusal of the one agent that had just carried the flow's packets. When the others had refused too, the flow was reset.

Now the agent returns it as 417 while the caller has used its flow within the longest pause between two retransmissions (1.6 s); the balancer asks the others and counts no refusal, also not the absence of an advertisement. A flow with the same key at another target is found as before; if it was lost there, its caller waits up to 1.6 s longer for the reset.

--- a/crates/basilstep-core/src/codes.rs
+++ b/crates/basilstep-core/src/codes.rs
@@ -122,7 +122,7 @@
     TargetSilent = 415,
     /// The flow was reset: nothing has been received from its target for too long.
     FlowUnreachable = 416,
-    /// The packet was dropped: the holder of its flow is being searched for.
+    /// The packet was not delivered here: the holder of its flow is being searched for.
     FlowSearched = 417,
     /// The datagram was dropped: it has a version that this process does not speak.
     UnsupportedVersion = 418,
--- a/crates/basilstep-core/src/flows/agent/state.rs
+++ b/crates/basilstep-core/src/flows/agent/state.rs
@@ -177,6 +177,12 @@
                 code: ResultCode::FlowLost,
             };
         }
+        if flow.is_in_use(ctx.now_ms) && !flow.may_include(segment) {
+            // Perhaps a stray packet, so it must not count as the refusal of a flow that is in use.
+            return CallerVerdict::Return {
+                code: ResultCode::FlowSearched,
+            };
+        }
         if flow.stage == FlowStage::Lost || !flow.may_include(segment) {
             return CallerVerdict::Return {
                 code: ResultCode::FlowNotHeld,
--- a/crates/basilstep-core/src/flows/agent/table.rs
+++ b/crates/basilstep-core/src/flows/agent/table.rs
@@ -14,6 +14,9 @@
 /// flows that callers keep open to one target, in about 1 MB.
 const MAX_IDLE_FLOWS: usize = 8_192;
 
+/// The longest time between two retransmissions of a caller that waits for something.
+const MAX_CALLER_PAUSE_MS: u64 = 1_600;
+
 /// The stage of a flow in its life cycle.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum FlowStage {
@@ -61,6 +64,8 @@
     pub wait: CallerWait,
     /// When the caller last sent new data, or opened the flow.
     pub requested_ms: u64,
+    /// When the last packet arrived that certainly was one of this flow's caller.
+    caller_seen_ms: u64,
     /// When the first SYN of the flow arrived, or a later one of another flow with the same key that
     /// went to the target.
     pub syn_arrived_ms: u64,
@@ -93,6 +98,7 @@
             used_ms: now_ms,
             wait: CallerWait::Nothing,
             requested_ms: now_ms,
+            caller_seen_ms: now_ms,
             syn_arrived_ms: now_ms,
             target_first_sequence: None,
             window: None,
@@ -148,6 +154,12 @@
                 })
     }
 
+    /// Returns whether the caller has used this open flow so recently that it is probably still using
+    /// it, and not another one with the same key.
+    pub fn is_in_use(&self, now_ms: u64) -> bool {
+        self.stage == FlowStage::Open && now_ms < self.caller_seen_ms + MAX_CALLER_PAUSE_MS
+    }
+
     /// Returns whether a packet of the caller belongs to another flow with the same key that the
     /// target has accepted.
     fn is_succeeded_by(&self, segment: &Segment) -> bool {
@@ -197,6 +209,9 @@
             self.window = Some(window);
         }
         self.used_ms = now_ms;
+        if self.surely_includes(segment) {
+            self.caller_seen_ms = now_ms;
+        }
         if segment.flags.ack {
             self.record_acknowledged(segment.acknowledged, now_ms);
             if self.stage == FlowStage::Answered {
--- a/crates/basilstep-core/src/flows/balancer/state.rs
+++ b/crates/basilstep-core/src/flows/balancer/state.rs
@@ -201,10 +201,15 @@
         }
         let search_ms = self.settings.searches.keep_ms;
         let search = self.searches.entry(flow, ctx.now_ms, search_ms);
-        if search.refused_by.insert(agent) && returned.code == ResultCode::Overloaded {
+        // An agent with another flow of that key in use does not refuse this one.
+        let is_undecided = returned.code == ResultCode::FlowSearched;
+        if !is_undecided
+            && search.refused_by.insert(agent)
+            && returned.code == ResultCode::Overloaded
+        {
             search.load_refusals += 1;
         }
-        search.is_hint_wrong |= is_from_holder;
+        search.is_hint_wrong |= is_from_holder || is_undecided;
         search.has_waited |= hint.is_some_and(|hint| hint.may_wait);
         if !segment.is_syn() {
             search.caller_acknowledged = segment.acknowledged;
