feat(packet): the start line names the build

The logs could not tell: the start line had no version. It now has `build`, the version and a digest of the sources, which `--version` prints too.

--- a/crates/basilstep-packet/src/process.rs
+++ b/crates/basilstep-packet/src/process.rs
@@ -14,6 +14,9 @@
     signal::unix::{Signal, SignalKind, signal},
 };
 
+/// Which build this is: the version, and a digest of the sources.
+const BUILD: &str = concat!(env!("CARGO_PKG_VERSION"), "+", env!("BASILSTEP_SOURCES"));
+
 /// The command-line flags of balancer and agent; everything else is in the settings file.
 #[derive(Clone, Debug, FromArgs)]
 pub struct Flags {
@@ -119,7 +122,7 @@
     Served: Future<Output = Result<(), ProcessError>>,
 {
     if flags.version {
-        println!("basilstep-packet-{role} {}", env!("CARGO_PKG_VERSION"));
+        println!("basilstep-packet-{role} {BUILD}");
         return ExitCode::SUCCESS;
     }
     logs::start_on_stdout(flags.log_level);
@@ -180,7 +183,7 @@
             source: io::Error::other(error),
         })?;
     log::info!(
-        role, node = machine.node.as_str(), lifetime = incarnation.0, domain = machine.domain.0;
+        role, build = BUILD, node = machine.node.as_str(), lifetime = incarnation.0, domain = machine.domain.0;
         "started"
     );
     if !flags.set.is_empty() {
--- a/crates/basilstep-packet/tests/overrides.rs
+++ b/crates/basilstep-packet/tests/overrides.rs
@@ -51,3 +51,21 @@
         assert!(log.contains("501"), "{log}");
     }
 }
+
+/// Guards against a test of programs that were built from other sources than the ones at hand: the
+/// version names the sources, and both programs are built from the same ones.
+#[test]
+fn version_names_the_sources() {
+    let versions = PROGRAMS.map(|program| {
+        let output = Command::new(program).arg("--version").output().unwrap();
+        let line = String::from_utf8(output.stdout).unwrap();
+        line.split_whitespace()
+            .last()
+            .unwrap_or_default()
+            .to_owned()
+    });
+    let (_, sources) = versions[0].split_once('+').unwrap();
+    assert_eq!(sources.len(), 16);
+    assert!(sources.chars().all(|digit| digit.is_ascii_hexdigit()));
+    assert_eq!(versions[0], versions[1]);
+}
