fix(platform): one odd entry of a list leaves the others as they are

Here: a page of store items, a watch's changes, and a configuration were parsed as one value, so a number out of range, more than 128 levels or bytes that are no text in one entry failed the whole list, and each retry too. A heartbeat with an absurd warm-up or start was accepted.

Lists are now split into raw entries, which are decoded one by one; the odd one is left out with a log line, and a listing goes on after it.

--- a/crates/basilstep-node/src/store/consul.rs
+++ b/crates/basilstep-node/src/store/consul.rs
@@ -10,6 +10,7 @@
 use rand::RngExt;
 use reqwest::{Client, Method, RequestBuilder, Response, StatusCode, Url, redirect::Policy};
 use serde::{Deserialize, de::DeserializeOwned};
+use serde_json::value::RawValue;
 use std::time::Duration;
 
 const INDEX_HEADER: &str = "X-Consul-Index";
@@ -36,6 +37,12 @@
     session: Option<String>,
 }
 
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct KeyOfPair {
+    key: String,
+}
+
 #[derive(Debug, Deserialize)]
 #[serde(rename_all = "PascalCase")]
 struct CreatedSession {
@@ -186,7 +193,7 @@
             .into_iter()
             .filter(|pair| !pair.key.ends_with('/'))
             .map(|pair| pair.into_entry(prefix))
-            .collect::<Result<Vec<SettingsEntry>, StoreError>>()?;
+            .collect();
         Ok(TreeSnapshot {
             index: response.index,
             entries,
@@ -198,7 +205,7 @@
         let response = self.send_read(request).await?;
         Ok(Listing {
             index: response.index,
-            children: response.list()?,
+            children: response.list(&String::from_utf8_lossy(&response.body))?,
         })
     }
 
@@ -250,7 +257,8 @@
     async fn read(&self, key: &str) -> Result<Option<StoredRecord>, StoreError> {
         let request = self.request(Method::GET, &kv_url_path(key), &[]);
         let response = self.send_read(request).await?;
-        let pair = response.pairs()?.into_iter().next();
+        let text = String::from_utf8_lossy(&response.body);
+        let pair = response.list::<KvPair>(&text)?.into_iter().next();
         pair.map(KvPair::into_record).transpose()
     }
 
@@ -341,18 +349,23 @@
         })
     }
 
+    /// Decodes pairs one by one: an odd one is left out, the others hold.
     fn pairs(&self) -> Result<Vec<KvPair>, StoreError> {
-        self.list()
+        let text = String::from_utf8_lossy(&self.body);
+        let pairs: Vec<&RawValue> = self.list(&text)?;
+        Ok(pairs.into_iter().filter_map(KvPair::decode).collect())
     }
 
-    fn list<T: DeserializeOwned>(&self) -> Result<Vec<T>, StoreError> {
+    fn list<'a, T: Deserialize<'a>>(&self, text: &'a str) -> Result<Vec<T>, StoreError> {
         if self.index == 0 {
             let reason = format!("no {INDEX_HEADER} header");
             return Err(StoreError::InvalidResponse { reason });
         }
         match self.status {
             StatusCode::NOT_FOUND => Ok(Vec::new()),
-            _ => self.json(),
+            _ => serde_json::from_str(text).map_err(|error| StoreError::InvalidResponse {
+                reason: error.to_string(),
+            }),
         }
     }
 }
@@ -368,14 +381,37 @@
         Ok(String::from_utf8_lossy(&bytes).into_owned())
     }
 
-    fn into_entry(self, prefix: &str) -> Result<SettingsEntry, StoreError> {
-        let value = self.text()?;
+    /// Decodes a pair of a list; `None` if it has no key.
+    ///
+    /// If its other fields cannot be read, the value is empty, which is rejected later for its own path
+    /// only; a record that is not in the list would count as deleted.
+    fn decode(pair: &RawValue) -> Option<Self> {
+        let malformed = match serde_json::from_str(pair.get()) {
+            Ok(pair) => return Some(pair),
+            Err(error) => error,
+        };
+        let key = serde_json::from_str::<KeyOfPair>(pair.get());
+        let key = key.map(|pair| pair.key).ok();
+        log::warn!(key = key.as_deref(), reason:% = malformed; "cannot read an entry of the store");
+        Some(Self {
+            key: key?,
+            value: None,
+            modify_index: 0,
+            session: None,
+        })
+    }
+
+    fn into_entry(self, prefix: &str) -> SettingsEntry {
+        let value = self.text().unwrap_or_else(|error| {
+            log::warn!(reason:% = error; "cannot read the value of an entry of the store");
+            String::new()
+        });
         let path = self.key.strip_prefix(prefix).unwrap_or(&self.key);
-        Ok(SettingsEntry {
+        SettingsEntry {
             path: path.to_owned(),
             version: self.modify_index,
             value: Some(value),
-        })
+        }
     }
 
     fn into_record(self) -> Result<StoredRecord, StoreError> {
--- a/crates/basilstep-node/src/store/tests.rs
+++ b/crates/basilstep-node/src/store/tests.rs
@@ -1,7 +1,15 @@
-use super::{Backoff, ConsulStore, Lease, LeaseSettings, SessionId, StoreError, StoreSettings};
+use super::{
+    Backoff, ConsulStore, Lease, LeaseSettings, SessionId, Store, StoreError, StoreSettings,
+};
+use crate::http::{RequestHandler, ServerRequest, ServerResponse, spawn_http_server};
+use bytes::Bytes;
+use http::StatusCode;
 use rand::{SeedableRng, rngs::StdRng};
 use rstest::rstest;
-use std::time::{Duration, Instant};
+use std::{
+    net::{Ipv4Addr, SocketAddrV4, TcpListener},
+    time::{Duration, Instant},
+};
 
 #[rstest]
 #[case::first(0, 125, 250)]
@@ -72,3 +80,60 @@
     let settings = StoreSettings::default();
     assert!(settings.watch_timeout_ms(settings.watch_wait_ms) < APPLY_LIMIT_MS);
 }
+
+/// A store that answers each call with the same list.
+#[derive(Clone)]
+struct ListServer {
+    body: Bytes,
+}
+
+impl RequestHandler for ListServer {
+    async fn handle(&self, _request: ServerRequest) -> ServerResponse {
+        let mut response = ServerResponse::json(StatusCode::OK, self.body.clone());
+        response.headers.insert("x-consul-index", 7.into());
+        response
+    }
+}
+
+fn pair(key: &str, value: &str, index: &str) -> String {
+    format!(r#"{{"Key":"{key}","Value":{value},"ModifyIndex":{index},"Session":null}}"#)
+}
+
+fn nested(depth: usize) -> String {
+    ["[".repeat(depth), "]".repeat(depth)].concat()
+}
+
+/// Guards against processes that stop following the settings because of one odd entry among them: the
+/// others hold, and the record of the odd one does not count as deleted.
+#[rstest]
+#[case::nested_value(pair("basilstep/odd", &nested(100_000), "3"))]
+#[case::number_as_value(pair("basilstep/odd", "1e999", "3"))]
+#[case::index_out_of_range(pair("basilstep/odd", r#""YQ==""#, "99999999999999999999999999"))]
+#[case::negative_index(pair("basilstep/odd", r#""YQ==""#, "-1"))]
+#[case::not_base64(pair("basilstep/odd", r#""?""#, "3"))]
+#[tokio::test]
+async fn odd_entry_of_a_list_leaves_the_others(#[case] odd: String) {
+    let free = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
+    let port = free.local_addr().unwrap().port();
+    drop(free);
+    let list = [
+        pair("basilstep/one", r#""YQ==""#, "1"),
+        odd,
+        pair("basilstep/two", r#""Yg==""#, "2"),
+    ];
+    let body = format!("[{}]", list.join(",")).into();
+    let address = SocketAddrV4::new(Ipv4Addr::LOCALHOST, port);
+    spawn_http_server(address, ListServer { body })
+        .await
+        .unwrap();
+    let store = ConsulStore::open(&format!("http://{address}"), None).unwrap();
+    let snapshot = store.read_tree("basilstep/").await.unwrap();
+    let values: Vec<(&str, &str)> = snapshot
+        .entries
+        .iter()
+        .map(|entry| (entry.path.as_str(), entry.value.as_deref().unwrap()))
+        .collect();
+    let odd_value = values[1].1;
+    assert_eq!(values, [("one", "a"), ("odd", odd_value), ("two", "b")]);
+    assert_eq!(odd_value, "");
+}
--- a/crates/basilstep-node/src/store/types.rs
+++ b/crates/basilstep-node/src/store/types.rs
@@ -22,7 +22,15 @@
     pub fn balancers(&self) -> Vec<BalancerRecord> {
         self.entries
             .iter()
-            .filter_map(|entry| serde_json::from_str(entry.value.as_deref()?).ok())
+            .filter_map(|entry| {
+                let value = entry.value.as_deref()?;
+                serde_json::from_str(value)
+                    .map_err(|error| {
+                        let path = entry.path.as_str();
+                        log::warn!(path, reason:% = error; "skipped a malformed record of a balancer");
+                    })
+                    .ok()
+            })
             .collect()
     }
 
--- a/crates/basilstep-packet/src/agent/http.rs
+++ b/crates/basilstep-packet/src/agent/http.rs
@@ -1,7 +1,7 @@
 use super::serve::Agent;
 use crate::request_forwarder::PendingRequest;
 use basilstep_core::flows::{Recipients, TargetPhase, agent::HeartbeatOutcome};
-use basilstep_node::http::ServerResponse;
+use basilstep_node::{clock::unix_time_ms, http::ServerResponse};
 use basilstep_platform::{
     calls::{self, Call},
     heartbeat,
@@ -10,6 +10,9 @@
 use http::StatusCode;
 use serde_json::json;
 
+/// How far ahead of the machine's clock a target's start may be, if the clock was set back since.
+const MAX_CLOCK_STEP_MS: u64 = 3_600_000;
+
 impl Agent {
     /// Answers an HTTP request.
     pub(super) fn answer_request(&mut self, pending: PendingRequest) {
@@ -45,6 +48,11 @@
             log::warn!(id, address:% = request.address; "rejected a heartbeat of another address");
             return ServerResponse::empty(StatusCode::CONFLICT);
         }
+        let born_ms = request.heartbeat.born_ms;
+        if born_ms > unix_time_ms() + MAX_CLOCK_STEP_MS {
+            log::warn!(id, born_ms; "rejected a heartbeat of a target that starts in the future");
+            return ServerResponse::empty(StatusCode::BAD_REQUEST);
+        }
         let (outcome, lost) = self
             .flows
             .on_target_heartbeat(&request.heartbeat, &self.ctx);
--- a/crates/basilstep-packet/tests/processes/heartbeats.rs
+++ b/crates/basilstep-packet/tests/processes/heartbeats.rs
@@ -53,6 +53,8 @@
         ("Version", json!(2)),
         ("State", json!("paused")),
         ("WarmupLeftMs", json!("0")),
+        ("WarmupLeftMs", json!(1e308)),
+        ("born", json!(u64::MAX)),
     ];
     for (field, value) in changes {
         let mut body = later_heartbeat(&fleet);
--- a/crates/basilstep-packet/tests/processes/main.rs
+++ b/crates/basilstep-packet/tests/processes/main.rs
@@ -7,6 +7,7 @@
 mod failures;
 mod fleet;
 mod heartbeats;
+mod odd_entries;
 mod rolling;
 mod soak;
 mod support;
--- a/crates/basilstep-packet/tests/processes/support/store.rs
+++ b/crates/basilstep-packet/tests/processes/support/store.rs
@@ -62,10 +62,14 @@
 
     /// Writes or deletes an item, as operators do.
     pub fn put(&self, key: &str, value: Option<&Value>) {
+        self.put_bytes(key, value.map(|value| value.to_string().into_bytes()));
+    }
+
+    /// Writes or deletes an item with any value, as other writers do.
+    pub fn put_bytes(&self, key: &str, value: Option<Vec<u8>>) {
         let mut state = self.state.lock().unwrap();
         state.revision += 1;
         let revision = state.revision;
-        let value = value.map(|value| value.to_string().into_bytes());
         state.set(key, revision, value);
     }
 
