fix(flows): a target's incarnation is known by evidence of its own

Cause: who is running was decided by two readings of wall clocks, by the last writer, or by an id that may return. In each case the agent then denied flows that only the target knew.

Fix: an incarnation is the id, the start and the count of heartbeats together. That one has ended follows only from a refused packet, or from an unknown incarnation after this one was heard for longer than a call can be late (15 s). Otherwise its flows are doubted and the target decides, which returns packets of flows that it does not hold at once. That an agent knows all flows follows from the target's count of heartbeats, compared with the agent's uptime, or from the first heartbeat, confirmed by the second. A deregistration counts after `DrainMs` of draining.

Lost flows: reset at once as before where the end is certain; else at the caller's next packet.

AgentIdentity has no clock any more.

--- a/crates/basilstep-bench/src/load/steering/simulation.rs
+++ b/crates/basilstep-bench/src/load/steering/simulation.rs
@@ -204,8 +204,8 @@
             service: service(),
             domain: domain_of(number),
             incarnation,
-            born_ms: self.now_ms,
             heartbeat_ms: HEARTBEAT_MS,
+            drain_ms: 3_000,
             flow_max_age_ms: FLOW_MAX_AGE_MS,
             allowance: COLD_ALLOWANCE,
         };
--- a/crates/basilstep-bench/src/load/steering/simulation/agents.rs
+++ b/crates/basilstep-bench/src/load/steering/simulation/agents.rs
@@ -5,7 +5,7 @@
 use basilstep_core::{
     context::Context,
     flows::{
-        Frame, ProcessIncarnation, Recipients, Returned, Segment,
+        Frame, InstanceTag, ProcessIncarnation, Recipients, Returned, Segment,
         agent::{CallerVerdict, HeartbeatState, TargetHeartbeat, TargetVerdict},
     },
 };
@@ -16,6 +16,7 @@
         if self.now_ms >= machine.born_ms + machine.heartbeats * HEARTBEAT_MS {
             machine.heartbeats += 1;
             let heartbeat = TargetHeartbeat {
+                instance: InstanceTag::default(),
                 born_ms: machine.born_ms,
                 sequence: machine.heartbeats,
                 state: HeartbeatState::Ready,
--- /dev/null
+++ b/crates/basilstep-core/src/flows/agent/incarnation.rs
@@ -0,0 +1,128 @@
+//! What the heartbeats of one incarnation of the target show of it.
+
+use super::target::{HEARTBEAT_ACK_TIMEOUT_MS, HeartbeatState, HeartbeatTiming, TargetHeartbeat};
+use serde::Serialize;
+
+/// How late a call of a target may arrive: the network may hold it back for as long as a partition
+/// lasts.
+const MAX_CALL_DELAY_MS: u64 = 15_000;
+
+/// The highest number that the first heartbeat of an incarnation has.
+const FIRST_SEQUENCE: u64 = 1;
+
+/// What shows that no other process of the agent has forwarded flows to an incarnation of the target.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Witness {
+    /// Nothing.
+    #[default]
+    None,
+    /// Its first heartbeat came to this process of the agent; an earlier one may have forwarded flows
+    /// before that, if it was running shortly before.
+    FirstHeartbeat,
+    /// It started after this process of the agent.
+    StartedLater,
+}
+
+/// An incarnation of the target that has sent heartbeats.
+#[derive(Clone, Copy, Debug, Serialize)]
+pub struct HeardIncarnation {
+    /// Its last heartbeat.
+    pub last: TargetHeartbeat,
+    /// When that arrived.
+    #[serde(rename = "heard_ms")]
+    pub last_ms: u64,
+    first_ms: u64,
+    first_sequence: u64,
+    /// Two heartbeats arrived as far apart as those of a running target. Late ones may arrive together.
+    pub is_confirmed: bool,
+    /// What shows that this process of the agent knows all its flows.
+    pub witness: Witness,
+    /// When it first said that it is about to stop.
+    pub draining_since_ms: Option<u64>,
+    /// It has deregistered.
+    pub has_left: bool,
+}
+
+impl HeardIncarnation {
+    /// Creates an incarnation whose first heartbeat arrives.
+    pub fn new(heartbeat: &TargetHeartbeat, witness: Witness, now_ms: u64) -> Self {
+        let is_draining = heartbeat.state == HeartbeatState::Draining;
+        Self {
+            last: *heartbeat,
+            last_ms: now_ms,
+            first_ms: now_ms,
+            first_sequence: heartbeat.sequence,
+            is_confirmed: false,
+            witness,
+            draining_since_ms: is_draining.then_some(now_ms),
+            has_left: false,
+        }
+    }
+
+    /// Returns the incarnation after its next heartbeat.
+    pub fn continued(&self, heartbeat: &TargetHeartbeat, timing: &HeartbeatTiming) -> Self {
+        let is_draining = heartbeat.state == HeartbeatState::Draining;
+        let is_confirmed = self.is_confirmed || self.is_at_pace(timing);
+        Self {
+            last: *heartbeat,
+            last_ms: timing.now_ms,
+            is_confirmed,
+            witness: if is_confirmed {
+                self.confirmed_witness(heartbeat, timing)
+            } else {
+                self.witness
+            },
+            draining_since_ms: self
+                .draining_since_ms
+                .filter(|_| is_draining)
+                .or_else(|| is_draining.then_some(timing.now_ms)),
+            has_left: false,
+            ..*self
+        }
+    }
+
+    /// Returns what the number of its heartbeats says of the age of an incarnation that is running.
+    fn confirmed_witness(&self, heartbeat: &TargetHeartbeat, timing: &HeartbeatTiming) -> Witness {
+        let max_age_ms = timing
+            .max_interval_ms()
+            .saturating_mul(heartbeat.sequence)
+            .saturating_add(HEARTBEAT_ACK_TIMEOUT_MS);
+        if self.witness == Witness::StartedLater || timing.uptime_ms >= max_age_ms {
+            Witness::StartedLater
+        } else if self.first_sequence <= FIRST_SEQUENCE {
+            Witness::FirstHeartbeat
+        } else {
+            Witness::None
+        }
+    }
+
+    /// Returns whether a heartbeat that arrives now is as far from the last one as those of a running
+    /// target.
+    const fn is_at_pace(&self, timing: &HeartbeatTiming) -> bool {
+        timing.now_ms >= self.last_ms + timing.interval_ms / 2
+    }
+
+    /// Returns whether this incarnation, which sends a heartbeat now, is running, and `current`, which
+    /// was heard in between, is not.
+    pub const fn goes_on_without(&self, current: &Self, timing: &HeartbeatTiming) -> bool {
+        self.last_ms >= current.last_ms && self.is_at_pace(timing)
+    }
+
+    /// Returns whether it was heard for so long that no call of an earlier incarnation can arrive any
+    /// more.
+    pub const fn is_older_than_late_calls(&self) -> bool {
+        self.last_ms >= self.first_ms + MAX_CALL_DELAY_MS
+    }
+
+    /// Returns whether no heartbeat has arrived for `limit_ms`.
+    pub const fn is_silent(&self, limit_ms: u64, now_ms: u64) -> bool {
+        now_ms >= self.last_ms + limit_ms
+    }
+
+    /// Returns the last time at which it was certainly running: a heartbeat is acknowledged within a
+    /// second or not at all, so the last one was sent at most that long before it arrived.
+    pub const fn alive_until_ms(&self) -> u64 {
+        self.last_ms.saturating_sub(HEARTBEAT_ACK_TIMEOUT_MS)
+    }
+}
--- a/crates/basilstep-core/src/flows/agent/mod.rs
+++ b/crates/basilstep-core/src/flows/agent/mod.rs
@@ -6,6 +6,7 @@
 mod discovery;
 mod flow_advertiser;
 mod former_incarnation;
+mod incarnation;
 mod priority_limit;
 mod sequence_window;
 mod service_slots;
--- a/crates/basilstep-core/src/flows/agent/state.rs
+++ b/crates/basilstep-core/src/flows/agent/state.rs
@@ -9,10 +9,11 @@
     advertisement_scope::AdvertisementScope,
     flow_advertiser::FlowAdvertiser,
     former_incarnation::FormerIncarnation,
+    incarnation::Witness,
     priority_limit::PriorityLimit,
     service_time::ServiceTime,
     table::{Flow, FlowStage, FlowTable, WaitLimits},
-    target::{HeartbeatOutcome, TargetHeartbeat, TargetState},
+    target::{HeartbeatOutcome, HeartbeatTiming, TargetHeartbeat, TargetState},
     target_health::TargetHealth,
 };
 use crate::{
@@ -41,10 +42,10 @@
     pub domain: DomainId,
     /// The incarnation of the agent.
     pub incarnation: ProcessIncarnation,
-    /// When the agent started, in milliseconds of the machine's wall clock.
-    pub born_ms: u64,
     /// The interval between two heartbeats of the target.
     pub heartbeat_ms: u64,
+    /// How long a target goes on after it has announced its stop, before it deregisters.
+    pub drain_ms: u64,
     /// The age from which on a flow may be discarded.
     pub flow_max_age_ms: u64,
     /// The tolerance on the request rate of a cold target.
@@ -244,30 +245,45 @@
         TargetVerdict::ToCaller { handshake_ms }
     }
 
-    /// Handles a heartbeat of the target; returns the flows that were lost if a new incarnation has
-    /// begun.
+    /// Handles a heartbeat of the target; returns the flows that are lost because their incarnation of
+    /// the target has ended.
     pub fn on_target_heartbeat(
         &mut self,
         heartbeat: &TargetHeartbeat,
         ctx: &Context,
     ) -> (HeartbeatOutcome, Vec<LostFlow>) {
-        let known_alive_until_ms = self.target.known_alive_until_ms();
-        let outcome = self
-            .target
-            .on_heartbeat(heartbeat, self.identity.heartbeat_ms, ctx.now_ms);
-        let is_first_incarnation =
-            heartbeat.born_ms + self.settings.table.witness_ms >= self.identity.born_ms;
-        if is_first_incarnation && outcome != HeartbeatOutcome::Outdated {
-            self.target.set_witnessed();
-        }
-        if outcome == HeartbeatOutcome::NewLifetime {
+        let timing = HeartbeatTiming {
+            interval_ms: self.identity.heartbeat_ms,
+            uptime_ms: ctx.now_ms.saturating_sub(self.started_ms),
+            now_ms: ctx.now_ms,
+        };
+        let outcome = self.target.on_heartbeat(heartbeat, &timing);
+        if matches!(
+            outcome,
+            HeartbeatOutcome::NewLifetime | HeartbeatOutcome::Replaced
+        ) {
             self.reset_health();
             self.withdraw_queue(ResultCode::TargetUnreachable, ctx.now_ms);
+        }
+        let lost = match outcome {
             // The new incarnation may hold flows that were opened since then; packets of the others
             // bounce.
-            return (outcome, self.mark_flows_lost(known_alive_until_ms, ctx));
-        }
-        (outcome, Vec::new())
+            HeartbeatOutcome::NewLifetime => {
+                self.mark_flows_lost(self.target.former_alive_until_ms(), ctx)
+            }
+            HeartbeatOutcome::Replaced => {
+                self.table.doubt_all();
+                Vec::new()
+            }
+            HeartbeatOutcome::Resumed => {
+                self.table.trust_all();
+                Vec::new()
+            }
+            HeartbeatOutcome::Unchanged
+            | HeartbeatOutcome::PhaseChanged
+            | HeartbeatOutcome::Outdated => Vec::new(),
+        };
+        (outcome, lost)
     }
 
     /// Records that the incarnation of the target has ended; returns the flows that were lost.
@@ -434,7 +450,7 @@
                 code: ResultCode::TargetShed,
             };
         }
-        if stage == Some(FlowStage::Open) {
+        if flow.is_some_and(Flow::is_open) {
             self.table.update(&key, |flow| {
                 flow.stage = FlowStage::Lost;
                 flow.used_ms = ctx.now_ms;
@@ -469,13 +485,12 @@
 
     /// Returns whether no earlier incarnation of the agent can have forwarded a flow to this
     /// incarnation of the target.
-    ///
-    /// They start together in any order, so a target that started slightly earlier may have had
-    /// another agent before.
     fn has_witnessed_target(&self) -> bool {
-        let has_started_later = self.target.has_started_since(self.identity.born_ms);
-        let is_first_agent = self.former_incarnation == FormerIncarnation::Gone;
-        self.target.is_witnessed() && (has_started_later || is_first_agent)
+        match self.target.witness() {
+            Witness::None => false,
+            Witness::FirstHeartbeat => self.former_incarnation == FormerIncarnation::Gone,
+            Witness::StartedLater => true,
+        }
     }
 
     /// Returns whether the table holds every flow of the target, except for those that may be
--- a/crates/basilstep-core/src/flows/agent/state/health.rs
+++ b/crates/basilstep-core/src/flows/agent/state/health.rs
@@ -116,7 +116,7 @@
 /// target.
 fn wait_for_target(flow: &Flow) -> Option<CallerWait> {
     let is_relevant = match flow.stage {
-        FlowStage::Open => true,
+        FlowStage::Open | FlowStage::Doubted => true,
         FlowStage::Lost => false,
         _ => flow.wait == CallerWait::Answer,
     };
--- a/crates/basilstep-core/src/flows/agent/state/reporting.rs
+++ b/crates/basilstep-core/src/flows/agent/state/reporting.rs
@@ -5,7 +5,7 @@
 use crate::{
     context::Context,
     flows::{
-        agent::table::{Flow, FlowStage},
+        agent::table::Flow,
         frame::{AgentReport, BalancerEntry, HeldFlows},
         key::FlowKey,
         send_schedule::{self, Pace, Recipients},
@@ -128,7 +128,7 @@
     fn flows_for(&self, balancer: Ipv4Addr, now_ms: u64) -> Vec<FlowKey> {
         self.table
             .iter()
-            .filter(|(_, flow)| matches!(flow.stage, FlowStage::Answered | FlowStage::Open))
+            .filter(|(_, flow)| flow.is_held())
             .filter(|(key, flow)| self.recipients_of(key, flow, now_ms).contains(&balancer))
             .map(|(key, _)| *key)
             .collect()
--- a/crates/basilstep-core/src/flows/agent/table.rs
+++ b/crates/basilstep-core/src/flows/agent/table.rs
@@ -28,6 +28,8 @@
     Answered,
     /// The caller has acknowledged the answer, or the target has answered a later packet.
     Open,
+    /// The flow was open, and perhaps its target's incarnation has ended since: its next packet tells.
+    Doubted,
     /// Both ends have closed the flow, or one end has reset it.
     Closed,
     /// The incarnation of the target that held the flow has ended.
@@ -157,21 +159,30 @@
     /// Returns whether the caller has used this open flow so recently that it is probably still using
     /// it, and not another one with the same key.
     pub fn is_in_use(&self, now_ms: u64) -> bool {
-        self.stage == FlowStage::Open && now_ms < self.caller_seen_ms + MAX_CALLER_PAUSE_MS
+        self.is_open() && now_ms < self.caller_seen_ms + MAX_CALLER_PAUSE_MS
     }
 
     /// Returns whether a packet of the caller belongs to another flow with the same key that the
     /// target has accepted.
     fn is_succeeded_by(&self, segment: &Segment) -> bool {
-        let is_in = |window: Option<SequenceWindow>| {
-            window.is_some_and(|window| window.surely_contains(segment.acknowledged))
+        let is_in = |window: &SequenceWindow| {
+            let acknowledged = segment.acknowledged;
+            window.may_contain(acknowledged) && window.surely_contains(acknowledged)
         };
-        segment.flags.ack && is_in(self.successor) && !is_in(self.window)
+        segment.flags.ack
+            && self.successor.as_ref().is_some_and(is_in)
+            && !self.window.as_ref().is_some_and(is_in)
+    }
+
+    /// Returns whether the caller has completed the handshake, neither end has closed the flow, and it
+    /// is not known to be lost.
+    pub const fn is_open(&self) -> bool {
+        matches!(self.stage, FlowStage::Open | FlowStage::Doubted)
     }
 
     /// Returns whether the target has accepted the flow and neither end has closed it.
     pub const fn is_held(&self) -> bool {
-        matches!(self.stage, FlowStage::Answered | FlowStage::Open)
+        matches!(self.stage, FlowStage::Answered) || self.is_open()
     }
 
     /// Returns whether a SYN that arrives now belongs to another flow with the same key.
@@ -251,6 +262,7 @@
         match self.stage {
             FlowStage::Offered if segment.flags.syn => self.stage = FlowStage::Answered,
             FlowStage::Probed => self.stage = FlowStage::Open,
+            FlowStage::Doubted if !segment.flags.syn => self.stage = FlowStage::Open,
             _ => {}
         }
         if segment.data_bytes > 0 {
@@ -446,11 +458,12 @@
         let mut lost: Vec<(FlowKey, Flow)> = self
             .flows
             .iter()
-            .filter(|(_, flow)| flow.is_live() && flow.opened_ms <= opened_until_ms)
+            .filter(|(_, flow)| flow.is_live() || flow.is_open())
+            .filter(|(_, flow)| flow.opened_ms <= opened_until_ms)
             .map(|(key, flow)| (*key, *flow))
             .collect();
         for (key, flow) in &lost {
-            if flow.stage == FlowStage::Open {
+            if flow.is_open() {
                 self.update(key, |flow| {
                     flow.stage = FlowStage::Lost;
                     flow.used_ms = now_ms;
@@ -459,10 +472,32 @@
                 self.remove(key);
             }
         }
-        lost.retain(|(_, flow)| flow.stage == FlowStage::Open);
+        lost.retain(|(_, flow)| flow.is_open());
         lost
     }
 
+    /// Doubts the open flows: their target's incarnation may have ended.
+    pub fn doubt_all(&mut self) {
+        self.replace_stage(FlowStage::Open, FlowStage::Doubted);
+    }
+
+    /// Takes the doubt back: their target's incarnation is running.
+    pub fn trust_all(&mut self) {
+        self.replace_stage(FlowStage::Doubted, FlowStage::Open);
+    }
+
+    fn replace_stage(&mut self, from: FlowStage, to: FlowStage) {
+        let keys: Vec<FlowKey> = self
+            .flows
+            .iter()
+            .filter(|(_, flow)| flow.stage == from)
+            .map(|(key, _)| *key)
+            .collect();
+        for key in keys {
+            self.update(&key, |flow| flow.stage = to);
+        }
+    }
+
     /// Stops counting flows and requests that callers have probably given up.
     pub fn expire_waits(&mut self, limits: &WaitLimits, now_ms: u64) {
         for flow in self.flows.values_mut() {
@@ -479,7 +514,7 @@
             .flows
             .iter()
             .filter(|(_, flow)| {
-                let limit_ms = if flow.stage == FlowStage::Open {
+                let limit_ms = if flow.is_open() {
                     open_before_ms
                 } else {
                     others_before_ms
@@ -490,7 +525,7 @@
             .collect();
         for key in expired {
             let flow = self.remove(&key);
-            if let Some(open) = flow.filter(|flow| flow.stage == FlowStage::Open) {
+            if let Some(open) = flow.filter(Flow::is_open) {
                 self.idle.insert(key, open.used_ms);
             }
         }
--- a/crates/basilstep-core/src/flows/agent/target.rs
+++ b/crates/basilstep-core/src/flows/agent/target.rs
@@ -1,8 +1,12 @@
-use crate::flows::frame::TargetPhase;
+use super::incarnation::{HeardIncarnation, Witness};
+use crate::flows::{frame::TargetPhase, key::InstanceTag};
 use serde::{Deserialize, Serialize};
 
 /// How long the platform's targets wait for the acknowledgement of a heartbeat.
-const HEARTBEAT_ACK_TIMEOUT_MS: u64 = 1_000;
+pub const HEARTBEAT_ACK_TIMEOUT_MS: u64 = 1_000;
+
+/// How many incarnations are remembered that others have replaced.
+const MAX_FORMER: usize = 8;
 
 /// How many heartbeat intervals a target must be silent before an incarnation with an earlier start
 /// is accepted.
@@ -21,6 +25,8 @@
 /// A heartbeat, in which a target describes its own state.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct TargetHeartbeat {
+    /// The instance that sent it.
+    pub instance: InstanceTag,
     /// When this incarnation started, in milliseconds of the target's wall clock.
     pub born_ms: u64,
     /// Increases with each heartbeat of an incarnation.
@@ -33,6 +39,13 @@
     pub warmup_left_ms: u32,
 }
 
+impl TargetHeartbeat {
+    /// Returns whether two heartbeats are of one incarnation of the target.
+    pub fn is_of_incarnation(&self, other: &Self) -> bool {
+        self.instance == other.instance && self.born_ms == other.born_ms
+    }
+}
+
 /// The effect of a heartbeat.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum HeartbeatOutcome {
@@ -44,24 +57,45 @@
     ///
     /// Logs show the name of this variant, so it is kept.
     NewLifetime,
+    /// Another incarnation has sent a heartbeat, perhaps a late one: the previous one may be running.
+    Replaced,
+    /// An incarnation goes on that another one had replaced.
+    Resumed,
     /// The heartbeat is older than the last one.
     Outdated,
 }
 
+/// What the agent knows of time when a heartbeat arrives.
+#[derive(Clone, Copy, Debug)]
+#[expect(clippy::struct_field_names, reason = "each is a time with its unit")]
+pub struct HeartbeatTiming {
+    /// The interval between two heartbeats of the target.
+    pub interval_ms: u64,
+    /// How long the agent has been running.
+    pub uptime_ms: u64,
+    /// The current time.
+    pub now_ms: u64,
+}
+
+impl HeartbeatTiming {
+    /// Returns the longest time between two heartbeats of a running target.
+    pub const fn max_interval_ms(&self) -> u64 {
+        self.interval_ms + HEARTBEAT_ACK_TIMEOUT_MS
+    }
+}
+
 /// The state of an agent's target, from the target's heartbeats.
+///
+/// Heartbeats and deregistrations arrive on connections of their own, in any order and perhaps late;
+/// clocks may step between two incarnations, and an id may return. So the start times only decide
+/// which incarnation is shown. That one has ended follows from what its target cannot do any more.
 #[derive(Clone, Debug, Default, Serialize)]
 pub struct TargetState {
     phase: TargetPhase,
-    last: Option<TargetHeartbeat>,
-    #[serde(rename = "heard_ms")]
-    last_heartbeat_ms: u64,
+    current: Option<HeardIncarnation>,
+    /// Other incarnations that have sent heartbeats, the last one at the end.
+    former: Vec<HeardIncarnation>,
     cold_until_ms: u64,
-    /// This incarnation of the target started together with the agent or later.
-    is_witnessed: bool,
-    /// The id that the target chose for its incarnation, once a heartbeat has named it.
-    instance: Option<String>,
-    /// The incarnation that has left, by the time of its start.
-    left_born_ms: Option<u64>,
 }
 
 impl TargetState {
@@ -69,51 +103,104 @@
     pub fn on_heartbeat(
         &mut self,
         heartbeat: &TargetHeartbeat,
-        heartbeat_ms: u64,
-        now_ms: u64,
+        timing: &HeartbeatTiming,
     ) -> HeartbeatOutcome {
-        if self.left_born_ms == Some(heartbeat.born_ms) {
+        let Some(current) = self.current else {
+            let first = HeardIncarnation::new(heartbeat, Witness::None, timing.now_ms);
+            return self.show(first, heartbeat, timing.now_ms, HeartbeatOutcome::Unchanged);
+        };
+        if current.last.is_of_incarnation(heartbeat) {
+            return self.on_next_heartbeat(current, heartbeat, timing);
+        }
+        let known = self.take_former(heartbeat);
+        if let Some(known) = known.filter(|known| heartbeat.sequence <= known.last.sequence) {
+            self.former.push(known);
             return HeartbeatOutcome::Outdated;
         }
-        let silence_ms = now_ms.saturating_sub(self.last_heartbeat_ms);
-        if let Some(last) = self.last {
-            let is_older = heartbeat.born_ms < last.born_ms;
-            // A clock that was set back gives a later incarnation an earlier start.
-            if is_older && silence_ms < heartbeat_ms * MAX_MISSED_HEARTBEATS {
-                return HeartbeatOutcome::Outdated;
-            }
-            if heartbeat.born_ms == last.born_ms && heartbeat.sequence <= last.sequence {
-                return HeartbeatOutcome::Outdated;
-            }
+        // One that is older than this target, and unknown, would be later than heartbeats can be.
+        let is_certain = known.is_none()
+            && (self.phase == TargetPhase::Down || current.is_older_than_late_calls());
+        let is_accepted = is_certain
+            || self.phase == TargetPhase::Down
+            || heartbeat.born_ms > current.last.born_ms
+            || current.is_silent(timing.interval_ms * MAX_MISSED_HEARTBEATS, timing.now_ms)
+            || known.is_some_and(|known| known.goes_on_without(&current, timing));
+        let witness = if is_certain {
+            Witness::StartedLater
+        } else {
+            Witness::None
+        };
+        let heard = known.map_or_else(
+            || HeardIncarnation::new(heartbeat, witness, timing.now_ms),
+            |known| known.continued(heartbeat, timing),
+        );
+        if !is_accepted {
+            self.remember(heard);
+            return HeartbeatOutcome::Outdated;
+        }
+        let outcome = match (is_certain, known) {
+            (true, _) => HeartbeatOutcome::NewLifetime,
+            (false, Some(_)) => HeartbeatOutcome::Resumed,
+            (false, None) => HeartbeatOutcome::Replaced,
+        };
+        self.remember(current);
+        self.show(heard, heartbeat, timing.now_ms, outcome)
+    }
+
+    /// Handles a heartbeat of the incarnation that sent the last one.
+    fn on_next_heartbeat(
+        &mut self,
+        current: HeardIncarnation,
+        heartbeat: &TargetHeartbeat,
+        timing: &HeartbeatTiming,
+    ) -> HeartbeatOutcome {
+        let is_after_end = current.has_left && heartbeat.state == HeartbeatState::Draining;
+        if heartbeat.sequence <= current.last.sequence || is_after_end {
+            return HeartbeatOutcome::Outdated;
         }
-        let is_new = self
-            .last
-            .is_some_and(|last| last.born_ms != heartbeat.born_ms);
+        let next = current.continued(heartbeat, timing);
+        self.show(next, heartbeat, timing.now_ms, HeartbeatOutcome::Unchanged)
+    }
+
+    fn show(
+        &mut self,
+        heard: HeardIncarnation,
+        heartbeat: &TargetHeartbeat,
+        now_ms: u64,
+        outcome: HeartbeatOutcome,
+    ) -> HeartbeatOutcome {
         let phase = match heartbeat.state {
             HeartbeatState::Ready => TargetPhase::Serving,
             HeartbeatState::Draining => TargetPhase::Draining,
         };
         let is_phase_changed = phase != self.phase;
-        self.is_witnessed |= is_new;
         self.phase = phase;
-        self.last = Some(*heartbeat);
-        self.last_heartbeat_ms = now_ms;
+        self.current = Some(heard);
         self.cold_until_ms = now_ms + u64::from(heartbeat.warmup_left_ms);
-        if is_new {
-            return HeartbeatOutcome::NewLifetime;
-        }
-        if is_phase_changed {
+        if outcome == HeartbeatOutcome::Unchanged && is_phase_changed {
             return HeartbeatOutcome::PhaseChanged;
         }
-        HeartbeatOutcome::Unchanged
+        outcome
     }
 
-    /// Returns the last time at which the current incarnation was certainly running: a heartbeat is
-    /// acknowledged within a second or not at all, so the last one was sent at most that long
-    /// before it arrived.
-    pub const fn known_alive_until_ms(&self) -> u64 {
-        self.last_heartbeat_ms
-            .saturating_sub(HEARTBEAT_ACK_TIMEOUT_MS)
+    fn take_former(&mut self, heartbeat: &TargetHeartbeat) -> Option<HeardIncarnation> {
+        let is_same = |former: &HeardIncarnation| former.last.is_of_incarnation(heartbeat);
+        let at = self.former.iter().position(is_same)?;
+        Some(self.former.remove(at))
+    }
+
+    fn remember(&mut self, heard: HeardIncarnation) {
+        if self.former.len() == MAX_FORMER {
+            self.former.remove(0);
+        }
+        self.former.push(heard);
+    }
+
+    /// Returns the last time at which the incarnation before this one was certainly running.
+    pub fn former_alive_until_ms(&self) -> u64 {
+        self.former
+            .last()
+            .map_or(0, HeardIncarnation::alive_until_ms)
     }
 
     /// Records that the target has ended or does not answer.
@@ -121,24 +208,25 @@
         self.phase = TargetPhase::Down;
     }
 
-    /// Records the id of the incarnation whose heartbeat was accepted last.
-    pub fn set_instance(&mut self, instance: &str) {
-        if self.instance.as_deref() != Some(instance) {
-            self.instance = Some(instance.to_owned());
-        }
-    }
-
-    /// Records that an incarnation has left; returns whether it is the last one.
+    /// Records that an instance has deregistered; returns whether that ends the current incarnation.
     ///
-    /// Heartbeats and deregistrations arrive on connections of their own, in any order. Before the
-    /// first heartbeat it is not known which incarnation is running.
-    pub fn on_left(&mut self, instance: &str) -> bool {
-        let is_last = self.instance.as_deref() == Some(instance);
-        if is_last {
-            self.left_born_ms = self.last.map(|last| last.born_ms);
+    /// A target deregisters when it has been draining for `drain_ms`. Any other deregistration may be a
+    /// late one of an earlier incarnation, which may have had the same id. If it is ignored wrongly, the
+    /// target gets no new flows, because it is draining, and its end shows when it refuses a packet.
+    pub fn on_left(&mut self, instance: InstanceTag, drain_ms: u64, now_ms: u64) -> bool {
+        let Some(current) = &mut self.current else {
+            return false;
+        };
+        let is_due = current
+            .draining_since_ms
+            .is_some_and(|since_ms| now_ms >= since_ms + drain_ms);
+        let is_own =
+            current.last.instance == instance && is_due && current.is_older_than_late_calls();
+        if is_own {
+            current.has_left = true;
             self.set_down();
         }
-        is_last
+        is_own
     }
 
     /// Returns whether the target accepts new flows.
@@ -148,27 +236,18 @@
 
     /// Returns whether the target is cold; it counts as cold until its first heartbeat.
     pub const fn is_cold(&self, now_ms: u64) -> bool {
-        self.last.is_none() || now_ms < self.cold_until_ms
-    }
-
-    /// Returns whether this incarnation of the target started at `at_ms` of the machine's wall clock
-    /// or later.
-    pub fn has_started_since(&self, at_ms: u64) -> bool {
-        self.last.is_some_and(|last| last.born_ms >= at_ms)
-    }
-
-    /// Records that this incarnation of the target started together with the agent or later.
-    pub const fn set_witnessed(&mut self) {
-        self.is_witnessed = true;
+        self.current.is_none() || now_ms < self.cold_until_ms
     }
 
-    /// Returns whether this incarnation of the target started together with the agent or later.
-    pub const fn is_witnessed(&self) -> bool {
-        self.is_witnessed
+    /// Returns what shows that no other process of the agent has forwarded flows to this incarnation.
+    pub fn witness(&self) -> Witness {
+        self.current
+            .map_or(Witness::None, |current| current.witness)
     }
 
     /// Returns how many requests the target processes at once.
     pub fn capacity(&self) -> u16 {
-        self.last.map_or(1, |last| last.capacity.max(1))
+        self.current
+            .map_or(1, |current| current.last.capacity.max(1))
     }
 }
--- a/crates/basilstep-core/src/flows/key.rs
+++ b/crates/basilstep-core/src/flows/key.rs
@@ -64,6 +64,20 @@
     }
 }
 
+/// Identifies an instance of a target: a hash of the id that it has chosen, which may return.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(transparent)]
+pub struct InstanceTag(u64);
+
+impl InstanceTag {
+    /// Returns the tag of the instance with an id.
+    pub fn of(id: &str) -> Self {
+        let mut hasher = SipHasher13::new();
+        hasher.write(id.as_bytes());
+        Self(hasher.finish())
+    }
+}
+
 /// Distinguishes the incarnations of a process at the same address; drawn at random at each start.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
 #[serde(transparent)]
--- a/crates/basilstep-core/src/flows/mod.rs
+++ b/crates/basilstep-core/src/flows/mod.rs
@@ -33,7 +33,7 @@
     AgentReport, BalancerEntry, BalancerHeartbeat, ForwardHeader, Frame, HeldFlows, ReportReply,
     Returned, TargetPhase,
 };
-pub use key::{FlowKey, LostFlow, ProcessIncarnation, ServiceTag};
+pub use key::{FlowKey, InstanceTag, LostFlow, ProcessIncarnation, ServiceTag};
 pub use limits::ServiceLimits;
 pub use routes::{FleetSettings, PriorityRank, RequestKind, Route, RouteTable, ServiceShare};
 pub use segment::{Flags, Segment};
--- a/crates/basilstep-packet/src/agent/http.rs
+++ b/crates/basilstep-packet/src/agent/http.rs
@@ -1,6 +1,6 @@
 use super::serve::Agent;
 use crate::request_forwarder::PendingRequest;
-use basilstep_core::flows::{Recipients, TargetPhase, agent::HeartbeatOutcome};
+use basilstep_core::flows::{InstanceTag, Recipients, TargetPhase, agent::HeartbeatOutcome};
 use basilstep_node::{clock::unix_time_ms, http::ServerResponse};
 use basilstep_platform::{
     calls::{self, Call},
@@ -33,7 +33,7 @@
     }
 
     fn on_target_heartbeat(&mut self, id: &str, body: &[u8]) -> ServerResponse {
-        let request = match heartbeat::decode(body) {
+        let request = match heartbeat::decode(id, body) {
             Ok(request) => request,
             Err(error) => {
                 log::warn!(id, reason:% = error; "rejected a malformed heartbeat");
@@ -57,12 +57,9 @@
             .flows
             .on_target_heartbeat(&request.heartbeat, &self.ctx);
         self.reset_lost_flows(&lost);
-        if outcome != HeartbeatOutcome::Outdated {
-            self.flows.set_target_instance(id);
-        }
-        if matches!(
+        if !matches!(
             outcome,
-            HeartbeatOutcome::NewLifetime | HeartbeatOutcome::PhaseChanged
+            HeartbeatOutcome::Unchanged | HeartbeatOutcome::Outdated
         ) {
             // A packet to the former incarnation, or from before the first heartbeat, may have been
             // refused.
@@ -83,7 +80,8 @@
     }
 
     fn on_leave(&mut self, id: &str) -> ServerResponse {
-        let Some(lost) = self.flows.on_target_left(id, &self.ctx) else {
+        let instance = InstanceTag::of(id);
+        let Some(lost) = self.flows.on_target_left(instance, &self.ctx) else {
             log::info!(id; "ignored the deregistration of another incarnation of the target");
             return ServerResponse::empty(StatusCode::OK);
         };
--- a/crates/basilstep-packet/src/agent/serve.rs
+++ b/crates/basilstep-packet/src/agent/serve.rs
@@ -16,7 +16,7 @@
         agent::{AgentIdentity, ColdAllowance, Discovery, SettingsSource},
     },
 };
-use basilstep_node::{clock::unix_time_ms, shutdown};
+use basilstep_node::shutdown;
 use basilstep_platform::{header, settings::MachineSettings, store::StoreClient};
 use std::{
     net::{Ipv4Addr, SocketAddrV4},
@@ -146,8 +146,8 @@
             service: ServiceTag::of(&service),
             domain: machine.domain,
             incarnation: start.incarnation,
-            born_ms: unix_time_ms(),
             heartbeat_ms: machine.heartbeat_interval_ms,
+            drain_ms: machine.drain_ms,
             flow_max_age_ms: machine.flow_max_age_ms,
             allowance: ColdAllowance {
                 overage: machine.warmup_overage,
