perf(flows): a target that starts together with its agent is known at once

One heartbeat is enough if its count is at most four (calls are refused until the agent listens), its start is at most `table.witness_ms` before the agent's by the clock, and no balancer remembers a former process of the agent.

--- a/crates/basilstep-bench/src/load/packet_path.rs
+++ b/crates/basilstep-bench/src/load/packet_path.rs
@@ -177,6 +177,7 @@
         state: HeartbeatState::Ready,
         capacity: u16::MAX,
         warmup_left_ms: 0,
+        age_ms: None,
     };
     agent.on_target_heartbeat(&heartbeat, &ctx);
     for flow in 0..flows {
--- a/crates/basilstep-bench/src/load/steering/simulation/agents.rs
+++ b/crates/basilstep-bench/src/load/steering/simulation/agents.rs
@@ -22,7 +22,9 @@
                 state: HeartbeatState::Ready,
                 capacity: CAPACITY as u16,
                 warmup_left_ms: 0,
-            };
+                age_ms: None,
+            }
+            .arrived_at(self.now_ms);
             machine.agent.on_target_heartbeat(&heartbeat, ctx);
         }
         machine.agent.on_tick(ctx);
--- a/crates/basilstep-core/src/flows/agent/former_incarnation.rs
+++ b/crates/basilstep-core/src/flows/agent/former_incarnation.rs
@@ -6,7 +6,9 @@
     /// No balancer has replied yet.
     #[default]
     Unknown,
-    /// It ended long before this incarnation started, or never ran.
+    /// None that has replied remembers one.
+    NotRemembered,
+    /// It ended long before this incarnation started.
     Gone,
     /// It ran until shortly before this incarnation started.
     Recent,
@@ -26,10 +28,11 @@
         let max_interval_ms =
             settings.liveness.report_interval_ms * u64::from(settings.liveness.slowest_pace);
         let recent_ms = uptime_ms + max_interval_ms + settings.table.witness_ms;
-        if former_report_age_ms.is_some_and(|age_ms| u64::from(age_ms) < recent_ms) {
-            *self = Self::Recent;
-        } else if *self == Self::Unknown {
-            *self = Self::Gone;
-        }
+        *self = match (former_report_age_ms, *self) {
+            (_, Self::Recent) => Self::Recent,
+            (Some(age_ms), _) if u64::from(age_ms) < recent_ms => Self::Recent,
+            (Some(_), _) | (None, Self::Gone) => Self::Gone,
+            (None, Self::Unknown | Self::NotRemembered) => Self::NotRemembered,
+        };
     }
 }
--- a/crates/basilstep-core/src/flows/agent/incarnation.rs
+++ b/crates/basilstep-core/src/flows/agent/incarnation.rs
@@ -10,6 +10,9 @@
 /// The highest number that the first heartbeat of an incarnation has.
 const FIRST_SEQUENCE: u64 = 1;
 
+/// How many calls a target may have made before its agent listens, if they start together.
+const MAX_CALLS_AT_START: u64 = 4;
+
 /// What shows that no other process of the agent has forwarded flows to an incarnation of the target.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "snake_case")]
@@ -17,6 +20,8 @@
     /// Nothing.
     #[default]
     None,
+    /// It started together with this process of the agent, as far as its count and the clock tell.
+    StartedTogether,
     /// Its first heartbeat came to this process of the agent; an earlier one may have forwarded flows
     /// before that, if it was running shortly before.
     FirstHeartbeat,
@@ -46,8 +51,14 @@
 
 impl HeardIncarnation {
     /// Creates an incarnation whose first heartbeat arrives.
-    pub fn new(heartbeat: &TargetHeartbeat, witness: Witness, now_ms: u64) -> Self {
+    pub fn new(heartbeat: &TargetHeartbeat, timing: &HeartbeatTiming) -> Self {
+        let now_ms = timing.now_ms;
         let is_draining = heartbeat.state == HeartbeatState::Draining;
+        let witness = if is_started_together(heartbeat, timing) {
+            Witness::StartedTogether
+        } else {
+            Witness::None
+        };
         Self {
             last: *heartbeat,
             last_ms: now_ms,
@@ -93,7 +104,7 @@
         } else if self.first_sequence <= FIRST_SEQUENCE {
             Witness::FirstHeartbeat
         } else {
-            Witness::None
+            self.witness
         }
     }
 
@@ -126,3 +137,12 @@
         self.last_ms.saturating_sub(HEARTBEAT_ACK_TIMEOUT_MS)
     }
 }
+
+/// Returns whether a target has probably started together with its agent.
+///
+/// The clock alone could make a target younger than it is, the count alone a late heartbeat the first.
+fn is_started_together(heartbeat: &TargetHeartbeat, timing: &HeartbeatTiming) -> bool {
+    let max_age_ms = timing.uptime_ms + timing.start_tolerance_ms;
+    heartbeat.sequence <= MAX_CALLS_AT_START
+        && heartbeat.age_ms.is_some_and(|age_ms| age_ms <= max_age_ms)
+}
--- a/crates/basilstep-core/src/flows/agent/state.rs
+++ b/crates/basilstep-core/src/flows/agent/state.rs
@@ -255,6 +255,7 @@
         let timing = HeartbeatTiming {
             interval_ms: self.identity.heartbeat_ms,
             uptime_ms: ctx.now_ms.saturating_sub(self.started_ms),
+            start_tolerance_ms: self.settings.table.witness_ms,
             now_ms: ctx.now_ms,
         };
         let outcome = self.target.on_heartbeat(heartbeat, &timing);
@@ -488,7 +489,11 @@
     fn has_witnessed_target(&self) -> bool {
         match self.target.witness() {
             Witness::None => false,
-            Witness::FirstHeartbeat => self.former_incarnation == FormerIncarnation::Gone,
+            Witness::StartedTogether => self.former_incarnation == FormerIncarnation::NotRemembered,
+            Witness::FirstHeartbeat => matches!(
+                self.former_incarnation,
+                FormerIncarnation::NotRemembered | FormerIncarnation::Gone
+            ),
             Witness::StartedLater => true,
         }
     }
--- a/crates/basilstep-core/src/flows/agent/target.rs
+++ b/crates/basilstep-core/src/flows/agent/target.rs
@@ -3,7 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 /// How long the platform's targets wait for the acknowledgement of a heartbeat.
-pub const HEARTBEAT_ACK_TIMEOUT_MS: u64 = 1_000;
+pub(super) const HEARTBEAT_ACK_TIMEOUT_MS: u64 = 1_000;
 
 /// How many incarnations are remembered that others have replaced.
 const MAX_FORMER: usize = 8;
@@ -37,9 +37,21 @@
     pub capacity: u16,
     /// How much longer the target stays cold.
     pub warmup_left_ms: u32,
+    /// How long ago the target started, by the machine's clock; `None` if that is not known, or the
+    /// clock was set back since.
+    pub age_ms: Option<u64>,
 }
 
 impl TargetHeartbeat {
+    /// Records when it arrived, in milliseconds of the machine's wall clock.
+    #[must_use]
+    pub const fn arrived_at(self, unix_ms: u64) -> Self {
+        Self {
+            age_ms: unix_ms.checked_sub(self.born_ms),
+            ..self
+        }
+    }
+
     /// Returns whether two heartbeats are of one incarnation of the target.
     pub fn is_of_incarnation(&self, other: &Self) -> bool {
         self.instance == other.instance && self.born_ms == other.born_ms
@@ -73,6 +85,9 @@
     pub interval_ms: u64,
     /// How long the agent has been running.
     pub uptime_ms: u64,
+    /// How long before its agent a target may have started and still count as started together with
+    /// it.
+    pub start_tolerance_ms: u64,
     /// The current time.
     pub now_ms: u64,
 }
@@ -106,7 +121,7 @@
         timing: &HeartbeatTiming,
     ) -> HeartbeatOutcome {
         let Some(current) = self.current else {
-            let first = HeardIncarnation::new(heartbeat, Witness::None, timing.now_ms);
+            let first = HeardIncarnation::new(heartbeat, timing);
             return self.show(first, heartbeat, timing.now_ms, HeartbeatOutcome::Unchanged);
         };
         if current.last.is_of_incarnation(heartbeat) {
@@ -125,15 +140,13 @@
             || heartbeat.born_ms > current.last.born_ms
             || current.is_silent(timing.interval_ms * MAX_MISSED_HEARTBEATS, timing.now_ms)
             || known.is_some_and(|known| known.goes_on_without(&current, timing));
-        let witness = if is_certain {
-            Witness::StartedLater
-        } else {
-            Witness::None
-        };
-        let heard = known.map_or_else(
-            || HeardIncarnation::new(heartbeat, witness, timing.now_ms),
+        let mut heard = known.map_or_else(
+            || HeardIncarnation::new(heartbeat, timing),
             |known| known.continued(heartbeat, timing),
         );
+        if is_certain {
+            heard.witness = Witness::StartedLater;
+        }
         if !is_accepted {
             self.remember(heard);
             return HeartbeatOutcome::Outdated;
--- a/crates/basilstep-core/src/flows/settings.rs
+++ b/crates/basilstep-core/src/flows/settings.rs
@@ -311,7 +311,8 @@
     /// How long an agent keeps a flow that both ends closed, or whose caller never completed the
     /// handshake.
     pub linger_ms: u64,
-    /// How much longer than its last report says a former process of the agent may have run.
+    /// How long before its agent a target may have started and still count as started together with
+    /// it.
     pub witness_ms: u64,
 }
 
--- a/crates/basilstep-core/src/flows/tests/fleet.rs
+++ b/crates/basilstep-core/src/flows/tests/fleet.rs
@@ -244,7 +244,9 @@
                 state: HeartbeatState::Ready,
                 capacity: 9,
                 warmup_left_ms: 0,
-            };
+                age_ms: None,
+            }
+            .arrived_at(ctx.now_ms);
             machine.agent.on_target_heartbeat(&heartbeat, &ctx);
         }
     }
--- a/crates/basilstep-core/src/flows/tests/flow_model/world.rs
+++ b/crates/basilstep-core/src/flows/tests/flow_model/world.rs
@@ -523,7 +523,9 @@
             state: HeartbeatState::Ready,
             capacity: 9,
             warmup_left_ms: 0,
-        };
+            age_ms: None,
+        }
+        .arrived_at(WALL_CLOCK_MS + ctx.now_ms);
         let (_, lost) = agent.flows.on_target_heartbeat(&heartbeat, &ctx);
         self.reset_all(lost, "a new incarnation");
         self.send_reports(0.0);
--- a/crates/basilstep-core/src/flows/tests/mod.rs
+++ b/crates/basilstep-core/src/flows/tests/mod.rs
@@ -209,6 +209,7 @@
         state: HeartbeatState::Ready,
         capacity: 4,
         warmup_left_ms: 0,
+        age_ms: None,
     }
 }
 
--- a/crates/basilstep-packet/src/agent/http.rs
+++ b/crates/basilstep-packet/src/agent/http.rs
@@ -48,14 +48,14 @@
             log::warn!(id, address:% = request.address; "rejected a heartbeat of another address");
             return ServerResponse::empty(StatusCode::CONFLICT);
         }
+        let unix_ms = unix_time_ms();
         let born_ms = request.heartbeat.born_ms;
-        if born_ms > unix_time_ms() + MAX_CLOCK_STEP_MS {
+        if born_ms > unix_ms + MAX_CLOCK_STEP_MS {
             log::warn!(id, born_ms; "rejected a heartbeat of a target that starts in the future");
             return ServerResponse::empty(StatusCode::BAD_REQUEST);
         }
-        let (outcome, lost) = self
-            .flows
-            .on_target_heartbeat(&request.heartbeat, &self.ctx);
+        let heartbeat = request.heartbeat.arrived_at(unix_ms);
+        let (outcome, lost) = self.flows.on_target_heartbeat(&heartbeat, &self.ctx);
         self.reset_lost_flows(&lost);
         if !matches!(
             outcome,
