fix(flows): the pace of heartbeats says nothing of a target's age

A target whose process stands still sends fewer heartbeats than its age allows. If its agent is restarted meanwhile, the count seemed to show that it had started after the agent, which would then deny its flows. Found by reading; no run shows it. The rule gained nothing else: an incarnation that follows one that has certainly ended, and a first heartbeat, are known without it.

--- a/crates/basilstep-core/src/flows/agent/incarnation.rs
+++ b/crates/basilstep-core/src/flows/agent/incarnation.rs
@@ -79,10 +79,13 @@
             last: *heartbeat,
             last_ms: timing.now_ms,
             is_confirmed,
-            witness: if is_confirmed {
-                self.confirmed_witness(heartbeat, timing)
-            } else {
-                self.witness
+            witness: match self.witness {
+                Witness::None | Witness::StartedTogether
+                    if is_confirmed && self.first_sequence <= FIRST_SEQUENCE =>
+                {
+                    Witness::FirstHeartbeat
+                }
+                witness => witness,
             },
             draining_since_ms: self
                 .draining_since_ms
@@ -93,21 +96,6 @@
         }
     }
 
-    /// Returns what the number of its heartbeats says of the age of an incarnation that is running.
-    fn confirmed_witness(&self, heartbeat: &TargetHeartbeat, timing: &HeartbeatTiming) -> Witness {
-        let max_age_ms = timing
-            .max_interval_ms()
-            .saturating_mul(heartbeat.sequence)
-            .saturating_add(HEARTBEAT_ACK_TIMEOUT_MS);
-        if self.witness == Witness::StartedLater || timing.uptime_ms >= max_age_ms {
-            Witness::StartedLater
-        } else if self.first_sequence <= FIRST_SEQUENCE {
-            Witness::FirstHeartbeat
-        } else {
-            self.witness
-        }
-    }
-
     /// Returns whether a heartbeat that arrives now is as far from the last one as those of a running
     /// target.
     const fn is_at_pace(&self, timing: &HeartbeatTiming) -> bool {
--- a/crates/basilstep-core/src/flows/agent/target.rs
+++ b/crates/basilstep-core/src/flows/agent/target.rs
@@ -92,13 +92,6 @@
     pub now_ms: u64,
 }
 
-impl HeartbeatTiming {
-    /// Returns the longest time between two heartbeats of a running target.
-    pub const fn max_interval_ms(&self) -> u64 {
-        self.interval_ms + HEARTBEAT_ACK_TIMEOUT_MS
-    }
-}
-
 /// The state of an agent's target, from the target's heartbeats.
 ///
 /// Heartbeats and deregistrations arrive on connections of their own, in any order and perhaps late;
