test(review): a reset of an open flow from a port that was used before

Cause, as far as known: a balancer keeps the hint of an ended flow for 90 s and ignores the advertisement of a later flow with the same key (record_holder). Once the earlier flow's agent has left as planned and is forgotten, the balancer takes it for silent and resets the later flow, without asking the agent that holds it.

Adds the stand-ins of this review (standard library only).

--- /dev/null
+++ b/review/stand-ins-3/src/cases/mod.rs
@@ -0,0 +1,3 @@
+//! The scripted cases.
+
+pub mod reused_port;
