test(review): a reset of open flows after a clock step and a restart of all

Cause, as far as known: an agent takes an endpoint with at most four pings behind it for one that started together with it, by the time of day (is_started_together). If the clock went back after the endpoint's start and all processes were killed since, nobody contradicts, and the agent returns packets of open flows as not held; balancers reset them.

--- a/review/stand-ins-3/src/cases/mod.rs
+++ b/review/stand-ins-3/src/cases/mod.rs
@@ -1,3 +1,4 @@
 //! The scripted cases.
 
+pub mod forgotten_start;
 pub mod reused_port;
--- a/review/stand-ins-3/src/main.rs
+++ b/review/stand-ins-3/src/main.rs
@@ -33,6 +33,7 @@
     let record = Record::create(&Path::new(folder).join("record.txt"));
     record.line(format!("case {name}, TROUBLE={trouble}"));
     let verdict = match name.as_str() {
+        "forgotten-start" => cases::forgotten_start::play(&record, &trouble),
         "reused-port" => cases::reused_port::play(&record, &trouble),
         _ => Verdict::NotRun,
     };
