test(review): resets of flows of an endpoint that the store's record lacks

Cause, as far as known: the record of the agents isn't written while the store turns writes away; balancers that start take it for complete and reset the flows of an endpoint that was added meanwhile and whose node is still being restarted.

The stand-ins no longer send SIGTERM twice.

--- a/review/stand-ins-3/src/cases/mod.rs
+++ b/review/stand-ins-3/src/cases/mod.rs
@@ -2,3 +2,4 @@
 
 pub mod forgotten_start;
 pub mod reused_port;
+pub mod unrecorded_endpoint;
--- a/review/stand-ins-3/src/cases/reused_port.rs
+++ b/review/stand-ins-3/src/cases/reused_port.rs
@@ -108,7 +108,7 @@
     }
     let verdict = judge(&ports, &served_by, &requester, &endpoints, service, record);
     if rolls {
-        fleet.stop(1);
+        fleet.await_end(1);
         fleet.start_balancer(1);
     }
     if let Some(port) = ports
--- a/review/stand-ins-3/src/fleet.rs
+++ b/review/stand-ins-3/src/fleet.rs
@@ -131,6 +131,11 @@
     /// Sends SIGTERM to a process and waits for its end; returns whether it ended within the grace.
     pub fn stop(&mut self, number: u8) -> bool {
         self.signal(number, "TERM");
+        self.await_end(number)
+    }
+
+    /// Waits for the end of a process that has got SIGTERM; returns whether it ended within the grace.
+    pub fn await_end(&mut self, number: u8) -> bool {
         let until = Instant::now() + Duration::from_secs(6);
         let Some(child) = self.children.get_mut(&number) else {
             return false;
--- a/review/stand-ins-3/src/main.rs
+++ b/review/stand-ins-3/src/main.rs
@@ -35,6 +35,7 @@
     let verdict = match name.as_str() {
         "forgotten-start" => cases::forgotten_start::play(&record, &trouble),
         "reused-port" => cases::reused_port::play(&record, &trouble),
+        "unrecorded-endpoint" => cases::unrecorded_endpoint::play(&record, &trouble),
         _ => Verdict::NotRun,
     };
     record.say(format!("verdict: {verdict:?}"));
--- a/review/stand-ins-3/src/store.rs
+++ b/review/stand-ins-3/src/store.rs
@@ -39,6 +39,8 @@
     /// The time to live and the end of each lease.
     leases: BTreeMap<u64, (u64, Instant)>,
     next_lease: u64,
+    /// All calls of the system get 503.
+    is_busy: bool,
 }
 
 #[derive(Clone, Debug)]
@@ -102,6 +104,7 @@
             history: Vec::new(),
             leases: BTreeMap::new(),
             next_lease: 77_000,
+            is_busy: false,
         };
         let store = Self {
             shared: Arc::new((Mutex::new(state), Condvar::new())),
@@ -121,6 +124,13 @@
         changed.notify_all();
     }
 
+    /// Turns all calls of the system away with 503, or serves them again.
+    pub fn set_busy(&self, is_busy: bool) {
+        let (state, changed) = &*self.shared;
+        state.lock().unwrap().is_busy = is_busy;
+        changed.notify_all();
+    }
+
     fn answer(&self, request: &Request) -> (u16, String) {
         let (path, query) = request.path.split_once('?').unwrap_or((&request.path, ""));
         let query: BTreeMap<&str, &str> = query
@@ -137,6 +147,9 @@
         let (state, changed) = &*self.shared;
         let mut state = state.lock().unwrap();
         state.end_leases();
+        if state.is_busy {
+            return (503, "{}".to_owned());
+        }
         match (request.method.as_str(), path) {
             ("GET", "/kv-key") => {
                 let key = query.get("Key").copied().unwrap_or_default();
@@ -170,6 +183,9 @@
                 let until = Instant::now() + Duration::from_millis(number("WaitMs").min(30_000));
                 loop {
                     state.end_leases();
+                    if state.is_busy {
+                        return (503, "{}".to_owned());
+                    }
                     let events: Vec<String> = state
                         .history
                         .iter()
