--- a/review/11/run.sh
+++ b/review/11/run.sh
@@ -5,4 +5,8 @@
 cd "$(dirname "$0")/../.."
 program=target/review-3/release/review-case
 [ -x "$program" ] || { echo "run review/build-3.sh first"; exit 2; }
-exec timeout --kill-after=1 --signal=TERM 115 "$program" reused-port review/11
+# After 115 s the programs, which are in the same process group, get SIGTERM too.
+timeout --kill-after=1 --signal=TERM 115 "$program" reused-port review/11
+status=$?
+[ "$status" -le 2 ] || status=2
+exit "$status"
--- a/review/stand-ins-3/src/endpoint.rs
+++ b/review/stand-ins-3/src/endpoint.rs
@@ -198,12 +198,10 @@
                     "not acknowledged"
                 }
             ));
-            if is_acknowledged {
-                if is_draining && self.0.drain_acknowledged_ms.load(Ordering::SeqCst) == 0 {
-                    self.0
-                        .drain_acknowledged_ms
-                        .store(self.0.record.ms().max(1), Ordering::SeqCst);
-                }
+            let is_first_ack = self.0.drain_acknowledged_ms.load(Ordering::SeqCst) == 0;
+            if is_acknowledged && is_draining && is_first_ack {
+                let at_ms = self.0.record.ms().max(1);
+                self.0.drain_acknowledged_ms.store(at_ms, Ordering::SeqCst);
             }
             sequence += 1;
             next += HEARTBEAT;
--- a/review/stand-ins-3/src/fleet.rs
+++ b/review/stand-ins-3/src/fleet.rs
@@ -119,6 +119,8 @@
                 "{} does not start; was the deploy file's build run?",
                 words[0]
             );
+            let numbers: Vec<u8> = self.children.keys().copied().collect();
+            self.kill(&numbers);
             std::process::exit(2);
         };
         self.record.line(format!(
